Lay out build, checks and the core module

Cause: nothing existed. Change: CMake with precompiled headers and ccache, Chromium format, clang-tidy names, layering check, sanitized test builds, core module (time, ids, outcomes, errors, seeded random, backoff). Conclusion: modules can be added.

--- /dev/null
+++ b/cmake/Compiler.cmake
@@ -0,0 +1,20 @@
+# Strict warnings for our own code, ccache where it is installed.
+add_library(jacinthdeck_warnings INTERFACE)
+target_compile_options(jacinthdeck_warnings INTERFACE
+  -Wall -Wextra -Wpedantic -Werror -Wshadow -Wnon-virtual-dtor -Wold-style-cast
+  -Wcast-align -Woverloaded-virtual -Wnull-dereference -Wimplicit-fallthrough)
+if(JACINTHDECK_SANITIZE)
+  # Optimiser-driven warnings are unreliable under the sanitizers.
+  target_compile_options(jacinthdeck_warnings INTERFACE -Wno-null-dereference -Wno-maybe-uninitialized)
+  add_compile_options(-fsanitize=${JACINTHDECK_SANITIZE} -fno-omit-frame-pointer -fno-sanitize-recover=all)
+  add_link_options(-fsanitize=${JACINTHDECK_SANITIZE})
+endif()
+
+find_program(CCACHE_PROGRAM ccache)
+if(CCACHE_PROGRAM)
+  set(CMAKE_CXX_COMPILER_LAUNCHER
+      ${CMAKE_COMMAND} -E env
+      CCACHE_SLOPPINESS=pch_defines,time_macros,include_file_mtime,include_file_ctime
+      CCACHE_BASEDIR=${CMAKE_SOURCE_DIR} CCACHE_NOHASHDIR=true ${CCACHE_PROGRAM})
+  add_compile_options(-fpch-preprocess)
+endif()
--- /dev/null
+++ b/cmake/Dependencies.cmake
@@ -0,0 +1,11 @@
+# Every library comes from Debian's packages; .ci/run holds the install line.
+find_package(Boost 1.81 REQUIRED COMPONENTS program_options log thread unit_test_framework)
+find_package(Threads REQUIRED)
+find_package(PkgConfig REQUIRED)
+pkg_check_modules(ULFIUS REQUIRED IMPORTED_TARGET libulfius)
+pkg_check_modules(CURL REQUIRED IMPORTED_TARGET libcurl)
+pkg_check_modules(JANSSON REQUIRED IMPORTED_TARGET jansson)
+pkg_check_modules(LUA REQUIRED IMPORTED_TARGET lua5.4)
+find_library(FLATBUFFERS_LIBRARY flatbuffers REQUIRED)
+find_path(XXHASH_INCLUDE xxhash.h REQUIRED)
+find_path(TOMLPP_INCLUDE toml++/toml.h REQUIRED)
--- /dev/null
+++ b/src/jacinthdeck/core/fwd.h
@@ -0,0 +1,17 @@
+// Forward declarations of the core module: time, identifiers, outcomes, errors.
+#ifndef JACINTHDECK_CORE_FWD_H_
+#define JACINTHDECK_CORE_FWD_H_
+
+namespace jacinthdeck {
+
+class Clock;
+class ManualClock;
+class Random;
+struct Error;
+struct RequestId;
+enum class ErrorCode;
+enum class Outcome;
+
+}  // namespace jacinthdeck
+
+#endif  // JACINTHDECK_CORE_FWD_H_
--- /dev/null
+++ b/test/jacinthdeck/core/backoff_test.cc
@@ -0,0 +1,39 @@
+// Tests of the backoff between tries.
+#include "jacinthdeck/core/backoff.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace jacinthdeck {
+
+struct BackoffFixture {
+  Random random{1};
+  Backoff backoff{std::chrono::milliseconds(100), std::chrono::seconds(5)};
+};
+
+BOOST_FIXTURE_TEST_SUITE(BackoffTest, BackoffFixture)
+
+// A store that went away is asked by every node at once. What the operator sees
+// without jitter: a spike of calls at each doubling that keeps the store down.
+// The delay must be spread and bounded.
+BOOST_AUTO_TEST_CASE(Backoff_RepeatedFailures_DelaysAreJitteredAndBounded) {
+  Duration longest{};
+  for (int i = 0; i < 1000; ++i) {
+    const Duration delay = backoff.OnFailure(random);
+    BOOST_TEST((delay >= std::chrono::milliseconds(1)));
+    BOOST_TEST((delay < std::chrono::seconds(5)));
+    longest = std::max(longest, delay);
+  }
+  BOOST_TEST((longest > std::chrono::seconds(4)));
+}
+
+BOOST_AUTO_TEST_CASE(Backoff_AfterSuccess_StartsAgainFromTheFirstWindow) {
+  for (int i = 0; i < 10; ++i) {
+    (void)backoff.OnFailure(random);
+  }
+  backoff.OnSuccess();
+  BOOST_TEST((backoff.OnFailure(random) < std::chrono::milliseconds(100)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace jacinthdeck
--- /dev/null
+++ b/test/support/main.cc
@@ -0,0 +1,3 @@
+// Entry point shared by the test executables of all modules.
+#define BOOST_TEST_MODULE jacinthdeck
+#include <boost/test/unit_test.hpp>
--- /dev/null
+++ b/test/support/printers.cc
@@ -0,0 +1,10 @@
+// Prints the project's types in failed assertions.
+#include "support/printers.h"
+
+namespace jacinthdeck {
+
+std::ostream& operator<<(std::ostream& out, Outcome outcome) {
+  return out << kOutcomeNames.Name(outcome);
+}
+
+}  // namespace jacinthdeck
