--- /dev/null
+++ b/src/jacinthdeck/platform/fwd.h
@@ -0,0 +1,7 @@
+// Forward declarations of the platform module.
+#ifndef JACINTHDECK_PLATFORM_FWD_H_
+#define JACINTHDECK_PLATFORM_FWD_H_
+
+namespace jacinthdeck {}  // namespace jacinthdeck
+
+#endif  // JACINTHDECK_PLATFORM_FWD_H_
