Choose replicas by outcomes, limits and budgets

Cause: the thin router chose by own requests in flight only. A target that fails at once draws work, one that never answers holds its share of all calls, and nothing bounds hedges and retries.

Ruled out: a penalty for trouble without an end in time.

--- /dev/null
+++ b/src/jacinthdeck/routing/decaying_average.h
@@ -0,0 +1,47 @@
+// Average in which each new sample counts for a fixed share.
+#ifndef JACINTHDECK_ROUTING_DECAYING_AVERAGE_H_
+#define JACINTHDECK_ROUTING_DECAYING_AVERAGE_H_
+
+#include <algorithm>
+#include <cstdint>
+
+namespace jacinthdeck {
+
+/*! \brief Exponentially weighted moving average that starts as a plain mean. */
+class DecayingAverage {
+ public:
+  /**
+   * \brief Makes an average without samples.
+   * \param memory Samples after which an old one has faded to about a third; at
+   * least 1.
+   */
+  explicit DecayingAverage(std::uint32_t memory) noexcept : m_memory(memory) {}
+
+  /*! \brief Gives the average; 0 before the first sample. */
+  [[nodiscard]] double value() const noexcept { return m_value; }
+
+  /*! \brief Counts the samples, up to the memory. */
+  [[nodiscard]] std::uint32_t samples() const noexcept { return m_samples; }
+
+  /*! \brief Takes a sample. */
+  void Add(double sample) noexcept {
+    m_samples = std::min(m_samples + 1, m_memory);
+    m_value += (sample - m_value) / m_samples;
+  }
+
+  /*! \brief Forgets all samples. */
+  void Reset() noexcept {
+    m_samples = 0;
+    m_value = 0;
+  }
+
+ private:
+  std::uint32_t m_memory;
+  //! Never above m_memory.
+  std::uint32_t m_samples = 0;
+  double m_value = 0;
+};
+
+}  // namespace jacinthdeck
+
+#endif  // JACINTHDECK_ROUTING_DECAYING_AVERAGE_H_
--- a/src/jacinthdeck/routing/fwd.h
+++ b/src/jacinthdeck/routing/fwd.h
@@ -5,14 +5,33 @@
 
 namespace jacinthdeck {
 
+class DecayingAverage;
+class EntryCountWindow;
+class HedgePolicy;
+class InFlightWindow;
+class LatencyHistogram;
+class LoadHint;
+class ReplicaChooser;
 class Router;
+class ServiceRecord;
+class TargetHealth;
+class TargetRecord;
+class TokenBudget;
+struct AttemptResult;
+struct ConnectionPlan;
+struct ReplicaView;
 struct RouteRequest;
+struct RouterCounters;
 struct RouterOptions;
 struct TargetInfo;
+struct TargetSnapshot;
 enum class AttemptKind;
 enum class AttemptStatus;
+enum class HealthState;
 enum class RouteRefusal;
+enum class TargetRank;
 enum class TargetState;
+enum class Verdict;
 
 }  // namespace jacinthdeck
 
--- /dev/null
+++ b/src/jacinthdeck/routing/in_flight_window.h
@@ -0,0 +1,73 @@
+// Adaptive number of requests that this entry keeps at one target.
+#ifndef JACINTHDECK_ROUTING_IN_FLIGHT_WINDOW_H_
+#define JACINTHDECK_ROUTING_IN_FLIGHT_WINDOW_H_
+
+#include <algorithm>
+#include <cstdint>
+
+#include "jacinthdeck/core/time.h"
+
+namespace jacinthdeck {
+
+/**
+ * \brief Additive increase on answers, multiplicative decrease on refusals.
+ *
+ * Slots are fewer than entries, so no fixed share of them exists. Entries that
+ * all fill their connections drive a target's queue to its end: each request
+ * waits for the whole queue or is shed. The window falls at the first shed and
+ * settles where the target keeps up.
+ */
+class InFlightWindow {
+ public:
+  /*! \brief Makes a window of a target's slots. */
+  explicit InFlightWindow(std::uint32_t slots) noexcept
+      : m_size(std::max<std::uint32_t>(slots, 1)) {}
+
+  /**
+   * \brief Gives the number of requests that may be in flight.
+   * \param share This entry's share of the connections.
+   * \return At least 1, so that an idle target can always be asked and a
+   * waiting request is always woken by an end.
+   */
+  [[nodiscard]] std::uint32_t Size(std::uint32_t share) const noexcept {
+    const auto size = static_cast<std::uint32_t>(m_size);
+    return std::max<std::uint32_t>(1, std::min(size, share));
+  }
+
+  /**
+   * \brief Counts an answer that came while the window was in use.
+   * \param in_flight Requests in flight, the answered one included.
+   * \param share This entry's share of the connections.
+   */
+  void OnAnswer(std::uint32_t in_flight, std::uint32_t share) noexcept {
+    if (in_flight >= Size(share)) {
+      m_size = std::min<double>(share, m_size + 1 / m_size);
+    }
+  }
+
+  /**
+   * \brief Counts a refusal or a sign of a queue at the target.
+   * \param now Present time; signs closer than kPause count once, since they
+   * tell of one event.
+   */
+  void OnPressure(TimePoint now) noexcept {
+    if (now < m_quiet_until) {
+      return;
+    }
+    m_quiet_until = now + kPause;
+    m_size = std::max(1.0, m_size * kDecrease);
+  }
+
+ private:
+  static constexpr double kDecrease = 0.7;
+  static constexpr Duration kPause = std::chrono::milliseconds(20);
+
+  //! At least 1.
+  double m_size;
+  //! Signs before this moment belong to the event that shrank it last.
+  TimePoint m_quiet_until{};
+};
+
+}  // namespace jacinthdeck
+
+#endif  // JACINTHDECK_ROUTING_IN_FLIGHT_WINDOW_H_
--- /dev/null
+++ b/src/jacinthdeck/routing/latency_histogram.cc
@@ -0,0 +1,49 @@
+// Boost.Histogram does the buckets; decay and quantiles are here.
+#include "jacinthdeck/routing/latency_histogram.h"
+
+#include <algorithm>
+
+namespace jacinthdeck {
+
+namespace internal {
+
+constexpr double kLowestMicroseconds = 50;
+constexpr double kHighestMicroseconds = 60e6;
+constexpr unsigned kBuckets = 240;
+
+}  // namespace internal
+
+LatencyHistogram::LatencyHistogram()
+    : m_weights(std::make_tuple(Axis(internal::kBuckets,
+                                     internal::kLowestMicroseconds,
+                                     internal::kHighestMicroseconds)),
+                Weights()) {}
+
+Duration LatencyHistogram::Quantile(double quantile) const {
+  if (m_samples == 0) {
+    return Duration::zero();
+  }
+  const Axis& axis = m_weights.axis();
+  const double wanted = quantile * m_total;
+  // The bucket below the axis has the index -1, the one above it size().
+  double seen = 0;
+  for (int i = -1; i < axis.size(); ++i) {
+    seen += m_weights.at(i);
+    if (seen >= wanted) {
+      return Duration(static_cast<Duration::rep>(axis.value(i + 1)));
+    }
+  }
+  return Duration(static_cast<Duration::rep>(internal::kHighestMicroseconds));
+}
+
+void LatencyHistogram::Add(Duration latency) {
+  m_weights(static_cast<double>(std::max<Duration::rep>(latency.count(), 1)));
+  ++m_samples;
+  m_total += 1;
+  if (m_samples % kDecaySamples == 0) {
+    m_weights *= 0.5;
+    m_total *= 0.5;
+  }
+}
+
+}  // namespace jacinthdeck
--- a/src/jacinthdeck/routing/router.cc
+++ b/src/jacinthdeck/routing/router.cc
@@ -1,69 +1,235 @@
-// Thin replica choice: least in flight among the replicas that are not at their
-// limit.
+// Ranks the replicas, lets the strategy pick among the best rank, and learns
+// from the ends.
 #include "jacinthdeck/routing/router.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace jacinthdeck {
 
-Router::Router(std::uint64_t seed) : m_random(seed) {}
+Router::Router(std::uint64_t seed) : Router(seed, RouterOptions()) {}
 
-Duration Router::HedgeDelay(const ServiceId& /*service*/) const {
-  return std::chrono::milliseconds(50);
+Router::Router(std::uint64_t seed, RouterOptions options)
+    : m_options(std::move(options)),
+      m_random(seed),
+      m_entries(m_options.entry_window, m_options.expected_entries) {}
+
+Duration Router::HedgeDelay(const ServiceId& service) const {
+  const auto found = m_services.find(service);
+  return found == m_services.end()
+             ? m_options.hedging->Delay(LatencyHistogram())
+             : found->second.hedge_delay();
 }
 
 const TargetInfo* Router::FindTarget(const TargetId& target) const {
   const auto found = m_targets.find(target);
-  return found == m_targets.end() ? nullptr : &found->second.info;
+  return found == m_targets.end() ? nullptr : &found->second.info();
+}
+
+bool Router::Saturated(const ServiceId& service) const {
+  const auto found = m_services.find(service);
+  return found != m_services.end() && found->second.saturated();
+}
+
+std::vector<TargetSnapshot> Router::Snapshot(TimePoint now) {
+  std::vector<TargetSnapshot> snapshots;
+  snapshots.reserve(m_targets.size());
+  for (const auto& [id, target] : m_targets) {
+    const TargetInfo& info = target.info();
+    const std::uint32_t share = ShareOf(info, now);
+    snapshots.push_back(TargetSnapshot{
+        id, info.service, info.domain, info.state, target.health().State(now),
+        target.IsDraining(now), target.in_flight(), target.window().Size(share),
+        share, target.latency(), target.health().failure_rate(),
+        target.health().slow_rate()});
+  }
+  std::ranges::sort(snapshots, {}, &TargetSnapshot::id);
+  return snapshots;
+}
+
+ConnectionPlan Router::PlanFor(const TargetId& target, TimePoint now) {
+  const auto found = m_targets.find(target);
+  if (found == m_targets.end()) {
+    return {};
+  }
+  const TargetInfo& info = found->second.info();
+  return PlanConnections(info, ShareOf(info, now), m_entries.Highest(now),
+                         m_random);
 }
 
-void Router::SetTargets(const std::vector<TargetInfo>& targets,
-                        TimePoint /*now*/) {
-  for (auto& [id, entry] : m_targets) {
-    entry.info.state = TargetState::kGone;
+void Router::SetTargets(const std::vector<TargetInfo>& targets, TimePoint now) {
+  m_started = m_started.value_or(now);
+  for (auto& [id, target] : m_targets) {
+    target.SetGone();
   }
   for (const TargetInfo& info : targets) {
-    m_targets[info.id].info = info;
+    const auto [found, added] =
+        m_targets.try_emplace(info.id, info, ServiceOf(info.service));
+    if (!added) {
+      found->second.set_info(info);
+    }
   }
+  std::erase_if(m_targets, [](const auto& item) {
+    const TargetRecord& target = item.second;
+    return target.info().state == TargetState::kGone && target.in_flight() == 0;
+  });
 }
 
-void Router::SetEntryCount(std::uint32_t entries) {
-  m_entries = std::max<std::uint32_t>(entries, 1);
+void Router::SetEntryCount(std::uint32_t entries, TimePoint now) {
+  m_started = m_started.value_or(now);
+  m_entries.Add(std::max<std::uint32_t>(entries, 1), now);
 }
 
 std::variant<TargetId, RouteRefusal> Router::Choose(const RouteRequest& request,
-                                                    TimePoint /*now*/) {
-  Entry* best = nullptr;
-  RouteRefusal refusal = RouteRefusal::kNoReplica;
-  for (const TargetId& id : request.replicas) {
-    const auto found = m_targets.find(id);
-    if (found == m_targets.end() ||
-        found->second.info.state != TargetState::kLive ||
-        std::ranges::find(request.tried, id) != request.tried.end()) {
-      continue;
-    }
-    Entry& entry = found->second;
-    if (entry.in_flight >=
-        std::max<std::uint32_t>(1, entry.info.connections / (m_entries + 1))) {
-      refusal = RouteRefusal::kAtLimit;
-      continue;
-    }
-    if (best == nullptr || entry.in_flight < best->in_flight ||
-        (entry.in_flight == best->in_flight && m_random.Below(2) == 0)) {
-      best = &entry;
-    }
+                                                    TimePoint now) {
+  Collect(request, now);
+  if (m_candidates.empty()) {
+    return Refuse(RouteRefusal::kNoReplica);
   }
-  if (best == nullptr) {
-    return refusal;
+  ServiceRecord& service = ServiceOf(request.service);
+  if (request.kind == AttemptKind::kHedge && service.saturated()) {
+    ++m_counters.refused_saturated;
+    return RouteRefusal::kNoBudget;
   }
-  ++best->in_flight;
-  return best->info.id;
+  const auto picked = Pick(request, now);
+  if (const auto* refusal = std::get_if<RouteRefusal>(&picked)) {
+    service.OnPressure(*refusal == RouteRefusal::kAtLimit);
+    return Refuse(*refusal);
+  }
+  if (!Pay(request.kind, service)) {
+    return Refuse(RouteRefusal::kNoBudget);
+  }
+  TargetRecord& target = *std::get<TargetRecord*>(picked);
+  if (target.health().MayProbe(now)) {
+    target.health().OnProbe();
+    ++m_counters.probes;
+  }
+  target.OnSend(now);
+  Count(request.kind);
+  return target.info().id;
 }
 
-void Router::Finish(const AttemptResult& result, TimePoint /*now*/) {
+void Router::Finish(const AttemptResult& result, TimePoint now) {
   const auto found = m_targets.find(result.target);
-  if (found != m_targets.end() && found->second.in_flight > 0) {
-    --found->second.in_flight;
+  if (found == m_targets.end() || found->second.in_flight() == 0) {
+    return;
+  }
+  TargetRecord& target = found->second;
+  target.OnEnd(now);
+  if (result.reported_load) {
+    target.OnReportedLoad(*result.reported_load, now);
+  }
+  const Verdict verdict = Learn(result, target, now);
+  const bool ejected =
+      m_options.eject_outliers &&
+      target.health().OnEnd(verdict, target.service().slow_rate(), now,
+                            m_random);
+  m_counters.ejections += ejected ? 1 : 0;
+  if (target.info().state == TargetState::kGone && target.in_flight() == 0) {
+    m_targets.erase(found);
+  }
+}
+
+Verdict Router::Learn(const AttemptResult& result,
+                      TargetRecord& target,
+                      TimePoint now) {
+  ServiceRecord& service = target.service();
+  const bool late = result.latency > service.late_after();
+  switch (result.status) {
+    case AttemptStatus::kAnswered:
+      if (result.kind == AttemptKind::kHedge) {
+        ++m_counters.hedges_won;
+        service.hedge_budget().Refund(m_options.hedge_refund);
+      }
+      service.OnPressure(false);
+      service.OnAnswer(result.latency, *m_options.hedging);
+      target.OnAnswer(result.latency, ShareOf(target.info(), now), now);
+      return late ? Verdict::kSlow : Verdict::kGood;
+    case AttemptStatus::kShed:
+      if (result.draining) {
+        ++m_counters.drains;
+        target.OnDraining(now);
+        return Verdict::kNone;
+      }
+      ++m_counters.sheds;
+      service.OnPressure(true);
+      target.OnShed(now);
+      return Verdict::kNone;
+    case AttemptStatus::kCancelled:
+      // Only a wait above the delay tells of the target; a shorter one tells
+      // of the call that ended.
+      if (late) {
+        service.OnOverdue(result.latency, *m_options.hedging);
+      }
+      return late ? Verdict::kSlow : Verdict::kNone;
+    case AttemptStatus::kNotSent:
+    case AttemptStatus::kLost:
+    case AttemptStatus::kTimedOut:
+    case AttemptStatus::kFailed:
+      return Verdict::kFailed;
+    case AttemptStatus::kVersionGone:
+    case AttemptStatus::kWrongRange:
+      return Verdict::kNone;
+  }
+  return Verdict::kNone;
+}
+
+ServiceRecord& Router::ServiceOf(const ServiceId& service) {
+  return m_services
+      .try_emplace(service,
+                   TokenBudget(m_options.hedge_ratio, m_options.hedge_burst),
+                   TokenBudget(m_options.retry_ratio, m_options.retry_burst),
+                   *m_options.hedging)
+      .first->second;
+}
+
+std::uint32_t Router::ShareOf(const TargetInfo& info, TimePoint now) {
+  if (m_started && now - *m_started < m_options.newcomer_hold) {
+    return 1;
+  }
+  return ConnectionShare(info.connections, m_entries.Highest(now));
+}
+
+RouteRefusal Router::Refuse(RouteRefusal refusal) noexcept {
+  switch (refusal) {
+    case RouteRefusal::kNoReplica:
+      ++m_counters.refused_no_replica;
+      break;
+    case RouteRefusal::kAtLimit:
+      ++m_counters.refused_at_limit;
+      break;
+    case RouteRefusal::kNoBudget:
+      ++m_counters.refused_no_budget;
+      break;
+  }
+  return refusal;
+}
+
+bool Router::Pay(AttemptKind kind, ServiceRecord& service) {
+  switch (kind) {
+    case AttemptKind::kFirst:
+      service.hedge_budget().Earn();
+      service.retry_budget().Earn();
+      return true;
+    case AttemptKind::kRetry:
+      return service.retry_budget().TrySpend();
+    case AttemptKind::kHedge:
+      return service.hedge_budget().TrySpend();
+  }
+  return false;
+}
+
+void Router::Count(AttemptKind kind) noexcept {
+  switch (kind) {
+    case AttemptKind::kFirst:
+      ++m_counters.firsts;
+      break;
+    case AttemptKind::kRetry:
+      ++m_counters.retries;
+      break;
+    case AttemptKind::kHedge:
+      ++m_counters.hedges;
+      break;
   }
 }
 
--- a/src/jacinthdeck/routing/router.h
+++ b/src/jacinthdeck/routing/router.h
@@ -4,9 +4,10 @@
 #define JACINTHDECK_ROUTING_ROUTER_H_
 
 #include <cstdint>
-#include <map>
+#include <memory>
 #include <optional>
 #include <span>
+#include <unordered_map>
 #include <variant>
 #include <vector>
 
@@ -14,46 +15,18 @@
 #include "jacinthdeck/core/random.h"
 #include "jacinthdeck/core/time.h"
 #include "jacinthdeck/routing/attempt.h"
+#include "jacinthdeck/routing/connection_plan.h"
+#include "jacinthdeck/routing/entry_count_window.h"
+#include "jacinthdeck/routing/route_request.h"
+#include "jacinthdeck/routing/router_counters.h"
+#include "jacinthdeck/routing/router_options.h"
+#include "jacinthdeck/routing/service_record.h"
 #include "jacinthdeck/routing/target_info.h"
+#include "jacinthdeck/routing/target_record.h"
+#include "jacinthdeck/routing/target_snapshot.h"
 
 namespace jacinthdeck {
 
-/*! \brief What the engine asks the router for. */
-struct RouteRequest {
-  ServiceId service;
-  //! Targets that hold the shard in the pinned version.
-  std::span<const TargetId> replicas;
-  //! Targets that this call already tried for the shard; taken again only for a
-  //! retry that has no other.
-  std::span<const TargetId> tried;
-  AttemptKind kind = AttemptKind::kFirst;
-};
-
-/*! \brief Why no target was chosen. */
-enum class RouteRefusal {
-  //! No replica may get new work at all.
-  kNoReplica,
-  //! Replicas exist, but each is at this entry's limit: ask again after an
-  //! attempt has finished.
-  kAtLimit,
-  //! The budget for hedges or retries is spent.
-  kNoBudget,
-};
-
-//! Names of the refusals, for logs and metrics.
-inline constexpr NameTable<RouteRefusal, 3> kRouteRefusalNames{
-    {"no_replica", "at_limit", "no_budget"}};
-
-/*! \brief How an attempt ended, as the router learns from it. */
-struct AttemptResult {
-  TargetId target;
-  AttemptStatus status = AttemptStatus::kAnswered;
-  //! From sending to the end.
-  Duration latency{};
-  //! Load that the target reported with its reply, 0 to 1; a hint that may lie.
-  std::optional<double> reported_load;
-};
-
 /**
  * \brief Replica choice, limits and budgets of one entry.
  *
@@ -62,15 +35,45 @@
  */
 class Router {
  public:
+  /*! \brief Makes a router with the default options. */
   explicit Router(std::uint64_t seed);
 
+  /**
+   * \brief Makes a router.
+   * \param seed Seed of all its randomness.
+   * \param options Strategies, budgets and shares.
+   */
+  Router(std::uint64_t seed, RouterOptions options);
+
   /*! \brief Tells how long to wait for a first attempt before a hedge is worth
-   * its load. */
+   * its load; kNoHedge where none ever is. */
   [[nodiscard]] Duration HedgeDelay(const ServiceId& service) const;
 
   /*! \brief Finds what is known of a target; null when it is not known. */
   [[nodiscard]] const TargetInfo* FindTarget(const TargetId& target) const;
 
+  /*! \brief Counts since the start. */
+  [[nodiscard]] const RouterCounters& counters() const noexcept {
+    return m_counters;
+  }
+
+  /*! \brief Tells whether sheds and full windows are common in a service: it
+   * then has no room for extra requests, and new work should be refused early.
+   */
+  [[nodiscard]] bool Saturated(const ServiceId& service) const;
+
+  /*! \brief Describes all targets, for the status page. */
+  [[nodiscard]] std::vector<TargetSnapshot> Snapshot(TimePoint now);
+
+  /**
+   * \brief Plans the connections to a target.
+   * \param target Target.
+   * \param now Present time.
+   * \return The plan; nothing may be opened to a target that is unknown or not
+   * live.
+   */
+  [[nodiscard]] ConnectionPlan PlanFor(const TargetId& target, TimePoint now);
+
   /**
    * \brief Replaces the known targets.
    * \param targets All targets of all services.
@@ -81,15 +84,17 @@
   /**
    * \brief Says among how many entries the limits of the targets are shared.
    * \param entries Entries that may hold connections now, this one included; at
-   * least 1.
+   * least 1. A fall takes effect after RouterOptions::entry_window.
+   * \param now Present time.
    */
-  void SetEntryCount(std::uint32_t entries);
+  void SetEntryCount(std::uint32_t entries, TimePoint now);
 
   /**
    * \brief Chooses a target and takes one place of this entry's limit on it.
    * \param request What is to be sent.
    * \param now Present time.
-   * \return The target, or why there is none.
+   * \return The target, or why there is none. After kAtLimit an attempt of this
+   * entry is in flight at one of the replicas, so an end will follow.
    */
   [[nodiscard]] std::variant<TargetId, RouteRefusal> Choose(
       const RouteRequest& request,
@@ -103,14 +108,48 @@
   void Finish(const AttemptResult& result, TimePoint now);
 
  private:
-  struct Entry {
-    TargetInfo info;
-    std::uint32_t in_flight = 0;
+  struct Candidate {
+    TargetRecord* target = nullptr;
+    TargetRank rank = TargetRank::kPreferred;
+    bool tried = false;
+    bool at_limit = false;
   };
 
-  std::map<TargetId, Entry> m_targets;
-  std::uint32_t m_entries = 1;
+  [[nodiscard]] ServiceRecord& ServiceOf(const ServiceId& service);
+  [[nodiscard]] std::uint32_t ShareOf(const TargetInfo& info, TimePoint now);
+  [[nodiscard]] RouteRefusal Refuse(RouteRefusal refusal) noexcept;
+  void Collect(const RouteRequest& request, TimePoint now);
+  void BoundEjections(TimePoint now);
+  [[nodiscard]] TargetRecord* PickProbe(const RouteRequest& request,
+                                        TimePoint now) const;
+  [[nodiscard]] std::variant<TargetRecord*, RouteRefusal> Pick(
+      const RouteRequest& request,
+      TimePoint now);
+  [[nodiscard]] TargetRecord* PickRank(const RouteRequest& request,
+                                       TargetRank rank,
+                                       bool tried,
+                                       TimePoint now);
+  [[nodiscard]] bool SharesDomain(const RouteRequest& request,
+                                  const FailureDomain& domain) const;
+  [[nodiscard]] bool Pay(AttemptKind kind, ServiceRecord& service);
+  [[nodiscard]] Verdict Learn(const AttemptResult& result,
+                              TargetRecord& target,
+                              TimePoint now);
+  void Count(AttemptKind kind) noexcept;
+
+  RouterOptions m_options;
   Random m_random;
+  EntryCountWindow m_entries;
+  //! Moment of the first event, from which the newcomer's hold counts.
+  std::optional<TimePoint> m_started;
+  std::unordered_map<ServiceId, ServiceRecord> m_services;
+  //! Records stay while requests are in flight, also once the target is gone.
+  std::unordered_map<TargetId, TargetRecord> m_targets;
+  RouterCounters m_counters;
+  //! Scratch of one Choose(), kept to save allocations.
+  std::vector<Candidate> m_candidates;
+  std::vector<ReplicaView> m_views;
+  std::vector<TargetRecord*> m_viewed;
 };
 
 }  // namespace jacinthdeck
--- /dev/null
+++ b/src/jacinthdeck/routing/service_record.cc
@@ -0,0 +1,52 @@
+// Learning of the hedge delay, at intervals that keep it cheap.
+#include "jacinthdeck/routing/service_record.h"
+
+namespace jacinthdeck {
+
+namespace internal {
+
+constexpr std::uint32_t kServiceMemory = 500;
+//! Samples between two readings of the quantiles.
+constexpr std::uint64_t kRelearnSamples = 64;
+constexpr double kSaturated = 0.05;
+//! Events before the pressure is believed.
+constexpr std::uint32_t kLeastEvents = 50;
+
+}  // namespace internal
+
+ServiceRecord::ServiceRecord(TokenBudget hedge_budget,
+                             TokenBudget retry_budget,
+                             const HedgePolicy& hedging)
+    : m_hedge_budget(hedge_budget),
+      m_retry_budget(retry_budget),
+      m_latency(internal::kServiceMemory),
+      m_slow(internal::kServiceMemory),
+      m_pressure(internal::kServiceMemory),
+      m_hedge_delay(hedging.Delay(m_latencies)),
+      m_late_after(LearnedHedging().Delay(m_latencies)) {}
+
+bool ServiceRecord::saturated() const noexcept {
+  return m_pressure.samples() >= internal::kLeastEvents &&
+         m_pressure.value() > internal::kSaturated;
+}
+
+void ServiceRecord::OnAnswer(Duration latency, const HedgePolicy& hedging) {
+  m_latency.Add(static_cast<double>(latency.count()));
+  AddLatency(latency, hedging);
+}
+
+void ServiceRecord::OnOverdue(Duration latency, const HedgePolicy& hedging) {
+  AddLatency(latency, hedging);
+}
+
+void ServiceRecord::AddLatency(Duration latency, const HedgePolicy& hedging) {
+  m_slow.Add(latency > m_late_after ? 1 : 0);
+  m_latencies.Add(latency);
+  if (m_latencies.samples() % internal::kRelearnSamples == 0) {
+    m_hedge_delay = hedging.Delay(m_latencies);
+    // Lateness is judged the same way under every policy.
+    m_late_after = LearnedHedging().Delay(m_latencies);
+  }
+}
+
+}  // namespace jacinthdeck
--- /dev/null
+++ b/src/jacinthdeck/routing/service_record.h
@@ -0,0 +1,70 @@
+// What a router has learned of a service as a whole.
+#ifndef JACINTHDECK_ROUTING_SERVICE_RECORD_H_
+#define JACINTHDECK_ROUTING_SERVICE_RECORD_H_
+
+#include <cstdint>
+
+#include "jacinthdeck/core/time.h"
+#include "jacinthdeck/routing/decaying_average.h"
+#include "jacinthdeck/routing/hedge_policy.h"
+#include "jacinthdeck/routing/latency_histogram.h"
+#include "jacinthdeck/routing/token_budget.h"
+
+namespace jacinthdeck {
+
+/*! \brief Latencies, budgets and pressure of a service. */
+class ServiceRecord {
+ public:
+  /*! \brief Makes a record with full budgets. */
+  ServiceRecord(TokenBudget hedge_budget,
+                TokenBudget retry_budget,
+                const HedgePolicy& hedging);
+
+  /*! \brief Time before a hedge. */
+  [[nodiscard]] Duration hedge_delay() const noexcept { return m_hedge_delay; }
+
+  /*! \brief Latency above which an attempt is late. */
+  [[nodiscard]] Duration late_after() const noexcept { return m_late_after; }
+
+  /*! \brief Average latency of answers, in microseconds. */
+  [[nodiscard]] double latency() const noexcept { return m_latency.value(); }
+
+  /*! \brief Share of late attempts. */
+  [[nodiscard]] double slow_rate() const noexcept { return m_slow.value(); }
+
+  /*! \brief Tells whether sheds and full windows are common, so that no hedge
+   * should be sent. */
+  [[nodiscard]] bool saturated() const noexcept;
+
+  /*! \brief Budget of hedges. */
+  [[nodiscard]] TokenBudget& hedge_budget() noexcept { return m_hedge_budget; }
+
+  /*! \brief Budget of retries. */
+  [[nodiscard]] TokenBudget& retry_budget() noexcept { return m_retry_budget; }
+
+  /*! \brief Takes the latency of an answer. */
+  void OnAnswer(Duration latency, const HedgePolicy& hedging);
+
+  /*! \brief Takes an attempt that was cancelled without an answer; the latency
+   * is a lower bound. */
+  void OnOverdue(Duration latency, const HedgePolicy& hedging);
+
+  /*! \brief Takes an event that tells of pressure, or of its absence. */
+  void OnPressure(bool pressed) noexcept { m_pressure.Add(pressed ? 1 : 0); }
+
+ private:
+  void AddLatency(Duration latency, const HedgePolicy& hedging);
+
+  TokenBudget m_hedge_budget;
+  TokenBudget m_retry_budget;
+  LatencyHistogram m_latencies;
+  DecayingAverage m_latency;
+  DecayingAverage m_slow;
+  DecayingAverage m_pressure;
+  Duration m_hedge_delay;
+  Duration m_late_after;
+};
+
+}  // namespace jacinthdeck
+
+#endif  // JACINTHDECK_ROUTING_SERVICE_RECORD_H_
--- /dev/null
+++ b/src/jacinthdeck/routing/target_record.h
@@ -0,0 +1,108 @@
+// What a router holds of one target.
+#ifndef JACINTHDECK_ROUTING_TARGET_RECORD_H_
+#define JACINTHDECK_ROUTING_TARGET_RECORD_H_
+
+#include <cstdint>
+#include <optional>
+
+#include "jacinthdeck/core/time.h"
+#include "jacinthdeck/routing/decaying_average.h"
+#include "jacinthdeck/routing/in_flight_window.h"
+#include "jacinthdeck/routing/load_hint.h"
+#include "jacinthdeck/routing/replica_chooser.h"
+#include "jacinthdeck/routing/service_record.h"
+#include "jacinthdeck/routing/target_health.h"
+#include "jacinthdeck/routing/target_info.h"
+
+namespace jacinthdeck {
+
+/*! \brief How readily a target is chosen; lower is better. */
+enum class TargetRank {
+  kPreferred,
+  //! Silent or shedding: only if nothing else is free.
+  kDoubtful,
+  //! Only if there is no other replica at all.
+  kEjected,
+  //! Gets no new work.
+  kExcluded,
+};
+
+/*! \brief State of one target, as this entry sees it. */
+class TargetRecord {
+ public:
+  /*! \brief Makes a record; the service outlives it. */
+  TargetRecord(const TargetInfo& info, ServiceRecord& service);
+
+  [[nodiscard]] const TargetInfo& info() const noexcept { return m_info; }
+  [[nodiscard]] ServiceRecord& service() noexcept { return *m_service; }
+  [[nodiscard]] TargetHealth& health() noexcept { return m_health; }
+  [[nodiscard]] const TargetHealth& health() const noexcept { return m_health; }
+  [[nodiscard]] const InFlightWindow& window() const noexcept {
+    return m_window;
+  }
+  [[nodiscard]] std::uint32_t in_flight() const noexcept { return m_in_flight; }
+
+  /*! \brief Average latency of its answers; zero before the first. */
+  [[nodiscard]] Duration latency() const noexcept;
+
+  /*! \brief Tells whether it said lately that it is draining. */
+  [[nodiscard]] bool IsDraining(TimePoint now) const noexcept {
+    return m_draining_until && now < *m_draining_until;
+  }
+
+  /*! \brief Ranks it, without regard to its limit. */
+  [[nodiscard]] TargetRank Rank(TimePoint now) const noexcept;
+
+  /*! \brief Gives what a strategy sees of it. */
+  [[nodiscard]] ReplicaView View(TimePoint now) const noexcept;
+
+  /*! \brief Takes a newer word of the host list. */
+  void set_info(const TargetInfo& info) { m_info = info; }
+
+  /*! \brief Marks it as gone from the host list. */
+  void SetGone() noexcept { m_info.state = TargetState::kGone; }
+
+  /*! \brief Counts a request that is being sent. */
+  void OnSend(TimePoint now) noexcept;
+
+  /*! \brief Gives the place of a request back. */
+  void OnEnd(TimePoint now) noexcept;
+
+  /*! \brief Learns from an answer. */
+  void OnAnswer(Duration latency, std::uint32_t share, TimePoint now) noexcept;
+
+  /*! \brief Learns from a refusal, which proves that it is alive. */
+  void OnShed(TimePoint now) noexcept;
+
+  /*! \brief Learns that it is draining. */
+  void OnDraining(TimePoint now) noexcept;
+
+  /*! \brief Takes a reported load. */
+  void OnReportedLoad(double load, TimePoint now) noexcept {
+    m_hint.Add(load, now);
+  }
+
+ private:
+  //! Weight of what was learned at the last end, 1 to 0.
+  [[nodiscard]] double Freshness(TimePoint now) const noexcept;
+  [[nodiscard]] bool IsSilent(TimePoint now) const noexcept;
+
+  TargetInfo m_info;
+  //! Never null.
+  ServiceRecord* m_service;
+  TargetHealth m_health;
+  InFlightWindow m_window;
+  LoadHint m_hint;
+  DecayingAverage m_latency;
+  std::uint32_t m_in_flight = 0;
+  //! Since when requests have been in flight without a reply.
+  TimePoint m_waiting_since{};
+  TimePoint m_last_end{};
+  TimePoint m_shed_until{};
+  std::uint32_t m_sheds_in_row = 0;
+  std::optional<TimePoint> m_draining_until;
+};
+
+}  // namespace jacinthdeck
+
+#endif  // JACINTHDECK_ROUTING_TARGET_RECORD_H_
--- /dev/null
+++ b/test/jacinthdeck/routing/entry_count_window_test.cc
@@ -0,0 +1,48 @@
+// Tests of the highest entry count of a window.
+#include "jacinthdeck/routing/entry_count_window.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace jacinthdeck {
+
+struct EntryCountWindowFixture {
+  [[nodiscard]] static TimePoint At(int second) {
+    return TimePoint() + std::chrono::seconds(second);
+  }
+
+  EntryCountWindow window{std::chrono::seconds(60), 1};
+};
+
+BOOST_FIXTURE_TEST_SUITE(EntryCountWindowTest, EntryCountWindowFixture)
+
+// Two of eight entries are cut off from this one, but not from the targets.
+// Were the fall believed at once, the shares would grow and sum up to more than
+// the targets' connections, and connections would be refused at random.
+BOOST_AUTO_TEST_CASE(Highest_CountFalls_StaysHighForTheWindow) {
+  window.Add(8, At(0));
+  window.Add(8, At(30));
+  window.Add(6, At(40));
+  BOOST_TEST(window.Highest(At(99)) == 8U);
+  BOOST_TEST(window.Highest(At(101)) == 6U);
+}
+
+BOOST_AUTO_TEST_CASE(Highest_CountRises_IsBelievedAtOnce) {
+  window.Add(6, At(0));
+  window.Add(8, At(1));
+  BOOST_TEST(window.Highest(At(1)) == 8U);
+}
+
+BOOST_AUTO_TEST_CASE(Highest_LongWithoutNews_KeepsTheLastCount) {
+  window.Add(6, At(0));
+  BOOST_TEST(window.Highest(At(1000)) == 6U);
+}
+
+BOOST_AUTO_TEST_CASE(Highest_BelowTheExpectedCount_IsTheExpectedOne) {
+  EntryCountWindow expecting(std::chrono::seconds(60), 8);
+  expecting.Add(6, At(0));
+  BOOST_TEST(expecting.Highest(At(1000)) == 8U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace jacinthdeck
--- /dev/null
+++ b/test/jacinthdeck/routing/hedge_policy_test.cc
@@ -0,0 +1,52 @@
+// Tests of the hedge delays.
+#include "jacinthdeck/routing/hedge_policy.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace jacinthdeck {
+
+using std::chrono::milliseconds;
+
+struct HedgePolicyFixture {
+  //! A service around 5 ms in which some requests take ten times as long.
+  void Fill(int stragglers_in_100) {
+    for (int i = 0; i < 1000; ++i) {
+      latencies.Add(i % 100 < stragglers_in_100 ? milliseconds(50)
+                                                : Duration(4000 + 2 * i));
+    }
+  }
+
+  LatencyHistogram latencies;
+  LearnedHedging learned;
+};
+
+BOOST_FIXTURE_TEST_SUITE(HedgePolicyTest, HedgePolicyFixture)
+
+BOOST_AUTO_TEST_CASE(Learned_WithoutLatencies_IsCautious) {
+  BOOST_TEST((learned.Delay(latencies) == milliseconds(50)));
+}
+
+BOOST_AUTO_TEST_CASE(Learned_OneInAHundredStraggles_IsAboveTheUsualLatency) {
+  Fill(1);
+  BOOST_TEST((learned.Delay(latencies) >= Duration(5800)));
+  BOOST_TEST((learned.Delay(latencies) <= Duration(6500)));
+}
+
+// More requests straggle than lie above the quantile, so the quantile is a
+// straggler's latency. The caller would wait for the straggler and then for the
+// hedge. The delay must stay far below.
+BOOST_AUTO_TEST_CASE(Learned_MoreStragglersThanTheQuantileLeaves_IsCapped) {
+  Fill(5);
+  BOOST_TEST((learned.Delay(latencies) <= milliseconds(20)));
+}
+
+BOOST_AUTO_TEST_CASE(Baselines_WhateverTheLatencies_KeepTheirDelay) {
+  Fill(5);
+  BOOST_TEST((NoHedging().Delay(latencies) == kNoHedge));
+  BOOST_TEST(
+      (FixedHedging(milliseconds(7)).Delay(latencies) == milliseconds(7)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace jacinthdeck
--- /dev/null
+++ b/test/jacinthdeck/routing/in_flight_window_test.cc
@@ -0,0 +1,51 @@
+// Tests of the adaptive window.
+#include "jacinthdeck/routing/in_flight_window.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace jacinthdeck {
+
+using std::chrono::milliseconds;
+
+BOOST_AUTO_TEST_SUITE(InFlightWindowTest)
+
+// A target sheds what this entry sends. Were the window kept, each shed request
+// would be sent again into a full queue; were it to fall to zero, nothing would
+// ever open it again.
+BOOST_AUTO_TEST_CASE(Size_AfterSheds_FallsToOneAndNoLower) {
+  InFlightWindow window(6);
+  TimePoint now{};
+  for (int i = 0; i < 50; ++i) {
+    now += milliseconds(100);
+    window.OnPressure(now);
+  }
+  BOOST_TEST(window.Size(10) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(Size_ShedsOfOneMoment_CountOnce) {
+  InFlightWindow window(10);
+  for (int i = 0; i < 5; ++i) {
+    window.OnPressure(TimePoint() + milliseconds(i));
+  }
+  BOOST_TEST(window.Size(10) == 7U);
+}
+
+BOOST_AUTO_TEST_CASE(Size_AnswersWhileFull_GrowsToTheShareOnly) {
+  InFlightWindow window(2);
+  for (int i = 0; i < 100; ++i) {
+    window.OnAnswer(4, 4);
+  }
+  BOOST_TEST(window.Size(4) == 4U);
+}
+
+BOOST_AUTO_TEST_CASE(Size_AnswersWhileMostlyIdle_DoesNotGrow) {
+  InFlightWindow window(3);
+  for (int i = 0; i < 100; ++i) {
+    window.OnAnswer(1, 10);
+  }
+  BOOST_TEST(window.Size(10) == 3U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace jacinthdeck
