Hedge, retry and wait for places in the query engine

Cause: the thin engine sent one attempt a shard; a refused or slow shard held the whole answer until its deadline.

Change: one timer a call in an ordered queue; hedges after the router's delay (asked again after the same delay when refused); retries bounded per shard and call; attempts at the limit wait in deadline order, indexed by target; a call whose open shards are all settled is answered at once; losers are cancelled; version gone restarts the whole call; coverage and merge are types of their own. The catalogue leaves out maps that are not a partition of the key space.

Not yet: admission, quarantine.

--- a/src/jacinthdeck/query/engine.cc
+++ b/src/jacinthdeck/query/engine.cc
@@ -1,152 +1,173 @@
-// Thin scatter and gather: one attempt a shard, top hits by score.
+// Start of calls and what becomes due.
 #include "jacinthdeck/query/engine.h"
 
 #include <algorithm>
 #include <utility>
-#include <variant>
 
-namespace jacinthdeck {
-
-namespace internal {
+#include "jacinthdeck/query/retry_after.h"
 
-[[nodiscard]] bool BetterHit(const Hit& a, const Hit& b) noexcept {
-  return a.score != b.score ? a.score > b.score : a.id < b.id;
-}
+namespace jacinthdeck {
 
-}  // namespace internal
+using internal::ShardPhase;
 
-Engine::Engine(Router& router, std::uint64_t first_attempt)
-    : m_router(router), m_next_attempt(first_attempt) {}
+Engine::Engine(Router& router,
+               std::uint64_t first_attempt,
+               const EngineOptions& options)
+    : m_router(router),
+      m_options(options),
+      m_next_attempt(first_attempt),
+      m_versions(router),
+      m_waiting(m_options.waiting.limit) {}
 
 std::optional<TimePoint> Engine::NextTimer() const {
-  std::optional<TimePoint> next;
-  for (const auto& [id, open] : m_calls) {
-    next = next ? std::min(*next, open.call.deadline) : open.call.deadline;
+  std::optional<TimePoint> next = m_timers.Next();
+  if (m_poll_at) {
+    next = next ? std::min(*next, *m_poll_at) : *m_poll_at;
   }
   return next;
 }
 
 void Engine::SetVersions(const ServiceId& service,
                          std::vector<PartitionMap> maps) {
-  m_versions[service] = std::move(maps);
+  m_counters.rejected_maps += m_versions.Set(service, std::move(maps));
 }
 
 void Engine::Submit(Call call, TimePoint now, Effects& effects) {
+  ++m_counters.calls;
   const CallId id = call.id;
-  const auto found = m_versions.find(call.method->service);
-  if (found == m_versions.end() || found->second.empty()) {
-    Answer answer;
-    answer.reason = AnswerReason::kNotReady;
-    answer.retry_after = std::chrono::seconds(1);
-    effects.answers.push_back(DeliverAnswer{id, std::move(answer)});
-    return;
+  if (call.deadline <= now) {
+    return Refuse(id, AnswerReason::kDeadline, effects);
+  }
+  VersionChoice choice = m_versions.Choose(
+      VersionRequest{call.method->service, call.key, {}}, now);
+  if (!choice.map) {
+    return Refuse(id, AnswerReason::kNotReady, effects);
   }
-  const PartitionMap& map = found->second.back();
   OpenCall& open = m_calls[id];
   open.call = std::move(call);
-  open.version = map.version;
-  for (const Shard& shard : map.shards) {
+  open.started = now;
+  Begin(open, std::move(choice.map), now, effects);
+  Settle(open, effects);
+}
+
+void Engine::Refuse(const CallId& id, AnswerReason reason, Effects& effects) {
+  Answer answer;
+  answer.reason = reason;
+  answer.retry_after = RetryAfter(reason);
+  Deliver(id, std::move(answer), effects);
+}
+
+void Engine::Deliver(const CallId& id, Answer answer, Effects& effects) {
+  ++m_counters.outcomes[static_cast<std::size_t>(answer.outcome)];
+  ++m_counters.reasons[static_cast<std::size_t>(answer.reason)];
+  effects.answers.push_back(DeliverAnswer{id, std::move(answer)});
+}
+
+void Engine::Begin(OpenCall& open,
+                   std::shared_ptr<const PartitionMap> map,
+                   TimePoint now,
+                   Effects& effects) {
+  open.map = std::move(map);
+  ++open.epoch;
+  open.shards.clear();
+  for (const Shard& shard : open.map->shards) {
     if (!open.call.key || shard.range.Contains(*open.call.key)) {
-      open.shards.push_back(ShardState{shard, {}, false});
+      open.shards.emplace_back().shard = &shard;
     }
   }
+  open.unsettled = open.shards.size();
+  open.wake = open.call.deadline;
+  m_timers.Set(open.call.id, open.wake);
   for (std::size_t i = 0; i < open.shards.size(); ++i) {
     SendShard(open, i, AttemptKind::kFirst, now, effects);
   }
 }
 
-void Engine::SendShard(OpenCall& open,
+void Engine::OnTimer(TimePoint now, Effects& effects) {
+  while (const auto id = m_timers.TakeDue(now)) {
+    Wake(m_calls.at(*id), now, effects);
+  }
+  if (m_poll_at && *m_poll_at <= now) {
+    PumpAllWaiting(now, effects);
+  }
+}
+
+void Engine::Wake(OpenCall& open, TimePoint now, Effects& effects) {
+  if (open.call.deadline <= now) {
+    return Finish(open, effects);
+  }
+  for (std::size_t i = 0; i < open.shards.size(); ++i) {
+    if (open.shards[i].phase == ShardPhase::kOpen) {
+      WakeShard(open, i, now, effects);
+    }
+  }
+  Rearm(open);
+  Settle(open, effects);
+}
+
+void Engine::WakeShard(OpenCall& open,
                        std::size_t shard,
-                       AttemptKind kind,
                        TimePoint now,
                        Effects& effects) {
   ShardState& state = open.shards[shard];
-  const auto choice =
-      m_router.Choose(RouteRequest{open.call.method->service,
-                                   state.shard.replicas, state.tried, kind},
-                      now);
-  const auto* target = std::get_if<TargetId>(&choice);
-  if (target == nullptr) {
-    return;
-  }
-  const AttemptId attempt(m_next_attempt++);
-  state.tried.push_back(*target);
-  m_attempts[attempt] = OpenAttempt{open.call.id, shard, *target, now};
-  ++open.answer.attempts;
-  effects.sends.push_back(SendAttempt{
-      attempt, open.call.id, *target, open.call.method, open.call.body,
-      state.shard.range, open.version, open.call.deadline, kind});
-}
-
-void Engine::OnReply(const AttemptReply& reply,
-                     TimePoint now,
-                     Effects& effects) {
-  const auto found = m_attempts.find(reply.attempt);
-  if (found == m_attempts.end()) {
-    return;
+  if (state.waiting && !CanStillEnd(open, now)) {
+    return GiveUp(open, state, AnswerReason::kOverload);
   }
-  const OpenAttempt attempt = found->second;
-  m_attempts.erase(found);
-  m_router.Finish(
-      AttemptResult{attempt.target, reply.status,
-                    std::chrono::duration_cast<Duration>(now - attempt.sent),
-                    reply.reported_load},
-      now);
-  const auto call = m_calls.find(attempt.call);
-  if (call == m_calls.end()) {
-    return;
+  if (state.retry_at && *state.retry_at <= now) {
+    state.retry_at.reset();
+    return SendShard(open, shard, AttemptKind::kRetry, now, effects);
   }
-  OpenCall& open = call->second;
-  ShardState& state = open.shards[attempt.shard];
-  if (reply.status != AttemptStatus::kAnswered ||
-      reply.version != open.version || reply.range != state.shard.range ||
-      state.answered) {
-    return;
+  if (state.hedge_at && *state.hedge_at <= now) {
+    Hedge(open, shard, now, effects);
   }
-  state.answered = true;
-  open.answer.count += reply.count;
-  open.answer.hits.insert(open.answer.hits.end(), reply.hits.begin(),
-                          reply.hits.end());
-  if (std::ranges::all_of(open.shards, &ShardState::answered)) {
-    Finish(open.call.id, now, effects);
+}
+
+void Engine::ArmAt(OpenCall& open, TimePoint at) {
+  if (at < open.wake) {
+    open.wake = at;
+    m_timers.Set(open.call.id, at);
   }
 }
 
-void Engine::OnTimer(TimePoint now, Effects& effects) {
-  std::vector<CallId> due;
-  for (const auto& [id, open] : m_calls) {
-    if (open.call.deadline <= now) {
-      due.push_back(id);
+void Engine::Rearm(OpenCall& open) {
+  TimePoint wake = open.call.deadline;
+  for (const ShardState& state : open.shards) {
+    if (state.phase != ShardPhase::kOpen) {
+      continue;
+    }
+    if (state.hedge_at) {
+      wake = std::min(wake, *state.hedge_at);
+    }
+    if (state.retry_at) {
+      wake = std::min(wake, *state.retry_at);
+    }
+    if (state.waiting) {
+      wake = std::min(wake,
+                      open.call.deadline - FastTime(open.call.method->service));
     }
   }
-  for (const CallId& id : due) {
-    Finish(id, now, effects);
-  }
+  open.wake = wake;
+  m_timers.Set(open.call.id, wake);
 }
 
-void Engine::Finish(const CallId& id, TimePoint /*now*/, Effects& effects) {
+void Engine::Abandon(const CallId& id, TimePoint now, Effects& effects) {
   const auto found = m_calls.find(id);
-  Answer answer = std::move(found->second.answer);
-  answer.version = found->second.version;
-  for (const ShardState& state : found->second.shards) {
-    (state.answered ? answer.covered : answer.missing)
-        .push_back(state.shard.range);
-  }
-  answer.outcome = answer.missing.empty()   ? Outcome::kWhole
-                   : answer.covered.empty() ? Outcome::kUnknown
-                                            : Outcome::kPartial;
-  answer.reason =
-      answer.missing.empty() ? AnswerReason::kNone : AnswerReason::kDeadline;
-  std::ranges::sort(answer.hits, internal::BetterHit);
-  answer.hits.resize(std::min<std::size_t>(answer.hits.size(),
-                                           found->second.call.method->limit));
-  for (const auto& [attempt, state] : m_attempts) {
-    if (state.call == id) {
-      effects.cancels.push_back(CancelAttempt{attempt, state.target});
-    }
+  if (found == m_calls.end()) {
+    return;
   }
+  CancelAll(found->second, effects);
+  m_timers.Remove(id);
   m_calls.erase(found);
-  effects.answers.push_back(DeliverAnswer{id, std::move(answer)});
+  (void)now;
+}
+
+Duration Engine::FastTime(const ServiceId& service) const {
+  const auto found = m_fast_times.find(service);
+  return found == m_fast_times.end() ? Duration::zero() : found->second.value();
+}
+
+bool Engine::CanStillEnd(const OpenCall& open, TimePoint now) const {
+  return now + FastTime(open.call.method->service) < open.call.deadline;
 }
 
 }  // namespace jacinthdeck
--- a/src/jacinthdeck/query/engine.h
+++ b/src/jacinthdeck/query/engine.h
@@ -5,14 +5,24 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
+#include <unordered_map>
+#include <variant>
 #include <vector>
 
 #include "jacinthdeck/core/ids.h"
 #include "jacinthdeck/core/time.h"
 #include "jacinthdeck/query/call.h"
+#include "jacinthdeck/query/call_state.h"
 #include "jacinthdeck/query/effects.h"
+#include "jacinthdeck/query/engine_counters.h"
+#include "jacinthdeck/query/engine_options.h"
+#include "jacinthdeck/query/latency_quantile.h"
 #include "jacinthdeck/query/partition_map.h"
+#include "jacinthdeck/query/timer_queue.h"
+#include "jacinthdeck/query/version_catalog.h"
+#include "jacinthdeck/query/waiting_attempts.h"
 #include "jacinthdeck/routing/router.h"
 
 namespace jacinthdeck {
@@ -21,7 +31,8 @@
  * \brief Scatters calls, gathers replies and decides every answer of one entry.
  *
  * Holds no socket, thread or clock. Every submitted call gets exactly one
- * DeliverAnswer.
+ * DeliverAnswer, unless it is abandoned first. Every SendAttempt must be
+ * followed by exactly one OnReply(), also after its cancellation.
  */
 class Engine {
  public:
@@ -30,21 +41,32 @@
    * \param router Replica choice; outlives the engine.
    * \param first_attempt Lowest attempt id of this life of the node; ids of
    * earlier lives are below.
+   * \param options Bounds and delays.
    */
-  Engine(Router& router, std::uint64_t first_attempt);
+  Engine(Router& router,
+         std::uint64_t first_attempt,
+         const EngineOptions& options = {});
 
   /*! \brief Number of calls that have no answer yet. */
   [[nodiscard]] std::size_t open_calls() const noexcept {
     return m_calls.size();
   }
 
+  /*! \brief Totals since the engine was made. */
+  [[nodiscard]] const EngineCounters& counters() const noexcept {
+    return m_counters;
+  }
+
   /*! \brief Moment at which OnTimer() is due; nothing while no call waits. */
   [[nodiscard]] std::optional<TimePoint> NextTimer() const;
 
   /**
    * \brief Replaces the versions of a service that targets may still serve.
+   *
+   * Calls that run keep the version that they pinned.
    * \param service Service.
-   * \param maps Maps, newest last.
+   * \param maps Maps, newest last; one that is not a partition of the key space
+   * is left out and counted.
    */
   void SetVersions(const ServiceId& service, std::vector<PartitionMap> maps);
 
@@ -58,37 +80,112 @@
   /*! \brief Acts on whatever is due: deadlines, hedges, waiting attempts. */
   void OnTimer(TimePoint now, Effects& effects);
 
+  /*! \brief Drops a call whose caller went away; it gets no answer. */
+  void Abandon(const CallId& id, TimePoint now, Effects& effects);
+
  private:
-  struct ShardState {
-    Shard shard;
-    std::vector<TargetId> tried;
-    bool answered = false;
-  };
-  struct OpenCall {
-    Call call;
-    IndexVersion version;
-    std::vector<ShardState> shards;
-    Answer answer;
-  };
-  struct OpenAttempt {
-    CallId call;
-    std::size_t shard = 0;
-    TargetId target;
-    TimePoint sent;
-  };
+  using OpenCall = internal::OpenCall;
+  using OpenAttempt = internal::OpenAttempt;
+  using ShardState = internal::ShardState;
 
+  // Starting, in engine.cc.
+  void Refuse(const CallId& id, AnswerReason reason, Effects& effects);
+  void Deliver(const CallId& id, Answer answer, Effects& effects);
+  void Begin(OpenCall& open,
+             std::shared_ptr<const PartitionMap> map,
+             TimePoint now,
+             Effects& effects);
+  void Wake(OpenCall& open, TimePoint now, Effects& effects);
+  void WakeShard(OpenCall& open,
+                 std::size_t shard,
+                 TimePoint now,
+                 Effects& effects);
+  void ArmAt(OpenCall& open, TimePoint at);
+  void Rearm(OpenCall& open);
+
+  // Attempts, in engine_attempts.cc.
   void SendShard(OpenCall& open,
                  std::size_t shard,
                  AttemptKind kind,
                  TimePoint now,
                  Effects& effects);
-  void Finish(const CallId& id, TimePoint now, Effects& effects);
+  [[nodiscard]] std::variant<TargetId, RouteRefusal> Choose(
+      const OpenCall& open,
+      const ShardState& state,
+      AttemptKind kind,
+      TimePoint now);
+  void Launch(OpenCall& open,
+              std::size_t shard,
+              AttemptKind kind,
+              const TargetId& target,
+              TimePoint now,
+              Effects& effects);
+  void OnRefusal(OpenCall& open,
+                 std::size_t shard,
+                 AttemptKind kind,
+                 RouteRefusal refusal,
+                 TimePoint now);
+  void Hedge(OpenCall& open,
+             std::size_t shard,
+             TimePoint now,
+             Effects& effects);
+  void Retry(OpenCall& open,
+             std::size_t shard,
+             AttemptStatus status,
+             TimePoint now,
+             Effects& effects);
+  [[nodiscard]] bool MayRetry(const OpenCall& open,
+                              const ShardState& state,
+                              AttemptStatus status,
+                              TimePoint now) const;
+  [[nodiscard]] Duration HedgeDelay(const OpenCall& open) const;
+  [[nodiscard]] bool HasUntried(const ShardState& state) const;
+  void PumpWaiting(const TargetId& target, TimePoint now, Effects& effects);
+  void PumpAllWaiting(TimePoint now, Effects& effects);
+
+  // Ends of attempts, in engine_replies.cc.
+  void TakeReply(OpenCall& open,
+                 const OpenAttempt& attempt,
+                 AttemptStatus status,
+                 const AttemptReply& reply,
+                 TimePoint now,
+                 Effects& effects);
+  void OnFailure(OpenCall& open,
+                 std::size_t shard,
+                 AttemptStatus status,
+                 TimePoint now,
+                 Effects& effects);
+  [[nodiscard]] bool VersionIsGone(const OpenCall& open,
+                                   const ShardState& state,
+                                   TimePoint now) const;
+  [[nodiscard]] bool Restart(OpenCall& open, TimePoint now, Effects& effects);
+  void CancelShard(ShardState& state, Effects& effects);
+  void CancelAll(OpenCall& open, Effects& effects);
+  void GiveUp(OpenCall& open, ShardState& state, AnswerReason reason);
+  void Settle(OpenCall& open, Effects& effects);
+  void Finish(OpenCall& open, Effects& effects);
+
+  /*! \brief Shortest time that an attempt of a service is likely to take. */
+  [[nodiscard]] Duration FastTime(const ServiceId& service) const;
+  [[nodiscard]] bool CanStillEnd(const OpenCall& open, TimePoint now) const;
+
+  //! Attempts are rarely faster than this quantile of the answered ones.
+  static constexpr double kFastQuantile = 0.1;
 
   Router& m_router;
+  EngineOptions m_options;
+  EngineCounters m_counters;
   std::uint64_t m_next_attempt;
-  std::map<ServiceId, std::vector<PartitionMap>> m_versions;
-  std::map<CallId, OpenCall> m_calls;
-  std::map<AttemptId, OpenAttempt> m_attempts;
+  VersionCatalog m_versions;
+  //! References to its elements stay valid until they are erased.
+  std::unordered_map<CallId, OpenCall> m_calls;
+  std::unordered_map<AttemptId, OpenAttempt> m_attempts;
+  WaitingAttempts m_waiting;
+  //! One timer for each element of m_calls.
+  TimerQueue<CallId> m_timers;
+  //! Set exactly while m_waiting holds something.
+  std::optional<TimePoint> m_poll_at;
+  std::map<ServiceId, LatencyQuantile> m_fast_times;
 };
 
 }  // namespace jacinthdeck
--- /dev/null
+++ b/src/jacinthdeck/query/timer_queue.h
@@ -0,0 +1,70 @@
+// One moment for each key, earliest first.
+#ifndef JACINTHDECK_QUERY_TIMER_QUEUE_H_
+#define JACINTHDECK_QUERY_TIMER_QUEUE_H_
+
+#include <map>
+#include <optional>
+#include <set>
+
+#include "jacinthdeck/core/time.h"
+
+namespace jacinthdeck {
+
+/**
+ * \brief Timers of many keys; each operation is logarithmic in their number.
+ * \tparam Key Ordered key; it holds one timer at a time.
+ */
+template <typename Key>
+class TimerQueue {
+ public:
+  /*! \brief Gives the earliest moment, or nothing while no timer is set. */
+  [[nodiscard]] std::optional<TimePoint> Next() const {
+    return m_order.empty() ? std::nullopt : std::optional(m_order.begin()->at);
+  }
+
+  /*! \brief Sets or moves the timer of a key. */
+  void Set(const Key& key, TimePoint at) {
+    Remove(key);
+    m_order.insert(Entry{at, key});
+    m_at.emplace(key, at);
+  }
+
+  /*! \brief Drops the timer of a key, if it has one. */
+  void Remove(const Key& key) {
+    const auto found = m_at.find(key);
+    if (found != m_at.end()) {
+      m_order.erase(Entry{found->second, key});
+      m_at.erase(found);
+    }
+  }
+
+  /**
+   * \brief Takes the earliest timer that is due.
+   * \param now Present time.
+   * \return Its key, or nothing if none is due.
+   */
+  [[nodiscard]] std::optional<Key> TakeDue(TimePoint now) {
+    if (m_order.empty() || m_order.begin()->at > now) {
+      return std::nullopt;
+    }
+    const Key key = m_order.begin()->key;
+    Remove(key);
+    return key;
+  }
+
+ private:
+  struct Entry {
+    TimePoint at;
+    Key key;
+
+    [[nodiscard]] auto operator<=>(const Entry&) const = default;
+  };
+
+  //! Holds exactly one entry for each entry of m_at.
+  std::set<Entry> m_order;
+  std::map<Key, TimePoint> m_at;
+};
+
+}  // namespace jacinthdeck
+
+#endif  // JACINTHDECK_QUERY_TIMER_QUEUE_H_
--- /dev/null
+++ b/test/jacinthdeck/query/engine_test.cc
@@ -0,0 +1,123 @@
+// Tests of the plain path of a call, its deadline, retries and hedges.
+#include "jacinthdeck/query/engine.h"
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+
+#include "engine_fixture.h"
+
+namespace jacinthdeck {
+
+BOOST_FIXTURE_TEST_SUITE(EngineTest, EngineFixture)
+
+BOOST_AUTO_TEST_CASE(Engine_EveryShardAnswers_AnswerIsWholeOfOneVersion) {
+  (void)Submit(Search());
+  BOOST_TEST(effects.sends.size() == kShards);
+  AnswerAll();
+  const Answer& answer = OnlyAnswer();
+  BOOST_TEST((answer.outcome == Outcome::kWhole));
+  BOOST_TEST((answer.version == IndexVersion(7)));
+  BOOST_TEST(answer.hits.size() == kShards);
+  BOOST_TEST((answer.covered == std::vector{KeyRange{0, kKeySpaceEnd}}));
+  BOOST_TEST(engine.open_calls() == 0U);
+  BOOST_TEST(!engine.NextTimer().has_value());
+}
+
+// One shard never answers. The caller sees a partial answer at its deadline
+// that names exactly the missing range; the attempt is cancelled.
+BOOST_AUTO_TEST_CASE(Engine_OneShardSilent_PartialAtDeadlineNamesTheRange) {
+  (void)Submit(Search());
+  for (const SendAttempt& send : TakeSends()) {
+    if (send.range != Range(2)) {
+      Reply(Answered(send));
+    }
+  }
+  Advance(kDeadline);
+  const Answer& answer = OnlyAnswer();
+  BOOST_TEST((answer.outcome == Outcome::kPartial));
+  BOOST_TEST((answer.reason == AnswerReason::kDeadline));
+  BOOST_TEST((answer.missing == std::vector{Range(2)}));
+  BOOST_TEST(
+      (answer.covered == std::vector{KeyRange{0, Range(1).end}, Range(3)}));
+  BOOST_TEST(effects.cancels.size() == answer.hedges + 1);
+}
+
+// A target is slow. After the router's delay the shard is asked elsewhere too;
+// the first answer wins, the loser is cancelled and its late answer dropped.
+BOOST_AUTO_TEST_CASE(Engine_SlowTarget_HedgeWinsAndLoserIsCancelled) {
+  (void)Submit(Search());
+  const auto sends = TakeSends();
+  for (std::size_t i = 1; i < sends.size(); ++i) {
+    Reply(Answered(sends[i]));
+  }
+  Advance(router.HedgeDelay(service));
+  const auto hedges = TakeSends();
+  BOOST_REQUIRE(hedges.size() == 1);
+  BOOST_TEST((hedges[0].kind == AttemptKind::kHedge));
+  BOOST_TEST((hedges[0].target != sends[0].target));
+  Reply(Answered(hedges[0]));
+  BOOST_TEST((OnlyAnswer().outcome == Outcome::kWhole));
+  BOOST_TEST(OnlyAnswer().hedges == 1U);
+  BOOST_REQUIRE(effects.cancels.size() == 1);
+  BOOST_TEST((effects.cancels[0].attempt == sends[0].attempt));
+  Reply(Answered(sends[0]));
+  BOOST_TEST(effects.answers.size() == 1);
+  BOOST_TEST(engine.counters().late_replies == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(Engine_TargetSheds_ShardIsRetriedElsewhere) {
+  (void)Submit(Search());
+  const auto sends = TakeSends();
+  End(sends[0], AttemptStatus::kShed);
+  const auto retries = TakeSends();
+  BOOST_REQUIRE(retries.size() == 1);
+  BOOST_TEST((retries[0].kind == AttemptKind::kRetry));
+  BOOST_TEST((retries[0].target != sends[0].target));
+}
+
+// A target fails every request at once, and so do its peers. The caller gets
+// the partial answer when the bound on retries is reached, not at its deadline.
+BOOST_AUTO_TEST_CASE(Engine_ShardKeepsFailing_PartialIsAnsweredAtOnce) {
+  (void)Submit(Search());
+  const TimePoint start = clock.Now();
+  for (int round = 0; round < 20; ++round) {
+    for (const SendAttempt& send : TakeSends()) {
+      if (send.range == Range(0)) {
+        End(send, AttemptStatus::kFailed);
+      } else {
+        Reply(Answered(send));
+      }
+    }
+    Advance(std::chrono::milliseconds(5));
+  }
+  BOOST_TEST((OnlyAnswer().outcome == Outcome::kPartial));
+  BOOST_TEST((OnlyAnswer().reason == AnswerReason::kTargetFailed));
+  BOOST_TEST(OnlyAnswer().retry_after.has_value());
+  BOOST_TEST(OnlyAnswer().retries <= 3U);
+  BOOST_TEST((clock.Now() < start + kDeadline));
+}
+
+// Every target is at its limit. The next call waits for a place and takes it
+// when an attempt of another call finishes.
+BOOST_AUTO_TEST_CASE(Engine_TargetsAtLimit_AttemptWaitsForAFreedPlace) {
+  std::vector<SendAttempt> running;
+  for (int i = 0; i < 200; ++i) {
+    Call call = MakeCall(Claim());
+    (void)Submit(std::move(call));
+    const auto sends = TakeSends();
+    if (sends.empty()) {
+      break;
+    }
+    running.insert(running.end(), sends.begin(), sends.end());
+  }
+  BOOST_REQUIRE(running.size() < 200U);
+  BOOST_TEST(effects.answers.empty());
+  Reply(Answered(running[0]));
+  BOOST_TEST(effects.answers.size() == 1U);
+  BOOST_REQUIRE(effects.sends.size() == 1U);
+  BOOST_TEST((effects.sends[0].target == running[0].target));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace jacinthdeck
