Measure tail, coverage and extra load in model time

The engine passes the kind of an attempt and the draining word on to the router.

Causes to be looked into: cancelled attempts to a silent target use up the hedge budget before ejection; sheds use up the retry budget.

--- /dev/null
+++ b/bench/support/tail_model.h
@@ -0,0 +1,401 @@
+// Drives several engines with their routers against modelled targets in model
+// time. One process, no sockets, no clock but the events'.
+#ifndef JACINTHDECK_BENCH_SUPPORT_TAIL_MODEL_H_
+#define JACINTHDECK_BENCH_SUPPORT_TAIL_MODEL_H_
+
+#include <algorithm>
+#include <cmath>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "jacinthdeck/query/engine.h"
+#include "jacinthdeck/routing/router.h"
+#include "support/tail_case.h"
+#include "support/tail_stats.h"
+#include "support/target_model.h"
+
+namespace jacinthdeck::bench {
+
+/*! \brief One run of the model. */
+class TailModel {
+ public:
+  explicit TailModel(const TailCase& what)
+      : m_case(what), m_random(what.seed), m_method(MakeMethod()) {
+    MakeTargets();
+    for (std::uint32_t i = 0; i < m_case.entries; ++i) {
+      MakeEntry(i);
+    }
+  }
+
+  /*! \brief Runs until every call has its answer. */
+  [[nodiscard]] TailResult Run() {
+    m_warm = m_case.queries / 5;
+    Push(m_now, EventKind::kCall, 0);
+    while (!m_events.empty()) {
+      const Event event = m_events.top();
+      m_events.pop();
+      m_now = event.at;
+      Handle(event);
+    }
+    m_stats.CountWrongAnswers(m_calls.size());
+    TailResult result = m_stats.Result(m_last_call - m_from);
+    result.most_connections = m_most_connections;
+    for (const auto& entry : m_entries) {
+      result.sheds += entry->router.counters().sheds;
+    }
+    return result;
+  }
+
+  /*! \brief Counters of one entry's router. */
+  [[nodiscard]] const RouterCounters& counters(std::size_t entry) const {
+    return m_entries[entry]->router.counters();
+  }
+
+ private:
+  enum class EventKind { kCall, kTimer, kArrive, kDone, kCancel, kReply };
+
+  struct Event {
+    TimePoint at;
+    std::uint64_t order = 0;
+    EventKind kind = EventKind::kCall;
+    //! Entry for a timer, attempt for the others.
+    std::uint64_t subject = 0;
+
+    [[nodiscard]] bool operator>(const Event& other) const {
+      return at != other.at ? at > other.at : order > other.order;
+    }
+  };
+
+  struct Entry {
+    Entry(std::uint64_t seed, const RouterOptions& options, std::uint64_t first)
+        : router(seed, options), engine(router, first) {}
+
+    Router router;
+    Engine engine;
+    std::optional<TimePoint> timer;
+    //! For each target: connections held, and those of them in use.
+    std::vector<std::uint32_t> open;
+    std::vector<std::uint32_t> busy;
+  };
+
+  struct Attempt {
+    std::uint32_t entry = 0;
+    std::uint32_t target = 0;
+    KeyRange range;
+    AttemptStatus status = AttemptStatus::kAnswered;
+    bool arrived = false;
+    bool cancelled = false;
+    bool ended = false;
+  };
+
+  struct OpenCall {
+    TimePoint submitted;
+    bool measured = false;
+  };
+
+  [[nodiscard]] static std::shared_ptr<const Method> MakeMethod() {
+    Method method;
+    method.service = ServiceId("CounterDesk");
+    method.name = "Search";
+    return std::make_shared<const Method>(method);
+  }
+
+  [[nodiscard]] std::uint32_t TargetIndex(std::uint32_t shard,
+                                          std::uint32_t replica) const {
+    return shard * m_case.deployment.replicas + replica;
+  }
+
+  void MakeTargets() {
+    const Deployment& d = m_case.deployment;
+    m_map.version = IndexVersion(1);
+    for (std::uint32_t shard = 0; shard < d.shards; ++shard) {
+      Shard& part = m_map.shards.emplace_back();
+      part.id = ShardId(shard);
+      part.range = KeyRange{kKeySpaceEnd * shard / d.shards,
+                            kKeySpaceEnd * (shard + 1) / d.shards};
+      for (std::uint32_t replica = 0; replica < d.replicas; ++replica) {
+        TargetInfo info;
+        info.id = TargetId("t-" + std::to_string(shard) + "-" +
+                           std::to_string(replica));
+        info.service = m_method->service;
+        info.domain = FailureDomain("d-" + std::to_string(replica));
+        info.slots = d.slots;
+        info.connections = d.connections;
+        info.open_cost = d.open_cost;
+        part.replicas.push_back(info.id);
+        m_index[info.id] = TargetIndex(shard, replica);
+        m_infos.push_back(info);
+        m_targets.emplace_back(d.slots);
+      }
+    }
+    m_connections.assign(m_targets.size(), 0);
+  }
+
+  void MakeEntry(std::uint32_t index) {
+    constexpr unsigned kEntryShift = 40;
+    const std::uint64_t first = std::uint64_t{index + 1} << kEntryShift;
+    auto entry = std::make_unique<Entry>(m_random.Fork(),
+                                         m_case.strategy.options, first);
+    entry->router.SetTargets(m_infos, m_now);
+    entry->router.SetEntryCount(m_case.entries, m_now);
+    entry->engine.SetVersions(m_method->service, {m_map});
+    entry->open.assign(m_targets.size(), 0);
+    entry->busy.assign(m_targets.size(), 0);
+    m_entries.push_back(std::move(entry));
+  }
+
+  void Push(TimePoint at, EventKind kind, std::uint64_t subject) {
+    m_events.push(Event{at, m_order++, kind, subject});
+  }
+
+  void Handle(const Event& event) {
+    switch (event.kind) {
+      case EventKind::kCall:
+        return OnCall();
+      case EventKind::kTimer:
+        return OnTimer(static_cast<std::uint32_t>(event.subject), event.at);
+      case EventKind::kArrive:
+        return OnArrive(event.subject);
+      case EventKind::kDone:
+        return OnDone(event.subject);
+      case EventKind::kCancel:
+        return OnCancel(event.subject);
+      case EventKind::kReply:
+        return OnReply(event.subject);
+    }
+  }
+
+  void OnCall() {
+    const std::uint32_t number = m_calls_made++;
+    if (number == m_warm) {
+      m_faulty = true;
+      m_from = m_now;
+    }
+    m_last_call = m_now;
+    const auto index =
+        static_cast<std::uint32_t>(m_random.Below(m_entries.size()));
+    Call call;
+    call.id = CallId(number);
+    call.method = m_method;
+    call.body = m_body;
+    call.deadline = m_now + m_method->deadline;
+    call.fingerprint = Fingerprint(number);
+    m_calls[number] = OpenCall{m_now, m_faulty};
+    Effects effects;
+    m_entries[index]->engine.Submit(std::move(call), m_now, effects);
+    Apply(index, effects);
+    if (m_calls_made < m_warm + m_case.queries) {
+      const Deployment& d = m_case.deployment;
+      const double gap = static_cast<double>(kMeanService.count()) /
+                         (d.replicas * d.slots * m_case.fault.load);
+      Push(m_now + Duration(static_cast<Duration::rep>(
+                       -gap * std::log(1 - m_random.Unit()))),
+           EventKind::kCall, 0);
+    }
+  }
+
+  void OnTimer(std::uint32_t index, TimePoint at) {
+    Entry& entry = *m_entries[index];
+    if (entry.timer != at) {
+      return;
+    }
+    entry.timer.reset();
+    Effects effects;
+    entry.engine.OnTimer(m_now, effects);
+    Apply(index, effects);
+  }
+
+  void Apply(std::uint32_t index, const Effects& effects) {
+    Entry& entry = *m_entries[index];
+    for (const SendAttempt& send : effects.sends) {
+      Send(index, send);
+    }
+    for (const CancelAttempt& cancel : effects.cancels) {
+      Cancel(cancel.attempt.raw());
+    }
+    for (const DeliverAnswer& deliver : effects.answers) {
+      Deliver(deliver);
+    }
+    const auto next = entry.engine.NextTimer();
+    if (next && (!entry.timer || *next < *entry.timer)) {
+      entry.timer = std::max(*next, m_now);
+      Push(*entry.timer, EventKind::kTimer, index);
+    }
+  }
+
+  void Send(std::uint32_t index, const SendAttempt& send) {
+    Entry& entry = *m_entries[index];
+    const std::uint32_t target = m_index.at(send.target);
+    m_attempts[send.attempt.raw()] = Attempt{index, target, send.range};
+    Duration delay = m_case.deployment.one_way;
+    if (entry.busy[target] == entry.open[target]) {
+      ++entry.open[target];
+      delay += m_case.deployment.open_cost;
+      m_most_connections =
+          std::max(m_most_connections, ++m_connections[target]);
+    }
+    ++entry.busy[target];
+    Push(m_now + delay, EventKind::kArrive, send.attempt.raw());
+  }
+
+  void Cancel(std::uint64_t key) {
+    const bool silent = IsLost(m_attempts.at(key).target);
+    // A silent target never learns of it; the connection is closed at once.
+    Push(silent ? m_now : m_now + m_case.deployment.one_way, EventKind::kCancel,
+         key);
+  }
+
+  void Deliver(const DeliverAnswer& deliver) {
+    const auto found = m_calls.find(deliver.call.raw());
+    if (found == m_calls.end()) {
+      return m_stats.CountWrongAnswers(1);
+    }
+    if (found->second.measured) {
+      const Answer& answer = deliver.answer;
+      const double extra = static_cast<double>(answer.attempts) -
+                           static_cast<double>(m_case.deployment.shards);
+      m_stats.Add(m_now - found->second.submitted, answer.outcome,
+                  std::max(0.0, extra));
+      m_stats.CheckCoverage(answer);
+    }
+    m_calls.erase(found);
+  }
+
+  [[nodiscard]] bool IsLost(std::uint32_t target) const {
+    const std::uint32_t replicas = m_case.deployment.replicas;
+    const std::uint32_t shard = target / replicas;
+    const std::uint32_t replica = target % replicas;
+    return m_faulty &&
+           ((m_case.fault.lost_replica && replica == shard % replicas) ||
+            (m_case.fault.lost_domain && replica == 0));
+  }
+
+  void OnArrive(std::uint64_t key) {
+    const auto found = m_attempts.find(key);
+    if (found == m_attempts.end() || found->second.ended) {
+      return;
+    }
+    Attempt& attempt = found->second;
+    attempt.arrived = true;
+    if (IsLost(attempt.target)) {
+      return;
+    }
+    if (attempt.cancelled) {
+      return End(key, AttemptStatus::kCancelled);
+    }
+    switch (m_targets[attempt.target].Arrive(key)) {
+      case Arrival::kStarted:
+        return StartService(key);
+      case Arrival::kQueued:
+        return;
+      case Arrival::kShed:
+        return End(key, AttemptStatus::kShed);
+    }
+  }
+
+  void StartService(std::uint64_t key) {
+    const Attempt& attempt = m_attempts.at(key);
+    double service = DrawService(m_case.shape, m_random);
+    if (m_random.Unit() < m_case.fault.stragglers) {
+      service *= kStragglerFactor;
+    }
+    if (m_faulty && m_case.fault.slow_server && attempt.target == 0) {
+      service *= kStragglerFactor;
+    }
+    Push(m_now + Duration(static_cast<Duration::rep>(service)),
+         EventKind::kDone, key);
+  }
+
+  void OnDone(std::uint64_t key) {
+    const auto found = m_attempts.find(key);
+    if (found == m_attempts.end() || found->second.ended ||
+        IsLost(found->second.target)) {
+      return;
+    }
+    Leave(key);
+    End(key, AttemptStatus::kAnswered);
+  }
+
+  void OnCancel(std::uint64_t key) {
+    const auto found = m_attempts.find(key);
+    if (found == m_attempts.end() || found->second.ended) {
+      return;
+    }
+    Attempt& attempt = found->second;
+    attempt.cancelled = true;
+    if (IsLost(attempt.target)) {
+      return End(key, AttemptStatus::kCancelled);
+    }
+    if (attempt.arrived) {
+      Leave(key);
+      End(key, AttemptStatus::kCancelled);
+    }
+  }
+
+  void Leave(std::uint64_t key) {
+    TargetModel& target = m_targets[m_attempts.at(key).target];
+    if (const auto next = target.Remove(key)) {
+      StartService(*next);
+    }
+  }
+
+  void End(std::uint64_t key, AttemptStatus status) {
+    Attempt& attempt = m_attempts.at(key);
+    attempt.status = status;
+    attempt.ended = true;
+    Push(m_now + m_case.deployment.one_way, EventKind::kReply, key);
+  }
+
+  void OnReply(std::uint64_t key) {
+    const Attempt attempt = m_attempts.at(key);
+    m_attempts.erase(key);
+    Entry& entry = *m_entries[attempt.entry];
+    --entry.busy[attempt.target];
+    AttemptReply reply;
+    reply.attempt = AttemptId(key);
+    reply.status = attempt.status;
+    reply.version = m_map.version;
+    reply.range = attempt.range;
+    if (attempt.status == AttemptStatus::kAnswered ||
+        attempt.status == AttemptStatus::kShed) {
+      reply.reported_load = m_targets[attempt.target].load();
+    }
+    Effects effects;
+    entry.engine.OnReply(reply, m_now, effects);
+    Apply(attempt.entry, effects);
+  }
+
+  TailCase m_case;
+  Random m_random;
+  std::shared_ptr<const Method> m_method;
+  std::shared_ptr<const std::string> m_body =
+      std::make_shared<const std::string>("{}");
+  PartitionMap m_map;
+  std::vector<TargetInfo> m_infos;
+  std::unordered_map<TargetId, std::uint32_t> m_index;
+  std::vector<TargetModel> m_targets;
+  //! Connections of all entries, for each target.
+  std::vector<std::uint32_t> m_connections;
+  std::uint32_t m_most_connections = 0;
+  std::vector<std::unique_ptr<Entry>> m_entries;
+  std::unordered_map<std::uint64_t, Attempt> m_attempts;
+  std::unordered_map<std::uint64_t, OpenCall> m_calls;
+  std::priority_queue<Event, std::vector<Event>, std::greater<>> m_events;
+  std::uint64_t m_order = 0;
+  TimePoint m_now{};
+  TimePoint m_from{};
+  TimePoint m_last_call{};
+  std::uint32_t m_calls_made = 0;
+  std::uint32_t m_warm = 0;
+  //! The measured time has begun.
+  bool m_faulty = false;
+  TailStats m_stats;
+};
+
+}  // namespace jacinthdeck::bench
+
+#endif  // JACINTHDECK_BENCH_SUPPORT_TAIL_MODEL_H_
--- /dev/null
+++ b/bench/support/tail_stats.h
@@ -0,0 +1,76 @@
+// Collects the answers of a run and works out its figures.
+#ifndef JACINTHDECK_BENCH_SUPPORT_TAIL_STATS_H_
+#define JACINTHDECK_BENCH_SUPPORT_TAIL_STATS_H_
+
+#include <algorithm>
+#include <cstddef>
+#include <vector>
+
+#include "jacinthdeck/query/answer.h"
+#include "support/tail_case.h"
+
+namespace jacinthdeck::bench {
+
+/*! \brief Figures in the making. */
+class TailStats {
+ public:
+  /*! \brief Counts an answer. */
+  void Add(Duration latency, Outcome outcome, double extra) {
+    m_latencies.push_back(ToMilliseconds(latency));
+    m_whole += outcome == Outcome::kWhole ? 1 : 0;
+    m_partial += outcome == Outcome::kPartial ? 1 : 0;
+    m_extra += extra;
+  }
+
+  /*! \brief Checks that an answer accounts for the whole key space. */
+  void CheckCoverage(const Answer& answer) {
+    std::uint64_t sum = 0;
+    for (const KeyRange& range : answer.covered) {
+      sum += range.end - range.begin;
+    }
+    for (const KeyRange& range : answer.missing) {
+      sum += range.end - range.begin;
+    }
+    const bool refused = answer.covered.empty() && answer.missing.empty();
+    const bool whole = answer.outcome == Outcome::kWhole;
+    if ((!refused && sum != kKeySpaceEnd) ||
+        (whole && !answer.missing.empty())) {
+      ++m_wrong_answers;
+    }
+  }
+
+  /*! \brief Counts calls that got no answer, or more than one. */
+  void CountWrongAnswers(std::uint64_t count) { m_wrong_answers += count; }
+
+  /*! \brief Works out the figures; the span is the measured model time. */
+  [[nodiscard]] TailResult Result(Duration span) {
+    std::ranges::sort(m_latencies);
+    TailResult result;
+    const auto calls = static_cast<double>(m_latencies.size());
+    result.p50_ms = At(0.5);
+    result.p99_ms = At(0.99);
+    result.p999_ms = At(0.999);
+    result.whole = m_whole / calls;
+    result.partial = m_partial / calls;
+    result.extra = m_extra / calls;
+    result.goodput = m_whole / (ToMilliseconds(span) / 1000);
+    result.wrong_answers = m_wrong_answers;
+    return result;
+  }
+
+ private:
+  [[nodiscard]] double At(double quantile) const {
+    const auto last = static_cast<double>(m_latencies.size() - 1);
+    return m_latencies[static_cast<std::size_t>(quantile * last)];
+  }
+
+  std::vector<double> m_latencies;
+  double m_whole = 0;
+  double m_partial = 0;
+  double m_extra = 0;
+  std::uint64_t m_wrong_answers = 0;
+};
+
+}  // namespace jacinthdeck::bench
+
+#endif  // JACINTHDECK_BENCH_SUPPORT_TAIL_STATS_H_
--- a/src/jacinthdeck/query/effects.h
+++ b/src/jacinthdeck/query/effects.h
@@ -66,6 +66,8 @@
   std::vector<Hit> hits;
   std::uint64_t count = 0;
   std::optional<double> reported_load;
+  //! With kShed: the target said that it is draining.
+  bool draining = false;
 };
 
 }  // namespace jacinthdeck
--- a/src/jacinthdeck/query/engine_attempts.cc
+++ b/src/jacinthdeck/query/engine_attempts.cc
@@ -11,8 +11,10 @@
                                                     const ShardState& state,
                                                     AttemptKind kind,
                                                     TimePoint now) {
-  return m_router.Choose(RouteRequest{open.call.method->service,
-                                      state.shard->replicas, state.tried, kind},
+  const Method& method = *open.call.method;
+  const bool may_probe = method.repeat == Repeat::kIdempotent;
+  return m_router.Choose(RouteRequest{method.service, state.shard->replicas,
+                                      state.tried, kind, may_probe},
                          now);
 }
 
--- a/src/jacinthdeck/query/engine_replies.cc
+++ b/src/jacinthdeck/query/engine_replies.cc
@@ -65,8 +65,12 @@
     ++m_counters.wrong_replies;
     status = AttemptStatus::kFailed;
   }
-  m_router.Finish(
-      AttemptResult{attempt.target, status, latency, reply.reported_load}, now);
+  // A hedge whose answer was no longer wanted did not win.
+  const AttemptKind kind =
+      attempt.cancelled ? AttemptKind::kFirst : attempt.kind;
+  m_router.Finish(AttemptResult{attempt.target, status, latency,
+                                reply.reported_load, kind, reply.draining},
+                  now);
   if (status == AttemptStatus::kAnswered) {
     m_fast_times.try_emplace(attempt.service, kFastQuantile)
         .first->second.Add(latency);
