Treat missing answers as silence and pay failover as a retry

Cause: attempts cancelled at a silent target left no trace but a slow rate, so each entry sent it work until the hedge budget was spent; the rest of the calls then waited for their deadline. Sheds used up the retry budget, since the window grew by a place after each shed.

Change: unanswered attempts in a row make a target doubtful, then failed; a hedge away from a suspect target is paid as a retry; the window grows ten times more slowly.

--- a/src/jacinthdeck/routing/in_flight_window.h
+++ b/src/jacinthdeck/routing/in_flight_window.h
@@ -41,7 +41,7 @@
    */
   void OnAnswer(std::uint32_t in_flight, std::uint32_t share) noexcept {
     if (in_flight >= Size(share)) {
-      m_size = std::min<double>(share, m_size + 1 / m_size);
+      m_size = std::min<double>(share, m_size + kIncrease / m_size);
     }
   }
 
@@ -60,6 +60,9 @@
 
  private:
   static constexpr double kDecrease = 0.7;
+  //! Slow, since a shed costs a caller a retry, while a place too few only
+  //! makes a request wait here instead of in the target's queue.
+  static constexpr double kIncrease = 0.1;
   static constexpr Duration kPause = std::chrono::milliseconds(20);
 
   //! At least 1.
--- a/src/jacinthdeck/routing/router.cc
+++ b/src/jacinthdeck/routing/router.cc
@@ -87,7 +87,8 @@
     return Refuse(RouteRefusal::kNoReplica);
   }
   ServiceRecord& service = ServiceOf(request.service);
-  if (request.kind == AttemptKind::kHedge && service.saturated()) {
+  const bool failover = IsFailover(request, now);
+  if (request.kind == AttemptKind::kHedge && !failover && service.saturated()) {
     ++m_counters.refused_saturated;
     return RouteRefusal::kNoBudget;
   }
@@ -96,7 +97,10 @@
     service.OnPressure(*refusal == RouteRefusal::kAtLimit);
     return Refuse(*refusal);
   }
-  if (!Pay(request.kind, service)) {
+  // Waiting for the ordinary end of an attempt at a lost target would take as
+  // long as the call has. Ejection bounds how many attempts are in this state,
+  // so they are paid for as the retries that they are.
+  if (!Pay(failover ? AttemptKind::kRetry : request.kind, service)) {
     return Refuse(RouteRefusal::kNoBudget);
   }
   TargetRecord& target = *std::get<TargetRecord*>(picked);
@@ -158,10 +162,14 @@
     case AttemptStatus::kCancelled:
       // Only a wait above the delay tells of the target; a shorter one tells
       // of the call that ended.
-      if (late) {
-        service.OnOverdue(result.latency, *m_options.hedging);
+      if (!late) {
+        return Verdict::kNone;
       }
-      return late ? Verdict::kSlow : Verdict::kNone;
+      service.OnOverdue(result.latency, *m_options.hedging);
+      // Several in a row with no reply between them: the target is silent.
+      return target.OnUnanswered(now - result.latency, now) > 1
+                 ? Verdict::kFailed
+                 : Verdict::kSlow;
     case AttemptStatus::kNotSent:
     case AttemptStatus::kLost:
     case AttemptStatus::kTimedOut:
--- a/src/jacinthdeck/routing/router.h
+++ b/src/jacinthdeck/routing/router.h
@@ -131,6 +131,9 @@
                                        TimePoint now);
   [[nodiscard]] bool SharesDomain(const RouteRequest& request,
                                   const FailureDomain& domain) const;
+  //! A hedge of which all earlier attempts are at suspect targets.
+  [[nodiscard]] bool IsFailover(const RouteRequest& request,
+                                TimePoint now) const;
   [[nodiscard]] bool Pay(AttemptKind kind, ServiceRecord& service);
   [[nodiscard]] Verdict Learn(const AttemptResult& result,
                               TargetRecord& target,
--- a/src/jacinthdeck/routing/router_pick.cc
+++ b/src/jacinthdeck/routing/router_pick.cc
@@ -132,6 +132,14 @@
   return m_viewed[m_options.chooser->Pick(m_views, m_random)];
 }
 
+bool Router::IsFailover(const RouteRequest& request, TimePoint now) const {
+  return request.kind == AttemptKind::kHedge && !request.tried.empty() &&
+         std::ranges::all_of(request.tried, [&](const TargetId& id) {
+           const auto found = m_targets.find(id);
+           return found == m_targets.end() || found->second.IsSuspect(now);
+         });
+}
+
 bool Router::SharesDomain(const RouteRequest& request,
                           const FailureDomain& domain) const {
   return std::ranges::any_of(request.tried, [&](const TargetId& id) {
--- a/src/jacinthdeck/routing/target_record.cc
+++ b/src/jacinthdeck/routing/target_record.cc
@@ -15,6 +15,9 @@
 //! anything.
 constexpr Duration kDrainingHold = std::chrono::seconds(10);
 constexpr Duration kShedPause = std::chrono::milliseconds(10);
+//! Pause after an attempt that got no answer; grows with each in a row. One
+//! may be a straggler, so it is short.
+constexpr Duration kUnansweredPause = std::chrono::milliseconds(50);
 constexpr std::uint32_t kMostShedDoublings = 5;
 //! A load report is worth nothing after this many average latencies.
 constexpr double kHintLatencies = 8;
@@ -47,9 +50,9 @@
   if (m_health.State(now) != HealthState::kTrusted) {
     return TargetRank::kEjected;
   }
-  const bool shedding = now < m_shed_until;
-  return shedding || IsSilent(now) ? TargetRank::kDoubtful
-                                   : TargetRank::kPreferred;
+  const bool paused = now < m_doubtful_until;
+  return paused || IsSilent(now) ? TargetRank::kDoubtful
+                                 : TargetRank::kPreferred;
 }
 
 double TargetRecord::Freshness(TimePoint now) const noexcept {
@@ -92,22 +95,39 @@
                             TimePoint now) noexcept {
   m_latency.Add(static_cast<double>(latency.count()));
   m_window.OnAnswer(m_in_flight + 1, share);
-  m_waiting_since = now;
+  OnReply(now);
   m_sheds_in_row = 0;
   m_draining_until.reset();
 }
 
+std::uint32_t TargetRecord::OnUnanswered(TimePoint sent,
+                                         TimePoint now) noexcept {
+  if (m_last_reply >= sent) {
+    return 0;
+  }
+  ++m_unanswered_in_row;
+  m_doubtful_until = std::max(
+      m_doubtful_until, now + internal::kUnansweredPause * m_unanswered_in_row);
+  return m_unanswered_in_row;
+}
+
+void TargetRecord::OnReply(TimePoint now) noexcept {
+  m_last_reply = now;
+  m_waiting_since = now;
+  m_unanswered_in_row = 0;
+}
+
 void TargetRecord::OnShed(TimePoint now) noexcept {
+  OnReply(now);
   m_window.OnPressure(now);
-  m_waiting_since = now;
   const auto doublings = std::min(m_sheds_in_row, internal::kMostShedDoublings);
-  m_shed_until = now + internal::kShedPause * (1U << doublings);
+  m_doubtful_until = now + internal::kShedPause * (1U << doublings);
   ++m_sheds_in_row;
 }
 
 void TargetRecord::OnDraining(TimePoint now) noexcept {
+  OnReply(now);
   m_draining_until = now + internal::kDrainingHold;
-  m_waiting_since = now;
 }
 
 }  // namespace jacinthdeck
--- a/src/jacinthdeck/routing/target_record.h
+++ b/src/jacinthdeck/routing/target_record.h
@@ -40,6 +40,12 @@
   [[nodiscard]] const InFlightWindow& window() const noexcept {
     return m_window;
   }
+  /*! \brief Tells whether requests at it are likely lost, so that sending one
+   * elsewhere is a failover and not a hedge. */
+  [[nodiscard]] bool IsSuspect(TimePoint now) const noexcept {
+    return m_health.State(now) != HealthState::kTrusted || IsSilent(now) ||
+           m_unanswered_in_row > 0;
+  }
   [[nodiscard]] std::uint32_t in_flight() const noexcept { return m_in_flight; }
 
   /*! \brief Average latency of its answers; zero before the first. */
@@ -71,6 +77,12 @@
   /*! \brief Learns from an answer. */
   void OnAnswer(Duration latency, std::uint32_t share, TimePoint now) noexcept;
 
+  /*! \brief Learns that a late attempt was cancelled without a reply.
+   * \param sent When it was sent.
+   * \param now Present time.
+   * \return Such attempts in a row. */
+  std::uint32_t OnUnanswered(TimePoint sent, TimePoint now) noexcept;
+
   /*! \brief Learns from a refusal, which proves that it is alive. */
   void OnShed(TimePoint now) noexcept;
 
@@ -83,6 +95,7 @@
   }
 
  private:
+  void OnReply(TimePoint now) noexcept;
   //! Weight of what was learned at the last end, 1 to 0.
   [[nodiscard]] double Freshness(TimePoint now) const noexcept;
   [[nodiscard]] bool IsSilent(TimePoint now) const noexcept;
@@ -98,8 +111,12 @@
   //! Since when requests have been in flight without a reply.
   TimePoint m_waiting_since{};
   TimePoint m_last_end{};
-  TimePoint m_shed_until{};
+  //! Last reply of any kind.
+  TimePoint m_last_reply{};
+  std::uint32_t m_unanswered_in_row = 0;
   std::uint32_t m_sheds_in_row = 0;
+  //! End of a pause after a shed or a missing answer.
+  TimePoint m_doubtful_until{};
   std::optional<TimePoint> m_draining_until;
 };
 
