Read services from FlatBuffers IDL at run time and check requests against it

Cause: operators declare services in a schema file; requests must be checked before a target sees them. Ruled out: an own TOML description (a second type system to keep), one parser per request (parsing the schema again for each call).

--- /dev/null
+++ b/src/jacinthdeck/schema/key_hash.cc
@@ -0,0 +1,12 @@
+// Hash that places a key in the key space of an index.
+#include "jacinthdeck/schema/key_hash.h"
+
+#include <xxhash.h>
+
+namespace jacinthdeck {
+
+std::uint64_t HashKey(std::string_view key) noexcept {
+  return XXH32(key.data(), key.size(), 0);
+}
+
+}  // namespace jacinthdeck
--- /dev/null
+++ b/src/jacinthdeck/schema/request_parser.cc
@@ -0,0 +1,139 @@
+// Checks request bodies with the FlatBuffers parser.
+#include "jacinthdeck/schema/request_parser.h"
+
+#include <jansson.h>
+#include <xxhash.h>
+
+#include <memory>
+#include <optional>
+#include <string_view>
+#include <utility>
+
+#include "jacinthdeck/schema/key_hash.h"
+#include "jacinthdeck/schema/method_reader.h"
+
+namespace jacinthdeck::internal {
+
+namespace {
+
+using JsonPointer = std::unique_ptr<json_t, decltype(&json_decref)>;
+
+//! The parser reports `file:line: column: severity: text`; the file is always
+//! empty here.
+struct ParserMessage {
+  std::string line;
+  std::string text;
+};
+
+[[nodiscard]] ParserMessage SplitMessage(const std::string& message) {
+  // Forms seen: ":3: 12: error: text" and "(3): error: text".
+  const std::size_t digit = message.find_first_of("0123456789");
+  const std::size_t after = message.find_first_not_of("0123456789", digit);
+  const std::size_t marker = message.find("error: ");
+  if (digit == message.npos || after == message.npos ||
+      marker == message.npos || digit > marker) {
+    return ParserMessage{"?", message};
+  }
+  std::string text =
+      message.substr(marker + std::string_view("error: ").size());
+  const std::size_t tail = text.find(", originally at:");
+  return ParserMessage{message.substr(digit, after - digit),
+                       text.substr(0, tail)};
+}
+
+[[nodiscard]] flatbuffers::IDLOptions ParserOptions() {
+  flatbuffers::IDLOptions options;
+  options.strict_json = true;
+  options.skip_unexpected_fields_in_json = false;
+  options.indent_step = -1;
+  options.output_default_scalars_in_json = false;
+  return options;
+}
+
+[[nodiscard]] std::optional<std::string> KeyText(const std::string& body,
+                                                 const std::string& field) {
+  const JsonPointer root(json_loadb(body.data(), body.size(), 0, nullptr),
+                         &json_decref);
+  const json_t* value = json_object_get(root.get(), field.c_str());
+  if (json_is_string(value)) {
+    return std::string(json_string_value(value), json_string_length(value));
+  }
+  if (json_is_integer(value)) {
+    return std::to_string(json_integer_value(value));
+  }
+  return std::nullopt;
+}
+
+[[nodiscard]] Fingerprint FingerprintOf(const Method& method,
+                                        const std::string& body) {
+  const std::string text =
+      method.service.raw() + "/" + method.name + "/" + body;
+  return Fingerprint(XXH3_64bits(text.data(), text.size()));
+}
+
+}  // namespace
+
+RequestParser::RequestParser() : m_parser(ParserOptions()) {}
+
+Result<void> RequestParser::ReadSchema(const std::string& text) {
+  const std::string source = kAttributeDeclarations + text;
+  // Included files would be read from the host's file system, which holds
+  // nothing of ours.
+  if (text.find("include ") == 0 || text.find("\ninclude ") != text.npos) {
+    return Fail(ErrorCode::kInvalidArgument, "line 1",
+                "include is not supported in a schema");
+  }
+  if (!m_parser.Parse(source.c_str())) {
+    ParserMessage message = SplitMessage(m_parser.error_);
+    return Fail(ErrorCode::kInvalidArgument, "line " + message.line,
+                std::move(message.text));
+  }
+  return {};
+}
+
+Result<std::string> RequestParser::Canonical(const Method& method,
+                                             const std::string& json) {
+  const flatbuffers::ServiceDef* service =
+      m_parser.services_.Lookup(method.service.raw());
+  const flatbuffers::RPCCall* call =
+      service == nullptr ? nullptr : service->calls.Lookup(method.name);
+  if (call == nullptr) {
+    return Fail(ErrorCode::kNotFound, method.service.raw() + "." + method.name,
+                "is not declared here");
+  }
+  m_parser.root_struct_def_ = call->request;
+  if (!m_parser.ParseJson(json.c_str())) {
+    return Fail(ErrorCode::kInvalidArgument, "body",
+                SplitMessage(m_parser.error_).text);
+  }
+  std::string body;
+  if (!flatbuffers::GenerateText(m_parser, m_parser.builder_.GetBufferPointer(),
+                                 &body)) {
+    return Fail(ErrorCode::kInvalidArgument, "body",
+                "holds text that is not UTF-8");
+  }
+  return body;
+}
+
+Result<CheckedRequest> RequestParser::Check(const Method& method,
+                                            const std::string& json) {
+  const std::scoped_lock lock(m_mutex);
+  if (json.find('\0') != json.npos) {
+    return Fail(ErrorCode::kInvalidArgument, "body", "holds a NUL byte");
+  }
+  BOOST_LEAF_AUTO(body, Canonical(method, json));
+  CheckedRequest request;
+  request.fingerprint = FingerprintOf(method, body);
+  if (method.fan_out == FanOut::kKey) {
+    const auto key = KeyText(body, method.key_field);
+    if (!key) {
+      return Fail(ErrorCode::kInvalidArgument, method.key_field,
+                  "is missing; it chooses the shard");
+    }
+    request.key = HashKey(*key);
+  }
+  request.body = std::move(body);
+  return request;
+}
+
+}  // namespace jacinthdeck::internal
