--- a/src/jacinthdeck/schema/request_parser.cc
+++ b/src/jacinthdeck/schema/request_parser.cc
@@ -64,6 +64,19 @@
   return std::nullopt;
 }
 
+// The parser keys services by their name with the namespace; a ServiceId is the
+// name alone.
+[[nodiscard]] const flatbuffers::RPCCall* FindCall(
+    const flatbuffers::Parser& parser,
+    const Method& method) {
+  for (const flatbuffers::ServiceDef* service : parser.services_.vec) {
+    if (service->name == method.service.raw()) {
+      return service->calls.Lookup(method.name);
+    }
+  }
+  return nullptr;
+}
+
 [[nodiscard]] Fingerprint FingerprintOf(const Method& method,
                                         const std::string& body) {
   const std::string text =
@@ -93,10 +106,7 @@
 
 Result<std::string> RequestParser::Canonical(const Method& method,
                                              const std::string& json) {
-  const flatbuffers::ServiceDef* service =
-      m_parser.services_.Lookup(method.service.raw());
-  const flatbuffers::RPCCall* call =
-      service == nullptr ? nullptr : service->calls.Lookup(method.name);
+  const flatbuffers::RPCCall* call = FindCall(m_parser, method);
   if (call == nullptr) {
     return Fail(ErrorCode::kNotFound, method.service.raw() + "." + method.name,
                 "is not declared here");
