--- /dev/null
+++ b/test/jacinthdeck/runtime/bounded_ring_test.cc
@@ -0,0 +1,57 @@
+// Tests of the ring between threads.
+#include "jacinthdeck/runtime/bounded_ring.h"
+
+#include <boost/test/unit_test.hpp>
+#include <thread>
+#include <vector>
+
+namespace jacinthdeck {
+
+struct BoundedRingFixture {
+  BoundedRing<int> ring{4};
+};
+
+BOOST_FIXTURE_TEST_SUITE(BoundedRingTest, BoundedRingFixture)
+
+// A decision thread that stalls must not stall its writers: the fifth call is
+// refused at once, and the item is still the writer's, so that it can answer
+// "not run".
+BOOST_AUTO_TEST_CASE(Ring_Full_RefusesAndKeepsTheWritersItem) {
+  for (int i = 0; i < 4; ++i) {
+    BOOST_TEST(ring.TryPush(int{i}));
+  }
+  int fifth = 5;
+  BOOST_TEST(!ring.TryPush(fifth));
+  BOOST_TEST(fifth == 5);
+  const std::vector<int> taken = ring.PopAll(std::chrono::microseconds(0));
+  BOOST_TEST(taken == (std::vector<int>{0, 1, 2, 3}),
+             boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(Ring_TwoWriters_LosesNothingThatWasAccepted) {
+  int accepted[2] = {0, 0};
+  const auto write = [&](int who) {
+    for (int i = 0; i < 1000; ++i) {
+      while (!ring.TryPush(int{who})) {
+        std::this_thread::yield();
+      }
+      ++accepted[who];
+    }
+  };
+  std::thread first(write, 0);
+  std::thread second(write, 1);
+  int seen[2] = {0, 0};
+  while (seen[0] + seen[1] < 2000) {
+    for (const int who : ring.PopAll(std::chrono::seconds(10))) {
+      ++seen[who];
+    }
+  }
+  first.join();
+  second.join();
+  BOOST_TEST(seen[0] == accepted[0]);
+  BOOST_TEST(seen[1] == accepted[1]);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace jacinthdeck
