--- a/src/jacinthdeck/routing/in_flight_window.h
+++ b/src/jacinthdeck/routing/in_flight_window.h
@@ -62,7 +62,7 @@
   static constexpr double kDecrease = 0.7;
   //! Slow, since a shed costs a caller a retry, while a place too few only
   //! makes a request wait here instead of in the target's queue.
-  static constexpr double kIncrease = 0.1;
+  static constexpr double kIncrease = 0.02;
   static constexpr Duration kPause = std::chrono::milliseconds(20);
 
   //! At least 1.
--- a/src/jacinthdeck/routing/latency_histogram.cc
+++ b/src/jacinthdeck/routing/latency_histogram.cc
@@ -28,10 +28,12 @@
   // The bucket below the axis has the index -1, the one above it size().
   double seen = 0;
   for (int i = -1; i < axis.size(); ++i) {
-    seen += m_weights.at(i);
-    if (seen >= wanted) {
-      return Duration(static_cast<Duration::rep>(axis.value(i + 1)));
+    const double weight = m_weights.at(i);
+    if (weight > 0 && seen + weight >= wanted) {
+      const double part = (wanted - seen) / weight;
+      return Duration(static_cast<Duration::rep>(axis.value(i + part)));
     }
+    seen += weight;
   }
   return Duration(static_cast<Duration::rep>(internal::kHighestMicroseconds));
 }
--- a/src/jacinthdeck/routing/latency_histogram.h
+++ b/src/jacinthdeck/routing/latency_histogram.h
@@ -31,8 +31,8 @@
   /**
    * \brief Finds a quantile.
    * \param quantile Share of the samples below, 0 to 1.
-   * \return Upper edge of the bucket that holds it, about 6% above the true
-   * value at most; zero before the first sample.
+   * \return The value, interpolated within a bucket that is 6% wide; zero
+   * before the first sample.
    */
   [[nodiscard]] Duration Quantile(double quantile) const;
 
--- a/src/jacinthdeck/routing/router.cc
+++ b/src/jacinthdeck/routing/router.cc
@@ -94,7 +94,6 @@
   }
   const auto picked = Pick(request, now);
   if (const auto* refusal = std::get_if<RouteRefusal>(&picked)) {
-    service.OnPressure(*refusal == RouteRefusal::kAtLimit);
     return Refuse(*refusal);
   }
   // Waiting for the ordinary end of an attempt at a lost target would take as
@@ -126,8 +125,7 @@
   const Verdict verdict = Learn(result, target, now);
   const bool ejected =
       m_options.eject_outliers &&
-      target.health().OnEnd(verdict, target.service().slow_rate(), now,
-                            m_random);
+      target.health().OnEnd(verdict, target.IsSlow(), now, m_random);
   m_counters.ejections += ejected ? 1 : 0;
   if (target.info().state == TargetState::kGone && target.in_flight() == 0) {
     m_targets.erase(found);
@@ -166,6 +164,7 @@
         return Verdict::kNone;
       }
       service.OnOverdue(result.latency, *m_options.hedging);
+      target.OnOverdue(result.latency);
       // Several in a row with no reply between them: the target is silent.
       return target.OnUnanswered(now - result.latency, now) > 1
                  ? Verdict::kFailed
--- a/src/jacinthdeck/routing/router.h
+++ b/src/jacinthdeck/routing/router.h
@@ -57,9 +57,8 @@
     return m_counters;
   }
 
-  /*! \brief Tells whether sheds and full windows are common in a service: it
-   * then has no room for extra requests, and new work should be refused early.
-   */
+  /*! \brief Tells whether sheds are common in a service: it then has no room
+   * for extra requests, and new work should be refused early. */
   [[nodiscard]] bool Saturated(const ServiceId& service) const;
 
   /*! \brief Describes all targets, for the status page. */
@@ -94,7 +93,9 @@
    * \param request What is to be sent.
    * \param now Present time.
    * \return The target, or why there is none. After kAtLimit an attempt of this
-   * entry is in flight at one of the replicas, so an end will follow.
+   * entry is in flight at one of the replicas, so an end will follow; a retry
+   * also gets it during the pause after a shed, at most a third of a second,
+   * and has to ask again by itself.
    */
   [[nodiscard]] std::variant<TargetId, RouteRefusal> Choose(
       const RouteRequest& request,
@@ -125,13 +126,19 @@
   [[nodiscard]] std::variant<TargetRecord*, RouteRefusal> Pick(
       const RouteRequest& request,
       TimePoint now);
+  [[nodiscard]] std::variant<TargetRecord*, RouteRefusal> PickHedge(
+      const RouteRequest& request,
+      TimePoint now);
+  [[nodiscard]] TargetRecord* PickTrusted(const RouteRequest& request,
+                                          bool tried,
+                                          TimePoint now);
   [[nodiscard]] TargetRecord* PickRank(const RouteRequest& request,
                                        TargetRank rank,
                                        bool tried,
                                        TimePoint now);
   [[nodiscard]] bool SharesDomain(const RouteRequest& request,
                                   const FailureDomain& domain) const;
-  //! A hedge of which all earlier attempts are at suspect targets.
+  //! A hedge whose latest attempt is at a target that is likely lost.
   [[nodiscard]] bool IsFailover(const RouteRequest& request,
                                 TimePoint now) const;
   [[nodiscard]] bool Pay(AttemptKind kind, ServiceRecord& service);
--- a/src/jacinthdeck/routing/router_pick.cc
+++ b/src/jacinthdeck/routing/router_pick.cc
@@ -19,10 +19,13 @@
     }
     const bool tried =
         std::ranges::find(request.tried, id) != request.tried.end();
-    const std::uint32_t window =
-        target.window().Size(ShareOf(target.info(), now));
-    m_candidates.push_back(
-        Candidate{&target, rank, tried, target.in_flight() >= window});
+    // A retry that follows a shed at once meets the same full queue, and the
+    // retries of a call are spent within a few milliseconds: it waits.
+    const bool retry_waits =
+        request.kind == AttemptKind::kRetry && target.IsPaused(now);
+    const bool full =
+        retry_waits || target.IsFull(ShareOf(target.info(), now), now);
+    m_candidates.push_back(Candidate{&target, rank, tried, full});
   }
   BoundEjections(now);
 }
@@ -68,48 +71,66 @@
 std::variant<TargetRecord*, RouteRefusal> Router::Pick(
     const RouteRequest& request,
     TimePoint now) {
+  if (request.kind == AttemptKind::kHedge) {
+    return PickHedge(request, now);
+  }
   if (TargetRecord* probe = PickProbe(request, now)) {
     return probe;
   }
-  if (TargetRecord* best =
-          PickRank(request, TargetRank::kPreferred, false, now)) {
+  if (TargetRecord* best = PickTrusted(request, false, now)) {
     return best;
   }
-  if (request.kind == AttemptKind::kHedge) {
-    // An extra request never queues behind others.
-    ++m_counters.refused_saturated;
-    return RouteRefusal::kNoBudget;
-  }
-  if (TargetRecord* doubtful =
-          PickRank(request, TargetRank::kDoubtful, false, now)) {
-    return doubtful;
-  }
+  // Ejected targets get probes only: a full window of a sound target is worth
+  // waiting for, and at least half of the replicas are not left out.
   const bool waits = std::ranges::any_of(m_candidates, [](const Candidate& c) {
     return !c.tried && c.rank != TargetRank::kEjected;
   });
   if (waits) {
     return RouteRefusal::kAtLimit;
   }
-  if (request.kind == AttemptKind::kRetry) {
-    // A sound target that shed or failed one request beats an ejected one.
-    for (const TargetRank rank :
-         {TargetRank::kPreferred, TargetRank::kDoubtful}) {
-      if (TargetRecord* again = PickRank(request, rank, true, now)) {
-        return again;
-      }
-    }
-  }
-  if (TargetRecord* ejected =
-          PickRank(request, TargetRank::kEjected, false, now)) {
-    return ejected;
-  }
-  const bool all_tried = std::ranges::all_of(m_candidates, &Candidate::tried);
-  if (all_tried && request.kind != AttemptKind::kRetry) {
+  if (request.kind != AttemptKind::kRetry) {
     return RouteRefusal::kNoReplica;
   }
+  if (TargetRecord* again = PickTrusted(request, true, now)) {
+    return again;
+  }
   return RouteRefusal::kAtLimit;
 }
 
+std::variant<TargetRecord*, RouteRefusal> Router::PickHedge(
+    const RouteRequest& request,
+    TimePoint now) {
+  if (TargetRecord* best =
+          PickRank(request, TargetRank::kPreferred, false, now)) {
+    return best;
+  }
+  // An extra request never queues behind others, but one that replaces a
+  // request at a lost target is not extra: it may go past the window, though
+  // not past the connections.
+  if (IsFailover(request, now)) {
+    for (Candidate& candidate : m_candidates) {
+      const TargetRecord& target = *candidate.target;
+      candidate.at_limit = target.IsSuspect(now) ||
+                           target.in_flight() >= ShareOf(target.info(), now);
+    }
+    for (const bool tried : {false, true}) {
+      if (TargetRecord* other = PickTrusted(request, tried, now)) {
+        return other;
+      }
+    }
+  }
+  ++m_counters.refused_saturated;
+  return RouteRefusal::kNoBudget;
+}
+
+TargetRecord* Router::PickTrusted(const RouteRequest& request,
+                                  bool tried,
+                                  TimePoint now) {
+  TargetRecord* best = PickRank(request, TargetRank::kPreferred, tried, now);
+  return best != nullptr ? best
+                         : PickRank(request, TargetRank::kDoubtful, tried, now);
+}
+
 TargetRecord* Router::PickRank(const RouteRequest& request,
                                TargetRank rank,
                                bool tried,
@@ -133,11 +154,11 @@
 }
 
 bool Router::IsFailover(const RouteRequest& request, TimePoint now) const {
-  return request.kind == AttemptKind::kHedge && !request.tried.empty() &&
-         std::ranges::all_of(request.tried, [&](const TargetId& id) {
-           const auto found = m_targets.find(id);
-           return found == m_targets.end() || found->second.IsSuspect(now);
-         });
+  if (request.kind != AttemptKind::kHedge || request.tried.empty()) {
+    return false;
+  }
+  const auto found = m_targets.find(request.tried.back());
+  return found == m_targets.end() || found->second.IsSuspect(now);
 }
 
 bool Router::SharesDomain(const RouteRequest& request,
--- a/src/jacinthdeck/routing/service_record.cc
+++ b/src/jacinthdeck/routing/service_record.cc
@@ -20,7 +20,6 @@
     : m_hedge_budget(hedge_budget),
       m_retry_budget(retry_budget),
       m_latency(internal::kServiceMemory),
-      m_slow(internal::kServiceMemory),
       m_pressure(internal::kServiceMemory),
       m_hedge_delay(hedging.Delay(m_latencies)),
       m_late_after(LearnedHedging().Delay(m_latencies)) {}
@@ -40,7 +39,6 @@
 }
 
 void ServiceRecord::AddLatency(Duration latency, const HedgePolicy& hedging) {
-  m_slow.Add(latency > m_late_after ? 1 : 0);
   m_latencies.Add(latency);
   if (m_latencies.samples() % internal::kRelearnSamples == 0) {
     m_hedge_delay = hedging.Delay(m_latencies);
--- a/src/jacinthdeck/routing/service_record.h
+++ b/src/jacinthdeck/routing/service_record.h
@@ -29,11 +29,7 @@
   /*! \brief Average latency of answers, in microseconds. */
   [[nodiscard]] double latency() const noexcept { return m_latency.value(); }
 
-  /*! \brief Share of late attempts. */
-  [[nodiscard]] double slow_rate() const noexcept { return m_slow.value(); }
-
-  /*! \brief Tells whether sheds and full windows are common, so that no hedge
-   * should be sent. */
+  /*! \brief Tells whether sheds are common, so that no hedge should be sent. */
   [[nodiscard]] bool saturated() const noexcept;
 
   /*! \brief Budget of hedges. */
@@ -59,7 +55,6 @@
   TokenBudget m_retry_budget;
   LatencyHistogram m_latencies;
   DecayingAverage m_latency;
-  DecayingAverage m_slow;
   DecayingAverage m_pressure;
   Duration m_hedge_delay;
   Duration m_late_after;
--- a/src/jacinthdeck/routing/target_health.cc
+++ b/src/jacinthdeck/routing/target_health.cc
@@ -14,8 +14,6 @@
 constexpr std::uint32_t kFailuresInRow = 3;
 constexpr double kFailureRate = 0.5;
 constexpr double kSlowRate = 0.5;
-//! A slow rate must stand out from the service's own by this factor.
-constexpr double kSlowFactor = 1.5;
 constexpr std::uint32_t kGoodProbes = 3;
 constexpr Duration kFirstEjection = std::chrono::seconds(1);
 constexpr Duration kLongestEjection = std::chrono::seconds(30);
@@ -36,7 +34,7 @@
 }
 
 bool TargetHealth::OnEnd(Verdict verdict,
-                         double usual_slow_rate,
+                         bool stands_out,
                          TimePoint now,
                          Random& random) {
   if (m_ejected) {
@@ -49,7 +47,7 @@
   m_failures.Add(verdict == Verdict::kFailed ? 1 : 0);
   m_slow.Add(verdict == Verdict::kSlow ? 1 : 0);
   m_failures_in_row = verdict == Verdict::kFailed ? m_failures_in_row + 1 : 0;
-  if (!IsOutlier(usual_slow_rate)) {
+  if (!IsOutlier(stands_out)) {
     return false;
   }
   if (now - m_reinstated > internal::kForgiveAfter) {
@@ -59,7 +57,7 @@
   return true;
 }
 
-bool TargetHealth::IsOutlier(double usual_slow_rate) const noexcept {
+bool TargetHealth::IsOutlier(bool stands_out) const noexcept {
   if (m_failures_in_row >= internal::kFailuresInRow) {
     return true;
   }
@@ -67,8 +65,7 @@
     return false;
   }
   return m_failures.value() > internal::kFailureRate ||
-         (m_slow.value() > internal::kSlowRate &&
-          m_slow.value() > internal::kSlowFactor * usual_slow_rate);
+         (m_slow.value() > internal::kSlowRate && stands_out);
 }
 
 void TargetHealth::Eject(TimePoint now, Random& random) {
--- a/src/jacinthdeck/routing/target_health.h
+++ b/src/jacinthdeck/routing/target_health.h
@@ -71,19 +71,16 @@
   /**
    * \brief Takes the end of an attempt.
    * \param verdict What it says.
-   * \param usual_slow_rate Share of late attempts over the whole service; a
-   * target is slow only in comparison.
+   * \param stands_out Its latency is far above its service's; a target is
+   * slow only in comparison.
    * \param now Present time.
    * \param random Source of the jitter of the ejection.
    * \return True if the target is ejected by it.
    */
-  bool OnEnd(Verdict verdict,
-             double usual_slow_rate,
-             TimePoint now,
-             Random& random);
+  bool OnEnd(Verdict verdict, bool stands_out, TimePoint now, Random& random);
 
  private:
-  [[nodiscard]] bool IsOutlier(double usual_slow_rate) const noexcept;
+  [[nodiscard]] bool IsOutlier(bool stands_out) const noexcept;
   void Eject(TimePoint now, Random& random);
   void OnProbeEnd(Verdict verdict, TimePoint now, Random& random);
 
--- a/src/jacinthdeck/routing/target_record.cc
+++ b/src/jacinthdeck/routing/target_record.cc
@@ -8,6 +8,10 @@
 namespace internal {
 
 constexpr std::uint32_t kLatencyMemory = 24;
+//! A sound target beside a lost one carries half as much work again and is
+//! late more often. It is the only one left, so latencies within this factor
+//! are not held against it.
+constexpr double kSlowFactor = 2;
 //! Silence of this many hedge delays makes a target doubtful.
 constexpr int kSilentDelays = 2;
 //! How long the word of a target that it is draining holds. The host list lags
@@ -38,6 +42,20 @@
   return Duration(static_cast<Duration::rep>(m_latency.value()));
 }
 
+bool TargetRecord::IsFull(std::uint32_t share, TimePoint now) const noexcept {
+  return (IsPaused(now) && m_in_flight > 0) ||
+         m_in_flight >= m_window.Size(share);
+}
+
+bool TargetRecord::IsSlow() const noexcept {
+  return m_latency.value() > internal::kSlowFactor * m_service->latency();
+}
+
+void TargetRecord::OnOverdue(Duration latency) noexcept {
+  m_latency.Add(
+      std::max(m_latency.value(), static_cast<double>(latency.count())));
+}
+
 bool TargetRecord::IsSilent(TimePoint now) const noexcept {
   return m_in_flight > 0 && now - m_waiting_since > m_service->late_after() *
                                                         internal::kSilentDelays;
@@ -50,9 +68,8 @@
   if (m_health.State(now) != HealthState::kTrusted) {
     return TargetRank::kEjected;
   }
-  const bool paused = now < m_doubtful_until;
-  return paused || IsSilent(now) ? TargetRank::kDoubtful
-                                 : TargetRank::kPreferred;
+  return IsPaused(now) || IsSilent(now) ? TargetRank::kDoubtful
+                                        : TargetRank::kPreferred;
 }
 
 double TargetRecord::Freshness(TimePoint now) const noexcept {
--- a/src/jacinthdeck/routing/target_record.h
+++ b/src/jacinthdeck/routing/target_record.h
@@ -21,7 +21,7 @@
   kPreferred,
   //! Silent or shedding: only if nothing else is free.
   kDoubtful,
-  //! Only if there is no other replica at all.
+  //! Gets probes only.
   kEjected,
   //! Gets no new work.
   kExcluded,
@@ -48,7 +48,8 @@
   }
   [[nodiscard]] std::uint32_t in_flight() const noexcept { return m_in_flight; }
 
-  /*! \brief Average latency of its answers; zero before the first. */
+  /*! \brief Average latency of its answers, and of late attempts that were
+   * cancelled; zero before the first. */
   [[nodiscard]] Duration latency() const noexcept;
 
   /*! \brief Tells whether it said lately that it is draining. */
@@ -56,6 +57,20 @@
     return m_draining_until && now < *m_draining_until;
   }
 
+  /*! \brief Tells whether it shed, or left unanswered, a moment ago. */
+  [[nodiscard]] bool IsPaused(TimePoint now) const noexcept {
+    return now < m_doubtful_until;
+  }
+
+  /*! \brief Tells whether it gets no more before one of its requests ends.
+   * \param share This entry's share of its connections.
+   * \param now Present time.
+   * \return Never true while nothing is in flight. */
+  [[nodiscard]] bool IsFull(std::uint32_t share, TimePoint now) const noexcept;
+
+  /*! \brief Tells whether its latency stands out from the service's. */
+  [[nodiscard]] bool IsSlow() const noexcept;
+
   /*! \brief Ranks it, without regard to its limit. */
   [[nodiscard]] TargetRank Rank(TimePoint now) const noexcept;
 
@@ -77,6 +92,9 @@
   /*! \brief Learns from an answer. */
   void OnAnswer(Duration latency, std::uint32_t share, TimePoint now) noexcept;
 
+  /*! \brief Takes a lower bound of a latency. */
+  void OnOverdue(Duration latency) noexcept;
+
   /*! \brief Learns that a late attempt was cancelled without a reply.
    * \param sent When it was sent.
    * \param now Present time.
--- a/test/jacinthdeck/routing/router_test.cc
+++ b/test/jacinthdeck/routing/router_test.cc
@@ -286,6 +286,46 @@
   BOOST_TEST(router.counters().hedges <= firsts * 35 / 1000 + 21);
 }
 
+// A request sits at a target that went silent, and the hedge budget is spent.
+// Were the hedge refused, its caller would wait for the deadline. It replaces a
+// lost request, so the retry budget pays for it.
+BOOST_AUTO_TEST_CASE(Choose_HedgeAwayFromSilentTarget_NeedsNoHedgeBudget) {
+  Warm();
+  std::optional<TargetId> first = Choose();
+  BOOST_REQUIRE(first);
+  while (const auto hedge = Choose(AttemptKind::kHedge, {*first})) {
+    Finish(*hedge);
+  }
+  BOOST_TEST((refusal == RouteRefusal::kNoBudget));
+  now += seconds(1);
+  const auto failover = Choose(AttemptKind::kHedge, {*first});
+  BOOST_REQUIRE(failover);
+  BOOST_TEST((*failover != *first));
+}
+
+// Two replicas shed and the third is ejected. A retry at once would meet the
+// same full queues, or go to the lost target and stay there. It must wait.
+BOOST_AUTO_TEST_CASE(Choose_RetryAfterShedsBesideEjected_WaitsThenTriesAgain) {
+  (void)Run(2000, [this](const TargetId& target) {
+    Finish(target, target == replicas[0] ? AttemptStatus::kLost
+                                         : AttemptStatus::kAnswered);
+  });
+  BOOST_REQUIRE(router.counters().ejections >= 1U);
+  std::vector<TargetId> tried;
+  for (int i = 0; i < 2; ++i) {
+    const auto shed = Choose(AttemptKind::kRetry, tried);
+    BOOST_REQUIRE(shed);
+    Finish(*shed, AttemptStatus::kShed);
+    tried.push_back(*shed);
+  }
+  BOOST_TEST(!Choose(AttemptKind::kRetry, tried));
+  BOOST_TEST((refusal == RouteRefusal::kAtLimit));
+  now += milliseconds(20);
+  const auto again = Choose(AttemptKind::kRetry, tried);
+  BOOST_REQUIRE(again);
+  BOOST_TEST((*again != replicas[0]));
+}
+
 BOOST_AUTO_TEST_CASE(Choose_RetryWithNoOtherReplica_TakesATriedOneAgain) {
   const auto retry = Choose(AttemptKind::kRetry, replicas);
   BOOST_TEST(retry.has_value());
