Keep the window above this entry's share of the slots

A pause after one missing answer took capacity away under 5% stragglers.

Change: floor of the window ceil((slots+1)/entries); a single missing answer is no pause.

--- a/src/jacinthdeck/routing/hedge_policy.cc
+++ b/src/jacinthdeck/routing/hedge_policy.cc
@@ -7,7 +7,7 @@
 
 namespace internal {
 
-constexpr double kHighQuantile = 0.96;
+constexpr double kHighQuantile = 0.965;
 constexpr double kMiddleQuantile = 0.75;
 //! Above the ratio of the two quantiles of an exponential distribution (2.5).
 constexpr int kMostOverMiddle = 3;
--- a/src/jacinthdeck/routing/in_flight_window.h
+++ b/src/jacinthdeck/routing/in_flight_window.h
@@ -23,6 +23,9 @@
   explicit InFlightWindow(std::uint32_t slots) noexcept
       : m_size(std::max<std::uint32_t>(slots, 1)) {}
 
+  /*! \brief Requests that are always allowed; at least 1. */
+  [[nodiscard]] std::uint32_t floor() const noexcept { return m_floor; }
+
   /**
    * \brief Gives the number of requests that may be in flight.
    * \param share This entry's share of the connections.
@@ -34,6 +37,20 @@
     return std::max<std::uint32_t>(1, std::min(size, share));
   }
 
+  /**
+   * \brief Keeps the window at or above this entry's share of the slots.
+   *
+   * Where few entries share a target, a smaller window leaves slots idle while
+   * requests wait here, and the load that is left looks like an overload.
+   * \param slots Slots of the target.
+   * \param entries Entries that share it, at least 1.
+   */
+  void SetFloor(std::uint32_t slots, std::uint32_t entries) noexcept {
+    // One more than the slots, for the request that is on its way.
+    m_floor = std::max<std::uint32_t>(1, (slots + entries) / entries);
+    m_size = std::max<double>(m_size, m_floor);
+  }
+
   /**
    * \brief Counts an answer that came while the window was in use.
    * \param in_flight Requests in flight, the answered one included.
@@ -55,7 +72,7 @@
       return;
     }
     m_quiet_until = now + kPause;
-    m_size = std::max(1.0, m_size * kDecrease);
+    m_size = std::max<double>(m_floor, m_size * kDecrease);
   }
 
  private:
@@ -65,8 +82,9 @@
   static constexpr double kIncrease = 0.02;
   static constexpr Duration kPause = std::chrono::milliseconds(20);
 
-  //! At least 1.
+  //! At least m_floor.
   double m_size;
+  std::uint32_t m_floor = 1;
   //! Signs before this moment belong to the event that shrank it last.
   TimePoint m_quiet_until{};
 };
--- a/src/jacinthdeck/routing/router_pick.cc
+++ b/src/jacinthdeck/routing/router_pick.cc
@@ -7,12 +7,14 @@
 
 void Router::Collect(const RouteRequest& request, TimePoint now) {
   m_candidates.clear();
+  const std::uint32_t entries = m_entries.Highest(now);
   for (const TargetId& id : request.replicas) {
     const auto found = m_targets.find(id);
     if (found == m_targets.end()) {
       continue;
     }
     TargetRecord& target = found->second;
+    target.ShareSlots(entries);
     const TargetRank rank = target.Rank(now);
     if (rank == TargetRank::kExcluded) {
       continue;
@@ -22,7 +24,7 @@
     // A retry that follows a shed at once meets the same full queue, and the
     // retries of a call are spent within a few milliseconds: it waits.
     const bool retry_waits =
-        request.kind == AttemptKind::kRetry && target.IsPaused(now);
+        request.kind == AttemptKind::kRetry && target.HasShed(now);
     const bool full =
         retry_waits || target.IsFull(ShareOf(target.info(), now), now);
     m_candidates.push_back(Candidate{&target, rank, tried, full});
--- a/src/jacinthdeck/routing/target_record.cc
+++ b/src/jacinthdeck/routing/target_record.cc
@@ -19,8 +19,8 @@
 //! anything.
 constexpr Duration kDrainingHold = std::chrono::seconds(10);
 constexpr Duration kShedPause = std::chrono::milliseconds(10);
-//! Pause after an attempt that got no answer; grows with each in a row. One
-//! may be a straggler, so it is short.
+//! Pause after attempts that got no answer, for each in a row but the first: a
+//! single one is most often a straggler.
 constexpr Duration kUnansweredPause = std::chrono::milliseconds(50);
 constexpr std::uint32_t kMostShedDoublings = 5;
 //! A load report is worth nothing after this many average latencies.
@@ -43,8 +43,9 @@
 }
 
 bool TargetRecord::IsFull(std::uint32_t share, TimePoint now) const noexcept {
-  return (IsPaused(now) && m_in_flight > 0) ||
-         m_in_flight >= m_window.Size(share);
+  const std::uint32_t size = m_window.Size(share);
+  const std::uint32_t after_shed = std::min(size, m_window.floor());
+  return m_in_flight >= (HasShed(now) ? after_shed : size);
 }
 
 bool TargetRecord::IsSlow() const noexcept {
@@ -68,8 +69,9 @@
   if (m_health.State(now) != HealthState::kTrusted) {
     return TargetRank::kEjected;
   }
-  return IsPaused(now) || IsSilent(now) ? TargetRank::kDoubtful
-                                        : TargetRank::kPreferred;
+  return HasShed(now) || now < m_doubtful_until || IsSilent(now)
+             ? TargetRank::kDoubtful
+             : TargetRank::kPreferred;
 }
 
 double TargetRecord::Freshness(TimePoint now) const noexcept {
@@ -138,7 +140,7 @@
   OnReply(now);
   m_window.OnPressure(now);
   const auto doublings = std::min(m_sheds_in_row, internal::kMostShedDoublings);
-  m_doubtful_until = now + internal::kShedPause * (1U << doublings);
+  m_shed_until = now + internal::kShedPause * (1U << doublings);
   ++m_sheds_in_row;
 }
 
--- a/src/jacinthdeck/routing/target_record.h
+++ b/src/jacinthdeck/routing/target_record.h
@@ -57,9 +57,9 @@
     return m_draining_until && now < *m_draining_until;
   }
 
-  /*! \brief Tells whether it shed, or left unanswered, a moment ago. */
-  [[nodiscard]] bool IsPaused(TimePoint now) const noexcept {
-    return now < m_doubtful_until;
+  /*! \brief Tells whether it shed a moment ago. */
+  [[nodiscard]] bool HasShed(TimePoint now) const noexcept {
+    return now < m_shed_until;
   }
 
   /*! \brief Tells whether it gets no more before one of its requests ends.
@@ -83,6 +83,11 @@
   /*! \brief Marks it as gone from the host list. */
   void SetGone() noexcept { m_info.state = TargetState::kGone; }
 
+  /*! \brief Says among how many entries its slots are shared. */
+  void ShareSlots(std::uint32_t entries) noexcept {
+    m_window.SetFloor(m_info.slots, entries);
+  }
+
   /*! \brief Counts a request that is being sent. */
   void OnSend(TimePoint now) noexcept;
 
@@ -133,7 +138,8 @@
   TimePoint m_last_reply{};
   std::uint32_t m_unanswered_in_row = 0;
   std::uint32_t m_sheds_in_row = 0;
-  //! End of a pause after a shed or a missing answer.
+  TimePoint m_shed_until{};
+  //! End of a pause after missing answers.
   TimePoint m_doubtful_until{};
   std::optional<TimePoint> m_draining_until;
 };
