Judge slowness by the peers that hold the same data

Change: a target is slow against its fastest peer that is not ejected; past the bound, the targets that replied last come back first.

--- a/src/jacinthdeck/routing/router.h
+++ b/src/jacinthdeck/routing/router.h
@@ -120,7 +120,8 @@
   [[nodiscard]] std::uint32_t ShareOf(const TargetInfo& info, TimePoint now);
   [[nodiscard]] RouteRefusal Refuse(RouteRefusal refusal) noexcept;
   void Collect(const RouteRequest& request, TimePoint now);
-  void BoundEjections(TimePoint now);
+  void ComparePeers();
+  void BoundEjections();
   [[nodiscard]] TargetRecord* PickProbe(const RouteRequest& request,
                                         TimePoint now) const;
   [[nodiscard]] std::variant<TargetRecord*, RouteRefusal> Pick(
--- a/src/jacinthdeck/routing/router_pick.cc
+++ b/src/jacinthdeck/routing/router_pick.cc
@@ -29,31 +29,48 @@
         retry_waits || target.IsFull(ShareOf(target.info(), now), now);
     m_candidates.push_back(Candidate{&target, rank, tried, full});
   }
-  BoundEjections(now);
+  ComparePeers();
+  BoundEjections();
 }
 
 // A fault of the network or of the service makes many targets look bad at once.
 // Were all left out, the rest would be overloaded or the shard unreachable, so
-// no more than half of a replica set is; the best of the others stay doubtful.
-void Router::BoundEjections(TimePoint now) {
-  const auto ejected = [](const Candidate& candidate) {
+// no more than half of a replica set is; those that replied last stay doubtful.
+void Router::BoundEjections() {
+  const auto is_ejected = [](const Candidate& candidate) {
     return candidate.rank == TargetRank::kEjected;
   };
-  auto count =
-      static_cast<std::size_t>(std::ranges::count_if(m_candidates, ejected));
-  for (; count > m_candidates.size() / 2; --count) {
-    Candidate* best = nullptr;
-    double least = 0;
-    for (Candidate& candidate : m_candidates) {
-      const double trouble = candidate.target->View(now).trouble_rate;
-      if (ejected(candidate) && (best == nullptr || trouble < least)) {
-        best = &candidate;
-        least = trouble;
+  const auto least_recent_reply = [](const Candidate& a, const Candidate& b) {
+    return a.target->last_reply() < b.target->last_reply();
+  };
+  const auto sound =
+      std::partition(m_candidates.begin(), m_candidates.end(), is_ejected);
+  const auto count = static_cast<std::size_t>(sound - m_candidates.begin());
+  const std::size_t most = m_candidates.size() / 2;
+  if (count <= most) {
+    return;
+  }
+  std::sort(m_candidates.begin(), sound, least_recent_reply);
+  for (std::size_t i = most; i < count; ++i) {
+    m_candidates[i].rank = TargetRank::kDoubtful;
+  }
+}
+
+// A target is slow in comparison with the others that hold the same data: all
+// of them are slow where the load is high, and the ejected ones say nothing.
+void Router::ComparePeers() {
+  for (const Candidate& candidate : m_candidates) {
+    Duration fastest{};
+    for (const Candidate& peer : m_candidates) {
+      const Duration latency = peer.target->latency();
+      if (peer.target == candidate.target ||
+          peer.rank == TargetRank::kEjected || latency == Duration::zero()) {
+        continue;
       }
+      fastest =
+          fastest == Duration::zero() ? latency : std::min(fastest, latency);
     }
-    if (best != nullptr) {
-      best->rank = TargetRank::kDoubtful;
-    }
+    candidate.target->set_peer_latency(fastest);
   }
 }
 
--- a/src/jacinthdeck/routing/target_health.h
+++ b/src/jacinthdeck/routing/target_health.h
@@ -71,7 +71,7 @@
   /**
    * \brief Takes the end of an attempt.
    * \param verdict What it says.
-   * \param stands_out Its latency is far above its service's; a target is
+   * \param stands_out Its latency is far above its peers'; a target is
    * slow only in comparison.
    * \param now Present time.
    * \param random Source of the jitter of the ejection.
--- a/src/jacinthdeck/routing/target_record.cc
+++ b/src/jacinthdeck/routing/target_record.cc
@@ -8,9 +8,7 @@
 namespace internal {
 
 constexpr std::uint32_t kLatencyMemory = 24;
-//! A sound target beside a lost one carries half as much work again and is
-//! late more often. It is the only one left, so latencies within this factor
-//! are not held against it.
+//! Latencies within this factor of the peers' are noise of a busy target.
 constexpr double kSlowFactor = 2;
 //! Silence of this many hedge delays makes a target doubtful.
 constexpr int kSilentDelays = 2;
@@ -49,7 +47,8 @@
 }
 
 bool TargetRecord::IsSlow() const noexcept {
-  return m_latency.value() > internal::kSlowFactor * m_service->latency();
+  return m_peer_latency > Duration::zero() &&
+         latency() > internal::kSlowFactor * m_peer_latency;
 }
 
 void TargetRecord::OnOverdue(Duration latency) noexcept {
--- a/src/jacinthdeck/routing/target_record.h
+++ b/src/jacinthdeck/routing/target_record.h
@@ -68,7 +68,10 @@
    * \return Never true while nothing is in flight. */
   [[nodiscard]] bool IsFull(std::uint32_t share, TimePoint now) const noexcept;
 
-  /*! \brief Tells whether its latency stands out from the service's. */
+  /*! \brief Moment of its last reply of any kind. */
+  [[nodiscard]] TimePoint last_reply() const noexcept { return m_last_reply; }
+
+  /*! \brief Tells whether its latency stands out from that of its peers. */
   [[nodiscard]] bool IsSlow() const noexcept;
 
   /*! \brief Ranks it, without regard to its limit. */
@@ -80,6 +83,10 @@
   /*! \brief Takes a newer word of the host list. */
   void set_info(const TargetInfo& info) { m_info = info; }
 
+  /*! \brief Takes the latency of the fastest target that holds the same data;
+   * zero where there is none. */
+  void set_peer_latency(Duration latency) noexcept { m_peer_latency = latency; }
+
   /*! \brief Marks it as gone from the host list. */
   void SetGone() noexcept { m_info.state = TargetState::kGone; }
 
@@ -130,6 +137,7 @@
   InFlightWindow m_window;
   LoadHint m_hint;
   DecayingAverage m_latency;
+  Duration m_peer_latency{};
   std::uint32_t m_in_flight = 0;
   //! Since when requests have been in flight without a reply.
   TimePoint m_waiting_since{};
