--- a/src/jacinthdeck/query/call_state.h
+++ b/src/jacinthdeck/query/call_state.h
@@ -13,6 +13,7 @@
 #include "jacinthdeck/query/answer.h"
 #include "jacinthdeck/query/call.h"
 #include "jacinthdeck/query/partition_map.h"
+#include "jacinthdeck/query/service_state.h"
 #include "jacinthdeck/query/shard_reply.h"
 #include "jacinthdeck/query/waiting_attempts.h"
 #include "jacinthdeck/routing/attempt.h"
@@ -34,6 +35,8 @@
   std::vector<AttemptId> in_flight;
   //! Set while the shard waits for a place on a target.
   std::optional<WaitingKey> waiting;
+  //! The request is a suspect and waits for the end of a probe.
+  bool held = false;
   //! When a hedge is due.
   std::optional<TimePoint> hedge_at;
   //! When a retry that pauses is due.
@@ -46,6 +49,8 @@
 /*! \brief A call without an answer. */
 struct OpenCall {
   Call call;
+  //! Never null.
+  ServiceState* service = nullptr;
   TimePoint started;
   //! Pinned for the whole answer; a restart replaces it and all shards.
   std::shared_ptr<const PartitionMap> map;
@@ -72,7 +77,8 @@
   std::uint32_t epoch = 0;
   std::size_t shard = 0;
   TargetId target;
-  ServiceId service;
+  //! Never null.
+  ServiceState* service = nullptr;
   TimePoint sent;
   AttemptKind kind = AttemptKind::kFirst;
   IndexVersion version;
@@ -80,6 +86,8 @@
   Fingerprint fingerprint;
   //! A cancel was sent; its reply is not wanted.
   bool cancelled = false;
+  //! The request was a suspect when it was sent.
+  bool probe = false;
 };
 
 }  // namespace jacinthdeck::internal
--- a/src/jacinthdeck/query/effects.h
+++ b/src/jacinthdeck/query/effects.h
@@ -53,6 +53,8 @@
   std::vector<DeliverAnswer> answers;
   //! Requests newly suspected of crashing targets, to be told to the peers.
   std::vector<Fingerprint> suspects;
+  //! Requests newly convicted of it, to be told to the peers.
+  std::vector<Fingerprint> convicted;
 };
 
 /*! \brief End of an attempt as the transport saw it. */
@@ -66,6 +68,8 @@
   std::vector<Hit> hits;
   std::uint64_t count = 0;
   std::optional<double> reported_load;
+  //! With kShed: the target said that it is draining.
+  bool draining = false;
 };
 
 }  // namespace jacinthdeck
--- a/src/jacinthdeck/query/engine.cc
+++ b/src/jacinthdeck/query/engine.cc
@@ -1,11 +1,10 @@
-// Start of calls and what becomes due.
+// Running calls and what becomes due.
 #include "jacinthdeck/query/engine.h"
 
 #include <algorithm>
+#include <numeric>
 #include <utility>
 
-#include "jacinthdeck/query/retry_after.h"
-
 namespace jacinthdeck {
 
 using internal::ShardPhase;
@@ -17,12 +16,16 @@
       m_options(options),
       m_next_attempt(first_attempt),
       m_versions(router),
+      m_quarantine(m_options.quarantine),
       m_waiting(m_options.waiting.limit) {}
 
 std::optional<TimePoint> Engine::NextTimer() const {
-  std::optional<TimePoint> next = m_timers.Next();
-  if (m_poll_at) {
-    next = next ? std::min(*next, *m_poll_at) : *m_poll_at;
+  std::optional<TimePoint> next;
+  for (const auto& due :
+       {m_timers.Next(), m_waiting_timers.Next(), m_poll_at}) {
+    if (due && (!next || *due < *next)) {
+      next = due;
+    }
   }
   return next;
 }
@@ -32,37 +35,6 @@
   m_counters.rejected_maps += m_versions.Set(service, std::move(maps));
 }
 
-void Engine::Submit(Call call, TimePoint now, Effects& effects) {
-  ++m_counters.calls;
-  const CallId id = call.id;
-  if (call.deadline <= now) {
-    return Refuse(id, AnswerReason::kDeadline, effects);
-  }
-  VersionChoice choice = m_versions.Choose(
-      VersionRequest{call.method->service, call.key, {}}, now);
-  if (!choice.map) {
-    return Refuse(id, AnswerReason::kNotReady, effects);
-  }
-  OpenCall& open = m_calls[id];
-  open.call = std::move(call);
-  open.started = now;
-  Begin(open, std::move(choice.map), now, effects);
-  Settle(open, effects);
-}
-
-void Engine::Refuse(const CallId& id, AnswerReason reason, Effects& effects) {
-  Answer answer;
-  answer.reason = reason;
-  answer.retry_after = RetryAfter(reason);
-  Deliver(id, std::move(answer), effects);
-}
-
-void Engine::Deliver(const CallId& id, Answer answer, Effects& effects) {
-  ++m_counters.outcomes[static_cast<std::size_t>(answer.outcome)];
-  ++m_counters.reasons[static_cast<std::size_t>(answer.reason)];
-  effects.answers.push_back(DeliverAnswer{id, std::move(answer)});
-}
-
 void Engine::Begin(OpenCall& open,
                    std::shared_ptr<const PartitionMap> map,
                    TimePoint now,
@@ -78,8 +50,19 @@
   open.unsettled = open.shards.size();
   open.wake = open.call.deadline;
   m_timers.Set(open.call.id, open.wake);
-  for (std::size_t i = 0; i < open.shards.size(); ++i) {
-    SendShard(open, i, AttemptKind::kFirst, now, effects);
+  const Fingerprint fingerprint = open.call.fingerprint;
+  const bool suspect = m_quarantine.Of(fingerprint, now) == Suspicion::kSuspect;
+  // A suspect's first shard is its probe; where it killed a target before, the
+  // probe tells most.
+  std::vector<std::size_t> order(open.shards.size());
+  std::iota(order.begin(), order.end(), std::size_t{0});
+  if (suspect) {
+    std::stable_partition(order.begin(), order.end(), [&](std::size_t shard) {
+      return m_quarantine.DiedIn(fingerprint, open.shards[shard].shard->range);
+    });
+  }
+  for (const std::size_t shard : order) {
+    SendShard(open, shard, AttemptKind::kFirst, now, effects);
   }
 }
 
@@ -90,11 +73,12 @@
   if (m_poll_at && *m_poll_at <= now) {
     PumpAllWaiting(now, effects);
   }
+  StartWaiting(now, effects);
 }
 
 void Engine::Wake(OpenCall& open, TimePoint now, Effects& effects) {
   if (open.call.deadline <= now) {
-    return Finish(open, effects);
+    return Finish(open, now, effects);
   }
   for (std::size_t i = 0; i < open.shards.size(); ++i) {
     if (open.shards[i].phase == ShardPhase::kOpen) {
@@ -102,7 +86,7 @@
     }
   }
   Rearm(open);
-  Settle(open, effects);
+  Settle(open, now, effects);
 }
 
 void Engine::WakeShard(OpenCall& open,
@@ -142,32 +126,15 @@
       wake = std::min(wake, *state.retry_at);
     }
     if (state.waiting) {
-      wake = std::min(wake,
-                      open.call.deadline - FastTime(open.call.method->service));
+      wake = std::min(wake, open.call.deadline - open.service->fast.value());
     }
   }
   open.wake = wake;
   m_timers.Set(open.call.id, wake);
 }
 
-void Engine::Abandon(const CallId& id, TimePoint now, Effects& effects) {
-  const auto found = m_calls.find(id);
-  if (found == m_calls.end()) {
-    return;
-  }
-  CancelAll(found->second, effects);
-  m_timers.Remove(id);
-  m_calls.erase(found);
-  (void)now;
-}
-
-Duration Engine::FastTime(const ServiceId& service) const {
-  const auto found = m_fast_times.find(service);
-  return found == m_fast_times.end() ? Duration::zero() : found->second.value();
-}
-
 bool Engine::CanStillEnd(const OpenCall& open, TimePoint now) const {
-  return now + FastTime(open.call.method->service) < open.call.deadline;
+  return now + open.service->fast.value() < open.call.deadline;
 }
 
 }  // namespace jacinthdeck
--- a/src/jacinthdeck/query/engine.h
+++ b/src/jacinthdeck/query/engine.h
@@ -13,13 +13,16 @@
 
 #include "jacinthdeck/core/ids.h"
 #include "jacinthdeck/core/time.h"
+#include "jacinthdeck/query/admission_queue.h"
 #include "jacinthdeck/query/call.h"
 #include "jacinthdeck/query/call_state.h"
 #include "jacinthdeck/query/effects.h"
 #include "jacinthdeck/query/engine_counters.h"
 #include "jacinthdeck/query/engine_options.h"
-#include "jacinthdeck/query/latency_quantile.h"
 #include "jacinthdeck/query/partition_map.h"
+#include "jacinthdeck/query/probe_gate.h"
+#include "jacinthdeck/query/quarantine.h"
+#include "jacinthdeck/query/service_state.h"
 #include "jacinthdeck/query/timer_queue.h"
 #include "jacinthdeck/query/version_catalog.h"
 #include "jacinthdeck/query/waiting_attempts.h"
@@ -47,9 +50,23 @@
          std::uint64_t first_attempt,
          const EngineOptions& options = {});
 
-  /*! \brief Number of calls that have no answer yet. */
+  /*! \brief Number of calls that have no answer yet, waiting ones included.
+   */
   [[nodiscard]] std::size_t open_calls() const noexcept {
-    return m_calls.size();
+    return m_calls.size() + m_waiting_calls.size();
+  }
+
+  /*! \brief Number of calls that wait to run. */
+  [[nodiscard]] std::size_t waiting_calls() const noexcept {
+    return m_waiting_calls.size();
+  }
+
+  /*! \brief Tells whether new calls are refused. */
+  [[nodiscard]] bool draining() const noexcept { return m_draining; }
+
+  /*! \brief Requests that are suspected or convicted of crashing targets. */
+  [[nodiscard]] const Quarantine& quarantine() const noexcept {
+    return m_quarantine;
   }
 
   /*! \brief Totals since the engine was made. */
@@ -83,14 +100,62 @@
   /*! \brief Drops a call whose caller went away; it gets no answer. */
   void Abandon(const CallId& id, TimePoint now, Effects& effects);
 
+  /*! \brief Refuses calls from now on; those accepted before go on to their
+   * answers. */
+  void Drain() noexcept { m_draining = true; }
+
+  /*! \brief Takes a peer's word that a request is suspected of crashing
+   * targets. */
+  void SuspectTold(Fingerprint fingerprint, TimePoint now);
+
+  /*! \brief Takes a peer's word that a request is convicted of it. */
+  void ConvictionTold(Fingerprint fingerprint, TimePoint now, Effects& effects);
+
+  /**
+   * \brief Ends what is held against a request, on an operator's word.
+   * \return False if nothing was held against it.
+   */
+  bool ReleaseQuarantine(Fingerprint fingerprint,
+                         TimePoint now,
+                         Effects& effects);
+
  private:
-  using OpenCall = internal::OpenCall;
+  using HeldShards = std::vector<HeldShard>;
   using OpenAttempt = internal::OpenAttempt;
+  using OpenCall = internal::OpenCall;
+  using ServiceState = internal::ServiceState;
   using ShardState = internal::ShardState;
 
-  // Starting, in engine.cc.
-  void Refuse(const CallId& id, AnswerReason reason, Effects& effects);
+  //! Where a waiting call stands.
+  struct WaitingCall {
+    ServiceState* service = nullptr;
+    AdmissionQueue::Key key;
+  };
+
+  // Admission, in engine_admission.cc.
+  [[nodiscard]] ServiceState& ServiceOf(const ServiceId& service);
+  [[nodiscard]] AnswerReason ReasonToRefuse(const Call& call,
+                                            TimePoint now) const;
+  [[nodiscard]] bool MayStart(const ServiceState& service) const;
+  void Enqueue(Call call,
+               ServiceState& service,
+               TimePoint now,
+               Effects& effects);
+  void Start(Call call, ServiceState& service, TimePoint now, Effects& effects);
+  void StartWaiting(TimePoint now, Effects& effects);
+  void StartWaiting(ServiceState& service, TimePoint now, Effects& effects);
+  void ArmWaiting(ServiceState& service);
+  void Refuse(const Call& call,
+              AnswerReason reason,
+              TimePoint now,
+              Effects& effects);
+  void RefuseWaiting(const Call& call,
+                     AnswerReason reason,
+                     TimePoint now,
+                     Effects& effects);
   void Deliver(const CallId& id, Answer answer, Effects& effects);
+
+  // Running calls and what becomes due, in engine.cc.
   void Begin(OpenCall& open,
              std::shared_ptr<const PartitionMap> map,
              TimePoint now,
@@ -102,6 +167,7 @@
                  Effects& effects);
   void ArmAt(OpenCall& open, TimePoint at);
   void Rearm(OpenCall& open);
+  [[nodiscard]] bool CanStillEnd(const OpenCall& open, TimePoint now) const;
 
   // Attempts, in engine_attempts.cc.
   void SendShard(OpenCall& open,
@@ -114,12 +180,12 @@
       const ShardState& state,
       AttemptKind kind,
       TimePoint now);
-  void Launch(OpenCall& open,
-              std::size_t shard,
-              AttemptKind kind,
-              const TargetId& target,
-              TimePoint now,
-              Effects& effects);
+  OpenAttempt& Launch(OpenCall& open,
+                      std::size_t shard,
+                      AttemptKind kind,
+                      const TargetId& target,
+                      TimePoint now,
+                      Effects& effects);
   void OnRefusal(OpenCall& open,
                  std::size_t shard,
                  AttemptKind kind,
@@ -139,11 +205,16 @@
                               AttemptStatus status,
                               TimePoint now) const;
   [[nodiscard]] Duration HedgeDelay(const OpenCall& open) const;
-  [[nodiscard]] bool HasUntried(const ShardState& state) const;
+  //! Live replicas of a shard that the call has not tried for it.
+  [[nodiscard]] std::vector<TargetId> Untried(const ShardState& state) const;
   void PumpWaiting(const TargetId& target, TimePoint now, Effects& effects);
   void PumpAllWaiting(TimePoint now, Effects& effects);
 
   // Ends of attempts, in engine_replies.cc.
+  void Learn(const OpenAttempt& attempt,
+             AttemptStatus status,
+             const AttemptReply& reply,
+             TimePoint now);
   void TakeReply(OpenCall& open,
                  const OpenAttempt& attempt,
                  AttemptStatus status,
@@ -151,41 +222,60 @@
                  TimePoint now,
                  Effects& effects);
   void OnFailure(OpenCall& open,
-                 std::size_t shard,
+                 const OpenAttempt& attempt,
                  AttemptStatus status,
                  TimePoint now,
                  Effects& effects);
   [[nodiscard]] bool VersionIsGone(const OpenCall& open,
                                    const ShardState& state,
+                                   AttemptStatus status,
                                    TimePoint now) const;
   [[nodiscard]] bool Restart(OpenCall& open, TimePoint now, Effects& effects);
+
+  // Ends of shards and calls, in engine_finish.cc.
   void CancelShard(ShardState& state, Effects& effects);
   void CancelAll(OpenCall& open, Effects& effects);
   void GiveUp(OpenCall& open, ShardState& state, AnswerReason reason);
-  void Settle(OpenCall& open, Effects& effects);
-  void Finish(OpenCall& open, Effects& effects);
-
-  /*! \brief Shortest time that an attempt of a service is likely to take. */
-  [[nodiscard]] Duration FastTime(const ServiceId& service) const;
-  [[nodiscard]] bool CanStillEnd(const OpenCall& open, TimePoint now) const;
+  void Settle(OpenCall& open, TimePoint now, Effects& effects);
+  void Finish(OpenCall& open, TimePoint now, Effects& effects);
+  void Close(OpenCall& open, Effects& effects);
 
-  //! Attempts are rarely faster than this quantile of the answered ones.
-  static constexpr double kFastQuantile = 0.1;
+  // Suspects, in engine_quarantine.cc.
+  void SendSuspect(OpenCall& open,
+                   std::size_t shard,
+                   AttemptKind kind,
+                   TimePoint now,
+                   Effects& effects);
+  [[nodiscard]] HeldShards Judge(const OpenAttempt& attempt,
+                                 AttemptStatus status,
+                                 TimePoint now,
+                                 Effects& effects);
+  void Resume(const HeldShards& held, TimePoint now, Effects& effects);
 
   Router& m_router;
-  EngineOptions m_options;
+  //! Referred to by the queues of m_services.
+  const EngineOptions m_options;
   EngineCounters m_counters;
   std::uint64_t m_next_attempt;
+  bool m_draining = false;
   VersionCatalog m_versions;
+  Quarantine m_quarantine;
+  ProbeGate m_probes;
+  //! References to its elements stay valid.
+  std::map<ServiceId, ServiceState> m_services;
   //! References to its elements stay valid until they are erased.
   std::unordered_map<CallId, OpenCall> m_calls;
+  //! Calls that wait in the queues of m_services.
+  std::unordered_map<CallId, WaitingCall> m_waiting_calls;
   std::unordered_map<AttemptId, OpenAttempt> m_attempts;
   WaitingAttempts m_waiting;
   //! One timer for each element of m_calls.
   TimerQueue<CallId> m_timers;
+  //! One timer for each service with waiting calls: when the first of them can
+  //! no longer be answered in time.
+  TimerQueue<ServiceId> m_waiting_timers;
   //! Set exactly while m_waiting holds something.
   std::optional<TimePoint> m_poll_at;
-  std::map<ServiceId, LatencyQuantile> m_fast_times;
 };
 
 }  // namespace jacinthdeck
--- /dev/null
+++ b/src/jacinthdeck/query/engine_admission.cc
@@ -0,0 +1,201 @@
+// Which calls run, wait or are refused.
+#include <algorithm>
+#include <utility>
+
+#include "jacinthdeck/query/engine.h"
+#include "jacinthdeck/query/retry_after.h"
+
+namespace jacinthdeck {
+
+namespace internal {
+
+constexpr Duration kShortestOverload = std::chrono::milliseconds(50);
+constexpr Duration kLongestOverload = std::chrono::seconds(5);
+
+}  // namespace internal
+
+void Engine::Submit(Call call, TimePoint now, Effects& effects) {
+  ++m_counters.calls;
+  const AnswerReason reason = ReasonToRefuse(call, now);
+  if (reason != AnswerReason::kNone) {
+    return Refuse(call, reason, now, effects);
+  }
+  ServiceState& service = ServiceOf(call.method->service);
+  if (service.waiting.empty() && MayStart(service)) {
+    return Start(std::move(call), service, now, effects);
+  }
+  Enqueue(std::move(call), service, now, effects);
+}
+
+Engine::ServiceState& Engine::ServiceOf(const ServiceId& service) {
+  return m_services.try_emplace(service, service, m_options.admission)
+      .first->second;
+}
+
+AnswerReason Engine::ReasonToRefuse(const Call& call, TimePoint now) const {
+  if (m_draining) {
+    return AnswerReason::kDraining;
+  }
+  if (call.deadline <= now) {
+    return AnswerReason::kDeadline;
+  }
+  if (m_quarantine.Of(call.fingerprint, now) == Suspicion::kConvicted) {
+    return AnswerReason::kQuarantined;
+  }
+  if (!m_versions.Knows(call.method->service)) {
+    return AnswerReason::kNotReady;
+  }
+  return AnswerReason::kNone;
+}
+
+bool Engine::MayStart(const ServiceState& service) const {
+  const AdmissionOptions& bounds = m_options.admission;
+  const double most_waiting =
+      bounds.waiting_attempts_per_shard *
+      static_cast<double>(m_versions.ShardCount(service.id));
+  const auto waiting = static_cast<double>(m_waiting.CountOf(service.id));
+  return service.open < bounds.max_open &&
+         (waiting == 0 || waiting < most_waiting);
+}
+
+void Engine::Enqueue(Call call,
+                     ServiceState& service,
+                     TimePoint now,
+                     Effects& effects) {
+  AdmissionQueue& queue = service.waiting;
+  const bool alone = queue.size() == queue.CountOf(call.tenant);
+  const AnswerReason reason =
+      alone ? AnswerReason::kOverload : AnswerReason::kTenantLimit;
+  const auto wait = Duration(static_cast<Duration::rep>(
+      queue.StartsAhead(call.tenant) *
+      static_cast<double>(service.pace.value().count())));
+  // Half of the time that a call can spare, so that the answer holds when the
+  // pace falls; a queue as long as the spare time starts each call too late.
+  const TimePoint latest = call.deadline - service.usual.value();
+  if (now + wait * 2 >= latest && service.open > 0) {
+    return Refuse(call, reason, now, effects);
+  }
+  if (queue.full()) {
+    if (queue.OverShare(call.tenant)) {
+      return Refuse(call, reason, now, effects);
+    }
+    RefuseWaiting(queue.TakeExcess(), AnswerReason::kTenantLimit, now, effects);
+  }
+  const CallId id = call.id;
+  const double cost =
+      call.key ? 1 : static_cast<double>(m_versions.ShardCount(service.id));
+  const AdmissionQueue::Key key =
+      queue.Add(std::move(call), std::max(cost, 1.0));
+  m_waiting_calls[id] = WaitingCall{&service, key};
+  ArmWaiting(service);
+}
+
+void Engine::Start(Call call,
+                   ServiceState& service,
+                   TimePoint now,
+                   Effects& effects) {
+  VersionChoice choice =
+      m_versions.Choose(VersionRequest{service.id, call.key, {}}, now);
+  if (!choice.map) {
+    return Refuse(call, AnswerReason::kNotReady, now, effects);
+  }
+  const CallId id = call.id;
+  OpenCall& open = m_calls[id];
+  open.call = std::move(call);
+  open.service = &service;
+  open.started = now;
+  ++service.open;
+  Begin(open, std::move(choice.map), now, effects);
+  Settle(open, now, effects);
+}
+
+void Engine::StartWaiting(TimePoint now, Effects& effects) {
+  if (m_waiting_calls.empty()) {
+    return;
+  }
+  for (auto& [id, service] : m_services) {
+    if (!service.waiting.empty()) {
+      StartWaiting(service, now, effects);
+    }
+  }
+}
+
+void Engine::StartWaiting(ServiceState& service,
+                          TimePoint now,
+                          Effects& effects) {
+  AdmissionQueue& queue = service.waiting;
+  // While nothing of the service runs, nothing shows that the learned time
+  // still holds: the next call is tried, however short its time is.
+  while (!queue.empty()) {
+    const TimePoint hopeless =
+        service.open > 0 ? now + service.usual.value() : now;
+    if (const auto call = queue.TakeDueBy(hopeless)) {
+      RefuseWaiting(*call, AnswerReason::kOverload, now, effects);
+    } else if (MayStart(service)) {
+      Call next = queue.TakeNext();
+      service.pace.OnStart(now, !queue.empty());
+      m_waiting_calls.erase(next.id);
+      Start(std::move(next), service, now, effects);
+    } else {
+      break;
+    }
+  }
+  ArmWaiting(service);
+}
+
+void Engine::ArmWaiting(ServiceState& service) {
+  if (service.waiting.empty()) {
+    m_waiting_timers.Remove(service.id);
+    return;
+  }
+  const Duration usual =
+      service.open > 0 ? service.usual.value() : Duration::zero();
+  m_waiting_timers.Set(service.id, service.waiting.EarliestDeadline() - usual);
+}
+
+void Engine::Refuse(const Call& call,
+                    AnswerReason reason,
+                    TimePoint now,
+                    Effects& effects) {
+  Answer answer;
+  answer.reason = reason;
+  answer.retry_after = RetryAfter(reason);
+  if (const auto until = m_quarantine.ConvictedUntil(call.fingerprint, now)) {
+    answer.retry_after = std::chrono::duration_cast<Duration>(*until - now);
+  }
+  if (reason == AnswerReason::kOverload ||
+      reason == AnswerReason::kTenantLimit) {
+    // After about as long as the backlog takes to drain.
+    const ServiceState& service = ServiceOf(call.method->service);
+    const auto backlog = static_cast<Duration::rep>(service.waiting.size() + 1);
+    answer.retry_after =
+        std::clamp(service.pace.value() * backlog, internal::kShortestOverload,
+                   internal::kLongestOverload);
+  }
+  Deliver(call.id, std::move(answer), effects);
+}
+
+void Engine::RefuseWaiting(const Call& call,
+                           AnswerReason reason,
+                           TimePoint now,
+                           Effects& effects) {
+  m_waiting_calls.erase(call.id);
+  Refuse(call, reason, now, effects);
+}
+
+void Engine::Abandon(const CallId& id, TimePoint now, Effects& effects) {
+  const auto waiting = m_waiting_calls.find(id);
+  if (waiting != m_waiting_calls.end()) {
+    const WaitingCall call = waiting->second;
+    m_waiting_calls.erase(waiting);
+    (void)call.service->waiting.Take(call.key);
+    return ArmWaiting(*call.service);
+  }
+  const auto open = m_calls.find(id);
+  if (open != m_calls.end()) {
+    Close(open->second, effects);
+    StartWaiting(now, effects);
+  }
+}
+
+}  // namespace jacinthdeck
--- a/src/jacinthdeck/query/engine_attempts.cc
+++ b/src/jacinthdeck/query/engine_attempts.cc
@@ -21,6 +21,16 @@
                        AttemptKind kind,
                        TimePoint now,
                        Effects& effects) {
+  const Suspicion suspicion = m_quarantine.Of(open.call.fingerprint, now);
+  if (suspicion != Suspicion::kNone && kind == AttemptKind::kHedge) {
+    return;
+  }
+  if (suspicion == Suspicion::kConvicted) {
+    return GiveUp(open, open.shards[shard], AnswerReason::kQuarantined);
+  }
+  if (suspicion == Suspicion::kSuspect) {
+    return SendSuspect(open, shard, kind, now, effects);
+  }
   const auto choice = Choose(open, open.shards[shard], kind, now);
   if (const auto* target = std::get_if<TargetId>(&choice)) {
     Launch(open, shard, kind, *target, now, effects);
@@ -29,21 +39,28 @@
   }
 }
 
-void Engine::Launch(OpenCall& open,
-                    std::size_t shard,
-                    AttemptKind kind,
-                    const TargetId& target,
-                    TimePoint now,
-                    Effects& effects) {
+Engine::OpenAttempt& Engine::Launch(OpenCall& open,
+                                    std::size_t shard,
+                                    AttemptKind kind,
+                                    const TargetId& target,
+                                    TimePoint now,
+                                    Effects& effects) {
   ShardState& state = open.shards[shard];
   const Method& method = *open.call.method;
   const AttemptId attempt(m_next_attempt++);
   state.tried.push_back(target);
   state.in_flight.push_back(attempt);
-  m_attempts.emplace(attempt,
-                     OpenAttempt{open.call.id, open.epoch, shard, target,
-                                 method.service, now, kind, open.map->version,
-                                 state.shard->range, open.call.fingerprint});
+  OpenAttempt& sent = m_attempts[attempt];
+  sent.call = open.call.id;
+  sent.epoch = open.epoch;
+  sent.shard = shard;
+  sent.target = target;
+  sent.service = open.service;
+  sent.sent = now;
+  sent.kind = kind;
+  sent.version = open.map->version;
+  sent.range = state.shard->range;
+  sent.fingerprint = open.call.fingerprint;
   ++open.attempts;
   ++m_counters.attempts;
   if (kind == AttemptKind::kHedge) {
@@ -63,6 +80,7 @@
   effects.sends.push_back(SendAttempt{
       attempt, open.call.id, target, open.call.method, open.call.body,
       state.shard->range, open.map->version, open.call.deadline, kind});
+  return sent;
 }
 
 Duration Engine::HedgeDelay(const OpenCall& open) const {
@@ -86,14 +104,17 @@
     return GiveUp(open, state, state.reason);
   }
   if (CanStillEnd(open, now)) {
-    state.waiting = m_waiting.Add(
-        WaitingAttempt{open.call.id, shard, kind, open.call.method->service,
-                       state.shard->replicas, open.call.deadline});
+    // Indexed by the targets that it may take: at the head of a queue that it
+    // cannot use, it would block those behind it.
+    const std::vector<TargetId> untried = Untried(state);
+    state.waiting = m_waiting.Add(WaitingAttempt{
+        open.call.id, shard, kind, open.service->id,
+        untried.empty() ? state.shard->replicas : untried, open.call.deadline});
   }
   if (!state.waiting) {
     return GiveUp(open, state, AnswerReason::kOverload);
   }
-  ArmAt(open, open.call.deadline - FastTime(open.call.method->service));
+  ArmAt(open, open.call.deadline - open.service->fast.value());
   if (!m_poll_at) {
     m_poll_at = now + m_options.waiting.poll;
   }
@@ -124,7 +145,7 @@
   if (!MayRetry(open, state, status, now)) {
     return GiveUp(open, state, state.reason);
   }
-  if (HasUntried(state)) {
+  if (!Untried(state).empty()) {
     return SendShard(open, shard, AttemptKind::kRetry, now, effects);
   }
   const TimePoint at = now + m_options.retry.pause * (1U << state.retries);
@@ -149,13 +170,16 @@
          CanStillEnd(open, now);
 }
 
-bool Engine::HasUntried(const ShardState& state) const {
-  return std::ranges::any_of(
-      state.shard->replicas, [&](const TargetId& replica) {
-        const TargetInfo* info = m_router.FindTarget(replica);
-        return info != nullptr && info->state == TargetState::kLive &&
-               std::ranges::find(state.tried, replica) == state.tried.end();
-      });
+std::vector<TargetId> Engine::Untried(const ShardState& state) const {
+  std::vector<TargetId> untried;
+  for (const TargetId& replica : state.shard->replicas) {
+    const TargetInfo* info = m_router.FindTarget(replica);
+    if (info != nullptr && info->state == TargetState::kLive &&
+        std::ranges::find(state.tried, replica) == state.tried.end()) {
+      untried.push_back(replica);
+    }
+  }
+  return untried;
 }
 
 void Engine::PumpWaiting(const TargetId& target,
@@ -166,6 +190,17 @@
     OpenCall& open = m_calls.at(first.call);
     const std::size_t shard = first.shard;
     const AttemptKind kind = first.kind;
+    if (m_quarantine.Of(open.call.fingerprint, now) != Suspicion::kNone) {
+      m_waiting.Remove(*key);
+      open.shards[shard].waiting.reset();
+      SendShard(open, shard, kind, now, effects);
+      const bool waits_again = open.shards[shard].waiting.has_value();
+      Settle(open, now, effects);
+      if (waits_again) {
+        break;
+      }
+      continue;
+    }
     const auto choice = Choose(open, open.shards[shard], kind, now);
     const auto* refusal = std::get_if<RouteRefusal>(&choice);
     if (refusal != nullptr && *refusal == RouteRefusal::kAtLimit) {
@@ -178,7 +213,7 @@
     } else {
       Launch(open, shard, kind, std::get<TargetId>(choice), now, effects);
     }
-    Settle(open, effects);
+    Settle(open, now, effects);
   }
   if (m_waiting.size() == 0) {
     m_poll_at.reset();
--- a/src/jacinthdeck/query/engine_options.h
+++ b/src/jacinthdeck/query/engine_options.h
@@ -6,6 +6,8 @@
 #include <cstdint>
 
 #include "jacinthdeck/core/time.h"
+#include "jacinthdeck/query/admission_options.h"
+#include "jacinthdeck/query/quarantine.h"
 
 namespace jacinthdeck {
 
@@ -37,6 +39,8 @@
 struct EngineOptions {
   RetryOptions retry;
   WaitingOptions waiting;
+  AdmissionOptions admission;
+  QuarantineOptions quarantine;
 };
 
 }  // namespace jacinthdeck
--- a/src/jacinthdeck/query/engine_replies.cc
+++ b/src/jacinthdeck/query/engine_replies.cc
@@ -1,12 +1,9 @@
-// Ends of attempts and of calls.
+// Ends of attempts: what is learned, what is merged, what follows a failure.
 #include <algorithm>
 #include <array>
 #include <utility>
 
-#include "jacinthdeck/query/coverage.h"
 #include "jacinthdeck/query/engine.h"
-#include "jacinthdeck/query/merge.h"
-#include "jacinthdeck/query/retry_after.h"
 
 namespace jacinthdeck {
 
@@ -19,7 +16,7 @@
 constexpr std::array<AnswerReason, kAttemptStatusNames.names.size()> kReasons{
     AnswerReason::kNone,          // kAnswered
     AnswerReason::kVersionGone,   // kVersionGone
-    AnswerReason::kVersionGone,   // kWrongRange
+    AnswerReason::kNoReplica,     // kWrongRange
     AnswerReason::kOverload,      // kShed
     AnswerReason::kNoReplica,     // kNotSent
     AnswerReason::kTargetFailed,  // kLost
@@ -32,20 +29,6 @@
   return kReasons.at(static_cast<std::size_t>(status));
 }
 
-//! Reason of a call that ends with shards missing.
-[[nodiscard]] AnswerReason ReasonOf(const OpenCall& open) noexcept {
-  AnswerReason reason = AnswerReason::kNone;
-  for (const ShardState& state : open.shards) {
-    if (state.phase == ShardPhase::kOpen && !state.waiting) {
-      return AnswerReason::kDeadline;
-    }
-    if (state.phase != ShardPhase::kAnswered && reason == AnswerReason::kNone) {
-      reason = state.waiting ? AnswerReason::kOverload : state.reason;
-    }
-  }
-  return reason;
-}
-
 }  // namespace internal
 
 void Engine::OnReply(const AttemptReply& reply,
@@ -58,22 +41,16 @@
   }
   const OpenAttempt attempt = std::move(found->second);
   m_attempts.erase(found);
-  const auto latency = std::chrono::duration_cast<Duration>(now - attempt.sent);
   AttemptStatus status = reply.status;
   if (status == AttemptStatus::kAnswered &&
       (reply.version != attempt.version || reply.range != attempt.range)) {
+    // It ran, but it answers another question: merged, it would mix snapshots
+    // or claim a range that nobody read.
     ++m_counters.wrong_replies;
     status = AttemptStatus::kFailed;
   }
-  m_router.Finish(
-      AttemptResult{attempt.target, status, latency, reply.reported_load}, now);
-  if (status == AttemptStatus::kAnswered) {
-    m_fast_times.try_emplace(attempt.service, kFastQuantile)
-        .first->second.Add(latency);
-  }
-  if (status == AttemptStatus::kVersionGone) {
-    m_versions.NoteGone(attempt.service, attempt.version, attempt.target, now);
-  }
+  Learn(attempt, status, reply, now);
+  const HeldShards held = Judge(attempt, status, now, effects);
   const auto call = m_calls.find(attempt.call);
   if (call == m_calls.end() || attempt.cancelled ||
       call->second.epoch != attempt.epoch) {
@@ -81,7 +58,27 @@
   } else {
     TakeReply(call->second, attempt, status, reply, now, effects);
   }
+  Resume(held, now, effects);
   PumpWaiting(attempt.target, now, effects);
+  StartWaiting(now, effects);
+}
+
+void Engine::Learn(const OpenAttempt& attempt,
+                   AttemptStatus status,
+                   const AttemptReply& reply,
+                   TimePoint now) {
+  const auto latency = std::chrono::duration_cast<Duration>(now - attempt.sent);
+  m_router.Finish(
+      AttemptResult{attempt.target, status, latency, reply.reported_load,
+                    attempt.kind, reply.draining},
+      now);
+  if (status == AttemptStatus::kAnswered) {
+    attempt.service->fast.Add(latency);
+  }
+  if (status == AttemptStatus::kVersionGone) {
+    m_versions.NoteGone(attempt.service->id, attempt.version, attempt.target,
+                        now);
+  }
 }
 
 void Engine::TakeReply(OpenCall& open,
@@ -99,20 +96,19 @@
     --open.unsettled;
     CancelShard(state, effects);
   } else {
-    OnFailure(open, attempt.shard, status, now, effects);
+    OnFailure(open, attempt, status, now, effects);
   }
-  Settle(open, effects);
+  Settle(open, now, effects);
 }
 
 void Engine::OnFailure(OpenCall& open,
-                       std::size_t shard,
+                       const OpenAttempt& attempt,
                        AttemptStatus status,
                        TimePoint now,
                        Effects& effects) {
-  ShardState& state = open.shards[shard];
+  ShardState& state = open.shards[attempt.shard];
   state.reason = internal::ReasonOf(status);
-  if (status == AttemptStatus::kVersionGone &&
-      VersionIsGone(open, state, now) && Restart(open, now, effects)) {
+  if (VersionIsGone(open, state, status, now) && Restart(open, now, effects)) {
     return;
   }
   if (!state.in_flight.empty()) {
@@ -120,13 +116,28 @@
     state.hedge_at = now + HedgeDelay(open);
     return ArmAt(open, *state.hedge_at);
   }
-  Retry(open, shard, status, now, effects);
+  const bool survived = status == AttemptStatus::kFailed;
+  if (attempt.probe && !ProvesNotRun(status) && !survived) {
+    // A suspect is retried once, and this was the retry.
+    const bool convicted =
+        m_quarantine.Of(attempt.fingerprint, now) == Suspicion::kConvicted;
+    return GiveUp(open, state,
+                  convicted ? AnswerReason::kQuarantined : state.reason);
+  }
+  Retry(open, attempt.shard, status, now, effects);
 }
 
 bool Engine::VersionIsGone(const OpenCall& open,
                            const ShardState& state,
+                           AttemptStatus status,
                            TimePoint now) const {
-  const ServiceId& service = open.call.method->service;
+  if (status == AttemptStatus::kWrongRange) {
+    return Untried(state).empty();
+  }
+  if (status != AttemptStatus::kVersionGone) {
+    return false;
+  }
+  const ServiceId& service = open.service->id;
   const IndexVersion version = open.map->version;
   return !m_versions.Lists(service, version) ||
          std::ranges::none_of(
@@ -148,10 +159,9 @@
     return false;
   }
   open.refused_versions.push_back(open.map->version);
-  VersionChoice choice =
-      m_versions.Choose(VersionRequest{open.call.method->service, open.call.key,
-                                       open.refused_versions},
-                        now);
+  VersionChoice choice = m_versions.Choose(
+      VersionRequest{open.service->id, open.call.key, open.refused_versions},
+      now);
   if (!choice.complete) {
     return false;
   }
@@ -163,86 +173,4 @@
   return true;
 }
 
-void Engine::CancelShard(ShardState& state, Effects& effects) {
-  for (const AttemptId& id : state.in_flight) {
-    OpenAttempt& attempt = m_attempts.at(id);
-    attempt.cancelled = true;
-    effects.cancels.push_back(CancelAttempt{id, attempt.target});
-  }
-  state.in_flight.clear();
-  if (state.waiting) {
-    m_waiting.Remove(*state.waiting);
-    state.waiting.reset();
-  }
-}
-
-void Engine::CancelAll(OpenCall& open, Effects& effects) {
-  for (ShardState& state : open.shards) {
-    CancelShard(state, effects);
-  }
-}
-
-void Engine::GiveUp(OpenCall& open, ShardState& state, AnswerReason reason) {
-  if (state.waiting) {
-    m_waiting.Remove(*state.waiting);
-    state.waiting.reset();
-  }
-  state.reason = reason;
-  state.phase = ShardPhase::kGivenUp;
-  --open.unsettled;
-}
-
-void Engine::Settle(OpenCall& open, Effects& effects) {
-  if (open.unsettled == 0) {
-    Finish(open, effects);
-  }
-}
-
-void Engine::Finish(OpenCall& open, Effects& effects) {
-  const Method& method = *open.call.method;
-  Answer answer;
-  Coverage asked;
-  Coverage covered;
-  Merger merger(method.merge, method.limit);
-  bool may_have_run = open.may_have_run;
-  for (ShardState& state : open.shards) {
-    may_have_run = may_have_run || !state.in_flight.empty();
-    (void)asked.Add(state.shard->range);
-    if (state.phase == ShardPhase::kAnswered &&
-        covered.Add(state.shard->range)) {
-      merger.Add(std::move(state.reply));
-    }
-  }
-  const Coverage missing = covered.MissingFrom(asked);
-  answer.covered = covered.ranges();
-  answer.missing = missing.ranges();
-  Merged merged = merger.Take();
-  answer.hits = std::move(merged.hits);
-  answer.count = merged.count;
-  answer.attempts = open.attempts;
-  answer.hedges = open.hedges;
-  answer.retries = open.retries;
-  if (!covered.empty()) {
-    answer.version = open.map->version;
-    answer.outcome = missing.empty() ? Outcome::kWhole : Outcome::kPartial;
-  } else {
-    // "Not run" only where each attempt ended with proof of it; one that is
-    // still in flight may run until its cancel arrives.
-    answer.outcome = may_have_run ? Outcome::kUnknown : Outcome::kNotRun;
-  }
-  if (answer.outcome != Outcome::kWhole) {
-    answer.reason = internal::ReasonOf(open);
-    // A call that may have run and may not be repeated must not come back.
-    if (method.repeat == Repeat::kIdempotent ||
-        answer.outcome == Outcome::kNotRun) {
-      answer.retry_after = RetryAfter(answer.reason);
-    }
-  }
-  const CallId id = open.call.id;
-  CancelAll(open, effects);
-  m_timers.Remove(id);
-  m_calls.erase(id);
-  Deliver(id, std::move(answer), effects);
-}
-
 }  // namespace jacinthdeck
--- a/src/jacinthdeck/query/fwd.h
+++ b/src/jacinthdeck/query/fwd.h
@@ -5,12 +5,17 @@
 
 namespace jacinthdeck {
 
+class AdmissionQueue;
 class Coverage;
 class Engine;
 class LatencyQuantile;
 class Merger;
+class ProbeGate;
+class Quarantine;
+class StartPace;
 class VersionCatalog;
 class WaitingAttempts;
+struct AdmissionOptions;
 struct Answer;
 struct AttemptReply;
 struct Call;
@@ -19,10 +24,14 @@
 struct Effects;
 struct EngineCounters;
 struct EngineOptions;
+struct HeldShard;
 struct Hit;
 struct KeyRange;
 struct Merged;
 struct PartitionMap;
+struct QuarantineEntry;
+struct QuarantineOptions;
+struct RetryOptions;
 struct SendAttempt;
 struct Shard;
 struct ShardReply;
@@ -30,7 +39,9 @@
 struct VersionRequest;
 struct WaitingAttempt;
 struct WaitingKey;
+struct WaitingOptions;
 enum class AnswerReason;
+enum class Suspicion;
 
 }  // namespace jacinthdeck
 
--- a/src/jacinthdeck/query/version_catalog.cc
+++ b/src/jacinthdeck/query/version_catalog.cc
@@ -13,6 +13,10 @@
   return found != m_services.end() && !found->second.maps.empty();
 }
 
+std::size_t VersionCatalog::ShardCount(const ServiceId& service) const {
+  return Knows(service) ? m_services.at(service).maps.back()->shards.size() : 0;
+}
+
 bool VersionCatalog::Lists(const ServiceId& service,
                            IndexVersion version) const {
   const auto found = m_services.find(service);
--- a/src/jacinthdeck/query/version_catalog.h
+++ b/src/jacinthdeck/query/version_catalog.h
@@ -47,6 +47,9 @@
   /*! \brief Tells whether any version of a service is known. */
   [[nodiscard]] bool Knows(const ServiceId& service) const;
 
+  /*! \brief Counts the shards of the newest version; 0 without any. */
+  [[nodiscard]] std::size_t ShardCount(const ServiceId& service) const;
+
   /*! \brief Tells whether a version stands in the newest list of its service.
    */
   [[nodiscard]] bool Lists(const ServiceId& service,
--- /dev/null
+++ b/test/jacinthdeck/query/engine_admission_test.cc
@@ -0,0 +1,154 @@
+// Tests of admission: overload, tenants, drain, callers that go away.
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <limits>
+
+#include "fleet_fixture.h"
+
+namespace jacinthdeck {
+
+struct AdmissionFixture : FleetFixture {
+  using FleetFixture::FleetFixture;
+
+  //! Offers calls at even intervals; gives the whole answers a second.
+  double Offer(double calls_per_second, Duration length) {
+    const auto gap =
+        Duration(static_cast<Duration::rep>(1e6 / calls_per_second));
+    const std::size_t before = CountOf(Outcome::kWhole);
+    const TimePoint start = clock.Now();
+    while (clock.Now() < start + length) {
+      (void)Run(MakeFleetCall(Search(), Fingerprint(next_call)));
+      RunFor(gap);
+    }
+    RunFor(kDeadline);
+    return static_cast<double>(CountOf(Outcome::kWhole) - before) /
+           (static_cast<double>(length.count()) / 1e6);
+  }
+
+  //! Takes every place of the targets, so that calls begin to wait.
+  void Saturate() {
+    for (int i = 0; i < 1000 && engine.waiting_calls() == 0; ++i) {
+      (void)Submit(Search());
+    }
+    BOOST_REQUIRE(engine.waiting_calls() == 1U);
+  }
+
+  [[nodiscard]] std::size_t Refusals(AnswerReason reason) const {
+    return static_cast<std::size_t>(
+        std::ranges::count_if(effects.answers, [reason](const auto& one) {
+          return one.answer.outcome == Outcome::kNotRun &&
+                 one.answer.reason == reason;
+        }));
+  }
+};
+
+BOOST_FIXTURE_TEST_SUITE(EngineAdmissionTest, AdmissionFixture)
+
+// Twice the load that the targets can serve. Without admission every call gets
+// some of its shards and misses its deadline on the others, so the targets are
+// busy and nobody gets a whole answer. With it, calls that cannot be served are
+// refused before they cost anything, and the others get whole answers.
+BOOST_AUTO_TEST_CASE(Engine_TwiceTheLoad_GoodputDoesNotCollapse) {
+  constexpr double kCapacity = 800;  // 9 slots a shard, 11 ms a request
+  double once = 0;
+  double twice = 0;
+  std::size_t wasted = 0;
+  for (std::uint64_t seed = 1; seed <= 4; ++seed) {
+    AdmissionFixture at_once(seed);
+    once += at_once.Offer(kCapacity, std::chrono::seconds(4));
+    AdmissionFixture at_twice(seed);
+    twice += at_twice.Offer(2 * kCapacity, std::chrono::seconds(4));
+    wasted += at_twice.CountOf(Outcome::kPartial);
+    wasted += at_twice.CountOf(Outcome::kUnknown);
+  }
+  BOOST_TEST_MESSAGE("goodput at 1x " << once / 4 << ", at 2x " << twice / 4
+                                      << " a second, not whole " << wasted);
+  BOOST_TEST(twice >= 0.95 * once);
+  BOOST_TEST(static_cast<double>(wasted) < 0.01 * 16 * twice);
+}
+
+// One tenant offers ten times what the targets can serve, another a tenth of
+// it. The second must not notice: its calls go first, since it is behind its
+// share.
+BOOST_AUTO_TEST_CASE(Engine_OneTenantFloods_TheOtherIsServed) {
+  std::vector<CallId> quiet;
+  for (int i = 0; i < 16000; ++i) {
+    Call call = MakeFleetCall(Search(), Fingerprint(next_call));
+    call.tenant = TenantId(i % 100 == 0 ? "quiet" : "flood");
+    const bool is_quiet = i % 100 == 0;
+    const CallId id = Run(std::move(call));
+    if (is_quiet) {
+      quiet.push_back(id);
+    }
+    RunFor(std::chrono::microseconds(125));
+  }
+  RunFor(kDeadline);
+  const auto whole = std::ranges::count_if(quiet, [this](CallId id) {
+    return answers.at(id).outcome == Outcome::kWhole;
+  });
+  BOOST_TEST_MESSAGE("quiet tenant: " << whole << " whole of " << quiet.size());
+  BOOST_TEST(static_cast<double>(whole) >=
+             0.99 * static_cast<double>(quiet.size()));
+}
+
+// The queue of a flooding tenant is full. Its next call is refused at once as
+// not run, with a time to come back, and another tenant's call still gets in.
+BOOST_AUTO_TEST_CASE(Engine_WaitingQueueFull_RefusesTheTenantOverItsShare) {
+  Saturate();
+  const std::size_t most = AdmissionOptions().max_waiting;
+  while (engine.waiting_calls() < most) {
+    (void)Submit(Search());
+  }
+  (void)Submit(Search());
+  BOOST_TEST(Refusals(AnswerReason::kOverload) == 1U);
+  BOOST_TEST(effects.answers.back().answer.retry_after.has_value());
+  BOOST_TEST(effects.answers.back().answer.attempts == 0U);
+  Call other = MakeCall(Search());
+  other.tenant = TenantId("other");
+  (void)Submit(std::move(other));
+  BOOST_TEST(Refusals(AnswerReason::kTenantLimit) == 1U);
+  BOOST_TEST(engine.waiting_calls() == most);
+}
+
+// A waiting call runs out of time. It is refused when it can no longer be
+// answered, as not run, and not held until a target is free.
+BOOST_AUTO_TEST_CASE(Engine_WaitingCallOutOfTime_IsRefusedAsNotRun) {
+  Saturate();
+  Advance(kDeadline);
+  BOOST_TEST(Refusals(AnswerReason::kOverload) >= 1U);
+  BOOST_TEST(engine.open_calls() == 0U);
+  BOOST_TEST(!engine.NextTimer().has_value());
+}
+
+// An operator drains the entry. New calls are refused as not run, and the one
+// that runs gets its whole answer.
+BOOST_AUTO_TEST_CASE(Engine_Draining_RefusesNewCallsAndFinishesRunningOnes) {
+  const CallId running = Submit(Search());
+  engine.Drain();
+  (void)Submit(Search());
+  BOOST_TEST((OnlyAnswer().reason == AnswerReason::kDraining));
+  BOOST_TEST((OnlyAnswer().outcome == Outcome::kNotRun));
+  AnswerAll();
+  BOOST_REQUIRE(effects.answers.size() == 2U);
+  BOOST_TEST((effects.answers[1].call == running));
+  BOOST_TEST((effects.answers[1].answer.outcome == Outcome::kWhole));
+}
+
+BOOST_AUTO_TEST_CASE(Engine_CallerGoesAway_AttemptsAreCancelledWithoutAnswer) {
+  const CallId call = Submit(Search());
+  engine.Abandon(call, clock.Now(), effects);
+  BOOST_TEST(effects.cancels.size() == kShards);
+  BOOST_TEST(effects.answers.empty());
+  BOOST_TEST(engine.open_calls() == 0U);
+  BOOST_TEST(!engine.NextTimer().has_value());
+}
+
+BOOST_AUTO_TEST_CASE(Engine_WaitingCallerGoesAway_LeavesTheQueue) {
+  Saturate();
+  engine.Abandon(CallId(next_call - 1), clock.Now(), effects);
+  BOOST_TEST(engine.waiting_calls() == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace jacinthdeck
--- a/test/jacinthdeck/query/engine_fixture.h
+++ b/test/jacinthdeck/query/engine_fixture.h
@@ -22,15 +22,17 @@
   static constexpr Duration kDeadline = std::chrono::milliseconds(250);
 
   ManualClock clock;
-  Router router{1};
-  Engine engine{router, 100};
+  Router router;
+  Engine engine;
   //! Everything that the engine wanted since the test last cleared it.
   Effects effects;
   ServiceId service{"Desk"};
   std::vector<TargetInfo> targets;
   std::uint64_t next_call = 1;
 
-  EngineFixture() {
+  explicit EngineFixture(std::uint64_t seed = 1,
+                         const EngineOptions& options = {})
+      : router(seed), engine(router, 100, options) {
     for (std::size_t shard = 0; shard < kShards; ++shard) {
       for (std::size_t replica = 0; replica < kReplicas; ++replica) {
         TargetInfo info;
--- /dev/null
+++ b/test/jacinthdeck/query/engine_quarantine_test.cc
@@ -0,0 +1,209 @@
+// Tests of requests that crash the targets that run them.
+#include <boost/test/unit_test.hpp>
+
+#include "fleet_fixture.h"
+
+namespace jacinthdeck {
+
+struct QuarantineFixture : FleetFixture {
+  const Fingerprint deadly{666};
+
+  QuarantineFixture() { fleet.deadly.insert(deadly); }
+
+  [[nodiscard]] std::size_t Kills() { return fleet.kills[deadly]; }
+
+  [[nodiscard]] Suspicion State() const {
+    return engine.quarantine().Of(deadly, clock.Now());
+  }
+
+  [[nodiscard]] Method Lookup() const {
+    Method method = Claim();
+    method.repeat = Repeat::kIdempotent;
+    return method;
+  }
+
+  //! A caller that sends the request again as soon as it has an answer.
+  void SendAgainAndAgain(const Method& method, int times) {
+    for (int i = 0; i < times; ++i) {
+      (void)Run(MakeFleetCall(method, deadly));
+      RunFor(std::chrono::milliseconds(50));
+    }
+  }
+};
+
+BOOST_FIXTURE_TEST_SUITE(EngineQuarantineTest, QuarantineFixture)
+
+// A keyed request crashes each target that runs it, and its caller sends it
+// again at once. Two targets die: the first run and the one retry. From then on
+// it is refused as not run.
+BOOST_AUTO_TEST_CASE(Engine_KeyedRequestCrashesTargets_TwoDieAndItIsRefused) {
+  SendAgainAndAgain(Lookup(), 20);
+  BOOST_TEST(Kills() == 2U);
+  BOOST_TEST((State() == Suspicion::kConvicted));
+  BOOST_TEST((answers.at(CallId(1)).outcome == Outcome::kUnknown));
+  const Answer& refused = answers.at(CallId(20));
+  BOOST_TEST((refused.outcome == Outcome::kNotRun));
+  BOOST_TEST((refused.reason == AnswerReason::kQuarantined));
+  BOOST_TEST((refused.retry_after > std::chrono::minutes(9)));
+  BOOST_TEST(refused.attempts == 0U);
+}
+
+// A request to every shard crashes them all at once, before anything is known
+// of it. After that round one probe, on one target, decides.
+BOOST_AUTO_TEST_CASE(Engine_ScatteredRequestCrashesTargets_OneMoreThanShards) {
+  SendAgainAndAgain(Search(), 20);
+  BOOST_TEST(Kills() == kShards + 1);
+  BOOST_TEST(effects.suspects.size() == 1U);
+  BOOST_TEST(effects.convicted.size() == 1U);
+}
+
+// The same request may not be repeated. The first loss is answered as unknown
+// at once; only the caller's own resend runs it again, and that convicts it.
+BOOST_AUTO_TEST_CASE(Engine_UnrepeatableRequestCrashes_OneTargetForEachCall) {
+  (void)Run(MakeFleetCall(Claim(), deadly));
+  RunFor(std::chrono::milliseconds(2));
+  BOOST_TEST((answers.at(CallId(1)).outcome == Outcome::kUnknown));
+  BOOST_TEST(!answers.at(CallId(1)).retry_after.has_value());
+  BOOST_TEST(Kills() == 1U);
+  SendAgainAndAgain(Claim(), 10);
+  BOOST_TEST(Kills() == 2U);
+}
+
+// Innocent requests run on the targets that die. The callers see nothing of it:
+// each is retried elsewhere, which clears it, and none is refused.
+BOOST_AUTO_TEST_CASE(Engine_InnocentsShareTheTargets_AreAnsweredAndCleared) {
+  for (int i = 0; i < 8; ++i) {
+    (void)Run(MakeFleetCall(Search(), Fingerprint(1000 + next_call)));
+  }
+  (void)Run(MakeFleetCall(Search(), deadly));
+  RunFor(kDeadline);
+  SendAgainAndAgain(Search(), 5);
+  BOOST_TEST((State() == Suspicion::kConvicted));
+  BOOST_TEST(effects.suspects.size() > 1U);
+  BOOST_TEST(effects.convicted.size() == 1U);
+  BOOST_TEST(engine.quarantine().Entries(clock.Now()).size() == 1U);
+  BOOST_TEST(CountOf(Outcome::kWhole) == 8U);
+}
+
+// Many callers send one popular request when a target dies under another one.
+// They wait for the verdict of one probe and then get whole answers.
+BOOST_AUTO_TEST_CASE(Engine_PopularInnocentIsSuspect_HeldCallsGoOnWhenCleared) {
+  const Fingerprint popular(5);
+  engine.SuspectTold(popular, clock.Now());
+  for (int i = 0; i < 5; ++i) {
+    (void)Run(MakeFleetCall(Search(), popular));
+  }
+  BOOST_TEST(engine.counters().attempts == 1U);
+  RunFor(kDeadline);
+  BOOST_TEST(CountOf(Outcome::kWhole) == 5U);
+  BOOST_TEST(
+      (engine.quarantine().Of(popular, clock.Now()) == Suspicion::kNone));
+}
+
+// A failure domain goes down and takes several attempts of one request with
+// it. That is one round of deaths: the request is probed elsewhere and not
+// convicted.
+BOOST_AUTO_TEST_CASE(Engine_FailureDomainLost_RequestIsNotConvicted) {
+  (void)Submit(Search());
+  for (const SendAttempt& send : TakeSends()) {
+    End(send, AttemptStatus::kLost);
+  }
+  AnswerAll();
+  BOOST_TEST((OnlyAnswer().outcome == Outcome::kWhole));
+  BOOST_TEST(effects.convicted.empty());
+  BOOST_TEST(engine.quarantine().Entries(clock.Now()).empty());
+}
+
+// Two suspects, one of them deadly. On one target both would be blamed for its
+// death; they are probed on different ones.
+BOOST_AUTO_TEST_CASE(Engine_TwoSuspects_AreNeverProbedOnOneTarget) {
+  engine.SuspectTold(Fingerprint(1), clock.Now());
+  engine.SuspectTold(Fingerprint(2), clock.Now());
+  for (int round = 0; round < 50; ++round) {
+    for (const std::uint64_t raw : {1U, 2U}) {
+      Call call = MakeCall(Lookup());
+      call.fingerprint = Fingerprint(raw);
+      (void)Submit(std::move(call));
+    }
+    const auto sends = TakeSends();
+    BOOST_REQUIRE(sends.size() == 2U);
+    BOOST_TEST((sends[0].target != sends[1].target));
+    for (const SendAttempt& send : sends) {
+      End(send, AttemptStatus::kShed);
+    }
+    Advance(kDeadline);
+    for (const SendAttempt& send : TakeSends()) {
+      End(send, AttemptStatus::kShed);
+    }
+    Advance(kDeadline);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(Engine_Suspect_IsNotHedged) {
+  engine.SuspectTold(deadly, clock.Now());
+  Call call = MakeCall(Lookup());
+  call.fingerprint = deadly;
+  (void)Submit(std::move(call));
+  Advance(kDeadline);
+  BOOST_TEST(OnlyAnswer().hedges == 0U);
+  BOOST_TEST(OnlyAnswer().attempts == 1U);
+}
+
+// The conviction ends by itself. The request is still deadly: it costs one more
+// target, not a whole round, and is refused again.
+BOOST_AUTO_TEST_CASE(Engine_ConvictionEnds_OneMoreTargetConvictsAgain) {
+  SendAgainAndAgain(Search(), 3);
+  const std::size_t before = Kills();
+  RunFor(QuarantineOptions().conviction_life);
+  BOOST_TEST((State() == Suspicion::kSuspect));
+  SendAgainAndAgain(Search(), 10);
+  BOOST_TEST(Kills() == before + 1);
+  BOOST_TEST((State() == Suspicion::kConvicted));
+}
+
+BOOST_AUTO_TEST_CASE(Engine_OperatorReleases_RequestRunsAgain) {
+  SendAgainAndAgain(Lookup(), 3);
+  fleet.deadly.clear();
+  BOOST_TEST(engine.ReleaseQuarantine(deadly, clock.Now(), effects));
+  BOOST_TEST(!engine.ReleaseQuarantine(deadly, clock.Now(), effects));
+  const CallId id = Run(MakeFleetCall(Lookup(), deadly));
+  RunFor(kDeadline);
+  BOOST_TEST((answers.at(id).outcome == Outcome::kWhole));
+}
+
+// The caller goes round three entries that share nothing but what they tell
+// each other. The first round kills one target a shard, then each entry's one
+// probe at most one more, however often the caller comes back.
+BOOST_AUTO_TEST_CASE(Engines_CallerGoesRoundEntries_BoundHoldsOverAll) {
+  constexpr std::size_t kEntries = 3;
+  std::vector<std::unique_ptr<QuarantineFixture>> entries;
+  for (std::size_t i = 0; i < kEntries; ++i) {
+    entries.push_back(std::make_unique<QuarantineFixture>());
+  }
+  for (int round = 0; round < 10; ++round) {
+    for (const auto& entry : entries) {
+      (void)entry->Run(entry->MakeFleetCall(Search(), deadly));
+      entry->RunFor(std::chrono::milliseconds(5));
+      for (const auto& peer : entries) {
+        for (const Fingerprint suspect : entry->effects.suspects) {
+          peer->engine.SuspectTold(suspect, peer->clock.Now());
+        }
+        for (const Fingerprint convicted : entry->effects.convicted) {
+          peer->engine.ConvictionTold(convicted, peer->clock.Now(),
+                                      peer->effects);
+        }
+      }
+    }
+  }
+  std::size_t kills = 0;
+  for (const auto& entry : entries) {
+    kills += entry->Kills();
+  }
+  BOOST_TEST_MESSAGE("targets killed over " << kEntries
+                                            << " entries: " << kills);
+  BOOST_TEST(kills <= kShards + kEntries);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace jacinthdeck
--- /dev/null
+++ b/test/jacinthdeck/query/fleet_fixture.h
@@ -0,0 +1,93 @@
+// An engine over simulated targets, run to chosen moments.
+#ifndef JACINTHDECK_TEST_QUERY_FLEET_FIXTURE_H_
+#define JACINTHDECK_TEST_QUERY_FLEET_FIXTURE_H_
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "engine_fixture.h"
+#include "target_fleet.h"
+
+namespace jacinthdeck {
+
+/*! \brief Drives one engine and its targets on one clock. */
+struct FleetFixture : EngineFixture {
+  TargetFleet fleet;
+  std::map<CallId, Answer> answers;
+
+  explicit FleetFixture(std::uint64_t seed = 1,
+                        const FleetOptions& options = {},
+                        const EngineOptions& engine_options = {})
+      : EngineFixture(seed, engine_options), fleet(seed + 1000, options) {
+    for (TargetInfo& target : targets) {
+      target.slots = options.slots;
+    }
+    router.SetTargets(targets, clock.Now());
+  }
+
+  //! A call whose body names its fingerprint, so that targets can tell it.
+  [[nodiscard]] Call MakeFleetCall(const Method& method,
+                                   Fingerprint fingerprint) {
+    Call call = MakeCall(method);
+    call.fingerprint = fingerprint;
+    call.body =
+        std::make_shared<const std::string>(std::to_string(fingerprint.raw()));
+    return call;
+  }
+
+  CallId Run(Call call) {
+    const CallId id = Submit(std::move(call));
+    Flush();
+    return id;
+  }
+
+  //! Hands effects to the targets and keeps the answers.
+  void Flush() {
+    fleet.Take(effects, clock.Now());
+    for (DeliverAnswer& answer : effects.answers) {
+      BOOST_TEST_REQUIRE(!answers.contains(answer.call));
+      answers.emplace(answer.call, std::move(answer.answer));
+    }
+    effects.sends.clear();
+    effects.cancels.clear();
+    effects.answers.clear();
+  }
+
+  //! Lets time pass with everything that happens in it.
+  void RunFor(Duration step) {
+    const TimePoint end = clock.Now() + step;
+    while (true) {
+      const auto timer = engine.NextTimer();
+      const auto event = fleet.Next();
+      if ((!timer || *timer > end) && (!event || *event > end)) {
+        break;
+      }
+      if (event && (!timer || *event <= *timer)) {
+        clock.Advance(*event - clock.Now());
+        for (const AttemptReply& reply : fleet.Run()) {
+          Reply(reply);
+        }
+      } else {
+        clock.Advance(*timer - clock.Now());
+        engine.OnTimer(clock.Now(), effects);
+      }
+      Flush();
+    }
+    clock.Advance(end - clock.Now());
+  }
+
+  [[nodiscard]] std::size_t CountOf(Outcome outcome) const {
+    return static_cast<std::size_t>(
+        std::ranges::count_if(answers, [outcome](const auto& item) {
+          return item.second.outcome == outcome;
+        }));
+  }
+};
+
+}  // namespace jacinthdeck
+
+#endif  // JACINTHDECK_TEST_QUERY_FLEET_FIXTURE_H_
