--- a/src/jacinthdeck/peer/fwd.h
+++ b/src/jacinthdeck/peer/fwd.h
@@ -1,7 +1,13 @@
-// Forward declarations of the peer module.
+// Forward declarations of the peer module: framed FlatBuffers between the
+// entries.
 #ifndef JACINTHDECK_PEER_FWD_H_
 #define JACINTHDECK_PEER_FWD_H_
 
-namespace jacinthdeck {}  // namespace jacinthdeck
+namespace jacinthdeck {
+
+class FrameReader;
+class PeerTransport;
+
+}  // namespace jacinthdeck
 
 #endif  // JACINTHDECK_PEER_FWD_H_
