Implement the cluster core: membership, configuration, directory, registry

Cause: the headers fixed before had no behaviour. Messages, additive: SyncRequest and MemberSync (a joiner fetches the member table; also once a minute with a random peer).

--- a/src/jacinthdeck/cluster/ack_collector.h
+++ b/src/jacinthdeck/cluster/ack_collector.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 #include "jacinthdeck/cluster/cluster_options.h"
@@ -35,7 +36,7 @@
   [[nodiscard]] Revision revision() const noexcept { return m_revision; }
   /*! \brief Whether the lease has been waited out since round two. */
   [[nodiscard]] bool Accepted(TimePoint now) const;
-  /*! \brief Voters whose acknowledgement is missing in the present round. */
+  /*! \brief Voters that never acknowledged. */
   [[nodiscard]] std::vector<NodeId> WaitingFor() const;
   [[nodiscard]] TimePoint NextTimer() const;
 
@@ -45,23 +46,37 @@
   void OnAck(const Envelope& envelope, const RevisionAck& ack, TimePoint now);
 
  private:
-  void CountSelf(TimePoint now);
+  using Lives = std::map<NodeId, Incarnation>;
+
+  [[nodiscard]] bool second_round() const noexcept { return m_round % 2 == 0; }
+  void FollowLists();
+  void StartFirstRound();
+  void StartSecondRound(TimePoint now);
   void Take(const NodeId& node, Incarnation incarnation, TimePoint now);
-  void Advance(TimePoint now);
+  void TakeFirst(const NodeId& node, Incarnation incarnation, TimePoint now);
+  void TakeSecond(const NodeId& node, Incarnation incarnation, TimePoint now);
+  void CountSelf(TimePoint now);
+  [[nodiscard]] bool HasQuorum(const Lives& lives) const;
+  [[nodiscard]] bool NeedsAsking(const NodeId& voter) const;
 
   ClusterOptions m_options;
   const MemberTable& m_table;
   PeerSender& m_sender;
   const ConfigReplica& m_replica;
   Revision m_revision;
+  //! Lists by which the rounds are counted; other lists start them again.
+  std::vector<NodeId> m_voters;
+  std::vector<NodeId> m_former_voters;
   //! Odd: a first round; even: the second round after it.
   std::uint64_t m_round = 1;
   //! Lives that acknowledged in the first round; fixed during the second.
-  std::map<NodeId, Incarnation> m_first;
+  Lives m_first;
   //! Of these, who confirmed in the second round.
-  std::map<NodeId, Incarnation> m_second;
-  //! When the present second round is given up for a new first one.
-  std::optional<TimePoint> m_round_end;
+  Lives m_second;
+  //! Every voter that ever acknowledged, for the status.
+  std::set<NodeId> m_heard;
+  //! When the second round is given up for a new first one.
+  TimePoint m_round_end{};
   //! When the second round had its majority.
   std::optional<TimePoint> m_confirmed;
   TimePoint m_next_send{};
--- a/src/jacinthdeck/cluster/cluster_options.h
+++ b/src/jacinthdeck/cluster/cluster_options.h
@@ -22,12 +22,16 @@
 
 /*! \brief Timing and bounds; all durations by the node's own clock. */
 struct ClusterOptions {
-  //! One member is probed in each.
+  //! One proven member is probed in each.
   Duration probe_period = std::chrono::seconds(1);
   //! Wait for the direct answer before others are asked to probe.
   Duration probe_timeout = std::chrono::milliseconds(300);
   //! Members asked to probe in our place.
   std::size_t indirect_probes = 3;
+  //! Members that are dead or unproven are tried once in this many periods.
+  std::uint32_t revive_periods = 5;
+  //! Between two exchanges of the whole member table with a random peer.
+  Duration sync_period = std::chrono::seconds(60);
   //! Suspicion lasts this many periods, times log10 of the member count where
   //! that is above one.
   std::uint32_t suspicion_periods = 3;
@@ -56,6 +60,12 @@
   Duration store_backoff_limit = std::chrono::seconds(5);
   //! Voters beyond this many are not taken in.
   std::size_t max_voters = 15;
+  //! A voter that has been dead this long is dropped from the voters.
+  Duration voter_removal = std::chrono::seconds(60);
+  //! Shortest wait between two looks at the voters; up to three times that.
+  Duration voter_period = std::chrono::seconds(5);
+  //! Members that are told at once of a new revision; they tell others.
+  std::size_t announce_fan_out = 4;
   //! Between two requests for an acknowledgement to the same voter.
   Duration ack_period = std::chrono::milliseconds(200);
   //! An operator waits no longer for a change; then it is told kPending.
--- a/src/jacinthdeck/cluster/config_coordinator.h
+++ b/src/jacinthdeck/cluster/config_coordinator.h
@@ -71,12 +71,14 @@
     //! Whether store_call is the write.
     bool writing = false;
     TimePoint call_sent{};
-    //! A write whose reply was lost may still take effect.
-    bool write_unresolved = false;
+    //! Store revision that a write without a reply expected; while the key has
+    //! it, the write may still take effect.
+    std::optional<StoreRevision> unresolved;
     //! When the store is tried again; nothing while a call is open.
     std::optional<TimePoint> retry_at;
     Backoff backoff;
-    //! Value that the open write would put at the store.
+    //! Store revision and value of the last write.
+    StoreRevision expected;
     std::optional<ConfigValue> written;
     //! Set once the change is known to be at the store.
     std::optional<AckCollector> acks;
@@ -91,6 +93,7 @@
                  const StoreReply& reply,
                  TimePoint now,
                  ClusterEffects& effects);
+  void OnAbsent(Pending& pending, TimePoint now, ClusterEffects& effects);
   void Write(Pending& pending,
              const ConfigValue& stored,
              StoreRevision expected,
@@ -101,6 +104,7 @@
                TimePoint now,
                ClusterEffects& effects);
   void RetryLater(Pending& pending, TimePoint now);
+  void Drive(Pending& pending, TimePoint now, ClusterEffects& effects);
   void Close(Pending& pending,
              ChangeState state,
              Revision revision,
@@ -108,6 +112,7 @@
              ClusterEffects& effects);
   void CloseLate(Pending& pending, ClusterEffects& effects);
   void RemoveClosed();
+  [[nodiscard]] ConfigValue FirstValue(TimePoint now) const;
 
   ClusterOptions m_options;
   Random m_random;
--- a/src/jacinthdeck/cluster/config_replica.h
+++ b/src/jacinthdeck/cluster/config_replica.h
@@ -5,6 +5,8 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <string>
+#include <vector>
 
 #include "jacinthdeck/cluster/cluster_options.h"
 #include "jacinthdeck/cluster/config_value.h"
@@ -105,9 +107,11 @@
                 ClusterEffects& effects);
   void OnAckRequest(const NodeId& from,
                     const AckRequest& request,
+                    TimePoint now,
                     ClusterEffects& effects);
   void OnAnnounce(const NodeId& from,
                   const RevisionAnnounce& announce,
+                  TimePoint now,
                   ClusterEffects& effects);
   void OnFetch(const NodeId& from,
                const ConfigFetch& fetch,
@@ -120,7 +124,13 @@
   void ReadStore(TimePoint now, ClusterEffects& effects);
   void Exchange(TimePoint now, ClusterEffects& effects);
   void Recover(TimePoint now);
-  void HearOf(Revision revision, const NodeId& from, ClusterEffects& effects);
+  void HearOf(Revision revision,
+              const NodeId& from,
+              TimePoint now,
+              ClusterEffects& effects);
+  void OnReadFailed(TimePoint now);
+  [[nodiscard]] bool NeedsExchange(TimePoint now) const;
+  [[nodiscard]] std::vector<NodeId> NodesToAsk(TimePoint now);
   void Announce(ClusterEffects& effects);
 
   ClusterOptions m_options;
@@ -148,7 +158,10 @@
   std::optional<StoreCallId> m_read;
   TimePoint m_read_started{};
   TimePoint m_next_read{};
-  TimePoint m_next_exchange{};
+  //! Nothing before the first timer.
+  std::optional<TimePoint> m_next_exchange;
+  //! Until then an open fetch may still be answered.
+  TimePoint m_fetch_until{};
 };
 
 }  // namespace jacinthdeck
--- a/src/jacinthdeck/cluster/member_table.h
+++ b/src/jacinthdeck/cluster/member_table.h
@@ -28,8 +28,8 @@
  *
  * Order of statements about one node: a higher incarnation wins; within one
  * life a higher refutation wins, then the worse health. Leaving is never taken
- * back within a life. A death needs two accusers, unless only two members are
- * known.
+ * back within a life. A death needs two accusers, unless no third member is
+ * alive.
  */
 class MemberTable {
  public:
@@ -61,6 +61,13 @@
   /*! \brief Proven members that are neither dead nor this node. */
   [[nodiscard]] std::vector<NodeId> Reachable() const;
 
+  /*! \brief Members that are dead or unproven, which only a probe can bring
+   * back. */
+  [[nodiscard]] std::vector<NodeId> Unreachable() const;
+
+  /*! \brief The statement that this node makes about itself. */
+  [[nodiscard]] const MemberUpdate& SelfUpdate() const;
+
   /*! \brief Number of members that are proven and not dead, this node included.
    */
   [[nodiscard]] std::size_t alive_count() const noexcept { return m_alive; }
@@ -103,15 +110,19 @@
   /*! \brief Moves every running suspicion by the length of a pause. */
   void ShiftSuspicions(Duration pause);
 
-  /*! \brief Answers an accusation of this node: raises its refutation. */
+  /*! \brief Answers an accusation of this node: raises its refutation.
+   * \return The statement to spread. */
   const MemberUpdate& Refute(const MemberUpdate& accusation);
 
   /*! \brief Marks this node as leaving, for the rest of its life. */
   const MemberUpdate& LeaveSelf();
 
  private:
-  void Apply(Member& member, const MemberUpdate& update, TimePoint now);
-  void MarkDead(Member& member, TimePoint now);
+  MergeResult MergeSelf(const MemberUpdate& update) const;
+  bool MergeSameLife(Member& member, const MemberUpdate& update, TimePoint now);
+  void SetHealth(Member& member, MemberHealth health, TimePoint now);
+  void Hold(Member& member, TimePoint now) const;
+  [[nodiscard]] bool EnoughAccusers(const Member& member) const;
   void Recount();
 
   SelfInfo m_self;
--- a/src/jacinthdeck/cluster/membership.h
+++ b/src/jacinthdeck/cluster/membership.h
@@ -51,31 +51,43 @@
                      ClusterEffects& effects);
   void OnPingAck(const PingAck& ack, TimePoint now, ClusterEffects& effects);
 
+  void OnSyncRequest(const NodeId& from, ClusterEffects& effects);
+  void OnSync(const MemberSync& sync, TimePoint now, ClusterEffects& effects);
+
   /*! \brief Announces that this node leaves. */
   void Leave(ClusterEffects& effects);
 
  private:
+  //! Whether news is passed on; what a MemberSync tells is news to this node
+  //! alone.
+  enum class Spread { kNo, kYes };
+
   struct Probe {
     NodeId subject;
     //! When the indirect probes start; nothing once they have.
     std::optional<TimePoint> indirect_at;
     //! When the subject is accused.
     TimePoint end;
+    TimePoint start;
     //! Whose PingRequest this probe serves, and its sequence.
     std::optional<NodeId> on_behalf;
     std::uint64_t their_sequence = 0;
   };
 
-  void StartProbe(TimePoint now, ClusterEffects& effects);
+  void StartPeriod(TimePoint now, ClusterEffects& effects);
+  void ProbeNext(TimePoint now, ClusterEffects& effects);
+  void Revive(TimePoint now, ClusterEffects& effects);
+  void Sync(TimePoint now, ClusterEffects& effects);
+  void SendProbe(const NodeId& subject, TimePoint now, ClusterEffects& effects);
   void AskOthers(const Probe& probe,
                  std::uint64_t sequence,
                  ClusterEffects& effects);
   void EndProbes(TimePoint now, ClusterEffects& effects);
-  void Refill();
+  void Accuse(const Probe& probe, TimePoint now, ClusterEffects& effects);
   void Merge(const MemberUpdate& update,
+             Spread spread,
              TimePoint now,
              ClusterEffects& effects);
-  [[nodiscard]] bool Isolated(TimePoint now) const;
 
   ClusterOptions m_options;
   Random m_random;
@@ -84,8 +96,12 @@
   PeerSender& m_sender;
   std::uint64_t m_next_sequence = 1;
   std::optional<TimePoint> m_next_probe;
-  //! Any message from any peer.
-  TimePoint m_last_heard{};
+  //! Last message from any peer; nothing before the first.
+  std::optional<TimePoint> m_last_heard;
+  std::uint32_t m_period = 0;
+  TimePoint m_next_sync{};
+  //! Whether a MemberSync was received in this life.
+  bool m_synced = false;
   //! Members still to be probed in this pass, in random order.
   std::vector<NodeId> m_order;
   //! Open probes by sequence; one of our own a period and one for each
--- a/src/jacinthdeck/cluster/messages.h
+++ b/src/jacinthdeck/cluster/messages.h
@@ -146,6 +146,19 @@
   [[nodiscard]] bool operator==(const QuarantineNotice&) const = default;
 };
 
+/*! \brief Asks for all that the receiver knows of the members. */
+struct SyncRequest {
+  [[nodiscard]] bool operator==(const SyncRequest&) const = default;
+};
+
+/*! \brief All proven members that the sender knows; the one message whose size
+ * grows with their number, sent rarely. */
+struct MemberSync {
+  std::vector<MemberUpdate> members;
+
+  [[nodiscard]] bool operator==(const MemberSync&) const = default;
+};
+
 /*! \brief Any message between peers; new kinds are added at the end. */
 using PeerMessage = std::variant<Ping,
                                  PingAck,
@@ -159,7 +172,9 @@
                                  ConfigTransfer,
                                  ForwardRequest,
                                  ForwardReply,
-                                 QuarantineNotice>;
+                                 QuarantineNotice,
+                                 SyncRequest,
+                                 MemberSync>;
 
 /*! \brief A message with its sender; receivers fence by the sender's
  * incarnation. */
--- a/src/jacinthdeck/cluster/once_registry.h
+++ b/src/jacinthdeck/cluster/once_registry.h
@@ -108,14 +108,22 @@
   void set_accepting(bool accepting) noexcept { m_accepting = accepting; }
 
  private:
+  enum class State {
+    kRunning,
+    kFinished,
+    //! Finished, and its answer gave way to younger ones.
+    kAnswerDropped,
+  };
   struct Entry {
     //! From then on the id itself is refused as too old.
     TimePoint expires;
-    bool finished = false;
+    State state = State::kRunning;
+    //! Empty unless kFinished.
     OnceAnswer answer;
   };
 
-  [[nodiscard]] std::optional<TimePoint> Expiry(const RequestId& id) const;
+  [[nodiscard]] OnceResult ArriveElsewhere(const RequestId& id) const;
+  [[nodiscard]] OnceResult Known(const Entry& entry) const;
   void Sweep(TimePoint now);
   void DropOldAnswers();
 
@@ -127,6 +135,8 @@
   std::map<RequestId, Entry> m_entries;
   //! Ids by expiry, for the sweep.
   std::multimap<TimePoint, RequestId> m_expiries;
+  //! Finished ids, oldest first; may name ids that are gone.
+  std::deque<RequestId> m_finished;
   //! Sum of the stored bodies; at most m_options.answer_bytes.
   std::size_t m_answer_bytes = 0;
 };
--- a/src/jacinthdeck/cluster/peer_sender.h
+++ b/src/jacinthdeck/cluster/peer_sender.h
@@ -2,6 +2,8 @@
 #ifndef JACINTHDECK_CLUSTER_PEER_SENDER_H_
 #define JACINTHDECK_CLUSTER_PEER_SENDER_H_
 
+#include <vector>
+
 #include "jacinthdeck/cluster/cluster_effects.h"
 #include "jacinthdeck/cluster/gossip_queue.h"
 #include "jacinthdeck/cluster/member_table.h"
@@ -39,6 +41,9 @@
               ClusterEffects& effects);
 
  private:
+  void AddForReceiver(const NodeId& to,
+                      std::vector<MemberUpdate>& gossip) const;
+
   const MemberTable& m_table;
   GossipQueue& m_gossip;
   PeerCounters& m_counters;
--- a/src/jacinthdeck/cluster/voter_keeper.h
+++ b/src/jacinthdeck/cluster/voter_keeper.h
@@ -4,6 +4,7 @@
 #define JACINTHDECK_CLUSTER_VOTER_KEEPER_H_
 
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <vector>
 
@@ -45,6 +46,16 @@
 
  private:
   void Read(TimePoint now, ClusterEffects& effects);
+  void OnWritten(const StoreReply& reply, ClusterEffects& effects);
+  void Write(ConfigValue next,
+             StoreRevision expected,
+             TimePoint now,
+             ClusterEffects& effects);
+  void Collect(TimePoint now, ClusterEffects& effects);
+  [[nodiscard]] bool IsGone(const NodeId& voter, TimePoint now) const;
+  [[nodiscard]] bool MayPropose(const ConfigValue& value,
+                                const std::vector<NodeId>& wanted,
+                                TimePoint now) const;
   void OnValue(const StoreReply& reply, TimePoint now, ClusterEffects& effects);
   [[nodiscard]] TimePoint Later(TimePoint now);
 
@@ -60,9 +71,12 @@
   std::optional<StoreCallId> m_write;
   //! Value that m_write would put at the store.
   std::optional<ConfigValue> m_written;
-  //! Acceptance of an unsettled change; its lists are those of the value at the
-  //! store, which do not change before the settling.
+  //! Acceptance of an unsettled change.
   std::optional<AckCollector> m_acks;
+  //! Value that m_acks is about; other lists need another acceptance.
+  std::shared_ptr<const ConfigValue> m_joint;
+  //! First timer of this life.
+  std::optional<TimePoint> m_started;
 };
 
 }  // namespace jacinthdeck
