--- a/test/support/printers.h
+++ b/test/support/printers.h
@@ -4,11 +4,19 @@
 
 #include <ostream>
 
+#include "jacinthdeck/cluster/config_replica.h"
+#include "jacinthdeck/cluster/member.h"
+#include "jacinthdeck/cluster/once_registry.h"
+#include "jacinthdeck/cluster/operator_reply.h"
 #include "jacinthdeck/core/outcome.h"
 
 namespace jacinthdeck {
 
 std::ostream& operator<<(std::ostream& out, Outcome outcome);
+std::ostream& operator<<(std::ostream& out, ChangeState state);
+std::ostream& operator<<(std::ostream& out, MemberState state);
+std::ostream& operator<<(std::ostream& out, OnceDecision decision);
+std::ostream& operator<<(std::ostream& out, ServeState state);
 
 }  // namespace jacinthdeck
 
