Add the stand-in store and checked JSON reading

The store keeps values, revisions, leases and watches in memory, counts calls, limits rates and shows outages, slowness and lost replies on request. ulfius does not fill the query parameters for a catch-all endpoint (tried: prev and after were ignored), so the server decodes the query string itself. -Wnull-dereference is off for the main files only: Boost.Program_options trips it in its own header.

--- a/src/jacinthdeck/platform/fwd.h
+++ b/src/jacinthdeck/platform/fwd.h
@@ -2,6 +2,11 @@
 #ifndef JACINTHDECK_PLATFORM_FWD_H_
 #define JACINTHDECK_PLATFORM_FWD_H_
 
-namespace jacinthdeck {}  // namespace jacinthdeck
+namespace jacinthdeck {
+
+class JsonReader;
+struct JsonDeleter;
+
+}  // namespace jacinthdeck
 
 #endif  // JACINTHDECK_PLATFORM_FWD_H_
--- /dev/null
+++ b/src/jacinthdeck/platform/json_reader.h
@@ -0,0 +1,88 @@
+// Checked access to the members of a JSON value: each mistake of the sender is
+// a typed error that names the member.
+#ifndef JACINTHDECK_PLATFORM_JSON_READER_H_
+#define JACINTHDECK_PLATFORM_JSON_READER_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "jacinthdeck/core/result.h"
+
+struct json_t;
+
+namespace jacinthdeck {
+
+/**
+ * \brief View of one JSON value and the path that led to it.
+ *
+ * Every failure is kCorrupt with the path of the member as its subject. The
+ * value must outlive the reader.
+ */
+class JsonReader {
+ public:
+  JsonReader(const json_t* value, std::string path);
+
+  /*! \brief The value that is read; never null. */
+  [[nodiscard]] const json_t* raw() const noexcept { return m_value; }
+
+  /*! \brief Where the value stands, for errors. */
+  [[nodiscard]] const std::string& path() const noexcept { return m_path; }
+
+  /*! \brief Names of the members, in order; empty for what is no object. */
+  [[nodiscard]] std::vector<std::string> Names() const;
+
+  /*! \brief Tells whether the value is an object with such a member. */
+  [[nodiscard]] bool Has(std::string_view name) const;
+
+  /*! \brief Reads a member of any type. */
+  [[nodiscard]] Result<JsonReader> Member(std::string_view name) const;
+
+  /*! \brief Reads a member that must be an object. */
+  [[nodiscard]] Result<JsonReader> Object(std::string_view name) const;
+
+  /*! \brief Reads a member that must be a string. */
+  [[nodiscard]] Result<std::string> String(std::string_view name) const;
+
+  /*! \brief Reads a member that must be true or false. */
+  [[nodiscard]] Result<bool> Bool(std::string_view name) const;
+
+  /*! \brief Reads a member that must be a number. */
+  [[nodiscard]] Result<double> Number(std::string_view name) const;
+
+  /**
+   * \brief Reads a member that must be a whole number.
+   * \param name Member.
+   * \param max Highest value that is accepted; the lowest is 0.
+   */
+  [[nodiscard]] Result<std::uint64_t> Unsigned(std::string_view name,
+                                               std::uint64_t max) const;
+
+  /*! \brief Reads the elements of a member that must be an array. */
+  [[nodiscard]] Result<std::vector<JsonReader>> Array(
+      std::string_view name) const;
+
+  /*! \brief Reads the elements of this value, which must be an array. */
+  [[nodiscard]] Result<std::vector<JsonReader>> Elements() const;
+
+  /*! \brief Reads this value, which must be a string. */
+  [[nodiscard]] Result<std::string> AsString() const;
+
+  /**
+   * \brief Reads this value, which must be a whole number.
+   * \param max Highest value that is accepted; the lowest is 0.
+   */
+  [[nodiscard]] Result<std::uint64_t> AsUnsigned(std::uint64_t max) const;
+
+ private:
+  [[nodiscard]] boost::leaf::error_id WrongType(
+      std::string_view expected) const;
+
+  const json_t* m_value;
+  std::string m_path;
+};
+
+}  // namespace jacinthdeck
+
+#endif  // JACINTHDECK_PLATFORM_JSON_READER_H_
--- /dev/null
+++ b/standins/store/store_server.h
@@ -0,0 +1,79 @@
+// The stand-in store over HTTP, with its faults, limits and counts.
+#ifndef JACINTHDECK_STANDINS_STORE_STORE_SERVER_H_
+#define JACINTHDECK_STANDINS_STORE_STORE_SERVER_H_
+
+#include <cstdint>
+#include <mutex>
+#include <string>
+
+#include "http/http_message.h"
+#include "http/http_server.h"
+#include "jacinthdeck/core/random.h"
+#include "store/kv_store.h"
+#include "store/rate_limit.h"
+#include "store/store_faults.h"
+
+namespace jacinthdeck::standins {
+
+/*! \brief Answers the calls of the platform store. */
+class StoreServer {
+ public:
+  /**
+   * \brief Opens the server.
+   * \param port Port on 127.0.0.1; 0 lets the kernel pick.
+   * \param clock Clock of leases and rates; outlives the server.
+   * \param rates Limits.
+   * \param seed Seed of the random faults.
+   */
+  StoreServer(std::uint16_t port,
+              const Clock& clock,
+              const StoreRates& rates,
+              std::uint64_t seed);
+  ~StoreServer();
+  StoreServer(const StoreServer&) = delete;
+  StoreServer& operator=(const StoreServer&) = delete;
+
+  [[nodiscard]] std::uint16_t port() const noexcept { return m_server.port(); }
+
+  /*! \brief The content, for those who prepare it. */
+  [[nodiscard]] KvStore& content() noexcept { return m_content; }
+
+  [[nodiscard]] StoreCounts counts() const;
+
+  /*! \brief Replaces the faults. */
+  void SetFaults(const StoreFaults& faults);
+
+ private:
+  using CallHandler = HttpReply (StoreServer::*)(const HttpRequest&);
+  struct Route;
+
+  [[nodiscard]] HttpReply Handle(const HttpRequest& request);
+  [[nodiscard]] HttpReply Dispatch(const HttpRequest& request);
+  [[nodiscard]] HttpReply Get(const HttpRequest& request);
+  [[nodiscard]] HttpReply List(const HttpRequest& request);
+  [[nodiscard]] HttpReply Put(const HttpRequest& request);
+  [[nodiscard]] HttpReply Delete(const HttpRequest& request);
+  [[nodiscard]] HttpReply Watch(const HttpRequest& request);
+  [[nodiscard]] HttpReply Grant(const HttpRequest& request);
+  [[nodiscard]] HttpReply Renew(const HttpRequest& request);
+  [[nodiscard]] HttpReply Control(const HttpRequest& request);
+  [[nodiscard]] HttpReply Counts() const;
+  [[nodiscard]] bool Admit(const Route& route);
+  [[nodiscard]] bool LoseReply();
+  [[nodiscard]] StoreFaults faults() const;
+
+  const Clock& m_clock;
+  KvStore m_content;
+  mutable std::mutex m_mutex;
+  StoreFaults m_faults;
+  StoreCounts m_counts;
+  RateLimit m_reads;
+  RateLimit m_writes;
+  Random m_random;
+  //! Last: it calls the members above from its first moment on.
+  HttpServer m_server;
+};
+
+}  // namespace jacinthdeck::standins
+
+#endif  // JACINTHDECK_STANDINS_STORE_STORE_SERVER_H_
