--- a/src/jacinthdeck/platform/fwd.h
+++ b/src/jacinthdeck/platform/fwd.h
@@ -1,4 +1,5 @@
-// Forward declarations of the platform module.
+// Forward declarations of the platform module: the store, the host list and
+// what they publish.
 #ifndef JACINTHDECK_PLATFORM_FWD_H_
 #define JACINTHDECK_PLATFORM_FWD_H_
 
--- a/standins/http/http_server.cc
+++ b/standins/http/http_server.cc
@@ -12,7 +12,6 @@
 #include <bit>
 #include <cctype>
 #include <map>
-#include <sstream>
 #include <stdexcept>
 #include <string>
 #include <utility>
@@ -64,36 +63,20 @@
   return lower;
 }
 
-[[nodiscard]] std::string Decode(const std::string& text) {
-  const std::unique_ptr<char, decltype(&u_free)> decoded(
-      ulfius_url_decode(text.c_str()), &u_free);
-  return decoded == nullptr ? std::string() : std::string(decoded.get());
-}
-
-[[nodiscard]] std::map<std::string, std::string> Parameters(
-    const std::string& query) {
-  std::map<std::string, std::string> parameters;
-  std::istringstream parts(query);
-  for (std::string part; std::getline(parts, part, '&');) {
-    const std::size_t equals = std::min(part.find('='), part.size());
-    const std::size_t value = std::min(equals + 1, part.size());
-    parameters[Decode(part.substr(0, equals))] = Decode(part.substr(value));
-  }
-  return parameters;
-}
-
 [[nodiscard]] HttpRequest Convert(const _u_request& request) {
   HttpRequest converted;
   converted.verb = request.http_verb;
-  const std::string url = request.http_url;
-  const std::size_t query = std::min(url.find('?'), url.size());
-  converted.path = url.substr(0, query);
-  converted.parameters =
-      Parameters(url.substr(std::min(query + 1, url.size())));
+  converted.path = request.http_url;
+  converted.path.resize(
+      std::min(converted.path.find('?'), converted.path.size()));
+  // The library counts the ending NUL in the lengths, so they are not used.
+  const _u_map& parameters = *request.map_url;
+  for (int index = 0; index < parameters.nb_values; ++index) {
+    converted.parameters[parameters.keys[index]] = parameters.values[index];
+  }
   const _u_map& headers = *request.map_header;
   for (int index = 0; index < headers.nb_values; ++index) {
-    converted.headers[LowerCase(headers.keys[index])] =
-        std::string(headers.values[index], headers.lengths[index]);
+    converted.headers[LowerCase(headers.keys[index])] = headers.values[index];
   }
   if (request.binary_body_length > 0) {
     converted.body.assign(static_cast<const char*>(request.binary_body),
--- /dev/null
+++ b/standins/target/target_group.h
@@ -0,0 +1,79 @@
+// All targets of one process and the port that controls them.
+#ifndef JACINTHDECK_STANDINS_TARGET_TARGET_GROUP_H_
+#define JACINTHDECK_STANDINS_TARGET_TARGET_GROUP_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "http/http_message.h"
+#include "http/http_server.h"
+#include "jacinthdeck/core/result.h"
+#include "jacinthdeck/platform/json_reader.h"
+#include "target/run_log.h"
+#include "target/target.h"
+
+namespace jacinthdeck::standins {
+
+/*! \brief How a group of targets is opened. */
+struct TargetGroupOptions {
+  //! Port of the control server; 0 lets the kernel pick.
+  std::uint16_t port = 0;
+  //! Take the targets' ports from the host list in place of the kernel's.
+  bool listed_ports = false;
+  std::size_t items_per_service = 2000;
+  std::uint64_t seed = 1;
+  Behaviour behaviour;
+};
+
+/*! \brief Targets in one process, so that many fit on one machine. */
+class TargetGroup {
+ public:
+  /**
+   * \brief Opens the targets and the control server.
+   * \param hosts Targets to open.
+   * \param options How to open them.
+   */
+  TargetGroup(const std::vector<TargetInfo>& hosts,
+              const TargetGroupOptions& options);
+  TargetGroup(const TargetGroup&) = delete;
+  TargetGroup& operator=(const TargetGroup&) = delete;
+
+  /*! \brief Port of the control server. */
+  [[nodiscard]] std::uint16_t port() const noexcept { return m_server.port(); }
+
+  /*! \brief The targets. */
+  [[nodiscard]] const std::vector<std::unique_ptr<Target>>& targets()
+      const noexcept {
+    return m_targets;
+  }
+
+  [[nodiscard]] const RunLog& log() const noexcept { return m_log; }
+
+  /**
+   * \brief Replaces what the targets serve.
+   * \param index JSON object: an `index/SERVICE` value for each service.
+   * \return Number of services; kCorrupt for a map that is refused.
+   */
+  [[nodiscard]] Result<std::size_t> LoadIndex(const JsonReader& index);
+
+ private:
+  [[nodiscard]] HttpReply Handle(const HttpRequest& request);
+  [[nodiscard]] HttpReply Control(const HttpRequest& request);
+  [[nodiscard]] Result<std::size_t> Apply(const std::string& text);
+  [[nodiscard]] HttpReply Runs(const std::string& method) const;
+  [[nodiscard]] HttpReply Counts() const;
+
+  RunLog m_log;
+  std::vector<std::unique_ptr<Target>> m_targets;
+  HttpServer m_server;
+  std::jthread m_idle_closer;
+};
+
+}  // namespace jacinthdeck::standins
+
+#endif  // JACINTHDECK_STANDINS_TARGET_TARGET_GROUP_H_
