--- a/src/jacinthdeck/platform/fwd.h
+++ b/src/jacinthdeck/platform/fwd.h
@@ -5,8 +5,19 @@
 
 namespace jacinthdeck {
 
+class HostListClient;
+class HttpClient;
+class HttpHostListClient;
+class HttpStoreClient;
 class JsonReader;
+class StoreClient;
+struct HttpAnswer;
+struct HttpCall;
+struct HttpEndpoint;
 struct JsonDeleter;
+struct StoreItem;
+struct StorePut;
+struct StoreWrite;
 
 }  // namespace jacinthdeck
 
--- a/standins/store/store_server.cc
+++ b/standins/store/store_server.cc
@@ -128,7 +128,7 @@
 }
 
 HttpReply StoreServer::Dispatch(const HttpRequest& request) {
-  static const std::array<Route, 7> kRoutes{{
+  static constexpr std::array<Route, 7> kRoutes{{
       {"GET", kKvPrefix, false, &StoreCounts::gets, &StoreServer::m_reads,
        false, &StoreServer::Get},
       {"GET", "/v1/kv", true, &StoreCounts::lists, &StoreServer::m_reads, false,
--- a/standins/target/behaviour.cc
+++ b/standins/target/behaviour.cc
@@ -121,7 +121,10 @@
       return Fail(ErrorCode::kCorrupt, changes.path() + "." + name,
                   "is no member of a target's behaviour");
     }
-    BOOST_LEAF_CHECK(field->read(changes, field->name, behaviour));
+    Result<bool> read = field->read(changes, field->name, behaviour);
+    if (!read) {
+      return read.error();
+    }
   }
   return behaviour;
 }
