--- a/src/jacinthdeck/cluster/store_call.h
+++ b/src/jacinthdeck/cluster/store_call.h
@@ -67,6 +67,8 @@
   std::string key;
   std::string value;
   StoreRevision revision;
+
+  [[nodiscard]] bool operator==(const StoreItem&) const = default;
 };
 
 /*! \brief End of a store call. */
--- a/src/jacinthdeck/peer/envelope_codec.cc
+++ b/src/jacinthdeck/peer/envelope_codec.cc
@@ -2,7 +2,6 @@
 #include "jacinthdeck/peer/envelope_codec.h"
 
 #include <cstdint>
-#include <memory>
 #include <utility>
 
 #include <envelope_generated.h>
@@ -11,47 +10,6 @@
 
 namespace jacinthdeck {
 
-namespace {
-
-[[nodiscard]] std::unique_ptr<wire::MemberUpdateT> EncodeUpdate(
-    const MemberUpdate& from) {
-  auto to = std::make_unique<wire::MemberUpdateT>();
-  to->node = from.node.raw();
-  to->incarnation = from.incarnation.raw();
-  to->refutation = from.refutation;
-  to->health = static_cast<std::uint8_t>(from.health);
-  to->leaving = from.leaving;
-  to->address = internal::EncodeAddress(from.address);
-  to->domain = from.domain.raw();
-  for (const NodeId& accuser : from.accusers) {
-    to->accusers.push_back(accuser.raw());
-  }
-  return to;
-}
-
-[[nodiscard]] std::optional<MemberUpdate> DecodeUpdate(
-    const wire::MemberUpdate& from) {
-  if (from.health() >= kMemberHealthNames.names.size()) {
-    return std::nullopt;
-  }
-  MemberUpdate to;
-  to.node = NodeId(internal::TextOf(from.node()));
-  to.incarnation = Incarnation(from.incarnation());
-  to.refutation = from.refutation();
-  to.health = static_cast<MemberHealth>(from.health());
-  to.leaving = from.leaving();
-  to.address = internal::DecodeAddress(from.address());
-  to.domain = FailureDomain(internal::TextOf(from.domain()));
-  if (from.accusers() != nullptr) {
-    for (const flatbuffers::String* accuser : *from.accusers()) {
-      to.accusers.emplace_back(internal::TextOf(accuser));
-    }
-  }
-  return to;
-}
-
-}  // namespace
-
 std::string EncodeEnvelope(const Envelope& envelope) {
   wire::EnvelopeT to;
   to.from = envelope.from.raw();
@@ -59,7 +17,7 @@
   to.to = envelope.to.raw();
   to.message = internal::EncodeMessage(envelope.message);
   for (const MemberUpdate& update : envelope.gossip) {
-    to.gossip.push_back(EncodeUpdate(update));
+    to.gossip.push_back(internal::EncodeUpdate(update));
   }
   flatbuffers::FlatBufferBuilder builder;
   builder.Finish(wire::Envelope::Pack(builder, &to));
@@ -85,7 +43,7 @@
   to.message = std::move(*message);
   if (from.gossip() != nullptr) {
     for (const wire::MemberUpdate* update : *from.gossip()) {
-      std::optional<MemberUpdate> decoded = DecodeUpdate(*update);
+      std::optional<MemberUpdate> decoded = internal::DecodeUpdate(*update);
       if (!decoded) {
         return std::nullopt;
       }
--- a/src/jacinthdeck/peer/message_decoder.cc
+++ b/src/jacinthdeck/peer/message_decoder.cc
@@ -75,6 +75,21 @@
                           FingerprintsOf(from.cleared())};
 }
 
+[[nodiscard]] PeerMessage Decode(const wire::SyncRequest& /*from*/) {
+  return SyncRequest{};
+}
+[[nodiscard]] PeerMessage Decode(const wire::MemberSync& from) {
+  MemberSync to;
+  if (from.members() != nullptr) {
+    for (const wire::MemberUpdate* update : *from.members()) {
+      if (auto decoded = DecodeUpdate(*update)) {
+        to.members.push_back(std::move(*decoded));
+      }
+    }
+  }
+  return to;
+}
+
 template <typename Wire>
 [[nodiscard]] PeerMessage DecodeAs(const void* message) {
   return Decode(*static_cast<const Wire*>(message));
@@ -83,7 +98,7 @@
 using Decoder = PeerMessage (*)(const void*);
 
 //! Indexed by wire::Message; the first place is Message::NONE.
-constexpr std::array<Decoder, 14> kDecoders{
+constexpr std::array<Decoder, 16> kDecoders{
     nullptr,
     &DecodeAs<wire::Ping>,
     &DecodeAs<wire::PingAck>,
@@ -98,6 +113,8 @@
     &DecodeAs<wire::ForwardRequest>,
     &DecodeAs<wire::ForwardReply>,
     &DecodeAs<wire::QuarantineNotice>,
+    &DecodeAs<wire::SyncRequest>,
+    &DecodeAs<wire::MemberSync>,
 };
 static_assert(kDecoders.size() ==
               static_cast<std::size_t>(wire::Message::MAX) + 1);
@@ -116,6 +133,26 @@
                        address->caller_port()};
 }
 
+std::optional<MemberUpdate> DecodeUpdate(const wire::MemberUpdate& from) {
+  if (from.health() >= kMemberHealthNames.names.size()) {
+    return std::nullopt;
+  }
+  MemberUpdate to;
+  to.node = NodeId(TextOf(from.node()));
+  to.incarnation = Incarnation(from.incarnation());
+  to.refutation = from.refutation();
+  to.health = static_cast<MemberHealth>(from.health());
+  to.leaving = from.leaving();
+  to.address = DecodeAddress(from.address());
+  to.domain = FailureDomain(TextOf(from.domain()));
+  if (from.accusers() != nullptr) {
+    for (const flatbuffers::String* accuser : *from.accusers()) {
+      to.accusers.emplace_back(TextOf(accuser));
+    }
+  }
+  return to;
+}
+
 std::optional<PeerMessage> DecodeMessage(const wire::Envelope& envelope) {
   const auto kind = static_cast<std::size_t>(envelope.message_type());
   if (kind >= kDecoders.size() || kDecoders[kind] == nullptr ||
--- a/src/jacinthdeck/peer/message_decoder.h
+++ b/src/jacinthdeck/peer/message_decoder.h
@@ -14,6 +14,10 @@
 [[nodiscard]] std::optional<PeerMessage> DecodeMessage(
     const wire::Envelope& envelope);
 
+/*! \brief Reads a statement about a member; nothing for an unknown health. */
+[[nodiscard]] std::optional<MemberUpdate> DecodeUpdate(
+    const wire::MemberUpdate& from);
+
 /*! \brief Reads an address that may be absent. */
 [[nodiscard]] MemberAddress DecodeAddress(const wire::Address* address);
 
--- a/src/jacinthdeck/peer/message_encoder.cc
+++ b/src/jacinthdeck/peer/message_encoder.cc
@@ -113,6 +113,17 @@
     to.cleared = RawOf(from.cleared);
     return to;
   }
+  [[nodiscard]] wire::SyncRequestT operator()(
+      const SyncRequest& /*from*/) const {
+    return wire::SyncRequestT();
+  }
+  [[nodiscard]] wire::MemberSyncT operator()(const MemberSync& from) const {
+    wire::MemberSyncT to;
+    for (const MemberUpdate& update : from.members) {
+      to.members.push_back(EncodeUpdate(update));
+    }
+    return to;
+  }
 };
 
 }  // namespace
@@ -125,6 +136,21 @@
   return to;
 }
 
+std::unique_ptr<wire::MemberUpdateT> EncodeUpdate(const MemberUpdate& from) {
+  auto to = std::make_unique<wire::MemberUpdateT>();
+  to->node = from.node.raw();
+  to->incarnation = from.incarnation.raw();
+  to->refutation = from.refutation;
+  to->health = static_cast<std::uint8_t>(from.health);
+  to->leaving = from.leaving;
+  to->address = EncodeAddress(from.address);
+  to->domain = from.domain.raw();
+  for (const NodeId& accuser : from.accusers) {
+    to->accusers.push_back(accuser.raw());
+  }
+  return to;
+}
+
 wire::MessageUnion EncodeMessage(const PeerMessage& message) {
   wire::MessageUnion to;
   std::visit([&to](const auto& from) { to.Set(Encoder()(from)); }, message);
--- a/src/jacinthdeck/peer/message_encoder.h
+++ b/src/jacinthdeck/peer/message_encoder.h
@@ -3,6 +3,8 @@
 #define JACINTHDECK_PEER_MESSAGE_ENCODER_H_
 
 #include <envelope_generated.h>
+#include <memory>
+
 #include "jacinthdeck/cluster/messages.h"
 
 namespace jacinthdeck::internal {
@@ -10,6 +12,10 @@
 /*! \brief Turns a message into the generated union. */
 [[nodiscard]] wire::MessageUnion EncodeMessage(const PeerMessage& message);
 
+/*! \brief Turns a statement about a member into the generated type. */
+[[nodiscard]] std::unique_ptr<wire::MemberUpdateT> EncodeUpdate(
+    const MemberUpdate& update);
+
 /*! \brief Turns an address into the generated type. */
 [[nodiscard]] std::unique_ptr<wire::AddressT> EncodeAddress(
     const MemberAddress& address);
--- a/test/jacinthdeck/peer/envelope_codec_test.cc
+++ b/test/jacinthdeck/peer/envelope_codec_test.cc
@@ -11,6 +11,14 @@
 
 struct EnvelopeCodecFixture {
   static Envelope Wrap(PeerMessage message) {
+    return Envelope{NodeId("a"),
+                    Incarnation(7),
+                    NodeId("b"),
+                    std::move(message),
+                    {Update()}};
+  }
+
+  static MemberUpdate Update() {
     MemberUpdate update;
     update.node = NodeId("b");
     update.incarnation = Incarnation(3);
@@ -20,8 +28,7 @@
     update.address = MemberAddress{"127.0.0.1", 1, 2};
     update.domain = FailureDomain("akl-a");
     update.accusers = {NodeId("c"), NodeId("d")};
-    return Envelope{
-        NodeId("a"), Incarnation(7), NodeId("b"), std::move(message), {update}};
+    return update;
   }
 
   const std::vector<PeerMessage> every_kind{
@@ -40,6 +47,8 @@
                      std::chrono::milliseconds(5)},
       ForwardReply{14, 200, "{}"},
       QuarantineNotice{{Fingerprint(1)}, {Fingerprint(2), Fingerprint(3)}},
+      SyncRequest{},
+      MemberSync{{Update(), Update()}},
   };
 };
 
