Retry beside an attempt that stays silent

Cause: with replicas lost the others are busy; a hedge never waits for a place, so the shard of a silent attempt was lost at the deadline.

Change: after two hedge delays without an answer or a hedge, the shard asks for a retry, which may wait for a place; not while calls of the service wait to run.

--- a/src/jacinthdeck/query/call_state.h
+++ b/src/jacinthdeck/query/call_state.h
@@ -43,6 +43,8 @@
   std::optional<TimePoint> retry_at;
   std::uint32_t retries = 0;
   std::uint32_t hedges = 0;
+  //! Hedges refused since the last attempt was sent.
+  std::uint32_t refused_hedges = 0;
   ShardReply reply;
 };
 
--- a/src/jacinthdeck/query/engine.cc
+++ b/src/jacinthdeck/query/engine.cc
@@ -95,7 +95,9 @@
                        Effects& effects) {
   ShardState& state = open.shards[shard];
   if (state.waiting && !CanStillEnd(open, now)) {
-    return GiveUp(open, state, AnswerReason::kOverload);
+    m_waiting.Remove(*state.waiting);
+    state.waiting.reset();
+    return GiveUpUnlessInFlight(open, state, AnswerReason::kOverload);
   }
   if (state.retry_at && *state.retry_at <= now) {
     state.retry_at.reset();
--- a/src/jacinthdeck/query/engine.h
+++ b/src/jacinthdeck/query/engine.h
@@ -236,6 +236,11 @@
   void CancelShard(ShardState& state, Effects& effects);
   void CancelAll(OpenCall& open, Effects& effects);
   void GiveUp(OpenCall& open, ShardState& state, AnswerReason reason);
+  //! Gives a shard up whose next attempt cannot be sent; one that is in flight
+  //! may still answer.
+  void GiveUpUnlessInFlight(OpenCall& open,
+                            ShardState& state,
+                            AnswerReason reason);
   void Settle(OpenCall& open, TimePoint now, Effects& effects);
   void Finish(OpenCall& open, TimePoint now, Effects& effects);
   void Close(OpenCall& open, Effects& effects);
--- a/src/jacinthdeck/query/engine_attempts.cc
+++ b/src/jacinthdeck/query/engine_attempts.cc
@@ -52,6 +52,7 @@
   const AttemptId attempt(m_next_attempt++);
   state.tried.push_back(target);
   state.in_flight.push_back(attempt);
+  state.refused_hedges = 0;
   OpenAttempt& sent = m_attempts[attempt];
   sent.call = open.call.id;
   sent.epoch = open.epoch;
@@ -97,13 +98,14 @@
                        TimePoint now) {
   ShardState& state = open.shards[shard];
   if (kind == AttemptKind::kHedge) {
+    ++state.refused_hedges;
     return;
   }
   if (refusal == RouteRefusal::kNoReplica && state.tried.empty()) {
     state.reason = AnswerReason::kNoReplica;
   }
   if (refusal != RouteRefusal::kAtLimit) {
-    return GiveUp(open, state, state.reason);
+    return GiveUpUnlessInFlight(open, state, state.reason);
   }
   if (CanStillEnd(open, now)) {
     // Indexed by the targets that it may take: at the head of a queue that it
@@ -114,7 +116,7 @@
         untried.empty() ? state.shard->replicas : untried, open.call.deadline});
   }
   if (!state.waiting) {
-    return GiveUp(open, state, AnswerReason::kOverload);
+    return GiveUpUnlessInFlight(open, state, AnswerReason::kOverload);
   }
   ArmAt(open, open.call.deadline - open.service->fast.value());
   if (!m_poll_at) {
@@ -129,13 +131,21 @@
   ShardState& state = open.shards[shard];
   state.hedge_at.reset();
   if (state.hedges >= m_options.retry.hedges_per_shard ||
-      state.in_flight.empty() || !CanStillEnd(open, now)) {
+      state.in_flight.empty() || state.waiting || !CanStillEnd(open, now)) {
     return;
   }
   // A refused hedge is asked for again after the same delay: a target that
   // never answers would else hold the shard for the rest of the call.
   state.hedge_at = now + HedgeDelay(open);
   SendShard(open, shard, AttemptKind::kHedge, now, effects);
+  // With replicas lost the others are busy, and a hedge never waits for a
+  // place. A retry does, and the shard needs one. Not while calls wait to run:
+  // then every attempt is slow, and retries would only add to the load.
+  if (state.refused_hedges >= m_options.retry.delays_until_overdue &&
+      open.service->waiting.empty() &&
+      MayRetry(open, state, AttemptStatus::kTimedOut, now)) {
+    SendShard(open, shard, AttemptKind::kRetry, now, effects);
+  }
 }
 
 void Engine::Retry(OpenCall& open,
--- a/src/jacinthdeck/query/engine_finish.cc
+++ b/src/jacinthdeck/query/engine_finish.cc
@@ -58,6 +58,14 @@
   --open.unsettled;
 }
 
+void Engine::GiveUpUnlessInFlight(OpenCall& open,
+                                  ShardState& state,
+                                  AnswerReason reason) {
+  if (state.in_flight.empty()) {
+    GiveUp(open, state, reason);
+  }
+}
+
 void Engine::Settle(OpenCall& open, TimePoint now, Effects& effects) {
   if (open.unsettled == 0) {
     Finish(open, now, effects);
--- a/src/jacinthdeck/query/engine_options.h
+++ b/src/jacinthdeck/query/engine_options.h
@@ -19,6 +19,9 @@
   std::uint32_t spare_retries_per_call = 4;
   //! Hedges of one shard of a call; the router's budget is the tighter bound.
   std::uint32_t hedges_per_shard = 2;
+  //! Hedge delays without an answer or a hedge after which a shard is retried
+  //! beside its silent attempt.
+  std::uint32_t delays_until_overdue = 2;
   //! Restarts of a call on another index version.
   std::uint32_t restarts_per_call = 2;
   //! Pause before a target is asked again that was asked already; doubles with
