--- a/src/jacinthdeck/query/engine_replies.cc
+++ b/src/jacinthdeck/query/engine_replies.cc
@@ -108,8 +108,13 @@
                        Effects& effects) {
   ShardState& state = open.shards[attempt.shard];
   state.reason = internal::ReasonOf(status);
-  if (VersionIsGone(open, state, status, now) && Restart(open, now, effects)) {
-    return;
+  if (VersionIsGone(open, state, status, now)) {
+    if (Restart(open, now, effects)) {
+      return;
+    }
+    if (Untried(state).empty()) {
+      return GiveUpUnlessInFlight(open, state, state.reason);
+    }
   }
   if (!state.in_flight.empty()) {
     // The other attempt may still answer; a hedge replaces the one that failed.
