--- /dev/null
+++ b/test/jacinthdeck/query/admission_queue_test.cc
@@ -0,0 +1,105 @@
+// Tests of the fair waiting queue.
+#include "jacinthdeck/query/admission_queue.h"
+
+#include <boost/test/unit_test.hpp>
+#include <string>
+
+namespace jacinthdeck {
+
+struct AdmissionQueueFixture {
+  AdmissionOptions options{.max_waiting = 10,
+                           .weights = {{TenantId("heavy"), 3.0}}};
+  AdmissionQueue queue{options};
+  std::uint64_t next = 1;
+
+  CallId Add(const std::string& tenant,
+             int deadline_ms = 100,
+             double cost = 1) {
+    Call call;
+    call.id = CallId(next++);
+    call.tenant = TenantId(tenant);
+    call.deadline = TimePoint() + std::chrono::milliseconds(deadline_ms);
+    const CallId id = call.id;
+    queue.Add(std::move(call), cost);
+    return id;
+  }
+
+  std::string TakeTenants(int count) {
+    std::string taken;
+    for (int i = 0; i < count; ++i) {
+      taken += queue.TakeNext().tenant.raw().front();
+    }
+    return taken;
+  }
+};
+
+BOOST_FIXTURE_TEST_SUITE(AdmissionQueueTest, AdmissionQueueFixture)
+
+BOOST_AUTO_TEST_CASE(TakeNext_OneTenant_EarliestDeadlineFirst) {
+  const CallId late = Add("a", 90);
+  const CallId early = Add("a", 30);
+  BOOST_TEST((queue.TakeNext().id == early));
+  BOOST_TEST((queue.TakeNext().id == late));
+}
+
+BOOST_AUTO_TEST_CASE(TakeNext_WeightedTenants_StartsFollowTheWeights) {
+  for (int i = 0; i < 4; ++i) {
+    Add("heavy");
+    Add("light");
+  }
+  const std::string taken = TakeTenants(4);
+  BOOST_TEST(std::ranges::count(taken, 'h') == 3);
+}
+
+// A call to ten shards takes as much of the targets as ten calls to one.
+BOOST_AUTO_TEST_CASE(TakeNext_CostlyCalls_CountByTheirCost) {
+  for (int i = 0; i < 4; ++i) {
+    Add("wide", 100, 3);
+    Add("narrow", 100, 1);
+  }
+  const std::string taken = TakeTenants(4);
+  BOOST_TEST(std::ranges::count(taken, 'n') == 3);
+}
+
+// One tenant always has a single call waiting, another a backlog. If the first
+// were new each time, it would go first each time and the backlog never move.
+BOOST_AUTO_TEST_CASE(TakeNext_TenantReturnsAtOnce_DoesNotStarveTheBacklog) {
+  for (int i = 0; i < 5; ++i) {
+    Add("heavy");
+  }
+  int heavy = 0;
+  for (int i = 0; i < 6; ++i) {
+    Add("returns");
+    heavy += TakeTenants(1) == "h" ? 1 : 0;
+    while (queue.CountOf(TenantId("returns")) > 0 && heavy < 4) {
+      heavy += TakeTenants(1) == "h" ? 1 : 0;
+    }
+  }
+  BOOST_TEST(heavy >= 4);
+}
+
+BOOST_AUTO_TEST_CASE(TakeExcess_QueueFull_LatestCallOfTheTenantOverItsShare) {
+  for (int i = 0; i < 9; ++i) {
+    Add("flood", 10 + i);
+  }
+  Add("other", 500);
+  BOOST_TEST(queue.full());
+  BOOST_TEST(queue.OverShare(TenantId("flood")));
+  BOOST_TEST(!queue.OverShare(TenantId("other")));
+  const Call excess = queue.TakeExcess();
+  BOOST_TEST((excess.tenant == TenantId("flood")));
+  BOOST_TEST((excess.id == CallId(9)));
+}
+
+BOOST_AUTO_TEST_CASE(TakeDueBy_Deadlines_OnlyThoseReached) {
+  Add("a", 50);
+  Add("b", 20);
+  const TimePoint at = TimePoint() + std::chrono::milliseconds(20);
+  BOOST_TEST(queue.TakeDueBy(at).has_value());
+  BOOST_TEST(!queue.TakeDueBy(at).has_value());
+  BOOST_TEST(queue.size() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace jacinthdeck
--- a/test/jacinthdeck/query/engine_test.cc
+++ b/test/jacinthdeck/query/engine_test.cc
@@ -97,6 +97,31 @@
   BOOST_TEST((clock.Now() < start + kDeadline));
 }
 
+// A target is silent and the other replicas are busy. A hedge never waits for a
+// place, so the shard asks for a retry, which does: the caller gets a whole
+// answer and not one without the shard.
+BOOST_AUTO_TEST_CASE(Engine_SilentTargetAndOthersBusy_RetryWaitsForAPlace) {
+  for (TargetInfo& target : targets) {
+    target.slots = 1;
+  }
+  EngineFixture tight;
+  tight.router = Router(1);
+  tight.router.SetTargets(targets, tight.clock.Now());
+  Method lookup = Claim();
+  lookup.repeat = Repeat::kIdempotent;
+  for (std::size_t i = 0; i < kReplicas; ++i) {
+    (void)tight.Submit(lookup);
+  }
+  const auto sends = tight.TakeSends();
+  BOOST_REQUIRE(sends.size() == kReplicas);
+  tight.Advance(kDeadline * 4 / 5);
+  BOOST_TEST(tight.effects.sends.empty());
+  tight.Reply(Answered(sends[1]));
+  BOOST_REQUIRE(!tight.effects.sends.empty());
+  BOOST_TEST((tight.effects.sends[0].kind == AttemptKind::kRetry));
+  BOOST_TEST((tight.effects.sends[0].target == sends[1].target));
+}
+
 // Every target is at its limit. The next call waits for a place and takes it
 // when an attempt of another call finishes.
 BOOST_AUTO_TEST_CASE(Engine_TargetsAtLimit_AttemptWaitsForAFreedPlace) {
--- a/test/jacinthdeck/query/fleet_fixture.h
+++ b/test/jacinthdeck/query/fleet_fixture.h
@@ -18,6 +18,7 @@
 struct FleetFixture : EngineFixture {
   TargetFleet fleet;
   std::map<CallId, Answer> answers;
+  std::map<CallId, TimePoint> answered_at;
 
   explicit FleetFixture(std::uint64_t seed = 1,
                         const FleetOptions& options = {},
@@ -49,10 +50,15 @@
 
   //! Hands effects to the targets and keeps the answers.
   void Flush() {
+    for (const SendAttempt& send : effects.sends) {
+      BOOST_TEST_REQUIRE(
+          (router.FindTarget(send.target)->state == TargetState::kLive));
+    }
     fleet.Take(effects, clock.Now());
     for (DeliverAnswer& answer : effects.answers) {
       BOOST_TEST_REQUIRE(!answers.contains(answer.call));
       answers.emplace(answer.call, std::move(answer.answer));
+      answered_at.emplace(answer.call, clock.Now());
     }
     effects.sends.clear();
     effects.cancels.clear();
--- a/test/jacinthdeck/query/target_fleet.h
+++ b/test/jacinthdeck/query/target_fleet.h
@@ -38,6 +38,8 @@
   std::set<Fingerprint> deadly;
   //! Kills so far, by fingerprint.
   std::map<Fingerprint, std::size_t> kills;
+  //! Share of requests that end in a way drawn from all of them.
+  double fault_rate = 0;
   //! Targets that accept and never answer.
   std::set<TargetId> silent;
   //! Requests that began to run, by call.
@@ -95,15 +97,16 @@
     reply.version = send.version;
     reply.range = send.range;
     if (status == AttemptStatus::kAnswered) {
-      reply.hits = {Hit{"h" + std::to_string(send.range.begin), 1, "{}"}};
+      reply.hits = {Hit{"h" + std::to_string(send.range.begin), 1,
+                        std::to_string(send.version.raw())}};
       reply.count = 1;
     }
     return reply;
   }
 
   std::vector<AttemptReply> Arrive(const SendAttempt& send, TimePoint now) {
-    if (m_cancelled.erase(send.attempt) > 0) {
-      return {};
+    if (m_random.Unit() < fault_rate) {
+      return Fault(send);
     }
     Target& target = m_targets[send.target];
     if (silent.contains(send.target)) {
@@ -120,6 +123,22 @@
     return {};
   }
 
+  std::vector<AttemptReply> Fault(const SendAttempt& send) {
+    constexpr AttemptStatus kFaults[] = {
+        AttemptStatus::kShed,       AttemptStatus::kNotSent,
+        AttemptStatus::kWrongRange, AttemptStatus::kVersionGone,
+        AttemptStatus::kLost,       AttemptStatus::kFailed,
+        AttemptStatus::kTimedOut,   AttemptStatus::kAnswered};
+    AttemptReply reply = Ended(send, kFaults[m_random.Below(8)]);
+    if (!ProvesNotRun(reply.status)) {
+      ++runs[send.call];
+    }
+    if (reply.status == AttemptStatus::kAnswered) {
+      reply.version = IndexVersion(send.version.raw() + 1);
+    }
+    return {reply};
+  }
+
   std::vector<AttemptReply> Begin(Target& target,
                                   const SendAttempt& send,
                                   TimePoint now) {
@@ -193,7 +212,6 @@
   FleetOptions m_options;
   std::multimap<TimePoint, Event> m_events;
   std::map<TargetId, Target> m_targets;
-  std::set<AttemptId> m_cancelled;
 };
 
 }  // namespace jacinthdeck
