--- a/src/jacinthdeck/platform/fwd.h
+++ b/src/jacinthdeck/platform/fwd.h
@@ -14,8 +14,8 @@
 struct HttpAnswer;
 struct HttpCall;
 struct HttpEndpoint;
+struct HttpHeader;
 struct JsonDeleter;
-struct StoreItem;
 struct StorePut;
 struct StoreWrite;
 
--- a/src/jacinthdeck/platform/host_list_reader.cc
+++ b/src/jacinthdeck/platform/host_list_reader.cc
@@ -16,7 +16,7 @@
 
 namespace jacinthdeck {
 
-namespace internal {
+namespace {
 
 constexpr std::uint64_t kMaxPerTarget = 100000;
 constexpr std::uint64_t kMaxOpenMicroseconds = 60'000'000;
@@ -91,7 +91,7 @@
   return info;
 }
 
-}  // namespace internal
+}  // namespace
 
 Result<std::vector<TargetInfo>> ReadHostList(std::string_view text,
                                              std::string_view subject) {
@@ -101,7 +101,7 @@
   std::vector<TargetInfo> targets;
   std::set<TargetId> ids;
   for (const JsonReader& host : hosts) {
-    BOOST_LEAF_AUTO(info, internal::ReadHost(host));
+    BOOST_LEAF_AUTO(info, ReadHost(host));
     if (!ids.insert(info.id).second) {
       return Fail(ErrorCode::kCorrupt, host.path() + ".id",
                   "stands twice, expected distinct targets");
--- a/src/jacinthdeck/platform/http_client.cc
+++ b/src/jacinthdeck/platform/http_client.cc
@@ -15,7 +15,7 @@
 
 namespace jacinthdeck {
 
-namespace internal {
+namespace {
 
 /*! \brief Prepares the client library once in the process. */
 class ClientLibrary {
@@ -64,7 +64,7 @@
   _u_response m_response{};
 };
 
-}  // namespace internal
+}  // namespace
 
 std::string HttpEndpoint::ToString() const {
   return address + ":" + std::to_string(port);
@@ -91,12 +91,12 @@
 
 HttpClient::HttpClient(HttpEndpoint endpoint)
     : m_endpoint(std::move(endpoint)) {
-  static const internal::ClientLibrary kLibrary;
-  static_cast<void>(kLibrary);
+  static const ClientLibrary library;
+  static_cast<void>(library);
 }
 
 Result<HttpAnswer> HttpClient::Call(const HttpCall& call) const {
-  internal::Exchange exchange;
+  Exchange exchange;
   const std::string url = "http://" + m_endpoint.ToString() + call.path;
   const auto seconds =
       std::chrono::ceil<std::chrono::seconds>(call.timeout).count();
@@ -104,14 +104,17 @@
       &exchange.request(), U_OPT_HTTP_VERB, call.verb.c_str(), U_OPT_HTTP_URL,
       url.c_str(), U_OPT_TIMEOUT, static_cast<unsigned long>(seconds),
       U_OPT_FOLLOW_REDIRECT, 0, U_OPT_NONE);
+  for (const HttpHeader& header : call.headers) {
+    u_map_put(exchange.request().map_header, header.name.c_str(),
+              header.value.c_str());
+  }
   if (!call.body.empty()) {
     ulfius_set_binary_body_request(&exchange.request(), call.body.data(),
                                    call.body.size());
   }
-  internal::BodyCollector collector;
+  BodyCollector collector;
   const int status = ulfius_send_http_streaming_request(
-      &exchange.request(), &exchange.response(), &internal::CollectBody,
-      &collector);
+      &exchange.request(), &exchange.response(), &CollectBody, &collector);
   if (collector.too_large) {
     return Fail(ErrorCode::kTooLarge, m_endpoint.ToString() + call.path,
                 "reply is above " + std::to_string(kMaxJsonBytes) + " bytes");
--- a/src/jacinthdeck/platform/http_client.h
+++ b/src/jacinthdeck/platform/http_client.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "jacinthdeck/core/result.h"
 #include "jacinthdeck/core/time.h"
@@ -31,12 +32,19 @@
   [[nodiscard]] static Result<HttpEndpoint> Parse(std::string_view text);
 };
 
+/*! \brief One header of a call. */
+struct HttpHeader {
+  std::string name;
+  std::string value;
+};
+
 /*! \brief One call. */
 struct HttpCall {
   std::string verb = "GET";
   //! Path and query, percent-encoded.
   std::string path = "/";
   std::string body = {};
+  std::vector<HttpHeader> headers = {};
   //! Longest time for the whole call; the client library rounds it up to whole
   //! seconds.
   Duration timeout = std::chrono::seconds(1);
@@ -46,6 +54,7 @@
 struct HttpAnswer {
   long status = 0;
   std::string body = {};
+  std::vector<HttpHeader> headers = {};
 };
 
 /**
--- a/src/jacinthdeck/platform/http_store_client.cc
+++ b/src/jacinthdeck/platform/http_store_client.cc
@@ -11,7 +11,7 @@
 
 namespace jacinthdeck {
 
-namespace internal {
+namespace {
 
 constexpr long kOk = 200;
 constexpr long kNoContent = 204;
@@ -72,18 +72,18 @@
   return std::get<0>(std::move(captured));
 }
 
-}  // namespace internal
+}  // namespace
 
 HttpStoreClient::HttpStoreClient(HttpEndpoint endpoint, Duration timeout)
     : m_client(std::move(endpoint)), m_timeout(timeout) {}
 
 Result<std::optional<StoreItem>> HttpStoreClient::Get(const std::string& key) {
-  BOOST_LEAF_AUTO(answer, Read({.path = internal::KeyPath(key)}));
-  if (answer.status == internal::kAbsent) {
+  BOOST_LEAF_AUTO(answer, Read({.path = KeyPath(key)}));
+  if (answer.status == kAbsent) {
     return std::optional<StoreItem>();
   }
-  if (answer.status != internal::kOk) {
-    return internal::UnexpectedStatus(ErrorCode::kCorrupt, answer);
+  if (answer.status != kOk) {
+    return UnexpectedStatus(ErrorCode::kCorrupt, answer);
   }
   BOOST_LEAF_AUTO(item, internal::ReadStoreItem(answer.body));
   return std::optional(std::move(item));
@@ -93,8 +93,8 @@
     const std::string& prefix) {
   BOOST_LEAF_AUTO(answer,
                   Read({.path = "/v1/kv?prefix=" + PercentEncode(prefix)}));
-  if (answer.status != internal::kOk) {
-    return internal::UnexpectedStatus(ErrorCode::kCorrupt, answer);
+  if (answer.status != kOk) {
+    return UnexpectedStatus(ErrorCode::kCorrupt, answer);
   }
   return internal::ReadStoreItems(answer.body);
 }
@@ -106,37 +106,34 @@
                     " bytes, at most " + std::to_string(kMaxStoreValueBytes) +
                     " fit");
   }
-  std::string path = internal::KeyPath(put.key) +
-                     "?prev=" + internal::Number(put.previous.raw());
+  std::string path = KeyPath(put.key) + "?prev=" + Number(put.previous.raw());
   if (put.lease) {
-    path += "&lease=" + internal::Number(put.lease->raw());
+    path += "&lease=" + Number(put.lease->raw());
   }
   BOOST_LEAF_AUTO(answer,
                   Write({.verb = "PUT", .path = path, .body = put.value}));
-  if (answer.status == internal::kAbsent && put.lease) {
+  if (answer.status == kAbsent && put.lease) {
     return Fail(ErrorCode::kNotFound, "lease", "has lapsed");
   }
-  return internal::ReadWriteReply([&]() -> Result<StoreWrite> {
-    if (answer.status != internal::kOk &&
-        answer.status != internal::kConflicting) {
-      return internal::UnexpectedStatus(ErrorCode::kOutcomeUnknown, answer);
+  return ReadWriteReply([&]() -> Result<StoreWrite> {
+    if (answer.status != kOk && answer.status != kConflicting) {
+      return UnexpectedStatus(ErrorCode::kOutcomeUnknown, answer);
     }
     BOOST_LEAF_AUTO(revision, internal::ReadStoreRevision(answer.body));
-    return StoreWrite{answer.status == internal::kOk, revision};
+    return StoreWrite{answer.status == kOk, revision};
   });
 }
 
 Result<StoreWrite> HttpStoreClient::Delete(const std::string& key,
                                            StoreRevision previous) {
-  const std::string path =
-      internal::KeyPath(key) + "?prev=" + internal::Number(previous.raw());
+  const std::string path = KeyPath(key) + "?prev=" + Number(previous.raw());
   BOOST_LEAF_AUTO(answer, Write({.verb = "DELETE", .path = path}));
-  return internal::ReadWriteReply([&]() -> Result<StoreWrite> {
-    if (answer.status == internal::kOk) {
+  return ReadWriteReply([&]() -> Result<StoreWrite> {
+    if (answer.status == kOk) {
       return StoreWrite{true, kNoRevision};
     }
-    if (answer.status != internal::kConflicting) {
-      return internal::UnexpectedStatus(ErrorCode::kOutcomeUnknown, answer);
+    if (answer.status != kConflicting) {
+      return UnexpectedStatus(ErrorCode::kOutcomeUnknown, answer);
     }
     BOOST_LEAF_AUTO(revision, internal::ReadStoreRevision(answer.body));
     return StoreWrite{false, revision};
@@ -147,42 +144,41 @@
                                                         StoreRevision after,
                                                         Duration timeout) {
   const std::string path = "/v1/watch/" + PercentEncode(key) +
-                           "?after=" + internal::Number(after.raw()) +
-                           "&timeout_ms=" + internal::Milliseconds(timeout);
+                           "?after=" + Number(after.raw()) +
+                           "&timeout_ms=" + Milliseconds(timeout);
   BOOST_LEAF_AUTO(answer, Read({.path = path, .timeout = timeout + m_timeout}));
-  if (answer.status == internal::kNoContent) {
+  if (answer.status == kNoContent) {
     return std::optional<StoreItem>();
   }
-  if (answer.status == internal::kAbsent) {
+  if (answer.status == kAbsent) {
     return Fail(ErrorCode::kNotFound, key, "is gone");
   }
-  if (answer.status != internal::kOk) {
-    return internal::UnexpectedStatus(ErrorCode::kCorrupt, answer);
+  if (answer.status != kOk) {
+    return UnexpectedStatus(ErrorCode::kCorrupt, answer);
   }
   BOOST_LEAF_AUTO(item, internal::ReadStoreItem(answer.body));
   return std::optional(std::move(item));
 }
 
 Result<LeaseId> HttpStoreClient::GrantLease(Duration ttl) {
-  const std::string path = "/v1/lease?ttl_ms=" + internal::Milliseconds(ttl);
+  const std::string path = "/v1/lease?ttl_ms=" + Milliseconds(ttl);
   BOOST_LEAF_AUTO(answer, Write({.verb = "POST", .path = path}));
-  return internal::ReadWriteReply([&]() -> Result<LeaseId> {
-    if (answer.status != internal::kOk) {
-      return internal::UnexpectedStatus(ErrorCode::kOutcomeUnknown, answer);
+  return ReadWriteReply([&]() -> Result<LeaseId> {
+    if (answer.status != kOk) {
+      return UnexpectedStatus(ErrorCode::kOutcomeUnknown, answer);
     }
     return internal::ReadLease(answer.body);
   });
 }
 
 Result<LeaseId> HttpStoreClient::RenewLease(LeaseId lease) {
-  const std::string path =
-      "/v1/lease/" + internal::Number(lease.raw()) + "/renew";
+  const std::string path = "/v1/lease/" + Number(lease.raw()) + "/renew";
   BOOST_LEAF_AUTO(answer, Write({.verb = "POST", .path = path}));
-  if (answer.status == internal::kAbsent) {
+  if (answer.status == kAbsent) {
     return Fail(ErrorCode::kNotFound, "lease", "has lapsed");
   }
-  if (answer.status != internal::kOk) {
-    return internal::UnexpectedStatus(ErrorCode::kOutcomeUnknown, answer);
+  if (answer.status != kOk) {
+    return UnexpectedStatus(ErrorCode::kOutcomeUnknown, answer);
   }
   return lease;
 }
@@ -190,16 +186,15 @@
 Result<HttpAnswer> HttpStoreClient::Read(HttpCall call) const {
   call.timeout = std::max(call.timeout, m_timeout);
   BOOST_LEAF_AUTO(answer, m_client.Call(call));
-  return internal::CheckRefusal(call, std::move(answer));
+  return CheckRefusal(call, std::move(answer));
 }
 
 Result<HttpAnswer> HttpStoreClient::Write(HttpCall call) const {
   call.timeout = m_timeout;
   // Without a complete reply the write may be in force. Calling that a failure
   // makes an operator's accepted change look refused; reading back settles it.
-  BOOST_LEAF_AUTO(
-      answer, internal::ReadWriteReply([&] { return m_client.Call(call); }));
-  return internal::CheckRefusal(call, std::move(answer));
+  BOOST_LEAF_AUTO(answer, ReadWriteReply([&] { return m_client.Call(call); }));
+  return CheckRefusal(call, std::move(answer));
 }
 
 }  // namespace jacinthdeck
--- a/src/jacinthdeck/platform/json.cc
+++ b/src/jacinthdeck/platform/json.cc
@@ -8,7 +8,7 @@
 
 namespace jacinthdeck {
 
-namespace internal {
+namespace {
 
 [[nodiscard]] std::string Dump(const json_t& value, std::size_t flags) {
   const std::unique_ptr<char, decltype(&std::free)> text(
@@ -16,7 +16,7 @@
   return text == nullptr ? std::string() : std::string(text.get());
 }
 
-}  // namespace internal
+}  // namespace
 
 void JsonDeleter::operator()(json_t* value) const noexcept {
   json_decref(value);
@@ -40,12 +40,12 @@
 }
 
 std::string DumpJson(const json_t& value) {
-  return internal::Dump(value, JSON_COMPACT);
+  return Dump(value, JSON_COMPACT);
 }
 
 std::string DumpJsonIndented(const json_t& value) {
   constexpr std::size_t kIndent = 2;
-  return internal::Dump(value, JSON_INDENT(kIndent));
+  return Dump(value, JSON_INDENT(kIndent));
 }
 
 }  // namespace jacinthdeck
--- a/src/jacinthdeck/platform/json_reader.cc
+++ b/src/jacinthdeck/platform/json_reader.cc
@@ -9,7 +9,7 @@
 
 namespace jacinthdeck {
 
-namespace internal {
+namespace {
 
 [[nodiscard]] std::string_view TypeName(const json_t* value) noexcept {
   switch (json_typeof(value)) {
@@ -31,7 +31,7 @@
   return "null";
 }
 
-}  // namespace internal
+}  // namespace
 
 JsonReader::JsonReader(const json_t* value, std::string path)
     : m_value(value), m_path(std::move(path)) {}
@@ -140,7 +140,7 @@
 
 boost::leaf::error_id JsonReader::WrongType(std::string_view expected) const {
   return Fail(ErrorCode::kCorrupt, m_path,
-              "is " + std::string(internal::TypeName(m_value)) + ", expected " +
+              "is " + std::string(TypeName(m_value)) + ", expected " +
                   std::string(expected));
 }
 
--- a/src/jacinthdeck/platform/partition_map_reader.cc
+++ b/src/jacinthdeck/platform/partition_map_reader.cc
@@ -12,7 +12,7 @@
 
 namespace jacinthdeck {
 
-namespace internal {
+namespace {
 
 [[nodiscard]] Result<KeyRange> ReadRange(const JsonReader& shard) {
   BOOST_LEAF_AUTO(bounds, shard.Array("range"));
@@ -93,7 +93,7 @@
   return map;
 }
 
-}  // namespace internal
+}  // namespace
 
 Result<std::vector<PartitionMap>> ReadPartitionMaps(std::string_view text,
                                                     std::string_view subject) {
@@ -105,7 +105,7 @@
   BOOST_LEAF_AUTO(versions, index.Array("versions"));
   std::vector<PartitionMap> maps;
   for (const JsonReader& json : versions) {
-    BOOST_LEAF_AUTO(map, internal::ReadMap(json));
+    BOOST_LEAF_AUTO(map, ReadMap(json));
     if (!maps.empty() && map.version <= maps.back().version) {
       return Fail(ErrorCode::kCorrupt, json.path() + ".version",
                   "is not above the one before it, expected the newest last");
--- a/src/jacinthdeck/platform/store_types.h
+++ b/src/jacinthdeck/platform/store_types.h
@@ -1,4 +1,5 @@
-// What the platform store holds and answers.
+// Writes and leases of the platform store; items and revisions are those of
+// the cluster module.
 #ifndef JACINTHDECK_PLATFORM_STORE_TYPES_H_
 #define JACINTHDECK_PLATFORM_STORE_TYPES_H_
 
@@ -7,12 +8,11 @@
 #include <optional>
 #include <string>
 
+#include "jacinthdeck/cluster/store_call.h"
 #include "jacinthdeck/core/strong_id.h"
 
 namespace jacinthdeck {
 
-/*! \brief Revision of one key; 0 stands for a key that does not exist. */
-using StoreRevision = StrongId<struct StoreRevisionTag, std::uint64_t>;
 /*! \brief A lease of the store. */
 using LeaseId = StrongId<struct LeaseTag, std::uint64_t>;
 
@@ -22,16 +22,6 @@
 //! Most bytes of a value.
 inline constexpr std::size_t kMaxStoreValueBytes = std::size_t{1} << 20U;
 
-/*! \brief A key with its value. */
-struct StoreItem {
-  std::string key;
-  std::string value;
-  //! Above 0.
-  StoreRevision revision;
-
-  [[nodiscard]] bool operator==(const StoreItem&) const = default;
-};
-
 /*! \brief A compare-and-swap write. */
 struct StorePut {
   std::string key;
--- a/standins/http/http_server.cc
+++ b/standins/http/http_server.cc
@@ -104,6 +104,10 @@
       self.connections.Close(client);
       return U_CALLBACK_COMPLETE;
     }
+    if (reply.body.empty()) {
+      ulfius_set_empty_body_response(response, reply.status);
+      return U_CALLBACK_COMPLETE;
+    }
     ulfius_add_header_to_response(response, "Content-Type", "application/json");
     ulfius_set_binary_body_response(response, reply.status, reply.body.data(),
                                     reply.body.size());
--- /dev/null
+++ b/test/jacinthdeck/platform/host_list_reader_test.cc
@@ -0,0 +1,96 @@
+// Tests of the checks on the host list.
+#include "jacinthdeck/platform/host_list_reader.h"
+
+#include <array>
+#include <boost/test/unit_test.hpp>
+#include <string>
+#include <variant>
+
+#include "canned_server.h"
+#include "jacinthdeck/platform/http_host_list_client.h"
+
+namespace jacinthdeck {
+
+struct HostListFixture {
+  const std::string host =
+      R"({"id":"a","service":"S","domain":"d","address":"127.0.0.1",)"
+      R"("port":4000,"state":"live","slots":3,"connections":30,"open_us":6000})";
+
+  //! The host with one piece of its text replaced.
+  [[nodiscard]] std::string With(const std::string& from,
+                                 const std::string& to) const {
+    std::string changed = host;
+    return changed.replace(changed.find(from), from.size(), to);
+  }
+
+  [[nodiscard]] static std::variant<std::vector<TargetInfo>, Error> Read(
+      const std::string& hosts) {
+    return Capture([&] {
+      return ReadHostList(R"({"hosts":[)" + hosts + "]}", "host list");
+    });
+  }
+};
+
+BOOST_FIXTURE_TEST_SUITE(HostListReaderTest, HostListFixture)
+
+BOOST_AUTO_TEST_CASE(ReadHostList_OneHost_GivesItsTarget) {
+  const auto read = Read(host);
+  BOOST_REQUIRE(read.index() == 0U);
+  const TargetInfo expected{.id = TargetId("a"),
+                            .service = ServiceId("S"),
+                            .domain = FailureDomain("d"),
+                            .address = "127.0.0.1",
+                            .port = 4000,
+                            .state = TargetState::kLive,
+                            .slots = 3,
+                            .connections = 30,
+                            .open_cost = std::chrono::milliseconds(6)};
+  BOOST_TEST((std::get<0>(read).at(0) == expected));
+}
+
+BOOST_AUTO_TEST_CASE(ReadHostList_WrongMember_IsCorruptAndNamed) {
+  for (const auto& [from, to, member] :
+       std::initializer_list<std::array<std::string, 3>>{
+           {R"("a")", R"("")", "id"},
+           {R"("127.0.0.1")", R"("localhost")", "address"},
+           {"4000", "0", "port"},
+           {"4000", "65536", "port"},
+           {"4000", R"("4000")", "port"},
+           {"live", "alive", "state"},
+           {R"("slots":3)", R"("slots":0)", "slots"},
+           {R"("slots":3,)", "", "slots"},
+           {"30", "-1", "connections"},
+           {"6000", "1.5", "open_us"}}) {
+    BOOST_TEST_CONTEXT(from << " -> " << to) {
+      const auto read = Read(With(from, to));
+      BOOST_REQUIRE(read.index() == 1U);
+      BOOST_TEST((std::get<Error>(read).code == ErrorCode::kCorrupt));
+      BOOST_TEST(std::get<Error>(read).subject ==
+                 "host list.hosts[0]." + member);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(ReadHostList_IdStandsTwice_IsRefused) {
+  BOOST_TEST(Read(host + "," + host).index() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(Fetch_ServerInOutage_IsUnavailable) {
+  const CannedServer canned(503, "{}");
+  HttpHostListClient client(canned.endpoint(), std::chrono::seconds(5));
+  const auto fetched = Capture([&] { return client.Fetch(); });
+  BOOST_REQUIRE(fetched.index() == 1U);
+  BOOST_TEST((std::get<Error>(fetched).code == ErrorCode::kUnavailable));
+}
+
+BOOST_AUTO_TEST_CASE(Fetch_LiveServer_GivesTheTargets) {
+  const CannedServer canned(200, R"({"hosts":[)" + host + "]}");
+  HttpHostListClient client(canned.endpoint(), std::chrono::seconds(5));
+  const auto fetched = Capture([&] { return client.Fetch(); });
+  BOOST_REQUIRE(fetched.index() == 0U);
+  BOOST_TEST(std::get<0>(fetched).size() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace jacinthdeck
--- /dev/null
+++ b/test/standins/target_test.cc
@@ -0,0 +1,97 @@
+// Tests of the stand-in targets: what the proofs of other tests rest on.
+#include "target/target.h"
+
+#include <boost/test/unit_test.hpp>
+#include <memory>
+#include <string>
+#include <variant>
+
+#include "jacinthdeck/platform/http_client.h"
+
+namespace jacinthdeck::standins {
+
+struct TargetFixture {
+  TargetFixture() {
+    target.SetHoldings({{IndexVersion(7), {KeyRange{0, kKeySpaceEnd / 2}}},
+                        {IndexVersion(8), {}}});
+    target.SetBehaviour(fast);
+  }
+
+  RunLog log;
+  Target target{{.id = TargetId("a"),
+                 .service = ServiceId("S"),
+                 .domain = FailureDomain("d"),
+                 .address = "127.0.0.1",
+                 .port = 1,
+                 .state = TargetState::kLive,
+                 .slots = 1,
+                 .connections = 4,
+                 .open_cost = {}},
+                0,
+                std::make_shared<const Dataset>(ServiceId("S"), 1000, 1),
+                log,
+                1};
+  Behaviour fast;
+
+  //! HTTP status, or 0 where the connection ended without a reply.
+  [[nodiscard]] long Query(const std::string& request, int version = 7) {
+    const HttpClient client({"127.0.0.1", target.port()});
+    const HttpCall call{
+        .verb = "POST",
+        .path = "/query",
+        .body = R"({"method":"M","version":)" + std::to_string(version) +
+                R"(,"range":[0,1000],"request":)" + request + "}",
+        .headers = {{"X-Attempt", "1"}, {"X-Deadline-Ms", "5000"}},
+        .timeout = std::chrono::seconds(5)};
+    const auto answer = Capture([&] { return client.Call(call); });
+    return answer.index() == 0 ? std::get<0>(answer).status : 0;
+  }
+};
+
+BOOST_FIXTURE_TEST_SUITE(TargetTest, TargetFixture)
+
+BOOST_AUTO_TEST_CASE(Query_HeldRange_IsAnsweredAndLogged) {
+  BOOST_TEST(Query(R"({"text":"x"})") == 200);
+  BOOST_REQUIRE(log.Find("M").size() == 1U);
+  BOOST_TEST(log.Find("M")[0].runs.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(Query_RangeOrVersionNotHeld_IsRefusedAndNotRun) {
+  BOOST_TEST(Query("{}", 8) == 409);
+  BOOST_TEST(Query("{}", 6) == 410);
+  BOOST_TEST(log.total() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(Query_DrainingOrCold_IsShedAndNotRun) {
+  Behaviour draining = fast;
+  draining.draining = true;
+  target.SetBehaviour(draining);
+  BOOST_TEST(Query("{}") == 503);
+  Behaviour cold = fast;
+  cold.cold_for = std::chrono::hours(1);
+  target.SetBehaviour(cold);
+  BOOST_TEST(Query("{}") == 503);
+  BOOST_TEST(log.total() == 0U);
+}
+
+// The caller sees a connection that ends without a reply. The request runs,
+// brings the target down, and the target takes nothing until it has restarted.
+BOOST_AUTO_TEST_CASE(Query_CrashingRequest_RunsOnceAndTakesTheTargetDown) {
+  Behaviour fragile = fast;
+  fragile.crash_on = "poison";
+  fragile.restart = std::chrono::hours(1);
+  target.SetBehaviour(fragile);
+  BOOST_TEST(Query(R"({"text":"poison"})") == 0);
+  BOOST_TEST(Query(R"({"text":"innocent"})") == 0);
+  BOOST_TEST(log.total() == 1U);
+  BOOST_TEST(target.counts().crashes == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(Query_MalformedBody_IsRefusedAndNotRun) {
+  BOOST_TEST(Query("7") == 400);
+  BOOST_TEST(log.total() == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace jacinthdeck::standins
