Add jacinthdeckctl, its page, and the pages of platform and stand-ins

The command line checks schemas locally, carries a change through by one operation id until its end is known, and has documented exit codes. A query or change without a reply is unknown, not failed. Protocols: watches on missing keys, GET /v1/config, rollback_to and what 413, 429, 503 prove.

--- /dev/null
+++ b/src/daemons/ctl/arguments.h
@@ -0,0 +1,51 @@
+// The command line of jacinthdeckctl.
+#ifndef JACINTHDECK_DAEMONS_CTL_ARGUMENTS_H_
+#define JACINTHDECK_DAEMONS_CTL_ARGUMENTS_H_
+
+#include <cstdint>
+#include <optional>
+#include <ostream>
+#include <string>
+#include <vector>
+
+#include "jacinthdeck/core/result.h"
+#include "jacinthdeck/core/time.h"
+#include "jacinthdeck/platform/http_client.h"
+
+namespace jacinthdeck::ctl {
+
+/*! \brief A command line after its checks. */
+struct Arguments {
+  bool help = false;
+  bool version = false;
+  bool json = false;
+  HttpEndpoint operators;
+  HttpEndpoint callers;
+  Duration timeout{};
+  //! How long a change may stay pending before the command gives up.
+  Duration wait{};
+  //! Words of the command and its operands.
+  std::vector<std::string> words;
+  //! Empty: chosen by the command.
+  std::string operation;
+  std::optional<std::uint64_t> expected;
+  std::string tenant;
+  std::string request_id;
+  std::optional<std::uint64_t> deadline_ms;
+};
+
+/*! \brief Prints the options for the help text. */
+void PrintOptions(std::ostream& out);
+
+/**
+ * \brief Reads a command line.
+ * \param argc Count of arguments.
+ * \param argv Arguments; the first is the program.
+ * \return The arguments; kInvalidArgument with what is wrong.
+ */
+[[nodiscard]] Result<Arguments> ReadArguments(int argc,
+                                              const char* const* argv);
+
+}  // namespace jacinthdeck::ctl
+
+#endif  // JACINTHDECK_DAEMONS_CTL_ARGUMENTS_H_
--- /dev/null
+++ b/src/daemons/ctl/command.cc
@@ -0,0 +1,84 @@
+// Table of commands.
+#include "ctl/command.h"
+
+#include <algorithm>
+#include <array>
+#include <limits>
+
+#include "ctl/config_commands.h"
+#include "ctl/entry_commands.h"
+#include "ctl/quarantine_commands.h"
+#include "ctl/query_command.h"
+#include "ctl/schema_commands.h"
+
+namespace jacinthdeck::ctl {
+
+namespace {
+
+constexpr std::size_t kAny = std::numeric_limits<std::size_t>::max();
+
+constexpr std::array<Command, 13> kCommands{{
+    {"schema", "check", "FILE", "check a schema file without sending it", 1, 1,
+     &SchemaCheck},
+    {"schema", "apply", "FILE", "put a schema file in force", 1, 1,
+     &SchemaApply},
+    {"schema", "show", "", "print the schema in force", 0, 0, &SchemaShow},
+    {"config", "get", "[KEY]", "print the settings in force", 0, 1, &ConfigGet},
+    {"config", "set", "KEY=VALUE...", "change settings; KEY= removes one", 1,
+     kAny, &ConfigSet},
+    {"config", "history", "", "print former revisions", 0, 0, &ConfigHistory},
+    {"config", "rollback", "REVISION",
+     "put a former revision in force, as a new revision", 1, 1,
+     &ConfigRollback},
+    {"status", "", "", "print what the entry knows and does", 0, 0,
+     &ShowStatus},
+    {"entries", "", "", "print the addresses for callers", 0, 0, &ShowEntries},
+    {"query", "", "SERVICE/METHOD JSON", "ask one request", 2, 2, &Query},
+    {"drain", "", "", "make the entry leave: no new work, finish the rest", 0,
+     0, &Drain},
+    {"quarantine", "list", "", "print requests that are refused as crashing", 0,
+     0, &QuarantineList},
+    {"quarantine", "clear", "FINGERPRINT", "let a request run again", 1, 1,
+     &QuarantineClear},
+}};
+
+[[nodiscard]] bool Names(const Command& command,
+                         const std::vector<std::string>& words) {
+  return words.size() >= command.words() && words[0] == command.group &&
+         (command.name.empty() || words[1] == command.name);
+}
+
+}  // namespace
+
+std::span<const Command> Commands() {
+  return kCommands;
+}
+
+const Command* FindCommand(const std::vector<std::string>& words) {
+  const auto found = std::ranges::find_if(
+      kCommands, [&](const Command& command) { return Names(command, words); });
+  if (found == kCommands.end()) {
+    return nullptr;
+  }
+  const std::size_t operands = words.size() - found->words();
+  const bool fits =
+      operands >= found->min_operands && operands <= found->max_operands;
+  return fits ? &*found : nullptr;
+}
+
+void PrintHelp(std::ostream& out) {
+  constexpr std::size_t kColumn = 34;
+  out << "Usage: jacinthdeckctl [options] COMMAND\n\nCommands:\n";
+  for (const Command& command : kCommands) {
+    std::string line = "  " + std::string(command.group);
+    for (const std::string_view part : {command.name, command.operands}) {
+      line += part.empty() ? "" : " " + std::string(part);
+    }
+    line.resize(std::max(line.size() + 1, kColumn), ' ');
+    out << line << command.help << "\n";
+  }
+  out << "\n";
+  PrintOptions(out);
+}
+
+}  // namespace jacinthdeck::ctl
--- /dev/null
+++ b/src/daemons/ctl/query_command.cc
@@ -0,0 +1,151 @@
+// One request and its answer, for people and scripts.
+#include "ctl/query_command.h"
+
+#include <jansson.h>
+
+#include <algorithm>
+#include <iomanip>
+#include <optional>
+#include <variant>
+
+#include "jacinthdeck/core/outcome.h"
+#include "jacinthdeck/platform/json_reader.h"
+#include "jacinthdeck/query/key_range.h"
+
+namespace jacinthdeck::ctl {
+
+namespace {
+
+constexpr const char* kMayHaveRun = "; it may or may not have run";
+constexpr const char* kAskAgain =
+    "send it again with the same --request-id to learn its end; with another "
+    "id it may run twice";
+
+[[nodiscard]] HttpCall MakeCall(const Arguments& arguments,
+                                const std::vector<std::string>& operands) {
+  HttpCall call{
+      .verb = "POST", .path = "/v1/" + operands[0], .body = operands[1]};
+  if (!arguments.tenant.empty()) {
+    call.headers.push_back({"X-Tenant", arguments.tenant});
+  }
+  if (!arguments.request_id.empty()) {
+    call.headers.push_back({"X-Request-Id", arguments.request_id});
+  }
+  if (arguments.deadline_ms) {
+    call.headers.push_back(
+        {"X-Deadline-Ms", std::to_string(*arguments.deadline_ms)});
+  }
+  return call;
+}
+
+[[nodiscard]] std::uint64_t KeysIn(const json_t* ranges) {
+  std::uint64_t keys = 0;
+  for (std::size_t index = 0; index < json_array_size(ranges); ++index) {
+    const json_t* range = json_array_get(ranges, index);
+    const auto begin = json_integer_value(json_array_get(range, 0));
+    const auto end = json_integer_value(json_array_get(range, 1));
+    keys += static_cast<std::uint64_t>(end - begin);
+  }
+  return keys;
+}
+
+[[nodiscard]] std::string Text(const json_t& answer, const char* member) {
+  const json_t* value = json_object_get(&answer, member);
+  if (value == nullptr || json_is_null(value)) {
+    return "-";
+  }
+  return json_is_string(value) ? std::string(json_string_value(value))
+                               : DumpJson(*value);
+}
+
+void PrintHits(const json_t* hits, std::ostream& out) {
+  for (std::size_t index = 0; index < json_array_size(hits); ++index) {
+    const json_t* hit = json_array_get(hits, index);
+    out << "  " << Text(*hit, "id") << "  " << std::fixed
+        << std::setprecision(3)
+        << json_number_value(json_object_get(hit, "score")) << "  "
+        << Text(*hit, "data") << "\n";
+  }
+}
+
+void PrintAnswer(const json_t& answer, std::ostream& out) {
+  const std::uint64_t covered = KeysIn(json_object_get(&answer, "covered"));
+  const std::uint64_t missing = KeysIn(json_object_get(&answer, "missing"));
+  out << "outcome   " << Text(answer, "outcome") << "\n";
+  if (Text(answer, "reason") != "none") {
+    out << "reason    " << Text(answer, "reason") << "\n";
+  }
+  out << "ran       " << Text(answer, "ran") << "\n"
+      << "version   " << Text(answer, "version") << "\n";
+  if (covered + missing > 0) {
+    const double share = 100.0 * static_cast<double>(covered) /
+                         static_cast<double>(covered + missing);
+    out << "coverage  " << std::fixed << std::setprecision(2) << share
+        << "% of the keys asked for\n";
+  }
+  if (missing > 0) {
+    out << "missing   " << Text(answer, "missing") << "\n";
+  }
+  out << "attempts  " << Text(answer, "attempts") << " (hedges "
+      << Text(answer, "hedges") << ", retries " << Text(answer, "retries")
+      << ")\n"
+      << "count     " << Text(answer, "count") << "\n"
+      << "hits\n";
+  PrintHits(json_object_get(&answer, "hits"), out);
+}
+
+[[nodiscard]] std::string NextStep(const json_t& answer) {
+  const json_t* after = json_object_get(&answer, "retry_after_ms");
+  return json_is_integer(after)
+             ? "come back in " + std::to_string(json_integer_value(after)) +
+                   " ms, or ask another of `entries`"
+             : "ask another of `entries`";
+}
+
+ExitCode Report(Session& session, const DaemonReply& reply) {
+  const auto outcome = kOutcomeNames.Find(Text(*reply.body, "outcome"));
+  if (!outcome) {
+    return session.FailReply(reply);
+  }
+  if (session.arguments().json) {
+    session.Print(*reply.body);
+  } else {
+    PrintAnswer(*reply.body, session.out());
+  }
+  switch (*outcome) {
+    case Outcome::kWhole:
+      return ExitCode::kDone;
+    case Outcome::kPartial:
+      return ExitCode::kPartial;
+    case Outcome::kNotRun:
+      return session.Fail(ExitCode::kRefused, "refused and not run",
+                          NextStep(*reply.body));
+    case Outcome::kUnknown:
+      break;
+  }
+  return session.Fail(ExitCode::kUnknown,
+                      std::string("unknown end") + kMayHaveRun, kAskAgain);
+}
+
+}  // namespace
+
+ExitCode Query(Session& session, const std::vector<std::string>& operands) {
+  const auto& target = operands[0];
+  if (std::ranges::count(target, '/') != 1 || target.front() == '/' ||
+      target.back() == '/') {
+    return session.Fail(ExitCode::kUsage, target + ": names no call",
+                        "write SERVICE/METHOD; `schema show` lists them");
+  }
+  const auto called = Capture([&] {
+    return session.CallCallers(MakeCall(session.arguments(), operands));
+  });
+  if (const auto* error = std::get_if<Error>(&called)) {
+    // A lost reply looks like this too, so "not run" would be a guess.
+    return session.Fail(ExitCode::kUnknown,
+                        error->subject + ": " + error->message + kMayHaveRun,
+                        kAskAgain);
+  }
+  return Report(session, std::get<0>(called));
+}
+
+}  // namespace jacinthdeck::ctl
--- /dev/null
+++ b/src/daemons/ctl/query_command.h
@@ -0,0 +1,25 @@
+// The command that asks one request.
+#ifndef JACINTHDECK_DAEMONS_CTL_QUERY_COMMAND_H_
+#define JACINTHDECK_DAEMONS_CTL_QUERY_COMMAND_H_
+
+#include <string>
+#include <vector>
+
+#include "ctl/exit_code.h"
+#include "ctl/session.h"
+
+namespace jacinthdeck::ctl {
+
+/**
+ * \brief Sends one request to the caller port and prints the answer with its
+ * coverage.
+ * \param session Session.
+ * \param operands `SERVICE/METHOD` and the request as JSON.
+ * \return kDone for a whole answer, kPartial for a partial one, kRefused for
+ * one that was not run, kUnknown where it may have run.
+ */
+ExitCode Query(Session& session, const std::vector<std::string>& operands);
+
+}  // namespace jacinthdeck::ctl
+
+#endif  // JACINTHDECK_DAEMONS_CTL_QUERY_COMMAND_H_
--- /dev/null
+++ b/src/daemons/jacinthdeckctl.cc
@@ -0,0 +1,50 @@
+// The operators' command line.
+#include <iostream>
+#include <thread>
+#include <variant>
+
+#include "ctl/command.h"
+#include "jacinthdeck/runtime/steady_clock.h"
+
+namespace jacinthdeck::ctl {
+
+namespace {
+
+constexpr const char* kVersion = "jacinthdeckctl 0.1.0\n";
+
+[[nodiscard]] ExitCode Run(const Arguments& arguments) {
+  if (arguments.help) {
+    PrintHelp(std::cout);
+    return ExitCode::kDone;
+  }
+  if (arguments.version) {
+    std::cout << kVersion;
+    return ExitCode::kDone;
+  }
+  const Command* command = FindCommand(arguments.words);
+  if (command == nullptr) {
+    std::cerr << "error: no such command\n\n";
+    PrintHelp(std::cerr);
+    return ExitCode::kUsage;
+  }
+  const SteadyClock clock;
+  const auto sleep = [](Duration time) { std::this_thread::sleep_for(time); };
+  Session session(arguments, clock, sleep, std::cout, std::cerr);
+  return command->run(session, session.Operands(command->words()));
+}
+
+}  // namespace
+
+}  // namespace jacinthdeck::ctl
+
+int main(int argc, char** argv) {
+  using jacinthdeck::ctl::ExitCode;
+  const auto read = jacinthdeck::Capture(
+      [&] { return jacinthdeck::ctl::ReadArguments(argc, argv); });
+  if (const auto* error = std::get_if<jacinthdeck::Error>(&read)) {
+    std::cerr << "error: " << error->subject << ": " << error->message
+              << "\nnext:  see --help\n";
+    return static_cast<int>(ExitCode::kUsage);
+  }
+  return static_cast<int>(jacinthdeck::ctl::Run(std::get<0>(read)));
+}
--- a/src/jacinthdeck/platform/http_client.cc
+++ b/src/jacinthdeck/platform/http_client.cc
@@ -120,8 +120,9 @@
                 "reply is above " + std::to_string(kMaxJsonBytes) + " bytes");
   }
   if (status != U_OK) {
-    return Fail(ErrorCode::kUnavailable, m_endpoint.ToString() + call.path,
-                "no complete reply within " + std::to_string(seconds) + " s");
+    return Fail(
+        ErrorCode::kUnavailable, m_endpoint.ToString() + call.path,
+        "no complete reply; waited at most " + std::to_string(seconds) + " s");
   }
   return HttpAnswer{exchange.response().status, std::move(collector.body)};
 }
--- a/standins/hostlist_main.cc
+++ b/standins/hostlist_main.cc
@@ -8,8 +8,8 @@
 #include <variant>
 
 #include "hostlist/host_list_server.h"
+#include "jacinthdeck/runtime/steady_clock.h"
 #include "process/process.h"
-#include "process/steady_clock.h"
 
 namespace jacinthdeck::standins {
 
--- a/standins/store_main.cc
+++ b/standins/store_main.cc
@@ -5,8 +5,8 @@
 
 #include "jacinthdeck/platform/json.h"
 #include "jacinthdeck/platform/json_reader.h"
+#include "jacinthdeck/runtime/steady_clock.h"
 #include "process/process.h"
-#include "process/steady_clock.h"
 #include "store/store_server.h"
 
 namespace jacinthdeck::standins {
