Join queries, routing and cluster on the decision thread

Cause: the cores need one place where events meet. Ruled out: a lock around the cores (every HTTP thread would wait for scatter and gather), effects carried out by the edges.

--- /dev/null
+++ b/src/jacinthdeck/runtime/answer_json.cc
@@ -0,0 +1,106 @@
+// JSON of answers to callers.
+#include "jacinthdeck/runtime/answer_json.h"
+
+#include <jansson.h>
+
+#include <array>
+#include <cmath>
+#include <cstdio>
+#include <cstdlib>
+#include <memory>
+#include <string_view>
+
+namespace jacinthdeck {
+
+namespace {
+
+//! What the caller may believe of its request, by outcome.
+constexpr std::array<std::string_view, 4> kRan{"yes", "yes", "no", "unknown"};
+constexpr std::array<std::uint16_t, 4> kStatus{200, 200, 503, 504};
+
+[[nodiscard]] std::string EncodeNumber(double value) {
+  if (!std::isfinite(value)) {
+    return "0";
+  }
+  std::array<char, 32> text{};
+  const int length = std::snprintf(text.data(), text.size(), "%.17g", value);
+  return std::string(text.data(), static_cast<std::size_t>(length));
+}
+
+void AppendRanges(std::string& out, const std::vector<KeyRange>& ranges) {
+  out += '[';
+  for (const KeyRange& range : ranges) {
+    if (out.back() != '[') {
+      out += ',';
+    }
+    out += '[' + std::to_string(range.begin) + ',' + std::to_string(range.end) +
+           ']';
+  }
+  out += ']';
+}
+
+void AppendHits(std::string& out, const std::vector<Hit>& hits) {
+  out += '[';
+  bool first = true;
+  for (const Hit& hit : hits) {
+    out += first ? "" : ",";
+    first = false;
+    out += R"({"id":)" + QuoteJson(hit.id) + R"(,"score":)" +
+           EncodeNumber(hit.score) + R"(,"data":)" +
+           (hit.data.empty() ? "null" : hit.data) + "}";
+  }
+  out += ']';
+}
+
+}  // namespace
+
+std::string QuoteJson(const std::string& text) {
+  const std::unique_ptr<json_t, decltype(&json_decref)> value(
+      json_stringn(text.data(), text.size()), &json_decref);
+  if (value == nullptr) {
+    return "\"\"";
+  }
+  const std::unique_ptr<char, decltype(&std::free)> quoted(
+      json_dumps(value.get(), JSON_ENCODE_ANY | JSON_COMPACT), &std::free);
+  return quoted == nullptr ? "\"\"" : quoted.get();
+}
+
+EncodedAnswer EncodeAnswer(const std::string& request_id,
+                           const Answer& answer) {
+  const auto outcome = static_cast<std::size_t>(answer.outcome);
+  std::string out = R"({"request_id":)" + QuoteJson(request_id);
+  out += R"(,"outcome":")" + std::string(kOutcomeNames.Name(answer.outcome));
+  out += R"(","reason":")" +
+         std::string(kAnswerReasonNames.Name(answer.reason)) + '"';
+  if (answer.version) {
+    out += R"(,"version":)" + std::to_string(answer.version->raw());
+  }
+  out += R"(,"covered":)";
+  AppendRanges(out, answer.covered);
+  out += R"(,"missing":)";
+  AppendRanges(out, answer.missing);
+  out += R"(,"hits":)";
+  AppendHits(out, answer.hits);
+  out += R"(,"count":)" + std::to_string(answer.count);
+  out += R"(,"attempts":)" + std::to_string(answer.attempts);
+  out += R"(,"hedges":)" + std::to_string(answer.hedges);
+  out += R"(,"retries":)" + std::to_string(answer.retries);
+  out += R"(,"ran":")" + std::string(kRan[outcome]) + '"';
+  if (answer.retry_after) {
+    out += R"(,"retry_after_ms":)" +
+           std::to_string(
+               std::chrono::ceil<std::chrono::milliseconds>(*answer.retry_after)
+                   .count());
+  }
+  out += '}';
+  return EncodedAnswer{kStatus[outcome], std::move(out)};
+}
+
+std::string EncodeError(const Error& error) {
+  return R"({"error":{"code":")" +
+         std::string(kErrorCodeNames.Name(error.code)) + R"(","field":)" +
+         QuoteJson(error.subject) + R"(,"message":)" +
+         QuoteJson(error.message) + R"(},"ran":"no"})";
+}
+
+}  // namespace jacinthdeck
--- /dev/null
+++ b/src/jacinthdeck/runtime/decision_core.cc
@@ -0,0 +1,340 @@
+// The decisions of one node joined together.
+#include "jacinthdeck/runtime/decision_core.h"
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+#include "jacinthdeck/runtime/answer_json.h"
+
+namespace jacinthdeck {
+
+namespace {
+
+constexpr Duration kNotReadyComeBack = std::chrono::milliseconds(500);
+constexpr Duration kDrainingComeBack = std::chrono::milliseconds(1);
+//! Attempt ids of one life; the incarnation counts milliseconds, so that a life
+//! would have to send a thousand million requests a second to run into the next
+//! one's ids.
+constexpr unsigned kAttemptBits = 20;
+
+[[nodiscard]] Answer Refusal(AnswerReason reason, Duration come_back) {
+  Answer answer;
+  answer.reason = reason;
+  answer.retry_after = come_back;
+  return answer;
+}
+
+}  // namespace
+
+DecisionCore::DecisionCore(const DecisionOptions& options,
+                           const Clock& clock,
+                           DecisionPorts& ports)
+    : m_clock(clock),
+      m_ports(ports),
+      m_cluster(options.self, options.cluster, options.seed),
+      m_router(options.seed + 1, options.router),
+      m_engine(m_router,
+               options.self.incarnation.raw() << kAttemptBits,
+               options.engine),
+      m_once(m_cluster) {}
+
+TimePoint DecisionCore::NextTimer() const {
+  TimePoint next = m_cluster.NextTimer();
+  if (const auto engine = m_engine.NextTimer()) {
+    next = std::min(next, *engine);
+  }
+  if (const auto once = m_once.NextTimer()) {
+    next = std::min(next, *once);
+  }
+  return next;
+}
+
+void DecisionCore::OnTimer() {
+  const TimePoint now = m_clock.Now();
+  ClusterEffects cluster;
+  m_cluster.OnTimer(now, cluster);
+  Act(cluster, now);
+  m_once.OnTimer(now);
+  Effects effects;
+  m_engine.OnTimer(now, effects);
+  Act(effects, now);
+}
+
+void DecisionCore::OnEvent(DecisionEvent event) {
+  const TimePoint now = m_clock.Now();
+  std::visit([this, now](auto& which) { On(which, now); }, event);
+}
+
+void DecisionCore::Drain() {
+  if (std::exchange(m_draining, true)) {
+    return;
+  }
+  ClusterEffects effects;
+  m_cluster.Leave(effects);
+  Act(effects, m_clock.Now());
+}
+
+void DecisionCore::On(SubmittedCall& call, TimePoint now) {
+  Begin(std::move(call), false, now);
+}
+
+void DecisionCore::Begin(SubmittedCall call, bool forwarded, TimePoint now) {
+  // A forwarded request is bound to this life, so that nobody else may run it;
+  // it is work in flight to a node that leaves.
+  if (m_draining && !forwarded) {
+    call.sink(Refusal(AnswerReason::kDraining, kDrainingComeBack));
+    return;
+  }
+  // Without the check at this very moment a node that was paused, or cut off,
+  // would answer by a revision that the operators were told is gone.
+  if (m_schema == nullptr || m_cluster.StateAt(now) != ServeState::kServing) {
+    call.sink(Refusal(AnswerReason::kNotReady, kNotReadyComeBack));
+    return;
+  }
+  if (!Recheck(call)) {
+    return;
+  }
+  if (call.request) {
+    ClusterEffects effects;
+    const OnceCalls::Next next = m_once.Arrive(call, forwarded, now, effects);
+    Act(effects, now);
+    if (next == OnceCalls::Next::kDone) {
+      return;
+    }
+  }
+  call.call.id = CallId(m_next_call++);
+  m_open[call.call.id] =
+      OpenCall{std::move(call.sink), std::move(call.request)};
+  Effects effects;
+  m_engine.Submit(std::move(call.call), now, effects);
+  Act(effects, now);
+}
+
+// The edge checked the request by the schema it saw; a revision may have come
+// into force since.
+bool DecisionCore::Recheck(SubmittedCall& call) {
+  if (call.schema == m_schema) {
+    return true;
+  }
+  const auto method =
+      m_schema->Find(call.call.method->service.raw(), call.call.method->name);
+  auto checked = Capture([&]() -> Result<CheckedRequest> {
+    if (method == nullptr) {
+      return Fail(ErrorCode::kNotFound, call.call.method->name,
+                  "is no longer declared");
+    }
+    return m_schema->Check(*method, *call.call.body);
+  });
+  if (const Error* error = std::get_if<Error>(&checked)) {
+    call.sink(EncodedAnswer{400, EncodeError(*error)});
+    return false;
+  }
+  auto& request = std::get<CheckedRequest>(checked);
+  if ((method->repeat == Repeat::kOnce) != call.request.has_value()) {
+    call.sink(Refusal(AnswerReason::kNotReady, kNotReadyComeBack));
+    return false;
+  }
+  call.call.method = method;
+  call.call.body = std::make_shared<const std::string>(std::move(request.body));
+  call.call.key = request.key;
+  call.call.fingerprint = request.fingerprint;
+  return true;
+}
+
+void DecisionCore::On(AttemptReply& reply, TimePoint now) {
+  Effects effects;
+  m_engine.OnReply(reply, now, effects);
+  Act(effects, now);
+}
+
+void DecisionCore::On(Envelope& envelope, TimePoint now) {
+  ClusterEffects effects;
+  m_cluster.OnPeer(envelope, now, effects);
+  Act(effects, now);
+}
+
+void DecisionCore::On(StoreReply& reply, TimePoint now) {
+  ClusterEffects effects;
+  m_cluster.OnStoreReply(reply, now, effects);
+  Act(effects, now);
+}
+
+void DecisionCore::On(VersionsRead& read, TimePoint /*now*/) {
+  m_engine.SetVersions(read.service, std::move(read.maps));
+}
+
+void DecisionCore::On(HostsRead& read, TimePoint now) {
+  m_targets.OnHostList(read.targets, now);
+  RefreshTargets(now);
+}
+
+void DecisionCore::On(ChangeSubmitted& submitted, TimePoint now) {
+  submitted.change.call = OperatorCallId(m_next_operator_call++);
+  m_operators[submitted.change.call] = std::move(submitted.sink);
+  ClusterEffects effects;
+  m_cluster.Submit(submitted.change, now, effects);
+  Act(effects, now);
+}
+
+void DecisionCore::On(DecisionTask& task, TimePoint now) {
+  task.run(*this, now);
+}
+
+void DecisionCore::Act(Effects& effects, TimePoint now) {
+  for (const SendAttempt& send : effects.sends) {
+    Send(send, now);
+  }
+  for (const CancelAttempt& cancel : effects.cancels) {
+    // A cancel that finds no room only costs the target work that nobody waits
+    // for.
+    (void)m_ports.ToTarget(TargetCancel{cancel.attempt});
+  }
+  for (DeliverAnswer& delivery : effects.answers) {
+    Deliver(delivery, now);
+  }
+  TellSuspects(effects.suspects, now);
+}
+
+void DecisionCore::Send(const SendAttempt& send, TimePoint now) {
+  const TargetInfo* target = m_router.FindTarget(send.target);
+  const bool handed_over =
+      target != nullptr &&
+      m_ports.ToTarget(
+          TargetSend{send, Endpoint{target->address, target->port},
+                     m_router.PlanFor(send.target, now).max_connections});
+  if (!handed_over) {
+    AttemptReply reply;
+    reply.attempt = send.attempt;
+    reply.status = AttemptStatus::kNotSent;
+    On(reply, now);
+  }
+}
+
+void DecisionCore::Deliver(DeliverAnswer& delivery, TimePoint now) {
+  const auto found = m_open.find(delivery.call);
+  if (found == m_open.end()) {
+    return;
+  }
+  const OpenCall open = std::move(found->second);
+  m_open.erase(found);
+  Answer& answer = delivery.answer;
+  // The lease may have lapsed while the call ran: its hits may come from a
+  // schema or settings that are no longer in force, but that it ran cannot be
+  // taken back.
+  if (m_cluster.StateAt(now) != ServeState::kServing &&
+      answer.outcome != Outcome::kNotRun) {
+    Answer lapsed;
+    lapsed.outcome = Outcome::kUnknown;
+    lapsed.reason = AnswerReason::kNotReady;
+    lapsed.attempts = answer.attempts;
+    lapsed.retry_after = kNotReadyComeBack;
+    answer = std::move(lapsed);
+  }
+  if (open.request) {
+    m_once.Finish(*open.request, answer, now);
+  }
+  open.sink(std::move(answer));
+}
+
+void DecisionCore::Act(ClusterEffects& effects, TimePoint now) {
+  if (effects.config_changed) {
+    OnConfig();
+  }
+  for (const PeerSend& send : effects.sends) {
+    m_ports.ToPeer(send);
+  }
+  for (const StoreRequest& request : effects.store_requests) {
+    if (!m_ports.ToStore(request)) {
+      StoreReply reply;
+      reply.id = request.id;
+      reply.status = StoreStatus::kRefused;
+      On(reply, now);
+    }
+  }
+  for (const OperatorReply& reply : effects.operator_replies) {
+    const auto found = m_operators.find(reply.call);
+    if (found != m_operators.end()) {
+      found->second(reply);
+      m_operators.erase(found);
+    }
+  }
+  for (const Envelope& envelope : effects.deliveries) {
+    OnDelivery(envelope, now);
+  }
+  if (effects.members_changed) {
+    m_router.SetEntryCount(
+        static_cast<std::uint32_t>(m_cluster.members().alive_count()), now);
+  }
+}
+
+void DecisionCore::OnDelivery(const Envelope& envelope, TimePoint now) {
+  if (const auto* request = std::get_if<ForwardRequest>(&envelope.message)) {
+    OnForwarded(envelope, *request, now);
+  } else if (const auto* reply = std::get_if<ForwardReply>(&envelope.message)) {
+    m_once.OnForwardReply(*reply);
+  }
+}
+
+void DecisionCore::OnForwarded(const Envelope& envelope,
+                               const ForwardRequest& request,
+                               TimePoint now) {
+  const CallSink reply_to_peer = [this, node = envelope.from, id = request.id,
+                                  sequence =
+                                      request.sequence](CallResult result) {
+    EncodedAnswer encoded =
+        std::holds_alternative<Answer>(result)
+            ? EncodeAnswer(id.ToString(), std::get<Answer>(result))
+            : std::move(std::get<EncodedAnswer>(result));
+    ClusterEffects effects;
+    m_cluster.SendToPeer(
+        node, ForwardReply{sequence, encoded.status, std::move(encoded.body)},
+        effects);
+    Act(effects, m_clock.Now());
+  };
+  const auto method =
+      m_schema == nullptr
+          ? nullptr
+          : m_schema->Find(request.service.raw(), request.method);
+  if (method == nullptr) {
+    reply_to_peer(Refusal(AnswerReason::kNotReady, kNotReadyComeBack));
+    return;
+  }
+  SubmittedCall call;
+  call.call.tenant = request.tenant;
+  call.call.method = method;
+  call.call.body = std::make_shared<const std::string>(request.body);
+  call.call.deadline = now + request.time_left;
+  call.request = request.id;
+  call.sink = reply_to_peer;
+  Begin(std::move(call), true, now);
+}
+
+void DecisionCore::OnConfig() {
+  m_schema = nullptr;
+  if (const auto& value = m_cluster.config().value()) {
+    auto parsed = Capture([&] { return Schema::Parse(value->content.schema); });
+    if (auto* schema = std::get_if<Schema>(&parsed)) {
+      m_schema = std::make_shared<const Schema>(std::move(*schema));
+    }
+  }
+  m_ports.Publish(m_schema);
+}
+
+void DecisionCore::RefreshTargets(TimePoint now) {
+  m_router.SetTargets(m_targets.Targets(now), now);
+}
+
+void DecisionCore::TellSuspects(const std::vector<Fingerprint>& suspects,
+                                TimePoint now) {
+  if (suspects.empty()) {
+    return;
+  }
+  ClusterEffects effects;
+  for (const NodeId& node : m_cluster.members().Reachable()) {
+    m_cluster.SendToPeer(node, QuarantineNotice{suspects, {}}, effects);
+  }
+  Act(effects, now);
+}
+
+}  // namespace jacinthdeck
--- /dev/null
+++ b/src/jacinthdeck/runtime/metrics.cc
@@ -0,0 +1,80 @@
+// Latency and outcomes by tenant and service.
+#include "jacinthdeck/runtime/metrics.h"
+
+#include <sstream>
+#include <utility>
+
+namespace jacinthdeck {
+
+namespace {
+
+//! Buckets from 0.25 ms to 16 s, four to each doubling.
+constexpr unsigned kBuckets = 64;
+constexpr double kLowestMs = 0.25;
+constexpr double kHighestMs = 16384;
+
+//! Label values may hold what a caller sent.
+[[nodiscard]] std::string Escape(const std::string& text) {
+  std::string out;
+  for (const char c : text) {
+    if (c == '\\' || c == '"') {
+      out += '\\';
+    }
+    out += c == '\n' ? ' ' : c;
+  }
+  return out;
+}
+
+[[nodiscard]] std::string LabelText(const CallLabels& labels) {
+  return "tenant=\"" + Escape(labels.tenant.raw()) + "\",service=\"" +
+         Escape(labels.service.raw()) + "\",outcome=\"" +
+         std::string(kOutcomeNames.Name(labels.outcome)) + "\"";
+}
+
+}  // namespace
+
+Metrics::Series::Series()
+    : histogram(boost::histogram::make_histogram(
+          Axis(kBuckets, kLowestMs, kHighestMs))) {}
+
+void Metrics::Add(CallLabels labels, Duration latency) {
+  const double milliseconds = ToMilliseconds(latency);
+  const std::scoped_lock lock(m_mutex);
+  if (m_series.size() >= kMaxSeries && m_series.count(labels) == 0) {
+    labels.tenant = TenantId("other");
+  }
+  Series& series = m_series[std::move(labels)];
+  series.accumulator(milliseconds);
+  series.histogram(milliseconds);
+}
+
+std::string Metrics::Render() const {
+  namespace acc = boost::accumulators;
+  std::ostringstream out;
+  out << "# TYPE jacinthdeck_call_ms histogram\n";
+  const std::scoped_lock lock(m_mutex);
+  for (const auto& [labels, series] : m_series) {
+    const std::string text = LabelText(labels);
+    double below = series.histogram.at(-1);
+    const Axis& axis = series.histogram.axis();
+    for (int i = 0; i < axis.size(); ++i) {
+      const double in_bucket = series.histogram.at(i);
+      below += in_bucket;
+      if (in_bucket > 0) {
+        out << "jacinthdeck_call_ms_bucket{" << text << ",le=\""
+            << axis.bin(i).upper() << "\"} " << below << "\n";
+      }
+    }
+    out << "jacinthdeck_call_ms_bucket{" << text << ",le=\"+Inf\"} "
+        << acc::count(series.accumulator) << "\n";
+    out << "jacinthdeck_call_ms_sum{" << text << "} "
+        << acc::sum(series.accumulator) << "\n";
+    out << "jacinthdeck_call_ms_count{" << text << "} "
+        << acc::count(series.accumulator) << "\n";
+    out << "jacinthdeck_call_max_ms{" << text << "} "
+        << acc::max(series.accumulator) << "\n";
+  }
+  return out.str();
+}
+
+}  // namespace jacinthdeck
--- /dev/null
+++ b/src/jacinthdeck/runtime/metrics.h
@@ -0,0 +1,71 @@
+// Latency and outcomes by tenant and service, for the operators' metrics.
+#ifndef JACINTHDECK_RUNTIME_METRICS_H_
+#define JACINTHDECK_RUNTIME_METRICS_H_
+
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/count.hpp>
+#include <boost/accumulators/statistics/max.hpp>
+#include <boost/accumulators/statistics/mean.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+#include <boost/accumulators/statistics/sum.hpp>
+#include <boost/histogram.hpp>
+#include <compare>
+#include <map>
+#include <mutex>
+#include <string>
+
+#include "jacinthdeck/core/ids.h"
+#include "jacinthdeck/core/outcome.h"
+#include "jacinthdeck/core/time.h"
+
+namespace jacinthdeck {
+
+/*! \brief What calls are told apart by. */
+struct CallLabels {
+  TenantId tenant;
+  ServiceId service;
+  Outcome outcome = Outcome::kWhole;
+
+  [[nodiscard]] auto operator<=>(const CallLabels&) const = default;
+  [[nodiscard]] bool operator==(const CallLabels&) const = default;
+};
+
+/*! \brief Collects calls; safe to use from several threads. */
+class Metrics {
+ public:
+  //! Label sets kept apart; callers choose tenants, so that without a bound
+  //! they would choose the memory too. Further ones are counted as tenant
+  //! "other".
+  static constexpr std::size_t kMaxSeries = 512;
+
+  /*! \brief Counts an ended call. */
+  void Add(CallLabels labels, Duration latency);
+
+  /*! \brief Renders everything as Prometheus text. */
+  [[nodiscard]] std::string Render() const;
+
+ private:
+  using Axis =
+      boost::histogram::axis::regular<double,
+                                      boost::histogram::axis::transform::log>;
+  using Histogram =
+      decltype(boost::histogram::make_histogram(std::declval<Axis>()));
+  using Accumulator = boost::accumulators::accumulator_set<
+      double,
+      boost::accumulators::stats<boost::accumulators::tag::count,
+                                 boost::accumulators::tag::sum,
+                                 boost::accumulators::tag::mean,
+                                 boost::accumulators::tag::max>>;
+  struct Series {
+    Series();
+    Accumulator accumulator;
+    Histogram histogram;
+  };
+
+  mutable std::mutex m_mutex;
+  std::map<CallLabels, Series> m_series;
+};
+
+}  // namespace jacinthdeck
+
+#endif  // JACINTHDECK_RUNTIME_METRICS_H_
--- a/src/jacinthdeck/runtime/target_codec.cc
+++ b/src/jacinthdeck/runtime/target_codec.cc
@@ -7,6 +7,7 @@
 #include <cstdlib>
 #include <memory>
 #include <optional>
+#include <string_view>
 #include <utility>
 
 namespace jacinthdeck {
@@ -101,6 +102,10 @@
   if (json_is_number(load)) {
     reply.reported_load = json_number_value(load);
   }
+  const json_t* error = json_object_get(root.get(), "error");
+  reply.draining = reply.status == AttemptStatus::kShed &&
+                   json_is_string(error) &&
+                   std::string_view(json_string_value(error)) == "draining";
   if (reply.status == AttemptStatus::kAnswered &&
       !ReadAnswer(root.get(), reply)) {
     reply.status = AttemptStatus::kFailed;
