--- a/src/jacinthdeck/cluster/cluster_node.cc
+++ b/src/jacinthdeck/cluster/cluster_node.cc
@@ -84,6 +84,7 @@
     ++m_counters.fenced;
     return;
   }
+  m_replica.HearOf(envelope.revision, envelope.from, now, effects);
   Dispatch(envelope, now, effects);
 }
 
--- a/src/jacinthdeck/cluster/config_replica.cc
+++ b/src/jacinthdeck/cluster/config_replica.cc
@@ -163,6 +163,7 @@
   m_encoded = EncodeConfig(value);
   m_store_revision = StoreRevision();
   m_heard = std::max(m_heard, value.revision);
+  m_sender.set_revision(value.revision);
   effects.config_changed = true;
   Announce(effects);
 }
--- a/src/jacinthdeck/cluster/config_replica.h
+++ b/src/jacinthdeck/cluster/config_replica.h
@@ -98,6 +98,12 @@
   /*! \brief Puts a value in force if it is higher; never goes lower. */
   void Adopt(const ConfigValue& value, ClusterEffects& effects);
 
+  /*! \brief Takes a peer's word that a revision exists, and fetches it. */
+  void HearOf(Revision revision,
+              const NodeId& from,
+              TimePoint now,
+              ClusterEffects& effects);
+
   void OnQuery(const NodeId& from,
                const RevisionQuery& query,
                ClusterEffects& effects);
@@ -124,10 +130,6 @@
   void ReadStore(TimePoint now, ClusterEffects& effects);
   void Exchange(TimePoint now, ClusterEffects& effects);
   void Recover(TimePoint now);
-  void HearOf(Revision revision,
-              const NodeId& from,
-              TimePoint now,
-              ClusterEffects& effects);
   void OnReadFailed(TimePoint now);
   [[nodiscard]] bool NeedsExchange(TimePoint now) const;
   [[nodiscard]] std::vector<NodeId> NodesToAsk(TimePoint now);
--- a/src/jacinthdeck/cluster/message_size.cc
+++ b/src/jacinthdeck/cluster/message_size.cc
@@ -10,7 +10,7 @@
 namespace internal {
 
 // Length prefix of the frame, root offset, envelope table with its vtable.
-constexpr std::size_t kEnvelopeBytes = 48;
+constexpr std::size_t kEnvelopeBytes = 56;
 // Table with its vtable offset, union type and offset in the parent.
 constexpr std::size_t kTableBytes = 16;
 // Offset, length and terminator or padding.
--- a/src/jacinthdeck/cluster/messages.h
+++ b/src/jacinthdeck/cluster/messages.h
@@ -185,6 +185,9 @@
   PeerMessage message;
   //! Statements about members that travel along; bounded in bytes.
   std::vector<MemberUpdate> gossip;
+  //! Configuration revision that the sender has in force; 0 for none. Whoever
+  //! is behind learns of it with any message.
+  Revision revision;
 
   [[nodiscard]] bool operator==(const Envelope&) const = default;
 };
--- a/src/jacinthdeck/cluster/peer_sender.cc
+++ b/src/jacinthdeck/cluster/peer_sender.cc
@@ -40,7 +40,8 @@
                         PeerMessage message,
                         ClusterEffects& effects) {
   const SelfInfo& self = m_table.self();
-  Envelope envelope{self.node, self.incarnation, to, std::move(message), {}};
+  Envelope envelope{self.node, self.incarnation, to, std::move(message),
+                    {},        m_revision};
   if (internal::CarriesGossip(envelope.message)) {
     envelope.gossip = m_gossip.Take(m_table.alive_count());
     AddForReceiver(to, envelope.gossip);
--- a/src/jacinthdeck/cluster/peer_sender.h
+++ b/src/jacinthdeck/cluster/peer_sender.h
@@ -20,6 +20,9 @@
              PeerCounters& counters) noexcept
       : m_table(table), m_gossip(gossip), m_counters(counters) {}
 
+  /*! \brief Sets the revision that every message tells of. */
+  void set_revision(Revision revision) noexcept { m_revision = revision; }
+
   /**
    * \brief Sends to a known member.
    * \param to Member; nothing is sent to an unknown one.
@@ -47,6 +50,7 @@
   const MemberTable& m_table;
   GossipQueue& m_gossip;
   PeerCounters& m_counters;
+  Revision m_revision;
 };
 
 }  // namespace jacinthdeck
--- a/src/jacinthdeck/cluster/target_view.cc
+++ b/src/jacinthdeck/cluster/target_view.cc
@@ -6,24 +6,22 @@
 
 namespace jacinthdeck {
 
-TargetState TargetView::StateOf(const TargetId& target, TimePoint now) const {
+TargetState TargetView::StateOf(const TargetId& target) const {
   const auto found = m_records.find(target);
   if (found == m_records.end()) {
     return TargetState::kGone;
   }
   const Record& record = found->second;
   const TargetState said = std::max(record.by_host_list, record.by_health);
-  const bool departed =
-      record.departed && now < *record.departed + m_options.quarantine;
-  return departed ? std::max(said, TargetState::kLeaving) : said;
+  return record.departed ? std::max(said, TargetState::kLeaving) : said;
 }
 
-std::vector<TargetInfo> TargetView::Targets(TimePoint now) const {
+std::vector<TargetInfo> TargetView::Targets() const {
   std::vector<TargetInfo> targets;
   targets.reserve(m_records.size());
   for (const auto& [id, record] : m_records) {
     targets.push_back(record.info);
-    targets.back().state = StateOf(id, now);
+    targets.back().state = StateOf(id);
   }
   return targets;
 }
@@ -45,9 +43,7 @@
     }
     record.info = info;
     record.by_host_list = info.state;
-    if (info.state != TargetState::kLive) {
-      record.departed = now;
-    }
+    Note(record, info.state, now);
   }
   for (auto& [id, record] : m_records) {
     if (!listed.contains(id)) {
@@ -57,7 +53,7 @@
   std::erase_if(m_records, [&](const auto& entry) {
     const Record& record = entry.second;
     return record.by_host_list == TargetState::kGone &&
-           !(record.departed && now < *record.departed + m_options.quarantine);
+           !Quarantined(record, now);
   });
 }
 
@@ -69,11 +65,25 @@
     return;
   }
   found->second.by_health = state;
-  if (state != TargetState::kLive) {
-    found->second.departed = now;
+  Note(found->second, state, now);
+}
+
+// Only a source that speaks after the quarantine counts: until then a lagging
+// one may be repeating what it knew before the departure.
+void TargetView::Note(Record& record, TargetState said, TimePoint now) const {
+  if (said != TargetState::kLive) {
+    record.departed = now;
+  } else if (Quarantined(record, now)) {
+    return;
+  } else {
+    record.departed.reset();
   }
 }
 
+bool TargetView::Quarantined(const Record& record, TimePoint now) const {
+  return record.departed && now < *record.departed + m_options.quarantine;
+}
+
 void TargetView::OnEvent(const TargetId& target,
                          TargetEvent event,
                          TimePoint now) {
--- a/src/jacinthdeck/cluster/target_view.h
+++ b/src/jacinthdeck/cluster/target_view.h
@@ -42,8 +42,8 @@
  *
  * Leaving beats live: one source that says leaving is enough, whatever the
  * others say. A source that lags goes on saying "live" about a target that
- * left; so a return needs evidence made after the departure: the source that
- * reported it says live again, and the quarantine has passed.
+ * left; so a return needs evidence newer than the departure: a source that says
+ * live after the quarantine, while no other says leaving.
  */
 class TargetView {
  public:
@@ -53,14 +53,12 @@
   /**
    * \brief Weighs the evidence about a target.
    * \param target Target; an unknown one is gone.
-   * \param now Present moment.
    */
-  [[nodiscard]] TargetState StateOf(const TargetId& target,
-                                    TimePoint now) const;
+  [[nodiscard]] TargetState StateOf(const TargetId& target) const;
 
   /*! \brief Every target of the last host list, or ever named, with its merged
    * state. */
-  [[nodiscard]] std::vector<TargetInfo> Targets(TimePoint now) const;
+  [[nodiscard]] std::vector<TargetInfo> Targets() const;
 
   /**
    * \brief Takes a whole host list.
@@ -81,12 +79,16 @@
     TargetInfo info;
     TargetState by_host_list = TargetState::kLive;
     TargetState by_health = TargetState::kLive;
-    //! Last evidence of departure from any source.
+    //! Last evidence of departure from any source; gone once a source said live
+    //! after the quarantine.
     std::optional<TimePoint> departed;
     //! Refused connections since the last answer.
     std::uint32_t refusals = 0;
   };
 
+  void Note(Record& record, TargetState said, TimePoint now) const;
+  [[nodiscard]] bool Quarantined(const Record& record, TimePoint now) const;
+
   TargetViewOptions m_options;
   std::map<TargetId, Record> m_records;
 };
--- a/test/support/printers.h
+++ b/test/support/printers.h
@@ -9,9 +9,15 @@
 #include "jacinthdeck/cluster/once_registry.h"
 #include "jacinthdeck/cluster/operator_reply.h"
 #include "jacinthdeck/core/outcome.h"
+#include "jacinthdeck/core/strong_id.h"
 
 namespace jacinthdeck {
 
+template <typename Tag, typename Raw>
+std::ostream& operator<<(std::ostream& out, const StrongId<Tag, Raw>& id) {
+  return out << id.raw();
+}
+
 std::ostream& operator<<(std::ostream& out, Outcome outcome);
 std::ostream& operator<<(std::ostream& out, ChangeState state);
 std::ostream& operator<<(std::ostream& out, MemberState state);
