--- a/src/jacinthdeck/platform/store_types.h
+++ b/src/jacinthdeck/platform/store_types.h
@@ -1,4 +1,5 @@
-// What the platform store holds and answers.
+// Writes and leases of the platform store; items and revisions are those of
+// the cluster module.
 #ifndef JACINTHDECK_PLATFORM_STORE_TYPES_H_
 #define JACINTHDECK_PLATFORM_STORE_TYPES_H_
 
