Tell peers of suspected and convicted requests; carry the revision in every envelope

Cause: the query engine now convicts requests that crash targets, and the cluster core piggybacks its revision. Change: both in the peer encoding and in the decision core.

--- a/src/jacinthdeck/cluster/messages.h
+++ b/src/jacinthdeck/cluster/messages.h
@@ -137,11 +137,12 @@
   [[nodiscard]] bool operator==(const ForwardReply&) const = default;
 };
 
-/*! \brief Tells of requests that are suspected of crashing targets, or cleared
- * of it. */
+/*! \brief Tells of requests that are suspected or convicted of crashing
+ * targets, or cleared of it. */
 struct QuarantineNotice {
   std::vector<Fingerprint> suspected;
   std::vector<Fingerprint> cleared;
+  std::vector<Fingerprint> convicted;
 
   [[nodiscard]] bool operator==(const QuarantineNotice&) const = default;
 };
--- a/src/jacinthdeck/peer/envelope_codec.cc
+++ b/src/jacinthdeck/peer/envelope_codec.cc
@@ -15,6 +15,7 @@
   to.from = envelope.from.raw();
   to.incarnation = envelope.incarnation.raw();
   to.to = envelope.to.raw();
+  to.revision = envelope.revision.raw();
   to.message = internal::EncodeMessage(envelope.message);
   for (const MemberUpdate& update : envelope.gossip) {
     to.gossip.push_back(internal::EncodeUpdate(update));
@@ -41,6 +42,7 @@
   to.incarnation = Incarnation(from.incarnation());
   to.to = NodeId(internal::TextOf(from.to()));
   to.message = std::move(*message);
+  to.revision = Revision(from.revision());
   if (from.gossip() != nullptr) {
     for (const wire::MemberUpdate* update : *from.gossip()) {
       std::optional<MemberUpdate> decoded = internal::DecodeUpdate(*update);
--- a/src/jacinthdeck/peer/message_decoder.cc
+++ b/src/jacinthdeck/peer/message_decoder.cc
@@ -72,7 +72,8 @@
 }
 [[nodiscard]] PeerMessage Decode(const wire::QuarantineNotice& from) {
   return QuarantineNotice{FingerprintsOf(from.suspected()),
-                          FingerprintsOf(from.cleared())};
+                          FingerprintsOf(from.cleared()),
+                          FingerprintsOf(from.convicted())};
 }
 
 [[nodiscard]] PeerMessage Decode(const wire::SyncRequest& /*from*/) {
--- a/src/jacinthdeck/peer/message_encoder.cc
+++ b/src/jacinthdeck/peer/message_encoder.cc
@@ -111,6 +111,7 @@
     wire::QuarantineNoticeT to;
     to.suspected = RawOf(from.suspected);
     to.cleared = RawOf(from.cleared);
+    to.convicted = RawOf(from.convicted);
     return to;
   }
   [[nodiscard]] wire::SyncRequestT operator()(
--- a/src/jacinthdeck/runtime/decision_core.cc
+++ b/src/jacinthdeck/runtime/decision_core.cc
@@ -72,6 +72,7 @@
   }
   ClusterEffects effects;
   m_cluster.Leave(effects);
+  m_engine.Drain();
   Act(effects, m_clock.Now());
 }
 
@@ -193,7 +194,7 @@
   for (DeliverAnswer& delivery : effects.answers) {
     Deliver(delivery, now);
   }
-  TellSuspects(effects.suspects, now);
+  TellPeers(QuarantineNotice{effects.suspects, {}, effects.convicted}, now);
 }
 
 void DecisionCore::Send(const SendAttempt& send, TimePoint now) {
@@ -273,6 +274,9 @@
     OnForwarded(envelope, *request, now);
   } else if (const auto* reply = std::get_if<ForwardReply>(&envelope.message)) {
     m_once.OnForwardReply(*reply);
+  } else if (const auto* notice =
+                 std::get_if<QuarantineNotice>(&envelope.message)) {
+    OnNotice(*notice, now);
   }
 }
 
@@ -322,17 +326,27 @@
 }
 
 void DecisionCore::RefreshTargets(TimePoint now) {
-  m_router.SetTargets(m_targets.Targets(now), now);
+  m_router.SetTargets(m_targets.Targets(), now);
 }
 
-void DecisionCore::TellSuspects(const std::vector<Fingerprint>& suspects,
-                                TimePoint now) {
-  if (suspects.empty()) {
+void DecisionCore::OnNotice(const QuarantineNotice& notice, TimePoint now) {
+  Effects effects;
+  for (const Fingerprint& fingerprint : notice.suspected) {
+    m_engine.SuspectTold(fingerprint, now);
+  }
+  for (const Fingerprint& fingerprint : notice.convicted) {
+    m_engine.ConvictionTold(fingerprint, now, effects);
+  }
+  Act(effects, now);
+}
+
+void DecisionCore::TellPeers(const QuarantineNotice& notice, TimePoint now) {
+  if (notice.suspected.empty() && notice.convicted.empty()) {
     return;
   }
   ClusterEffects effects;
   for (const NodeId& node : m_cluster.members().Reachable()) {
-    m_cluster.SendToPeer(node, QuarantineNotice{suspects, {}}, effects);
+    m_cluster.SendToPeer(node, notice, effects);
   }
   Act(effects, now);
 }
--- a/src/jacinthdeck/runtime/decision_core.h
+++ b/src/jacinthdeck/runtime/decision_core.h
@@ -98,7 +98,8 @@
   void OnDelivery(const Envelope& envelope, TimePoint now);
   void OnConfig();
   void RefreshTargets(TimePoint now);
-  void TellSuspects(const std::vector<Fingerprint>& suspects, TimePoint now);
+  void OnNotice(const QuarantineNotice& notice, TimePoint now);
+  void TellPeers(const QuarantineNotice& notice, TimePoint now);
 
   const Clock& m_clock;
   DecisionPorts& m_ports;
--- a/src/jacinthdeck/runtime/operator_edge.h
+++ b/src/jacinthdeck/runtime/operator_edge.h
@@ -11,11 +11,15 @@
 
 namespace jacinthdeck {
 
-/*! \brief Handles the operators' HTTP requests; used by many threads at once. */
+/*! \brief Handles the operators' HTTP requests; used by many threads at once.
+ */
 class OperatorEdge {
  public:
-  /*! \brief Makes an edge; what it is given outlives it. `drain` starts the shutdown. */
-  OperatorEdge(DecisionLoop& loop, const Metrics& metrics, std::function<void()> drain);
+  /*! \brief Makes an edge; what it is given outlives it. `drain` starts the
+   * shutdown. */
+  OperatorEdge(DecisionLoop& loop,
+               const Metrics& metrics,
+               std::function<void()> drain);
 
   /*! \brief Handles one request. */
   [[nodiscard]] HttpReply Handle(const HttpRequest& request);
--- a/src/jacinthdeck/runtime/poller.h
+++ b/src/jacinthdeck/runtime/poller.h
@@ -22,10 +22,9 @@
 
   /**
    * \brief Starts the thread; the first poll is made at once.
-   * \param period Time between polls; each is drawn from 80 to 120% of it, so that nodes started at
-   * one moment do not ask at one moment for ever.
-   * \param seed Seed of the jitter.
-   * \param poll Called on the thread.
+   * \param period Time between polls; each is drawn from 80 to 120% of it, so
+   * that nodes started at one moment do not ask at one moment for ever. \param
+   * seed Seed of the jitter. \param poll Called on the thread.
    */
   Poller(Duration period, std::uint64_t seed, Poll poll);
   Poller(const Poller&) = delete;
--- a/src/jacinthdeck/runtime/store_worker.cc
+++ b/src/jacinthdeck/runtime/store_worker.cc
@@ -22,7 +22,8 @@
   }
 }
 
-[[nodiscard]] StoreReply Read(StoreClient& client, const StoreRequest& request) {
+[[nodiscard]] StoreReply Read(StoreClient& client,
+                              const StoreRequest& request) {
   StoreReply reply;
   reply.id = request.id;
   auto result = Capture([&] { return client.Get(request.key); });
@@ -39,7 +40,8 @@
   return reply;
 }
 
-[[nodiscard]] StoreReply List(StoreClient& client, const StoreRequest& request) {
+[[nodiscard]] StoreReply List(StoreClient& client,
+                              const StoreRequest& request) {
   StoreReply reply;
   reply.id = request.id;
   auto result = Capture([&] { return client.List(request.key); });
@@ -52,15 +54,20 @@
   return reply;
 }
 
-[[nodiscard]] StoreReply CompareAndSwap(StoreClient& client, const StoreRequest& request) {
+[[nodiscard]] StoreReply CompareAndSwap(StoreClient& client,
+                                        const StoreRequest& request) {
   StoreReply reply;
   reply.id = request.id;
   auto result = Capture([&] {
-    return client.Put(StorePut{request.key, request.value, request.expected, std::nullopt});
+    return client.Put(
+        StorePut{request.key, request.value, request.expected, std::nullopt});
   });
   if (const Error* error = std::get_if<Error>(&result)) {
-    // Unavailable is the store's own refusal; without a usable reply the client says unknown.
-    reply.status = error->code == ErrorCode::kUnavailable ? StoreStatus::kRefused : StatusOf(*error);
+    // Unavailable is the store's own refusal; without a usable reply the client
+    // says unknown.
+    reply.status = error->code == ErrorCode::kUnavailable
+                       ? StoreStatus::kRefused
+                       : StatusOf(*error);
     return reply;
   }
   const auto& write = std::get<StoreWrite>(result);
--- a/src/jacinthdeck/runtime/store_worker.h
+++ b/src/jacinthdeck/runtime/store_worker.h
@@ -15,8 +15,8 @@
 /**
  * \brief Carries out store calls, reads and writes on a thread each.
  *
- * A write that waits for a slow store must not hold up the reads by which the node keeps its serving
- * lease; neither holds up a query.
+ * A write that waits for a slow store must not hold up the reads by which the
+ * node keeps its serving lease; neither holds up a query.
  */
 class StoreWorker {
  public:
@@ -48,9 +48,11 @@
  * \brief Makes one call.
  * \param client Store.
  * \param request Call.
- * \return Its end; kNoReply for a write whose reply was lost, which may have taken effect.
+ * \return Its end; kNoReply for a write whose reply was lost, which may have
+ * taken effect.
  */
-[[nodiscard]] StoreReply MakeStoreCall(StoreClient& client, const StoreRequest& request);
+[[nodiscard]] StoreReply MakeStoreCall(StoreClient& client,
+                                       const StoreRequest& request);
 
 }  // namespace jacinthdeck
 
--- a/test/jacinthdeck/peer/envelope_codec_test.cc
+++ b/test/jacinthdeck/peer/envelope_codec_test.cc
@@ -11,11 +11,8 @@
 
 struct EnvelopeCodecFixture {
   static Envelope Wrap(PeerMessage message) {
-    return Envelope{NodeId("a"),
-                    Incarnation(7),
-                    NodeId("b"),
-                    std::move(message),
-                    {Update()}};
+    return Envelope{NodeId("a"),        Incarnation(7), NodeId("b"),
+                    std::move(message), {Update()},     Revision(9)};
   }
 
   static MemberUpdate Update() {
@@ -46,7 +43,9 @@
                      ServiceId("S"), "M", TenantId("t"), "{}",
                      std::chrono::milliseconds(5)},
       ForwardReply{14, 200, "{}"},
-      QuarantineNotice{{Fingerprint(1)}, {Fingerprint(2), Fingerprint(3)}},
+      QuarantineNotice{{Fingerprint(1)},
+                       {Fingerprint(2), Fingerprint(3)},
+                       {Fingerprint(4)}},
       SyncRequest{},
       MemberSync{{Update(), Update()}},
   };
--- a/test/jacinthdeck/peer/peer_transport_test.cc
+++ b/test/jacinthdeck/peer/peer_transport_test.cc
@@ -51,7 +51,8 @@
                   std::uint64_t sequence) const {
     return PeerSend{
         MemberAddress{"127.0.0.1", transport.port(), 0},
-        Envelope{NodeId("a"), Incarnation(1), NodeId("b"), Ping{sequence}, {}}};
+        Envelope{
+            NodeId("a"), Incarnation(1), NodeId("b"), Ping{sequence}, {}, {}}};
   }
 
   Inbox inbox;
