--- a/src/jacinthdeck/runtime/decision_core.cc
+++ b/src/jacinthdeck/runtime/decision_core.cc
@@ -76,6 +76,27 @@
   Act(effects, m_clock.Now());
 }
 
+void DecisionCore::AddSeeds(const std::vector<PeerSeed>& seeds) {
+  std::vector<MemberSeed> members;
+  for (const PeerSeed& seed : seeds) {
+    MemberSeed member;
+    member.node = seed.node;
+    member.address =
+        MemberAddress{seed.endpoint.address, seed.endpoint.port, 0};
+    members.push_back(member);
+  }
+  ClusterEffects effects;
+  m_cluster.OnSeeds(SeedSource::kSettings, members, effects);
+  Act(effects, m_clock.Now());
+}
+
+bool DecisionCore::ReleaseQuarantine(Fingerprint fingerprint, TimePoint now) {
+  Effects effects;
+  const bool released = m_engine.ReleaseQuarantine(fingerprint, now, effects);
+  Act(effects, now);
+  return released;
+}
+
 void DecisionCore::On(SubmittedCall& call, TimePoint now) {
   Begin(std::move(call), false, now);
 }
--- a/src/jacinthdeck/runtime/decision_core.h
+++ b/src/jacinthdeck/runtime/decision_core.h
@@ -17,6 +17,7 @@
 #include "jacinthdeck/runtime/decision_event.h"
 #include "jacinthdeck/runtime/decision_ports.h"
 #include "jacinthdeck/runtime/once_calls.h"
+#include "jacinthdeck/runtime/settings.h"
 
 namespace jacinthdeck {
 
@@ -67,6 +68,12 @@
   /*! \brief Takes one event. */
   void OnEvent(DecisionEvent event);
 
+  /*! \brief Takes the peers that the settings name. */
+  void AddSeeds(const std::vector<PeerSeed>& seeds);
+
+  /*! \brief Ends a quarantine by an operator's word; false if there is none. */
+  bool ReleaseQuarantine(Fingerprint fingerprint, TimePoint now);
+
   /*! \brief Begins the graceful shutdown: new calls are refused, open ones
    * finish. */
   void Drain();
--- a/src/jacinthdeck/runtime/settings.h
+++ b/src/jacinthdeck/runtime/settings.h
@@ -49,14 +49,21 @@
   std::uint32_t queue = 65536;
 };
 
+/*! \brief A peer to ask first, before the store has named any. */
+struct PeerSeed {
+  NodeId node;
+  //! Its peer port.
+  Endpoint endpoint;
+
+  [[nodiscard]] bool operator==(const PeerSeed&) const = default;
+};
+
 /*! \brief Checked settings of one daemon. */
 struct Settings {
   NodeSettings node;
   ListenSettings listen;
   PlatformSettings platform;
-  //! Peer endpoints to ask first, before the host list or the store has named
-  //! any.
-  std::vector<Endpoint> seeds;
+  std::vector<PeerSeed> seeds;
   LimitSettings limits;
   //! Lowest severity that is logged: trace, debug, info, warning, error.
   std::string log_level = "info";
--- a/src/jacinthdeck/runtime/settings_reader.cc
+++ b/src/jacinthdeck/runtime/settings_reader.cc
@@ -93,7 +93,7 @@
     const toml::array* seeds = node->as_array();
     if (seeds == nullptr) {
       Add(*node, "peers.seeds",
-          "is not an array; expected an array of \"ip:port\"");
+          "is not an array; expected an array of \"node@ip:port\"");
       return;
     }
     for (const toml::node& seed : *seeds) {
@@ -103,16 +103,24 @@
 
   void ReadSeed(const toml::node& seed) {
     const std::string text = seed.value<std::string>().value_or("");
+    const std::size_t at = text.find('@');
     const std::size_t colon = text.rfind(':');
-    const std::string address = text.substr(0, colon);
-    const int port =
-        colon == text.npos ? 0 : std::atoi(text.c_str() + colon + 1);
-    if (!IsAddress(address) || port < kPorts.low || port > kPorts.high) {
-      Add(seed, "peers.seeds", "holds \"" + text + "\"; expected \"ip:port\"");
+    if (at == text.npos || colon == text.npos || colon < at) {
+      Add(seed, "peers.seeds",
+          "holds \"" + text + "\"; expected \"node@ip:port\"");
+      return;
+    }
+    const std::string address = text.substr(at + 1, colon - at - 1);
+    const int port = std::atoi(text.c_str() + colon + 1);
+    if (at == 0 || !IsAddress(address) || port < kPorts.low ||
+        port > kPorts.high) {
+      Add(seed, "peers.seeds",
+          "holds \"" + text + "\"; expected \"node@ip:port\"");
       return;
     }
     m_settings.seeds.push_back(
-        Endpoint{address, static_cast<std::uint16_t>(port)});
+        PeerSeed{NodeId(text.substr(0, at)),
+                 Endpoint{address, static_cast<std::uint16_t>(port)}});
   }
 
   [[nodiscard]] Endpoint ReadEndpoint(const std::string& key, Range ports) {
--- a/test/jacinthdeck/runtime/settings_reader_test.cc
+++ b/test/jacinthdeck/runtime/settings_reader_test.cc
@@ -39,14 +39,15 @@
 
 BOOST_AUTO_TEST_CASE(Settings_Good_AreRead) {
   const auto read =
-      ReadSettings(good + "[peers]\nseeds = [\"127.0.0.1:9000\"]\n");
+      ReadSettings(good + "[peers]\nseeds = [\"akl-2@127.0.0.1:9000\"]\n");
   BOOST_REQUIRE(read.index() == 0);
   const Settings& settings = std::get<Settings>(read);
   BOOST_TEST(settings.node.name.raw() == "akl-1");
   BOOST_TEST(settings.platform.store.port == 7001);
   BOOST_TEST(settings.limits.open_calls == 100U);
   BOOST_TEST(
-      (settings.seeds == std::vector<Endpoint>{Endpoint{"127.0.0.1", 9000}}));
+      (settings.seeds == std::vector<PeerSeed>{PeerSeed{
+                             NodeId("akl-2"), Endpoint{"127.0.0.1", 9000}}}));
 }
 
 BOOST_AUTO_TEST_CASE(Settings_UnknownKey_IsNamedWithItsLine) {
@@ -81,6 +82,12 @@
   BOOST_TEST((faults[0] == SettingsFault{0, "node.region",
                                          "is missing; it has no default"}));
   BOOST_TEST(FaultsOf("[node\n")[0].line == 1U);
+  for (const char* seed :
+       {"127.0.0.1:9000", "a@host:9000", "a@127.0.0.1", "a@127.0.0.1:0"}) {
+    BOOST_TEST(
+        FaultsOf(good + "[peers]\nseeds = [\"" + seed + "\"]\n").size() == 1U,
+        seed);
+  }
   BOOST_TEST(FaultsOf("").size() > 5U);
 }
 
