--- a/src/jacinthdeck/query/engine_replies.cc
+++ b/src/jacinthdeck/query/engine_replies.cc
@@ -68,10 +68,12 @@
                    const AttemptReply& reply,
                    TimePoint now) {
   const auto latency = std::chrono::duration_cast<Duration>(now - attempt.sent);
-  m_router.Finish(
-      AttemptResult{attempt.target, status, latency, reply.reported_load,
-                    attempt.kind, reply.draining},
-      now);
+  // A hedge whose answer was no longer wanted did not win.
+  const AttemptKind kind =
+      attempt.cancelled ? AttemptKind::kFirst : attempt.kind;
+  m_router.Finish(AttemptResult{attempt.target, status, latency,
+                                reply.reported_load, kind, reply.draining},
+                  now);
   if (status == AttemptStatus::kAnswered) {
     attempt.service->fast.Add(latency);
   }
