--- a/src/jacinthdeck/query/effects.h
+++ b/src/jacinthdeck/query/effects.h
@@ -53,6 +53,8 @@
   std::vector<DeliverAnswer> answers;
   //! Requests newly suspected of crashing targets, to be told to the peers.
   std::vector<Fingerprint> suspects;
+  //! Requests newly convicted of it, to be told to the peers.
+  std::vector<Fingerprint> convicted;
 };
 
 /*! \brief End of an attempt as the transport saw it. */
