Let waiting retries use every target that can wake them

Cause: after two sheds the only untried replica was the ejected one, so the engine indexed the waiting retry by a target without ends, and two retries that waited for each other's tried target blocked both queues until their deadlines.

Change: the engine leaves out targets that the router gives probes only; a retry may take a tried target with room once its shed pause is over.

--- a/src/jacinthdeck/query/engine_attempts.cc
+++ b/src/jacinthdeck/query/engine_attempts.cc
@@ -110,7 +110,11 @@
   if (CanStillEnd(open, now)) {
     // Indexed by the targets that it may take: at the head of a queue that it
     // cannot use, it would block those behind it.
-    const std::vector<TargetId> untried = Untried(state);
+    // An ejected target has no ends that would wake it.
+    std::vector<TargetId> untried = Untried(state);
+    std::erase_if(untried, [&](const TargetId& id) {
+      return !m_router.TakesWork(id, now);
+    });
     state.waiting = m_waiting.Add(WaitingAttempt{
         open.call.id, shard, kind, open.service->id,
         untried.empty() ? state.shard->replicas : untried, open.call.deadline});
--- a/src/jacinthdeck/routing/router.cc
+++ b/src/jacinthdeck/routing/router.cc
@@ -26,6 +26,12 @@
   return found == m_targets.end() ? nullptr : &found->second.info();
 }
 
+bool Router::TakesWork(const TargetId& target, TimePoint now) const {
+  const auto found = m_targets.find(target);
+  return found != m_targets.end() &&
+         found->second.Rank(now) < TargetRank::kEjected;
+}
+
 bool Router::Saturated(const ServiceId& service) const {
   const auto found = m_services.find(service);
   return found != m_services.end() && found->second.saturated();
--- a/src/jacinthdeck/routing/router.h
+++ b/src/jacinthdeck/routing/router.h
@@ -52,6 +52,9 @@
   /*! \brief Finds what is known of a target; null when it is not known. */
   [[nodiscard]] const TargetInfo* FindTarget(const TargetId& target) const;
 
+  /*! \brief Tells whether a target gets more than probes. */
+  [[nodiscard]] bool TakesWork(const TargetId& target, TimePoint now) const;
+
   /*! \brief Counts since the start. */
   [[nodiscard]] const RouterCounters& counters() const noexcept {
     return m_counters;
--- a/src/jacinthdeck/routing/router_pick.cc
+++ b/src/jacinthdeck/routing/router_pick.cc
@@ -99,21 +99,21 @@
   if (TargetRecord* best = PickTrusted(request, false, now)) {
     return best;
   }
+  if (request.kind == AttemptKind::kRetry) {
+    // Two retries that each wait for the target that the other tried would
+    // block one another in the engine's queues until their deadlines.
+    if (TargetRecord* again = PickTrusted(request, true, now)) {
+      return again;
+    }
+  }
   // Ejected targets get probes only: a full window of a sound target is worth
   // waiting for, and at least half of the replicas are not left out.
   const bool waits = std::ranges::any_of(m_candidates, [](const Candidate& c) {
     return !c.tried && c.rank != TargetRank::kEjected;
   });
-  if (waits) {
-    return RouteRefusal::kAtLimit;
-  }
-  if (request.kind != AttemptKind::kRetry) {
-    return RouteRefusal::kNoReplica;
-  }
-  if (TargetRecord* again = PickTrusted(request, true, now)) {
-    return again;
-  }
-  return RouteRefusal::kAtLimit;
+  return waits || request.kind == AttemptKind::kRetry
+             ? RouteRefusal::kAtLimit
+             : RouteRefusal::kNoReplica;
 }
 
 std::variant<TargetRecord*, RouteRefusal> Router::PickHedge(
