--- a/src/jacinthdeck/runtime/operator_edge.cc
+++ b/src/jacinthdeck/runtime/operator_edge.cc
@@ -97,7 +97,7 @@
     : m_loop(loop), m_metrics(metrics), m_drain(std::move(drain)) {}
 
 const std::vector<OperatorEdge::Route>& OperatorEdge::Routes() {
-  static const std::vector<Route> kRoutes{
+  static const std::vector<Route> routes{
       {"GET", "/healthz", &OperatorEdge::Live},
       {"GET", "/readyz", &OperatorEdge::Ready},
       {"GET", "/metrics", &OperatorEdge::MetricsText},
@@ -110,7 +110,7 @@
       {"GET", "/v1/quarantine", &OperatorEdge::Quarantine},
       {"DELETE", "/v1/quarantine/", &OperatorEdge::ClearQuarantine},
   };
-  return kRoutes;
+  return routes;
 }
 
 HttpReply OperatorEdge::Handle(const HttpRequest& request) {
