--- a/test/jacinthdeck/query/engine_quarantine_test.cc
+++ b/test/jacinthdeck/query/engine_quarantine_test.cc
@@ -139,6 +139,17 @@
   }
 }
 
+// A request becomes a suspect while it runs on slow targets. A hedge would put
+// it on more of them.
+BOOST_AUTO_TEST_CASE(Engine_SuspectWhileRunning_IsNotHedged) {
+  const Call call = MakeCall(Search());
+  (void)Submit(call);
+  effects = Effects();
+  engine.SuspectTold(call.fingerprint, clock.Now());
+  Advance(kDeadline / 2);
+  BOOST_TEST(effects.sends.empty());
+}
+
 BOOST_AUTO_TEST_CASE(Engine_Suspect_IsNotHedged) {
   engine.SuspectTold(deadly, clock.Now());
   Call call = MakeCall(Lookup());
--- a/test/jacinthdeck/query/engine_snapshot_test.cc
+++ b/test/jacinthdeck/query/engine_snapshot_test.cc
@@ -81,12 +81,19 @@
   engine.SetVersions(service, {Map(7), Map(8)});
   (void)Submit(Search());
   const auto first = TakeSends();
-  End(first[3], AttemptStatus::kVersionGone);
-  AnswerAllBut(IndexVersion(8));
+  SendAttempt asked = first[3];
+  while (asked.version == IndexVersion(8)) {
+    End(asked, AttemptStatus::kVersionGone);
+    asked = effects.sends.front();
+    effects.sends.resize(asked.version == IndexVersion(8) ? 0 : kShards);
+  }
   AttemptReply late = Answered(first[0]);
   late.hits[0].id = "from-8";
   Reply(late);
+  AnswerAll();
   BOOST_TEST((OnlyAnswer().version == IndexVersion(7)));
+  BOOST_TEST(std::ranges::none_of(
+      OnlyAnswer().hits, [](const Hit& hit) { return hit.id == "from-8"; }));
   BOOST_TEST(engine.counters().late_replies == 1U);
 }
 
--- a/test/jacinthdeck/query/engine_test.cc
+++ b/test/jacinthdeck/query/engine_test.cc
@@ -65,6 +65,27 @@
   BOOST_TEST(engine.counters().late_replies == 1U);
 }
 
+// A hedge wins, and the first attempt answers too while other shards are open.
+// Taken as the answer of one more shard, it would end the call too early.
+BOOST_AUTO_TEST_CASE(Engine_LoserAnswersWhileCallIsOpen_CountsOnce) {
+  Method count = Search();
+  count.merge = MergeRule::kCount;
+  (void)Submit(count);
+  const auto sends = TakeSends();
+  Reply(Answered(sends[1]));
+  Reply(Answered(sends[2]));
+  Advance(router.HedgeDelay(service));
+  const auto hedges = TakeSends();
+  BOOST_REQUIRE(!hedges.empty());
+  const auto loser =
+      std::ranges::find(sends, hedges[0].range, &SendAttempt::range);
+  Reply(Answered(hedges[0]));
+  Reply(Answered(*loser));
+  BOOST_TEST(effects.answers.empty());
+  Reply(Answered(loser == sends.begin() ? sends[3] : sends[0]));
+  BOOST_TEST(OnlyAnswer().count == kShards);
+}
+
 BOOST_AUTO_TEST_CASE(Engine_TargetSheds_ShardIsRetriedElsewhere) {
   (void)Submit(Search());
   const auto sends = TakeSends();
--- a/test/jacinthdeck/query/quarantine_test.cc
+++ b/test/jacinthdeck/query/quarantine_test.cc
@@ -53,6 +53,7 @@
 // A flood of suspects fills the table. A known killer stays refused.
 BOOST_AUTO_TEST_CASE(Blame_TableFull_ConvictionsAreKept) {
   quarantine.ConvictionTold(request, now);
+  now += options.conviction_life - options.suspect_life / 2;
   for (std::uint64_t i = 10; i < 30; ++i) {
     now += std::chrono::milliseconds(1);
     (void)quarantine.Blame(Fingerprint(i), range, false, now);
