--- a/test/jacinthdeck/query/engine_test.cc
+++ b/test/jacinthdeck/query/engine_test.cc
@@ -65,6 +65,27 @@
   BOOST_TEST(engine.counters().late_replies == 1U);
 }
 
+// A hedge wins, and the first attempt answers too while other shards are open.
+// Taken as the answer of one more shard, it would end the call too early.
+BOOST_AUTO_TEST_CASE(Engine_LoserAnswersWhileCallIsOpen_CountsOnce) {
+  Method count = Search();
+  count.merge = MergeRule::kCount;
+  (void)Submit(count);
+  const auto sends = TakeSends();
+  Reply(Answered(sends[1]));
+  Reply(Answered(sends[2]));
+  Advance(router.HedgeDelay(service));
+  const auto hedges = TakeSends();
+  BOOST_REQUIRE(!hedges.empty());
+  const auto loser =
+      std::ranges::find(sends, hedges[0].range, &SendAttempt::range);
+  Reply(Answered(hedges[0]));
+  Reply(Answered(*loser));
+  BOOST_TEST(effects.answers.empty());
+  Reply(Answered(loser == sends.begin() ? sends[3] : sends[0]));
+  BOOST_TEST(OnlyAnswer().count == kShards);
+}
+
 BOOST_AUTO_TEST_CASE(Engine_TargetSheds_ShardIsRetriedElsewhere) {
   (void)Submit(Search());
   const auto sends = TakeSends();
@@ -97,6 +118,31 @@
   BOOST_TEST((clock.Now() < start + kDeadline));
 }
 
+// A target is silent and the other replicas are busy. A hedge never waits for a
+// place, so the shard asks for a retry, which does: the caller gets a whole
+// answer and not one without the shard.
+BOOST_AUTO_TEST_CASE(Engine_SilentTargetAndOthersBusy_RetryWaitsForAPlace) {
+  for (TargetInfo& target : targets) {
+    target.slots = 1;
+  }
+  EngineFixture tight;
+  tight.router = Router(1);
+  tight.router.SetTargets(targets, tight.clock.Now());
+  Method lookup = Claim();
+  lookup.repeat = Repeat::kIdempotent;
+  for (std::size_t i = 0; i < kReplicas; ++i) {
+    (void)tight.Submit(lookup);
+  }
+  const auto sends = tight.TakeSends();
+  BOOST_REQUIRE(sends.size() == kReplicas);
+  tight.Advance(kDeadline * 4 / 5);
+  BOOST_TEST(tight.effects.sends.empty());
+  tight.Reply(Answered(sends[1]));
+  BOOST_REQUIRE(!tight.effects.sends.empty());
+  BOOST_TEST((tight.effects.sends[0].kind == AttemptKind::kRetry));
+  BOOST_TEST((tight.effects.sends[0].target == sends[1].target));
+}
+
 // Every target is at its limit. The next call waits for a place and takes it
 // when an attempt of another call finishes.
 BOOST_AUTO_TEST_CASE(Engine_TargetsAtLimit_AttemptWaitsForAFreedPlace) {
--- a/test/jacinthdeck/query/fleet_fixture.h
+++ b/test/jacinthdeck/query/fleet_fixture.h
@@ -18,11 +18,14 @@
 struct FleetFixture : EngineFixture {
   TargetFleet fleet;
   std::map<CallId, Answer> answers;
+  std::map<CallId, TimePoint> answered_at;
 
   explicit FleetFixture(std::uint64_t seed = 1,
                         const FleetOptions& options = {},
-                        const EngineOptions& engine_options = {})
-      : EngineFixture(seed, engine_options), fleet(seed + 1000, options) {
+                        const EngineOptions& engine_options = {},
+                        RouterOptions router_options = {})
+      : EngineFixture(seed, engine_options, std::move(router_options)),
+        fleet(seed + 1000, options) {
     for (TargetInfo& target : targets) {
       target.slots = options.slots;
     }
@@ -47,10 +50,15 @@
 
   //! Hands effects to the targets and keeps the answers.
   void Flush() {
+    for (const SendAttempt& send : effects.sends) {
+      BOOST_TEST_REQUIRE(
+          (router.FindTarget(send.target)->state == TargetState::kLive));
+    }
     fleet.Take(effects, clock.Now());
     for (DeliverAnswer& answer : effects.answers) {
       BOOST_TEST_REQUIRE(!answers.contains(answer.call));
       answers.emplace(answer.call, std::move(answer.answer));
+      answered_at.emplace(answer.call, clock.Now());
     }
     effects.sends.clear();
     effects.cancels.clear();
