--- /dev/null
+++ b/src/jacinthdeck/query/engine_replies.cc
@@ -0,0 +1,178 @@
+// Ends of attempts: what is learned, what is merged, what follows a failure.
+#include <algorithm>
+#include <array>
+#include <utility>
+
+#include "jacinthdeck/query/engine.h"
+
+namespace jacinthdeck {
+
+using internal::ShardPhase;
+
+namespace internal {
+
+//! Why a shard is missing after an attempt ended so; in the order of
+//! AttemptStatus.
+constexpr std::array<AnswerReason, kAttemptStatusNames.names.size()> kReasons{
+    AnswerReason::kNone,          // kAnswered
+    AnswerReason::kVersionGone,   // kVersionGone
+    AnswerReason::kNoReplica,     // kWrongRange
+    AnswerReason::kOverload,      // kShed
+    AnswerReason::kNoReplica,     // kNotSent
+    AnswerReason::kTargetFailed,  // kLost
+    AnswerReason::kDeadline,      // kTimedOut
+    AnswerReason::kTargetFailed,  // kFailed
+    AnswerReason::kTargetFailed,  // kCancelled
+};
+
+[[nodiscard]] AnswerReason ReasonOf(AttemptStatus status) noexcept {
+  return kReasons.at(static_cast<std::size_t>(status));
+}
+
+}  // namespace internal
+
+void Engine::OnReply(const AttemptReply& reply,
+                     TimePoint now,
+                     Effects& effects) {
+  const auto found = m_attempts.find(reply.attempt);
+  if (found == m_attempts.end()) {
+    ++m_counters.late_replies;
+    return;
+  }
+  const OpenAttempt attempt = std::move(found->second);
+  m_attempts.erase(found);
+  AttemptStatus status = reply.status;
+  if (status == AttemptStatus::kAnswered &&
+      (reply.version != attempt.version || reply.range != attempt.range)) {
+    // It ran, but it answers another question: merged, it would mix snapshots
+    // or claim a range that nobody read.
+    ++m_counters.wrong_replies;
+    status = AttemptStatus::kFailed;
+  }
+  Learn(attempt, status, reply, now);
+  const HeldShards held = Judge(attempt, status, now, effects);
+  const auto call = m_calls.find(attempt.call);
+  if (call == m_calls.end() || attempt.cancelled ||
+      call->second.epoch != attempt.epoch) {
+    ++m_counters.late_replies;
+  } else {
+    TakeReply(call->second, attempt, status, reply, now, effects);
+  }
+  Resume(held, now, effects);
+  PumpWaiting(attempt.target, now, effects);
+  StartWaiting(now, effects);
+}
+
+void Engine::Learn(const OpenAttempt& attempt,
+                   AttemptStatus status,
+                   const AttemptReply& reply,
+                   TimePoint now) {
+  const auto latency = std::chrono::duration_cast<Duration>(now - attempt.sent);
+  // A hedge whose answer was no longer wanted did not win.
+  const AttemptKind kind =
+      attempt.cancelled ? AttemptKind::kFirst : attempt.kind;
+  m_router.Finish(AttemptResult{attempt.target, status, latency,
+                                reply.reported_load, kind, reply.draining},
+                  now);
+  if (status == AttemptStatus::kAnswered) {
+    attempt.service->fast.Add(latency);
+  }
+  if (status == AttemptStatus::kVersionGone) {
+    m_versions.NoteGone(attempt.service->id, attempt.version, attempt.target,
+                        now);
+  }
+}
+
+void Engine::TakeReply(OpenCall& open,
+                       const OpenAttempt& attempt,
+                       AttemptStatus status,
+                       const AttemptReply& reply,
+                       TimePoint now,
+                       Effects& effects) {
+  ShardState& state = open.shards[attempt.shard];
+  std::erase(state.in_flight, reply.attempt);
+  open.may_have_run = open.may_have_run || !ProvesNotRun(status);
+  if (status == AttemptStatus::kAnswered) {
+    state.phase = ShardPhase::kAnswered;
+    state.reply = ShardReply{reply.hits, reply.count};
+    --open.unsettled;
+    CancelShard(state, effects);
+  } else {
+    OnFailure(open, attempt, status, now, effects);
+  }
+  Settle(open, now, effects);
+}
+
+void Engine::OnFailure(OpenCall& open,
+                       const OpenAttempt& attempt,
+                       AttemptStatus status,
+                       TimePoint now,
+                       Effects& effects) {
+  ShardState& state = open.shards[attempt.shard];
+  state.reason = internal::ReasonOf(status);
+  if (VersionIsGone(open, state, status, now) && Restart(open, now, effects)) {
+    return;
+  }
+  if (!state.in_flight.empty()) {
+    // The other attempt may still answer; a hedge replaces the one that failed.
+    state.hedge_at = now + HedgeDelay(open);
+    return ArmAt(open, *state.hedge_at);
+  }
+  const bool survived = status == AttemptStatus::kFailed;
+  if (attempt.probe && !ProvesNotRun(status) && !survived) {
+    // A suspect is retried once, and this was the retry.
+    const bool convicted =
+        m_quarantine.Of(attempt.fingerprint, now) == Suspicion::kConvicted;
+    return GiveUp(open, state,
+                  convicted ? AnswerReason::kQuarantined : state.reason);
+  }
+  Retry(open, attempt.shard, status, now, effects);
+}
+
+bool Engine::VersionIsGone(const OpenCall& open,
+                           const ShardState& state,
+                           AttemptStatus status,
+                           TimePoint now) const {
+  if (status == AttemptStatus::kWrongRange) {
+    return Untried(state).empty();
+  }
+  if (status != AttemptStatus::kVersionGone) {
+    return false;
+  }
+  const ServiceId& service = open.service->id;
+  const IndexVersion version = open.map->version;
+  return !m_versions.Lists(service, version) ||
+         std::ranges::none_of(
+             state.shard->replicas, [&](const TargetId& target) {
+               return m_versions.Usable(service, version, target, now);
+             });
+}
+
+bool Engine::Restart(OpenCall& open, TimePoint now, Effects& effects) {
+  if (open.restarts >= m_options.retry.restarts_per_call ||
+      !CanStillEnd(open, now)) {
+    return false;
+  }
+  const bool in_flight = std::ranges::any_of(
+      open.shards,
+      [](const ShardState& state) { return !state.in_flight.empty(); });
+  if (open.call.method->repeat == Repeat::kOnce &&
+      (open.may_have_run || in_flight)) {
+    return false;
+  }
+  open.refused_versions.push_back(open.map->version);
+  VersionChoice choice = m_versions.Choose(
+      VersionRequest{open.service->id, open.call.key, open.refused_versions},
+      now);
+  if (!choice.complete) {
+    return false;
+  }
+  open.may_have_run = open.may_have_run || in_flight;
+  CancelAll(open, effects);
+  ++open.restarts;
+  ++m_counters.restarts;
+  Begin(open, std::move(choice.map), now, effects);
+  return true;
+}
+
+}  // namespace jacinthdeck
--- a/src/jacinthdeck/query/fwd.h
+++ b/src/jacinthdeck/query/fwd.h
@@ -5,15 +5,43 @@
 
 namespace jacinthdeck {
 
+class AdmissionQueue;
+class Coverage;
 class Engine;
+class LatencyQuantile;
+class Merger;
+class ProbeGate;
+class Quarantine;
+class StartPace;
+class VersionCatalog;
+class WaitingAttempts;
+struct AdmissionOptions;
 struct Answer;
 struct AttemptReply;
 struct Call;
+struct CancelAttempt;
+struct DeliverAnswer;
 struct Effects;
+struct EngineCounters;
+struct EngineOptions;
+struct HeldShard;
 struct Hit;
 struct KeyRange;
+struct Merged;
 struct PartitionMap;
+struct QuarantineEntry;
+struct QuarantineOptions;
+struct RetryOptions;
 struct SendAttempt;
+struct Shard;
+struct ShardReply;
+struct VersionChoice;
+struct VersionRequest;
+struct WaitingAttempt;
+struct WaitingKey;
+struct WaitingOptions;
+enum class AnswerReason;
+enum class Suspicion;
 
 }  // namespace jacinthdeck
 
