Ask the at-most-once registry before any refusal is told

Cause: an entry that drains or is fenced refused every call with "not run" before it looked at the request id. A resend of a claim that had run, whose answer the caller had lost, was told "not run" though a target had run it; its caller would claim again under a new id.

Change: OnceRegistry::Arrive() takes a closed intake: it tells what is known of an id and takes no new one. A refusal (draining, not ready, no longer declared) is told only for an id that never ran here; other ids are sent on, or unknown.

Not covered: refusals at the callers' edge, before the decision thread, still say "not run" for a call with a request id.

--- a/src/jacinthdeck/cluster/once_registry.cc
+++ b/src/jacinthdeck/cluster/once_registry.cc
@@ -47,7 +47,9 @@
          "." + internal::kTimeMark + std::to_string(internal::ToTokenTime(now));
 }
 
-OnceResult OnceRegistry::Arrive(const RequestId& id, TimePoint now) {
+OnceResult OnceRegistry::Arrive(const RequestId& id,
+                                TimePoint now,
+                                OnceIntake intake) {
   const std::optional<std::int64_t> issued = internal::ParseTokenTime(id.nonce);
   if (!issued) {
     return {OnceDecision::kInvalid, {}, id.node};
@@ -73,7 +75,8 @@
   if (expires <= now) {
     return {OnceDecision::kUnknown, {}, id.node};
   }
-  if (!m_accepting || m_entries.size() >= m_options.capacity) {
+  if (intake == OnceIntake::kClosed || !m_accepting ||
+      m_entries.size() >= m_options.capacity) {
     return {OnceDecision::kRefused, {}, id.node};
   }
   m_entries.emplace(id, Entry{expires, State::kRunning, {}});
--- a/src/jacinthdeck/cluster/once_registry.h
+++ b/src/jacinthdeck/cluster/once_registry.h
@@ -51,6 +51,9 @@
   [[nodiscard]] bool operator==(const OnceAnswer&) const = default;
 };
 
+/*! \brief Whether an id that was never seen may run. */
+enum class OnceIntake { kOpen, kClosed };
+
 /*! \brief A decision with what it needs. */
 struct OnceResult {
   OnceDecision decision = OnceDecision::kUnknown;
@@ -94,8 +97,17 @@
    */
   [[nodiscard]] std::string MakeToken(TimePoint now) const;
 
-  /*! \brief Decides on a request that arrived, from a caller or forwarded. */
-  [[nodiscard]] OnceResult Arrive(const RequestId& id, TimePoint now);
+  /**
+   * \brief Decides on a request that arrived, from a caller or forwarded.
+   * \param id Its id.
+   * \param now Present moment.
+   * \param intake Closed where the node would refuse a new request anyway; what
+   * is known of a resend is told all the same.
+   * \return The decision.
+   */
+  [[nodiscard]] OnceResult Arrive(const RequestId& id,
+                                  TimePoint now,
+                                  OnceIntake intake = OnceIntake::kOpen);
 
   /*! \brief Stores the answer of a request that was told to run. */
   void Finish(const RequestId& id, OnceAnswer answer, TimePoint now);
--- a/src/jacinthdeck/runtime/decision_core.cc
+++ b/src/jacinthdeck/runtime/decision_core.cc
@@ -102,28 +102,15 @@
 }
 
 void DecisionCore::Begin(SubmittedCall call, bool forwarded, TimePoint now) {
-  // A forwarded request is bound to this life, so that nobody else may run it;
-  // it is work in flight to a node that leaves.
-  if (m_draining && !forwarded) {
-    call.sink(Refusal(AnswerReason::kDraining, kDrainingComeBack));
-    return;
-  }
-  // Without the check at this very moment a node that was paused, or cut off,
-  // would answer by a revision that the operators were told is gone.
-  if (m_schema == nullptr || m_cluster.StateAt(now) != ServeState::kServing) {
-    call.sink(Refusal(AnswerReason::kNotReady, kNotReadyComeBack));
-    return;
-  }
-  if (!Recheck(call)) {
-    return;
-  }
+  const std::optional<CallResult> refusal =
+      ReasonToRefuse(call, forwarded, now);
   if (call.request) {
-    ClusterEffects effects;
-    const OnceCalls::Next next = m_once.Arrive(call, forwarded, now, effects);
-    Act(effects, now);
-    if (next == OnceCalls::Next::kDone) {
+    if (!ArriveOnce(call, forwarded, refusal, now)) {
       return;
     }
+  } else if (refusal) {
+    call.sink(*refusal);
+    return;
   }
   call.call.id = CallId(m_next_call++);
   m_open[call.call.id] =
@@ -133,11 +120,42 @@
   Act(effects, now);
 }
 
+std::optional<CallResult> DecisionCore::ReasonToRefuse(SubmittedCall& call,
+                                                       bool forwarded,
+                                                       TimePoint now) const {
+  // A forwarded request is bound to this life, so that nobody else may run it;
+  // it is work in flight to a node that leaves.
+  if (m_draining && !forwarded) {
+    return Refusal(AnswerReason::kDraining, kDrainingComeBack);
+  }
+  // Without the check at this very moment a node that was paused, or cut off,
+  // would answer by a revision that the operators were told is gone.
+  if (m_schema == nullptr || m_cluster.StateAt(now) != ServeState::kServing) {
+    return Refusal(AnswerReason::kNotReady, kNotReadyComeBack);
+  }
+  return Recheck(call);
+}
+
+// A node that refuses may be asked again for a request that it, or another,
+// ran: its caller lost the answer. "Not run" would be untrue then, and the
+// caller would claim a second time. So the registry is asked before any refusal
+// is told.
+bool DecisionCore::ArriveOnce(SubmittedCall& call,
+                              bool forwarded,
+                              const std::optional<CallResult>& refusal,
+                              TimePoint now) {
+  ClusterEffects effects;
+  const OnceCalls::Next next =
+      m_once.Arrive(call, forwarded, refusal, now, effects);
+  Act(effects, now);
+  return next == OnceCalls::Next::kRun;
+}
+
 // The edge checked the request by the schema it saw; a revision may have come
 // into force since.
-bool DecisionCore::Recheck(SubmittedCall& call) {
+std::optional<CallResult> DecisionCore::Recheck(SubmittedCall& call) const {
   if (call.schema == m_schema) {
-    return true;
+    return std::nullopt;
   }
   const auto method =
       m_schema->Find(call.call.method->service.raw(), call.call.method->name);
@@ -149,19 +167,17 @@
     return m_schema->Check(*method, *call.call.body);
   });
   if (const Error* error = std::get_if<Error>(&checked)) {
-    call.sink(EncodedAnswer{400, EncodeError(*error)});
-    return false;
+    return EncodedAnswer{400, EncodeError(*error)};
   }
   auto& request = std::get<CheckedRequest>(checked);
   if ((method->repeat == Repeat::kOnce) != call.request.has_value()) {
-    call.sink(Refusal(AnswerReason::kNotReady, kNotReadyComeBack));
-    return false;
+    return Refusal(AnswerReason::kNotReady, kNotReadyComeBack);
   }
   call.call.method = method;
   call.call.body = std::make_shared<const std::string>(std::move(request.body));
   call.call.key = request.key;
   call.call.fingerprint = request.fingerprint;
-  return true;
+  return std::nullopt;
 }
 
 void DecisionCore::On(AttemptReply& reply, TimePoint now) {
@@ -321,10 +337,6 @@
       m_schema == nullptr
           ? nullptr
           : m_schema->Find(request.service.raw(), request.method);
-  if (method == nullptr) {
-    reply_to_peer(Refusal(AnswerReason::kNotReady, kNotReadyComeBack));
-    return;
-  }
   SubmittedCall call;
   call.call.tenant = request.tenant;
   call.call.method = method;
@@ -332,6 +344,11 @@
   call.call.deadline = now + request.time_left;
   call.request = request.id;
   call.sink = reply_to_peer;
+  if (method == nullptr) {
+    (void)ArriveOnce(call, true,
+                     Refusal(AnswerReason::kNotReady, kNotReadyComeBack), now);
+    return;
+  }
   Begin(std::move(call), true, now);
 }
 
--- a/src/jacinthdeck/runtime/decision_core.h
+++ b/src/jacinthdeck/runtime/decision_core.h
@@ -94,7 +94,14 @@
   void On(DecisionTask& task, TimePoint now);
 
   void Begin(SubmittedCall call, bool forwarded, TimePoint now);
-  [[nodiscard]] bool Recheck(SubmittedCall& call);
+  [[nodiscard]] std::optional<CallResult> ReasonToRefuse(SubmittedCall& call,
+                                                         bool forwarded,
+                                                         TimePoint now) const;
+  [[nodiscard]] std::optional<CallResult> Recheck(SubmittedCall& call) const;
+  [[nodiscard]] bool ArriveOnce(SubmittedCall& call,
+                                bool forwarded,
+                                const std::optional<CallResult>& refusal,
+                                TimePoint now);
   void OnForwarded(const Envelope& envelope,
                    const ForwardRequest& request,
                    TimePoint now);
--- a/src/jacinthdeck/runtime/once_calls.cc
+++ b/src/jacinthdeck/runtime/once_calls.cc
@@ -48,9 +48,11 @@
 
 OnceCalls::Next OnceCalls::Arrive(SubmittedCall& call,
                                   bool forwarded,
+                                  const std::optional<CallResult>& refusal,
                                   TimePoint now,
                                   ClusterEffects& effects) {
-  OnceResult result = m_cluster.once().Arrive(*call.request, now);
+  OnceResult result = m_cluster.once().Arrive(
+      *call.request, now, refusal ? OnceIntake::kClosed : OnceIntake::kOpen);
   switch (result.decision) {
     case OnceDecision::kRun:
       return Next::kRun;
@@ -62,7 +64,7 @@
           EncodedAnswer{result.answer->status, std::move(result.answer->body)});
       break;
     case OnceDecision::kForward:
-      if (forwarded) {
+      if (forwarded || call.call.method == nullptr) {
         call.sink(Unknown(AnswerReason::kElsewhere));
       } else {
         Forward(call, result.node, now, effects);
@@ -72,8 +74,9 @@
       call.sink(Unknown(AnswerReason::kElsewhere));
       break;
     case OnceDecision::kRefused:
-      call.sink(NotRun(m_cluster.leaving() ? AnswerReason::kDraining
-                                           : AnswerReason::kOverload));
+      call.sink(refusal.value_or(NotRun(m_cluster.leaving()
+                                            ? AnswerReason::kDraining
+                                            : AnswerReason::kOverload)));
       break;
     case OnceDecision::kInvalid:
       call.sink(InvalidId());
--- a/src/jacinthdeck/runtime/once_calls.h
+++ b/src/jacinthdeck/runtime/once_calls.h
@@ -43,11 +43,14 @@
    * \brief Decides on a call with a request id.
    * \param call Call; its sink is taken unless kRun is returned.
    * \param forwarded Whether a peer sent it on; it is not sent on again.
+   * \param refusal Set where the node takes no such call now: it is told for an
+   * id that never ran, and for no other.
    * \param now Present time.
    * \param effects Takes a message to a peer.
    */
   [[nodiscard]] Next Arrive(SubmittedCall& call,
                             bool forwarded,
+                            const std::optional<CallResult>& refusal,
                             TimePoint now,
                             ClusterEffects& effects);
 
--- a/test/jacinthdeck/cluster/once_registry_test.cc
+++ b/test/jacinthdeck/cluster/once_registry_test.cc
@@ -56,6 +56,21 @@
   BOOST_TEST(again.answer->body == "claimed");
 }
 
+// A claim ran and its answer was lost; its node is fenced, or leaves, when the
+// caller comes again. The node takes nothing new, but "not run" would be
+// untrue.
+BOOST_AUTO_TEST_CASE(Once_ResentWhileIntakeIsClosed_TellsWhatIsKnown) {
+  const RequestId id = Id("a");
+  BOOST_TEST(Arrive(id) == OnceDecision::kRun);
+  registry.Finish(id, {200, "claimed"}, clock.Now());
+  const auto closed = [this](const RequestId& which) {
+    return registry.Arrive(which, clock.Now(), OnceIntake::kClosed).decision;
+  };
+  BOOST_TEST(closed(id) == OnceDecision::kFinished);
+  BOOST_TEST(closed(Id("b")) == OnceDecision::kRefused);
+  BOOST_TEST(registry.size() == 1U);
+}
+
 // A resend comes so late that the id was forgotten to bound the memory. Taken
 // as new it would run a second time.
 BOOST_AUTO_TEST_CASE(Once_ResentAfterExpiry_IsUnknownNotRun) {
