Tell unknown, not conflict, beyond the remembered operations

Cause: the configuration value remembers 64 operation ids. A change that was applied, whose reply was lost, and which 65 others followed, is not found by its id; its resend was told "conflict", which means not applied.

Change: ApplyChange() gives kOutcomeUnknown where the remembered operations do not reach back to the expected revision. An operator whose expected revision is that old, and who never sent the change, is told unknown too; the text says to compare the content in force.

--- a/src/jacinthdeck/cluster/config_change.cc
+++ b/src/jacinthdeck/cluster/config_change.cc
@@ -46,8 +46,25 @@
                                          : std::optional(found->revision);
 }
 
+bool RemembersSince(const ConfigValue& value, Revision revision) {
+  return value.operations.size() < kMaxOperations ||
+         value.operations.front().revision <= revision;
+}
+
 Result<ConfigValue> ApplyChange(const ConfigValue& now_stored,
                                 const ConfigChange& change) {
+  // The reply to an applied change was lost, and more changes followed than the
+  // value remembers: "conflict" would tell its operator that it was not
+  // applied, and it would be applied a second time under a new id.
+  if (change.expected < now_stored.content_revision &&
+      !RemembersSince(now_stored, change.expected)) {
+    return Fail(ErrorCode::kOutcomeUnknown, "operation",
+                "more than " + std::to_string(kMaxOperations) +
+                    " changes followed revision " +
+                    std::to_string(change.expected.raw()) +
+                    ", so it is not known whether this one was among them; "
+                    "compare the content in force");
+  }
   if (change.expected < now_stored.content_revision ||
       change.expected > now_stored.revision) {
     return Fail(ErrorCode::kConflict, "expected",
--- a/src/jacinthdeck/cluster/config_change.h
+++ b/src/jacinthdeck/cluster/config_change.h
@@ -17,13 +17,18 @@
     const ConfigValue& value,
     const OperationId& operation);
 
+/*! \brief Tells whether every change after a revision is still among the
+ * operations that the value remembers. */
+[[nodiscard]] bool RemembersSince(const ConfigValue& value, Revision revision);
+
 /**
  * \brief Applies an operator's change.
  * \param now_stored Value at the store.
  * \param change Change.
  * \return The next value; kConflict if the content changed after the expected
- * revision, kInvalidArgument for a rollback to a revision that the history
- * does not hold.
+ * revision, kOutcomeUnknown if that was so long ago that the change itself may
+ * have been one of those that did it, kInvalidArgument for a rollback to a
+ * revision that the history does not hold.
  */
 [[nodiscard]] Result<ConfigValue> ApplyChange(const ConfigValue& now_stored,
                                               const ConfigChange& change);
--- a/src/jacinthdeck/cluster/config_coordinator.cc
+++ b/src/jacinthdeck/cluster/config_coordinator.cc
@@ -20,6 +20,8 @@
       return ChangeState::kConflict;
     case ErrorCode::kTooLarge:
       return ChangeState::kTooLarge;
+    case ErrorCode::kOutcomeUnknown:
+      return ChangeState::kUnknown;
     default:
       return ChangeState::kInvalid;
   }
@@ -254,8 +256,9 @@
     return EncodeWithinLimit(next);
   });
   if (const Error* const error = std::get_if<Error>(&text)) {
+    const bool unknown = error->code == ErrorCode::kOutcomeUnknown;
     Close(pending, internal::StateFor(error->code), stored.revision,
-          "not applied: " + error->message, effects);
+          (unknown ? "" : "not applied: ") + error->message, effects);
     return;
   }
   pending.writing = true;
--- a/test/jacinthdeck/cluster/config_change_test.cc
+++ b/test/jacinthdeck/cluster/config_change_test.cc
@@ -68,6 +68,21 @@
   BOOST_TEST(FindOperation(stored, change.operation).has_value());
 }
 
+// An operator lost the reply to an applied change; so many others followed that
+// its id is forgotten. "Conflict" would say that it was not applied.
+BOOST_AUTO_TEST_CASE(Change_ResentAfterItsIdIsForgotten_IsUnknown) {
+  const ConfigChange lost = change;
+  for (std::uint64_t step = 0; step <= kMaxOperations; ++step) {
+    change.operation = OperationId(step == 0 ? "op" : std::to_string(step));
+    change.expected = stored.revision;
+    stored = std::get<ConfigValue>(Apply());
+  }
+  change = lost;
+  BOOST_TEST(!FindOperation(stored, change.operation).has_value());
+  const auto result = Apply();
+  BOOST_TEST((std::get<Error>(result).code == ErrorCode::kOutcomeUnknown));
+}
+
 BOOST_AUTO_TEST_CASE(Change_Voters_KeepTheOldListUntilSettled) {
   const ConfigValue joint = ChangeVoters(stored, {NodeId("c"), NodeId("b")});
   BOOST_TEST((joint.revision == Revision(6)));
