Add the open-loop load generator

Latency counts from the due time; bounded in rate, count, time and to loopback addresses; a request that was not run turns to the next entry, nothing else is sent again. It counts mixed versions and doubled hits in every answer and exits with 3 if there are any. Servers alone block SIGTERM; a program ends on it.

--- a/standins/hostlist_main.cc
+++ b/standins/hostlist_main.cc
@@ -64,7 +64,7 @@
                         "file with the list; read again when it changes")(
       "lag-ms", po::value(&list.lag_ms)->default_value(list.lag_ms),
       "age of what is shown");
-  return jacinthdeck::standins::RunProcess(
+  return jacinthdeck::standins::RunServer(
       argc, argv, options, [&](std::uint16_t port) {
         return jacinthdeck::standins::Serve(port, list);
       });
--- /dev/null
+++ b/standins/loadgen/load_report.cc
@@ -0,0 +1,136 @@
+// Percentiles, histogram and CSV.
+#include "loadgen/load_report.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/histogram.hpp>
+#include <cmath>
+#include <cstddef>
+#include <cstdint>
+#include <iomanip>
+#include <sstream>
+
+namespace jacinthdeck::standins {
+
+namespace {
+
+/*! \brief What adds up over the requests. */
+struct Totals {
+  std::array<std::uint64_t, kLoadEnds> ends{};
+  std::uint64_t attempts = 0;
+  std::uint64_t extra = 0;
+  std::uint64_t resends = 0;
+  std::uint64_t broken_promises = 0;
+  double coverage = 0;
+  std::uint64_t answers = 0;
+};
+
+[[nodiscard]] bool IsAnswer(const Sample& sample) {
+  return sample.end == LoadEnd::kWhole || sample.end == LoadEnd::kPartial;
+}
+
+[[nodiscard]] Totals Sum(const std::vector<Sample>& samples) {
+  Totals totals;
+  for (const Sample& sample : samples) {
+    ++totals.ends[static_cast<std::size_t>(sample.end)];
+    totals.attempts += sample.attempts;
+    totals.extra += sample.hedges + sample.retries;
+    totals.resends += sample.resends;
+    totals.broken_promises += sample.mixed + sample.doubled > 0 ? 1U : 0U;
+    if (IsAnswer(sample)) {
+      ++totals.answers;
+      totals.coverage += sample.coverage;
+    }
+  }
+  return totals;
+}
+
+[[nodiscard]] std::vector<Duration> Latencies(
+    const std::vector<Sample>& samples) {
+  std::vector<Duration> latencies;
+  for (const Sample& sample : samples) {
+    if (IsAnswer(sample)) {
+      latencies.push_back(sample.latency);
+    }
+  }
+  std::ranges::sort(latencies);
+  return latencies;
+}
+
+//! Nearest rank.
+[[nodiscard]] double Percentile(const std::vector<Duration>& sorted,
+                                double share) {
+  if (sorted.empty()) {
+    return 0;
+  }
+  const double rank = std::ceil(share * static_cast<double>(sorted.size()));
+  const auto index = static_cast<std::size_t>(std::max(rank, 1.0)) - 1;
+  return ToMilliseconds(sorted[std::min(index, sorted.size() - 1)]);
+}
+
+[[nodiscard]] double PerAnswer(double value, const Totals& totals) {
+  return totals.answers == 0 ? 0 : value / static_cast<double>(totals.answers);
+}
+
+}  // namespace
+
+std::uint64_t PrintReport(const std::vector<Sample>& samples,
+                          std::ostream& out) {
+  const Totals totals = Sum(samples);
+  const std::vector<Duration> latencies = Latencies(samples);
+  out << std::fixed << std::setprecision(3) << "requests  " << samples.size()
+      << "\nlatency of answers, from the due time\n  p50   "
+      << Percentile(latencies, 0.5) << " ms\n  p99   "
+      << Percentile(latencies, 0.99) << " ms\n  p99.9 "
+      << Percentile(latencies, 0.999) << " ms\nends\n";
+  for (std::size_t end = 0; end < kLoadEnds; ++end) {
+    if (totals.ends[end] > 0) {
+      out << "  " << kLoadEndNames.names[end] << " " << totals.ends[end]
+          << "\n";
+    }
+  }
+  out << "coverage  " << PerAnswer(totals.coverage, totals)
+      << " of the keys, mean of the answers\nattempts  "
+      << PerAnswer(static_cast<double>(totals.attempts), totals)
+      << " an answer, extra "
+      << PerAnswer(static_cast<double>(totals.extra), totals) << "\nresends   "
+      << totals.resends << "\nbroken    " << totals.broken_promises
+      << " answers with mixed versions or a hit twice" << std::endl;
+  return totals.broken_promises;
+}
+
+void PrintHistogram(const std::vector<Sample>& samples, std::ostream& out) {
+  namespace bh = boost::histogram;
+  constexpr unsigned kBins = 16;
+  constexpr double kLow = 0.25;
+  constexpr double kHigh = 16384;
+  auto histogram = bh::make_histogram(
+      bh::axis::regular<double, bh::axis::transform::log>(kBins, kLow, kHigh));
+  for (const Sample& sample : samples) {
+    histogram(ToMilliseconds(sample.latency));
+  }
+  for (const auto& bin : bh::indexed(histogram, bh::coverage::all)) {
+    if (*bin > 0) {
+      out << std::setw(12) << bin.bin().lower() << " ms " << std::setw(10)
+          << static_cast<std::uint64_t>(*bin) << "\n";
+    }
+  }
+}
+
+std::string ToCsv(const std::vector<Sample>& samples) {
+  std::ostringstream csv;
+  csv << "number,due_us,latency_us,end,status,reason,version,hits,attempts,"
+         "hedges,retries,coverage,resends,mixed,doubled\n";
+  for (const Sample& sample : samples) {
+    csv << sample.number << ',' << sample.due.count() << ','
+        << sample.latency.count() << ',' << kLoadEndNames.Name(sample.end)
+        << ',' << sample.status << ',' << sample.reason << ',' << sample.version
+        << ',' << sample.hits << ',' << sample.attempts << ',' << sample.hedges
+        << ',' << sample.retries << ',' << sample.coverage << ','
+        << sample.resends << ',' << sample.mixed << ',' << sample.doubled
+        << '\n';
+  }
+  return csv.str();
+}
+
+}  // namespace jacinthdeck::standins
--- /dev/null
+++ b/standins/loadgen/load_run.cc
@@ -0,0 +1,250 @@
+// Open loop by libcurl multi; latency counts from the due time.
+#include "loadgen/load_run.h"
+
+#include <jansson.h>
+
+#include <algorithm>
+#include <stdexcept>
+#include <utility>
+#include <variant>
+
+#include "jacinthdeck/platform/json.h"
+#include "jacinthdeck/platform/json_reader.h"
+#include "loadgen/answer_reader.h"
+
+namespace jacinthdeck::standins {
+
+namespace {
+
+constexpr long kDefaultTimeoutMs = 10000;
+//! Time that a reply may take beyond the deadline before it counts as lost.
+constexpr long kGraceMs = 2000;
+constexpr int kMaxPollMs = 20;
+
+size_t Append(char* data, size_t size, size_t count, void* body) {
+  static_cast<std::string*>(body)->append(data, size * count);
+  return size * count;
+}
+
+}  // namespace
+
+/*! \brief One request in flight; libcurl holds pointers into it. */
+struct LoadRun::Transfer {
+  Due due;
+  std::string url;
+  std::string body;
+  std::string reply;
+  curl_slist* headers = nullptr;
+
+  ~Transfer() { curl_slist_free_all(headers); }
+};
+
+LoadRun::LoadRun(LoadOptions options, std::vector<HttpEndpoint> entries)
+    : m_options(std::move(options)),
+      m_entries(std::move(entries)),
+      m_arrivals(m_options.rate,
+                 m_options.arrivals == "poisson",
+                 m_options.seed),
+      m_multi(curl_multi_init()) {
+  curl_multi_setopt(m_multi, CURLMOPT_MAXCONNECTS,
+                    static_cast<long>(m_options.in_flight));
+}
+
+LoadRun::~LoadRun() {
+  for (const auto& [handle, transfer] : m_transfers) {
+    curl_multi_remove_handle(m_multi, handle);
+    curl_easy_cleanup(handle);
+  }
+  for (CURL* handle : m_idle) {
+    curl_easy_cleanup(handle);
+  }
+  curl_multi_cleanup(m_multi);
+}
+
+std::vector<Sample> LoadRun::Run() {
+  if (m_options.request_ids) {
+    FetchTokens();
+  }
+  m_start = std::chrono::steady_clock::now();
+  m_next_arrival = m_arrivals.Next();
+  const auto last = std::chrono::seconds(m_options.seconds);
+  while (true) {
+    const bool more = m_scheduled < m_options.count && m_next_arrival < last;
+    if (!more && m_due.empty() && m_transfers.empty()) {
+      return std::move(m_samples);
+    }
+    StartDue();
+    int running = 0;
+    curl_multi_perform(m_multi, &running);
+    Collect();
+    curl_multi_poll(m_multi, nullptr, 0, PollMilliseconds(), nullptr);
+  }
+}
+
+void LoadRun::FetchTokens() {
+  for (const HttpEndpoint& entry : m_entries) {
+    const HttpClient client(entry);
+    const auto token = Capture([&]() -> Result<std::string> {
+      BOOST_LEAF_AUTO(answer, client.Call({.path = "/v1/entries"}));
+      BOOST_LEAF_AUTO(json, ParseJson(answer.body, "entries"));
+      return JsonReader(json.get(), "entries").String("token");
+    });
+    if (const auto* error = std::get_if<Error>(&token)) {
+      throw std::runtime_error("no token from " + entry.ToString() + ": " +
+                               error->message);
+    }
+    m_tokens.push_back(std::get<0>(token));
+  }
+}
+
+void LoadRun::StartDue() {
+  const auto last = std::chrono::seconds(m_options.seconds);
+  const Duration now = Elapsed();
+  while (m_scheduled < m_options.count && m_next_arrival < last &&
+         m_next_arrival <= now) {
+    const std::uint64_t number = m_scheduled++;
+    m_due.push({m_next_arrival, number, m_next_arrival,
+                number % m_entries.size(), 0, NewId(number)});
+    m_next_arrival = m_arrivals.Next();
+  }
+  while (!m_due.empty() && m_due.top().at <= now &&
+         m_transfers.size() < m_options.in_flight) {
+    const Due due = m_due.top();
+    m_due.pop();
+    Start(due);
+  }
+}
+
+void LoadRun::Start(const Due& due) {
+  auto transfer = std::make_unique<Transfer>();
+  transfer->due = due;
+  transfer->url =
+      "http://" + m_entries[due.entry].ToString() + "/v1/" + m_options.call;
+  transfer->body = Body(due.number);
+  const auto add = [&](const std::string& header) {
+    transfer->headers = curl_slist_append(transfer->headers, header.c_str());
+  };
+  add("Content-Type: application/json");
+  if (!m_options.tenant.empty()) {
+    add("X-Tenant: " + m_options.tenant);
+  }
+  if (!due.id.empty()) {
+    add("X-Request-Id: " + due.id);
+  }
+  long timeout = kDefaultTimeoutMs;
+  if (m_options.deadline_ms > 0) {
+    add("X-Deadline-Ms: " + std::to_string(m_options.deadline_ms));
+    timeout = static_cast<long>(m_options.deadline_ms) + kGraceMs;
+  }
+  CURL* handle = m_idle.empty() ? curl_easy_init() : m_idle.back();
+  if (!m_idle.empty()) {
+    m_idle.pop_back();
+    curl_easy_reset(handle);
+  }
+  curl_easy_setopt(handle, CURLOPT_URL, transfer->url.c_str());
+  curl_easy_setopt(handle, CURLOPT_HTTPHEADER, transfer->headers);
+  curl_easy_setopt(handle, CURLOPT_POSTFIELDS, transfer->body.c_str());
+  curl_easy_setopt(handle, CURLOPT_POSTFIELDSIZE,
+                   static_cast<long>(transfer->body.size()));
+  curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, &Append);
+  curl_easy_setopt(handle, CURLOPT_WRITEDATA, &transfer->reply);
+  curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, timeout);
+  curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(handle, CURLOPT_TCP_NODELAY, 1L);
+  curl_easy_setopt(handle, CURLOPT_PROXY, "");
+  if (m_options.fresh_connections) {
+    curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, 1L);
+    curl_easy_setopt(handle, CURLOPT_FORBID_REUSE, 1L);
+  }
+  curl_multi_add_handle(m_multi, handle);
+  m_transfers.emplace(handle, std::move(transfer));
+}
+
+void LoadRun::Collect() {
+  int left = 0;
+  while (const CURLMsg* message = curl_multi_info_read(m_multi, &left)) {
+    if (message->msg != CURLMSG_DONE) {
+      continue;
+    }
+    CURL* handle = message->easy_handle;
+    const CURLcode code = message->data.result;
+    const auto found = m_transfers.find(handle);
+    long status = 0;
+    curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &status);
+    curl_multi_remove_handle(m_multi, handle);
+    const std::unique_ptr<Transfer> transfer = std::move(found->second);
+    m_transfers.erase(found);
+    m_idle.push_back(handle);
+    Sample sample;
+    if (code == CURLE_OK) {
+      ReadAnswer(status, transfer->reply, sample);
+    } else {
+      sample.end =
+          code == CURLE_COULDNT_CONNECT ? LoadEnd::kNotSent : LoadEnd::kLost;
+      sample.reason = curl_easy_strerror(code);
+    }
+    if (SendAgain(*transfer, sample)) {
+      continue;
+    }
+    sample.number = transfer->due.number;
+    sample.due = transfer->due.first;
+    sample.latency = Elapsed() - transfer->due.first;
+    sample.resends = transfer->due.resends;
+    m_samples.push_back(sample);
+  }
+}
+
+bool LoadRun::SendAgain(const Transfer& transfer, const Sample& sample) {
+  const bool not_run =
+      sample.end == LoadEnd::kNotSent || sample.end == LoadEnd::kNotRun;
+  if (!not_run || transfer.due.resends >= m_options.resends) {
+    return false;
+  }
+  Due again = transfer.due;
+  again.entry = (again.entry + 1) % m_entries.size();
+  ++again.resends;
+  const bool elsewhere =
+      sample.end == LoadEnd::kNotSent || sample.reason == "draining" ||
+      sample.reason == "elsewhere" || sample.reason == "not_ready";
+  again.at = Elapsed() + (elsewhere ? Duration::zero() : sample.retry_after);
+  m_due.push(again);
+  return true;
+}
+
+Duration LoadRun::Elapsed() const {
+  return std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now() -
+                                              m_start);
+}
+
+int LoadRun::PollMilliseconds() const {
+  Duration wait = std::chrono::milliseconds(kMaxPollMs);
+  const Duration now = Elapsed();
+  if (m_scheduled < m_options.count) {
+    wait = std::min(wait, m_next_arrival - now);
+  }
+  if (!m_due.empty() && m_transfers.size() < m_options.in_flight) {
+    wait = std::min(wait, m_due.top().at - now);
+  }
+  // Rounded down: a due time is met by a short spin rather than missed.
+  return static_cast<int>(std::max<Duration::rep>(0, wait.count() / 1000));
+}
+
+std::string LoadRun::Body(std::uint64_t number) const {
+  constexpr std::string_view kMark = "{n}";
+  std::string body = m_options.request;
+  for (std::size_t at = body.find(kMark); at != body.npos;
+       at = body.find(kMark, at)) {
+    body.replace(at, kMark.size(), std::to_string(number));
+  }
+  return body;
+}
+
+std::string LoadRun::NewId(std::uint64_t number) const {
+  if (m_tokens.empty()) {
+    return "";
+  }
+  return m_tokens[number % m_tokens.size()] + ".load-" +
+         std::to_string(m_options.seed) + "-" + std::to_string(number);
+}
+
+}  // namespace jacinthdeck::standins
--- /dev/null
+++ b/standins/loadgen/load_run.h
@@ -0,0 +1,89 @@
+// Runs an open loop of requests over one libcurl multi handle.
+#ifndef JACINTHDECK_STANDINS_LOADGEN_LOAD_RUN_H_
+#define JACINTHDECK_STANDINS_LOADGEN_LOAD_RUN_H_
+
+#include <curl/curl.h>
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <queue>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "jacinthdeck/platform/http_client.h"
+#include "loadgen/arrivals.h"
+#include "loadgen/load_options.h"
+#include "loadgen/sample.h"
+
+namespace jacinthdeck::standins {
+
+/**
+ * \brief One run, on the thread that calls Run().
+ *
+ * A caller that is told "not run", or finds no connection, turns to the next
+ * entry, as callers are asked to; nothing else is ever sent again.
+ */
+class LoadRun {
+ public:
+  /**
+   * \brief Prepares a run.
+   * \param options Checked options.
+   * \param entries Entries, at least one.
+   */
+  LoadRun(LoadOptions options, std::vector<HttpEndpoint> entries);
+  ~LoadRun();
+  LoadRun(const LoadRun&) = delete;
+  LoadRun& operator=(const LoadRun&) = delete;
+
+  /*! \brief Sends all requests and waits for their ends.
+   * \return One sample a request, in the order of their ends. */
+  [[nodiscard]] std::vector<Sample> Run();
+
+ private:
+  using Moment = std::chrono::steady_clock::time_point;
+  struct Transfer;
+  struct Due {
+    Duration at;
+    std::uint64_t number = 0;
+    //! Due time of the first sending.
+    Duration first;
+    std::size_t entry = 0;
+    std::uint64_t resends = 0;
+    std::string id;
+    [[nodiscard]] bool operator>(const Due& other) const {
+      return at > other.at;
+    }
+  };
+
+  void FetchTokens();
+  void StartDue();
+  void Start(const Due& due);
+  void Collect();
+  [[nodiscard]] bool SendAgain(const Transfer& transfer, const Sample& sample);
+  [[nodiscard]] Duration Elapsed() const;
+  [[nodiscard]] int PollMilliseconds() const;
+  [[nodiscard]] std::string Body(std::uint64_t number) const;
+  [[nodiscard]] std::string NewId(std::uint64_t number) const;
+
+  LoadOptions m_options;
+  std::vector<HttpEndpoint> m_entries;
+  //! One for each entry; empty where ids are not asked for.
+  std::vector<std::string> m_tokens;
+  Arrivals m_arrivals;
+  CURLM* m_multi;
+  Moment m_start;
+  std::uint64_t m_scheduled = 0;
+  Duration m_next_arrival{};
+  std::priority_queue<Due, std::vector<Due>, std::greater<>> m_due;
+  std::unordered_map<CURL*, std::unique_ptr<Transfer>> m_transfers;
+  std::vector<CURL*> m_idle;
+  std::vector<Sample> m_samples;
+};
+
+}  // namespace jacinthdeck::standins
+
+#endif  // JACINTHDECK_STANDINS_LOADGEN_LOAD_RUN_H_
--- /dev/null
+++ b/standins/loadgen_main.cc
@@ -0,0 +1,72 @@
+// Open-loop load generator for entries on loopback.
+#include <iostream>
+#include <variant>
+
+#include "loadgen/load_options.h"
+#include "loadgen/load_report.h"
+#include "loadgen/load_run.h"
+#include "process/process.h"
+
+namespace jacinthdeck::standins {
+
+namespace {
+
+constexpr int kPromiseBroken = 3;
+
+int Load(const LoadOptions& options) {
+  const auto entries = Capture([&] { return CheckLoad(options); });
+  if (const auto* error = std::get_if<Error>(&entries)) {
+    std::cerr << error->subject << " " << error->message << "\n";
+    return 2;
+  }
+  LoadRun run(options, std::get<0>(entries));
+  const std::vector<Sample> samples = run.Run();
+  const std::uint64_t broken = PrintReport(samples, std::cout);
+  if (options.histogram) {
+    PrintHistogram(samples, std::cout);
+  }
+  if (!options.csv.empty()) {
+    WriteFile(options.csv, ToCsv(samples));
+  }
+  return broken == 0 ? 0 : kPromiseBroken;
+}
+
+}  // namespace
+
+}  // namespace jacinthdeck::standins
+
+int main(int argc, char** argv) {
+  namespace po = boost::program_options;
+  jacinthdeck::standins::LoadOptions load;
+  po::options_description options("Load");
+  options.add_options()("entry", po::value(&load.entries)->required(),
+                        "caller port of an entry, 127.x.x.x:PORT; repeatable")(
+      "call", po::value(&load.call)->required(), "SERVICE/METHOD")(
+      "request", po::value(&load.request)->default_value(load.request),
+      "request as JSON; {n} is replaced by the number of the request")(
+      "arrivals", po::value(&load.arrivals)->default_value(load.arrivals),
+      "poisson or constant")("rate",
+                             po::value(&load.rate)->default_value(load.rate),
+                             "requests a second")(
+      "count", po::value(&load.count)->default_value(load.count),
+      "requests in all")("seconds",
+                         po::value(&load.seconds)->default_value(load.seconds),
+                         "no request is due after so many seconds")(
+      "deadline-ms", po::value(&load.deadline_ms),
+      "deadline that is sent with each request")(
+      "in-flight", po::value(&load.in_flight)->default_value(load.in_flight),
+      "requests in flight at once; above, they wait and their wait counts")(
+      "resends", po::value(&load.resends)->default_value(load.resends),
+      "times that a request that was not run turns to the next entry")(
+      "seed", po::value(&load.seed)->default_value(load.seed),
+      "seed of the arrivals, and part of the request ids")(
+      "tenant", po::value(&load.tenant), "tenant of the requests")(
+      "csv", po::value(&load.csv), "file for one line a request")(
+      "request-ids", po::bool_switch(&load.request_ids),
+      "name each request, so that a resend is known")(
+      "fresh-connections", po::bool_switch(&load.fresh_connections),
+      "one connection a request")("histogram", po::bool_switch(&load.histogram),
+                                  "print a histogram");
+  return jacinthdeck::standins::RunProgram(
+      argc, argv, options, [&] { return jacinthdeck::standins::Load(load); });
+}
--- a/standins/process/process.cc
+++ b/standins/process/process.cc
@@ -34,16 +34,12 @@
 
 }  // namespace
 
-int RunProcess(int argc,
+int RunProgram(int argc,
                const char* const* argv,
                const po::options_description& options,
-               const std::function<int(std::uint16_t)>& body) {
-  BlockEndSignals();
-  std::uint16_t port = 0;
+               const std::function<int()>& body) {
   po::options_description all("Options");
-  all.add_options()("help", "print this text")(
-      "port", po::value<std::uint16_t>(&port)->default_value(0),
-      "port on 127.0.0.1; 0 lets the kernel pick");
+  all.add_options()("help", "print this text");
   all.add(options);
   po::variables_map values;
   try {
@@ -58,13 +54,25 @@
     return 2;
   }
   try {
-    return body(port);
+    return body();
   } catch (const std::exception& error) {
     std::cerr << argv[0] << ": " << error.what() << "\n";
     return 1;
   }
 }
 
+int RunServer(int argc,
+              const char* const* argv,
+              const po::options_description& options,
+              const std::function<int(std::uint16_t)>& body) {
+  BlockEndSignals();
+  std::uint16_t port = 0;
+  po::options_description all = options;
+  all.add_options()("port", po::value(&port)->default_value(0),
+                    "port on 127.0.0.1; 0 lets the kernel pick");
+  return RunProgram(argc, argv, all, [&] { return body(port); });
+}
+
 void ServeUntilSignal(std::uint16_t port) {
   std::cout << "listening 127.0.0.1:" << port << std::endl;
   const sigset_t signals = EndSignals();
--- a/standins/process/process.h
+++ b/standins/process/process.h
@@ -14,11 +14,25 @@
  * \brief Runs the body of a main function.
  * \param argc Count of arguments.
  * \param argv Arguments.
+ * \param options Options besides --help, bound to variables.
+ * \param body Returns the exit code.
+ * \return Exit code; 2 for a wrong command line, 1 for a failure.
+ */
+[[nodiscard]] int RunProgram(
+    int argc,
+    const char* const* argv,
+    const boost::program_options::options_description& options,
+    const std::function<int()>& body);
+
+/**
+ * \brief Runs the body of a main function that serves until a signal.
+ * \param argc Count of arguments.
+ * \param argv Arguments.
  * \param options Options besides --help and --port, bound to variables.
  * \param body Receives the port to serve and returns the exit code.
- * \return Exit code; 2 for a wrong command line, 1 for a failure.
+ * \return As RunProgram().
  */
-[[nodiscard]] int RunProcess(
+[[nodiscard]] int RunServer(
     int argc,
     const char* const* argv,
     const boost::program_options::options_description& options,
--- a/standins/store_main.cc
+++ b/standins/store_main.cc
@@ -67,7 +67,7 @@
       "writes and lease calls above are answered 429")(
       "seed", po::value(&store.seed)->default_value(store.seed),
       "seed of the random faults");
-  return jacinthdeck::standins::RunProcess(
+  return jacinthdeck::standins::RunServer(
       argc, argv, options, [&](std::uint16_t port) {
         return jacinthdeck::standins::Serve(port, store);
       });
--- a/standins/target_main.cc
+++ b/standins/target_main.cc
@@ -110,7 +110,7 @@
       "items in each service")(
       "seed", po::value(&target.group.seed)->default_value(target.group.seed),
       "seed of items, service times and faults");
-  return jacinthdeck::standins::RunProcess(
+  return jacinthdeck::standins::RunServer(
       argc, argv, options, [&](std::uint16_t port) {
         return jacinthdeck::standins::Serve(port, target);
       });
