--- a/src/daemons/ctl/arguments.cc
+++ b/src/daemons/ctl/arguments.cc
@@ -50,7 +50,7 @@
       "revision that the change is based on (default: the present one)")(
       "tenant", po::value(&arguments.tenant), "tenant of a query")(
       "request-id", po::value(&arguments.request_id),
-      "id of a query: TOKEN.NONCE, TOKEN as `entries` prints it")(
+      "id of a query: TOKEN-NONCE, TOKEN as `entries` prints it")(
       "deadline-ms", po::value(&raw.deadline_ms), "deadline of a query");
   return options;
 }
--- a/standins/loadgen/load_run.cc
+++ b/standins/loadgen/load_run.cc
@@ -243,7 +243,7 @@
   if (m_tokens.empty()) {
     return "";
   }
-  return m_tokens[number % m_tokens.size()] + ".load-" +
+  return m_tokens[number % m_tokens.size()] + "-load-" +
          std::to_string(m_options.seed) + "-" + std::to_string(number);
 }
 
