End-to-end: replace the entries that are gone before the schema changes

The check 'a change is accepted' failed with one of three entries left: acceptance needs more than half of the voters, so it was asked of a deployment that must not give it. The entries are now replaced first, and the check is as strict as before: the change must be accepted.

--- a/tools/lib/deployment.sh
+++ b/tools/lib/deployment.sh
@@ -24,6 +24,7 @@
 # start NAME COMMAND...: starts a process and waits for its ready line.
 start() {
   local name=$1; shift
+  : >"$work/$name.out"
   "$@" >"$work/$name.out" 2>"$work/$name.err" &
   pid_of[$name]=$!
   started+=("$name")
@@ -101,7 +102,7 @@
   done
   write_settings "$name" "$domain" "${seeds[@]}"
   start "$name" "$build/src/jacinthdeckd" --config "$work/$name.toml"
-  entries+=("$name")
+  [[ " ${entries[*]} " == *" $name "* ]] || entries+=("$name")
 }
 entries=()
 
@@ -111,12 +112,13 @@
   "$build/src/jacinthdeckctl" --operators "$(operators_of "$name")" --callers "$(callers_of "$name")" "$@"
 }
 
-# apply_schema NAME FILE: puts a schema in force; asks again while members still gather.
-apply_schema() {
+# accepts_schema NAME FILE: puts a schema in force, as one operation; asks again while members still gather.
+accepts_schema() {
   local operation="apply-$RANDOM-$RANDOM"
-  until_true 60 ctl "$1" schema apply "$2" --operation "$operation" ||
-    { ctl "$1" schema apply "$2" --operation "$operation" || true; fail "the schema was not accepted"; }
+  until_true 60 ctl "$1" schema apply "$2" --operation "$operation" && return 0
+  ctl "$1" schema apply "$2" --operation "$operation"
 }
+apply_schema() { accepts_schema "$@" || fail "the schema was not accepted"; }
 
 # answers NAME CALL REQUEST: whether an entry gives a whole answer.
 answers() { ctl "$1" query "$2" "$3" --deadline-ms 2000; }
