--- a/src/jacinthdeck/routing/target_record.cc
+++ b/src/jacinthdeck/routing/target_record.cc
@@ -8,6 +8,8 @@
 namespace internal {
 
 constexpr std::uint32_t kLatencyMemory = 24;
+//! Latencies within this factor of the peers' are noise of a busy target.
+constexpr double kSlowFactor = 2;
 //! Silence of this many hedge delays makes a target doubtful.
 constexpr int kSilentDelays = 2;
 //! How long the word of a target that it is draining holds. The host list lags
@@ -15,8 +17,8 @@
 //! anything.
 constexpr Duration kDrainingHold = std::chrono::seconds(10);
 constexpr Duration kShedPause = std::chrono::milliseconds(10);
-//! Pause after an attempt that got no answer; grows with each in a row. One
-//! may be a straggler, so it is short.
+//! Pause after attempts that got no answer, for each in a row but the first: a
+//! single one is most often a straggler.
 constexpr Duration kUnansweredPause = std::chrono::milliseconds(50);
 constexpr std::uint32_t kMostShedDoublings = 5;
 //! A load report is worth nothing after this many average latencies.
@@ -38,6 +40,22 @@
   return Duration(static_cast<Duration::rep>(m_latency.value()));
 }
 
+bool TargetRecord::IsFull(std::uint32_t share, TimePoint now) const noexcept {
+  const std::uint32_t size = m_window.Size(share);
+  const std::uint32_t after_shed = std::min(size, m_window.floor());
+  return m_in_flight >= (HasShed(now) ? after_shed : size);
+}
+
+bool TargetRecord::IsSlow() const noexcept {
+  return m_peer_latency > Duration::zero() &&
+         latency() > internal::kSlowFactor * m_peer_latency;
+}
+
+void TargetRecord::OnOverdue(Duration latency) noexcept {
+  m_latency.Add(
+      std::max(m_latency.value(), static_cast<double>(latency.count())));
+}
+
 bool TargetRecord::IsSilent(TimePoint now) const noexcept {
   return m_in_flight > 0 && now - m_waiting_since > m_service->late_after() *
                                                         internal::kSilentDelays;
@@ -50,9 +68,9 @@
   if (m_health.State(now) != HealthState::kTrusted) {
     return TargetRank::kEjected;
   }
-  const bool paused = now < m_doubtful_until;
-  return paused || IsSilent(now) ? TargetRank::kDoubtful
-                                 : TargetRank::kPreferred;
+  return HasShed(now) || now < m_doubtful_until || IsSilent(now)
+             ? TargetRank::kDoubtful
+             : TargetRank::kPreferred;
 }
 
 double TargetRecord::Freshness(TimePoint now) const noexcept {
@@ -121,7 +139,7 @@
   OnReply(now);
   m_window.OnPressure(now);
   const auto doublings = std::min(m_sheds_in_row, internal::kMostShedDoublings);
-  m_doubtful_until = now + internal::kShedPause * (1U << doublings);
+  m_shed_until = now + internal::kShedPause * (1U << doublings);
   ++m_sheds_in_row;
 }
 
