Make the refusal of an at-most-once id final; answer a joined call in time

Cause 1: an id that was refused with "not run" was forgotten, so that another copy, late on its way through a second entry, ran after all. Change: the registry keeps refusals until the id expires, as many as its capacity; beyond that only "unknown" is true and is told. No caller in the tree sent a refused id again.

Cause 2: a resend that joined the running call waited for that call's deadline instead of its own. Change: joined calls have their own deadline.

The checker now holds a refusal of a request id for final.

--- a/src/jacinthdeck/cluster/once_registry.cc
+++ b/src/jacinthdeck/cluster/once_registry.cc
@@ -76,8 +76,8 @@
     return {OnceDecision::kUnknown, {}, id.node};
   }
   if (intake == OnceIntake::kClosed || !m_accepting ||
-      m_entries.size() >= m_options.capacity) {
-    return {OnceDecision::kRefused, {}, id.node};
+      m_entries.size() - m_refused >= m_options.capacity) {
+    return {RefuseNew(id, expires), {}, id.node};
   }
   m_entries.emplace(id, Entry{expires, State::kRunning, {}});
   m_expiries.emplace(expires, id);
@@ -98,6 +98,8 @@
       return {OnceDecision::kAttach, {}, m_self.node};
     case State::kFinished:
       return {OnceDecision::kFinished, entry.answer, m_self.node};
+    case State::kRefused:
+      return {OnceDecision::kRefused, {}, m_self.node};
     case State::kAnswerDropped:
       break;
   }
@@ -124,13 +126,27 @@
   Sweep(now);
 }
 
-void OnceRegistry::Release(const RequestId& id) {
+void OnceRegistry::Refuse(const RequestId& id) {
   const auto found = m_entries.find(id);
   if (found != m_entries.end() && found->second.state == State::kRunning) {
-    m_entries.erase(found);
+    found->second.state = State::kRefused;
+    ++m_refused;
   }
 }
 
+// Without the note a copy that comes later, when there is room again, would run
+// after its caller was told "not run". Where there is no room for the note
+// either, only "unknown" is true.
+OnceDecision OnceRegistry::RefuseNew(const RequestId& id, TimePoint expires) {
+  if (m_refused >= m_options.capacity) {
+    return OnceDecision::kUnknown;
+  }
+  m_entries.emplace(id, Entry{expires, State::kRefused, {}});
+  m_expiries.emplace(expires, id);
+  ++m_refused;
+  return OnceDecision::kRefused;
+}
+
 void OnceRegistry::Sweep(TimePoint now) {
   while (!m_expiries.empty() && m_expiries.begin()->first <= now) {
     const auto found = m_entries.find(m_expiries.begin()->second);
@@ -138,6 +154,7 @@
     // One that still runs stays: its waiting callers attach to it.
     if (found != m_entries.end() && found->second.state != State::kRunning) {
       m_answer_bytes -= found->second.answer.body.size();
+      m_refused -= found->second.state == State::kRefused ? 1 : 0;
       m_entries.erase(found);
     }
   }
--- a/src/jacinthdeck/cluster/once_registry.h
+++ b/src/jacinthdeck/cluster/once_registry.h
@@ -30,8 +30,9 @@
   kForward,
   //! It may have run and its end is not known any more; it must not run.
   kUnknown,
-  //! New, and refused for want of room or because the node leaves; it was not
-  //! run.
+  //! Refused for want of room, or because the node takes nothing new; it was
+  //! not
+  //! run and never will be.
   kRefused,
   //! Not an id that a token of ours can have led to; it was never run.
   kInvalid,
@@ -67,7 +68,7 @@
 struct OnceOptions {
   //! An id may be used this long after its token was given out.
   Duration token_life = std::chrono::minutes(2);
-  //! Ids held at once.
+  //! Ids held at once; as many refused ones beside them.
   std::size_t capacity = 100000;
   //! Bytes of stored answers held at once.
   std::size_t answer_bytes = std::size_t{32} << 20U;
@@ -80,7 +81,8 @@
  * A token names the moment at which it was given out, by this life's clock, in
  * the nonce's first part. An id is remembered until its token has expired;
  * afterwards the id itself tells that it is too old, so forgetting it cannot
- * let it run again.
+ * let it run again. A refusal is remembered like an answer: another copy of the
+ * request may be under way, and would make "not run" untrue by running.
  */
 class OnceRegistry {
  public:
@@ -112,9 +114,9 @@
   /*! \brief Stores the answer of a request that was told to run. */
   void Finish(const RequestId& id, OnceAnswer answer, TimePoint now);
 
-  /*! \brief Forgets a request that was told to run and provably was not; a
-   * resend may run. */
-  void Release(const RequestId& id);
+  /*! \brief Notes that a request which was told to run provably was not, and
+   * that its caller was told so: it must not run any more. */
+  void Refuse(const RequestId& id);
 
   /*! \brief Whether new ids are taken; false once the node leaves. */
   void set_accepting(bool accepting) noexcept { m_accepting = accepting; }
@@ -125,6 +127,8 @@
     kFinished,
     //! Finished, and its answer gave way to younger ones.
     kAnswerDropped,
+    //! Its caller was told that it was not run.
+    kRefused,
   };
   struct Entry {
     //! From then on the id itself is refused as too old.
@@ -136,6 +140,7 @@
 
   [[nodiscard]] OnceResult ArriveElsewhere(const RequestId& id) const;
   [[nodiscard]] OnceResult Known(const Entry& entry) const;
+  [[nodiscard]] OnceDecision RefuseNew(const RequestId& id, TimePoint expires);
   void Sweep(TimePoint now);
   void DropOldAnswers();
 
@@ -143,8 +148,11 @@
   OnceOptions m_options;
   const MemberTable& m_table;
   bool m_accepting = true;
-  //! Ids of this life only; at most m_options.capacity.
+  //! Ids of this life only; at most m_options.capacity that are not refused.
   std::map<RequestId, Entry> m_entries;
+  //! Refused ids among m_entries; at most m_options.capacity of those that were
+  //! never told to run.
+  std::size_t m_refused = 0;
   //! Ids by expiry, for the sweep.
   std::multimap<TimePoint, RequestId> m_expiries;
   //! Finished ids, oldest first; may name ids that are gone.
--- a/src/jacinthdeck/runtime/once_calls.cc
+++ b/src/jacinthdeck/runtime/once_calls.cc
@@ -2,6 +2,7 @@
 #include "jacinthdeck/runtime/once_calls.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "jacinthdeck/runtime/answer_json.h"
@@ -43,6 +44,11 @@
   for (const auto& [sequence, forwarded] : m_forwarded) {
     next = next ? std::min(*next, forwarded.deadline) : forwarded.deadline;
   }
+  for (const auto& [id, waiting] : m_attached) {
+    for (const Attached& attached : waiting) {
+      next = next ? std::min(*next, attached.deadline) : attached.deadline;
+    }
+  }
   return next;
 }
 
@@ -57,7 +63,8 @@
     case OnceDecision::kRun:
       return Next::kRun;
     case OnceDecision::kAttach:
-      m_attached[*call.request].push_back(std::move(call.sink));
+      m_attached[*call.request].push_back(
+          {std::move(call.sink), call.call.deadline});
       break;
     case OnceDecision::kFinished:
       call.sink(
@@ -108,7 +115,7 @@
                        const Answer& answer,
                        TimePoint now) {
   if (answer.outcome == Outcome::kNotRun) {
-    m_cluster.once().Release(id);
+    m_cluster.once().Refuse(id);
   } else {
     EncodedAnswer encoded = EncodeAnswer(id.ToString(), answer);
     m_cluster.once().Finish(
@@ -118,10 +125,10 @@
   if (attached == m_attached.end()) {
     return;
   }
-  const std::vector<CallSink> sinks = std::move(attached->second);
+  const std::vector<Attached> waiting = std::move(attached->second);
   m_attached.erase(attached);
-  for (const CallSink& sink : sinks) {
-    sink(answer);
+  for (const Attached& one : waiting) {
+    one.sink(answer);
   }
 }
 
@@ -147,6 +154,24 @@
     it = m_forwarded.erase(it);
     sink(Unknown(AnswerReason::kDeadline));
   }
+  GiveUpAttached(now);
+}
+
+// A resend may wait for less time than the call it joined.
+void OnceCalls::GiveUpAttached(TimePoint now) {
+  std::vector<Attached> late;
+  for (auto& [id, waiting] : m_attached) {
+    const auto first = std::stable_partition(
+        waiting.begin(), waiting.end(),
+        [now](const Attached& one) { return one.deadline > now; });
+    std::move(first, waiting.end(), std::back_inserter(late));
+    waiting.erase(first, waiting.end());
+  }
+  std::erase_if(m_attached,
+                [](const auto& item) { return item.second.empty(); });
+  for (const Attached& one : late) {
+    one.sink(Unknown(AnswerReason::kDeadline));
+  }
 }
 
 }  // namespace jacinthdeck
--- a/src/jacinthdeck/runtime/once_calls.h
+++ b/src/jacinthdeck/runtime/once_calls.h
@@ -36,7 +36,8 @@
 
   explicit OnceCalls(ClusterNode& cluster) noexcept : m_cluster(cluster) {}
 
-  /*! \brief Earliest moment at which a forwarded call is given up. */
+  /*! \brief Earliest moment at which a forwarded or attached call is given up.
+   */
   [[nodiscard]] std::optional<TimePoint> NextTimer() const;
 
   /**
@@ -65,7 +66,7 @@
   /*! \brief Takes the answer of a node that a call was forwarded to. */
   void OnForwardReply(const ForwardReply& reply);
 
-  /*! \brief Gives up forwarded calls whose deadline has passed. */
+  /*! \brief Gives up forwarded and attached calls whose deadline has passed. */
   void OnTimer(TimePoint now);
 
  private:
@@ -75,6 +76,12 @@
     TimePoint deadline;
   };
 
+  struct Attached {
+    CallSink sink;
+    TimePoint deadline;
+  };
+
+  void GiveUpAttached(TimePoint now);
   void Forward(SubmittedCall& call,
                const NodeId& node,
                TimePoint now,
@@ -83,7 +90,7 @@
   ClusterNode& m_cluster;
   std::uint64_t m_next_sequence = 1;
   //! Sinks beside that of the call itself, for resends that came while it ran.
-  std::map<RequestId, std::vector<CallSink>> m_attached;
+  std::map<RequestId, std::vector<Attached>> m_attached;
   std::map<std::uint64_t, Forwarded> m_forwarded;
 };
 
--- a/test/scenario/checker.cc
+++ b/test/scenario/checker.cc
@@ -31,8 +31,10 @@
   for (; m_calls < m_world.calls().size(); ++m_calls) {
     const CallRecord& call = *m_world.calls()[m_calls];
     ++m_times_submitted[call.body];
-    // Whoever comes again wants it run.
-    m_told_not_run.erase(call.body);
+    // Whoever comes again wants it run; the refusal of a request id is final.
+    if (!call.once) {
+      m_told_not_run.erase(call.body);
+    }
   }
   const auto& runs = m_world.targets().runs();
   for (; m_runs < runs.size(); ++m_runs) {
--- a/test/scenario/script.cc
+++ b/test/scenario/script.cc
@@ -129,6 +129,30 @@
   return std::nullopt;
 }
 
+std::string Script::Trace(const std::string& text) const {
+  std::string lines;
+  const auto ms = [](TimePoint at) {
+    return std::to_string(at.time_since_epoch().count() / 1000);
+  };
+  for (const auto& call : m_world->calls()) {
+    if (call->body.find(text) != std::string::npos) {
+      lines += "call at entry " + std::to_string(call->node + 1) + " at " +
+               ms(call->submitted) + " until " + ms(call->deadline) + ": " +
+               (call->answers == 0 ? "no answer" : call->outcome) + " " +
+               call->reason + " at " + ms(call->answered) +
+               (call->paused ? ", entry paused" : "") +
+               (call->lost ? ", entry died" : "") + " " + call->body + "\n";
+    }
+  }
+  for (const TargetRun& run : m_world->targets().runs()) {
+    if (run.body.find(text) != std::string::npos) {
+      lines += "run by " + run.target.raw() + " at " + ms(run.at) + " " +
+               run.body + "\n";
+    }
+  }
+  return lines;
+}
+
 std::uint64_t Script::TraceHash() const {
   std::string trace;
   for (const auto& call : m_world->calls()) {
--- a/test/scenario/script.h
+++ b/test/scenario/script.h
@@ -45,6 +45,10 @@
   /*! \brief Hash of all that callers and operators were told, and when. */
   [[nodiscard]] std::uint64_t TraceHash() const;
 
+  /*! \brief Lists every call and run whose body holds a text, with times in
+   * milliseconds. */
+  [[nodiscard]] std::string Trace(const std::string& text) const;
+
   /*! \brief Calls one verb by its place in the table; used by Lua alone. */
   [[nodiscard]] int Invoke(std::size_t verb, lua_State* lua);
 
