Stop the decision thread before the transports it sends to

Cause: on shutdown the peer transport was destroyed while the decision thread still ran its timers; a timer that fell due in between posted to a destroyed io_context (core dump: PeerTransport::Worker::Send from DecisionCore::OnTimer).

--- a/src/jacinthdeck/runtime/daemon.cc
+++ b/src/jacinthdeck/runtime/daemon.cc
@@ -191,10 +191,13 @@
     m_caller_server.reset();
     m_operator_server.reset();
     m_pollers.reset();
+    // The decision thread sends to peers, targets and store. Were it stopped
+    // after them, a timer that falls due in between would use a transport that
+    // is gone: a daemon that is shut down would crash now and then.
+    m_loop.Stop();
     m_store_worker.reset();
     m_peers.reset();
     m_targets.reset();
-    m_loop.Stop();
   }
 
   Settings m_settings;
