--- a/src/jacinthdeck/cluster/ack_collector.cc
+++ b/src/jacinthdeck/cluster/ack_collector.cc
@@ -23,9 +23,7 @@
       m_table(table),
       m_sender(sender),
       m_replica(replica),
-      m_revision(revision),
-      m_voters(replica.value()->voters),
-      m_former_voters(replica.value()->former_voters) {}
+      m_revision(revision) {}
 
 bool AckCollector::Accepted(TimePoint now) const {
   if (!m_confirmed) {
@@ -51,7 +49,6 @@
 }
 
 void AckCollector::OnTimer(TimePoint now, ClusterEffects& effects) {
-  FollowLists();
   if (second_round() && !m_confirmed && now >= m_round_end) {
     StartFirstRound();
   }
@@ -74,24 +71,11 @@
     return;
   }
   m_heard.insert(envelope.from);
-  FollowLists();
   if (ack.round == m_round) {
     Take(envelope.from, envelope.incarnation, now);
   }
 }
 
-// Acknowledgements that were counted by other lists prove nothing for these.
-void AckCollector::FollowLists() {
-  const ConfigValue& value = *m_replica.value();
-  if (m_confirmed ||
-      (m_voters == value.voters && m_former_voters == value.former_voters)) {
-    return;
-  }
-  m_voters = value.voters;
-  m_former_voters = value.former_voters;
-  StartFirstRound();
-}
-
 void AckCollector::StartFirstRound() {
   m_round += second_round() ? 1 : 2;
   m_first.clear();
--- a/src/jacinthdeck/cluster/ack_collector.h
+++ b/src/jacinthdeck/cluster/ack_collector.h
@@ -49,7 +49,6 @@
   using Lives = std::map<NodeId, Incarnation>;
 
   [[nodiscard]] bool second_round() const noexcept { return m_round % 2 == 0; }
-  void FollowLists();
   void StartFirstRound();
   void StartSecondRound(TimePoint now);
   void Take(const NodeId& node, Incarnation incarnation, TimePoint now);
@@ -64,9 +63,6 @@
   PeerSender& m_sender;
   const ConfigReplica& m_replica;
   Revision m_revision;
-  //! Lists by which the rounds are counted; other lists start them again.
-  std::vector<NodeId> m_voters;
-  std::vector<NodeId> m_former_voters;
   //! Odd: a first round; even: the second round after it.
   std::uint64_t m_round = 1;
   //! Lives that acknowledged in the first round; fixed during the second.
--- a/src/jacinthdeck/cluster/member_table.cc
+++ b/src/jacinthdeck/cluster/member_table.cc
@@ -32,6 +32,10 @@
   return std::ranges::find(latest.accusers, accuser) != latest.accusers.end();
 }
 
+[[nodiscard]] bool IsCounted(const Member& member) {
+  return member.proven && member.latest.health != MemberHealth::kDead;
+}
+
 }  // namespace internal
 
 MemberTable::MemberTable(SelfInfo self, const ClusterOptions& options)
@@ -148,6 +152,7 @@
     const bool changed = MergeSameLife(member, update, now);
     return changed ? MergeResult::kChanged : MergeResult::kIgnored;
   }
+  const bool was_counted = internal::IsCounted(member);
   const bool was_dead = proven && member.latest.health == MemberHealth::kDead;
   member.latest = update;
   member.latest.health = MemberHealth::kAlive;
@@ -158,7 +163,7 @@
   if (was_dead) {
     Hold(member, now);
   }
-  Recount();
+  m_alive += was_counted ? 0 : 1;
   if (update.health != MemberHealth::kAlive) {
     (void)MergeSameLife(member, update, now);
   }
@@ -281,7 +286,11 @@
   if (before == health) {
     return;
   }
+  const bool was_counted = internal::IsCounted(member);
   member.latest.health = health;
+  const bool is_counted = internal::IsCounted(member);
+  m_alive += is_counted && !was_counted ? 1 : 0;
+  m_alive -= was_counted && !is_counted ? 1 : 0;
   member.suspicion_end.reset();
   member.dead_since.reset();
   if (health == MemberHealth::kSuspect) {
@@ -293,7 +302,6 @@
   if (health == MemberHealth::kAlive) {
     Hold(member, now);
   }
-  Recount();
 }
 
 // A flapping link makes a member die and return again and again. Callers would
@@ -323,12 +331,4 @@
   return !member.latest.accusers.empty() && !third_alive;
 }
 
-void MemberTable::Recount() {
-  m_alive = static_cast<std::size_t>(
-      std::ranges::count_if(m_members, [](const auto& entry) {
-        return entry.second.proven &&
-               entry.second.latest.health != MemberHealth::kDead;
-      }));
-}
-
 }  // namespace jacinthdeck
--- a/src/jacinthdeck/cluster/member_table.h
+++ b/src/jacinthdeck/cluster/member_table.h
@@ -123,12 +123,12 @@
   void SetHealth(Member& member, MemberHealth health, TimePoint now);
   void Hold(Member& member, TimePoint now) const;
   [[nodiscard]] bool EnoughAccusers(const Member& member) const;
-  void Recount();
 
   SelfInfo m_self;
   ClusterOptions m_options;
   //! Always holds this node, proven and alive.
   container_type m_members;
+  //! Members that are proven and not dead.
   std::size_t m_alive = 1;
 };
 
