--- a/src/jacinthdeck/runtime/target_transport.cc
+++ b/src/jacinthdeck/runtime/target_transport.cc
@@ -30,13 +30,19 @@
     if (!m_commands.TryPush(std::move(command))) {
       return false;
     }
-    m_pool.Wake();
+    // One wake a batch: a query sends an attempt to every shard at once, and
+    // each wake is a system call on both sides.
+    if (!m_woken.exchange(true)) {
+      m_pool.Wake();
+    }
     return true;
   }
 
  private:
   void Run() {
     while (!m_stop) {
+      // Before the ring is emptied: a command that comes later wakes again.
+      m_woken = false;
       for (TargetCommand& command :
            m_commands.PopAll(std::chrono::microseconds::zero())) {
         m_pool.Accept(std::move(command));
@@ -48,6 +54,8 @@
   BoundedRing<TargetCommand> m_commands;
   internal::TransferPool m_pool;
   std::atomic<bool> m_stop = false;
+  //! Whether a wake is under way that will see what is in the ring.
+  std::atomic<bool> m_woken = false;
   //! Last member: it starts when all others stand, and is joined before they
   //! go.
   std::thread m_thread;
