--- a/src/jacinthdeck/cluster/cluster_options.h
+++ b/src/jacinthdeck/cluster/cluster_options.h
@@ -32,9 +32,12 @@
   std::uint32_t revive_periods = 5;
   //! Between two exchanges of the whole member table with a random peer.
   Duration sync_period = std::chrono::seconds(60);
+  //! The same while the last exchange brought much that was new, as when many
+  //! nodes start together.
+  Duration early_sync_period = std::chrono::seconds(2);
   //! Suspicion lasts this many periods, times log10 of the member count where
   //! that is above one.
-  std::uint32_t suspicion_periods = 3;
+  std::uint32_t suspicion_periods = 2;
   //! Estimated encoded bytes of gossip in one message.
   std::size_t gossip_bytes = 512;
   //! A longer gap between two timers means that the process was paused.
--- a/src/jacinthdeck/cluster/membership.cc
+++ b/src/jacinthdeck/cluster/membership.cc
@@ -14,6 +14,9 @@
 constexpr std::size_t kFirstContacts = 3;
 //! Members told at once that this node leaves; gossip tells the others.
 constexpr std::size_t kLeaveFanOut = 16;
+//! Much of an exchange was new if more than this part of it was, as one in so
+//! many.
+constexpr std::size_t kMuchNews = 8;
 
 }  // namespace internal
 
@@ -187,23 +190,24 @@
   return true;
 }
 
-void Membership::Merge(const MemberUpdate& update,
+bool Membership::Merge(const MemberUpdate& update,
                        Spread spread,
                        TimePoint now,
                        ClusterEffects& effects) {
   switch (m_table.Merge(update, now)) {
     case MergeResult::kIgnored:
-      return;
+      return false;
     case MergeResult::kRefute:
       m_gossip.Add(m_table.Refute(update));
-      return;
+      return false;
     case MergeResult::kChanged:
       effects.members_changed = true;
       if (spread == Spread::kYes) {
         m_gossip.Add(m_table.Find(update.node)->latest);
       }
-      return;
+      return true;
   }
+  return false;
 }
 
 void Membership::OnPing(const NodeId& from,
@@ -262,8 +266,12 @@
                         TimePoint now,
                         ClusterEffects& effects) {
   m_synced = true;
+  std::size_t news = 0;
   for (const MemberUpdate& update : sync.members) {
-    Merge(update, Spread::kNo, now, effects);
+    news += Merge(update, Spread::kNo, now, effects) ? 1 : 0;
+  }
+  if (news > sync.members.size() / internal::kMuchNews) {
+    m_next_sync = now + m_options.early_sync_period;
   }
 }
 
--- a/src/jacinthdeck/cluster/membership.h
+++ b/src/jacinthdeck/cluster/membership.h
@@ -85,7 +85,8 @@
   void EndProbes(TimePoint now, ClusterEffects& effects);
   void Tell(const NodeId& accused, TimePoint heard_since);
   void Accuse(const Probe& probe, TimePoint now, ClusterEffects& effects);
-  void Merge(const MemberUpdate& update,
+  //! Tells whether the statement was news.
+  bool Merge(const MemberUpdate& update,
              Spread spread,
              TimePoint now,
              ClusterEffects& effects);
