Never tell a conflict that may have been applied, nor run what was refused

Change: ApplyChange gives kOutcomeUnknown where the id may be one no longer kept (told as 'unknown'). OnceRegistry remembers refusals: Release() keeps the id as refused until its token expires, and ids refused for want of room raise a mark of token time below which unknown ids are refused for good. Release() takes the time now (one line changed in runtime/once_calls.cc).

--- a/src/jacinthdeck/cluster/config_change.cc
+++ b/src/jacinthdeck/cluster/config_change.cc
@@ -17,6 +17,15 @@
   }
 }
 
+// A change whose reply was lost may have been applied and its id have been
+// dropped since. "Conflict" would say that it was not applied. An id dropped
+// lies below the oldest kept, and that of the change above what it expected.
+[[nodiscard]] bool MayBeForgotten(const ConfigValue& stored,
+                                  Revision expected) {
+  return stored.operations.size() >= kMaxOperations &&
+         expected.raw() + 1 < stored.operations.front().revision.raw();
+}
+
 [[nodiscard]] Revision NextRevision(const ConfigValue& value) {
   return Revision(value.revision.raw() + 1);
 }
@@ -48,6 +57,13 @@
 
 Result<ConfigValue> ApplyChange(const ConfigValue& now_stored,
                                 const ConfigChange& change) {
+  if (internal::MayBeForgotten(now_stored, change.expected)) {
+    return Fail(ErrorCode::kOutcomeUnknown, "operation",
+                "more changes were made since revision " +
+                    std::to_string(change.expected.raw()) +
+                    " than operation ids are kept, so this one may have been "
+                    "applied; read the configuration and its history");
+  }
   if (change.expected < now_stored.content_revision ||
       change.expected > now_stored.revision) {
     return Fail(ErrorCode::kConflict, "expected",
--- a/src/jacinthdeck/cluster/config_change.h
+++ b/src/jacinthdeck/cluster/config_change.h
@@ -22,8 +22,9 @@
  * \param now_stored Value at the store.
  * \param change Change.
  * \return The next value; kConflict if the content changed after the expected
- * revision, kInvalidArgument for a rollback to a revision that the history
- * does not hold.
+ * revision, kOutcomeUnknown if the change may be one whose id is no longer
+ * kept, kInvalidArgument for a rollback to a revision that the history does not
+ * hold.
  */
 [[nodiscard]] Result<ConfigValue> ApplyChange(const ConfigValue& now_stored,
                                               const ConfigChange& change);
--- a/src/jacinthdeck/cluster/config_coordinator.cc
+++ b/src/jacinthdeck/cluster/config_coordinator.cc
@@ -17,6 +17,8 @@
       return ChangeState::kConflict;
     case ErrorCode::kTooLarge:
       return ChangeState::kTooLarge;
+    case ErrorCode::kOutcomeUnknown:
+      return ChangeState::kUnknown;
     default:
       return ChangeState::kInvalid;
   }
@@ -222,8 +224,10 @@
     return EncodeWithinLimit(next);
   });
   if (const Error* const error = std::get_if<Error>(&text)) {
-    Close(pending, internal::StateFor(error->code), stored.revision,
-          "not applied: " + error->message, effects);
+    const ChangeState state = internal::StateFor(error->code);
+    const bool unknown = state == ChangeState::kUnknown;
+    Close(pending, state, stored.revision,
+          (unknown ? "" : "not applied: ") + error->message, effects);
     return;
   }
   pending.writing = true;
--- a/src/jacinthdeck/cluster/once_registry.cc
+++ b/src/jacinthdeck/cluster/once_registry.cc
@@ -1,6 +1,7 @@
 // Decisions on requests that may run at most once.
 #include "jacinthdeck/cluster/once_registry.h"
 
+#include <algorithm>
 #include <charconv>
 #include <limits>
 #include <string_view>
@@ -73,7 +74,8 @@
   if (expires <= now) {
     return {OnceDecision::kUnknown, {}, id.node};
   }
-  if (!m_accepting || m_entries.size() >= m_options.capacity) {
+  if (MustRefuse(*issued)) {
+    m_refused_up_to = std::max(m_refused_up_to, *issued);
     return {OnceDecision::kRefused, {}, id.node};
   }
   m_entries.emplace(id, Entry{expires, State::kRunning, {}});
@@ -81,6 +83,11 @@
   return {OnceDecision::kRun, {}, id.node};
 }
 
+bool OnceRegistry::MustRefuse(std::int64_t issued) const {
+  return !m_accepting || m_entries.size() >= m_options.capacity ||
+         issued <= m_refused_up_to;
+}
+
 OnceResult OnceRegistry::ArriveElsewhere(const RequestId& id) const {
   const Member* member = m_table.Find(id.node);
   const bool gone = member == nullptr || !member->proven ||
@@ -95,6 +102,8 @@
       return {OnceDecision::kAttach, {}, m_self.node};
     case State::kFinished:
       return {OnceDecision::kFinished, entry.answer, m_self.node};
+    case State::kReleased:
+      return {OnceDecision::kRefused, {}, m_self.node};
     case State::kAnswerDropped:
       break;
   }
@@ -109,22 +118,30 @@
     return;
   }
   Entry& entry = found->second;
-  entry.state = State::kFinished;
   entry.answer = std::move(answer);
   m_answer_bytes += entry.answer.body.size();
   m_finished.push_back(id);
-  if (entry.expires <= now) {
-    // The sweep passed it by while it ran.
-    m_expiries.emplace(entry.expires, id);
-  }
+  Close(entry, id, State::kFinished, now);
   DropOldAnswers();
   Sweep(now);
 }
 
-void OnceRegistry::Release(const RequestId& id) {
+void OnceRegistry::Release(const RequestId& id, TimePoint now) {
   const auto found = m_entries.find(id);
   if (found != m_entries.end() && found->second.state == State::kRunning) {
-    m_entries.erase(found);
+    Close(found->second, id, State::kReleased, now);
+    Sweep(now);
+  }
+}
+
+void OnceRegistry::Close(Entry& entry,
+                         const RequestId& id,
+                         State state,
+                         TimePoint now) {
+  entry.state = state;
+  if (entry.expires <= now) {
+    // The sweep passed it by while it ran.
+    m_expiries.emplace(entry.expires, id);
   }
 }
 
--- a/src/jacinthdeck/cluster/once_registry.h
+++ b/src/jacinthdeck/cluster/once_registry.h
@@ -100,9 +100,13 @@
   /*! \brief Stores the answer of a request that was told to run. */
   void Finish(const RequestId& id, OnceAnswer answer, TimePoint now);
 
-  /*! \brief Forgets a request that was told to run and provably was not; a
-   * resend may run. */
-  void Release(const RequestId& id);
+  /**
+   * \brief Notes that a request was told to run and provably was not.
+   *
+   * Its caller is told "not run", so every other copy of it is refused too; the
+   * caller tries again with a new id.
+   */
+  void Release(const RequestId& id, TimePoint now);
 
   /*! \brief Whether new ids are taken; false once the node leaves. */
   void set_accepting(bool accepting) noexcept { m_accepting = accepting; }
@@ -111,6 +115,8 @@
   enum class State {
     kRunning,
     kFinished,
+    //! Refused and not run, and so are its copies.
+    kReleased,
     //! Finished, and its answer gave way to younger ones.
     kAnswerDropped,
   };
@@ -124,6 +130,8 @@
 
   [[nodiscard]] OnceResult ArriveElsewhere(const RequestId& id) const;
   [[nodiscard]] OnceResult Known(const Entry& entry) const;
+  [[nodiscard]] bool MustRefuse(std::int64_t issued) const;
+  void Close(Entry& entry, const RequestId& id, State state, TimePoint now);
   void Sweep(TimePoint now);
   void DropOldAnswers();
 
@@ -131,6 +139,10 @@
   OnceOptions m_options;
   const MemberTable& m_table;
   bool m_accepting = true;
+  //! Highest token time among the ids refused for want of room. Ids not known
+  //! that are as old or older are refused for good, so no copy of a refused one
+  //! can run later; one number remembers all refusals.
+  std::int64_t m_refused_up_to = -1;
   //! Ids of this life only; at most m_options.capacity.
   std::map<RequestId, Entry> m_entries;
   //! Ids by expiry, for the sweep.
--- a/src/jacinthdeck/runtime/once_calls.cc
+++ b/src/jacinthdeck/runtime/once_calls.cc
@@ -105,7 +105,7 @@
                        const Answer& answer,
                        TimePoint now) {
   if (answer.outcome == Outcome::kNotRun) {
-    m_cluster.once().Release(id);
+    m_cluster.once().Release(id, now);
   } else {
     EncodedAnswer encoded = EncodeAnswer(id.ToString(), answer);
     m_cluster.once().Finish(
--- a/test/jacinthdeck/cluster/config_change_test.cc
+++ b/test/jacinthdeck/cluster/config_change_test.cc
@@ -68,6 +68,24 @@
   BOOST_TEST(FindOperation(stored, change.operation).has_value());
 }
 
+// A change is applied, its reply is lost, and 64 others follow before it is
+// sent again. Its id is no longer kept; "conflict" would say that it was not
+// applied.
+BOOST_AUTO_TEST_CASE(Change_BeyondTheKeptIds_IsUnknownNotConflict) {
+  const ConfigChange lost = change;
+  stored = std::get<ConfigValue>(Apply());
+  for (std::uint64_t step = 0; step < kMaxOperations; ++step) {
+    change.operation = OperationId("op-" + std::to_string(step));
+    change.expected = stored.revision;
+    stored = std::get<ConfigValue>(Apply());
+  }
+  change = lost;
+  const auto result = Apply();
+  BOOST_TEST((std::get<Error>(result).code == ErrorCode::kOutcomeUnknown));
+  change.expected = Revision(lost.expected.raw() + 5);
+  BOOST_TEST(Conflicts());
+}
+
 BOOST_AUTO_TEST_CASE(Change_Voters_KeepTheOldListUntilSettled) {
   const ConfigValue joint = ChangeVoters(stored, {NodeId("c"), NodeId("b")});
   BOOST_TEST((joint.revision == Revision(6)));
