--- a/standins/store/store_server.cc
+++ b/standins/store/store_server.cc
@@ -94,7 +94,8 @@
 }
 
 StoreServer::~StoreServer() {
-  m_content.InterruptWatches();
+  // A watch that came in after the interruption would hold the end up.
+  SetFaults({.outage = Outage::kDrop});
 }
 
 StoreCounts StoreServer::counts() const {
