Let two attempts a shard wait before calls do

Cause: with a replica lost, calls were refused while free replicas idled: four waiting attempts of one hot shard closed the door.

Tests: calls held for a probe are refused at once when a peer convicts (removing the resumption had gone unseen).

--- a/src/jacinthdeck/query/admission_options.h
+++ b/src/jacinthdeck/query/admission_options.h
@@ -19,7 +19,7 @@
   //! service, before calls wait instead. A call that waits whole has cost the
   //! targets nothing; one that waits for its last shard has cost all the
   //! others.
-  double waiting_attempts_per_shard = 1.0;
+  double waiting_attempts_per_shard = 2.0;
   //! Share of a tenant that has no weight of its own.
   double default_weight = 1.0;
   //! Shares of tenants, above zero.
--- a/test/jacinthdeck/query/engine_quarantine_test.cc
+++ b/test/jacinthdeck/query/engine_quarantine_test.cc
@@ -100,6 +100,23 @@
       (engine.quarantine().Of(popular, clock.Now()) == Suspicion::kNone));
 }
 
+// Calls wait for the verdict of a probe when a peer says that the request is
+// convicted. They are refused at that moment, as not run, and not when the
+// probe ends.
+BOOST_AUTO_TEST_CASE(Engine_PeerConvictsWhileCallsAreHeld_RefusedAtOnce) {
+  engine.SuspectTold(deadly, clock.Now());
+  for (int i = 0; i < 3; ++i) {
+    (void)Submit(MakeFleetCall(Lookup(), deadly));
+  }
+  BOOST_REQUIRE(effects.sends.size() == 1U);
+  engine.ConvictionTold(deadly, clock.Now(), effects);
+  BOOST_REQUIRE(effects.answers.size() == 2U);
+  for (const DeliverAnswer& refused : effects.answers) {
+    BOOST_TEST((refused.answer.outcome == Outcome::kNotRun));
+    BOOST_TEST((refused.answer.reason == AnswerReason::kQuarantined));
+  }
+}
+
 // A failure domain goes down and takes several attempts of one request with
 // it. That is one round of deaths: the request is probed elsewhere and not
 // convicted.
--- a/test/jacinthdeck/query/engine_test.cc
+++ b/test/jacinthdeck/query/engine_test.cc
@@ -123,7 +123,7 @@
 // answer and not one without the shard.
 BOOST_AUTO_TEST_CASE(Engine_SilentTargetAndOthersBusy_RetryWaitsForAPlace) {
   for (TargetInfo& target : targets) {
-    target.slots = 1;
+    target.connections = 1;
   }
   EngineFixture tight;
   tight.router = Router(1);
