--- a/src/jacinthdeck/runtime/once_calls.h
+++ b/src/jacinthdeck/runtime/once_calls.h
@@ -36,18 +36,22 @@
 
   explicit OnceCalls(ClusterNode& cluster) noexcept : m_cluster(cluster) {}
 
-  /*! \brief Earliest moment at which a forwarded call is given up. */
+  /*! \brief Earliest moment at which a forwarded or attached call is given up.
+   */
   [[nodiscard]] std::optional<TimePoint> NextTimer() const;
 
   /**
    * \brief Decides on a call with a request id.
    * \param call Call; its sink is taken unless kRun is returned.
    * \param forwarded Whether a peer sent it on; it is not sent on again.
+   * \param refusal Set where the node takes no such call now: it is told for an
+   * id that never ran, and for no other.
    * \param now Present time.
    * \param effects Takes a message to a peer.
    */
   [[nodiscard]] Next Arrive(SubmittedCall& call,
                             bool forwarded,
+                            const std::optional<CallResult>& refusal,
                             TimePoint now,
                             ClusterEffects& effects);
 
@@ -62,7 +66,7 @@
   /*! \brief Takes the answer of a node that a call was forwarded to. */
   void OnForwardReply(const ForwardReply& reply);
 
-  /*! \brief Gives up forwarded calls whose deadline has passed. */
+  /*! \brief Gives up forwarded and attached calls whose deadline has passed. */
   void OnTimer(TimePoint now);
 
  private:
@@ -72,6 +76,12 @@
     TimePoint deadline;
   };
 
+  struct Attached {
+    CallSink sink;
+    TimePoint deadline;
+  };
+
+  void GiveUpAttached(TimePoint now);
   void Forward(SubmittedCall& call,
                const NodeId& node,
                TimePoint now,
@@ -80,7 +90,7 @@
   ClusterNode& m_cluster;
   std::uint64_t m_next_sequence = 1;
   //! Sinks beside that of the call itself, for resends that came while it ran.
-  std::map<RequestId, std::vector<CallSink>> m_attached;
+  std::map<RequestId, std::vector<Attached>> m_attached;
   std::map<std::uint64_t, Forwarded> m_forwarded;
 };
 
