--- a/src/jacinthdeck/cluster/config_change.cc
+++ b/src/jacinthdeck/cluster/config_change.cc
@@ -17,15 +17,6 @@
   }
 }
 
-// A change whose reply was lost may have been applied and its id have been
-// dropped since. "Conflict" would say that it was not applied. An id dropped
-// lies below the oldest kept, and that of the change above what it expected.
-[[nodiscard]] bool MayBeForgotten(const ConfigValue& stored,
-                                  Revision expected) {
-  return stored.operations.size() >= kMaxOperations &&
-         expected.raw() + 1 < stored.operations.front().revision.raw();
-}
-
 [[nodiscard]] Revision NextRevision(const ConfigValue& value) {
   return Revision(value.revision.raw() + 1);
 }
@@ -55,14 +46,24 @@
                                          : std::optional(found->revision);
 }
 
+bool RemembersSince(const ConfigValue& value, Revision revision) {
+  return value.operations.size() < kMaxOperations ||
+         value.operations.front().revision <= revision;
+}
+
 Result<ConfigValue> ApplyChange(const ConfigValue& now_stored,
                                 const ConfigChange& change) {
-  if (internal::MayBeForgotten(now_stored, change.expected)) {
+  // The reply to an applied change was lost, and more changes followed than the
+  // value remembers: "conflict" would tell its operator that it was not
+  // applied, and it would be applied a second time under a new id.
+  if (change.expected < now_stored.content_revision &&
+      !RemembersSince(now_stored, change.expected)) {
     return Fail(ErrorCode::kOutcomeUnknown, "operation",
-                "more changes were made since revision " +
+                "more than " + std::to_string(kMaxOperations) +
+                    " changes followed revision " +
                     std::to_string(change.expected.raw()) +
-                    " than operation ids are kept, so this one may have been "
-                    "applied; read the configuration and its history");
+                    ", so it is not known whether this one was among them; "
+                    "compare the content in force");
   }
   if (change.expected < now_stored.content_revision ||
       change.expected > now_stored.revision) {
--- a/src/jacinthdeck/cluster/config_coordinator.cc
+++ b/src/jacinthdeck/cluster/config_coordinator.cc
@@ -224,9 +224,8 @@
     return EncodeWithinLimit(next);
   });
   if (const Error* const error = std::get_if<Error>(&text)) {
-    const ChangeState state = internal::StateFor(error->code);
-    const bool unknown = state == ChangeState::kUnknown;
-    Close(pending, state, stored.revision,
+    const bool unknown = error->code == ErrorCode::kOutcomeUnknown;
+    Close(pending, internal::StateFor(error->code), stored.revision,
           (unknown ? "" : "not applied: ") + error->message, effects);
     return;
   }
--- a/src/jacinthdeck/cluster/once_registry.cc
+++ b/src/jacinthdeck/cluster/once_registry.cc
@@ -48,7 +48,9 @@
          "." + internal::kTimeMark + std::to_string(internal::ToTokenTime(now));
 }
 
-OnceResult OnceRegistry::Arrive(const RequestId& id, TimePoint now) {
+OnceResult OnceRegistry::Arrive(const RequestId& id,
+                                TimePoint now,
+                                OnceIntake intake) {
   const std::optional<std::int64_t> issued = internal::ParseTokenTime(id.nonce);
   if (!issued) {
     return {OnceDecision::kInvalid, {}, id.node};
@@ -74,7 +76,7 @@
   if (expires <= now) {
     return {OnceDecision::kUnknown, {}, id.node};
   }
-  if (MustRefuse(*issued)) {
+  if (intake == OnceIntake::kClosed || MustRefuse(*issued)) {
     m_refused_up_to = std::max(m_refused_up_to, *issued);
     return {OnceDecision::kRefused, {}, id.node};
   }
--- a/src/jacinthdeck/routing/router.cc
+++ b/src/jacinthdeck/routing/router.cc
@@ -26,6 +26,12 @@
   return found == m_targets.end() ? nullptr : &found->second.info();
 }
 
+bool Router::TakesWork(const TargetId& target, TimePoint now) const {
+  const auto found = m_targets.find(target);
+  return found != m_targets.end() &&
+         found->second.Rank(now) < TargetRank::kEjected;
+}
+
 bool Router::Saturated(const ServiceId& service) const {
   const auto found = m_services.find(service);
   return found != m_services.end() && found->second.saturated();
@@ -94,7 +100,6 @@
   }
   const auto picked = Pick(request, now);
   if (const auto* refusal = std::get_if<RouteRefusal>(&picked)) {
-    service.OnPressure(*refusal == RouteRefusal::kAtLimit);
     return Refuse(*refusal);
   }
   // Waiting for the ordinary end of an attempt at a lost target would take as
@@ -126,8 +131,7 @@
   const Verdict verdict = Learn(result, target, now);
   const bool ejected =
       m_options.eject_outliers &&
-      target.health().OnEnd(verdict, target.service().slow_rate(), now,
-                            m_random);
+      target.health().OnEnd(verdict, target.IsSlow(), now, m_random);
   m_counters.ejections += ejected ? 1 : 0;
   if (target.info().state == TargetState::kGone && target.in_flight() == 0) {
     m_targets.erase(found);
@@ -166,6 +170,7 @@
         return Verdict::kNone;
       }
       service.OnOverdue(result.latency, *m_options.hedging);
+      target.OnOverdue(result.latency);
       // Several in a row with no reply between them: the target is silent.
       return target.OnUnanswered(now - result.latency, now) > 1
                  ? Verdict::kFailed
--- a/src/jacinthdeck/routing/router.h
+++ b/src/jacinthdeck/routing/router.h
@@ -52,14 +52,16 @@
   /*! \brief Finds what is known of a target; null when it is not known. */
   [[nodiscard]] const TargetInfo* FindTarget(const TargetId& target) const;
 
+  /*! \brief Tells whether a target gets more than probes. */
+  [[nodiscard]] bool TakesWork(const TargetId& target, TimePoint now) const;
+
   /*! \brief Counts since the start. */
   [[nodiscard]] const RouterCounters& counters() const noexcept {
     return m_counters;
   }
 
-  /*! \brief Tells whether sheds and full windows are common in a service: it
-   * then has no room for extra requests, and new work should be refused early.
-   */
+  /*! \brief Tells whether sheds are common in a service: it then has no room
+   * for extra requests, and new work should be refused early. */
   [[nodiscard]] bool Saturated(const ServiceId& service) const;
 
   /*! \brief Describes all targets, for the status page. */
@@ -94,7 +96,9 @@
    * \param request What is to be sent.
    * \param now Present time.
    * \return The target, or why there is none. After kAtLimit an attempt of this
-   * entry is in flight at one of the replicas, so an end will follow.
+   * entry is in flight at one of the replicas, so an end will follow; a retry
+   * also gets it during the pause after a shed, at most a third of a second,
+   * and has to ask again by itself.
    */
   [[nodiscard]] std::variant<TargetId, RouteRefusal> Choose(
       const RouteRequest& request,
@@ -119,19 +123,26 @@
   [[nodiscard]] std::uint32_t ShareOf(const TargetInfo& info, TimePoint now);
   [[nodiscard]] RouteRefusal Refuse(RouteRefusal refusal) noexcept;
   void Collect(const RouteRequest& request, TimePoint now);
-  void BoundEjections(TimePoint now);
+  void ComparePeers();
+  void BoundEjections();
   [[nodiscard]] TargetRecord* PickProbe(const RouteRequest& request,
                                         TimePoint now) const;
   [[nodiscard]] std::variant<TargetRecord*, RouteRefusal> Pick(
       const RouteRequest& request,
       TimePoint now);
+  [[nodiscard]] std::variant<TargetRecord*, RouteRefusal> PickHedge(
+      const RouteRequest& request,
+      TimePoint now);
+  [[nodiscard]] TargetRecord* PickTrusted(const RouteRequest& request,
+                                          bool tried,
+                                          TimePoint now);
   [[nodiscard]] TargetRecord* PickRank(const RouteRequest& request,
                                        TargetRank rank,
                                        bool tried,
                                        TimePoint now);
   [[nodiscard]] bool SharesDomain(const RouteRequest& request,
                                   const FailureDomain& domain) const;
-  //! A hedge of which all earlier attempts are at suspect targets.
+  //! A hedge whose latest attempt is at a target that is likely lost.
   [[nodiscard]] bool IsFailover(const RouteRequest& request,
                                 TimePoint now) const;
   [[nodiscard]] bool Pay(AttemptKind kind, ServiceRecord& service);
--- a/src/jacinthdeck/routing/target_record.h
+++ b/src/jacinthdeck/routing/target_record.h
@@ -21,7 +21,7 @@
   kPreferred,
   //! Silent or shedding: only if nothing else is free.
   kDoubtful,
-  //! Only if there is no other replica at all.
+  //! Gets probes only.
   kEjected,
   //! Gets no new work.
   kExcluded,
@@ -48,7 +48,8 @@
   }
   [[nodiscard]] std::uint32_t in_flight() const noexcept { return m_in_flight; }
 
-  /*! \brief Average latency of its answers; zero before the first. */
+  /*! \brief Average latency of its answers, and of late attempts that were
+   * cancelled; zero before the first. */
   [[nodiscard]] Duration latency() const noexcept;
 
   /*! \brief Tells whether it said lately that it is draining. */
@@ -56,6 +57,23 @@
     return m_draining_until && now < *m_draining_until;
   }
 
+  /*! \brief Tells whether it shed a moment ago. */
+  [[nodiscard]] bool HasShed(TimePoint now) const noexcept {
+    return now < m_shed_until;
+  }
+
+  /*! \brief Tells whether it gets no more before one of its requests ends.
+   * \param share This entry's share of its connections.
+   * \param now Present time.
+   * \return Never true while nothing is in flight. */
+  [[nodiscard]] bool IsFull(std::uint32_t share, TimePoint now) const noexcept;
+
+  /*! \brief Moment of its last reply of any kind. */
+  [[nodiscard]] TimePoint last_reply() const noexcept { return m_last_reply; }
+
+  /*! \brief Tells whether its latency stands out from that of its peers. */
+  [[nodiscard]] bool IsSlow() const noexcept;
+
   /*! \brief Ranks it, without regard to its limit. */
   [[nodiscard]] TargetRank Rank(TimePoint now) const noexcept;
 
@@ -65,9 +83,18 @@
   /*! \brief Takes a newer word of the host list. */
   void set_info(const TargetInfo& info) { m_info = info; }
 
+  /*! \brief Takes the latency of the fastest target that holds the same data;
+   * zero where there is none. */
+  void set_peer_latency(Duration latency) noexcept { m_peer_latency = latency; }
+
   /*! \brief Marks it as gone from the host list. */
   void SetGone() noexcept { m_info.state = TargetState::kGone; }
 
+  /*! \brief Says among how many entries its slots are shared. */
+  void ShareSlots(std::uint32_t entries) noexcept {
+    m_window.SetFloor(m_info.slots, entries);
+  }
+
   /*! \brief Counts a request that is being sent. */
   void OnSend(TimePoint now) noexcept;
 
@@ -77,6 +104,9 @@
   /*! \brief Learns from an answer. */
   void OnAnswer(Duration latency, std::uint32_t share, TimePoint now) noexcept;
 
+  /*! \brief Takes a lower bound of a latency. */
+  void OnOverdue(Duration latency) noexcept;
+
   /*! \brief Learns that a late attempt was cancelled without a reply.
    * \param sent When it was sent.
    * \param now Present time.
@@ -107,6 +137,7 @@
   InFlightWindow m_window;
   LoadHint m_hint;
   DecayingAverage m_latency;
+  Duration m_peer_latency{};
   std::uint32_t m_in_flight = 0;
   //! Since when requests have been in flight without a reply.
   TimePoint m_waiting_since{};
@@ -115,7 +146,8 @@
   TimePoint m_last_reply{};
   std::uint32_t m_unanswered_in_row = 0;
   std::uint32_t m_sheds_in_row = 0;
-  //! End of a pause after a shed or a missing answer.
+  TimePoint m_shed_until{};
+  //! End of a pause after missing answers.
   TimePoint m_doubtful_until{};
   std::optional<TimePoint> m_draining_until;
 };
