--- a/bench/support/tail_model.h
+++ b/bench/support/tail_model.h
@@ -7,13 +7,14 @@
 #include <cmath>
 #include <memory>
 #include <optional>
-#include <queue>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
 #include "jacinthdeck/query/engine.h"
 #include "jacinthdeck/routing/router.h"
+#include "support/event_queue.h"
+#include "support/fleet.h"
 #include "support/tail_case.h"
 #include "support/tail_stats.h"
 #include "support/target_model.h"
@@ -24,8 +25,12 @@
 class TailModel {
  public:
   explicit TailModel(const TailCase& what)
-      : m_case(what), m_random(what.seed), m_method(MakeMethod()) {
-    MakeTargets();
+      : m_case(what),
+        m_random(what.seed),
+        m_method(MakeMethod()),
+        m_fleet(MakeFleet(what.deployment, m_method->service)),
+        m_targets(m_fleet.infos.size(), TargetModel(what.deployment.slots)),
+        m_connections(m_fleet.infos.size(), 0) {
     for (std::uint32_t i = 0; i < m_case.entries; ++i) {
       MakeEntry(i);
     }
@@ -34,10 +39,9 @@
   /*! \brief Runs until every call has its answer. */
   [[nodiscard]] TailResult Run() {
     m_warm = m_case.queries / 5;
-    Push(m_now, EventKind::kCall, 0);
+    m_events.Push(m_now, EventKind::kCall, 0);
     while (!m_events.empty()) {
-      const Event event = m_events.top();
-      m_events.pop();
+      const Event event = m_events.Pop();
       m_now = event.at;
       Handle(event);
     }
@@ -56,20 +60,6 @@
   }
 
  private:
-  enum class EventKind { kCall, kTimer, kArrive, kDone, kCancel, kReply };
-
-  struct Event {
-    TimePoint at;
-    std::uint64_t order = 0;
-    EventKind kind = EventKind::kCall;
-    //! Entry for a timer, attempt for the others.
-    std::uint64_t subject = 0;
-
-    [[nodiscard]] bool operator>(const Event& other) const {
-      return at != other.at ? at > other.at : order > other.order;
-    }
-  };
-
   struct Entry {
     Entry(std::uint64_t seed, const RouterOptions& options, std::uint64_t first)
         : router(seed, options), engine(router, first) {}
@@ -104,54 +94,19 @@
     return std::make_shared<const Method>(method);
   }
 
-  [[nodiscard]] std::uint32_t TargetIndex(std::uint32_t shard,
-                                          std::uint32_t replica) const {
-    return shard * m_case.deployment.replicas + replica;
-  }
-
-  void MakeTargets() {
-    const Deployment& d = m_case.deployment;
-    m_map.version = IndexVersion(1);
-    for (std::uint32_t shard = 0; shard < d.shards; ++shard) {
-      Shard& part = m_map.shards.emplace_back();
-      part.id = ShardId(shard);
-      part.range = KeyRange{kKeySpaceEnd * shard / d.shards,
-                            kKeySpaceEnd * (shard + 1) / d.shards};
-      for (std::uint32_t replica = 0; replica < d.replicas; ++replica) {
-        TargetInfo info;
-        info.id = TargetId("t-" + std::to_string(shard) + "-" +
-                           std::to_string(replica));
-        info.service = m_method->service;
-        info.domain = FailureDomain("d-" + std::to_string(replica));
-        info.slots = d.slots;
-        info.connections = d.connections;
-        info.open_cost = d.open_cost;
-        part.replicas.push_back(info.id);
-        m_index[info.id] = TargetIndex(shard, replica);
-        m_infos.push_back(info);
-        m_targets.emplace_back(d.slots);
-      }
-    }
-    m_connections.assign(m_targets.size(), 0);
-  }
-
   void MakeEntry(std::uint32_t index) {
     constexpr unsigned kEntryShift = 40;
     const std::uint64_t first = std::uint64_t{index + 1} << kEntryShift;
     auto entry = std::make_unique<Entry>(m_random.Fork(),
                                          m_case.strategy.options, first);
-    entry->router.SetTargets(m_infos, m_now);
+    entry->router.SetTargets(m_fleet.infos, m_now);
     entry->router.SetEntryCount(m_case.entries, m_now);
-    entry->engine.SetVersions(m_method->service, {m_map});
+    entry->engine.SetVersions(m_method->service, {m_fleet.map});
     entry->open.assign(m_targets.size(), 0);
     entry->busy.assign(m_targets.size(), 0);
     m_entries.push_back(std::move(entry));
   }
 
-  void Push(TimePoint at, EventKind kind, std::uint64_t subject) {
-    m_events.push(Event{at, m_order++, kind, subject});
-  }
-
   void Handle(const Event& event) {
     switch (event.kind) {
       case EventKind::kCall:
@@ -192,9 +147,9 @@
       const Deployment& d = m_case.deployment;
       const double gap = static_cast<double>(kMeanService.count()) /
                          (d.replicas * d.slots * m_case.fault.load);
-      Push(m_now + Duration(static_cast<Duration::rep>(
-                       -gap * std::log(1 - m_random.Unit()))),
-           EventKind::kCall, 0);
+      m_events.Push(m_now + Duration(static_cast<Duration::rep>(
+                                -gap * std::log(1 - m_random.Unit()))),
+                    EventKind::kCall, 0);
     }
   }
 
@@ -223,13 +178,13 @@
     const auto next = entry.engine.NextTimer();
     if (next && (!entry.timer || *next < *entry.timer)) {
       entry.timer = std::max(*next, m_now);
-      Push(*entry.timer, EventKind::kTimer, index);
+      m_events.Push(*entry.timer, EventKind::kTimer, index);
     }
   }
 
   void Send(std::uint32_t index, const SendAttempt& send) {
     Entry& entry = *m_entries[index];
-    const std::uint32_t target = m_index.at(send.target);
+    const std::uint32_t target = m_fleet.index.at(send.target);
     m_attempts[send.attempt.raw()] = Attempt{index, target, send.range};
     Duration delay = m_case.deployment.one_way;
     if (entry.busy[target] == entry.open[target]) {
@@ -239,14 +194,14 @@
           std::max(m_most_connections, ++m_connections[target]);
     }
     ++entry.busy[target];
-    Push(m_now + delay, EventKind::kArrive, send.attempt.raw());
+    m_events.Push(m_now + delay, EventKind::kArrive, send.attempt.raw());
   }
 
   void Cancel(std::uint64_t key) {
     const bool silent = IsLost(m_attempts.at(key).target);
     // A silent target never learns of it; the connection is closed at once.
-    Push(silent ? m_now : m_now + m_case.deployment.one_way, EventKind::kCancel,
-         key);
+    m_events.Push(silent ? m_now : m_now + m_case.deployment.one_way,
+                  EventKind::kCancel, key);
   }
 
   void Deliver(const DeliverAnswer& deliver) {
@@ -306,8 +261,8 @@
     if (m_faulty && m_case.fault.slow_server && attempt.target == 0) {
       service *= kStragglerFactor;
     }
-    Push(m_now + Duration(static_cast<Duration::rep>(service)),
-         EventKind::kDone, key);
+    m_events.Push(m_now + Duration(static_cast<Duration::rep>(service)),
+                  EventKind::kDone, key);
   }
 
   void OnDone(std::uint64_t key) {
@@ -347,7 +302,7 @@
     Attempt& attempt = m_attempts.at(key);
     attempt.status = status;
     attempt.ended = true;
-    Push(m_now + m_case.deployment.one_way, EventKind::kReply, key);
+    m_events.Push(m_now + m_case.deployment.one_way, EventKind::kReply, key);
   }
 
   void OnReply(std::uint64_t key) {
@@ -358,7 +313,7 @@
     AttemptReply reply;
     reply.attempt = AttemptId(key);
     reply.status = attempt.status;
-    reply.version = m_map.version;
+    reply.version = m_fleet.map.version;
     reply.range = attempt.range;
     if (attempt.status == AttemptStatus::kAnswered ||
         attempt.status == AttemptStatus::kShed) {
@@ -374,9 +329,7 @@
   std::shared_ptr<const Method> m_method;
   std::shared_ptr<const std::string> m_body =
       std::make_shared<const std::string>("{}");
-  PartitionMap m_map;
-  std::vector<TargetInfo> m_infos;
-  std::unordered_map<TargetId, std::uint32_t> m_index;
+  Fleet m_fleet;
   std::vector<TargetModel> m_targets;
   //! Connections of all entries, for each target.
   std::vector<std::uint32_t> m_connections;
@@ -384,8 +337,7 @@
   std::vector<std::unique_ptr<Entry>> m_entries;
   std::unordered_map<std::uint64_t, Attempt> m_attempts;
   std::unordered_map<std::uint64_t, OpenCall> m_calls;
-  std::priority_queue<Event, std::vector<Event>, std::greater<>> m_events;
-  std::uint64_t m_order = 0;
+  EventQueue m_events;
   TimePoint m_now{};
   TimePoint m_from{};
   TimePoint m_last_call{};
--- /dev/null
+++ b/test/jacinthdeck/routing/router_pick_test.cc
@@ -0,0 +1,147 @@
+// Tests of limits, hedges and retries of a router.
+#include "jacinthdeck/routing/router.h"
+
+#include <array>
+#include <boost/test/unit_test.hpp>
+
+#include "router_fixture.h"
+
+namespace jacinthdeck {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+BOOST_FIXTURE_TEST_SUITE(RouterPickTest, RouterFixture)
+
+// The engine asks again after an end. If a refusal for the limit came while
+// nothing is in flight, no end would follow and the call would wait for its
+// deadline beside idle targets.
+BOOST_AUTO_TEST_CASE(Choose_AtLimit_AlwaysHasAnAttemptInFlight) {
+  router.SetEntryCount(8, now);
+  std::vector<TargetId> running;
+  Random random(3);
+  for (int i = 0; i < 20000; ++i) {
+    now += Duration(random.Below(5000));
+    if (const auto target = Choose()) {
+      running.push_back(*target);
+    } else if (refusal == RouteRefusal::kAtLimit) {
+      BOOST_REQUIRE(!running.empty());
+    }
+    if (!running.empty() && random.Below(3) == 0) {
+      constexpr std::array kEnds{AttemptStatus::kAnswered, AttemptStatus::kShed,
+                                 AttemptStatus::kLost,
+                                 AttemptStatus::kCancelled};
+      Finish(running.back(), kEnds.at(random.Below(kEnds.size())),
+             Duration(random.Below(100000)));
+      running.pop_back();
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(Choose_EightEntries_KeepsWithinTheShareOfConnections) {
+  router.SetEntryCount(8, now);
+  int chosen = 0;
+  while (Choose()) {
+    ++chosen;
+  }
+  BOOST_TEST(chosen == 9);
+  BOOST_TEST((refusal == RouteRefusal::kAtLimit));
+}
+
+// The targets shed almost everything. A hedge would only take the place of a
+// first attempt of another call, so none may be granted however many tokens are
+// left.
+BOOST_AUTO_TEST_CASE(Choose_HedgeWhileSaturated_IsRefused) {
+  Warm();
+  (void)Run(200, [this](const TargetId& target) {
+    Finish(target, AttemptStatus::kShed);
+  });
+  // The pauses after the sheds are over, so only their share speaks against it.
+  now += seconds(1);
+  BOOST_TEST(router.Saturated(service));
+  BOOST_TEST(!Choose(AttemptKind::kHedge, {replicas[0]}));
+  BOOST_TEST((refusal == RouteRefusal::kNoBudget));
+}
+
+// Every target fails. Each call would retry on each replica and triple the load
+// on what is left; the retries must stay a tenth of the first attempts.
+BOOST_AUTO_TEST_CASE(Choose_RetriesInAnOutage_AreATenthOfTheFirsts) {
+  for (int i = 0; i < 5000; ++i) {
+    now += milliseconds(1);
+    const auto first = Choose();
+    BOOST_REQUIRE(first);
+    Finish(*first, AttemptStatus::kFailed);
+    if (const auto retry = Choose(AttemptKind::kRetry, {*first})) {
+      Finish(*retry, AttemptStatus::kFailed);
+    }
+  }
+  BOOST_TEST(router.counters().retries <= 550U);
+  BOOST_TEST(router.counters().retries >= 500U);
+}
+
+BOOST_AUTO_TEST_CASE(Choose_HedgesAskedForAll_AreAFewPercentOfTheFirsts) {
+  Warm();
+  const auto before = router.counters().firsts;
+  for (int i = 0; i < 5000; ++i) {
+    now += milliseconds(5);
+    const auto first = Choose();
+    BOOST_REQUIRE(first);
+    if (const auto hedge = Choose(AttemptKind::kHedge, {*first})) {
+      BOOST_TEST((*hedge != *first));
+      Finish(*hedge, AttemptStatus::kCancelled, Duration(100));
+    }
+    Finish(*first);
+  }
+  const auto firsts = router.counters().firsts - before;
+  BOOST_TEST(router.counters().hedges <= firsts * 35 / 1000 + 21);
+}
+
+// A request sits at a target that went silent, and the hedge budget is spent.
+// Were the hedge refused, its caller would wait for the deadline. It replaces a
+// lost request, so the retry budget pays for it.
+BOOST_AUTO_TEST_CASE(Choose_HedgeAwayFromSilentTarget_NeedsNoHedgeBudget) {
+  Warm();
+  std::optional<TargetId> first = Choose();
+  BOOST_REQUIRE(first);
+  while (const auto hedge = Choose(AttemptKind::kHedge, {*first})) {
+    Finish(*hedge);
+  }
+  BOOST_TEST((refusal == RouteRefusal::kNoBudget));
+  now += seconds(1);
+  const auto failover = Choose(AttemptKind::kHedge, {*first});
+  BOOST_REQUIRE(failover);
+  BOOST_TEST((*failover != *first));
+}
+
+// Two replicas shed and the third is ejected. A retry at once would meet the
+// same full queues, or go to the lost target and stay there. It must wait.
+BOOST_AUTO_TEST_CASE(Choose_RetryAfterShedsBesideEjected_WaitsThenTriesAgain) {
+  (void)Run(2000, [this](const TargetId& target) {
+    Finish(target, target == replicas[0] ? AttemptStatus::kLost
+                                         : AttemptStatus::kAnswered);
+  });
+  BOOST_REQUIRE(router.counters().ejections >= 1U);
+  std::vector<TargetId> tried;
+  for (int i = 0; i < 2; ++i) {
+    const auto shed = Choose(AttemptKind::kRetry, tried);
+    BOOST_REQUIRE(shed);
+    Finish(*shed, AttemptStatus::kShed);
+    tried.push_back(*shed);
+  }
+  BOOST_TEST(!Choose(AttemptKind::kRetry, tried));
+  BOOST_TEST((refusal == RouteRefusal::kAtLimit));
+  now += milliseconds(20);
+  const auto again = Choose(AttemptKind::kRetry, tried);
+  BOOST_REQUIRE(again);
+  BOOST_TEST((*again != replicas[0]));
+}
+
+BOOST_AUTO_TEST_CASE(Choose_RetryWithNoOtherReplica_TakesATriedOneAgain) {
+  const auto retry = Choose(AttemptKind::kRetry, replicas);
+  BOOST_TEST(retry.has_value());
+  BOOST_TEST(!Choose(AttemptKind::kHedge, replicas).has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace jacinthdeck
