--- a/test/jacinthdeck/query/engine_quarantine_test.cc
+++ b/test/jacinthdeck/query/engine_quarantine_test.cc
@@ -117,6 +117,18 @@
   }
 }
 
+// The probe of a suspect ends without a verdict, but may have run. The request
+// is not sent once more: each run may cost a target.
+BOOST_AUTO_TEST_CASE(Engine_ProbeMayHaveRunWithoutVerdict_IsNotSentAgain) {
+  engine.SuspectTold(deadly, clock.Now());
+  (void)Submit(MakeFleetCall(Lookup(), deadly));
+  const auto probe = TakeSends();
+  BOOST_REQUIRE(probe.size() == 1U);
+  End(probe[0], AttemptStatus::kTimedOut);
+  BOOST_TEST((OnlyAnswer().outcome == Outcome::kUnknown));
+  BOOST_TEST(effects.sends.empty());
+}
+
 // A failure domain goes down and takes several attempts of one request with
 // it. That is one round of deaths: the request is probed elsewhere and not
 // convicted.
