--- a/src/jacinthdeck/cluster/once_registry.cc
+++ b/src/jacinthdeck/cluster/once_registry.cc
@@ -1,7 +1,6 @@
 // Decisions on requests that may run at most once.
 #include "jacinthdeck/cluster/once_registry.h"
 
-#include <algorithm>
 #include <charconv>
 #include <limits>
 #include <string_view>
@@ -76,20 +75,15 @@
   if (expires <= now) {
     return {OnceDecision::kUnknown, {}, id.node};
   }
-  if (intake == OnceIntake::kClosed || MustRefuse(*issued)) {
-    m_refused_up_to = std::max(m_refused_up_to, *issued);
-    return {OnceDecision::kRefused, {}, id.node};
+  if (intake == OnceIntake::kClosed || !m_accepting ||
+      m_entries.size() - m_refused >= m_options.capacity) {
+    return {RefuseNew(id, expires), {}, id.node};
   }
   m_entries.emplace(id, Entry{expires, State::kRunning, {}});
   m_expiries.emplace(expires, id);
   return {OnceDecision::kRun, {}, id.node};
 }
 
-bool OnceRegistry::MustRefuse(std::int64_t issued) const {
-  return !m_accepting || m_entries.size() >= m_options.capacity ||
-         issued <= m_refused_up_to;
-}
-
 OnceResult OnceRegistry::ArriveElsewhere(const RequestId& id) const {
   const Member* member = m_table.Find(id.node);
   const bool gone = member == nullptr || !member->proven ||
@@ -104,7 +98,7 @@
       return {OnceDecision::kAttach, {}, m_self.node};
     case State::kFinished:
       return {OnceDecision::kFinished, entry.answer, m_self.node};
-    case State::kReleased:
+    case State::kRefused:
       return {OnceDecision::kRefused, {}, m_self.node};
     case State::kAnswerDropped:
       break;
@@ -120,40 +114,53 @@
     return;
   }
   Entry& entry = found->second;
+  entry.state = State::kFinished;
   entry.answer = std::move(answer);
   m_answer_bytes += entry.answer.body.size();
   m_finished.push_back(id);
-  Close(entry, id, State::kFinished, now);
+  if (entry.expires <= now) {
+    // The sweep passed it by while it ran.
+    m_expiries.emplace(entry.expires, id);
+  }
   DropOldAnswers();
   Sweep(now);
 }
 
-void OnceRegistry::Release(const RequestId& id, TimePoint now) {
+void OnceRegistry::Refuse(const RequestId& id) {
   const auto found = m_entries.find(id);
   if (found != m_entries.end() && found->second.state == State::kRunning) {
-    Close(found->second, id, State::kReleased, now);
-    Sweep(now);
+    found->second.state = State::kRefused;
+    ++m_refused;
   }
 }
 
-void OnceRegistry::Close(Entry& entry,
-                         const RequestId& id,
-                         State state,
-                         TimePoint now) {
-  entry.state = state;
-  if (entry.expires <= now) {
-    // The sweep passed it by while it ran.
-    m_expiries.emplace(entry.expires, id);
+// Without the note a copy that comes later, when there is room again, would run
+// after its caller was told "not run". Where there is no room for the note
+// either, only "unknown" is true.
+OnceDecision OnceRegistry::RefuseNew(const RequestId& id, TimePoint expires) {
+  if (m_refused >= m_options.capacity) {
+    return OnceDecision::kUnknown;
   }
+  m_entries.emplace(id, Entry{expires, State::kRefused, {}});
+  m_expiries.emplace(expires, id);
+  ++m_refused;
+  return OnceDecision::kRefused;
 }
 
 void OnceRegistry::Sweep(TimePoint now) {
   while (!m_expiries.empty() && m_expiries.begin()->first <= now) {
     const auto found = m_entries.find(m_expiries.begin()->second);
     m_expiries.erase(m_expiries.begin());
-    // One that still runs stays: its waiting callers attach to it.
-    if (found != m_entries.end() && found->second.state != State::kRunning) {
+    if (found == m_entries.end()) {
+      continue;
+    }
+    if (found->second.state == State::kRunning) {
+      // It stays, since its waiting callers attach to it, and is looked at
+      // again: its end alone would leave it here for ever where it is refused.
+      m_expiries.emplace(now + m_options.token_life, found->first);
+    } else {
       m_answer_bytes -= found->second.answer.body.size();
+      m_refused -= found->second.state == State::kRefused ? 1 : 0;
       m_entries.erase(found);
     }
   }
--- a/test/jacinthdeck/cluster/config_coordinator_test.cc
+++ b/test/jacinthdeck/cluster/config_coordinator_test.cc
@@ -210,6 +210,18 @@
   BOOST_TEST(cluster.store().ValueOf("config").empty());
 }
 
+// One entry alone is its own majority: a change is accepted, and an outage of
+// the store does not stop it.
+BOOST_AUTO_TEST_CASE(Coordinator_OneNodeAlone_AcceptsAndSurvivesAnOutage) {
+  ClusterHarness alone(22);
+  alone.Start(1);
+  alone.Run(std::chrono::seconds(1));
+  BOOST_TEST(alone.Configure("one").raw() == 1U);
+  alone.store().faults().down = true;
+  alone.Run(std::chrono::seconds(30));
+  BOOST_TEST(alone.Serving(0) == ServeState::kServing);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace jacinthdeck
