--- a/src/jacinthdeck/cluster/config_replica.h
+++ b/src/jacinthdeck/cluster/config_replica.h
@@ -67,6 +67,11 @@
       const noexcept {
     return m_value;
   }
+  /*! \brief The value in force as the store holds it, to restore a lost key
+   * by hand; empty for none. */
+  [[nodiscard]] const std::string& encoded() const noexcept {
+    return m_encoded;
+  }
   /*! \brief Whether this life may be counted, see RevisionReport::recovered. */
   [[nodiscard]] bool recovered() const noexcept { return m_recovered; }
   /*! \brief Whether the last read of the store succeeded. */
