--- a/src/jacinthdeck/cluster/config_coordinator.cc
+++ b/src/jacinthdeck/cluster/config_coordinator.cc
@@ -192,8 +192,7 @@
                                  ClusterEffects& effects) {
   if (m_replica.value()) {
     Close(pending, ChangeState::kUnavailable, m_replica.revision(),
-          "not applied: the store has lost the configuration; restore the key "
-          "'config' from 'config get'",
+          "not applied: the store has lost the key 'config'; restore it there",
           effects);
     return;
   }
--- a/src/jacinthdeck/cluster/once_registry.cc
+++ b/src/jacinthdeck/cluster/once_registry.cc
@@ -151,8 +151,14 @@
   while (!m_expiries.empty() && m_expiries.begin()->first <= now) {
     const auto found = m_entries.find(m_expiries.begin()->second);
     m_expiries.erase(m_expiries.begin());
-    // One that still runs stays: its waiting callers attach to it.
-    if (found != m_entries.end() && found->second.state != State::kRunning) {
+    if (found == m_entries.end()) {
+      continue;
+    }
+    if (found->second.state == State::kRunning) {
+      // It stays, since its waiting callers attach to it, and is looked at
+      // again: its end alone would leave it here for ever where it is refused.
+      m_expiries.emplace(now + m_options.token_life, found->first);
+    } else {
       m_answer_bytes -= found->second.answer.body.size();
       m_refused -= found->second.state == State::kRefused ? 1 : 0;
       m_entries.erase(found);
--- a/test/jacinthdeck/cluster/once_registry_test.cc
+++ b/test/jacinthdeck/cluster/once_registry_test.cc
@@ -92,6 +92,19 @@
   BOOST_TEST(Arrive(id) == OnceDecision::kUnknown);
 }
 
+// A request waits beyond the life of its token and is then refused. Passed by
+// in the sweep and never looked at again, its id would be held for ever.
+BOOST_AUTO_TEST_CASE(Once_RefusedBeyondExpiry_IsForgottenLater) {
+  const RequestId id = Id("a");
+  BOOST_TEST(Arrive(id) == OnceDecision::kRun);
+  clock.Advance(std::chrono::minutes(3));
+  BOOST_TEST(Arrive(Id("b")) == OnceDecision::kRun);
+  registry.Refuse(id);
+  clock.Advance(std::chrono::minutes(5));
+  (void)Arrive(Id("c"));
+  BOOST_TEST(registry.size() == 2U);
+}
+
 // The node restarted with the same name and address. What its former life ran
 // is not known any more.
 BOOST_AUTO_TEST_CASE(Once_IdOfAFormerLife_IsUnknown) {
