--- a/src/jacinthdeck/runtime/answer_json.cc
+++ b/src/jacinthdeck/runtime/answer_json.cc
@@ -15,7 +15,8 @@
 namespace {
 
 //! What the caller may believe of its request, by outcome.
-constexpr std::array<std::string_view, 4> kRan{"yes", "yes", "no", "unknown"};
+constexpr std::array<Ran, 4> kRan{Ran::kYes, Ran::kYes, Ran::kNo,
+                                  Ran::kUnknown};
 constexpr std::array<std::uint16_t, 4> kStatus{200, 200, 503, 504};
 
 [[nodiscard]] std::string EncodeNumber(double value) {
@@ -85,7 +86,7 @@
   out += R"(,"attempts":)" + std::to_string(answer.attempts);
   out += R"(,"hedges":)" + std::to_string(answer.hedges);
   out += R"(,"retries":)" + std::to_string(answer.retries);
-  out += R"(,"ran":")" + std::string(kRan[outcome]) + '"';
+  out += R"(,"ran":")" + std::string(kRanNames.Name(kRan[outcome])) + '"';
   if (answer.retry_after) {
     out += R"(,"retry_after_ms":)" +
            std::to_string(
@@ -96,11 +97,12 @@
   return EncodedAnswer{kStatus[outcome], std::move(out)};
 }
 
-std::string EncodeError(const Error& error) {
+std::string EncodeError(const Error& error, Ran ran) {
   return R"({"error":{"code":")" +
          std::string(kErrorCodeNames.Name(error.code)) + R"(","field":)" +
          QuoteJson(error.subject) + R"(,"message":)" +
-         QuoteJson(error.message) + R"(},"ran":"no"})";
+         QuoteJson(error.message) + R"(},"ran":")" +
+         std::string(kRanNames.Name(ran)) + R"("})";
 }
 
 }  // namespace jacinthdeck
--- a/src/jacinthdeck/runtime/answer_json.h
+++ b/src/jacinthdeck/runtime/answer_json.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "jacinthdeck/core/error.h"
+#include "jacinthdeck/core/name_table.h"
 #include "jacinthdeck/query/answer.h"
 #include "jacinthdeck/runtime/call_result.h"
 
@@ -19,8 +20,18 @@
 [[nodiscard]] EncodedAnswer EncodeAnswer(const std::string& request_id,
                                          const Answer& answer);
 
-/*! \brief Encodes a typed error of a request that was not run. */
-[[nodiscard]] std::string EncodeError(const Error& error);
+/*! \brief What is known of whether a request has run. */
+enum class Ran { kYes, kNo, kUnknown };
+
+//! Names as they stand in answers.
+inline constexpr NameTable<Ran, 3> kRanNames{{"yes", "no", "unknown"}};
+
+/**
+ * \brief Encodes a typed error.
+ * \param error Error.
+ * \param ran Whether the request has run; kNo only where this is proved.
+ */
+[[nodiscard]] std::string EncodeError(const Error& error, Ran ran = Ran::kNo);
 
 /*! \brief Puts text between quotes, with what JSON wants escaped. */
 [[nodiscard]] std::string QuoteJson(const std::string& text);
--- a/src/jacinthdeck/runtime/caller_edge.cc
+++ b/src/jacinthdeck/runtime/caller_edge.cc
@@ -35,10 +35,10 @@
   }
 }
 
-[[nodiscard]] HttpReply ErrorReply(const Error& error) {
+[[nodiscard]] HttpReply ErrorReply(const Error& error, Ran ran = Ran::kNo) {
   HttpReply reply;
   reply.status = StatusOf(error.code);
-  reply.body = EncodeError(error);
+  reply.body = EncodeError(error, ran);
   if (reply.status == 503) {
     reply.retry_after = std::chrono::seconds(1);
   }
@@ -59,6 +59,21 @@
   return reply;
 }
 
+// A request id may be a resend's, whose first sending ran; the edge does not
+// ask the registry. "Not run" would make the caller claim the ticket again
+// under a new id.
+[[nodiscard]] bool MayHaveRun(const HttpRequest& request) {
+  return RequestId::Parse(request.header("X-Request-Id")).has_value();
+}
+
+[[nodiscard]] Answer RefuseAtEdge(bool may_have_run) {
+  Answer refusal;
+  refusal.outcome = may_have_run ? Outcome::kUnknown : Outcome::kNotRun;
+  refusal.reason = AnswerReason::kOverload;
+  refusal.retry_after = kOverloadComeBack;
+  return refusal;
+}
+
 [[nodiscard]] Result<Duration> ReadDeadline(std::string_view text,
                                             Duration fallback) {
   if (text.empty()) {
@@ -149,10 +164,8 @@
   }
   if (request.method == "POST" && path.size() == 3 && path[0] == "v1") {
     if (open.value() > m_max_open) {
-      Answer refusal;
-      refusal.reason = AnswerReason::kOverload;
-      refusal.retry_after = kOverloadComeBack;
-      return ToReply("", refusal);
+      return ToReply(std::string(request.header("X-Request-Id")),
+                     RefuseAtEdge(MayHaveRun(request)));
     }
     return HandleCall(request, path[1], path[2]);
   }
@@ -189,7 +202,7 @@
                                  const std::string& method) {
   auto read = Capture([&] { return ReadCall(request, service, method); });
   if (const Error* error = std::get_if<Error>(&read)) {
-    return ErrorReply(*error);
+    return ErrorReply(*error, MayHaveRun(request) ? Ran::kUnknown : Ran::kNo);
   }
   return Wait(std::move(std::get<SubmittedCall>(read)),
               std::string(request.header("X-Request-Id")));
@@ -234,11 +247,10 @@
   call.sink = [promise](CallResult result) {
     promise->set_value(std::move(result));
   };
+  CallResult result = RefuseAtEdge(call.request.has_value());
   DecisionEvent event = std::move(call);
-  CallResult result = Answer{};
   if (!m_loop.TryPush(event)) {
-    std::get<Answer>(result).reason = AnswerReason::kOverload;
-    std::get<Answer>(result).retry_after = kOverloadComeBack;
+    Log(Severity::kDebug, "the decision thread's ring is full");
   } else if (future.wait_for(deadline - started + kGrace) ==
              std::future_status::ready) {
     result = future.get();
@@ -247,6 +259,7 @@
         {{"request", request_id}});
     std::get<Answer>(result).outcome = Outcome::kUnknown;
     std::get<Answer>(result).reason = AnswerReason::kDeadline;
+    std::get<Answer>(result).retry_after.reset();
   }
   labels.outcome = OutcomeOf(result);
   m_metrics.Add(std::move(labels),
--- a/src/jacinthdeck/runtime/decision_core.cc
+++ b/src/jacinthdeck/runtime/decision_core.cc
@@ -94,6 +94,7 @@
   Effects effects;
   const bool released = m_engine.ReleaseQuarantine(fingerprint, now, effects);
   Act(effects, now);
+  TellPeers(QuarantineNotice{{}, {fingerprint}, {}}, now);
   return released;
 }
 
@@ -380,6 +381,9 @@
   for (const Fingerprint& fingerprint : notice.suspected) {
     m_engine.SuspectTold(fingerprint, now);
   }
+  for (const Fingerprint& fingerprint : notice.cleared) {
+    m_engine.ReleaseQuarantine(fingerprint, now, effects);
+  }
   for (const Fingerprint& fingerprint : notice.convicted) {
     m_engine.ConvictionTold(fingerprint, now, effects);
   }
@@ -387,7 +391,8 @@
 }
 
 void DecisionCore::TellPeers(const QuarantineNotice& notice, TimePoint now) {
-  if (notice.suspected.empty() && notice.convicted.empty()) {
+  if (notice.suspected.empty() && notice.cleared.empty() &&
+      notice.convicted.empty()) {
     return;
   }
   ClusterEffects effects;
--- a/src/jacinthdeck/runtime/decision_core.h
+++ b/src/jacinthdeck/runtime/decision_core.h
@@ -71,7 +71,8 @@
   /*! \brief Takes the peers that the settings name. */
   void AddSeeds(const std::vector<PeerSeed>& seeds);
 
-  /*! \brief Ends a quarantine by an operator's word; false if there is none. */
+  /*! \brief Ends a quarantine by an operator's word, here and at the peers;
+   * false if there is none here. */
   bool ReleaseQuarantine(Fingerprint fingerprint, TimePoint now);
 
   /*! \brief Begins the graceful shutdown: new calls are refused, open ones
--- a/test/jacinthdeck/runtime/decision_core_test.cc
+++ b/test/jacinthdeck/runtime/decision_core_test.cc
@@ -282,6 +282,7 @@
 // peer gets the answer, and the same one when the message arrives twice.
 BOOST_AUTO_TEST_CASE(OnceCall_ForwardedTwice_RunsOnceAndAnswersThePeer) {
   Serve();
+  core.AddSeeds({PeerSeed{NodeId("akl-2"), Endpoint{"127.0.0.1", 5000}}});
   ForwardRequest forward;
   forward.sequence = 9;
   forward.id = NewId("a");
@@ -299,6 +300,40 @@
   BOOST_REQUIRE(ports.sends.size() == 1U);
   AnswerTarget(0);
   BOOST_TEST(ports.sends.size() == 1U);
+  std::vector<ForwardReply> replies;
+  for (const PeerSend& send : ports.peers) {
+    if (const auto* reply = std::get_if<ForwardReply>(&send.envelope.message)) {
+      replies.push_back(*reply);
+    }
+  }
+  BOOST_REQUIRE(replies.size() == 2U);
+  BOOST_TEST((replies[0] == replies[1]));
+  BOOST_TEST(replies[0].status == 200);
+  BOOST_TEST(replies[0].sequence == 9U);
+}
+
+// A request was convicted at another entry. It must be refused here as well,
+// until an operator's word, which any entry takes, ends the quarantine at all
+// of them.
+BOOST_AUTO_TEST_CASE(Quarantine_ToldByAPeer_RefusesUntilAPeerTellsItsEnd) {
+  Serve();
+  const Fingerprint bad =
+      MakeCall("Search", R"({"text":"a"})").call.fingerprint;
+  Envelope envelope;
+  envelope.from = NodeId("akl-2");
+  envelope.incarnation = Incarnation(1);
+  envelope.to = NodeId("akl-1");
+  envelope.message = QuarantineNotice{{}, {}, {bad}};
+  core.OnEvent(envelope);
+  core.OnEvent(MakeCall("Search", R"({"text":"a"})"));
+  BOOST_REQUIRE(results.size() == 1U);
+  BOOST_TEST((AnswerAt(0).reason == AnswerReason::kQuarantined));
+  BOOST_TEST((AnswerAt(0).outcome == Outcome::kNotRun));
+  BOOST_TEST(ports.sends.empty());
+  envelope.message = QuarantineNotice{{}, {bad}, {}};
+  core.OnEvent(envelope);
+  core.OnEvent(MakeCall("Search", R"({"text":"a"})"));
+  BOOST_TEST(ports.sends.size() == 1U);
 }
 
 // A revision that drops a call comes into force after the edge checked a
