--- a/src/jacinthdeck/runtime/caller_edge.cc
+++ b/src/jacinthdeck/runtime/caller_edge.cc
@@ -9,6 +9,7 @@
 #include "jacinthdeck/runtime/answer_json.h"
 #include "jacinthdeck/runtime/decision_client.h"
 #include "jacinthdeck/runtime/log.h"
+#include "jacinthdeck/runtime/refusal.h"
 
 namespace jacinthdeck {
 
@@ -67,10 +68,10 @@
 }
 
 [[nodiscard]] Answer RefuseAtEdge(bool may_have_run) {
-  Answer refusal;
-  refusal.outcome = may_have_run ? Outcome::kUnknown : Outcome::kNotRun;
-  refusal.reason = AnswerReason::kOverload;
-  refusal.retry_after = kOverloadComeBack;
+  Answer refusal = MakeNotRun(AnswerReason::kOverload, kOverloadComeBack);
+  if (may_have_run) {
+    refusal.outcome = Outcome::kUnknown;
+  }
   return refusal;
 }
 
@@ -257,9 +258,7 @@
   } else {
     Log(Severity::kError, "the decision thread gave no answer",
         {{"request", request_id}});
-    std::get<Answer>(result).outcome = Outcome::kUnknown;
-    std::get<Answer>(result).reason = AnswerReason::kDeadline;
-    std::get<Answer>(result).retry_after.reset();
+    result = MakeUnknown(AnswerReason::kDeadline);
   }
   labels.outcome = OutcomeOf(result);
   m_metrics.Add(std::move(labels),
--- a/src/jacinthdeck/runtime/decision_core.cc
+++ b/src/jacinthdeck/runtime/decision_core.cc
@@ -6,25 +6,18 @@
 #include <variant>
 
 #include "jacinthdeck/runtime/answer_json.h"
+#include "jacinthdeck/runtime/refusal.h"
 
 namespace jacinthdeck {
 
 namespace {
 
-constexpr Duration kNotReadyComeBack = std::chrono::milliseconds(500);
 constexpr Duration kDrainingComeBack = std::chrono::milliseconds(1);
 //! Attempt ids of one life; the incarnation counts milliseconds, so that a life
 //! would have to send a thousand million requests a second to run into the next
 //! one's ids.
 constexpr unsigned kAttemptBits = 20;
 
-[[nodiscard]] Answer Refusal(AnswerReason reason, Duration come_back) {
-  Answer answer;
-  answer.reason = reason;
-  answer.retry_after = come_back;
-  return answer;
-}
-
 }  // namespace
 
 DecisionCore::DecisionCore(const DecisionOptions& options,
@@ -127,12 +120,12 @@
   // A forwarded request is bound to this life, so that nobody else may run it;
   // it is work in flight to a node that leaves.
   if (m_draining && !forwarded) {
-    return Refusal(AnswerReason::kDraining, kDrainingComeBack);
+    return MakeNotRun(AnswerReason::kDraining, kDrainingComeBack);
   }
   // Without the check at this very moment a node that was paused, or cut off,
   // would answer by a revision that the operators were told is gone.
   if (m_schema == nullptr || m_cluster.StateAt(now) != ServeState::kServing) {
-    return Refusal(AnswerReason::kNotReady, kNotReadyComeBack);
+    return MakeNotRun(AnswerReason::kNotReady, kNotReadyComeBack);
   }
   return Recheck(call);
 }
@@ -172,7 +165,7 @@
   }
   auto& request = std::get<CheckedRequest>(checked);
   if ((method->repeat == Repeat::kOnce) != call.request.has_value()) {
-    return Refusal(AnswerReason::kNotReady, kNotReadyComeBack);
+    return MakeNotRun(AnswerReason::kNotReady, kNotReadyComeBack);
   }
   call.call.method = method;
   call.call.body = std::make_shared<const std::string>(std::move(request.body));
@@ -276,130 +269,8 @@
   open.sink(std::move(answer));
 }
 
-void DecisionCore::Act(ClusterEffects& effects, TimePoint now) {
-  if (effects.config_changed) {
-    OnConfig();
-  }
-  for (const PeerSend& send : effects.sends) {
-    m_ports.ToPeer(send);
-  }
-  for (const StoreRequest& request : effects.store_requests) {
-    if (!m_ports.ToStore(request)) {
-      StoreReply reply;
-      reply.id = request.id;
-      reply.status = StoreStatus::kRefused;
-      On(reply, now);
-    }
-  }
-  for (const OperatorReply& reply : effects.operator_replies) {
-    const auto found = m_operators.find(reply.call);
-    if (found != m_operators.end()) {
-      found->second(reply);
-      m_operators.erase(found);
-    }
-  }
-  for (const Envelope& envelope : effects.deliveries) {
-    OnDelivery(envelope, now);
-  }
-  if (effects.members_changed) {
-    m_router.SetEntryCount(
-        static_cast<std::uint32_t>(m_cluster.members().alive_count()), now);
-  }
-}
-
-void DecisionCore::OnDelivery(const Envelope& envelope, TimePoint now) {
-  if (const auto* request = std::get_if<ForwardRequest>(&envelope.message)) {
-    OnForwarded(envelope, *request, now);
-  } else if (const auto* reply = std::get_if<ForwardReply>(&envelope.message)) {
-    m_once.OnForwardReply(*reply);
-  } else if (const auto* notice =
-                 std::get_if<QuarantineNotice>(&envelope.message)) {
-    OnNotice(*notice, now);
-  }
-}
-
-void DecisionCore::OnForwarded(const Envelope& envelope,
-                               const ForwardRequest& request,
-                               TimePoint now) {
-  const CallSink reply_to_peer = [this, node = envelope.from, id = request.id,
-                                  sequence =
-                                      request.sequence](CallResult result) {
-    EncodedAnswer encoded =
-        std::holds_alternative<Answer>(result)
-            ? EncodeAnswer(id.ToString(), std::get<Answer>(result))
-            : std::move(std::get<EncodedAnswer>(result));
-    ClusterEffects effects;
-    m_cluster.SendToPeer(
-        node, ForwardReply{sequence, encoded.status, std::move(encoded.body)},
-        effects);
-    Act(effects, m_clock.Now());
-  };
-  const auto method =
-      m_schema == nullptr
-          ? nullptr
-          : m_schema->Find(request.service.raw(), request.method);
-  SubmittedCall call;
-  call.call.tenant = request.tenant;
-  call.call.method = method;
-  call.call.body = std::make_shared<const std::string>(request.body);
-  call.call.deadline = now + request.time_left;
-  call.request = request.id;
-  call.sink = reply_to_peer;
-  if (method == nullptr) {
-    (void)ArriveOnce(call, true,
-                     Refusal(AnswerReason::kNotReady, kNotReadyComeBack), now);
-    return;
-  }
-  Begin(std::move(call), true, now);
-}
-
-void DecisionCore::OnConfig() {
-  const auto& value = m_cluster.config().value();
-  // A change of the voters raises the revision and leaves the content: to read
-  // the schema again would make every call in between be checked twice.
-  if (value != nullptr && m_schema != nullptr &&
-      value->content_revision == m_content_revision) {
-    return;
-  }
-  m_schema = nullptr;
-  if (value != nullptr) {
-    m_content_revision = value->content_revision;
-    auto parsed = Capture([&] { return Schema::Parse(value->content.schema); });
-    if (auto* schema = std::get_if<Schema>(&parsed)) {
-      m_schema = std::make_shared<const Schema>(std::move(*schema));
-    }
-  }
-  m_ports.Publish(m_schema);
-}
-
 void DecisionCore::RefreshTargets(TimePoint now) {
   m_router.SetTargets(m_targets.Targets(), now);
 }
 
-void DecisionCore::OnNotice(const QuarantineNotice& notice, TimePoint now) {
-  Effects effects;
-  for (const Fingerprint& fingerprint : notice.suspected) {
-    m_engine.SuspectTold(fingerprint, now);
-  }
-  for (const Fingerprint& fingerprint : notice.cleared) {
-    m_engine.ReleaseQuarantine(fingerprint, now, effects);
-  }
-  for (const Fingerprint& fingerprint : notice.convicted) {
-    m_engine.ConvictionTold(fingerprint, now, effects);
-  }
-  Act(effects, now);
-}
-
-void DecisionCore::TellPeers(const QuarantineNotice& notice, TimePoint now) {
-  if (notice.suspected.empty() && notice.cleared.empty() &&
-      notice.convicted.empty()) {
-    return;
-  }
-  ClusterEffects effects;
-  for (const NodeId& node : m_cluster.members().Reachable()) {
-    m_cluster.SendToPeer(node, notice, effects);
-  }
-  Act(effects, now);
-}
-
 }  // namespace jacinthdeck
--- a/src/jacinthdeck/runtime/decision_core.h
+++ b/src/jacinthdeck/runtime/decision_core.h
@@ -80,6 +80,9 @@
   void Drain();
 
  private:
+  //! Within this time a lease is mostly renewed, or another entry found.
+  static constexpr Duration kNotReadyComeBack = std::chrono::milliseconds(500);
+
   struct OpenCall {
     CallSink sink;
     std::optional<RequestId> request;
--- a/src/jacinthdeck/runtime/once_calls.cc
+++ b/src/jacinthdeck/runtime/once_calls.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "jacinthdeck/runtime/answer_json.h"
+#include "jacinthdeck/runtime/refusal.h"
 
 namespace jacinthdeck {
 
@@ -14,21 +15,6 @@
 constexpr std::uint16_t kStatusBadRequest = 400;
 constexpr Duration kComeBack = std::chrono::milliseconds(500);
 
-[[nodiscard]] Answer Unknown(AnswerReason reason) {
-  Answer answer;
-  answer.outcome = Outcome::kUnknown;
-  answer.reason = reason;
-  return answer;
-}
-
-[[nodiscard]] Answer NotRun(AnswerReason reason) {
-  Answer answer;
-  answer.outcome = Outcome::kNotRun;
-  answer.reason = reason;
-  answer.retry_after = kComeBack;
-  return answer;
-}
-
 [[nodiscard]] EncodedAnswer InvalidId() {
   return EncodedAnswer{
       kStatusBadRequest,
@@ -72,18 +58,19 @@
       break;
     case OnceDecision::kForward:
       if (forwarded || call.call.method == nullptr) {
-        call.sink(Unknown(AnswerReason::kElsewhere));
+        call.sink(MakeUnknown(AnswerReason::kElsewhere));
       } else {
         Forward(call, result.node, now, effects);
       }
       break;
     case OnceDecision::kUnknown:
-      call.sink(Unknown(AnswerReason::kElsewhere));
+      call.sink(MakeUnknown(AnswerReason::kElsewhere));
       break;
     case OnceDecision::kRefused:
-      call.sink(refusal.value_or(NotRun(m_cluster.leaving()
-                                            ? AnswerReason::kDraining
-                                            : AnswerReason::kOverload)));
+      call.sink(refusal.value_or(MakeNotRun(m_cluster.leaving()
+                                                ? AnswerReason::kDraining
+                                                : AnswerReason::kOverload,
+                                            kComeBack)));
       break;
     case OnceDecision::kInvalid:
       call.sink(InvalidId());
@@ -152,7 +139,7 @@
     }
     const CallSink sink = std::move(it->second.sink);
     it = m_forwarded.erase(it);
-    sink(Unknown(AnswerReason::kDeadline));
+    sink(MakeUnknown(AnswerReason::kDeadline));
   }
   GiveUpAttached(now);
 }
@@ -170,7 +157,7 @@
   std::erase_if(m_attached,
                 [](const auto& item) { return item.second.empty(); });
   for (const Attached& one : late) {
-    one.sink(Unknown(AnswerReason::kDeadline));
+    one.sink(MakeUnknown(AnswerReason::kDeadline));
   }
 }
 
--- a/src/jacinthdeck/runtime/store_worker.cc
+++ b/src/jacinthdeck/runtime/store_worker.cc
@@ -2,7 +2,8 @@
 #include "jacinthdeck/runtime/store_worker.h"
 
 #include <utility>
-#include <variant>
+
+#include "jacinthdeck/platform/store_call_runner.h"
 
 namespace jacinthdeck {
 
@@ -11,85 +12,8 @@
 constexpr std::size_t kQueue = 64;
 constexpr auto kWait = std::chrono::milliseconds(50);
 
-[[nodiscard]] StoreStatus StatusOf(const Error& error) noexcept {
-  switch (error.code) {
-    case ErrorCode::kRateLimited:
-    case ErrorCode::kTooLarge:
-    case ErrorCode::kInvalidArgument:
-      return StoreStatus::kRefused;
-    default:
-      return StoreStatus::kNoReply;
-  }
-}
-
-[[nodiscard]] StoreReply Read(StoreClient& client,
-                              const StoreRequest& request) {
-  StoreReply reply;
-  reply.id = request.id;
-  auto result = Capture([&] { return client.Get(request.key); });
-  if (const Error* error = std::get_if<Error>(&result)) {
-    reply.status = StatusOf(*error);
-    return reply;
-  }
-  auto& item = std::get<std::optional<StoreItem>>(result);
-  reply.status = item ? StoreStatus::kOk : StoreStatus::kNotFound;
-  if (item) {
-    reply.revision = item->revision;
-    reply.items.push_back(std::move(*item));
-  }
-  return reply;
-}
-
-[[nodiscard]] StoreReply List(StoreClient& client,
-                              const StoreRequest& request) {
-  StoreReply reply;
-  reply.id = request.id;
-  auto result = Capture([&] { return client.List(request.key); });
-  if (const Error* error = std::get_if<Error>(&result)) {
-    reply.status = StatusOf(*error);
-    return reply;
-  }
-  reply.status = StoreStatus::kOk;
-  reply.items = std::move(std::get<std::vector<StoreItem>>(result));
-  return reply;
-}
-
-[[nodiscard]] StoreReply CompareAndSwap(StoreClient& client,
-                                        const StoreRequest& request) {
-  StoreReply reply;
-  reply.id = request.id;
-  auto result = Capture([&] {
-    return client.Put(
-        StorePut{request.key, request.value, request.expected, std::nullopt});
-  });
-  if (const Error* error = std::get_if<Error>(&result)) {
-    // Unavailable is the store's own refusal; without a usable reply the client
-    // says unknown.
-    reply.status = error->code == ErrorCode::kUnavailable
-                       ? StoreStatus::kRefused
-                       : StatusOf(*error);
-    return reply;
-  }
-  const auto& write = std::get<StoreWrite>(result);
-  reply.status = write.applied ? StoreStatus::kOk : StoreStatus::kConflict;
-  reply.revision = write.revision;
-  return reply;
-}
-
 }  // namespace
 
-StoreReply MakeStoreCall(StoreClient& client, const StoreRequest& request) {
-  switch (request.operation) {
-    case StoreOperation::kRead:
-      return Read(client, request);
-    case StoreOperation::kList:
-      return List(client, request);
-    case StoreOperation::kCompareAndSwap:
-      return CompareAndSwap(client, request);
-  }
-  return StoreReply{request.id, StoreStatus::kRefused, {}, {}};
-}
-
 StoreWorker::StoreWorker(StoreClient& client, Sink sink)
     : m_client(client),
       m_sink(std::move(sink)),
@@ -113,7 +37,7 @@
 void StoreWorker::Run(BoundedRing<StoreRequest>& ring) {
   while (!m_stop) {
     for (const StoreRequest& request : ring.PopAll(kWait)) {
-      m_sink(MakeStoreCall(m_client, request));
+      m_sink(RunStoreCall(m_client, request));
     }
   }
 }
--- a/src/jacinthdeck/runtime/store_worker.h
+++ b/src/jacinthdeck/runtime/store_worker.h
@@ -44,16 +44,6 @@
   std::thread m_writer;
 };
 
-/**
- * \brief Makes one call.
- * \param client Store.
- * \param request Call.
- * \return Its end; kNoReply for a write whose reply was lost, which may have
- * taken effect.
- */
-[[nodiscard]] StoreReply MakeStoreCall(StoreClient& client,
-                                       const StoreRequest& request);
-
 }  // namespace jacinthdeck
 
 #endif  // JACINTHDECK_RUNTIME_STORE_WORKER_H_
--- a/src/jacinthdeck/runtime/target_codec.cc
+++ b/src/jacinthdeck/runtime/target_codec.cc
@@ -10,12 +10,12 @@
 #include <string_view>
 #include <utility>
 
+#include "jacinthdeck/platform/json.h"
+
 namespace jacinthdeck {
 
 namespace {
 
-using JsonPointer = std::unique_ptr<json_t, decltype(&json_decref)>;
-
 constexpr long kStatusOk = 200;
 constexpr long kStatusWrongRange = 409;
 constexpr long kStatusVersionGone = 410;
@@ -28,6 +28,7 @@
   return static_cast<std::uint64_t>(json_integer_value(value));
 }
 
+// Not DumpJson(): it orders the members, and this runs for every hit.
 [[nodiscard]] std::string Dump(const json_t* value) {
   const std::unique_ptr<char, decltype(&std::free)> text(
       json_dumps(value, JSON_COMPACT | JSON_ENCODE_ANY), &std::free);
@@ -96,8 +97,7 @@
   AttemptReply reply;
   reply.attempt = attempt;
   reply.status = StatusOf(status);
-  const JsonPointer root(json_loadb(body.data(), body.size(), 0, nullptr),
-                         &json_decref);
+  const JsonPtr root(json_loadb(body.data(), body.size(), 0, nullptr));
   const json_t* load = json_object_get(root.get(), "load");
   if (json_is_number(load)) {
     reply.reported_load = json_number_value(load);
