--- a/src/jacinthdeck/runtime/transfer_pool.cc
+++ b/src/jacinthdeck/runtime/transfer_pool.cc
@@ -14,8 +14,8 @@
 
 namespace {
 
-constexpr Duration kIdleWait = std::chrono::milliseconds(20);
-constexpr Duration kBacklogWait = std::chrono::milliseconds(1);
+constexpr int kIdleWaitMs = 20;
+constexpr int kBacklogWaitMs = 1;
 //! A reply above this is not of the protocol; without a bound one target could
 //! take all memory.
 constexpr std::size_t kMaxReplyBytes = std::size_t{8} << 20U;
@@ -99,10 +99,6 @@
 TransferPool::TransferPool(const Clock& clock, ReplySink sink)
     : m_clock(clock), m_sink(std::move(sink)), m_multi(curl_multi_init()) {
   curl_multi_setopt(m_multi, CURLMOPT_MAXCONNECTS, kKeptConnections);
-  curl_multi_setopt(m_multi, CURLMOPT_SOCKETFUNCTION, &OnSocket);
-  curl_multi_setopt(m_multi, CURLMOPT_SOCKETDATA, this);
-  curl_multi_setopt(m_multi, CURLMOPT_TIMERFUNCTION, &OnTimer);
-  curl_multi_setopt(m_multi, CURLMOPT_TIMERDATA, this);
 }
 
 TransferPool::~TransferPool() {
@@ -217,53 +213,13 @@
   m_transfers[handle] = std::move(transfer);
 }
 
-int TransferPool::OnSocket(CURL* /*handle*/,
-                           curl_socket_t socket,
-                           int what,
-                           void* user,
-                           void* /*assigned*/) {
-  SocketWatch& watch = static_cast<TransferPool*>(user)->m_watch;
-  if (what == CURL_POLL_REMOVE) {
-    watch.Forget(socket);
-  } else {
-    watch.Watch(socket, what != CURL_POLL_OUT, what != CURL_POLL_IN);
-  }
-  return 0;
-}
-
-int TransferPool::OnTimer(CURLM* /*multi*/, long milliseconds, void* user) {
-  auto* pool = static_cast<TransferPool*>(user);
-  pool->m_timer = milliseconds < 0
-                      ? std::nullopt
-                      : std::optional(pool->m_clock.Now() +
-                                      std::chrono::milliseconds(milliseconds));
-  return 0;
-}
-
-Duration TransferPool::LongestWait() const {
-  Duration wait = m_backlog.empty() ? kIdleWait : kBacklogWait;
-  if (m_timer) {
-    const auto left =
-        std::chrono::duration_cast<Duration>(*m_timer - m_clock.Now());
-    wait = std::clamp(left, Duration::zero(), wait);
-  }
-  return wait;
-}
-
 void TransferPool::Step() {
   int running = 0;
-  for (const SocketEvent& event : m_watch.Wait(LongestWait())) {
-    const int what = (event.readable ? CURL_CSELECT_IN : 0) |
-                     (event.writable ? CURL_CSELECT_OUT : 0) |
-                     (event.failed ? CURL_CSELECT_ERR : 0);
-    curl_multi_socket_action(m_multi, event.socket, what, &running);
-  }
-  if (m_timer && *m_timer <= m_clock.Now()) {
-    m_timer.reset();
-    curl_multi_socket_action(m_multi, CURL_SOCKET_TIMEOUT, 0, &running);
-  }
+  curl_multi_perform(m_multi, &running);
   Collect();
   Flush();
+  curl_multi_poll(m_multi, nullptr, 0,
+                  m_backlog.empty() ? kIdleWaitMs : kBacklogWaitMs, nullptr);
 }
 
 void TransferPool::Collect() {
@@ -312,7 +268,7 @@
 }
 
 void TransferPool::Wake() noexcept {
-  m_watch.Wake();
+  curl_multi_wakeup(m_multi);
 }
 
 }  // namespace jacinthdeck::internal
--- a/src/jacinthdeck/runtime/transfer_pool.h
+++ b/src/jacinthdeck/runtime/transfer_pool.h
@@ -9,14 +9,12 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
 #include "jacinthdeck/core/clock.h"
 #include "jacinthdeck/query/effects.h"
-#include "jacinthdeck/runtime/socket_watch.h"
 #include "jacinthdeck/runtime/target_command.h"
 
 namespace jacinthdeck::internal {
@@ -61,13 +59,6 @@
                const Endpoint& endpoint,
                const std::string& path);
   [[nodiscard]] Handle TakeHandle();
-  static int OnSocket(CURL* handle,
-                      curl_socket_t socket,
-                      int what,
-                      void* user,
-                      void* assigned);
-  static int OnTimer(CURLM* multi, long milliseconds, void* user);
-  [[nodiscard]] Duration LongestWait() const;
   void Collect();
   void End(CURL* handle, CURLcode code);
   void Report(AttemptReply reply);
@@ -75,11 +66,6 @@
 
   const Clock& m_clock;
   ReplySink m_sink;
-  //! Tells which transfers can move on: to try each in turn cost a query over
-  //! many shards the square of their number.
-  SocketWatch m_watch;
-  //! When libcurl wants to be called although no socket has moved.
-  std::optional<TimePoint> m_timer;
   CURLM* m_multi;
   //! Keyed by "ip:port"; entries outlive their sockets, so their addresses are
   //! stable.
