--- a/src/jacinthdeck/runtime/daemon.cc
+++ b/src/jacinthdeck/runtime/daemon.cc
@@ -1,6 +1,7 @@
 // One entry process.
 #include "jacinthdeck/runtime/daemon.h"
 
+#include <algorithm>
 #include <atomic>
 #include <chrono>
 #include <optional>
@@ -63,7 +64,8 @@
                   m_loop,
                   m_schema,
                   m_metrics,
-                  settings.limits.open_calls),
+                  std::min(settings.limits.open_calls,
+                           settings.limits.caller_connections)),
         m_operators(m_loop, m_metrics, [this] { m_drain_requested = true; }),
         m_store(ToHttp(settings.platform.store), settings.platform.timeout),
         m_hosts(ToHttp(settings.platform.host_list),
@@ -149,7 +151,10 @@
     m_peers.emplace(std::move(peers));
     HttpServerOptions callers;
     callers.body_bytes = m_settings.limits.body_bytes;
-    callers.connections = m_settings.limits.caller_connections;
+    // A connection beyond the server's own limit is closed without a word, and
+    // its caller cannot tell whether its request ran. So the edge refuses in
+    // words well before that.
+    callers.connections = 2 * m_settings.limits.caller_connections;
     BOOST_LEAF_AUTO(caller_server,
                     HttpServer::Start(listen.callers, callers,
                                       [this](const HttpRequest& request) {
