Own JSON values in one place; ask for the connection limit alone when sending

Cause: five places owned jansson values by types of their own; each send planned spares and a staggered opening, with a random draw, to use the limit alone; each transfer built its target's name and looked its socket budget up twice. Change: core/json_ptr.h; Router::ConnectionLimit; Prepare() gives the budget it found. PlanFor stays for the spares.

--- a/src/jacinthdeck/cluster/config_codec.cc
+++ b/src/jacinthdeck/cluster/config_codec.cc
@@ -7,15 +7,12 @@
 #include <memory>
 #include <utility>
 
+#include "jacinthdeck/core/json_ptr.h"
+
 namespace jacinthdeck {
 
 namespace internal {
 
-struct JsonDeleter {
-  void operator()(json_t* json) const noexcept { json_decref(json); }
-};
-using Json = std::unique_ptr<json_t, JsonDeleter>;
-
 [[nodiscard]] json_t* Text(const std::string& text) {
   return json_stringn(text.data(), text.size());
 }
@@ -164,7 +161,7 @@
 }  // namespace internal
 
 std::string EncodeConfig(const ConfigValue& value) {
-  const internal::Json json(json_object());
+  const JsonPtr json(json_object());
   json_t* const root = json.get();
   json_object_set_new(root, "revision", internal::Number(value.revision));
   json_object_set_new(root, "content_revision",
@@ -183,7 +180,7 @@
 
 Result<ConfigValue> DecodeConfig(std::string_view text) {
   json_error_t error;
-  const internal::Json json(
+  const JsonPtr json(
       json_loadb(text.data(), text.size(), JSON_ALLOW_NUL, &error));
   if (!json_is_object(json.get())) {
     return Fail(ErrorCode::kCorrupt, kConfigKey, "not a JSON object");
--- a/src/jacinthdeck/cluster/member_records.cc
+++ b/src/jacinthdeck/cluster/member_records.cc
@@ -10,6 +10,7 @@
 #include <utility>
 
 #include "jacinthdeck/cluster/random_choice.h"
+#include "jacinthdeck/core/json_ptr.h"
 
 namespace jacinthdeck {
 
@@ -18,12 +19,10 @@
 //! Spread of the first list over nodes that start together.
 constexpr Duration kFirstListSpread = std::chrono::milliseconds(300);
 
-struct RecordDeleter {
-  void operator()(json_t* json) const noexcept { json_decref(json); }
+struct TextDeleter {
   void operator()(char* text) const noexcept { std::free(text); }
 };
-using RecordJson = std::unique_ptr<json_t, RecordDeleter>;
-using RecordText = std::unique_ptr<char, RecordDeleter>;
+using RecordText = std::unique_ptr<char, TextDeleter>;
 
 [[nodiscard]] bool IsPort(json_int_t number) {
   return number > 0 && number <= std::numeric_limits<std::uint16_t>::max();
@@ -32,12 +31,12 @@
 }  // namespace internal
 
 std::string EncodeMemberRecord(const SelfInfo& self) {
-  const internal::RecordJson json(json_pack(
-      "{s:I, s:s, s:i, s:i, s:s}", "incarnation",
-      static_cast<json_int_t>(self.incarnation.raw()), "host",
-      self.address.host.c_str(), "peer_port", int{self.address.peer_port},
-      "caller_port", int{self.address.caller_port}, "domain",
-      self.domain.raw().c_str()));
+  const JsonPtr json(json_pack("{s:I, s:s, s:i, s:i, s:s}", "incarnation",
+                               static_cast<json_int_t>(self.incarnation.raw()),
+                               "host", self.address.host.c_str(), "peer_port",
+                               int{self.address.peer_port}, "caller_port",
+                               int{self.address.caller_port}, "domain",
+                               self.domain.raw().c_str()));
   const internal::RecordText text(
       json_dumps(json.get(), JSON_COMPACT | JSON_SORT_KEYS));
   return text ? std::string(text.get()) : std::string();
@@ -46,7 +45,7 @@
 std::optional<MemberSeed> DecodeMemberRecord(const StoreItem& item) {
   const std::string prefix = kMemberPrefix;
   json_error_t error;
-  const internal::RecordJson json(
+  const JsonPtr json(
       json_loadb(item.value.data(), item.value.size(), 0, &error));
   const char* host = nullptr;
   const char* domain = nullptr;
--- a/src/jacinthdeck/platform/json.cc
+++ b/src/jacinthdeck/platform/json.cc
@@ -18,10 +18,6 @@
 
 }  // namespace
 
-void JsonDeleter::operator()(json_t* value) const noexcept {
-  json_decref(value);
-}
-
 Result<JsonPtr> ParseJson(std::string_view text, std::string_view subject) {
   if (text.size() > kMaxJsonBytes) {
     return Fail(ErrorCode::kTooLarge, std::string(subject),
--- a/src/jacinthdeck/platform/json.h
+++ b/src/jacinthdeck/platform/json.h
@@ -1,26 +1,16 @@
-// Ownership, parsing and rendering of JSON values of the jansson library.
+// Parsing and rendering of JSON values of the jansson library.
 #ifndef JACINTHDECK_PLATFORM_JSON_H_
 #define JACINTHDECK_PLATFORM_JSON_H_
 
 #include <cstddef>
-#include <memory>
 #include <string>
 #include <string_view>
 
+#include "jacinthdeck/core/json_ptr.h"
 #include "jacinthdeck/core/result.h"
 
-struct json_t;
-
 namespace jacinthdeck {
 
-/*! \brief Gives a reference to a JSON value back. */
-struct JsonDeleter {
-  void operator()(json_t* value) const noexcept;
-};
-
-/*! \brief Owns one reference to a JSON value. */
-using JsonPtr = std::unique_ptr<json_t, JsonDeleter>;
-
 //! Most bytes of a JSON text that an outside system may send: a store value of
 //! 1 MiB, escaped, and its envelope.
 inline constexpr std::size_t kMaxJsonBytes = std::size_t{4} << 20U;
--- a/src/jacinthdeck/routing/router.cc
+++ b/src/jacinthdeck/routing/router.cc
@@ -53,6 +53,15 @@
   return snapshots;
 }
 
+std::uint32_t Router::ConnectionLimit(const TargetId& target, TimePoint now) {
+  const auto found = m_targets.find(target);
+  if (found == m_targets.end() ||
+      found->second.info().state != TargetState::kLive) {
+    return 0;
+  }
+  return ShareOf(found->second.info(), now);
+}
+
 ConnectionPlan Router::PlanFor(const TargetId& target, TimePoint now) {
   const auto found = m_targets.find(target);
   if (found == m_targets.end()) {
--- a/src/jacinthdeck/routing/router.h
+++ b/src/jacinthdeck/routing/router.h
@@ -67,6 +67,11 @@
   /*! \brief Describes all targets, for the status page. */
   [[nodiscard]] std::vector<TargetSnapshot> Snapshot(TimePoint now);
 
+  /*! \brief Most connections that this entry may hold to a target; 0 for one
+   * that is unknown or not live. */
+  [[nodiscard]] std::uint32_t ConnectionLimit(const TargetId& target,
+                                              TimePoint now);
+
   /**
    * \brief Plans the connections to a target.
    * \param target Target.
--- a/src/jacinthdeck/runtime/answer_json.cc
+++ b/src/jacinthdeck/runtime/answer_json.cc
@@ -10,6 +10,8 @@
 #include <memory>
 #include <string_view>
 
+#include "jacinthdeck/core/json_ptr.h"
+
 namespace jacinthdeck {
 
 namespace {
@@ -56,8 +58,7 @@
 }  // namespace
 
 std::string QuoteJson(const std::string& text) {
-  const std::unique_ptr<json_t, decltype(&json_decref)> value(
-      json_stringn(text.data(), text.size()), &json_decref);
+  const JsonPtr value(json_stringn(text.data(), text.size()));
   if (value == nullptr) {
     return "\"\"";
   }
--- a/src/jacinthdeck/runtime/decision_core.cc
+++ b/src/jacinthdeck/runtime/decision_core.cc
@@ -232,9 +232,8 @@
   const TargetInfo* target = m_router.FindTarget(send.target);
   const bool handed_over =
       target != nullptr &&
-      m_ports.ToTarget(
-          TargetSend{send, Endpoint{target->address, target->port},
-                     m_router.PlanFor(send.target, now).max_connections});
+      m_ports.ToTarget(TargetSend{send, Endpoint{target->address, target->port},
+                                  m_router.ConnectionLimit(send.target, now)});
   if (!handed_over) {
     AttemptReply reply;
     reply.attempt = send.attempt;
--- a/src/jacinthdeck/runtime/target_codec.cc
+++ b/src/jacinthdeck/runtime/target_codec.cc
@@ -10,7 +10,7 @@
 #include <string_view>
 #include <utility>
 
-#include "jacinthdeck/platform/json.h"
+#include "jacinthdeck/core/json_ptr.h"
 
 namespace jacinthdeck {
 
--- a/src/jacinthdeck/runtime/transfer_pool.cc
+++ b/src/jacinthdeck/runtime/transfer_pool.cc
@@ -128,9 +128,9 @@
   return handle;
 }
 
-void TransferPool::Prepare(Transfer& transfer,
-                           const Endpoint& endpoint,
-                           const std::string& path) {
+SocketBudget& TransferPool::Prepare(Transfer& transfer,
+                                    const Endpoint& endpoint,
+                                    const std::string& path) {
   const std::string host =
       endpoint.address + ":" + std::to_string(endpoint.port);
   std::unique_ptr<SocketBudget>& budget = m_budgets[host];
@@ -155,6 +155,7 @@
   curl_easy_setopt(handle, CURLOPT_OPENSOCKETDATA, budget.get());
   curl_easy_setopt(handle, CURLOPT_CLOSESOCKETFUNCTION, &CloseSocket);
   curl_easy_setopt(handle, CURLOPT_CLOSESOCKETDATA, budget.get());
+  return *budget;
 }
 
 void TransferPool::Start(const TargetSend& send) {
@@ -171,9 +172,8 @@
   transfer->attempt = send.attempt.attempt;
   transfer->reports = true;
   transfer->request = EncodeTargetRequest(send.attempt);
-  Prepare(*transfer, send.endpoint, "/query");
-  m_budgets[send.endpoint.address + ":" + std::to_string(send.endpoint.port)]
-      ->limit = std::max<std::uint32_t>(1, send.connections);
+  SocketBudget& budget = Prepare(*transfer, send.endpoint, "/query");
+  budget.limit = std::max<std::uint32_t>(1, send.connections);
   transfer->AddHeader("X-Attempt: " +
                       std::to_string(send.attempt.attempt.raw()));
   transfer->AddHeader("X-Deadline-Ms: " + std::to_string(left.count()));
@@ -204,7 +204,7 @@
   Transfer& cancelled = *m_transfers[found->second];
   cancelled.cancelled = true;
   auto transfer = std::make_unique<Transfer>();
-  Prepare(*transfer, cancelled.endpoint, "/cancel");
+  (void)Prepare(*transfer, cancelled.endpoint, "/cancel");
   transfer->AddHeader("X-Attempt: " + std::to_string(attempt.raw()));
   CURL* handle = transfer->handle.get();
   curl_easy_setopt(handle, CURLOPT_HTTPHEADER, transfer->headers);
--- a/src/jacinthdeck/runtime/transfer_pool.h
+++ b/src/jacinthdeck/runtime/transfer_pool.h
@@ -55,9 +55,10 @@
 
   void Start(const TargetSend& send);
   void Cancel(AttemptId attempt);
-  void Prepare(Transfer& transfer,
-               const Endpoint& endpoint,
-               const std::string& path);
+  //! Gives the budget of the target that the transfer goes to.
+  [[nodiscard]] SocketBudget& Prepare(Transfer& transfer,
+                                      const Endpoint& endpoint,
+                                      const std::string& path);
   [[nodiscard]] Handle TakeHandle();
   void Collect();
   void End(CURL* handle, CURLcode code);
--- a/src/jacinthdeck/schema/request_parser.cc
+++ b/src/jacinthdeck/schema/request_parser.cc
@@ -9,6 +9,7 @@
 #include <string_view>
 #include <utility>
 
+#include "jacinthdeck/core/json_ptr.h"
 #include "jacinthdeck/schema/key_hash.h"
 #include "jacinthdeck/schema/method_reader.h"
 
@@ -16,8 +17,6 @@
 
 namespace {
 
-using JsonPointer = std::unique_ptr<json_t, decltype(&json_decref)>;
-
 //! The parser reports `file:line: column: severity: text`; the file is always
 //! empty here.
 struct ParserMessage {
@@ -52,8 +51,7 @@
 
 [[nodiscard]] std::optional<std::string> KeyText(const std::string& body,
                                                  const std::string& field) {
-  const JsonPointer root(json_loadb(body.data(), body.size(), 0, nullptr),
-                         &json_decref);
+  const JsonPtr root(json_loadb(body.data(), body.size(), 0, nullptr));
   const json_t* value = json_object_get(root.get(), field.c_str());
   if (json_is_string(value)) {
     return std::string(json_string_value(value), json_string_length(value));
--- a/test/jacinthdeck/routing/connection_plan_test.cc
+++ b/test/jacinthdeck/routing/connection_plan_test.cc
@@ -62,6 +62,8 @@
     for (internal::FakeEntry& entry : entries) {
       if (entry.up) {
         entry.held = entry.router->PlanFor(target.id, now).max_connections;
+        // The send path asks for the limit alone.
+        BOOST_TEST(entry.router->ConnectionLimit(target.id, now) == entry.held);
       }
       sum += entry.held + (now < entry.lingers_until ? entry.lingering : 0);
     }
@@ -127,6 +129,18 @@
   }
 }
 
+// Nothing may be opened to a target that leaves or that nobody knows.
+BOOST_AUTO_TEST_CASE(ConnectionLimit_TargetNotLiveOrUnknown_IsZero) {
+  Router router(1);
+  TargetInfo leaving = target;
+  router.SetTargets({leaving}, now);
+  BOOST_TEST(router.ConnectionLimit(target.id, now) > 0U);
+  leaving.state = TargetState::kLeaving;
+  router.SetTargets({leaving}, now);
+  BOOST_TEST(router.ConnectionLimit(target.id, now) == 0U);
+  BOOST_TEST(router.ConnectionLimit(TargetId("nobody"), now) == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(PlanFor_AllEntriesStartAtOnce_SumStaysWithinTheLimit) {
   for (internal::FakeEntry& entry : entries) {
     Start(entry);
