--- a/bench/subrequest.cc
+++ b/bench/subrequest.cc
@@ -14,9 +14,9 @@
 #include <string>
 #include <vector>
 
+#include "jacinthdeck/core/steady_clock.h"
 #include "jacinthdeck/platform/http_client.h"
 #include "jacinthdeck/runtime/http_server.h"
-#include "jacinthdeck/runtime/steady_clock.h"
 #include "jacinthdeck/runtime/target_transport.h"
 
 namespace jacinthdeck {
--- a/src/daemons/ctl/config_change.cc
+++ b/src/daemons/ctl/config_change.cc
@@ -9,7 +9,7 @@
 #include <sstream>
 #include <variant>
 
-#include "jacinthdeck/platform/json_reader.h"
+#include "jacinthdeck/core/json_reader.h"
 
 namespace jacinthdeck::ctl {
 
--- a/src/daemons/ctl/human.cc
+++ b/src/daemons/ctl/human.cc
@@ -5,8 +5,8 @@
 
 #include <string>
 
-#include "jacinthdeck/platform/json.h"
-#include "jacinthdeck/platform/json_reader.h"
+#include "jacinthdeck/core/json.h"
+#include "jacinthdeck/core/json_reader.h"
 
 namespace jacinthdeck::ctl {
 
--- a/src/daemons/ctl/query_command.cc
+++ b/src/daemons/ctl/query_command.cc
@@ -8,8 +8,8 @@
 #include <optional>
 #include <variant>
 
+#include "jacinthdeck/core/json_reader.h"
 #include "jacinthdeck/core/outcome.h"
-#include "jacinthdeck/platform/json_reader.h"
 #include "jacinthdeck/query/key_range.h"
 
 namespace jacinthdeck::ctl {
--- a/src/daemons/ctl/session.cc
+++ b/src/daemons/ctl/session.cc
@@ -6,7 +6,7 @@
 #include <utility>
 
 #include "ctl/human.h"
-#include "jacinthdeck/platform/json_reader.h"
+#include "jacinthdeck/core/json_reader.h"
 
 namespace jacinthdeck::ctl {
 
--- a/src/daemons/ctl/session.h
+++ b/src/daemons/ctl/session.h
@@ -10,9 +10,9 @@
 #include "ctl/arguments.h"
 #include "ctl/exit_code.h"
 #include "jacinthdeck/core/clock.h"
+#include "jacinthdeck/core/json.h"
 #include "jacinthdeck/core/result.h"
 #include "jacinthdeck/platform/http_client.h"
-#include "jacinthdeck/platform/json.h"
 
 namespace jacinthdeck::ctl {
 
--- a/src/daemons/jacinthdeckctl.cc
+++ b/src/daemons/jacinthdeckctl.cc
@@ -4,7 +4,7 @@
 #include <variant>
 
 #include "ctl/command.h"
-#include "jacinthdeck/runtime/steady_clock.h"
+#include "jacinthdeck/core/steady_clock.h"
 
 namespace jacinthdeck::ctl {
 
--- a/src/jacinthdeck/runtime/bounded_ring.h
+++ b/src/jacinthdeck/core/bounded_ring.h
@@ -1,7 +1,7 @@
 // Bounded queue that joins two threads; a full one refuses instead of blocking
 // its writers.
-#ifndef JACINTHDECK_RUNTIME_BOUNDED_RING_H_
-#define JACINTHDECK_RUNTIME_BOUNDED_RING_H_
+#ifndef JACINTHDECK_CORE_BOUNDED_RING_H_
+#define JACINTHDECK_CORE_BOUNDED_RING_H_
 
 #include <boost/circular_buffer.hpp>
 #include <chrono>
@@ -74,4 +74,4 @@
 
 }  // namespace jacinthdeck
 
-#endif  // JACINTHDECK_RUNTIME_BOUNDED_RING_H_
+#endif  // JACINTHDECK_CORE_BOUNDED_RING_H_
--- a/src/jacinthdeck/platform/json.cc
+++ b/src/jacinthdeck/core/json.cc
@@ -1,5 +1,5 @@
 // JSON parsing and rendering by jansson.
-#include "jacinthdeck/platform/json.h"
+#include "jacinthdeck/core/json.h"
 
 #include <jansson.h>
 
--- a/src/jacinthdeck/platform/json.h
+++ b/src/jacinthdeck/core/json.h
@@ -1,6 +1,6 @@
 // Parsing and rendering of JSON values of the jansson library.
-#ifndef JACINTHDECK_PLATFORM_JSON_H_
-#define JACINTHDECK_PLATFORM_JSON_H_
+#ifndef JACINTHDECK_CORE_JSON_H_
+#define JACINTHDECK_CORE_JSON_H_
 
 #include <cstddef>
 #include <string>
@@ -41,4 +41,4 @@
 
 }  // namespace jacinthdeck
 
-#endif  // JACINTHDECK_PLATFORM_JSON_H_
+#endif  // JACINTHDECK_CORE_JSON_H_
--- a/src/jacinthdeck/platform/json_reader.cc
+++ b/src/jacinthdeck/core/json_reader.cc
@@ -1,5 +1,5 @@
 // Checks of types and ranges while reading JSON.
-#include "jacinthdeck/platform/json_reader.h"
+#include "jacinthdeck/core/json_reader.h"
 
 #include <jansson.h>
 
--- a/src/jacinthdeck/platform/json_reader.h
+++ b/src/jacinthdeck/core/json_reader.h
@@ -1,7 +1,7 @@
 // Checked access to the members of a JSON value: each mistake of the sender is
 // a typed error that names the member.
-#ifndef JACINTHDECK_PLATFORM_JSON_READER_H_
-#define JACINTHDECK_PLATFORM_JSON_READER_H_
+#ifndef JACINTHDECK_CORE_JSON_READER_H_
+#define JACINTHDECK_CORE_JSON_READER_H_
 
 #include <cstdint>
 #include <string>
@@ -85,4 +85,4 @@
 
 }  // namespace jacinthdeck
 
-#endif  // JACINTHDECK_PLATFORM_JSON_READER_H_
+#endif  // JACINTHDECK_CORE_JSON_READER_H_
--- /dev/null
+++ b/src/jacinthdeck/core/settings_table.cc
@@ -0,0 +1,181 @@
+// Lookup and checks over toml++.
+#include "jacinthdeck/core/settings_table.h"
+
+#include <arpa/inet.h>
+
+#include <algorithm>
+#include <charconv>
+#include <sstream>
+#include <utility>
+
+#define TOML_EXCEPTIONS 0
+#define TOML_ENABLE_FORMATTERS 0
+#include <toml++/toml.h>
+
+namespace jacinthdeck {
+
+namespace {
+
+[[nodiscard]] std::string Shown(double value) {
+  std::ostringstream text;
+  text << value;
+  return text.str();
+}
+
+[[nodiscard]] bool IsAddress(const std::string& text) {
+  in_addr parsed{};
+  return inet_pton(AF_INET, text.c_str(), &parsed) == 1;
+}
+
+}  // namespace
+
+struct SettingsTable::Impl {
+  toml::table root;
+  std::vector<std::string> known;
+  std::vector<SettingsFault> faults;
+  bool parsed = false;
+
+  //! Looks a dotted key up and remembers it as known.
+  const toml::node* Find(const std::string& key, SettingNeed need) {
+    known.push_back(key);
+    const toml::node* node = root.at_path(key).node();
+    if (node == nullptr && need == SettingNeed::kRequired && parsed) {
+      faults.push_back({0, key, "is missing; it has no default"});
+    }
+    return node;
+  }
+
+  void Add(const toml::node& node,
+           const std::string& key,
+           const std::string& message) {
+    faults.push_back({node.source().begin.line, key, message});
+  }
+
+  // A misspelt key would otherwise leave its default in force without a word.
+  void FindUnknown(const toml::table& table, const std::string& prefix) {
+    for (const auto& [name, node] : table) {
+      const std::string key = prefix + std::string(name.str());
+      if (std::ranges::find(known, key) != known.end()) {
+        continue;
+      }
+      const bool is_section = std::ranges::any_of(
+          known,
+          [&](const std::string& one) { return one.starts_with(key + "."); });
+      if (is_section && node.is_table()) {
+        FindUnknown(*node.as_table(), key + ".");
+      } else {
+        Add(node, key,
+            is_section ? "has the wrong type; expected a table"
+                       : "is not a known key");
+      }
+    }
+  }
+};
+
+SettingsTable::SettingsTable(const std::string& text)
+    : m_impl(std::make_unique<Impl>()) {
+  toml::parse_result result = toml::parse(text);
+  if (!result) {
+    const toml::parse_error& error = result.error();
+    m_impl->faults.push_back(
+        {error.source().begin.line, "", std::string(error.description())});
+    return;
+  }
+  m_impl->root = std::move(result.table());
+  m_impl->parsed = true;
+}
+
+SettingsTable::~SettingsTable() = default;
+
+std::string SettingsTable::Text(const std::string& key,
+                                SettingNeed need,
+                                const std::string& fallback) {
+  const toml::node* node = m_impl->Find(key, need);
+  if (node == nullptr) {
+    return fallback;
+  }
+  const auto value = node->value_exact<std::string>();
+  if (!value || value->empty()) {
+    m_impl->Add(*node, key,
+                value ? "is empty; expected text"
+                      : "has the wrong type; expected a string");
+    return fallback;
+  }
+  return *value;
+}
+
+std::string SettingsTable::OneOf(
+    const std::string& key,
+    std::initializer_list<std::string_view> allowed,
+    const std::string& fallback) {
+  std::string value = Text(key, SettingNeed::kOptional, fallback);
+  if (std::ranges::find(allowed, value) != allowed.end()) {
+    return value;
+  }
+  std::string names;
+  for (const std::string_view name : allowed) {
+    names += (names.empty() ? "" : ", ") + std::string(name);
+  }
+  m_impl->Add(*m_impl->root.at_path(key).node(), key,
+              "is \"" + value + "\"; expected one of " + names);
+  return fallback;
+}
+
+double SettingsTable::Number(const std::string& key,
+                             SettingRange range,
+                             SettingNeed need,
+                             double fallback) {
+  const toml::node* node = m_impl->Find(key, need);
+  if (node == nullptr) {
+    return fallback;
+  }
+  const std::string expected = "; expected a number from " + Shown(range.low) +
+                               " to " + Shown(range.high);
+  const auto value = node->value<double>();
+  if (!value || !node->is_number()) {
+    m_impl->Add(*node, key, "has the wrong type" + expected);
+    return fallback;
+  }
+  if (*value < range.low || *value > range.high) {
+    m_impl->Add(*node, key, "is " + Shown(*value) + expected);
+    return fallback;
+  }
+  return *value;
+}
+
+Duration SettingsTable::Milliseconds(const std::string& key,
+                                     SettingRange range,
+                                     Duration fallback) {
+  const double value =
+      Number(key, range, SettingNeed::kOptional, ToMilliseconds(fallback));
+  constexpr double kMicroseconds = 1000;
+  return Duration(static_cast<Duration::rep>(value * kMicroseconds));
+}
+
+SettingAddress SettingsTable::Address(const std::string& key,
+                                      SettingNeed need) {
+  const std::string text = Text(key, need);
+  SettingAddress address;
+  if (text.empty()) {
+    return address;
+  }
+  const std::size_t colon = text.rfind(':');
+  const char* end = text.data() + text.size();
+  const bool has_port =
+      colon != text.npos &&
+      std::from_chars(text.data() + colon + 1, end, address.port).ptr == end;
+  address.address = text.substr(0, colon);
+  if (!has_port || !IsAddress(address.address)) {
+    m_impl->Add(*m_impl->root.at_path(key).node(), key,
+                "is \"" + text + "\"; expected IPv4:port");
+    return {};
+  }
+  return address;
+}
+
+std::vector<SettingsFault> SettingsTable::TakeFaults() {
+  m_impl->FindUnknown(m_impl->root, "");
+  return std::move(m_impl->faults);
+}
+
+}  // namespace jacinthdeck
--- a/src/jacinthdeck/runtime/steady_clock.h
+++ b/src/jacinthdeck/core/steady_clock.h
@@ -1,6 +1,6 @@
 // The runtime's clock in a running daemon.
-#ifndef JACINTHDECK_RUNTIME_STEADY_CLOCK_H_
-#define JACINTHDECK_RUNTIME_STEADY_CLOCK_H_
+#ifndef JACINTHDECK_CORE_STEADY_CLOCK_H_
+#define JACINTHDECK_CORE_STEADY_CLOCK_H_
 
 #include <chrono>
 #include <ctime>
@@ -30,4 +30,4 @@
 
 }  // namespace jacinthdeck
 
-#endif  // JACINTHDECK_RUNTIME_STEADY_CLOCK_H_
+#endif  // JACINTHDECK_CORE_STEADY_CLOCK_H_
--- a/src/jacinthdeck/query/timer_queue.h
+++ b/src/jacinthdeck/core/timer_queue.h
@@ -1,6 +1,6 @@
 // One moment for each key, earliest first.
-#ifndef JACINTHDECK_QUERY_TIMER_QUEUE_H_
-#define JACINTHDECK_QUERY_TIMER_QUEUE_H_
+#ifndef JACINTHDECK_CORE_TIMER_QUEUE_H_
+#define JACINTHDECK_CORE_TIMER_QUEUE_H_
 
 #include <map>
 #include <optional>
@@ -67,4 +67,4 @@
 
 }  // namespace jacinthdeck
 
-#endif  // JACINTHDECK_QUERY_TIMER_QUEUE_H_
+#endif  // JACINTHDECK_CORE_TIMER_QUEUE_H_
--- /dev/null
+++ b/src/jacinthdeck/discovery/host_record.h
@@ -0,0 +1,26 @@
+// What a host says of itself in the store.
+#ifndef JACINTHDECK_DISCOVERY_HOST_RECORD_H_
+#define JACINTHDECK_DISCOVERY_HOST_RECORD_H_
+
+#include <cstdint>
+#include <string>
+
+#include "jacinthdeck/core/ids.h"
+
+namespace jacinthdeck {
+
+/*! \brief A host that serves callers. */
+struct HostRecord {
+  NodeId name;
+  FailureDomain domain;
+  //! `address:port` that callers connect to.
+  std::string callers;
+  //! Start of its process in Unix milliseconds: tells its lives apart.
+  std::uint64_t started_ms = 0;
+
+  [[nodiscard]] bool operator==(const HostRecord&) const = default;
+};
+
+}  // namespace jacinthdeck
+
+#endif  // JACINTHDECK_DISCOVERY_HOST_RECORD_H_
--- /dev/null
+++ b/src/jacinthdeck/discovery/knowledge.h
@@ -0,0 +1,109 @@
+// What a host knows of configuration, targets and hosts, and when it believes
+// what the store says.
+#ifndef JACINTHDECK_DISCOVERY_KNOWLEDGE_H_
+#define JACINTHDECK_DISCOVERY_KNOWLEDGE_H_
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <vector>
+
+#include "jacinthdeck/core/ids.h"
+#include "jacinthdeck/core/time.h"
+#include "jacinthdeck/discovery/held_entries.h"
+#include "jacinthdeck/discovery/host_record.h"
+#include "jacinthdeck/discovery/platform_codec.h"
+#include "jacinthdeck/discovery/removal_hold.h"
+#include "jacinthdeck/discovery/store_types.h"
+#include "jacinthdeck/forward/routing_config.h"
+#include "jacinthdeck/forward/target_entry.h"
+
+namespace jacinthdeck {
+
+/*! \brief What changed with one step. */
+struct KnowledgeChange {
+  bool config = false;
+  bool targets = false;
+  bool hosts = false;
+  //! Requests that another host found to crash targets.
+  std::vector<Fingerprint> convictions;
+  //! Entries that could not be read: key and what is wrong.
+  std::vector<Error> unreadable;
+};
+
+/**
+ * \brief The tables that the store's entries make, without a network.
+ *
+ * Revisions only rise: an older word on a key never replaces a newer one, and
+ * the configuration's version never falls within the life of a process.
+ */
+class Knowledge {
+ public:
+  /*! \brief Makes an empty one; the codec outlives it. */
+  explicit Knowledge(const PlatformCodec& codec) : m_codec(codec) {}
+
+  [[nodiscard]] const std::shared_ptr<const RoutingConfig>& config()
+      const noexcept {
+    return m_config;
+  }
+  [[nodiscard]] std::vector<TargetEntry> Targets() const {
+    return m_targets.Entries();
+  }
+  [[nodiscard]] std::vector<HostRecord> Hosts() const {
+    return m_hosts.Entries();
+  }
+  [[nodiscard]] const HostRecord* FindHost(const NodeId& name) const {
+    return m_hosts.Find(m_codec.HostKey(name));
+  }
+  [[nodiscard]] std::size_t target_count() const noexcept {
+    return m_targets.size();
+  }
+  [[nodiscard]] bool store_away() const noexcept { return m_hold.away(); }
+  /*! \brief Moment at which OnTimer() is due. */
+  [[nodiscard]] std::optional<TimePoint> NextTimer() const;
+
+  /*! \brief Takes a failed call to the store. */
+  void OnStoreAway() noexcept { m_hold.OnAway(); }
+
+  /*! \brief Takes changes, in the order of their revisions, after a call that
+   * went well. */
+  KnowledgeChange OnChanges(std::span<const StoreChange> changes,
+                            TimePoint now);
+
+  /**
+   * \brief Takes a reading of all keys.
+   * \param items Every key of the store.
+   * \param revision The store's revision when the reading began.
+   */
+  KnowledgeChange OnReading(std::span<const StoreChange> items,
+                            std::uint64_t revision,
+                            TimePoint now);
+
+  /*! \brief Lets removals count that are due. */
+  KnowledgeChange OnTimer(TimePoint now);
+
+ private:
+  void Take(const StoreChange& change, TimePoint now, KnowledgeChange& changed);
+  void TakeConfig(const StoreChange& change, KnowledgeChange& changed);
+  void TakeTarget(const std::string& id,
+                  const StoreChange& change,
+                  TimePoint now,
+                  KnowledgeChange& changed);
+  void TakeHost(const StoreChange& change,
+                TimePoint now,
+                KnowledgeChange& changed);
+  void OnWell(TimePoint now);
+
+  const PlatformCodec& m_codec;
+  RemovalHold m_hold;
+  std::shared_ptr<const RoutingConfig> m_config;
+  HeldEntries<TargetEntry> m_targets;
+  HeldEntries<HostRecord> m_hosts;
+};
+
+}  // namespace jacinthdeck
+
+#endif  // JACINTHDECK_DISCOVERY_KNOWLEDGE_H_
--- /dev/null
+++ b/src/jacinthdeck/discovery/knowledge_observer.h
@@ -0,0 +1,34 @@
+// Receiver of what a host learns from the store.
+#ifndef JACINTHDECK_DISCOVERY_KNOWLEDGE_OBSERVER_H_
+#define JACINTHDECK_DISCOVERY_KNOWLEDGE_OBSERVER_H_
+
+#include <cstdint>
+#include <string>
+
+#include "jacinthdeck/discovery/knowledge.h"
+
+namespace jacinthdeck {
+
+/*! \brief Told of changes; called from the event loop. */
+class KnowledgeObserver {
+ public:
+  virtual ~KnowledgeObserver() = default;
+
+  /*! \brief Something in the tables changed. */
+  virtual void OnKnowledge(const KnowledgeChange& change,
+                           std::uint64_t revision) = 0;
+
+  /*! \brief A call to the store failed after one that went well. */
+  virtual void OnStoreLost(StoreReplyStatus status,
+                           const std::string& problem) = 0;
+
+  /*! \brief A call to the store went well after one that failed. */
+  virtual void OnStoreRegained() = 0;
+
+  /*! \brief This host's own record was written, or could not be. */
+  virtual void OnRegistration(StoreReplyStatus status) = 0;
+};
+
+}  // namespace jacinthdeck
+
+#endif  // JACINTHDECK_DISCOVERY_KNOWLEDGE_OBSERVER_H_
--- /dev/null
+++ b/src/jacinthdeck/discovery/store_session.cc
@@ -0,0 +1,178 @@
+// Reading and watching.
+#include "jacinthdeck/discovery/store_session.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace jacinthdeck {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+//! Time for a call that the store answers at once; a slow store takes up to
+//! some hundred milliseconds.
+constexpr Duration kCallTimeout = milliseconds(1500);
+//! How long a watch waits. A change must be in force within seconds also after
+//! the watch's connection went silent, so that bounds this wait; each new watch
+//! costs a call.
+constexpr Duration kWatchWait = milliseconds(2500);
+//! Time beyond the wait after which a watch is taken for lost.
+constexpr Duration kWatchSlack = milliseconds(900);
+//! Pause after a change: registrations come in bunches, and each batch costs a
+//! call.
+constexpr Duration kGather = milliseconds(200);
+//! Bounds of the pause after a failed call.
+constexpr Duration kFirstPause = milliseconds(100);
+constexpr Duration kLongestPause = milliseconds(800);
+
+}  // namespace
+
+StoreSession::StoreSession(asio::io_context& loop,
+                           const Clock& clock,
+                           const PlatformCodec& codec,
+                           KnowledgeObserver& observer,
+                           const std::string& address,
+                           std::uint16_t port,
+                           std::uint64_t seed)
+    : m_loop(loop),
+      m_clock(clock),
+      m_codec(codec),
+      m_observer(observer),
+      m_random(seed),
+      m_knowledge(codec),
+      m_reads(loop, address, port),
+      m_read_timer(loop),
+      m_read_backoff(kFirstPause, kLongestPause),
+      m_writes(loop, address, port),
+      m_write_timer(loop),
+      m_write_backoff(kFirstPause, seconds(1)) {}
+
+void StoreSession::Start() {
+  ReadAll();
+}
+
+void StoreSession::CheckTimes() {
+  const TimePoint now = m_clock.Now();
+  const auto due = m_knowledge.NextTimer();
+  if (due && *due <= now) {
+    Tell(m_knowledge.OnTimer(now));
+  }
+}
+
+void StoreSession::ReadAll() {
+  m_pages.clear();
+  m_pages_revision = 0;
+  ReadPage();
+}
+
+void StoreSession::ReadPage() {
+  ++m_counters.reads;
+  const std::string after = m_pages.empty() ? "" : m_pages.back().key;
+  m_reads.Call(
+      m_codec.RangeCall(after), kCallTimeout,
+      [this](const ClientReply& reply) { OnPage(m_codec.ReadPage(reply)); });
+}
+
+void StoreSession::OnPage(const StorePage& page) {
+  if (page.status != StoreReplyStatus::kOk) {
+    OnFailure(page.status, page.problem);
+    return;
+  }
+  // Pages are no snapshot: the watch goes on from the first one, and takes a
+  // change twice rather than not at all.
+  if (m_pages_revision == 0) {
+    m_pages_revision = page.revision;
+  }
+  m_pages.insert(m_pages.end(), page.items.begin(), page.items.end());
+  if (page.has_more && !page.items.empty()) {
+    ReadPage();
+    return;
+  }
+  OnWell();
+  m_loaded = true;
+  m_revision = m_pages_revision;
+  Tell(m_knowledge.OnReading(m_pages, m_pages_revision, m_clock.Now()));
+  m_pages.clear();
+  WatchAfter(kGather);
+}
+
+void StoreSession::Watch() {
+  ++m_counters.watches;
+  m_reads.Call(
+      m_codec.WatchCall(m_revision, kWatchWait), kWatchWait + kWatchSlack,
+      [this](const ClientReply& reply) { OnBatch(m_codec.ReadBatch(reply)); });
+}
+
+void StoreSession::OnBatch(const WatchBatch& batch) {
+  if (batch.status == StoreReplyStatus::kCompacted) {
+    m_loaded = false;
+    ReadAll();
+    return;
+  }
+  if (batch.status != StoreReplyStatus::kOk) {
+    OnFailure(batch.status, batch.problem);
+    return;
+  }
+  OnWell();
+  m_revision = std::max(m_revision, batch.revision);
+  Tell(m_knowledge.OnChanges(batch.changes, m_clock.Now()));
+  WatchAfter(batch.changes.empty() ? Duration::zero() : kGather);
+}
+
+void StoreSession::WatchAfter(Duration pause) {
+  if (pause == Duration::zero()) {
+    Watch();
+    return;
+  }
+  m_read_timer.expires_after(pause);
+  m_read_timer.async_wait([this](const SystemError& ended) {
+    if (!ended) {
+      Watch();
+    }
+  });
+}
+
+void StoreSession::OnWell() {
+  m_last_well = m_clock.Now();
+  m_read_backoff.OnSuccess();
+  if (m_lost) {
+    m_lost = false;
+    m_observer.OnStoreRegained();
+  }
+}
+
+void StoreSession::OnFailure(StoreReplyStatus status,
+                             const std::string& problem) {
+  ++m_counters.failures;
+  m_knowledge.OnStoreAway();
+  if (!m_lost) {
+    m_lost = true;
+    m_observer.OnStoreLost(status, problem);
+  }
+  m_read_timer.expires_after(m_read_backoff.OnFailure(m_random));
+  m_read_timer.async_wait([this](const SystemError& ended) {
+    if (ended) {
+      return;
+    }
+    if (m_loaded) {
+      Watch();
+    } else {
+      ReadAll();
+    }
+  });
+}
+
+void StoreSession::Tell(const KnowledgeChange& change) {
+  if (change.hosts) {
+    CheckOwnRecord();
+  }
+  const bool news = change.config || change.targets || change.hosts ||
+                    !change.convictions.empty() || !change.unreadable.empty();
+  if (news) {
+    m_observer.OnKnowledge(change, m_revision);
+  }
+}
+
+}  // namespace jacinthdeck
--- /dev/null
+++ b/src/jacinthdeck/discovery/store_session.h
@@ -0,0 +1,142 @@
+// Keeps a host's knowledge up to date with the store, and its own record in it.
+#ifndef JACINTHDECK_DISCOVERY_STORE_SESSION_H_
+#define JACINTHDECK_DISCOVERY_STORE_SESSION_H_
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "jacinthdeck/core/backoff.h"
+#include "jacinthdeck/core/clock.h"
+#include "jacinthdeck/core/random.h"
+#include "jacinthdeck/core/time.h"
+#include "jacinthdeck/discovery/host_record.h"
+#include "jacinthdeck/discovery/knowledge.h"
+#include "jacinthdeck/discovery/knowledge_observer.h"
+#include "jacinthdeck/discovery/platform_codec.h"
+#include "jacinthdeck/http/asio.h"
+#include "jacinthdeck/http/client_session.h"
+
+namespace jacinthdeck {
+
+/*! \brief Counts of the store's calls since the start. */
+struct StoreCounters {
+  std::uint64_t reads = 0;
+  std::uint64_t watches = 0;
+  std::uint64_t renewals = 0;
+  std::uint64_t writes = 0;
+  std::uint64_t failures = 0;
+};
+
+/**
+ * \brief Reads all keys once, then watches; holds a lease with this host's
+ * record.
+ *
+ * Every call is paid for, so one watch covers all keys, and after a change the
+ * next watch waits a moment to take further changes along. Each call has its
+ * own timeout: a connection may go silent without an end.
+ */
+class StoreSession {
+ public:
+  StoreSession(asio::io_context& loop,
+               const Clock& clock,
+               const PlatformCodec& codec,
+               KnowledgeObserver& observer,
+               const std::string& address,
+               std::uint16_t port,
+               std::uint64_t seed);
+  StoreSession(const StoreSession&) = delete;
+  StoreSession& operator=(const StoreSession&) = delete;
+
+  [[nodiscard]] const Knowledge& knowledge() const noexcept {
+    return m_knowledge;
+  }
+  [[nodiscard]] const StoreCounters& counters() const noexcept {
+    return m_counters;
+  }
+  [[nodiscard]] std::uint64_t revision() const noexcept { return m_revision; }
+  /*! \brief Moment of the last call that went well; nothing before the first.
+   */
+  [[nodiscard]] std::optional<TimePoint> last_well() const noexcept {
+    return m_last_well;
+  }
+
+  /*! \brief Begins to read and to watch. */
+  void Start();
+
+  /*! \brief Keeps this host's record in the store from now on. */
+  void Register(const HostRecord& record);
+
+  /*! \brief Takes this host's record out of the store. */
+  void Unregister();
+
+  /*! \brief Writes that a request crashes its targets. */
+  void ShareConviction(Fingerprint fingerprint);
+
+  /*! \brief Lets held removals count; called a few times a second. */
+  void CheckTimes();
+
+ private:
+  // Reading, in store_session.cc.
+  void ReadAll();
+  void ReadPage();
+  void OnPage(const StorePage& page);
+  void Watch();
+  void OnBatch(const WatchBatch& batch);
+  void WatchAfter(Duration pause);
+  void OnWell();
+  void OnFailure(StoreReplyStatus status, const std::string& problem);
+  void Tell(const KnowledgeChange& change);
+
+  // Writing, in store_session_writes.cc.
+  void Step();
+  void StepAfter(Duration pause);
+  void Grant();
+  void Put();
+  void Renew();
+  void End();
+  void WriteConviction();
+  void OnWriteFailed(StoreReplyStatus status);
+  void CheckOwnRecord();
+
+  asio::io_context& m_loop;
+  const Clock& m_clock;
+  const PlatformCodec& m_codec;
+  KnowledgeObserver& m_observer;
+  Random m_random;
+  Knowledge m_knowledge;
+  StoreCounters m_counters;
+
+  ClientSession m_reads;
+  asio::steady_timer m_read_timer;
+  Backoff m_read_backoff;
+  //! Everything was read once since the history was last lost.
+  bool m_loaded = false;
+  bool m_lost = false;
+  //! Where the next watch goes on.
+  std::uint64_t m_revision = 0;
+  std::optional<TimePoint> m_last_well;
+  //! The reading under way.
+  std::vector<StoreChange> m_pages;
+  std::uint64_t m_pages_revision = 0;
+
+  ClientSession m_writes;
+  asio::steady_timer m_write_timer;
+  Backoff m_write_backoff;
+  //! This host's record as it should stand; nothing while it should not.
+  std::optional<HostRecord> m_record;
+  //! 0 while there is no lease.
+  std::uint64_t m_lease = 0;
+  bool m_written = false;
+  //! The written record was read back; only then can it be missed.
+  bool m_seen = false;
+  TimePoint m_renew_at;
+  std::vector<Fingerprint> m_convictions;
+};
+
+}  // namespace jacinthdeck
+
+#endif  // JACINTHDECK_DISCOVERY_STORE_SESSION_H_
--- /dev/null
+++ b/src/jacinthdeck/discovery/store_types.h
@@ -0,0 +1,74 @@
+// Entries, changes and replies of the platform's store.
+#ifndef JACINTHDECK_DISCOVERY_STORE_TYPES_H_
+#define JACINTHDECK_DISCOVERY_STORE_TYPES_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "jacinthdeck/core/name_table.h"
+#include "jacinthdeck/core/time.h"
+
+namespace jacinthdeck {
+
+/*! \brief How the store took a call. */
+enum class StoreReplyStatus {
+  kOk,
+  //! The call did nothing: the store is busy, or calls beyond its rate.
+  kBusy,
+  //! The history that a watch asked for is no longer there.
+  kCompacted,
+  //! The lease has ended.
+  kNoLease,
+  //! A condition does not hold.
+  kConflict,
+  //! No reply: the call may have been done, or may be done later.
+  kNoReply,
+  //! A reply that cannot be read.
+  kCorrupt,
+};
+
+//! Names of the statuses, for logs and metrics.
+inline constexpr NameTable<StoreReplyStatus, 7> kStoreReplyStatusNames{
+    {"ok", "busy", "compacted", "no_lease", "conflict", "no_reply", "corrupt"}};
+
+/*! \brief A key with its value, or its removal. */
+struct StoreChange {
+  std::string key;
+  std::uint64_t revision = 0;
+  //! Nothing where the key was removed.
+  std::optional<std::string> value;
+};
+
+/*! \brief One page of a range of keys. */
+struct StorePage {
+  StoreReplyStatus status = StoreReplyStatus::kNoReply;
+  //! Why, where the status is not kOk.
+  std::string problem;
+  std::vector<StoreChange> items;
+  bool has_more = false;
+  //! The store's revision at the reading.
+  std::uint64_t revision = 0;
+};
+
+/*! \brief What a watch returned. */
+struct WatchBatch {
+  StoreReplyStatus status = StoreReplyStatus::kNoReply;
+  std::string problem;
+  std::vector<StoreChange> changes;
+  //! Where the next watch goes on.
+  std::uint64_t revision = 0;
+};
+
+/*! \brief What a call on a lease, or a write, returned. */
+struct StoreAck {
+  StoreReplyStatus status = StoreReplyStatus::kNoReply;
+  std::string problem;
+  //! Of a new lease.
+  std::uint64_t lease = 0;
+};
+
+}  // namespace jacinthdeck
+
+#endif  // JACINTHDECK_DISCOVERY_STORE_TYPES_H_
--- /dev/null
+++ b/src/jacinthdeck/entry/answer_encoder.cc
@@ -0,0 +1,99 @@
+// One function a kind of answer, found by a table.
+#include "jacinthdeck/entry/answer_encoder.h"
+
+#include <array>
+#include <cstddef>
+#include <cstdio>
+#include <utility>
+
+namespace jacinthdeck {
+
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kNotFound = 404;
+constexpr int kBadGateway = 502;
+constexpr int kUnavailable = 503;
+constexpr int kGatewayTimeout = 504;
+
+using Encoder = EdgeResponse (*)(const TargetProtocol&, ForwardAnswer&);
+
+//! A response of our own: the body names the reason for whoever reads it.
+[[nodiscard]] EdgeResponse Own(int status, const ForwardAnswer& answer) {
+  EdgeResponse response;
+  response.status = status;
+  response.headers.push_back({"Content-Type", "text/plain"});
+  response.body = std::string(kForwardReasonNames.Name(answer.reason)) + "\n";
+  return response;
+}
+
+[[nodiscard]] std::string Seconds(Duration duration) {
+  std::array<char, 32> text{};
+  (void)std::snprintf(text.data(), text.size(), "%.3f",
+                      ToMilliseconds(duration) / 1000);
+  return text.data();
+}
+
+[[nodiscard]] EdgeResponse EncodeResponse(const TargetProtocol& /*protocol*/,
+                                          ForwardAnswer& answer) {
+  EdgeResponse response;
+  response.status = answer.response.status;
+  response.reason = std::move(answer.response.reason);
+  response.headers = std::move(answer.response.headers);
+  response.body = std::move(answer.response.body);
+  return response;
+}
+
+[[nodiscard]] EdgeResponse EncodeMerged(const TargetProtocol& protocol,
+                                        ForwardAnswer& answer) {
+  EdgeResponse response;
+  response.status = kOk;
+  std::string stamps;
+  for (const std::string& stamp : answer.part_stamps) {
+    stamps += stamps.empty() ? "" : ", ";
+    stamps += stamp;
+  }
+  response.headers.push_back({protocol.part_stamps, std::move(stamps)});
+  response.headers.push_back(
+      {protocol.missing_parts, std::to_string(answer.missing_parts)});
+  response.body = std::move(answer.records);
+  return response;
+}
+
+[[nodiscard]] EdgeResponse EncodeNotRun(const TargetProtocol& /*protocol*/,
+                                        ForwardAnswer& answer) {
+  EdgeResponse response = Own(kUnavailable, answer);
+  if (answer.retry_after) {
+    response.headers.push_back({"Retry-After", Seconds(*answer.retry_after)});
+  }
+  return response;
+}
+
+[[nodiscard]] EdgeResponse EncodeFailed(const TargetProtocol& /*protocol*/,
+                                        ForwardAnswer& answer) {
+  return Own(kBadGateway, answer);
+}
+
+[[nodiscard]] EdgeResponse EncodeTimedOut(const TargetProtocol& /*protocol*/,
+                                          ForwardAnswer& answer) {
+  return Own(kGatewayTimeout, answer);
+}
+
+[[nodiscard]] EdgeResponse EncodeNoRoute(const TargetProtocol& /*protocol*/,
+                                         ForwardAnswer& answer) {
+  return Own(kNotFound, answer);
+}
+
+//! In the order of AnswerKind.
+constexpr std::array<Encoder, 6> kEncoders{&EncodeResponse, &EncodeMerged,
+                                           &EncodeNotRun,   &EncodeFailed,
+                                           &EncodeTimedOut, &EncodeNoRoute};
+
+}  // namespace
+
+EdgeResponse EncodeAnswer(const TargetProtocol& protocol,
+                          ForwardAnswer&& answer) {
+  return kEncoders.at(static_cast<std::size_t>(answer.kind))(protocol, answer);
+}
+
+}  // namespace jacinthdeck
--- /dev/null
+++ b/src/jacinthdeck/entry/caller_handler.cc
@@ -0,0 +1,88 @@
+// Headers that the system sets itself are taken off a caller's request.
+#include "jacinthdeck/entry/caller_handler.h"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+#include "jacinthdeck/http/hop_headers.h"
+
+namespace jacinthdeck {
+
+namespace {
+
+//! Longest time that a caller can ask for.
+constexpr std::int64_t kMostMilliseconds = 3'600'000;
+
+//! When the caller stops waiting; max() where it does not say, or nonsense.
+[[nodiscard]] TimePoint DeadlineOf(std::string_view text, TimePoint arrived) {
+  std::int64_t milliseconds = 0;
+  const char* end = text.data() + text.size();
+  const auto read = std::from_chars(text.data(), end, milliseconds);
+  if (text.empty() || read.ec != std::errc() || milliseconds < 0) {
+    return TimePoint::max();
+  }
+  return arrived +
+         std::chrono::milliseconds(std::min(milliseconds, kMostMilliseconds));
+}
+
+}  // namespace
+
+CallerHandler::CallerHandler(const Clock& clock,
+                             const TargetProtocol& protocol,
+                             CallerSink& sink)
+    : m_clock(clock), m_protocol(protocol), m_sink(sink) {}
+
+void CallerHandler::OnRequest(const std::shared_ptr<EdgeConnection>& connection,
+                              EdgeRequest request,
+                              TimePoint arrived) {
+  ForwardCall call;
+  call.id = CallId(m_next_call++);
+  call.arrived = arrived;
+  call.deadline = DeadlineOf(request.Find(m_protocol.time_left_ms), arrived);
+  call.request = Convert(std::move(request));
+  m_waiting.emplace(
+      call.id, WaitingCaller{connection, call.request->request_id, arrived});
+  m_by_connection.emplace(connection.get(), call.id);
+  m_sink.OnCall(std::move(call));
+}
+
+void CallerHandler::OnLeft(EdgeConnection& connection) {
+  const auto found = m_by_connection.find(&connection);
+  if (found == m_by_connection.end()) {
+    return;
+  }
+  const CallId call = found->second;
+  const WaitingCaller caller = Take(call);
+  m_sink.OnCallerLeft(call, caller.request_id, m_clock.Now() - caller.arrived);
+}
+
+WaitingCaller CallerHandler::Take(CallId call) {
+  const auto found = m_waiting.find(call);
+  if (found == m_waiting.end()) {
+    return {};
+  }
+  WaitingCaller caller = std::move(found->second);
+  m_waiting.erase(found);
+  m_by_connection.erase(caller.connection.get());
+  return caller;
+}
+
+std::shared_ptr<OpaqueRequest> CallerHandler::Convert(EdgeRequest request) {
+  auto opaque = std::make_shared<OpaqueRequest>();
+  opaque->request_id = request.Find(m_protocol.request_id);
+  opaque->method = std::move(request.method);
+  opaque->target = std::move(request.target);
+  opaque->host = std::move(request.host);
+  opaque->body = std::move(request.body);
+  opaque->has_body = request.has_body;
+  opaque->headers = std::move(request.headers);
+  std::erase_if(opaque->headers, [&](const Header& header) {
+    return SameName(header.name, m_protocol.request_id) ||
+           SameName(header.name, m_protocol.time_left_ms) ||
+           SameName(header.name, m_protocol.expected_target);
+  });
+  return opaque;
+}
+
+}  // namespace jacinthdeck
--- /dev/null
+++ b/src/jacinthdeck/entry/caller_handler.h
@@ -0,0 +1,81 @@
+// Joins the callers' connections to the forwarder.
+#ifndef JACINTHDECK_ENTRY_CALLER_HANDLER_H_
+#define JACINTHDECK_ENTRY_CALLER_HANDLER_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include "jacinthdeck/core/clock.h"
+#include "jacinthdeck/core/ids.h"
+#include "jacinthdeck/core/time.h"
+#include "jacinthdeck/forward/call_story.h"
+#include "jacinthdeck/forward/forward_answer.h"
+#include "jacinthdeck/forward/forward_call.h"
+#include "jacinthdeck/http/edge_connection.h"
+#include "jacinthdeck/http/edge_handler.h"
+#include "jacinthdeck/http/target_protocol.h"
+
+namespace jacinthdeck {
+
+/*! \brief Takes what becomes of callers' requests. */
+class CallerSink {
+ public:
+  virtual ~CallerSink() = default;
+
+  /*! \brief A request came. */
+  virtual void OnCall(ForwardCall call) = 0;
+
+  /*! \brief The caller of a request left. */
+  virtual void OnCallerLeft(CallId call,
+                            const std::string& request_id,
+                            Duration after) = 0;
+};
+
+/*! \brief One request that waits for its answer. */
+struct WaitingCaller {
+  std::shared_ptr<EdgeConnection> connection;
+  std::string request_id;
+  TimePoint arrived;
+};
+
+/**
+ * \brief Reads requests into calls and writes answers to where they came from.
+ */
+class CallerHandler final : public EdgeHandler {
+ public:
+  CallerHandler(const Clock& clock,
+                const TargetProtocol& protocol,
+                CallerSink& sink);
+
+  void OnRequest(const std::shared_ptr<EdgeConnection>& connection,
+                 EdgeRequest request,
+                 TimePoint arrived) override;
+  void OnLeft(EdgeConnection& connection) override;
+
+  /*! \brief Callers that wait for an answer. */
+  [[nodiscard]] std::size_t waiting() const noexcept {
+    return m_waiting.size();
+  }
+
+  /*! \brief Takes a caller off the list, to answer it; its connection is null
+   * if it has left. */
+  [[nodiscard]] WaitingCaller Take(CallId call);
+
+ private:
+  [[nodiscard]] std::shared_ptr<OpaqueRequest> Convert(EdgeRequest request);
+
+  const Clock& m_clock;
+  const TargetProtocol& m_protocol;
+  CallerSink& m_sink;
+  std::uint64_t m_next_call = 1;
+  std::unordered_map<CallId, WaitingCaller> m_waiting;
+  //! Call of each connection that waits.
+  std::unordered_map<const EdgeConnection*, CallId> m_by_connection;
+};
+
+}  // namespace jacinthdeck
+
+#endif  // JACINTHDECK_ENTRY_CALLER_HANDLER_H_
--- /dev/null
+++ b/src/jacinthdeck/entry/decision_log.cc
@@ -0,0 +1,157 @@
+// Stories of calls as JSON lines.
+#include "jacinthdeck/entry/decision_log.h"
+
+#include <utility>
+
+namespace jacinthdeck {
+
+namespace {
+
+//! Unreadable entries told at once; one faulty writer may own many keys.
+constexpr std::size_t kMostUnreadable = 4;
+//! Attempts told of one call.
+constexpr std::size_t kMostAttempts = 24;
+
+//! Attempts as a JSON array; good ones of a fan-out are left out, since there
+//! are as many as shards.
+[[nodiscard]] std::string AttemptsText(const CallStory& story) {
+  std::string text = "[";
+  std::size_t told = 0;
+  for (const AttemptNote& note : story.attempts) {
+    const bool ended = note.took >= Duration::zero();
+    const bool good = ended && note.outcome == AttemptOutcome::kResponse &&
+                      note.reason == AttemptReason::kFirst && note.status < 300;
+    if ((good && story.shards > 1) || told == kMostAttempts) {
+      continue;
+    }
+    LogLine line;
+    line.Count("shard", note.shard)
+        .Text("target", note.target.raw())
+        .Text("reason", kAttemptReasonNames.Name(note.reason))
+        .Milliseconds("sent_ms", note.sent);
+    if (ended) {
+      line.Milliseconds("took_ms", note.took)
+          .Text("outcome", kAttemptOutcomeNames.Name(note.outcome))
+          .Count("status", note.status);
+    } else {
+      line.Text("outcome", "unanswered");
+    }
+    text += told++ == 0 ? "" : ",";
+    text += std::move(line).Finish();
+  }
+  return text + "]";
+}
+
+}  // namespace
+
+void DecisionLog::OnCallEnd(const EndedCall& call) {
+  const LogEvent event = EventOf(call);
+  if (!IsTold(event)) {
+    return;
+  }
+  if (!m_log.HasRoom()) {
+    m_log.Drop();
+    return;
+  }
+  const CallStory& story = call.story;
+  LogLine line = m_log.Begin(event);
+  line.Text("request", call.request_id)
+      .Text("answer", kAnswerKindNames.Name(call.answer.kind))
+      .Text("reason", kForwardReasonNames.Name(call.answer.reason))
+      .Milliseconds("took_ms", call.took)
+      .Milliseconds("knowledge_age_ms", call.knowledge_age)
+      .Count("open_calls", call.open_calls);
+  if (story.config != nullptr) {
+    line.Count("config_version", story.config->version());
+  }
+  if (story.route != nullptr) {
+    line.Text("route", story.route->name)
+        .Milliseconds("expected_ms", story.expected)
+        .Milliseconds("objective_ms", story.route->objective)
+        .Count("shards", story.shards)
+        .Count("answered", story.answered)
+        .Count("sends", story.attempts.size())
+        .Count("budget_refusals", story.budget_refusals);
+  }
+  if (!story.service.raw().empty()) {
+    line.Text("service", story.service.raw());
+  }
+  if (call.answer.retry_after) {
+    line.Milliseconds("retry_after_ms", *call.answer.retry_after);
+  }
+  line.Raw("attempts", AttemptsText(story));
+  m_log.Add(std::move(line));
+}
+
+void DecisionLog::OnAbandoned(const std::string& request_id, Duration after) {
+  LogLine line = m_log.Begin(LogEvent::kCallAbandoned);
+  line.Text("request", request_id).Milliseconds("after_ms", after);
+  m_log.Add(std::move(line));
+}
+
+void DecisionLog::OnKnowledge(const KnowledgeChange& change,
+                              const Knowledge& knowledge,
+                              std::uint64_t revision,
+                              Duration since_start) {
+  if (change.config) {
+    LogLine line = m_log.Begin(LogEvent::kConfigApplied);
+    line.Count("config_version", knowledge.config()->version())
+        .Count("routes", knowledge.config()->routes().size())
+        .Count("store_revision", revision)
+        .Milliseconds("since_start_ms", since_start);
+    m_log.Add(std::move(line));
+  }
+  if (change.targets) {
+    LogLine line = m_log.Begin(LogEvent::kTargetsChanged);
+    line.Count("targets", knowledge.target_count())
+        .Count("store_revision", revision)
+        .Flag("store_away", knowledge.store_away());
+    m_log.Add(std::move(line));
+  }
+  if (change.hosts) {
+    LogLine line = m_log.Begin(LogEvent::kHostsChanged);
+    line.Count("hosts", knowledge.Hosts().size())
+        .Count("store_revision", revision)
+        .Flag("store_away", knowledge.store_away());
+    m_log.Add(std::move(line));
+  }
+  for (std::size_t i = 0; i < change.unreadable.size() && i < kMostUnreadable;
+       ++i) {
+    LogLine line = m_log.Begin(LogEvent::kEntryUnreadable);
+    line.Text("entry", change.unreadable[i].subject)
+        .Text("problem", change.unreadable[i].message)
+        .Count("store_revision", revision);
+    m_log.Add(std::move(line));
+  }
+}
+
+LogEvent DecisionLog::EventOf(const EndedCall& call) const {
+  switch (call.answer.kind) {
+    case AnswerKind::kNotRun:
+    case AnswerKind::kNoRoute:
+      return LogEvent::kCallRefused;
+    case AnswerKind::kFailed:
+    case AnswerKind::kTimedOut:
+      return LogEvent::kCallFailed;
+    case AnswerKind::kMerged:
+      if (call.answer.missing_parts > 0) {
+        return LogEvent::kCallPartial;
+      }
+      break;
+    case AnswerKind::kResponse:
+      if (!call.answer.response.succeeded()) {
+        return LogEvent::kCallFailed;
+      }
+      break;
+  }
+  const bool slow = call.story.route != nullptr &&
+                    call.story.route->objective > Duration::zero() &&
+                    call.took > call.story.route->objective;
+  return slow ? LogEvent::kCallSlow : LogEvent::kCallDone;
+}
+
+bool DecisionLog::IsTold(LogEvent event) {
+  return event != LogEvent::kCallDone || m_good++ % m_sample == 0;
+}
+
+}  // namespace jacinthdeck
--- /dev/null
+++ b/src/jacinthdeck/entry/decision_log.h
@@ -0,0 +1,62 @@
+// Log lines of calls and of what the process believes.
+#ifndef JACINTHDECK_ENTRY_DECISION_LOG_H_
+#define JACINTHDECK_ENTRY_DECISION_LOG_H_
+
+#include <cstdint>
+#include <string>
+
+#include "jacinthdeck/core/time.h"
+#include "jacinthdeck/discovery/knowledge.h"
+#include "jacinthdeck/entry/event_log.h"
+#include "jacinthdeck/forward/call_story.h"
+#include "jacinthdeck/forward/forward_answer.h"
+
+namespace jacinthdeck {
+
+/*! \brief How a call ended, with what the edge knows of it. */
+struct EndedCall {
+  const std::string& request_id;
+  const ForwardAnswer& answer;
+  const CallStory& story;
+  Duration took;
+  //! Age of the knowledge that decided it: since the store was last heard.
+  Duration knowledge_age;
+  std::size_t open_calls = 0;
+};
+
+/**
+ * \brief Decides which calls get a line, and writes it.
+ *
+ * Refused, failed, partial and slow calls get their whole story, good ones one
+ * in a fixed number. Which, is chosen by count and not at random, so that equal
+ * runs give equal logs.
+ */
+class DecisionLog {
+ public:
+  DecisionLog(EventLog& log, std::uint32_t sample)
+      : m_log(log), m_sample(sample) {}
+
+  /*! \brief Writes the end of a call, if it is to be told. */
+  void OnCallEnd(const EndedCall& call);
+
+  /*! \brief Writes that a caller left. */
+  void OnAbandoned(const std::string& request_id, Duration after);
+
+  /*! \brief Writes what the store taught. */
+  void OnKnowledge(const KnowledgeChange& change,
+                   const Knowledge& knowledge,
+                   std::uint64_t revision,
+                   Duration since_start);
+
+ private:
+  [[nodiscard]] LogEvent EventOf(const EndedCall& call) const;
+  [[nodiscard]] bool IsTold(LogEvent event);
+
+  EventLog& m_log;
+  const std::uint32_t m_sample;
+  std::uint32_t m_good = 0;
+};
+
+}  // namespace jacinthdeck
+
+#endif  // JACINTHDECK_ENTRY_DECISION_LOG_H_
--- /dev/null
+++ b/src/jacinthdeck/entry/entry_node.cc
@@ -0,0 +1,422 @@
+// Start, stop and the traffic between the parts.
+#include "jacinthdeck/entry/entry_node.h"
+
+#include <signal.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <boost/asio/signal_set.hpp>
+#include <chrono>
+#include <random>
+#include <utility>
+
+#include "jacinthdeck/discovery/directory_choice.h"
+#include "jacinthdeck/entry/answer_encoder.h"
+#include "jacinthdeck/entry/node_metrics.h"
+
+namespace jacinthdeck {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+//! Precision of the timeouts of openings, idle connections and held removals.
+constexpr Duration kTick = milliseconds(100);
+//! A tick later than this means that the process stood still.
+constexpr Duration kPause = milliseconds(700);
+//! Descriptors kept for targets, the store and files.
+constexpr std::uint32_t kOwnDescriptors = 600;
+constexpr std::size_t kSmallPortConnections = 128;
+//! How long a higher count of hosts is remembered: one that fell silent may
+//! only be cut off, and still spend its share.
+constexpr Duration kHostWindow = seconds(25);
+//! Hosts of which nothing is known yet when this one starts.
+constexpr std::uint32_t kLeastHosts = 1;
+//! Time kept back at the end of the grace for the last answers.
+constexpr Duration kStopMargin = milliseconds(900);
+//! The callers' addresses that one directory answer holds.
+constexpr std::size_t kMostAddresses = 64;
+//! Caller's own bounds on a request that no configuration has set yet.
+constexpr int kOk = 200;
+constexpr int kUnavailable = 503;
+constexpr int kNotFound = 404;
+
+[[nodiscard]] std::uint64_t UnixMilliseconds() {
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<milliseconds>(
+          std::chrono::system_clock::now().time_since_epoch())
+          .count());
+}
+
+[[nodiscard]] ForwardOptions ForwardOptionsOf(const EntrySettings& settings) {
+  ForwardOptions options;
+  options.domain = settings.domain;
+  options.budget = {settings.extra_ratio, settings.extra_constant,
+                    settings.extra_window};
+  return options;
+}
+
+[[nodiscard]] EdgeResponse Plain(int status) {
+  EdgeResponse response;
+  response.status = status;
+  return response;
+}
+
+[[nodiscard]] EdgeLimits EdgeLimitsOf(const CallerLimits& limits) {
+  return {limits.header_bytes, limits.body_bytes, limits.header_timeout,
+          limits.idle_timeout};
+}
+
+}  // namespace
+
+EntryNode::EntryNode(EntrySettings settings, EntryProtocol protocol)
+    : m_settings(std::move(settings)),
+      m_protocol(std::move(protocol)),
+      m_started(m_clock.Now()),
+      m_started_ms(UnixMilliseconds()),
+      m_writer(STDOUT_FILENO),
+      m_log({m_settings.log_bytes_per_second}, m_clock, m_writer),
+      m_decisions(m_log, m_settings.log_sample),
+      m_loop(1),
+      m_caller_handler(m_clock, m_protocol.targets, *this),
+      m_ready_handler([this](const EdgeRequest& r) { return AnswerReady(r); }),
+      m_directory_handler(
+          [this](const EdgeRequest& r) { return AnswerDirectory(r); }),
+      m_metrics_handler(
+          [this](const EdgeRequest& r) { return AnswerMetrics(r); }),
+      m_callers(m_loop, m_clock, m_caller_handler),
+      m_ready(m_loop, m_clock, m_ready_handler),
+      m_directory(m_loop, m_clock, m_directory_handler),
+      m_metrics_server(m_loop, m_clock, m_metrics_handler),
+      m_pool(m_loop, m_clock, m_protocol.targets, *this),
+      m_forwarder(ForwardOptionsOf(m_settings),
+                  *this,
+                  std::random_device{}(),
+                  m_started),
+      m_store(m_loop,
+              m_clock,
+              *m_protocol.codec,
+              *this,
+              m_settings.store.address,
+              m_settings.store.port,
+              std::random_device{}()),
+      m_hosts(kHostWindow, kLeastHosts),
+      m_decision_timer(m_loop),
+      m_tick(m_loop),
+      m_ticked(m_started),
+      m_stop_timer(m_loop) {}
+
+Result<void> EntryNode::Start() {
+  const std::uint32_t most = m_settings.descriptors > 2 * kOwnDescriptors
+                                 ? m_settings.descriptors - kOwnDescriptors
+                                 : m_settings.descriptors / 2;
+  BOOST_LEAF_CHECK(m_callers.Listen(m_settings.callers.address,
+                                    m_settings.callers.port, most));
+  struct SmallPort {
+    EdgeServer& server;
+    const SettingAddress& address;
+  };
+  for (const SmallPort& port :
+       {SmallPort{m_ready, m_settings.ready},
+        SmallPort{m_directory, m_settings.directory},
+        SmallPort{m_metrics_server, m_settings.metrics}}) {
+    if (!port.address.address.empty()) {
+      BOOST_LEAF_CHECK(port.server.Listen(
+          port.address.address, port.address.port, kSmallPortConnections));
+    }
+  }
+  LogLine line = m_log.Begin(LogEvent::kStarted);
+  line.Text("host", m_settings.name.raw())
+      .Text("failure_domain", m_settings.domain.raw())
+      .Text("callers", m_settings.callers.address)
+      .Count("port", m_callers.port())
+      .Count("started_unix_ms", m_started_ms);
+  m_log.Add(std::move(line));
+  m_store.Start();
+  m_store.Register(OwnRecord());
+  Tick();
+  return {};
+}
+
+void EntryNode::Run() {
+  WaitForSignal();
+  m_loop.run();
+  LogLine line = m_log.Begin(LogEvent::kStopped);
+  line.Count("waiting_callers", m_caller_handler.waiting());
+  m_log.Add(std::move(line));
+  m_log.Flush();
+}
+
+void EntryNode::Apply(const EntrySettings& settings) {
+  m_settings.directory_ttl = settings.directory_ttl;
+  m_settings.grace = settings.grace;
+  LogLine line = m_log.Begin(LogEvent::kReloaded);
+  line.Milliseconds("directory_ttl_ms", m_settings.directory_ttl)
+      .Milliseconds("grace_ms", m_settings.grace);
+  m_log.Add(std::move(line));
+}
+
+void EntryNode::OnCall(ForwardCall call) {
+  m_forwarder.Submit(std::move(call), m_clock.Now());
+  ArmDecisions();
+}
+
+void EntryNode::OnCallerLeft(CallId call,
+                             const std::string& request_id,
+                             Duration after) {
+  m_forwarder.Abandon(call, m_clock.Now());
+  m_decisions.OnAbandoned(request_id, after);
+}
+
+void EntryNode::Send(const OutgoingAttempt& attempt) {
+  m_pool.Send(attempt);
+}
+
+void EntryNode::Cancel(AttemptId attempt) {
+  m_pool.Cancel(attempt);
+}
+
+void EntryNode::Deliver(CallId call,
+                        ForwardAnswer answer,
+                        const CallStory& story) {
+  const WaitingCaller caller = m_caller_handler.Take(call);
+  if (caller.connection == nullptr) {
+    return;
+  }
+  const Duration took = m_clock.Now() - caller.arrived;
+  m_decisions.OnCallEnd({caller.request_id, answer, story, took, KnowledgeAge(),
+                         m_forwarder.open_calls()});
+  m_metrics.Add(LabelsOf(answer, story), took);
+  caller.connection->Respond(
+      EncodeAnswer(m_protocol.targets, std::move(answer)));
+}
+
+void EntryNode::ShareConviction(Fingerprint fingerprint) {
+  LogLine line = m_log.Begin(LogEvent::kConvicted);
+  line.Count("fingerprint", fingerprint.raw());
+  m_log.Add(std::move(line));
+  m_store.ShareConviction(fingerprint);
+}
+
+void EntryNode::OnAttemptEnd(AttemptEnd& end) {
+  m_forwarder.OnAttemptEnd(end, m_clock.Now());
+  ArmDecisions();
+}
+
+void EntryNode::OnKnowledge(const KnowledgeChange& change,
+                            std::uint64_t revision) {
+  const TimePoint now = m_clock.Now();
+  const Knowledge& knowledge = m_store.knowledge();
+  if (change.config && m_forwarder.SetConfig(knowledge.config())) {
+    m_callers.SetLimits(EdgeLimitsOf(knowledge.config()->limits()));
+  }
+  if (change.targets) {
+    const std::vector<TargetEntry> targets = knowledge.Targets();
+    m_forwarder.SetTargets(targets, now);
+    m_pool.Retain(targets);
+  }
+  if (change.hosts) {
+    m_hosts.Add(static_cast<std::uint32_t>(knowledge.Hosts().size()), now);
+    m_forwarder.SetHosts(m_hosts.Highest(now));
+  }
+  for (const Fingerprint fingerprint : change.convictions) {
+    m_forwarder.Convict(fingerprint, now);
+  }
+  m_decisions.OnKnowledge(change, knowledge, revision, now - m_started);
+  TellReadiness();
+  ArmDecisions();
+}
+
+void EntryNode::OnStoreLost(StoreReplyStatus status,
+                            const std::string& problem) {
+  LogLine line = m_log.Begin(LogEvent::kStoreLost);
+  line.Text("status", kStoreReplyStatusNames.Name(status))
+      .Text("problem", problem)
+      .Count("store_revision", m_store.revision());
+  m_log.Add(std::move(line));
+}
+
+void EntryNode::OnStoreRegained() {
+  LogLine line = m_log.Begin(LogEvent::kStoreRegained);
+  line.Count("store_revision", m_store.revision());
+  m_log.Add(std::move(line));
+}
+
+void EntryNode::OnRegistration(StoreReplyStatus status) {
+  const bool well = status == StoreReplyStatus::kOk;
+  LogLine line =
+      m_log.Begin(well ? LogEvent::kRegistered : LogEvent::kRegistrationFailed);
+  line.Text("status", kStoreReplyStatusNames.Name(status));
+  m_log.Add(std::move(line));
+}
+
+EdgeResponse EntryNode::AnswerReady(const EdgeRequest& request) const {
+  if (request.target != m_protocol.ready_path) {
+    return Plain(kNotFound);
+  }
+  return Plain(IsReady() ? kOk : kUnavailable);
+}
+
+EdgeResponse EntryNode::AnswerDirectory(const EdgeRequest& request) const {
+  const std::string_view path =
+      std::string_view(request.target).substr(0, request.target.find('?'));
+  if (path != m_protocol.directory_path) {
+    return Plain(kNotFound);
+  }
+  DirectoryQuestion question;
+  question.caller = m_protocol.read_directory_call(request.target);
+  question.self = OwnRecord();
+  question.self_serves = IsReady();
+  question.most = kMostAddresses;
+  const std::vector<std::string> addresses =
+      ChooseHosts(question, m_store.knowledge().Hosts());
+  if (addresses.empty()) {
+    return Plain(kUnavailable);
+  }
+  return m_protocol.write_directory_answer(addresses, m_settings.directory_ttl);
+}
+
+EdgeResponse EntryNode::AnswerMetrics(const EdgeRequest& /*request*/) const {
+  EdgeResponse response;
+  response.headers.push_back({"Content-Type", "text/plain; version=0.0.4"});
+  response.body = m_metrics.Render() +
+                  RenderNodeMetrics({m_forwarder, m_pool, m_callers, m_store,
+                                     m_log, IsReady(), KnowledgeAge()});
+  return response;
+}
+
+bool EntryNode::IsReady() const {
+  return !m_stopping && m_forwarder.config() != nullptr &&
+         m_forwarder.targets().size() > 0;
+}
+
+void EntryNode::ArmDecisions() {
+  const auto next = m_forwarder.NextTimer();
+  if (!next || *next >= m_decision_at) {
+    return;
+  }
+  m_decision_at = *next;
+  m_decision_timer.expires_after(
+      std::max(*next - m_clock.Now(), Duration::zero()));
+  m_decision_timer.async_wait([this](const SystemError& ended) {
+    if (!ended) {
+      OnDecisionTimer();
+    }
+  });
+}
+
+void EntryNode::OnDecisionTimer() {
+  m_decision_at = TimePoint::max();
+  m_forwarder.OnTimer(m_clock.Now());
+  ArmDecisions();
+}
+
+void EntryNode::Tick() {
+  const TimePoint now = m_clock.Now();
+  if (now - m_ticked > kPause) {
+    LogLine line = m_log.Begin(LogEvent::kPaused);
+    line.Milliseconds("for_ms", now - m_ticked);
+    m_log.Add(std::move(line));
+  }
+  m_ticked = now;
+  m_pool.CheckTimes();
+  m_callers.CheckTimes();
+  m_ready.CheckTimes();
+  m_directory.CheckTimes();
+  m_metrics_server.CheckTimes();
+  m_store.CheckTimes();
+  m_forwarder.SetHosts(m_hosts.Highest(now));
+  m_log.Flush();
+  m_tick.expires_after(kTick);
+  m_tick.async_wait([this](const SystemError& ended) {
+    if (!ended) {
+      Tick();
+    }
+  });
+}
+
+void EntryNode::TellReadiness() {
+  if (IsReady() == m_told_ready) {
+    return;
+  }
+  m_told_ready = IsReady();
+  LogLine line = m_log.Begin(LogEvent::kReadiness);
+  line.Flag("ready", m_told_ready)
+      .Count("targets", m_forwarder.targets().size())
+      .Flag("stopping", m_stopping);
+  m_log.Add(std::move(line));
+}
+
+void EntryNode::WaitForSignal() {
+  auto signals =
+      std::make_shared<asio::signal_set>(m_loop, SIGTERM, SIGINT, SIGHUP);
+  signals->async_wait([this, signals](const SystemError& error, int signal) {
+    if (!error) {
+      OnSignal(signal);
+      WaitForSignal();
+    }
+  });
+}
+
+void EntryNode::OnSignal(int signal) {
+  if (signal == SIGHUP) {
+    if (m_reload) {
+      m_reload();
+    }
+    return;
+  }
+  if (!m_stopping) {
+    BeginStop();
+  }
+}
+
+void EntryNode::BeginStop() {
+  m_stopping = true;
+  m_store.Unregister();
+  m_callers.Drain();
+  LogLine line = m_log.Begin(LogEvent::kStopping);
+  line.Count("open_calls", m_forwarder.open_calls())
+      .Count("connections", m_callers.connections())
+      .Milliseconds("grace_ms", m_settings.grace);
+  m_log.Add(std::move(line));
+  TellReadiness();
+  // Callers keep a directory answer for a while, and some for longer, so the
+  // port stays open and requests are served until the end of the grace.
+  m_stop_timer.expires_after(
+      std::max(m_settings.grace - kStopMargin, Duration::zero()));
+  m_stop_timer.async_wait([this](const SystemError& ended) {
+    if (!ended) {
+      Stop();
+    }
+  });
+}
+
+void EntryNode::Stop() {
+  m_callers.CloseIdle();
+  if (m_caller_handler.waiting() == 0) {
+    m_loop.stop();
+    return;
+  }
+  constexpr Duration kLook = milliseconds(20);
+  m_stop_timer.expires_after(kLook);
+  m_stop_timer.async_wait([this](const SystemError& ended) {
+    if (!ended) {
+      Stop();
+    }
+  });
+}
+
+HostRecord EntryNode::OwnRecord() const {
+  return {m_settings.name, m_settings.domain,
+          m_settings.callers.address + ":" +
+              std::to_string(m_settings.callers.port),
+          m_started_ms};
+}
+
+Duration EntryNode::KnowledgeAge() const {
+  const auto heard = m_store.last_well();
+  return m_clock.Now() - heard.value_or(m_started);
+}
+
+}  // namespace jacinthdeck
--- /dev/null
+++ b/src/jacinthdeck/entry/entry_node.h
@@ -0,0 +1,126 @@
+// A host of the tier: its ports, its knowledge and its decisions on one event
+// loop.
+#ifndef JACINTHDECK_ENTRY_ENTRY_NODE_H_
+#define JACINTHDECK_ENTRY_ENTRY_NODE_H_
+
+#include <cstdint>
+#include <functional>
+#include <string>
+
+#include "jacinthdeck/core/result.h"
+#include "jacinthdeck/core/steady_clock.h"
+#include "jacinthdeck/discovery/store_session.h"
+#include "jacinthdeck/entry/caller_handler.h"
+#include "jacinthdeck/entry/decision_log.h"
+#include "jacinthdeck/entry/entry_protocol.h"
+#include "jacinthdeck/entry/entry_settings.h"
+#include "jacinthdeck/entry/event_log.h"
+#include "jacinthdeck/entry/log_writer.h"
+#include "jacinthdeck/entry/simple_handler.h"
+#include "jacinthdeck/forward/forwarder.h"
+#include "jacinthdeck/http/edge_server.h"
+#include "jacinthdeck/http/target_pool.h"
+#include "jacinthdeck/routing/entry_count_window.h"
+#include "jacinthdeck/runtime/metrics.h"
+
+namespace jacinthdeck {
+
+/**
+ * \brief Joins edges, forwarder, pool and store session.
+ *
+ * All of it runs on the thread that calls Run(); only the log has a thread of
+ * its own, since writing it may wait. A request passes from socket to socket
+ * without a change of threads: each change would cost two wake-ups for each of
+ * the dozens of messages of one query.
+ */
+class EntryNode final : private CallerSink,
+                        private ForwardPort,
+                        private TargetPoolSink,
+                        private KnowledgeObserver {
+ public:
+  EntryNode(EntrySettings settings, EntryProtocol protocol);
+
+  /*! \brief Opens the ports and begins to read the store. */
+  [[nodiscard]] Result<void> Start();
+
+  /*! \brief Serves until it has stopped by a signal. */
+  void Run();
+
+  /*! \brief Called when the process is asked to read its settings again. */
+  void OnReload(std::function<void()> reload) { m_reload = std::move(reload); }
+
+  /*! \brief Takes settings that may change while it runs. */
+  void Apply(const EntrySettings& settings);
+
+ private:
+  // Ends of the parts, in entry_node.cc.
+  void OnCall(ForwardCall call) override;
+  void OnCallerLeft(CallId call,
+                    const std::string& request_id,
+                    Duration after) override;
+  void Send(const OutgoingAttempt& attempt) override;
+  void Cancel(AttemptId attempt) override;
+  void Deliver(CallId call,
+               ForwardAnswer answer,
+               const CallStory& story) override;
+  void ShareConviction(Fingerprint fingerprint) override;
+  void OnAttemptEnd(AttemptEnd& end) override;
+  void OnKnowledge(const KnowledgeChange& change,
+                   std::uint64_t revision) override;
+  void OnStoreLost(StoreReplyStatus status,
+                   const std::string& problem) override;
+  void OnStoreRegained() override;
+  void OnRegistration(StoreReplyStatus status) override;
+
+  [[nodiscard]] EdgeResponse AnswerReady(const EdgeRequest& request) const;
+  [[nodiscard]] EdgeResponse AnswerDirectory(const EdgeRequest& request) const;
+  [[nodiscard]] EdgeResponse AnswerMetrics(const EdgeRequest& request) const;
+  [[nodiscard]] bool IsReady() const;
+
+  void ArmDecisions();
+  void OnDecisionTimer();
+  void Tick();
+  void TellReadiness();
+  void WaitForSignal();
+  void OnSignal(int signal);
+  void BeginStop();
+  void Stop();
+  [[nodiscard]] HostRecord OwnRecord() const;
+  [[nodiscard]] Duration KnowledgeAge() const;
+
+  EntrySettings m_settings;
+  const EntryProtocol m_protocol;
+  const SteadyClock m_clock;
+  const TimePoint m_started;
+  const std::uint64_t m_started_ms;
+  LogWriter m_writer;
+  EventLog m_log;
+  DecisionLog m_decisions;
+  Metrics m_metrics;
+  asio::io_context m_loop;
+  CallerHandler m_caller_handler;
+  SimpleHandler m_ready_handler;
+  SimpleHandler m_directory_handler;
+  SimpleHandler m_metrics_handler;
+  EdgeServer m_callers;
+  EdgeServer m_ready;
+  EdgeServer m_directory;
+  EdgeServer m_metrics_server;
+  TargetPool m_pool;
+  Forwarder m_forwarder;
+  StoreSession m_store;
+  EntryCountWindow m_hosts;
+  asio::steady_timer m_decision_timer;
+  //! When the decision timer is set to; max() while it is not.
+  TimePoint m_decision_at = TimePoint::max();
+  asio::steady_timer m_tick;
+  TimePoint m_ticked;
+  asio::steady_timer m_stop_timer;
+  std::function<void()> m_reload;
+  bool m_stopping = false;
+  bool m_told_ready = false;
+};
+
+}  // namespace jacinthdeck
+
+#endif  // JACINTHDECK_ENTRY_ENTRY_NODE_H_
--- /dev/null
+++ b/src/jacinthdeck/entry/entry_settings.cc
@@ -0,0 +1,82 @@
+// One line a key.
+#include "jacinthdeck/entry/entry_settings.h"
+
+namespace jacinthdeck {
+
+namespace {
+
+constexpr SettingRange kDescriptors{64, 1'048'576};
+constexpr SettingRange kRatio{0, 10};
+constexpr SettingRange kConstant{0, 1'000'000};
+constexpr SettingRange kWindowMs{1000, 600'000};
+constexpr SettingRange kDirectoryMs{100, 3'600'000};
+constexpr SettingRange kGraceMs{500, 600'000};
+constexpr SettingRange kLogBytes{1024, 67'108'864};
+constexpr SettingRange kLogSample{1, 1'000'000};
+
+[[nodiscard]] std::uint32_t Whole(double value) {
+  return static_cast<std::uint32_t>(value);
+}
+
+void ReadHost(SettingsTable& table, EntrySettings& settings) {
+  settings.name = NodeId(table.Text("host.name", SettingNeed::kRequired));
+  settings.domain =
+      FailureDomain(table.Text("host.failure_domain", SettingNeed::kRequired));
+  settings.descriptors =
+      Whole(table.Number("host.descriptors", kDescriptors,
+                         SettingNeed::kOptional, settings.descriptors));
+}
+
+void ReadListen(SettingsTable& table, EntrySettings& settings) {
+  settings.callers = table.Address("listen.callers", SettingNeed::kRequired);
+  settings.ready = table.Address("listen.ready", SettingNeed::kOptional);
+  settings.directory =
+      table.Address("listen.directory", SettingNeed::kOptional);
+  settings.metrics = table.Address("listen.metrics", SettingNeed::kOptional);
+  settings.store = table.Address("store.address", SettingNeed::kRequired);
+}
+
+void ReadBounds(SettingsTable& table, EntrySettings& settings) {
+  settings.extra_ratio =
+      table.Number("extra_attempts.ratio", kRatio, SettingNeed::kOptional,
+                   settings.extra_ratio);
+  settings.extra_constant =
+      table.Number("extra_attempts.constant", kConstant, SettingNeed::kOptional,
+                   settings.extra_constant);
+  settings.extra_window = table.Milliseconds("extra_attempts.window_ms",
+                                             kWindowMs, settings.extra_window);
+  settings.directory_ttl = table.Milliseconds("directory.ttl_ms", kDirectoryMs,
+                                              settings.directory_ttl);
+  settings.grace =
+      table.Milliseconds("shutdown.grace_ms", kGraceMs, settings.grace);
+}
+
+void ReadLog(SettingsTable& table, EntrySettings& settings) {
+  settings.log_level =
+      table.OneOf("log.level", {"trace", "debug", "info", "warning", "error"},
+                  settings.log_level);
+  settings.log_bytes_per_second = Whole(
+      table.Number("log.bytes_per_second", kLogBytes, SettingNeed::kOptional,
+                   settings.log_bytes_per_second));
+  settings.log_sample = Whole(table.Number(
+      "log.sample", kLogSample, SettingNeed::kOptional, settings.log_sample));
+}
+
+}  // namespace
+
+std::variant<EntrySettings, std::vector<SettingsFault>> ReadEntrySettings(
+    const std::string& text) {
+  SettingsTable table(text);
+  EntrySettings settings;
+  ReadHost(table, settings);
+  ReadListen(table, settings);
+  ReadBounds(table, settings);
+  ReadLog(table, settings);
+  std::vector<SettingsFault> faults = table.TakeFaults();
+  if (!faults.empty()) {
+    return faults;
+  }
+  return settings;
+}
+
+}  // namespace jacinthdeck
--- /dev/null
+++ b/src/jacinthdeck/entry/entry_settings.h
@@ -0,0 +1,56 @@
+// Settings of an entry process.
+#ifndef JACINTHDECK_ENTRY_ENTRY_SETTINGS_H_
+#define JACINTHDECK_ENTRY_ENTRY_SETTINGS_H_
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "jacinthdeck/core/ids.h"
+#include "jacinthdeck/core/settings_table.h"
+#include "jacinthdeck/core/time.h"
+
+namespace jacinthdeck {
+
+/*! \brief Checked settings; each key is explained in docs/operate/settings.md.
+ */
+struct EntrySettings {
+  NodeId name;
+  FailureDomain domain;
+  //! Where callers connect.
+  SettingAddress callers;
+  //! Where the platform asks whether this host is ready.
+  SettingAddress ready;
+  //! Where callers ask which hosts to use.
+  SettingAddress directory;
+  SettingAddress metrics;
+  SettingAddress store;
+  //! Descriptors that the process may open.
+  std::uint32_t descriptors = 1024;
+  //! Extra attempts for each request, over all hosts.
+  double extra_ratio = 0.2;
+  //! Extra attempts in a window beside the ratio, over all hosts.
+  double extra_constant = 20;
+  Duration extra_window = std::chrono::seconds(10);
+  //! Longest time that callers may keep a directory answer.
+  Duration directory_ttl = std::chrono::seconds(1);
+  //! From the request to stop to the end of the process.
+  Duration grace = std::chrono::seconds(6);
+  std::string log_level = "info";
+  //! Bytes of log a second.
+  std::uint32_t log_bytes_per_second = 65536;
+  //! One in so many good calls is logged.
+  std::uint32_t log_sample = 100;
+};
+
+/**
+ * \brief Reads settings from TOML text.
+ * \return The settings, or every fault found.
+ */
+[[nodiscard]] std::variant<EntrySettings, std::vector<SettingsFault>>
+ReadEntrySettings(const std::string& text);
+
+}  // namespace jacinthdeck
+
+#endif  // JACINTHDECK_ENTRY_ENTRY_SETTINGS_H_
--- /dev/null
+++ b/src/jacinthdeck/entry/event_log.cc
@@ -0,0 +1,84 @@
+// Token bucket in bytes; a line is dropped whole.
+#include "jacinthdeck/entry/event_log.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace jacinthdeck {
+
+namespace {
+
+//! Seconds of the bound that may be logged at once after a quiet time.
+constexpr double kBurstSeconds = 2;
+constexpr double kMicroseconds = 1e6;
+
+}  // namespace
+
+EventLog::EventLog(const Options& options,
+                   const Clock& clock,
+                   LogWriter& writer)
+    : m_options(options),
+      m_clock(clock),
+      m_writer(writer),
+      m_room(kBurstSeconds * options.bytes_per_second),
+      m_refilled(clock.Now()) {}
+
+LogLine EventLog::Begin(LogEvent event) const {
+  // The wall clock is for readers only and may jump; decisions and ages go by
+  // the runtime's clock.
+  const auto wall = std::chrono::duration_cast<std::chrono::milliseconds>(
+      std::chrono::system_clock::now().time_since_epoch());
+  LogLine line;
+  line.Count("unix_ms", wall.count());
+  line.Milliseconds("uptime_clock_ms", m_clock.Now().time_since_epoch());
+  line.Text("event", kLogEventNames.Name(event));
+  return line;
+}
+
+bool EventLog::HasRoom() {
+  Refill();
+  return m_room > 0;
+}
+
+void EventLog::Add(LogLine line) {
+  Refill();
+  if (m_room <= 0) {
+    ++m_dropped;
+    return;
+  }
+  if (m_told_dropped != m_dropped) {
+    LogLine gap = Begin(LogEvent::kLinesDropped);
+    gap.Count("lines", m_dropped - m_told_dropped);
+    m_told_dropped = m_dropped;
+    m_chunk += std::move(gap).Finish();
+    m_chunk += '\n';
+  }
+  const std::string text = std::move(line).Finish();
+  m_room -= static_cast<double>(text.size());
+  m_chunk += text;
+  m_chunk += '\n';
+  ++m_lines;
+}
+
+void EventLog::Flush() {
+  if (m_chunk.empty()) {
+    return;
+  }
+  if (!m_writer.TryWrite(std::move(m_chunk))) {
+    m_dropped += m_lines;
+  }
+  m_chunk.clear();
+  m_lines = 0;
+}
+
+void EventLog::Refill() {
+  const TimePoint now = m_clock.Now();
+  const auto passed = static_cast<double>((now - m_refilled).count());
+  m_refilled = now;
+  const double rate = m_options.bytes_per_second;
+  m_room =
+      std::min(m_room + rate * passed / kMicroseconds, kBurstSeconds * rate);
+}
+
+}  // namespace jacinthdeck
--- /dev/null
+++ b/src/jacinthdeck/entry/fwd.h
@@ -0,0 +1,21 @@
+// Forward declarations of the entry module: a host of the tier as one process.
+#ifndef JACINTHDECK_ENTRY_FWD_H_
+#define JACINTHDECK_ENTRY_FWD_H_
+
+namespace jacinthdeck {
+
+class CallerHandler;
+class DecisionLog;
+class EntryMetrics;
+class EntryNode;
+class EventLog;
+class LogLine;
+class LogWriter;
+class SimpleHandler;
+struct EntryProtocol;
+struct EntrySettings;
+enum class LogEvent;
+
+}  // namespace jacinthdeck
+
+#endif  // JACINTHDECK_ENTRY_FWD_H_
--- /dev/null
+++ b/src/jacinthdeck/entry/log_event.h
@@ -0,0 +1,61 @@
+// The fixed list of events that are logged.
+#ifndef JACINTHDECK_ENTRY_LOG_EVENT_H_
+#define JACINTHDECK_ENTRY_LOG_EVENT_H_
+
+#include "jacinthdeck/core/name_table.h"
+
+namespace jacinthdeck {
+
+/*! \brief What a log line tells; docs/operate/logs.md explains the fields. */
+enum class LogEvent {
+  kStarted,
+  kStopping,
+  kStopped,
+  kReloaded,
+  kReadiness,
+  kStoreLost,
+  kStoreRegained,
+  kRegistered,
+  kRegistrationFailed,
+  kConfigApplied,
+  kTargetsChanged,
+  kHostsChanged,
+  kEntryUnreadable,
+  kConvicted,
+  kCallRefused,
+  kCallFailed,
+  kCallPartial,
+  kCallSlow,
+  kCallDone,
+  kCallAbandoned,
+  kLinesDropped,
+  kPaused,
+};
+
+//! Names of the events, as they stand in logs.
+inline constexpr NameTable<LogEvent, 22> kLogEventNames{{"started",
+                                                         "stopping",
+                                                         "stopped",
+                                                         "reloaded",
+                                                         "readiness",
+                                                         "store_lost",
+                                                         "store_regained",
+                                                         "registered",
+                                                         "registration_failed",
+                                                         "config_applied",
+                                                         "targets_changed",
+                                                         "hosts_changed",
+                                                         "entry_unreadable",
+                                                         "convicted",
+                                                         "call_refused",
+                                                         "call_failed",
+                                                         "call_partial",
+                                                         "call_slow",
+                                                         "call_done",
+                                                         "call_abandoned",
+                                                         "lines_dropped",
+                                                         "paused"}};
+
+}  // namespace jacinthdeck
+
+#endif  // JACINTHDECK_ENTRY_LOG_EVENT_H_
--- /dev/null
+++ b/src/jacinthdeck/entry/log_line.cc
@@ -0,0 +1,85 @@
+// Text is appended in place: a JSON document for each line would cost more than
+// the decision that it tells of.
+#include "jacinthdeck/entry/log_line.h"
+
+#include <array>
+#include <charconv>
+#include <utility>
+
+namespace jacinthdeck {
+
+namespace {
+
+constexpr unsigned char kFirstPrintable = 0x20;
+constexpr unsigned char kLastAscii = 0x7e;
+
+void AppendEscaped(std::string& out, char c) {
+  constexpr std::string_view kHex = "0123456789abcdef";
+  constexpr unsigned kNibble = 4;
+  constexpr unsigned kLowNibble = 15;
+  const auto byte = static_cast<unsigned char>(c);
+  out += "\\u00";
+  out += kHex[byte >> kNibble];
+  out += kHex[byte & kLowNibble];
+}
+
+}  // namespace
+
+LogLine& LogLine::Text(std::string_view name, std::string_view value) {
+  Begin(name);
+  AppendQuoted(m_text, value);
+  return *this;
+}
+
+LogLine& LogLine::Milliseconds(std::string_view name, Duration value) {
+  constexpr int kDecimals = 1;
+  std::array<char, 32> digits{};
+  const auto end =
+      std::to_chars(digits.data(), digits.data() + digits.size(),
+                    ToMilliseconds(value), std::chars_format::fixed, kDecimals);
+  Begin(name);
+  m_text.append(digits.data(), end.ptr);
+  return *this;
+}
+
+LogLine& LogLine::Flag(std::string_view name, bool value) {
+  Begin(name);
+  m_text += value ? "true" : "false";
+  return *this;
+}
+
+LogLine& LogLine::Raw(std::string_view name, std::string_view json) {
+  Begin(name);
+  m_text += json;
+  return *this;
+}
+
+std::string LogLine::Finish() && {
+  m_text += '}';
+  return std::move(m_text);
+}
+
+void LogLine::Begin(std::string_view name) {
+  m_text += m_text.empty() ? '{' : ',';
+  AppendQuoted(m_text, name);
+  m_text += ':';
+}
+
+void AppendQuoted(std::string& out, std::string_view text) {
+  out += '"';
+  for (const char c : text) {
+    const auto byte = static_cast<unsigned char>(c);
+    if (c == '"' || c == '\\') {
+      out += '\\';
+      out += c;
+    } else if (byte < kFirstPrintable || byte > kLastAscii) {
+      // Bytes above ASCII may be no UTF-8, since callers choose them.
+      AppendEscaped(out, c);
+    } else {
+      out += c;
+    }
+  }
+  out += '"';
+}
+
+}  // namespace jacinthdeck
--- /dev/null
+++ b/src/jacinthdeck/entry/simple_handler.h
@@ -0,0 +1,35 @@
+// Answers requests at once by a function.
+#ifndef JACINTHDECK_ENTRY_SIMPLE_HANDLER_H_
+#define JACINTHDECK_ENTRY_SIMPLE_HANDLER_H_
+
+#include <functional>
+#include <memory>
+#include <utility>
+
+#include "jacinthdeck/http/edge_connection.h"
+#include "jacinthdeck/http/edge_handler.h"
+
+namespace jacinthdeck {
+
+/*! \brief Handler of the small ports: readiness, directory, metrics. */
+class SimpleHandler final : public EdgeHandler {
+ public:
+  using Answer = std::function<EdgeResponse(const EdgeRequest&)>;
+
+  explicit SimpleHandler(Answer answer) : m_answer(std::move(answer)) {}
+
+  void OnRequest(const std::shared_ptr<EdgeConnection>& connection,
+                 EdgeRequest request,
+                 TimePoint /*arrived*/) override {
+    connection->Respond(m_answer(request));
+  }
+
+  void OnLeft(EdgeConnection& /*connection*/) override {}
+
+ private:
+  Answer m_answer;
+};
+
+}  // namespace jacinthdeck
+
+#endif  // JACINTHDECK_ENTRY_SIMPLE_HANDLER_H_
--- /dev/null
+++ b/src/jacinthdeck/forward/attempt_budget.cc
@@ -0,0 +1,85 @@
+// Counts in a ring of buckets; extras count a bucket longer than requests do.
+#include "jacinthdeck/forward/attempt_budget.h"
+
+#include <algorithm>
+
+namespace jacinthdeck {
+
+namespace {
+
+//! Part of the bound that is spent: requests counted here may be counted a
+//! moment apart by whoever checks the bound.
+constexpr double kSpentShare = 0.85;
+
+}  // namespace
+
+AttemptBudget::AttemptBudget(const AttemptBudgetOptions& options,
+                             TimePoint started)
+    : m_options(options), m_started(started) {}
+
+void AttemptBudget::OnRequest(TimePoint now) {
+  Advance(now);
+  Bucket& newest = m_ring[static_cast<std::size_t>(m_slot) % m_ring.size()];
+  ++newest.requests;
+  ++m_requests;
+}
+
+bool AttemptBudget::HasRoom(TimePoint now) {
+  return Left(now) >= 1;
+}
+
+bool AttemptBudget::TrySpend(TimePoint now) {
+  if (!HasRoom(now)) {
+    return false;
+  }
+  Bucket& newest = m_ring[static_cast<std::size_t>(m_slot) % m_ring.size()];
+  ++newest.extras;
+  ++m_extras;
+  return true;
+}
+
+void AttemptBudget::Refund(TimePoint now) {
+  Advance(now);
+  Bucket& newest = m_ring[static_cast<std::size_t>(m_slot) % m_ring.size()];
+  if (newest.extras > 0) {
+    --newest.extras;
+    --m_extras;
+  }
+}
+
+double AttemptBudget::Left(TimePoint now) {
+  Advance(now);
+  const auto age = static_cast<double>((now - m_started).count());
+  const double warm =
+      std::min(age / static_cast<double>(m_options.window.count()), 1.0);
+  const double constant = warm * m_options.constant / m_hosts;
+  const double bound = m_options.ratio * m_requests + constant;
+  return kSpentShare * bound - m_extras;
+}
+
+void AttemptBudget::Advance(TimePoint now) {
+  const auto length = m_options.window.count() / static_cast<int>(kBuckets);
+  const std::int64_t slot = now.time_since_epoch().count() / length;
+  const std::int64_t steps = slot - m_slot;
+  if (steps <= 0) {
+    return;
+  }
+  if (steps > static_cast<std::int64_t>(m_ring.size())) {
+    m_ring.fill(Bucket{});
+    m_slot = slot;
+  }
+  while (m_slot < slot) {
+    ++m_slot;
+    m_ring[static_cast<std::size_t>(m_slot) % m_ring.size()] = Bucket{};
+  }
+  m_requests = 0;
+  m_extras = 0;
+  const std::size_t oldest =
+      static_cast<std::size_t>(m_slot + 1) % m_ring.size();
+  for (std::size_t index = 0; index < m_ring.size(); ++index) {
+    m_extras += m_ring[index].extras;
+    m_requests += index == oldest ? 0 : m_ring[index].requests;
+  }
+}
+
+}  // namespace jacinthdeck
--- /dev/null
+++ b/src/jacinthdeck/forward/attempt_budget.h
@@ -0,0 +1,79 @@
+// Bounds extra attempts at a service in a sliding window, over all hosts.
+#ifndef JACINTHDECK_FORWARD_ATTEMPT_BUDGET_H_
+#define JACINTHDECK_FORWARD_ATTEMPT_BUDGET_H_
+
+#include <array>
+#include <cstdint>
+
+#include "jacinthdeck/core/time.h"
+
+namespace jacinthdeck {
+
+/*! \brief Bound on extra attempts that all hosts share. */
+struct AttemptBudgetOptions {
+  //! Extra attempts for each request in the window.
+  double ratio = 0.1;
+  //! Extra attempts in the window beside the ratio, over all hosts.
+  double constant = 10;
+  Duration window = std::chrono::seconds(10);
+};
+
+/**
+ * \brief This host's part of the budget of one service.
+ *
+ * Each host spends its own requests' ratio and an equal share of the constant,
+ * so that the sum over the hosts keeps the bound without a message: also while
+ * hosts are cut off from each other. After a start the share of the constant
+ * grows from zero over one window, since the life before may have spent it.
+ */
+class AttemptBudget {
+ public:
+  AttemptBudget(const AttemptBudgetOptions& options, TimePoint started);
+
+  /*! \brief Says among how many hosts the constant is shared; at least 1. */
+  void SetHosts(std::uint32_t hosts) noexcept { m_hosts = hosts; }
+
+  /*! \brief Counts a request whose first attempt is the service's. */
+  void OnRequest(TimePoint now);
+
+  /*! \brief Tells whether one more extra attempt may be sent now. */
+  [[nodiscard]] bool HasRoom(TimePoint now);
+
+  /**
+   * \brief Pays for one extra attempt.
+   * \return False, with nothing spent, if the window has no room.
+   */
+  [[nodiscard]] bool TrySpend(TimePoint now);
+
+  /*! \brief Takes back the payment of an attempt that never left this host. */
+  void Refund(TimePoint now);
+
+  /*! \brief Extra attempts that could be sent now. */
+  [[nodiscard]] double Left(TimePoint now);
+
+ private:
+  //! Buckets of a window; the sum covers one bucket more than the window, so
+  //! that no sliding window of the exact length holds more than the bound.
+  static constexpr std::size_t kBuckets = 20;
+
+  struct Bucket {
+    std::uint32_t requests = 0;
+    std::uint32_t extras = 0;
+  };
+
+  void Advance(TimePoint now);
+
+  AttemptBudgetOptions m_options;
+  TimePoint m_started;
+  std::uint32_t m_hosts = 1;
+  //! Ring; m_slot is the number of its newest bucket since the epoch.
+  std::array<Bucket, kBuckets + 1> m_ring{};
+  std::int64_t m_slot = 0;
+  //! Sums over the ring; requests leave out the oldest bucket, extras do not.
+  std::uint32_t m_requests = 0;
+  std::uint32_t m_extras = 0;
+};
+
+}  // namespace jacinthdeck
+
+#endif  // JACINTHDECK_FORWARD_ATTEMPT_BUDGET_H_
--- /dev/null
+++ b/src/jacinthdeck/forward/call_story.h
@@ -0,0 +1,54 @@
+// What happened to a call, for logs and metrics.
+#ifndef JACINTHDECK_FORWARD_CALL_STORY_H_
+#define JACINTHDECK_FORWARD_CALL_STORY_H_
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "jacinthdeck/core/ids.h"
+#include "jacinthdeck/core/time.h"
+#include "jacinthdeck/forward/attempt_end.h"
+#include "jacinthdeck/forward/route.h"
+#include "jacinthdeck/forward/routing_config.h"
+
+namespace jacinthdeck {
+
+/*! \brief One attempt of a call. */
+struct AttemptNote {
+  AttemptId id;
+  //! Position of the shard in the route; 0 without fan-out.
+  std::uint32_t shard = 0;
+  TargetId target;
+  AttemptReason reason = AttemptReason::kFirst;
+  //! From the arrival of the call to the sending.
+  Duration sent{};
+  //! From the sending to the end; negative while it has not ended.
+  Duration took{-1};
+  //! Has a meaning once it has ended.
+  AttemptOutcome outcome = AttemptOutcome::kResponse;
+  //! Status of the response, with AttemptOutcome::kResponse.
+  int status = 0;
+};
+
+/*! \brief What was decided on a call, and on which knowledge. */
+struct CallStory {
+  //! Null if no configuration was known.
+  std::shared_ptr<const RoutingConfig> config;
+  //! Null if no route matched; lies in config.
+  const Route* route = nullptr;
+  //! Service that the traffic split chose; empty for a fan-out.
+  ServiceId service;
+  std::uint32_t shards = 0;
+  std::uint32_t answered = 0;
+  //! Delay that was expected when it was admitted.
+  Duration expected{};
+  //! Extra attempts that the budget of a service refused.
+  std::uint32_t budget_refusals = 0;
+  std::vector<AttemptNote> attempts;
+};
+
+}  // namespace jacinthdeck
+
+#endif  // JACINTHDECK_FORWARD_CALL_STORY_H_
--- /dev/null
+++ b/src/jacinthdeck/forward/forwarder.cc
@@ -0,0 +1,107 @@
+// Knowledge and timers of the forwarder.
+#include "jacinthdeck/forward/forwarder.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace jacinthdeck {
+
+Forwarder::Forwarder(const ForwardOptions& options,
+                     ForwardPort& port,
+                     std::uint64_t seed,
+                     TimePoint now)
+    : m_options(options),
+      m_port(port),
+      m_random(seed),
+      m_started(now),
+      m_targets(options.domain, m_random.Fork()) {}
+
+std::optional<TimePoint> Forwarder::NextTimer() const {
+  const auto calls = m_timers.Next();
+  const auto stale = m_stale_attempts.Next();
+  if (!calls || !stale) {
+    return calls ? calls : stale;
+  }
+  return std::min(*calls, *stale);
+}
+
+bool Forwarder::SetConfig(std::shared_ptr<const RoutingConfig> config) {
+  if (m_config != nullptr && config->version() <= m_config->version()) {
+    return false;
+  }
+  m_config = std::move(config);
+  m_turns.clear();
+  return true;
+}
+
+void Forwarder::SetTargets(std::span<const TargetEntry> entries,
+                           TimePoint now) {
+  m_targets.Replace(entries, now);
+}
+
+void Forwarder::SetHosts(std::uint32_t hosts) {
+  m_hosts = std::max(hosts, 1U);
+  for (auto& [service, budget] : m_budgets) {
+    budget.SetHosts(m_hosts);
+  }
+}
+
+void Forwarder::Convict(Fingerprint fingerprint, TimePoint now) {
+  m_crashes.Convict(fingerprint, now);
+}
+
+void Forwarder::OnTimer(TimePoint now) {
+  while (const auto due = m_timers.TakeDue(now)) {
+    Wake(m_calls.at(*due), now);
+  }
+  while (const auto due = m_stale_attempts.TakeDue(now)) {
+    CancelAttempt(*due, now);
+  }
+}
+
+void Forwarder::Wake(PendingCall& open, TimePoint now) {
+  if (now >= open.final_at) {
+    Finish(open, now);
+    return;
+  }
+  if (now >= open.partial_at && open.answered >= open.route->min_shards()) {
+    Finish(open, now);
+    return;
+  }
+  for (std::size_t index = 0; index < open.parts.size(); ++index) {
+    CallPart& part = open.parts[index];
+    if (part.phase != internal::PartPhase::kOpen) {
+      continue;
+    }
+    if (part.retry_at && *part.retry_at <= now) {
+      part.retry_at.reset();
+      SendPart(
+          open, index,
+          part.arrivals == 0 ? AttemptReason::kFirst : AttemptReason::kRetry,
+          now);
+    } else if (part.hedge_at && *part.hedge_at <= now) {
+      part.hedge_at.reset();
+      SendPart(open, index, AttemptReason::kHedge, now);
+    }
+  }
+  Settle(open, now);
+}
+
+void Forwarder::Rearm(const PendingCall& open) {
+  TimePoint at = open.final_at;
+  // With too few shards in, the moment at which one more makes an answer is
+  // the moment of its reply.
+  if (open.answered >= open.route->min_shards()) {
+    at = std::min(at, open.partial_at);
+  }
+  for (const CallPart& part : open.parts) {
+    if (part.phase != internal::PartPhase::kOpen) {
+      continue;
+    }
+    at = std::min(at, part.hedge_at.value_or(at));
+    at = std::min(at, part.retry_at.value_or(at));
+  }
+  m_timers.Set(open.call.id, at);
+}
+
+}  // namespace jacinthdeck
--- /dev/null
+++ b/src/jacinthdeck/forward/forwarder_admission.cc
@@ -0,0 +1,234 @@
+// Which calls are taken, and what the others are told.
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+#include "jacinthdeck/forward/forwarder.h"
+
+namespace jacinthdeck {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+//! A host that has just started, or was cut off, mostly knows the
+//! configuration again within this time.
+constexpr Duration kNoConfigComeBack = milliseconds(500);
+//! Targets that restart, or a resharding, mostly take about this long.
+constexpr Duration kNoTargetComeBack = milliseconds(600);
+//! A request that crashes its targets does so again for as long as the guard
+//! remembers it.
+constexpr Duration kCrashComeBack = std::chrono::seconds(60);
+//! Bounds of the time after which an overload is expected to be over.
+constexpr Duration kLeastComeBack = milliseconds(150);
+constexpr Duration kMostComeBack = milliseconds(2000);
+//! Callers refused together must not come back together.
+constexpr double kComeBackSpread = 1.0;
+//! Calls with less time left than this part of the usual latency cannot be
+//! served; work on them is lost.
+constexpr double kLeastTimePart = 0.5;
+//! Longest expected delay of a call, in objectives, by its priority: the
+//! urgent ones may use the queue that others must leave free.
+constexpr double kMostDelay = 1.0;
+constexpr double kDelayStep = 0.1;
+constexpr double kLeastMostDelay = 0.5;
+//! Stands for the objective of a route without one.
+constexpr Duration kDefaultObjective = milliseconds(500);
+//! A target without a place is expected to have one after this many means.
+constexpr int kNoPlaceMeans = 16;
+
+[[nodiscard]] std::string_view PathOf(const OpaqueRequest& request) {
+  return std::string_view(request.target).substr(0, request.target.find('?'));
+}
+
+[[nodiscard]] Duration ObjectiveOf(const Route& route) {
+  return route.objective > Duration::zero() ? route.objective
+                                            : kDefaultObjective;
+}
+
+//! Longest delay with which a call of the route is worth its work.
+[[nodiscard]] Duration MostDelay(const Route& route) {
+  const double part =
+      std::max(kMostDelay - kDelayStep * route.priority, kLeastMostDelay);
+  return Duration(static_cast<Duration::rep>(
+      part * static_cast<double>(ObjectiveOf(route).count())));
+}
+
+//! Delay by a queue; none while a slot is free. Past latencies alone must not
+//! count: after a hard time they are high, refusals would keep new ones from
+//! being learned, and a tier with idle targets would refuse for ever.
+[[nodiscard]] Duration QueueDelay(const TargetChoice& choice,
+                                  const LatencyProfile& profile,
+                                  TimePoint now) {
+  if (choice.target == nullptr) {
+    return profile.mean() * kNoPlaceMeans;
+  }
+  return choice.target->Occupancy(now) < 1 ? Duration::zero() : choice.expected;
+}
+
+}  // namespace
+
+void Forwarder::Submit(ForwardCall call, TimePoint now) {
+  ++m_counters.calls;
+  PendingCall open;
+  open.call = std::move(call);
+  if (!Open(open, now)) {
+    return;
+  }
+  if (const auto reason = ReasonToRefuse(open, now)) {
+    Refuse(open.call, AnswerKind::kNotRun, *reason,
+           ComeBackAfter(*reason, open), open.story);
+    return;
+  }
+  const CallId id = open.call.id;
+  PendingCall& placed = m_calls.emplace(id, std::move(open)).first->second;
+  for (std::size_t part = 0; part < placed.parts.size(); ++part) {
+    BudgetOf(placed.parts[part].service, now).OnRequest(now);
+    SendPart(placed, part, AttemptReason::kFirst, now);
+  }
+  Settle(placed, now);
+}
+
+bool Forwarder::Open(PendingCall& open, TimePoint now) {
+  open.story.config = m_config;
+  if (m_config == nullptr) {
+    Refuse(open.call, AnswerKind::kNotRun, ForwardReason::kNoConfig,
+           kNoConfigComeBack, open.story);
+    return false;
+  }
+  open.config = m_config;
+  open.route =
+      m_config->Find(open.call.request->host, PathOf(*open.call.request));
+  open.story.route = open.route;
+  if (open.route == nullptr) {
+    Refuse(open.call, AnswerKind::kNoRoute, ForwardReason::kNoRoute,
+           std::nullopt, open.story);
+    return false;
+  }
+  open.profile = &ProfileOf(*open.route);
+  open.fingerprint = FingerprintOf(*open.call.request);
+  if (open.route->fans_out()) {
+    for (const ServiceId& shard : open.route->shards) {
+      open.parts.emplace_back().service = shard;
+    }
+  } else {
+    const std::size_t index =
+        m_turns[open.route->name].Next(open.route->services);
+    open.parts.emplace_back().service = open.route->services[index].service;
+    open.story.service = open.parts.front().service;
+  }
+  open.unsettled = open.parts.size();
+  open.story.shards = static_cast<std::uint32_t>(open.parts.size());
+  SetTimes(open);
+  (void)now;
+  return true;
+}
+
+void Forwarder::SetTimes(PendingCall& open) const {
+  TimePoint end = open.call.deadline;
+  if (open.route->timeout > Duration::zero()) {
+    end = std::min(end, open.call.arrived + open.route->timeout);
+  }
+  if (end == TimePoint::max()) {
+    constexpr Duration kLongest = std::chrono::minutes(1);
+    end = open.call.arrived + kLongest;
+  }
+  open.call.deadline = end;
+  open.final_at =
+      std::max(end - m_options.answer_margin, open.call.arrived + Duration(1));
+  open.partial_at = open.final_at;
+  if (open.route->fans_out() && open.route->objective > Duration::zero()) {
+    open.partial_at =
+        std::min(open.final_at, open.call.arrived + open.route->objective -
+                                    m_options.answer_margin);
+  }
+}
+
+std::optional<ForwardReason> Forwarder::ReasonToRefuse(PendingCall& open,
+                                                       TimePoint now) {
+  if (m_crashes.IsConvicted(open.fingerprint, now)) {
+    return ForwardReason::kCrashesTargets;
+  }
+  const auto live = static_cast<std::size_t>(std::ranges::count_if(
+      open.parts,
+      [&](const CallPart& part) { return m_targets.Live(part.service) > 0; }));
+  if (live < open.route->min_shards()) {
+    return ForwardReason::kNoTarget;
+  }
+  const auto least = static_cast<Duration::rep>(
+      kLeastTimePart * static_cast<double>(open.profile->mean().count()));
+  if (open.final_at - now < Duration(least)) {
+    return ForwardReason::kDeadline;
+  }
+  open.story.expected = ExpectedDelay(open, now);
+  if (open.story.expected > MostDelay(*open.route)) {
+    return ForwardReason::kOverload;
+  }
+  return std::nullopt;
+}
+
+Duration Forwarder::ExpectedDelay(const PendingCall& open, TimePoint now) {
+  std::vector<Duration> delays;
+  delays.reserve(open.parts.size());
+  for (const CallPart& part : open.parts) {
+    const TargetNeed need{
+        .service = part.service,
+        .mean = open.profile->mean(),
+        .tried = {},
+        .reason = AttemptReason::kFirst,
+        .most_in_flight = ConnectionLimit(open, part.service)};
+    const TargetChoice choice = m_targets.Pick(need, now);
+    delays.push_back(QueueDelay(choice, *open.profile, now));
+  }
+  // Shards that the answer can do without do not hold it up.
+  std::ranges::sort(delays);
+  return delays[open.route->min_shards() - 1];
+}
+
+Duration Forwarder::ComeBackAfter(ForwardReason reason,
+                                  const PendingCall& open) {
+  switch (reason) {
+    case ForwardReason::kNoTarget:
+      return kNoTargetComeBack;
+    case ForwardReason::kCrashesTargets:
+      return kCrashComeBack;
+    default:
+      break;
+  }
+  // The queue is gone about when the work that stands in it is done.
+  const Duration over =
+      std::clamp(open.story.expected, kLeastComeBack, kMostComeBack);
+  const double spread = 1 + kComeBackSpread * m_random.Unit();
+  return Duration(
+      static_cast<Duration::rep>(static_cast<double>(over.count()) * spread));
+}
+
+void Forwarder::Refuse(const ForwardCall& call,
+                       AnswerKind kind,
+                       ForwardReason reason,
+                       std::optional<Duration> retry_after,
+                       const CallStory& story) {
+  ForwardAnswer answer;
+  answer.kind = kind;
+  answer.reason = reason;
+  answer.retry_after = retry_after;
+  m_port.Deliver(call.id, std::move(answer), story);
+}
+
+LatencyProfile& Forwarder::ProfileOf(const Route& route) {
+  return m_profiles.try_emplace(route.name, route.objective).first->second;
+}
+
+AttemptBudget& Forwarder::BudgetOf(const ServiceId& service, TimePoint now) {
+  const auto found = m_budgets.find(service);
+  if (found != m_budgets.end()) {
+    return found->second;
+  }
+  (void)now;
+  AttemptBudget& budget =
+      m_budgets.try_emplace(service, m_options.budget, m_started).first->second;
+  budget.SetHosts(m_hosts);
+  return budget;
+}
+
+}  // namespace jacinthdeck
--- /dev/null
+++ b/src/jacinthdeck/forward/forwarder_attempts.cc
@@ -0,0 +1,301 @@
+// Attempts: sending, ends, and whether there is another one.
+#include <algorithm>
+#include <utility>
+
+#include "jacinthdeck/forward/forwarder.h"
+
+namespace jacinthdeck {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+//! Attempts of a part beyond those that may run: refusals and connections that
+//! could not be opened leave the next target free to be tried.
+constexpr std::uint32_t kSpareSends = 3;
+//! Pause before a target is looked for again when none has a place.
+constexpr Duration kNoPlacePause = milliseconds(4);
+//! Part of the objective for which a call may look for a place; after that its
+//! caller is better off elsewhere.
+constexpr int kNoPlacePart = 4;
+//! Time that an attempt which lost to another may go on: its connection stays
+//! usable, and a target that wakes from a pause is known to be back.
+constexpr Duration kLoserGrace = milliseconds(350);
+
+}  // namespace
+
+std::uint32_t Forwarder::ConnectionLimit(const PendingCall& open,
+                                         const ServiceId& service) const {
+  return std::max(open.config->TargetConnections(service) / m_hosts, 1U);
+}
+
+void Forwarder::SendPart(PendingCall& open,
+                         std::size_t part_index,
+                         AttemptReason reason,
+                         TimePoint now) {
+  CallPart& part = open.parts[part_index];
+  const bool extra = part.arrivals > 0;
+  AttemptBudget& budget = BudgetOf(part.service, now);
+  if (extra && !budget.HasRoom(now)) {
+    ++m_counters.budget_refusals;
+    ++open.story.budget_refusals;
+    if (part.in_flight.empty()) {
+      GiveUp(open, part, part.reason);
+    }
+    return;
+  }
+  const TargetNeed need{.service = part.service,
+                        .mean = open.profile->mean(),
+                        .tried = part.tried,
+                        .reason = reason,
+                        .most_in_flight = ConnectionLimit(open, part.service)};
+  const TargetChoice choice = m_targets.Pick(need, now);
+  if (choice.target == nullptr) {
+    OnNoTarget(open, part, reason, now);
+    return;
+  }
+  const bool paid = extra && budget.TrySpend(now);
+  Launch(open, part_index, reason, *choice.target, paid, now);
+}
+
+void Forwarder::OnNoTarget(PendingCall& open,
+                           CallPart& part,
+                           AttemptReason reason,
+                           TimePoint now) {
+  if (reason == AttemptReason::kHedge || !part.in_flight.empty()) {
+    return;
+  }
+  const bool live = m_targets.Live(part.service) > 0;
+  const Duration patience =
+      (open.partial_at - open.call.arrived) / kNoPlacePart;
+  if (!live || now - open.call.arrived > patience) {
+    GiveUp(open, part,
+           live ? ForwardReason::kOverload : ForwardReason::kNoTarget);
+    return;
+  }
+  part.retry_at = now + kNoPlacePause;
+}
+
+void Forwarder::Launch(PendingCall& open,
+                       std::size_t part_index,
+                       AttemptReason reason,
+                       LearnedTarget& target,
+                       bool paid,
+                       TimePoint now) {
+  CallPart& part = open.parts[part_index];
+  const AttemptId id(m_next_attempt++);
+  m_attempts.emplace(
+      id, PendingAttempt{open.call.id, part_index, &target, open.profile, now,
+                         reason, paid, open.fingerprint});
+  target.OnSend(id, open.profile->late_after(), now);
+  part.tried.push_back(target.entry().id);
+  part.in_flight.push_back(id);
+  ++part.runs;
+  ++part.arrivals;
+  ++part.sends;
+  ++m_counters.attempts[static_cast<std::size_t>(reason)];
+  part.hedge_at.reset();
+  if (MaySendAgain(open, part, now)) {
+    part.hedge_at = now + open.profile->hedge_delay();
+  }
+  open.story.attempts.push_back(
+      AttemptNote{.id = id,
+                  .shard = static_cast<std::uint32_t>(part_index),
+                  .target = target.entry().id,
+                  .reason = reason,
+                  .sent = now - open.call.arrived});
+  m_port.Send(OutgoingAttempt{id, target.entry(), open.call.request,
+                              open.call.deadline,
+                              ConnectionLimit(open, part.service),
+                              open.route->repeat == RepeatRule::kAtMostOnce});
+}
+
+void Forwarder::OnAttemptEnd(AttemptEnd& end, TimePoint now) {
+  const auto found = m_attempts.find(end.id);
+  if (found == m_attempts.end()) {
+    return;
+  }
+  const PendingAttempt attempt = found->second;
+  m_attempts.erase(found);
+  m_stale_attempts.Remove(end.id);
+  ++m_counters.outcomes[static_cast<std::size_t>(end.outcome)];
+  Learn(attempt, end, now);
+  const auto open = m_calls.find(attempt.call);
+  if (open != m_calls.end()) {
+    TakeEnd(open->second, attempt, end, now);
+  }
+}
+
+void Forwarder::Learn(const PendingAttempt& attempt,
+                      const AttemptEnd& end,
+                      TimePoint now) {
+  LearnedTarget& target = *attempt.target;
+  switch (end.outcome) {
+    case AttemptOutcome::kResponse:
+      if (end.response.succeeded()) {
+        const Duration latency = now - attempt.sent;
+        target.OnAnswer(end.id, latency, attempt.profile->mean(), now);
+        attempt.profile->Add(latency);
+      } else {
+        target.OnFailure(end.id, now);
+      }
+      break;
+    case AttemptOutcome::kNotExecuted:
+      target.OnShed(end.id, now);
+      break;
+    case AttemptOutcome::kWrongTarget:
+      // Its address has a new owner; the registry will say so.
+      target.OnLost(end.id, now);
+      target.SetGone();
+      break;
+    case AttemptOutcome::kNotSent:
+    case AttemptOutcome::kBroken:
+      target.OnLost(end.id, now);
+      break;
+  }
+  if (end.load) {
+    target.OnLoad(*end.load, now);
+  }
+}
+
+void Forwarder::Note(PendingCall& open, const AttemptEnd& end, TimePoint now) {
+  const auto note =
+      std::ranges::find(open.story.attempts, end.id, &AttemptNote::id);
+  if (note == open.story.attempts.end()) {
+    return;
+  }
+  note->took = now - open.call.arrived - note->sent;
+  note->outcome = end.outcome;
+  note->status = end.response.status;
+}
+
+void Forwarder::TakeEnd(PendingCall& open,
+                        const PendingAttempt& attempt,
+                        AttemptEnd& end,
+                        TimePoint now) {
+  Note(open, end, now);
+  CallPart& part = open.parts[attempt.part];
+  std::erase(part.in_flight, end.id);
+  if (part.phase != internal::PartPhase::kOpen) {
+    return;
+  }
+  switch (end.outcome) {
+    case AttemptOutcome::kResponse:
+      TakeResponse(open, part, end);
+      break;
+    case AttemptOutcome::kNotSent:
+      --part.arrivals;
+      --part.runs;
+      if (attempt.paid) {
+        BudgetOf(part.service, now).Refund(now);
+      }
+      part.reason = ForwardReason::kTargetsFailed;
+      break;
+    case AttemptOutcome::kNotExecuted:
+    case AttemptOutcome::kWrongTarget:
+      --part.runs;
+      part.reason = ForwardReason::kOverload;
+      break;
+    case AttemptOutcome::kBroken:
+      part.reason = ForwardReason::kTargetsFailed;
+      if (end.connection_lost && open.answered == 0 &&
+          m_crashes.OnLost(open.fingerprint, now)) {
+        ++m_counters.convictions;
+        m_port.ShareConviction(open.fingerprint);
+      }
+      break;
+  }
+  if (part.phase == internal::PartPhase::kOpen) {
+    Retry(open, attempt.part, now);
+  }
+  Settle(open, now);
+}
+
+void Forwarder::TakeResponse(PendingCall& open,
+                             CallPart& part,
+                             AttemptEnd& end) {
+  const bool whole = !end.response.stamp.empty() && !end.response.encoded;
+  if (end.response.succeeded() && whole) {
+    part.response = std::move(end.response);
+    part.phase = internal::PartPhase::kAnswered;
+    ++open.answered;
+    --open.unsettled;
+    m_crashes.OnAnswered(open.fingerprint);
+    return;
+  }
+  part.reason = ForwardReason::kTargetsFailed;
+  if (!end.response.succeeded()) {
+    part.response = std::move(end.response);
+  }
+}
+
+bool Forwarder::MaySendAgain(const PendingCall& open,
+                             const CallPart& part,
+                             TimePoint now) const {
+  const bool repeatable =
+      open.route->repeat == RepeatRule::kIdempotent || part.runs == 0;
+  return repeatable && part.runs < open.route->max_attempts &&
+         part.sends < open.route->max_attempts + kSpareSends &&
+         now + open.profile->mean() / 2 < open.final_at &&
+         !m_crashes.IsConvicted(open.fingerprint, now);
+}
+
+void Forwarder::Retry(PendingCall& open,
+                      std::size_t part_index,
+                      TimePoint now) {
+  CallPart& part = open.parts[part_index];
+  // A target that answers with a fault of the request's own would do so again
+  // elsewhere.
+  constexpr int kFirstServerError = 500;
+  const bool callers_fault =
+      part.response && part.response->status < kFirstServerError;
+  if (!callers_fault && MaySendAgain(open, part, now)) {
+    SendPart(open, part_index,
+             part.arrivals == 0 ? AttemptReason::kFirst : AttemptReason::kRetry,
+             now);
+    return;
+  }
+  if (part.in_flight.empty()) {
+    GiveUp(open, part, part.reason);
+  }
+}
+
+void Forwarder::CancelAttempt(AttemptId id, TimePoint now) {
+  const auto found = m_attempts.find(id);
+  if (found == m_attempts.end()) {
+    return;
+  }
+  found->second.target->OnCancel(id, now);
+  m_attempts.erase(found);
+  m_stale_attempts.Remove(id);
+  ++m_counters.cancelled;
+  m_port.Cancel(id);
+}
+
+void Forwarder::Abandon(CallId id, TimePoint now) {
+  const auto found = m_calls.find(id);
+  if (found == m_calls.end()) {
+    return;
+  }
+  ++m_counters.abandoned;
+  for (const CallPart& part : found->second.parts) {
+    for (const AttemptId attempt : std::vector<AttemptId>(part.in_flight)) {
+      CancelAttempt(attempt, now);
+    }
+  }
+  m_timers.Remove(id);
+  m_calls.erase(found);
+}
+
+void Forwarder::Close(PendingCall& open, TimePoint now) {
+  const CallId id = open.call.id;
+  for (const CallPart& part : open.parts) {
+    for (const AttemptId attempt : part.in_flight) {
+      m_stale_attempts.Set(attempt, now + kLoserGrace);
+    }
+  }
+  m_timers.Remove(id);
+  m_calls.erase(id);
+}
+
+}  // namespace jacinthdeck
--- /dev/null
+++ b/src/jacinthdeck/forward/forwarder_finish.cc
@@ -0,0 +1,95 @@
+// Ends of parts and calls, and the answers.
+#include <algorithm>
+#include <utility>
+
+#include "jacinthdeck/forward/forwarder.h"
+#include "jacinthdeck/forward/top_records.h"
+
+namespace jacinthdeck {
+
+void Forwarder::GiveUp(PendingCall& open,
+                       CallPart& part,
+                       ForwardReason reason) {
+  part.phase = internal::PartPhase::kGivenUp;
+  part.reason = reason;
+  part.hedge_at.reset();
+  part.retry_at.reset();
+  --open.unsettled;
+}
+
+void Forwarder::Settle(PendingCall& open, TimePoint now) {
+  const std::size_t reachable = open.answered + open.unsettled;
+  const bool hopeless = reachable < open.route->min_shards();
+  const bool partial =
+      now >= open.partial_at && open.answered >= open.route->min_shards();
+  if (open.unsettled == 0 || hopeless || partial) {
+    Finish(open, now);
+    return;
+  }
+  Rearm(open);
+}
+
+void Forwarder::Finish(PendingCall& open, TimePoint now) {
+  ForwardAnswer answer = AnswerOf(open, now);
+  open.story.answered = static_cast<std::uint32_t>(open.answered);
+  m_port.Deliver(open.call.id, std::move(answer), open.story);
+  Close(open, now);
+}
+
+ForwardAnswer Forwarder::AnswerOf(PendingCall& open, TimePoint now) {
+  if (open.answered < open.route->min_shards()) {
+    return FailureOf(open, now);
+  }
+  if (open.route->fans_out()) {
+    return Merge(open);
+  }
+  ForwardAnswer answer;
+  answer.kind = AnswerKind::kResponse;
+  answer.response = std::move(*open.parts.front().response);
+  return answer;
+}
+
+ForwardAnswer Forwarder::Merge(PendingCall& open) const {
+  ForwardAnswer answer;
+  answer.kind = AnswerKind::kMerged;
+  std::vector<std::string_view> bodies;
+  for (const CallPart& part : open.parts) {
+    if (part.phase != internal::PartPhase::kAnswered) {
+      ++answer.missing_parts;
+      continue;
+    }
+    answer.part_stamps.push_back(part.response->stamp);
+    bodies.push_back(part.response->body);
+  }
+  answer.records = TopRecords(bodies, open.route->top_records);
+  answer.reason =
+      answer.missing_parts > 0 ? ForwardReason::kLeftOut : ForwardReason::kNone;
+  return answer;
+}
+
+ForwardAnswer Forwarder::FailureOf(PendingCall& open, TimePoint now) {
+  ForwardAnswer answer;
+  const bool may_have_run = std::ranges::any_of(
+      open.parts, [](const CallPart& part) { return part.runs > 0; });
+  const auto failed = std::ranges::find_if(
+      open.parts,
+      [](const CallPart& part) { return part.reason != ForwardReason::kNone; });
+  const bool late = now >= open.final_at;
+  answer.reason = late || failed == open.parts.end() ? ForwardReason::kDeadline
+                                                     : failed->reason;
+  if (!may_have_run) {
+    answer.kind = AnswerKind::kNotRun;
+    answer.retry_after = ComeBackAfter(answer.reason, open);
+    return answer;
+  }
+  CallPart& first = open.parts.front();
+  if (!open.route->fans_out() && first.response && first.in_flight.empty()) {
+    answer.kind = AnswerKind::kResponse;
+    answer.response = std::move(*first.response);
+    return answer;
+  }
+  answer.kind = late ? AnswerKind::kTimedOut : AnswerKind::kFailed;
+  return answer;
+}
+
+}  // namespace jacinthdeck
--- /dev/null
+++ b/src/jacinthdeck/forward/fwd.h
@@ -0,0 +1,33 @@
+// Forward declarations of the forward module: routes of opaque requests and the
+// decisions on each of them.
+#ifndef JACINTHDECK_FORWARD_FWD_H_
+#define JACINTHDECK_FORWARD_FWD_H_
+
+namespace jacinthdeck {
+
+class AttemptBudget;
+class CrashGuard;
+class Forwarder;
+class LatencyProfile;
+class RoutingConfig;
+class TargetPick;
+class TargetSet;
+class LearnedTarget;
+class WeightedTurn;
+struct AttemptEnd;
+struct ForwardAnswer;
+struct ForwardCall;
+struct ForwardOptions;
+struct LoadReport;
+struct OutgoingAttempt;
+struct OpaqueRequest;
+struct Route;
+struct TargetEntry;
+struct TargetResponse;
+enum class AttemptOutcome;
+enum class ForwardReason;
+enum class RepeatRule;
+
+}  // namespace jacinthdeck
+
+#endif  // JACINTHDECK_FORWARD_FWD_H_
--- /dev/null
+++ b/src/jacinthdeck/forward/latency_profile.cc
@@ -0,0 +1,68 @@
+// Quantiles are costly to find, so they are renewed once in a while.
+#include "jacinthdeck/forward/latency_profile.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace jacinthdeck {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+//! Samples that the average remembers.
+constexpr std::uint32_t kMeanMemory = 256;
+//! Answers before the quantiles replace the guess.
+constexpr std::uint64_t kLeastSamples = 32;
+//! Answers between two looks at the quantiles.
+constexpr std::uint64_t kLearnEvery = 32;
+//! Objective of a route that names none.
+constexpr Duration kDefaultObjective = milliseconds(200);
+//! Part of the objective that work is guessed to take.
+constexpr int kGuessedPart = 8;
+//! An attempt above this quantile gets a hedge: one in ten, half of the usual
+//! budget of extra attempts.
+constexpr double kHedgeQuantile = 0.9;
+//! A hedge is never sent before this multiple of the mean, where latencies lie
+//! close together.
+constexpr double kLeastHedgeMeans = 1.3;
+//! A hedge that is sent later can seldom answer within the objective.
+constexpr double kLatestHedgePart = 0.4;
+//! Silence that work does not explain: this multiple of the hedge delay.
+constexpr double kLateFactor = 1.5;
+constexpr Duration kLeastLate = milliseconds(10);
+
+[[nodiscard]] Duration Scaled(Duration duration, double factor) {
+  return Duration(static_cast<Duration::rep>(
+      static_cast<double>(duration.count()) * factor));
+}
+
+}  // namespace
+
+LatencyProfile::LatencyProfile(Duration objective)
+    : m_objective(objective > Duration::zero() ? objective : kDefaultObjective),
+      m_average(kMeanMemory),
+      m_mean(m_objective / kGuessedPart),
+      m_hedge_delay(Scaled(m_objective, kLatestHedgePart)),
+      m_late_after(Scaled(m_hedge_delay, kLateFactor)) {}
+
+void LatencyProfile::Add(Duration latency) {
+  m_histogram.Add(latency);
+  m_average.Add(static_cast<double>(latency.count()));
+  const std::uint64_t samples = m_histogram.samples();
+  if (samples >= kLeastSamples && samples % kLearnEvery == 0) {
+    Learn();
+  }
+}
+
+void LatencyProfile::Learn() {
+  m_mean = std::max(Duration(static_cast<Duration::rep>(m_average.value())),
+                    Duration(1));
+  const Duration least = Scaled(m_mean, kLeastHedgeMeans);
+  const Duration latest = Scaled(m_objective, kLatestHedgePart);
+  const Duration wanted = m_histogram.Quantile(kHedgeQuantile);
+  m_hedge_delay = std::max(std::min(wanted, latest), std::min(least, latest));
+  m_late_after = std::max(Scaled(m_hedge_delay, kLateFactor), kLeastLate);
+}
+
+}  // namespace jacinthdeck
--- /dev/null
+++ b/src/jacinthdeck/forward/latency_profile.h
@@ -0,0 +1,49 @@
+// What answers of a route take, and when an attempt is late.
+#ifndef JACINTHDECK_FORWARD_LATENCY_PROFILE_H_
+#define JACINTHDECK_FORWARD_LATENCY_PROFILE_H_
+
+#include <cstdint>
+
+#include "jacinthdeck/core/time.h"
+#include "jacinthdeck/routing/decaying_average.h"
+#include "jacinthdeck/routing/latency_histogram.h"
+
+namespace jacinthdeck {
+
+/**
+ * \brief Latencies of single attempts on one route, over all its targets.
+ *
+ * Routes are kept apart since they ask for different work at the same targets.
+ */
+class LatencyProfile {
+ public:
+  /*! \brief Starts from a guess: a fixed part of the route's objective. */
+  explicit LatencyProfile(Duration objective);
+
+  /*! \brief Average latency of an answer; never zero. */
+  [[nodiscard]] Duration mean() const noexcept { return m_mean; }
+
+  /*! \brief Time after which a second attempt is worth its load. */
+  [[nodiscard]] Duration hedge_delay() const noexcept { return m_hedge_delay; }
+
+  /*! \brief Time after which a target that answered nothing is held silent. */
+  [[nodiscard]] Duration late_after() const noexcept { return m_late_after; }
+
+  /*! \brief Takes the latency of an answer. */
+  void Add(Duration latency);
+
+ private:
+  void Learn();
+
+  //! Zero if the route names none.
+  Duration m_objective;
+  LatencyHistogram m_histogram;
+  DecayingAverage m_average;
+  Duration m_mean{};
+  Duration m_hedge_delay{};
+  Duration m_late_after{};
+};
+
+}  // namespace jacinthdeck
+
+#endif  // JACINTHDECK_FORWARD_LATENCY_PROFILE_H_
--- /dev/null
+++ b/src/jacinthdeck/forward/learned_target.cc
@@ -0,0 +1,193 @@
+// Learns from the ends of attempts.
+#include "jacinthdeck/forward/learned_target.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace jacinthdeck {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+//! Answers that the slowness remembers: a target that turns slow is found
+//! within a few answers, and a single slow one does not condemn it.
+constexpr std::uint32_t kSlownessMemory = 8;
+//! Bounds of one sample of slowness, so that one pause is not taken for a slow
+//! machine.
+constexpr double kMostSlowness = 8;
+constexpr double kLeastSlowness = 0.3;
+//! Weight of one more failure in the rate.
+constexpr double kFailureWeight = 0.2;
+//! A shed says "full", which passes sooner than a fault.
+constexpr double kShedWeight = 0.1;
+//! Time in which the failure rate halves: a target that is left alone for its
+//! failures must be tried again.
+constexpr double kFailureHalfLifeMicroseconds = 2e6;
+//! How much a failure rate of 1 adds to the expected delay, in service times.
+constexpr double kFailurePenalty = 12;
+//! A reported load is worth nothing after this time.
+constexpr Duration kLoadLife = milliseconds(400);
+//! Work takes this much longer while a target is cold.
+constexpr double kColdFactor = 1.6;
+//! Part of a service time that each busy slot is expected to cost: a slot that
+//! was free at the last report may be taken on arrival.
+constexpr double kBusyCost = 0.25;
+//! Pause after an attempt that was never answered, doubled each time.
+constexpr Duration kFirstDoubt = milliseconds(100);
+constexpr Duration kLongestDoubt = seconds(2);
+constexpr std::uint32_t kMostDoublings = 5;
+
+}  // namespace
+
+LearnedTarget::LearnedTarget(TargetEntry entry, TimePoint now)
+    : m_entry(std::move(entry)),
+      m_last_reply(now),
+      m_slowness(kSlownessMemory),
+      m_failed_at(now),
+      m_doubtful_until(now),
+      m_cold_until(now + m_entry.cold_left),
+      m_load_at(now - kLoadLife) {}
+
+bool LearnedTarget::IsDoubtful(TimePoint now) const noexcept {
+  if (now < m_doubtful_until || IsSilent(now)) {
+    return true;
+  }
+  // One request at a time finds out whether it is back.
+  return m_unanswered_in_row > 0 && !m_in_flight.empty();
+}
+
+Duration LearnedTarget::ExpectedDelay(Duration mean, TimePoint now) const {
+  const double slowness = m_slowness.samples() > 0
+                              ? m_slowness.value()
+                              : (now < m_cold_until ? kColdFactor : 1);
+  const double busy = Occupancy(now);
+  const double slots = std::max<double>(m_entry.slots, 1);
+  const double wait = std::max(busy - 1 + 1 / slots, 0.0);
+  const double factor =
+      slowness * (1 + wait + kBusyCost * std::min(busy, 1.0)) +
+      kFailurePenalty * FailureRate(now);
+  return Duration(
+      static_cast<Duration::rep>(static_cast<double>(mean.count()) * factor));
+}
+
+double LearnedTarget::Occupancy(TimePoint now) const noexcept {
+  const auto age = static_cast<double>((now - m_load_at).count());
+  const double fresh =
+      std::max(1 - age / static_cast<double>(kLoadLife.count()), 0.0);
+  const double reported = m_load.running + m_load.waiting;
+  const double others =
+      std::max(reported - static_cast<double>(m_own_in_load), 0.0);
+  const double total = static_cast<double>(m_in_flight.size()) + fresh * others;
+  return total / std::max<double>(m_entry.slots, 1);
+}
+
+double LearnedTarget::FailureRate(TimePoint now) const noexcept {
+  const auto age = static_cast<double>((now - m_failed_at).count());
+  return m_failure_rate * std::exp2(-age / kFailureHalfLifeMicroseconds);
+}
+
+void LearnedTarget::SetEntry(const TargetEntry& entry, TimePoint now) {
+  const bool new_life = entry.started_ms != m_entry.started_ms ||
+                        entry.address != m_entry.address ||
+                        entry.port != m_entry.port;
+  m_entry = entry;
+  m_gone = false;
+  m_cold_until = std::max(m_cold_until, now + entry.cold_left);
+  if (!new_life) {
+    return;
+  }
+  m_slowness.Reset();
+  m_failure_rate = 0;
+  m_unanswered_in_row = 0;
+  m_doubtful_until = now;
+  m_last_reply = now;
+}
+
+void LearnedTarget::OnSend(AttemptId attempt,
+                           Duration late_after,
+                           TimePoint now) {
+  m_in_flight.push_back({attempt, now, late_after});
+}
+
+void LearnedTarget::OnAnswer(AttemptId attempt,
+                             Duration latency,
+                             Duration mean,
+                             TimePoint now) {
+  (void)Take(attempt);
+  OnAlive(now);
+  const double ratio = static_cast<double>(latency.count()) /
+                       static_cast<double>(std::max(mean, Duration(1)).count());
+  m_slowness.Add(std::clamp(ratio, kLeastSlowness, kMostSlowness));
+  m_failure_rate = FailureRate(now) * (1 - kFailureWeight);
+  m_failed_at = now;
+}
+
+void LearnedTarget::OnFailure(AttemptId attempt, TimePoint now) {
+  (void)Take(attempt);
+  OnAlive(now);
+  AddFailure(kFailureWeight, now);
+}
+
+void LearnedTarget::OnShed(AttemptId attempt, TimePoint now) {
+  (void)Take(attempt);
+  OnAlive(now);
+  AddFailure(kShedWeight, now);
+}
+
+void LearnedTarget::OnLost(AttemptId attempt, TimePoint now) {
+  (void)Take(attempt);
+  AddFailure(kFailureWeight, now);
+  OnUnanswered(now);
+}
+
+void LearnedTarget::OnCancel(AttemptId attempt, TimePoint now) {
+  const auto taken = Take(attempt);
+  if (taken && now - std::max(taken->sent, m_last_reply) > taken->late_after) {
+    OnUnanswered(now);
+  }
+}
+
+void LearnedTarget::OnLoad(const LoadReport& report, TimePoint now) {
+  m_load = report;
+  m_load_at = now;
+  m_own_in_load = m_in_flight.size();
+}
+
+std::optional<LearnedTarget::InFlight> LearnedTarget::Take(AttemptId attempt) {
+  const auto found = std::ranges::find(m_in_flight, attempt, &InFlight::id);
+  if (found == m_in_flight.end()) {
+    return std::nullopt;
+  }
+  const InFlight taken = *found;
+  m_in_flight.erase(found);
+  return taken;
+}
+
+bool LearnedTarget::IsSilent(TimePoint now) const noexcept {
+  return std::ranges::any_of(m_in_flight, [&](const InFlight& attempt) {
+    return now - std::max(attempt.sent, m_last_reply) > attempt.late_after;
+  });
+}
+
+void LearnedTarget::OnAlive(TimePoint now) noexcept {
+  m_last_reply = now;
+  m_unanswered_in_row = 0;
+  m_doubtful_until = now;
+}
+
+void LearnedTarget::AddFailure(double weight, TimePoint now) {
+  m_failure_rate = FailureRate(now) * (1 - weight) + weight;
+  m_failed_at = now;
+}
+
+void LearnedTarget::OnUnanswered(TimePoint now) {
+  const std::uint32_t doublings = std::min(m_unanswered_in_row, kMostDoublings);
+  m_doubtful_until =
+      now + std::min(kFirstDoubt * (1U << doublings), kLongestDoubt);
+  ++m_unanswered_in_row;
+}
+
+}  // namespace jacinthdeck
--- /dev/null
+++ b/src/jacinthdeck/forward/learned_target.h
@@ -0,0 +1,129 @@
+// What this host has learned of one target.
+#ifndef JACINTHDECK_FORWARD_LEARNED_TARGET_H_
+#define JACINTHDECK_FORWARD_LEARNED_TARGET_H_
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+#include "jacinthdeck/core/ids.h"
+#include "jacinthdeck/core/time.h"
+#include "jacinthdeck/forward/load_report.h"
+#include "jacinthdeck/forward/target_entry.h"
+#include "jacinthdeck/routing/decaying_average.h"
+
+namespace jacinthdeck {
+
+/**
+ * \brief Load, speed and trouble of a target, from own attempts only.
+ *
+ * Health checks are not asked: they lag, lie, and take a slot. What counts is
+ * how the target's own work ends.
+ */
+class LearnedTarget {
+ public:
+  explicit LearnedTarget(TargetEntry entry, TimePoint now);
+
+  [[nodiscard]] const TargetEntry& entry() const noexcept { return m_entry; }
+  [[nodiscard]] bool gone() const noexcept { return m_gone; }
+  [[nodiscard]] std::size_t in_flight() const noexcept {
+    return m_in_flight.size();
+  }
+
+  /*! \brief Tells whether it may get new work at all. */
+  [[nodiscard]] bool TakesWork() const noexcept {
+    return !m_gone && !m_entry.draining;
+  }
+
+  /*! \brief Tells whether it has answered nothing for longer than its work
+   * explains, or has lately left attempts unanswered. */
+  [[nodiscard]] bool IsDoubtful(TimePoint now) const noexcept;
+
+  /**
+   * \brief Estimates how long a request sent now would take.
+   * \param mean Average latency of its route.
+   * \param now Present time.
+   */
+  [[nodiscard]] Duration ExpectedDelay(Duration mean, TimePoint now) const;
+
+  /*! \brief Estimates the requests at it from all callers, over its slots. */
+  [[nodiscard]] double Occupancy(TimePoint now) const noexcept;
+
+  /*! \brief Share of its recent attempts that failed, faded by time. */
+  [[nodiscard]] double FailureRate(TimePoint now) const noexcept;
+
+  /*! \brief Takes a newer entry; a later life forgets what was learned. */
+  void SetEntry(const TargetEntry& entry, TimePoint now);
+
+  /*! \brief Marks it as gone from the registry. */
+  void SetGone() noexcept { m_gone = true; }
+
+  /**
+   * \brief Counts an attempt that is being sent.
+   * \param late_after Time after which silence is not explained by its work.
+   */
+  void OnSend(AttemptId attempt, Duration late_after, TimePoint now);
+
+  /**
+   * \brief Takes an answer.
+   * \param latency From sending to the answer.
+   * \param mean Average latency of the route.
+   */
+  void OnAnswer(AttemptId attempt,
+                Duration latency,
+                Duration mean,
+                TimePoint now);
+
+  /*! \brief Takes a failure that proves that it is alive. */
+  void OnFailure(AttemptId attempt, TimePoint now);
+
+  /*! \brief Takes a refusal to run a request. */
+  void OnShed(AttemptId attempt, TimePoint now);
+
+  /*! \brief Takes the end of an attempt by a lost or refused connection. */
+  void OnLost(AttemptId attempt, TimePoint now);
+
+  /*! \brief Forgets an attempt that was cancelled; one that was late counts
+   * against it. */
+  void OnCancel(AttemptId attempt, TimePoint now);
+
+  /*! \brief Takes a reported load. */
+  void OnLoad(const LoadReport& report, TimePoint now);
+
+ private:
+  struct InFlight {
+    AttemptId id;
+    TimePoint sent;
+    Duration late_after;
+  };
+
+  //! Takes an attempt off the list; nothing if it is not there.
+  std::optional<InFlight> Take(AttemptId attempt);
+  [[nodiscard]] bool IsSilent(TimePoint now) const noexcept;
+  void OnAlive(TimePoint now) noexcept;
+  void AddFailure(double weight, TimePoint now);
+  void OnUnanswered(TimePoint now);
+
+  TargetEntry m_entry;
+  bool m_gone = false;
+  //! Oldest first.
+  std::vector<InFlight> m_in_flight;
+  //! Last sign of life.
+  TimePoint m_last_reply;
+  //! Latency over the mean of its route.
+  DecayingAverage m_slowness;
+  //! Failures less their fading, as of m_failed_at.
+  double m_failure_rate = 0;
+  TimePoint m_failed_at;
+  std::uint32_t m_unanswered_in_row = 0;
+  TimePoint m_doubtful_until;
+  TimePoint m_cold_until;
+  LoadReport m_load;
+  TimePoint m_load_at;
+  //! Own attempts that the report counts too.
+  std::size_t m_own_in_load = 0;
+};
+
+}  // namespace jacinthdeck
+
+#endif  // JACINTHDECK_FORWARD_LEARNED_TARGET_H_
--- /dev/null
+++ b/src/jacinthdeck/forward/route.h
@@ -0,0 +1,66 @@
+// A route: which requests it takes, which targets serve them, and how they may
+// be repeated.
+#ifndef JACINTHDECK_FORWARD_ROUTE_H_
+#define JACINTHDECK_FORWARD_ROUTE_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "jacinthdeck/core/ids.h"
+#include "jacinthdeck/core/name_table.h"
+#include "jacinthdeck/core/time.h"
+
+namespace jacinthdeck {
+
+/*! \brief Whether a request may run more than once. */
+enum class RepeatRule { kIdempotent, kAtMostOnce };
+
+//! Names of the rules, for logs.
+inline constexpr NameTable<RepeatRule, 2> kRepeatRuleNames{
+    {"idempotent", "at_most_once"}};
+
+/*! \brief A service and its share of a route's requests. */
+struct WeightedService {
+  ServiceId service;
+  //! Relative to the sum over the route; above zero.
+  double weight = 1;
+
+  [[nodiscard]] bool operator==(const WeightedService&) const = default;
+};
+
+/*! \brief One route of a configuration version. */
+struct Route {
+  std::string name;
+  //! Compared with the Host header without its port.
+  std::string host;
+  //! Begins and ends with a slash.
+  std::string prefix;
+  RepeatRule repeat = RepeatRule::kAtMostOnce;
+  //! Longest time that a caller is kept waiting; zero sets no bound.
+  Duration timeout{};
+  //! Time within which an answer is of full use to its caller; zero if unknown.
+  Duration objective{};
+  //! 0 is the most urgent.
+  std::uint32_t priority = 0;
+  //! Most targets that one request, or one shard of it, may run on.
+  std::uint32_t max_attempts = 1;
+  //! Alternatives among which whole requests are split; empty for a fan-out.
+  std::vector<WeightedService> services;
+  //! Services that all get the request, one target each; empty unless the route
+  //! fans out.
+  std::vector<ServiceId> shards;
+  //! Fan-out only: records in a merged answer.
+  std::uint32_t top_records = 0;
+  //! Fan-out only: least share of the shards that makes an answer.
+  double min_share = 1;
+
+  [[nodiscard]] bool fans_out() const noexcept { return !shards.empty(); }
+
+  /*! \brief Least number of shards that makes an answer. */
+  [[nodiscard]] std::size_t min_shards() const noexcept;
+};
+
+}  // namespace jacinthdeck
+
+#endif  // JACINTHDECK_FORWARD_ROUTE_H_
--- /dev/null
+++ b/src/jacinthdeck/forward/target_set.cc
@@ -0,0 +1,123 @@
+// Scores every target of the service; services have a few to a few dozen.
+#include "jacinthdeck/forward/target_set.h"
+
+#include <algorithm>
+#include <limits>
+#include <unordered_set>
+#include <utility>
+
+namespace jacinthdeck {
+
+namespace {
+
+//! Extra delay that a target outside the host's failure domain is charged, in
+//! parts of the mean: it costs a longer way and traffic between domains.
+constexpr double kOtherDomainCost = 0.35;
+//! Random part of a score: hosts with the same view must not all send to the
+//! same target.
+constexpr double kJitter = 0.1;
+//! Added to the score, in means: such a target is taken only if no other is
+//! left.
+constexpr double kDoubtfulCost = 1000;
+//! As above, for a target that had the request before.
+constexpr double kTriedCost = 10000;
+//! A hedge needs a slot that is likely free: an extra request that waits in a
+//! queue delays others and helps nobody.
+constexpr double kHedgeOccupancy = 0.8;
+
+[[nodiscard]] bool Contains(std::span<const TargetId> ids, const TargetId& id) {
+  return std::ranges::find(ids, id) != ids.end();
+}
+
+[[nodiscard]] bool SuitsHedge(const LearnedTarget& target,
+                              const TargetNeed& need,
+                              TimePoint now) {
+  return !Contains(need.tried, target.entry().id) && !target.IsDoubtful(now) &&
+         target.Occupancy(now) < kHedgeOccupancy;
+}
+
+}  // namespace
+
+TargetSet::TargetSet(FailureDomain domain, std::uint64_t seed)
+    : m_domain(std::move(domain)), m_random(seed) {}
+
+std::size_t TargetSet::Live(const ServiceId& service) const {
+  const auto found = m_by_service.find(service);
+  if (found == m_by_service.end()) {
+    return 0;
+  }
+  return static_cast<std::size_t>(
+      std::ranges::count_if(found->second, &LearnedTarget::TakesWork));
+}
+
+LearnedTarget* TargetSet::Find(const TargetId& id) {
+  const auto found = m_targets.find(id);
+  return found == m_targets.end() ? nullptr : found->second.get();
+}
+
+TargetChoice TargetSet::Pick(const TargetNeed& need, TimePoint now) {
+  const auto found = m_by_service.find(need.service);
+  if (found == m_by_service.end()) {
+    return {};
+  }
+  TargetChoice best;
+  double best_score = std::numeric_limits<double>::max();
+  for (LearnedTarget* target : found->second) {
+    if (!target->TakesWork() || target->in_flight() >= need.most_in_flight) {
+      continue;
+    }
+    if (need.reason == AttemptReason::kHedge &&
+        !SuitsHedge(*target, need, now)) {
+      continue;
+    }
+    const Duration expected = target->ExpectedDelay(need.mean, now);
+    const double score = Score(*target, need, expected, now);
+    if (score < best_score) {
+      best_score = score;
+      best = {target, expected};
+    }
+  }
+  return best;
+}
+
+void TargetSet::Replace(std::span<const TargetEntry> entries, TimePoint now) {
+  std::unordered_set<TargetId> named;
+  for (const TargetEntry& entry : entries) {
+    named.insert(entry.id);
+    auto& slot = m_targets[entry.id];
+    if (slot == nullptr) {
+      slot = std::make_unique<LearnedTarget>(entry, now);
+    } else {
+      slot->SetEntry(entry, now);
+    }
+  }
+  m_by_service.clear();
+  m_live = 0;
+  std::erase_if(m_targets, [&](const auto& item) {
+    return !named.contains(item.first) && item.second->in_flight() == 0;
+  });
+  for (auto& [id, target] : m_targets) {
+    if (!named.contains(id)) {
+      target->SetGone();
+      continue;
+    }
+    m_by_service[target->entry().service].push_back(target.get());
+    m_live += target->TakesWork() ? 1 : 0;
+  }
+}
+
+double TargetSet::Score(const LearnedTarget& target,
+                        const TargetNeed& need,
+                        Duration expected,
+                        TimePoint now) {
+  const double mean =
+      static_cast<double>(std::max(need.mean, Duration(1)).count());
+  double score = static_cast<double>(expected.count()) / mean;
+  score *= 1 + kJitter * m_random.Unit();
+  score += target.entry().domain == m_domain ? 0 : kOtherDomainCost;
+  score += target.IsDoubtful(now) ? kDoubtfulCost : 0;
+  score += Contains(need.tried, target.entry().id) ? kTriedCost : 0;
+  return score;
+}
+
+}  // namespace jacinthdeck
--- /dev/null
+++ b/src/jacinthdeck/forward/target_set.h
@@ -0,0 +1,93 @@
+// All known targets, and the choice of one for an attempt.
+#ifndef JACINTHDECK_FORWARD_TARGET_SET_H_
+#define JACINTHDECK_FORWARD_TARGET_SET_H_
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <span>
+#include <unordered_map>
+#include <vector>
+
+#include "jacinthdeck/core/ids.h"
+#include "jacinthdeck/core/random.h"
+#include "jacinthdeck/core/time.h"
+#include "jacinthdeck/forward/attempt_end.h"
+#include "jacinthdeck/forward/learned_target.h"
+
+namespace jacinthdeck {
+
+/*! \brief What an attempt needs of its target. */
+struct TargetNeed {
+  ServiceId service;
+  //! Average latency of the route.
+  Duration mean{};
+  //! Targets that had this request before.
+  std::span<const TargetId> tried;
+  AttemptReason reason = AttemptReason::kFirst;
+  //! Attempts that one target may have from this host at once.
+  std::uint32_t most_in_flight = 1;
+};
+
+/*! \brief A chosen target. */
+struct TargetChoice {
+  //! Null if no target may get the attempt.
+  LearnedTarget* target = nullptr;
+  //! Estimate for the attempt; has a meaning if there is a target.
+  Duration expected{};
+};
+
+/**
+ * \brief Holds the targets by service and picks the one that is expected to
+ * answer first.
+ *
+ * States stay while attempts are in flight, also once a target is gone.
+ */
+class TargetSet {
+ public:
+  /**
+   * \brief Makes an empty set.
+   * \param domain Failure domain of this host; targets in it are preferred as
+   * long as they are about as fast.
+   */
+  TargetSet(FailureDomain domain, std::uint64_t seed);
+
+  /*! \brief Number of targets of a service that take work. */
+  [[nodiscard]] std::size_t Live(const ServiceId& service) const;
+
+  /*! \brief Finds a target by its id; null if it is unknown. */
+  [[nodiscard]] LearnedTarget* Find(const TargetId& id);
+
+  /*! \brief Number of targets that take work, over all services. */
+  [[nodiscard]] std::size_t size() const noexcept { return m_live; }
+
+  /**
+   * \brief Chooses a target.
+   * \return No target if none takes work, has room, or suits the reason: a
+   * hedge only goes where a slot is likely free.
+   */
+  [[nodiscard]] TargetChoice Pick(const TargetNeed& need, TimePoint now);
+
+  /**
+   * \brief Replaces the known targets.
+   * \param entries All targets of all services; of equal ids the last counts.
+   */
+  void Replace(std::span<const TargetEntry> entries, TimePoint now);
+
+ private:
+  [[nodiscard]] double Score(const LearnedTarget& target,
+                             const TargetNeed& need,
+                             Duration expected,
+                             TimePoint now);
+
+  FailureDomain m_domain;
+  Random m_random;
+  std::unordered_map<TargetId, std::unique_ptr<LearnedTarget>> m_targets;
+  //! Targets that are not gone.
+  std::unordered_map<ServiceId, std::vector<LearnedTarget*>> m_by_service;
+  std::size_t m_live = 0;
+};
+
+}  // namespace jacinthdeck
+
+#endif  // JACINTHDECK_FORWARD_TARGET_SET_H_
--- /dev/null
+++ b/src/jacinthdeck/forward/weighted_turn.cc
@@ -0,0 +1,20 @@
+// Each service earns its weight a request; the richest one pays the sum.
+#include "jacinthdeck/forward/weighted_turn.h"
+
+#include <algorithm>
+
+namespace jacinthdeck {
+
+std::size_t WeightedTurn::Next(std::span<const WeightedService> services) {
+  m_credit.resize(services.size(), 0);
+  double total = 0;
+  for (std::size_t index = 0; index < services.size(); ++index) {
+    m_credit[index] += services[index].weight;
+    total += services[index].weight;
+  }
+  const auto richest = std::ranges::max_element(m_credit);
+  *richest -= total;
+  return static_cast<std::size_t>(richest - m_credit.begin());
+}
+
+}  // namespace jacinthdeck
--- /dev/null
+++ b/src/jacinthdeck/http/client_session.cc
@@ -0,0 +1,154 @@
+// One call at a time over Boost.Beast.
+#include "jacinthdeck/http/client_session.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/read.hpp>
+#include <utility>
+
+#include "jacinthdeck/http/socket_options.h"
+
+namespace jacinthdeck {
+
+namespace {
+
+namespace http = boost::beast::http;
+
+//! Replies hold pages of entries.
+constexpr std::uint64_t kMostBodyBytes = 16ULL << 20U;
+
+}  // namespace
+
+ClientSession::ClientSession(asio::io_context& loop,
+                             const std::string& address,
+                             std::uint16_t port)
+    : m_loop(loop),
+      m_address(address),
+      m_port(port),
+      m_socket(loop),
+      m_timer(loop) {}
+
+ClientSession::~ClientSession() {
+  *m_alive = false;
+}
+
+void ClientSession::Call(const ClientRequest& request,
+                         Duration timeout,
+                         Callback callback) {
+  m_callback = std::move(callback);
+  ++m_call;
+  m_sent = false;
+  m_out = request.method + " " + request.target +
+          " HTTP/1.1\r\nHost: " + m_address + "\r\n";
+  if (!request.body.empty()) {
+    m_out += "Content-Type: application/json\r\n";
+  }
+  if (request.method != "GET") {
+    m_out += "Content-Length: " + std::to_string(request.body.size()) + "\r\n";
+  }
+  m_out += "\r\n" + request.body;
+  m_timer.expires_after(timeout);
+  m_timer.async_wait(
+      [this, alive = m_alive, call = m_call](const SystemError& ended) {
+        if (*alive && !ended && call == m_call && m_callback) {
+          FailWith("timed out", !m_sent);
+        }
+      });
+  m_reused = m_socket.is_open();
+  if (m_reused) {
+    Write();
+  } else {
+    Open();
+  }
+}
+
+void ClientSession::Abort() {
+  ++m_call;
+  m_callback = nullptr;
+  m_timer.cancel();
+  CloseSocket();
+}
+
+void ClientSession::Open() {
+  SystemError error;
+  const auto address = asio::ip::make_address_v4(m_address, error);
+  m_socket = tcp::socket(m_loop);
+  m_buffer.clear();
+  m_socket.async_connect(
+      tcp::endpoint(address, m_port),
+      [this, alive = m_alive, call = m_call](const SystemError& ended) {
+        if (!*alive || call != m_call || !m_callback) {
+          return;
+        }
+        if (ended) {
+          FailWith("cannot connect: " + ended.message(), true);
+          return;
+        }
+        SetStreamOptions(m_socket);
+        Write();
+      });
+}
+
+void ClientSession::Write() {
+  m_sent = true;
+  asio::async_write(m_socket, asio::buffer(m_out),
+                    [this, alive = m_alive, call = m_call](
+                        const SystemError& ended, std::size_t) {
+                      if (!*alive || call != m_call || !m_callback) {
+                        return;
+                      }
+                      if (ended) {
+                        FailWith("cannot send: " + ended.message(), false);
+                        return;
+                      }
+                      Read();
+                    });
+}
+
+void ClientSession::Read() {
+  m_parser = std::make_unique<Parser>();
+  m_parser->body_limit(kMostBodyBytes);
+  http::async_read(m_socket, m_buffer, *m_parser,
+                   [this, alive = m_alive, call = m_call](
+                       const SystemError& ended, std::size_t) {
+                     if (!*alive || call != m_call || !m_callback) {
+                       return;
+                     }
+                     if (ended) {
+                       FailWith("no reply: " + ended.message(), false);
+                       return;
+                     }
+                     auto message = m_parser->release();
+                     if (!message.keep_alive()) {
+                       CloseSocket();
+                     }
+                     ClientReply reply;
+                     reply.status = static_cast<int>(message.result_int());
+                     reply.body = std::move(message.body());
+                     Finish(reply);
+                   });
+}
+
+void ClientSession::Finish(const ClientReply& reply) {
+  m_timer.cancel();
+  ++m_call;
+  Callback callback = std::move(m_callback);
+  m_callback = nullptr;
+  callback(reply);
+}
+
+void ClientSession::FailWith(const std::string& error, bool not_sent) {
+  CloseSocket();
+  ClientReply reply;
+  reply.error = error;
+  reply.not_sent = not_sent;
+  Finish(reply);
+}
+
+void ClientSession::CloseSocket() {
+  SystemError ignored;
+  m_socket.close(ignored);
+  m_buffer.clear();
+}
+
+}  // namespace jacinthdeck
--- /dev/null
+++ b/src/jacinthdeck/http/client_session.h
@@ -0,0 +1,97 @@
+// A kept connection to a server of the platform: one call at a time.
+#ifndef JACINTHDECK_HTTP_CLIENT_SESSION_H_
+#define JACINTHDECK_HTTP_CLIENT_SESSION_H_
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "jacinthdeck/core/error.h"
+#include "jacinthdeck/core/time.h"
+#include "jacinthdeck/http/asio.h"
+
+namespace jacinthdeck {
+
+/*! \brief One call. */
+struct ClientRequest {
+  std::string method;
+  //! Path and query.
+  std::string target;
+  //! Empty for none; otherwise JSON.
+  std::string body;
+};
+
+/*! \brief How a call ended. */
+struct ClientReply {
+  //! 0 if there is no response; then error says why.
+  int status = 0;
+  std::string body;
+  std::string error;
+  //! No byte of the call left this host.
+  bool not_sent = false;
+
+  [[nodiscard]] bool answered() const noexcept { return status != 0; }
+};
+
+/**
+ * \brief Makes calls one after the other, each with its own timeout.
+ *
+ * After a call without a response the connection is given up: what still comes
+ * on it could not be told from the response to a later call. The session must
+ * be idle when a call is made, and must not be destroyed within a callback.
+ */
+class ClientSession {
+ public:
+  using Callback = std::function<void(const ClientReply&)>;
+
+  ClientSession(asio::io_context& loop,
+                const std::string& address,
+                std::uint16_t port);
+  ~ClientSession();
+  ClientSession(const ClientSession&) = delete;
+  ClientSession& operator=(const ClientSession&) = delete;
+
+  [[nodiscard]] bool busy() const noexcept { return m_callback != nullptr; }
+
+  /*! \brief Makes a call; the callback comes later, exactly once. */
+  void Call(const ClientRequest& request, Duration timeout, Callback callback);
+
+  /*! \brief Drops the call under way without a callback. */
+  void Abort();
+
+ private:
+  using Parser =
+      boost::beast::http::response_parser<boost::beast::http::string_body>;
+
+  void Open();
+  void Write();
+  void Read();
+  void Finish(const ClientReply& reply);
+  void FailWith(const std::string& error, bool not_sent);
+  void CloseSocket();
+
+  asio::io_context& m_loop;
+  const std::string m_address;
+  const std::uint16_t m_port;
+  tcp::socket m_socket;
+  asio::steady_timer m_timer;
+  boost::beast::flat_buffer m_buffer;
+  std::unique_ptr<Parser> m_parser;
+  std::string m_out;
+  Callback m_callback;
+  //! Handlers of an earlier call see another number and do nothing.
+  std::uint64_t m_call = 0;
+  //! Guards handlers that outlive the session.
+  std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+  bool m_sent = false;
+  bool m_reused = false;
+};
+
+}  // namespace jacinthdeck
+
+#endif  // JACINTHDECK_HTTP_CLIENT_SESSION_H_
--- /dev/null
+++ b/src/jacinthdeck/http/edge_server.cc
@@ -0,0 +1,117 @@
+// Accepting, with a pause when descriptors run out.
+#include "jacinthdeck/http/edge_server.h"
+
+#include <utility>
+#include <vector>
+
+#include "jacinthdeck/http/socket_options.h"
+
+namespace jacinthdeck {
+
+namespace {
+
+//! Pause after a failed accept, mostly for want of descriptors: without it the
+//! loop would spin on the same connection.
+constexpr std::chrono::milliseconds kAcceptPause{50};
+
+}  // namespace
+
+EdgeServer::EdgeServer(asio::io_context& loop,
+                       const Clock& clock,
+                       EdgeHandler& handler)
+    : m_loop(loop),
+      m_clock(clock),
+      m_handler(handler),
+      m_acceptor(loop),
+      m_accept_pause(loop) {}
+
+Result<void> EdgeServer::Listen(const std::string& address,
+                                std::uint16_t port,
+                                std::size_t most_connections) {
+  m_most_connections = most_connections;
+  SystemError error;
+  const auto ip = asio::ip::make_address_v4(address, error);
+  if (!error) {
+    m_acceptor.open(tcp::v4(), error);
+  }
+  if (!error) {
+    m_acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+    m_acceptor.bind(tcp::endpoint(ip, port), error);
+  }
+  if (!error) {
+    m_acceptor.listen(asio::socket_base::max_listen_connections, error);
+  }
+  if (error) {
+    return Fail(ErrorCode::kUnavailable, address + ":" + std::to_string(port),
+                "cannot listen: " + error.message());
+  }
+  Accept();
+  return {};
+}
+
+std::uint16_t EdgeServer::port() const {
+  SystemError ignored;
+  return m_acceptor.local_endpoint(ignored).port();
+}
+
+void EdgeServer::CloseIdle() {
+  std::vector<std::shared_ptr<EdgeConnection>> connections;
+  connections.reserve(m_connections.size());
+  for (const auto& [id, connection] : m_connections) {
+    connections.push_back(connection);
+  }
+  for (const auto& connection : connections) {
+    connection->CloseIfIdle();
+  }
+}
+
+void EdgeServer::CheckTimes() {
+  const TimePoint now = m_clock.Now();
+  std::vector<std::shared_ptr<EdgeConnection>> connections;
+  connections.reserve(m_connections.size());
+  for (const auto& [id, connection] : m_connections) {
+    connections.push_back(connection);
+  }
+  for (const auto& connection : connections) {
+    connection->CheckTime(now);
+  }
+}
+
+void EdgeServer::Accept() {
+  m_acceptor.async_accept([this](const SystemError& error, tcp::socket socket) {
+    OnAccept(error, std::move(socket));
+  });
+}
+
+void EdgeServer::OnAccept(const SystemError& error, tcp::socket socket) {
+  if (error == asio::error::operation_aborted) {
+    return;
+  }
+  if (error) {
+    m_accept_pause.expires_after(kAcceptPause);
+    m_accept_pause.async_wait([this](const SystemError& ended) {
+      if (!ended) {
+        Accept();
+      }
+    });
+    return;
+  }
+  if (m_connections.size() >= m_most_connections) {
+    ++m_counters.over_limit;
+  } else {
+    ++m_counters.accepted;
+    SetStreamOptions(socket);
+    const std::uint64_t id = m_next_id++;
+    auto connection =
+        std::make_shared<EdgeConnection>(*this, std::move(socket), id);
+    m_connections.emplace(id, connection);
+    connection->Start();
+  }
+  Accept();
+}
+
+void EdgeServer::Forget(const EdgeConnection& connection) {
+  m_connections.erase(connection.id());
+}
+
+}  // namespace jacinthdeck
--- /dev/null
+++ b/src/jacinthdeck/http/target_pool.cc
@@ -0,0 +1,142 @@
+// Choice of a connection for an attempt.
+#include "jacinthdeck/http/target_pool.h"
+
+#include <algorithm>
+#include <boost/asio/post.hpp>
+#include <unordered_set>
+#include <utility>
+
+namespace jacinthdeck {
+
+namespace {
+
+//! A request that may not be sent twice only goes over a connection that was in
+//! use this short a time ago: the target is not about to close it.
+constexpr Duration kFreshEnough = std::chrono::milliseconds(700);
+
+}  // namespace
+
+TargetPool::TargetPool(asio::io_context& loop,
+                       const Clock& clock,
+                       TargetProtocol protocol,
+                       TargetPoolSink& sink)
+    : m_loop(loop),
+      m_clock(clock),
+      m_protocol(std::move(protocol)),
+      m_sink(sink) {}
+
+void TargetPool::Send(const OutgoingAttempt& attempt) {
+  if (auto idle = TakeIdle(attempt)) {
+    m_attempts.emplace(attempt.id, idle);
+    idle->Send(attempt);
+    return;
+  }
+  Connections& connections = m_connections[attempt.target.id];
+  if (connections.size() >= attempt.connection_limit) {
+    ++m_counters.no_room;
+    ReportNotSent(attempt.id);
+    return;
+  }
+  auto opened = std::make_shared<TargetConnection>(*this, attempt.target);
+  connections.push_back(opened);
+  ++m_connection_count;
+  ++m_counters.opened;
+  m_attempts.emplace(attempt.id, opened);
+  opened->Open(attempt);
+}
+
+void TargetPool::Cancel(AttemptId attempt) {
+  const auto found = m_attempts.find(attempt);
+  if (found == m_attempts.end()) {
+    return;
+  }
+  const std::shared_ptr<TargetConnection> connection = found->second;
+  m_attempts.erase(found);
+  connection->Close();
+}
+
+void TargetPool::Retain(std::span<const TargetEntry> targets) {
+  std::unordered_set<TargetId> named;
+  for (const TargetEntry& target : targets) {
+    named.insert(target.id);
+  }
+  Connections unwanted;
+  for (const auto& [id, connections] : m_connections) {
+    if (named.contains(id)) {
+      continue;
+    }
+    std::ranges::copy_if(connections, std::back_inserter(unwanted),
+                         &TargetConnection::idle);
+  }
+  for (const auto& connection : unwanted) {
+    connection->Close();
+  }
+}
+
+void TargetPool::CheckTimes() {
+  const TimePoint now = m_clock.Now();
+  Connections all;
+  all.reserve(m_connection_count);
+  for (const auto& [id, connections] : m_connections) {
+    all.insert(all.end(), connections.begin(), connections.end());
+  }
+  for (const auto& connection : all) {
+    connection->CheckTime(now);
+  }
+}
+
+std::shared_ptr<TargetConnection> TargetPool::TakeIdle(
+    const OutgoingAttempt& attempt) {
+  const auto of_target = m_connections.find(attempt.target.id);
+  if (of_target == m_connections.end()) {
+    return nullptr;
+  }
+  const TimePoint now = m_clock.Now();
+  std::shared_ptr<TargetConnection> newest;
+  Connections stale;
+  for (const auto& connection : of_target->second) {
+    if (!connection->idle()) {
+      continue;
+    }
+    if (now >= connection->usable_until() ||
+        (attempt.at_most_once &&
+         now - connection->idle_since() > kFreshEnough)) {
+      stale.push_back(connection);
+    } else if (newest == nullptr ||
+               connection->idle_since() > newest->idle_since()) {
+      newest = connection;
+    }
+  }
+  if (newest == nullptr) {
+    // Make room for a new one.
+    for (const auto& connection : stale) {
+      connection->Close();
+    }
+  }
+  return newest;
+}
+
+void TargetPool::ReportNotSent(AttemptId attempt) {
+  asio::post(m_loop, [this, attempt] {
+    AttemptEnd end;
+    end.id = attempt;
+    end.outcome = AttemptOutcome::kNotSent;
+    m_sink.OnAttemptEnd(end);
+  });
+}
+
+void TargetPool::Forget(const TargetConnection& connection) {
+  const auto found = m_connections.find(connection.target().id);
+  if (found == m_connections.end()) {
+    return;
+  }
+  const auto erased = std::erase_if(found->second, [&](const auto& held) {
+    return held.get() == &connection;
+  });
+  m_connection_count -= erased;
+  if (found->second.empty()) {
+    m_connections.erase(found);
+  }
+}
+
+}  // namespace jacinthdeck
--- a/src/jacinthdeck/platform/http_client.cc
+++ b/src/jacinthdeck/platform/http_client.cc
@@ -11,7 +11,7 @@
 #include <system_error>
 #include <utility>
 
-#include "jacinthdeck/platform/json.h"
+#include "jacinthdeck/core/json.h"
 
 namespace jacinthdeck {
 
--- a/src/jacinthdeck/platform/partition_map_reader.cc
+++ b/src/jacinthdeck/platform/partition_map_reader.cc
@@ -7,8 +7,8 @@
 #include <string>
 #include <utility>
 
-#include "jacinthdeck/platform/json.h"
-#include "jacinthdeck/platform/json_reader.h"
+#include "jacinthdeck/core/json.h"
+#include "jacinthdeck/core/json_reader.h"
 
 namespace jacinthdeck {
 
--- a/src/jacinthdeck/query/engine.h
+++ b/src/jacinthdeck/query/engine.h
@@ -13,6 +13,7 @@
 
 #include "jacinthdeck/core/ids.h"
 #include "jacinthdeck/core/time.h"
+#include "jacinthdeck/core/timer_queue.h"
 #include "jacinthdeck/query/admission_queue.h"
 #include "jacinthdeck/query/call.h"
 #include "jacinthdeck/query/call_state.h"
@@ -23,7 +24,6 @@
 #include "jacinthdeck/query/probe_gate.h"
 #include "jacinthdeck/query/quarantine.h"
 #include "jacinthdeck/query/service_state.h"
-#include "jacinthdeck/query/timer_queue.h"
 #include "jacinthdeck/query/version_catalog.h"
 #include "jacinthdeck/query/waiting_attempts.h"
 #include "jacinthdeck/routing/router.h"
--- a/src/jacinthdeck/runtime/change_request.cc
+++ b/src/jacinthdeck/runtime/change_request.cc
@@ -4,8 +4,8 @@
 #include <cstdint>
 #include <utility>
 
-#include "jacinthdeck/platform/json.h"
-#include "jacinthdeck/platform/json_reader.h"
+#include "jacinthdeck/core/json.h"
+#include "jacinthdeck/core/json_reader.h"
 #include "jacinthdeck/schema/schema.h"
 
 namespace jacinthdeck {
--- a/src/jacinthdeck/runtime/daemon.cc
+++ b/src/jacinthdeck/runtime/daemon.cc
@@ -9,6 +9,7 @@
 #include <thread>
 #include <utility>
 
+#include "jacinthdeck/core/steady_clock.h"
 #include "jacinthdeck/peer/peer_transport.h"
 #include "jacinthdeck/platform/http_host_list_client.h"
 #include "jacinthdeck/platform/http_store_client.h"
@@ -20,7 +21,6 @@
 #include "jacinthdeck/runtime/operator_edge.h"
 #include "jacinthdeck/runtime/platform_pollers.h"
 #include "jacinthdeck/runtime/published.h"
-#include "jacinthdeck/runtime/steady_clock.h"
 #include "jacinthdeck/runtime/store_worker.h"
 #include "jacinthdeck/runtime/target_transport.h"
 
--- a/src/jacinthdeck/runtime/decision_loop.h
+++ b/src/jacinthdeck/runtime/decision_loop.h
@@ -7,8 +7,8 @@
 #include <memory>
 #include <thread>
 
+#include "jacinthdeck/core/bounded_ring.h"
 #include "jacinthdeck/core/clock.h"
-#include "jacinthdeck/runtime/bounded_ring.h"
 #include "jacinthdeck/runtime/decision_core.h"
 
 namespace jacinthdeck {
--- a/src/jacinthdeck/runtime/settings_reader.h
+++ b/src/jacinthdeck/runtime/settings_reader.h
@@ -6,22 +6,11 @@
 #include <variant>
 #include <vector>
 
+#include "jacinthdeck/core/settings_table.h"
 #include "jacinthdeck/runtime/settings.h"
 
 namespace jacinthdeck {
 
-/*! \brief One fault of a settings file. */
-struct SettingsFault {
-  //! Line in the file; 0 where the fault is an absent key.
-  std::uint32_t line = 0;
-  //! Dotted key, such as `listen.callers.port`; empty for a syntax error.
-  std::string key;
-  //! What was found and what was expected.
-  std::string message;
-
-  [[nodiscard]] bool operator==(const SettingsFault&) const = default;
-};
-
 /**
  * \brief Reads settings from TOML text.
  * \param text Content of the file.
--- a/src/jacinthdeck/runtime/store_worker.h
+++ b/src/jacinthdeck/runtime/store_worker.h
@@ -7,8 +7,8 @@
 #include <thread>
 
 #include "jacinthdeck/cluster/store_call.h"
+#include "jacinthdeck/core/bounded_ring.h"
 #include "jacinthdeck/platform/store_client.h"
-#include "jacinthdeck/runtime/bounded_ring.h"
 
 namespace jacinthdeck {
 
--- a/src/jacinthdeck/runtime/target_transport.cc
+++ b/src/jacinthdeck/runtime/target_transport.cc
@@ -5,7 +5,7 @@
 #include <thread>
 #include <utility>
 
-#include "jacinthdeck/runtime/bounded_ring.h"
+#include "jacinthdeck/core/bounded_ring.h"
 #include "jacinthdeck/runtime/transfer_pool.h"
 
 namespace jacinthdeck {
--- a/standins/hostlist/host_list_server.cc
+++ b/standins/hostlist/host_list_server.cc
@@ -6,9 +6,9 @@
 #include <algorithm>
 #include <variant>
 
+#include "jacinthdeck/core/json.h"
+#include "jacinthdeck/core/json_reader.h"
 #include "jacinthdeck/platform/host_list_reader.h"
-#include "jacinthdeck/platform/json.h"
-#include "jacinthdeck/platform/json_reader.h"
 
 namespace jacinthdeck::standins {
 
--- a/standins/hostlist_main.cc
+++ b/standins/hostlist_main.cc
@@ -8,7 +8,7 @@
 #include <variant>
 
 #include "hostlist/host_list_server.h"
-#include "jacinthdeck/runtime/steady_clock.h"
+#include "jacinthdeck/core/steady_clock.h"
 #include "process/process.h"
 
 namespace jacinthdeck::standins {
--- a/standins/loadgen/answer_reader.cc
+++ b/standins/loadgen/answer_reader.cc
@@ -8,9 +8,9 @@
 #include <set>
 #include <variant>
 
+#include "jacinthdeck/core/json.h"
+#include "jacinthdeck/core/json_reader.h"
 #include "jacinthdeck/core/outcome.h"
-#include "jacinthdeck/platform/json.h"
-#include "jacinthdeck/platform/json_reader.h"
 
 namespace jacinthdeck::standins {
 
--- a/standins/loadgen/load_run.cc
+++ b/standins/loadgen/load_run.cc
@@ -8,8 +8,8 @@
 #include <utility>
 #include <variant>
 
-#include "jacinthdeck/platform/json.h"
-#include "jacinthdeck/platform/json_reader.h"
+#include "jacinthdeck/core/json.h"
+#include "jacinthdeck/core/json_reader.h"
 #include "loadgen/answer_reader.h"
 
 namespace jacinthdeck::standins {
--- a/standins/store/store_control.cc
+++ b/standins/store/store_control.cc
@@ -3,8 +3,8 @@
 
 #include <limits>
 
-#include "jacinthdeck/platform/json.h"
-#include "jacinthdeck/platform/json_reader.h"
+#include "jacinthdeck/core/json.h"
+#include "jacinthdeck/core/json_reader.h"
 
 namespace jacinthdeck::standins {
 
--- a/standins/store/store_server.cc
+++ b/standins/store/store_server.cc
@@ -11,7 +11,7 @@
 #include <thread>
 #include <variant>
 
-#include "jacinthdeck/platform/json.h"
+#include "jacinthdeck/core/json.h"
 #include "store/store_control.h"
 
 namespace jacinthdeck::standins {
--- a/standins/store_main.cc
+++ b/standins/store_main.cc
@@ -3,9 +3,9 @@
 #include <stdexcept>
 #include <variant>
 
-#include "jacinthdeck/platform/json.h"
-#include "jacinthdeck/platform/json_reader.h"
-#include "jacinthdeck/runtime/steady_clock.h"
+#include "jacinthdeck/core/json.h"
+#include "jacinthdeck/core/json_reader.h"
+#include "jacinthdeck/core/steady_clock.h"
 #include "process/process.h"
 #include "store/store_server.h"
 
--- a/standins/target/behaviour.cc
+++ b/standins/target/behaviour.cc
@@ -5,7 +5,7 @@
 #include <array>
 #include <string_view>
 
-#include "jacinthdeck/platform/json_reader.h"
+#include "jacinthdeck/core/json_reader.h"
 
 namespace jacinthdeck::standins {
 
--- a/standins/target/target.cc
+++ b/standins/target/target.cc
@@ -10,7 +10,7 @@
 #include <utility>
 #include <variant>
 
-#include "jacinthdeck/platform/json.h"
+#include "jacinthdeck/core/json.h"
 
 namespace jacinthdeck::standins {
 
--- a/standins/target/target_group.cc
+++ b/standins/target/target_group.cc
@@ -7,7 +7,7 @@
 #include <utility>
 #include <variant>
 
-#include "jacinthdeck/platform/json.h"
+#include "jacinthdeck/core/json.h"
 #include "jacinthdeck/platform/partition_map_reader.h"
 
 namespace jacinthdeck::standins {
--- a/standins/target/target_group.h
+++ b/standins/target/target_group.h
@@ -12,8 +12,8 @@
 
 #include "http/http_message.h"
 #include "http/http_server.h"
+#include "jacinthdeck/core/json_reader.h"
 #include "jacinthdeck/core/result.h"
-#include "jacinthdeck/platform/json_reader.h"
 #include "target/run_log.h"
 #include "target/target.h"
 
--- a/standins/target/target_query.cc
+++ b/standins/target/target_query.cc
@@ -7,7 +7,7 @@
 #include <limits>
 #include <vector>
 
-#include "jacinthdeck/platform/json_reader.h"
+#include "jacinthdeck/core/json_reader.h"
 
 namespace jacinthdeck::standins {
 
--- a/standins/target/target_query.h
+++ b/standins/target/target_query.h
@@ -7,8 +7,8 @@
 
 #include "http/http_message.h"
 #include "jacinthdeck/core/ids.h"
+#include "jacinthdeck/core/json.h"
 #include "jacinthdeck/core/result.h"
-#include "jacinthdeck/platform/json.h"
 #include "jacinthdeck/query/key_range.h"
 
 namespace jacinthdeck::standins {
--- a/standins/target_main.cc
+++ b/standins/target_main.cc
@@ -6,8 +6,8 @@
 #include <variant>
 #include <vector>
 
+#include "jacinthdeck/core/json.h"
 #include "jacinthdeck/platform/host_list_reader.h"
-#include "jacinthdeck/platform/json.h"
 #include "process/process.h"
 #include "target/target_group.h"
 
--- a/test/jacinthdeck/runtime/bounded_ring_test.cc
+++ b/test/jacinthdeck/core/bounded_ring_test.cc
@@ -1,5 +1,5 @@
 // Tests of the ring between threads.
-#include "jacinthdeck/runtime/bounded_ring.h"
+#include "jacinthdeck/core/bounded_ring.h"
 
 #include <boost/test/unit_test.hpp>
 #include <thread>
--- /dev/null
+++ b/test/jacinthdeck/forward/attempt_budget_test.cc
@@ -0,0 +1,96 @@
+// Tests of the shared budget of extra attempts.
+#include "jacinthdeck/forward/attempt_budget.h"
+
+#include <boost/test/unit_test.hpp>
+#include <deque>
+#include <vector>
+
+#include "jacinthdeck/core/random.h"
+
+namespace jacinthdeck {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Duration kWindow = seconds(10);
+constexpr double kRatio = 0.2;
+constexpr double kConstant = 52;
+
+struct Moment {
+  TimePoint at;
+  bool extra = false;
+};
+
+//! Most extra attempts above the ratio in any window that ends at a moment.
+[[nodiscard]] double WorstExcess(const std::vector<Moment>& moments) {
+  double worst = 0;
+  std::deque<Moment> window;
+  int requests = 0;
+  int extras = 0;
+  for (const Moment& moment : moments) {
+    window.push_back(moment);
+    (moment.extra ? extras : requests) += 1;
+    while (window.front().at + kWindow < moment.at) {
+      (window.front().extra ? extras : requests) -= 1;
+      window.pop_front();
+    }
+    worst = std::max(worst, extras - kRatio * requests);
+  }
+  return worst;
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(AttemptBudgetTest)
+
+// Six hosts spend all they are granted, with traffic that swells and ebbs, and
+// do not hear of each other. In no sliding window may the sum of their extra
+// attempts pass ratio and constant: the targets see the sum only.
+BOOST_AUTO_TEST_CASE(AttemptBudget_SixHostsSpendAll_EverySlidingWindowHolds) {
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    Random random(seed);
+    std::vector<AttemptBudget> hosts;
+    for (int i = 0; i < 6; ++i) {
+      hosts.emplace_back(AttemptBudgetOptions{kRatio, kConstant, kWindow},
+                         TimePoint(seconds(0)));
+      hosts.back().SetHosts(6);
+    }
+    std::vector<Moment> moments;
+    TimePoint now(seconds(60));
+    for (int step = 0; step < 30000; ++step) {
+      const bool quiet = (step / 6000) % 2 == 1;
+      now += milliseconds(quiet ? 20 : 2);
+      AttemptBudget& host = hosts[random.Below(hosts.size())];
+      host.OnRequest(now);
+      moments.push_back({now, false});
+      while (host.TrySpend(now)) {
+        moments.push_back({now, true});
+      }
+    }
+    BOOST_TEST(WorstExcess(moments) <= kConstant);
+  }
+}
+
+// A host that is killed and started again may have spent its share just before;
+// the new life must not spend the same share in the same window.
+BOOST_AUTO_TEST_CASE(AttemptBudget_FreshProcess_HasNoConstantYet) {
+  const TimePoint start(seconds(100));
+  AttemptBudget budget({kRatio, kConstant, kWindow}, start);
+  BOOST_TEST(!budget.TrySpend(start));
+  BOOST_TEST(budget.TrySpend(start + kWindow));
+}
+
+BOOST_AUTO_TEST_CASE(AttemptBudget_AttemptNeverLeft_PaymentIsTakenBack) {
+  const TimePoint now(seconds(100));
+  AttemptBudget budget({0, 2, kWindow}, TimePoint(seconds(0)));
+  BOOST_TEST(budget.TrySpend(now));
+  BOOST_TEST(!budget.TrySpend(now));
+  budget.Refund(now);
+  BOOST_TEST(budget.TrySpend(now));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace jacinthdeck
--- /dev/null
+++ b/test/jacinthdeck/forward/forwarder_fan_out_test.cc
@@ -0,0 +1,127 @@
+// Tests of calls over many shards: coverage, time and snapshots.
+#include "jacinthdeck/forward/forwarder.h"
+
+#include "jacinthdeck/forward/forwarder_fixture.h"
+
+namespace jacinthdeck {
+
+namespace {
+
+[[nodiscard]] std::string Record(char fill) {
+  return std::string(16, fill);
+}
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(ForwarderFanOutTest, ForwarderFixture)
+
+BOOST_AUTO_TEST_CASE(FanOut_AllShardsAnswer_GreatestRecordsOfAll) {
+  (void)Submit("/fan/1");
+  BOOST_REQUIRE_EQUAL(port.sent.size(), kShards);
+  Answer(port.sent[0], Record('a') + Record('d'));
+  Answer(port.sent[1], Record('c'));
+  Answer(port.sent[2], Record('b'));
+  Answer(port.sent[3], "");
+  BOOST_TEST(Only().answer.records == Record('d') + Record('c'));
+  BOOST_TEST(Only().answer.part_stamps.size() == kShards);
+  BOOST_TEST(Only().answer.missing_parts == 0U);
+}
+
+// One shard's target hangs and its hedge too. Before the objective passes the
+// answer goes out without it, since the share of the rest is enough, and says
+// that one shard is missing.
+BOOST_AUTO_TEST_CASE(FanOut_OneShardHangs_PartialAnswerWithinTheObjective) {
+  const TimePoint start = clock.Now();
+  (void)Submit("/fan/1");
+  Answer(port.sent[0]);
+  Answer(port.sent[1]);
+  Answer(port.sent[2]);
+  Advance(kObjective);
+  BOOST_TEST((Only().answer.kind == AnswerKind::kMerged));
+  BOOST_TEST(Only().answer.missing_parts == 1U);
+  BOOST_TEST(Only().answer.part_stamps.size() == kShards - 1);
+  BOOST_TEST((clock.Now() - start <= kObjective));
+}
+
+// Two of four shards are silent: half is too little for an answer, so it goes
+// out as soon as one more is in, also late.
+BOOST_AUTO_TEST_CASE(FanOut_TooFewShardsInTime_AnswersWithTheNextOne) {
+  (void)Submit("/fan/1");
+  Answer(port.sent[0]);
+  Answer(port.sent[1]);
+  Advance(kObjective + milliseconds(50));
+  BOOST_TEST(port.delivered.empty());
+  Answer(port.sent[2]);
+  BOOST_TEST(Only().answer.missing_parts == 1U);
+}
+
+// All targets of two shards are gone. The rest cannot make an answer, so the
+// call is refused before any target works on it.
+BOOST_AUTO_TEST_CASE(FanOut_ShardsWithoutTargets_RefusedBeforeAnythingIsSent) {
+  std::erase_if(targets, [](const TargetEntry& target) {
+    return target.service == ServiceId("shard-0") ||
+           target.service == ServiceId("shard-1");
+  });
+  forwarder.SetTargets(targets, clock.Now());
+  (void)Submit("/fan/1");
+  BOOST_TEST(port.sent.empty());
+  BOOST_TEST((Only().answer.kind == AnswerKind::kNotRun));
+  BOOST_TEST((Only().answer.reason == ForwardReason::kNoTarget));
+}
+
+BOOST_AUTO_TEST_CASE(FanOut_OneShardWithoutTargets_AnswerNamesItAsMissing) {
+  std::erase_if(targets, [](const TargetEntry& target) {
+    return target.service == ServiceId("shard-0");
+  });
+  forwarder.SetTargets(targets, clock.Now());
+  (void)Submit("/fan/1");
+  for (const OutgoingAttempt& attempt :
+       std::vector<OutgoingAttempt>(port.sent)) {
+    Answer(attempt);
+  }
+  BOOST_TEST(Only().answer.missing_parts == 1U);
+}
+
+// The index is cut into other shards while a query is under way. Its parts all
+// come from the version that it began with; the next query uses the new one.
+BOOST_AUTO_TEST_CASE(FanOut_ConfigChangesMeanwhile_PartsAreOfOneVersion) {
+  (void)Submit("/fan/1");
+  std::vector<Route> routes = Routes();
+  routes[0].shards = {ServiceId("plain")};
+  BOOST_REQUIRE(forwarder.SetConfig(std::make_shared<const RoutingConfig>(
+      2, routes, std::vector<ServiceConfig>{}, CallerLimits{})));
+  Fail(port.sent[0], 500);
+  BOOST_REQUIRE_EQUAL(port.sent.size(), kShards + 1);
+  BOOST_TEST(port.sent.back().target.service == ServiceId("shard-0"));
+  (void)Submit("/fan/2");
+  BOOST_TEST(port.sent.size() == kShards + 2);
+  BOOST_TEST(port.sent.back().target.service == ServiceId("plain"));
+}
+
+// A shard's failure is no part, though it bears the target's stamp.
+BOOST_AUTO_TEST_CASE(FanOut_ShardFailsTwice_IsMissingAndNotMerged) {
+  (void)Submit("/fan/1");
+  Fail(port.sent[0], 500);
+  Fail(port.sent[4], 500);
+  Answer(port.sent[1]);
+  Answer(port.sent[2]);
+  Answer(port.sent[3]);
+  BOOST_TEST(Only().answer.missing_parts == 1U);
+  BOOST_TEST(Only().answer.part_stamps.size() == kShards - 1);
+}
+
+// Two shards have failed for good, so no answer is possible any more: the
+// caller learns it at once and not at its deadline.
+BOOST_AUTO_TEST_CASE(FanOut_HopelessCall_EndsAtOnce) {
+  (void)Submit("/fan/1");
+  const std::vector<OutgoingAttempt> first(port.sent);
+  Fail(first[0], 500);
+  Fail(first[1], 500);
+  Fail(port.sent[4], 500);
+  Fail(port.sent[5], 500);
+  BOOST_TEST((Only().answer.kind == AnswerKind::kFailed));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace jacinthdeck
--- /dev/null
+++ b/test/jacinthdeck/forward/forwarder_fixture.h
@@ -0,0 +1,216 @@
+// A forwarder over a paused clock, with targets and callers that the test
+// plays.
+#ifndef JACINTHDECK_TEST_FORWARD_FORWARDER_FIXTURE_H_
+#define JACINTHDECK_TEST_FORWARD_FORWARDER_FIXTURE_H_
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "jacinthdeck/core/manual_clock.h"
+#include "jacinthdeck/forward/forwarder.h"
+#include "support/printers.h"
+
+namespace jacinthdeck {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/*! \brief Keeps what a forwarder wants. */
+struct RecordingPort final : ForwardPort {
+  struct Delivered {
+    CallId call;
+    ForwardAnswer answer;
+    CallStory story;
+  };
+
+  std::vector<OutgoingAttempt> sent;
+  std::vector<AttemptId> cancelled;
+  std::vector<Delivered> delivered;
+  std::vector<Fingerprint> convictions;
+
+  void Send(const OutgoingAttempt& attempt) override {
+    sent.push_back(attempt);
+  }
+  void Cancel(AttemptId attempt) override { cancelled.push_back(attempt); }
+  void Deliver(CallId call,
+               ForwardAnswer answer,
+               const CallStory& story) override {
+    delivered.push_back({call, std::move(answer), story});
+  }
+  void ShareConviction(Fingerprint fingerprint) override {
+    convictions.push_back(fingerprint);
+  }
+};
+
+/*! \brief Four shards and a plain service, three targets each. */
+struct ForwarderFixture {
+  static constexpr std::size_t kShards = 4;
+  static constexpr std::size_t kReplicas = 3;
+  static constexpr Duration kObjective = milliseconds(100);
+  static constexpr Duration kTimeout = milliseconds(1000);
+
+  ManualClock clock;
+  RecordingPort port;
+  ForwardOptions options = Options();
+  Forwarder forwarder{options, port, 1, clock.Now()};
+  std::vector<TargetEntry> targets;
+  std::uint64_t next_call = 1;
+
+  ForwarderFixture() {
+    // Past the time in which a fresh budget grows.
+    clock.Advance(seconds(20));
+    for (std::size_t shard = 0; shard < kShards; ++shard) {
+      AddTargets("shard-" + std::to_string(shard));
+    }
+    AddTargets("plain");
+    forwarder.SetTargets(targets, clock.Now());
+    BOOST_REQUIRE(forwarder.SetConfig(Config(1)));
+  }
+
+  [[nodiscard]] static ForwardOptions Options() {
+    ForwardOptions options;
+    options.domain = FailureDomain("fd-0");
+    options.budget = {0.2, 1000, seconds(10)};
+    return options;
+  }
+
+  void AddTargets(const std::string& service) {
+    for (std::size_t replica = 0; replica < kReplicas; ++replica) {
+      TargetEntry entry;
+      entry.id = TargetId(service + "/" + std::to_string(replica));
+      entry.service = ServiceId(service);
+      entry.address = "127.0.0.1";
+      entry.port = static_cast<std::uint16_t>(1000 + targets.size());
+      entry.domain = FailureDomain("fd-" + std::to_string(replica));
+      entry.slots = 3;
+      targets.push_back(entry);
+    }
+  }
+
+  [[nodiscard]] static Route MakeRoute(const std::string& name,
+                                       RepeatRule repeat) {
+    Route route;
+    route.name = name;
+    route.host = "desk.example";
+    route.prefix = "/" + name + "/";
+    route.repeat = repeat;
+    route.timeout = kTimeout;
+    route.objective = kObjective;
+    route.max_attempts = 2;
+    return route;
+  }
+
+  [[nodiscard]] static std::vector<Route> Routes() {
+    Route fan = MakeRoute("fan", RepeatRule::kIdempotent);
+    fan.top_records = 2;
+    fan.min_share = 0.75;
+    for (std::size_t shard = 0; shard < kShards; ++shard) {
+      fan.shards.emplace_back("shard-" + std::to_string(shard));
+    }
+    Route read = MakeRoute("read", RepeatRule::kIdempotent);
+    read.services = {{ServiceId("plain"), 1}};
+    Route claim = MakeRoute("claim", RepeatRule::kAtMostOnce);
+    claim.services = {{ServiceId("plain"), 1}};
+    return {fan, read, claim};
+  }
+
+  [[nodiscard]] static std::shared_ptr<const RoutingConfig> Config(
+      std::uint64_t version) {
+    std::vector<ServiceConfig> services{{ServiceId("plain"), 30}};
+    for (std::size_t shard = 0; shard < kShards; ++shard) {
+      services.push_back({ServiceId("shard-" + std::to_string(shard)), 30});
+    }
+    return std::make_shared<const RoutingConfig>(version, Routes(), services,
+                                                 CallerLimits{});
+  }
+
+  CallId Submit(const std::string& path,
+                Duration patience = milliseconds(1500)) {
+    auto request = std::make_shared<OpaqueRequest>();
+    request->method = "GET";
+    request->host = "desk.example";
+    request->target = path;
+    request->request_id = "id-" + std::to_string(next_call);
+    ForwardCall call;
+    call.id = CallId(next_call++);
+    call.request = request;
+    call.arrived = clock.Now();
+    call.deadline = clock.Now() + patience;
+    const CallId id = call.id;
+    forwarder.Submit(std::move(call), clock.Now());
+    return id;
+  }
+
+  //! Moves time on in small steps, acting on whatever is due.
+  void Advance(Duration step) {
+    const TimePoint end = clock.Now() + step;
+    while (clock.Now() < end) {
+      const auto next = forwarder.NextTimer();
+      const TimePoint at = std::min(end, next.value_or(end));
+      clock.Advance(at - clock.Now());
+      forwarder.OnTimer(clock.Now());
+      if (next && *next <= clock.Now()) {
+        clock.Advance(Duration(1));
+      }
+    }
+  }
+
+  void Answer(const OutgoingAttempt& attempt, const std::string& body = "") {
+    AttemptEnd end;
+    end.id = attempt.id;
+    end.outcome = AttemptOutcome::kResponse;
+    end.response.status = 200;
+    end.response.stamp = "stamp-of-" + attempt.target.id.raw();
+    end.response.body = body;
+    forwarder.OnAttemptEnd(end, clock.Now());
+  }
+
+  void Fail(const OutgoingAttempt& attempt, int status) {
+    AttemptEnd end;
+    end.id = attempt.id;
+    end.outcome = AttemptOutcome::kResponse;
+    end.response.status = status;
+    end.response.stamp = "stamp";
+    forwarder.OnAttemptEnd(end, clock.Now());
+  }
+
+  void End(const OutgoingAttempt& attempt,
+           AttemptOutcome outcome,
+           bool connection_lost = false) {
+    AttemptEnd end;
+    end.id = attempt.id;
+    end.outcome = outcome;
+    end.connection_lost = connection_lost;
+    forwarder.OnAttemptEnd(end, clock.Now());
+  }
+
+  //! Runs calls that are answered after a time, so that latencies are known.
+  void WarmUp(const std::string& path, Duration latency, int calls = 64) {
+    for (int i = 0; i < calls; ++i) {
+      const std::size_t before = port.sent.size();
+      (void)Submit(path);
+      Advance(latency);
+      for (std::size_t at = before; at < port.sent.size(); ++at) {
+        Answer(port.sent[at], std::string(16, 'a'));
+      }
+    }
+    port.sent.clear();
+    port.delivered.clear();
+  }
+
+  [[nodiscard]] const RecordingPort::Delivered& Only() const {
+    BOOST_REQUIRE_EQUAL(port.delivered.size(), 1U);
+    return port.delivered.front();
+  }
+};
+
+}  // namespace jacinthdeck
+
+#endif  // JACINTHDECK_TEST_FORWARD_FORWARDER_FIXTURE_H_
--- /dev/null
+++ b/test/jacinthdeck/forward/forwarder_load_test.cc
@@ -0,0 +1,84 @@
+// Tests of load above capacity and of budgets.
+#include "jacinthdeck/forward/forwarder.h"
+
+#include "jacinthdeck/forward/forwarder_fixture.h"
+
+namespace jacinthdeck {
+
+BOOST_FIXTURE_TEST_SUITE(ForwarderLoadTest, ForwarderFixture)
+
+// Targets report long queues. A call that would wait beyond its objective is
+// refused at once with a time to come back, so that its caller can act, and
+// the targets keep to work that is still of use.
+BOOST_AUTO_TEST_CASE(Overload_QueuesAreLong_RefusedAtOnce) {
+  WarmUp("/read/1", milliseconds(40));
+  // Each target tells of its queue with an answer.
+  for (std::size_t i = 0; i < kReplicas; ++i) {
+    (void)Submit("/read/" + std::to_string(i));
+    AttemptEnd end;
+    end.id = port.sent.back().id;
+    end.outcome = AttemptOutcome::kResponse;
+    end.response.status = 200;
+    end.response.stamp = "stamp";
+    end.load = LoadReport{3, 18, 3, 1};
+    forwarder.OnAttemptEnd(end, clock.Now());
+  }
+  port.sent.clear();
+  port.delivered.clear();
+  (void)Submit("/read/next");
+  BOOST_TEST(port.sent.empty());
+  BOOST_TEST((Only().answer.reason == ForwardReason::kOverload));
+  BOOST_TEST((Only().answer.retry_after >= milliseconds(100)));
+}
+
+// After an overload all latencies that were learned are high, but the targets
+// are idle. Refusals would keep new latencies from being learned, and every
+// caller would be refused for as long as the process lives.
+BOOST_AUTO_TEST_CASE(Overload_IsOverButLatenciesWereHigh_CallsAreTakenAgain) {
+  WarmUp("/read/1", milliseconds(400));
+  Advance(seconds(1));
+  (void)Submit("/read/2");
+  BOOST_TEST(port.sent.size() == 1U);
+  BOOST_TEST(port.delivered.empty());
+}
+
+// Every target is slow at once, and each call asks for a hedge. The extra
+// attempts of all hosts together must stay within the budget, or they become
+// the load that keeps the targets slow.
+BOOST_AUTO_TEST_CASE(Budget_AllTargetsSlow_ExtraAttemptsStayWithinIt) {
+  ForwardOptions tight = Options();
+  tight.budget = {0.2, 60, seconds(10)};
+  Forwarder bounded(tight, port, 1, clock.Now());
+  bounded.SetTargets(targets, clock.Now());
+  BOOST_REQUIRE(bounded.SetConfig(Config(1)));
+  bounded.SetHosts(6);
+  int calls = 0;
+  for (int i = 0; i < 500; ++i) {
+    auto request = std::make_shared<OpaqueRequest>();
+    request->host = "desk.example";
+    request->target = "/read/" + std::to_string(i);
+    ForwardCall call{CallId(1000 + i), request, clock.Now(),
+                     clock.Now() + seconds(1)};
+    bounded.Submit(call, clock.Now());
+    ++calls;
+    clock.Advance(milliseconds(10));
+    bounded.OnTimer(clock.Now());
+    if (port.sent.size() > 2) {
+      Forwarder* const under_test = &bounded;
+      AttemptEnd end;
+      end.id = port.sent[port.sent.size() - 3].id;
+      end.outcome = AttemptOutcome::kResponse;
+      end.response.status = 200;
+      end.response.stamp = "stamp";
+      under_test->OnAttemptEnd(end, clock.Now());
+    }
+  }
+  const auto& attempts = bounded.counters().attempts;
+  const auto extra = attempts[static_cast<std::size_t>(AttemptReason::kHedge)] +
+                     attempts[static_cast<std::size_t>(AttemptReason::kRetry)];
+  BOOST_TEST(static_cast<double>(extra) <= 0.2 * calls + 60.0 / 6);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace jacinthdeck
--- /dev/null
+++ b/test/jacinthdeck/forward/forwarder_test.cc
@@ -0,0 +1,186 @@
+// Tests of calls for one service: what is repeated, and what callers are told.
+#include "jacinthdeck/forward/forwarder.h"
+
+#include "jacinthdeck/forward/forwarder_fixture.h"
+
+namespace jacinthdeck {
+
+BOOST_FIXTURE_TEST_SUITE(ForwarderTest, ForwarderFixture)
+
+BOOST_AUTO_TEST_CASE(Forwarder_WithoutConfig_RefusesWithATimeToComeBack) {
+  Forwarder fresh(options, port, 1, clock.Now());
+  ForwardCall call;
+  call.id = CallId(1);
+  call.request = std::make_shared<OpaqueRequest>();
+  fresh.Submit(call, clock.Now());
+  BOOST_TEST((Only().answer.kind == AnswerKind::kNotRun));
+  BOOST_TEST(Only().answer.retry_after.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(Forwarder_NoRouteTakesThePath_SaysSoAndSendsNothing) {
+  (void)Submit("/elsewhere/1");
+  BOOST_TEST((Only().answer.kind == AnswerKind::kNoRoute));
+  BOOST_TEST(port.sent.empty());
+}
+
+BOOST_AUTO_TEST_CASE(Forwarder_TargetAnswers_AnswerIsPassedOn) {
+  (void)Submit("/read/1");
+  BOOST_REQUIRE_EQUAL(port.sent.size(), 1U);
+  Answer(port.sent[0], "body");
+  BOOST_TEST((Only().answer.kind == AnswerKind::kResponse));
+  BOOST_TEST(Only().answer.response.body == "body");
+}
+
+// The caller sees one answer. The first target fails with an error of its own
+// after it ran the request, which may run again, so another target gets it.
+BOOST_AUTO_TEST_CASE(Forwarder_IdempotentRequestFails_AnotherTargetGetsIt) {
+  (void)Submit("/read/1");
+  Fail(port.sent[0], 500);
+  BOOST_REQUIRE_EQUAL(port.sent.size(), 2U);
+  BOOST_TEST(port.sent[0].target.id != port.sent[1].target.id);
+  Answer(port.sent[1], "body");
+  BOOST_TEST(Only().answer.response.status == 200);
+}
+
+// The caller claims a ticket, and the connection to the target ends before its
+// response. The claim may have run; sent again it could run twice, and a
+// refusal that says "not run" would make the caller send it again.
+BOOST_AUTO_TEST_CASE(Forwarder_ClaimLosesItsConnection_FailsWithoutASecondTry) {
+  (void)Submit("/claim/1");
+  End(port.sent[0], AttemptOutcome::kBroken, true);
+  BOOST_TEST(port.sent.size() == 1U);
+  BOOST_TEST((Only().answer.kind == AnswerKind::kFailed));
+}
+
+// A target that is full refuses a claim and says that it did not run it, so the
+// claim is safe to send elsewhere.
+BOOST_AUTO_TEST_CASE(Forwarder_ClaimIsShed_AnotherTargetGetsIt) {
+  (void)Submit("/claim/1");
+  End(port.sent[0], AttemptOutcome::kNotExecuted);
+  BOOST_REQUIRE_EQUAL(port.sent.size(), 2U);
+  Answer(port.sent[1]);
+  BOOST_TEST((Only().answer.kind == AnswerKind::kResponse));
+}
+
+// Every target refuses without running the claim: then "not run" is true, and
+// the caller is told when to come back instead of waiting for its deadline.
+BOOST_AUTO_TEST_CASE(Forwarder_AllTargetsShed_RefusesTruthfullyAtOnce) {
+  const TimePoint start = clock.Now();
+  (void)Submit("/claim/1");
+  for (std::size_t at = 0; at < port.sent.size(); ++at) {
+    End(port.sent[at], AttemptOutcome::kNotExecuted);
+  }
+  BOOST_TEST((Only().answer.kind == AnswerKind::kNotRun));
+  BOOST_TEST(Only().answer.retry_after.has_value());
+  BOOST_TEST((clock.Now() == start));
+}
+
+// The address of a target belongs to another service by now. The new owner
+// refuses by the expected id; the target is not asked again, and another
+// target serves the claim.
+BOOST_AUTO_TEST_CASE(Forwarder_AddressHasANewOwner_TargetIsLeftOut) {
+  (void)Submit("/claim/1");
+  const TargetId gone = port.sent[0].target.id;
+  End(port.sent[0], AttemptOutcome::kWrongTarget);
+  BOOST_REQUIRE_EQUAL(port.sent.size(), 2U);
+  for (int i = 0; i < 20; ++i) {
+    (void)Submit("/claim/" + std::to_string(i));
+    BOOST_TEST(port.sent.back().target.id != gone);
+    Answer(port.sent.back());
+  }
+}
+
+BOOST_AUTO_TEST_CASE(Forwarder_NoAnswerUntilTheTimeout_TimesOutOnce) {
+  (void)Submit("/claim/1", seconds(5));
+  Advance(kTimeout);
+  BOOST_TEST((Only().answer.kind == AnswerKind::kTimedOut));
+  Answer(port.sent[0]);
+  BOOST_TEST(port.delivered.size() == 1U);
+}
+
+// A caller closes its connection while its request is under way: whatever its
+// targets still do is wasted, so every attempt is cancelled at once.
+BOOST_AUTO_TEST_CASE(Forwarder_CallerLeaves_AttemptsAreCancelled) {
+  const CallId call = Submit("/fan/1");
+  forwarder.Abandon(call, clock.Now());
+  BOOST_TEST(port.cancelled.size() == kShards);
+  BOOST_TEST(port.delivered.empty());
+  BOOST_TEST(forwarder.open_calls() == 0U);
+}
+
+// The first target is in a pause. After the usual latency the request goes to a
+// second one, whose answer is delivered; a third run would exceed what the
+// route allows.
+BOOST_AUTO_TEST_CASE(Forwarder_TargetPauses_OneHedgeAnswers) {
+  WarmUp("/read/1", milliseconds(10));
+  (void)Submit("/read/2");
+  Advance(milliseconds(60));
+  BOOST_REQUIRE_EQUAL(port.sent.size(), 2U);
+  Answer(port.sent[1], "hedge");
+  BOOST_TEST(Only().answer.response.body == "hedge");
+}
+
+BOOST_AUTO_TEST_CASE(Forwarder_ClaimIsSlow_NoHedgeIsSent) {
+  WarmUp("/claim/1", milliseconds(10));
+  (void)Submit("/claim/2");
+  Advance(milliseconds(500));
+  BOOST_TEST(port.sent.size() == 1U);
+}
+
+// A response without the target's proof is none of its own: the caller must not
+// get it as a success.
+BOOST_AUTO_TEST_CASE(Forwarder_SuccessWithoutStamp_IsNotPassedOn) {
+  (void)Submit("/claim/1");
+  AttemptEnd end;
+  end.id = port.sent[0].id;
+  end.outcome = AttemptOutcome::kResponse;
+  end.response.status = 200;
+  forwarder.OnAttemptEnd(end, clock.Now());
+  BOOST_TEST((Only().answer.kind == AnswerKind::kFailed));
+}
+
+// Targets that run a request die one after the other. After three of them the
+// request is refused, here and, by the shared conviction, on other hosts.
+BOOST_AUTO_TEST_CASE(Forwarder_RequestCrashesItsTargets_IsRefusedAfterThree) {
+  for (int i = 0; i < 3; ++i) {
+    (void)Submit("/read/poison");
+    for (std::size_t at = 0; at < port.sent.size(); ++at) {
+      End(port.sent[at], AttemptOutcome::kBroken, true);
+    }
+  }
+  BOOST_TEST(port.convictions.size() == 1U);
+  const std::size_t sent = port.sent.size();
+  BOOST_TEST(sent <= 4U);
+  (void)Submit("/read/poison");
+  BOOST_TEST(port.sent.size() == sent);
+  BOOST_TEST(
+      (port.delivered.back().answer.reason == ForwardReason::kCrashesTargets));
+}
+
+BOOST_AUTO_TEST_CASE(Forwarder_AnotherHostConvicts_RequestIsRefused) {
+  OpaqueRequest poison;
+  poison.method = "GET";
+  poison.host = "desk.example";
+  poison.target = "/read/poison";
+  forwarder.Convict(FingerprintOf(poison), clock.Now());
+  (void)Submit("/read/poison");
+  BOOST_TEST(port.sent.empty());
+  BOOST_TEST((Only().answer.kind == AnswerKind::kNotRun));
+}
+
+BOOST_AUTO_TEST_CASE(Forwarder_OlderConfig_IsNotTaken) {
+  BOOST_TEST(forwarder.SetConfig(Config(3)));
+  BOOST_TEST(!forwarder.SetConfig(Config(2)));
+  BOOST_TEST(forwarder.config()->version() == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(Forwarder_LittleTimeLeft_RefusesInsteadOfWastingWork) {
+  WarmUp("/read/1", milliseconds(80));
+  (void)Submit("/read/2", milliseconds(30));
+  BOOST_TEST(port.sent.empty());
+  BOOST_TEST((Only().answer.reason == ForwardReason::kDeadline));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace jacinthdeck
--- /dev/null
+++ b/test/jacinthdeck/forward/target_set_test.cc
@@ -0,0 +1,161 @@
+// Tests of the choice among the targets of a service.
+#include "jacinthdeck/forward/target_set.h"
+
+#include <boost/test/unit_test.hpp>
+#include <map>
+#include <string>
+
+#include "support/printers.h"
+
+namespace jacinthdeck {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+struct TargetSetFixture {
+  TimePoint now{seconds(100)};
+  TargetSet set{FailureDomain("fd-0"), 7};
+  std::vector<TargetEntry> entries;
+  TargetNeed need;
+  std::uint64_t next = 1;
+
+  TargetSetFixture() {
+    for (int i = 0; i < 3; ++i) {
+      TargetEntry entry;
+      entry.id = TargetId("t" + std::to_string(i));
+      entry.service = ServiceId("desk");
+      entry.address = "127.0.0.1";
+      entry.port = static_cast<std::uint16_t>(1000 + i);
+      entry.domain = FailureDomain("fd-" + std::to_string(i));
+      entry.slots = 3;
+      entries.push_back(entry);
+    }
+    set.Replace(entries, now);
+    need.service = ServiceId("desk");
+    need.mean = milliseconds(20);
+    need.most_in_flight = 5;
+  }
+
+  [[nodiscard]] LearnedTarget& Target(int index) {
+    return *set.Find(TargetId("t" + std::to_string(index)));
+  }
+
+  AttemptId Send(LearnedTarget& target) {
+    const AttemptId id(next++);
+    target.OnSend(id, milliseconds(50), now);
+    return id;
+  }
+
+  [[nodiscard]] std::map<std::string, int> Picks(int count) {
+    std::map<std::string, int> picks;
+    for (int i = 0; i < count; ++i) {
+      const TargetChoice choice = set.Pick(need, now);
+      ++picks[choice.target == nullptr ? "none"
+                                       : choice.target->entry().id.raw()];
+    }
+    return picks;
+  }
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(TargetSetTest, TargetSetFixture)
+
+BOOST_AUTO_TEST_CASE(Pick_AllAreAlike_PrefersTheOwnFailureDomain) {
+  BOOST_TEST(Picks(50)["t0"] == 50);
+}
+
+// A target stands still. Every query that is sent to it waits for the whole
+// pause, so the first one that is late makes all others avoid it.
+BOOST_AUTO_TEST_CASE(Pick_TargetIsSilentBeyondItsWork_IsAvoidedByAll) {
+  (void)Send(Target(0));
+  now += milliseconds(60);
+  BOOST_TEST(Picks(50).count("t0") == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(Pick_SilentTargetAnswers_IsUsedAgain) {
+  const AttemptId id = Send(Target(0));
+  now += milliseconds(200);
+  Target(0).OnAnswer(id, milliseconds(20), milliseconds(20), now);
+  BOOST_TEST(Picks(50)["t0"] > 0);
+}
+
+// A target whose work fails looks idle; a choice by load would send it
+// everything.
+BOOST_AUTO_TEST_CASE(Pick_TargetFailsQuickly_OthersGetTheWork) {
+  for (int i = 0; i < 10; ++i) {
+    Target(0).OnFailure(Send(Target(0)), now);
+  }
+  BOOST_TEST(Picks(50).count("t0") == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(Pick_FailuresAreLongAgo_TargetIsTriedAgain) {
+  for (int i = 0; i < 10; ++i) {
+    Target(0).OnFailure(Send(Target(0)), now);
+  }
+  now += seconds(20);
+  BOOST_TEST(Picks(50)["t0"] > 0);
+}
+
+BOOST_AUTO_TEST_CASE(Pick_TargetReportsALongQueue_OthersGetTheWork) {
+  Target(0).OnLoad(LoadReport{3, 9, 3, 1}, now);
+  BOOST_TEST(Picks(50).count("t0") == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(Pick_ReportIsOld_CountsNoMore) {
+  Target(0).OnLoad(LoadReport{3, 9, 3, 1}, now);
+  now += seconds(5);
+  BOOST_TEST(Picks(50)["t0"] == 50);
+}
+
+BOOST_AUTO_TEST_CASE(Pick_DrainingTarget_GetsNothing) {
+  entries[0].draining = true;
+  set.Replace(entries, now);
+  BOOST_TEST(Picks(50).count("t0") == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(Pick_AllAreAtTheirLimit_ChoosesNone) {
+  need.most_in_flight = 1;
+  for (int i = 0; i < 3; ++i) {
+    (void)Send(Target(i));
+  }
+  BOOST_TEST(Picks(1)["none"] == 1);
+}
+
+// A hedge that waits in a queue delays others and helps nobody.
+BOOST_AUTO_TEST_CASE(Pick_HedgeFindsNoFreeSlot_ChoosesNone) {
+  need.reason = AttemptReason::kHedge;
+  for (int i = 0; i < 3; ++i) {
+    Target(i).OnLoad(LoadReport{3, 0, 3, 1}, now);
+  }
+  BOOST_TEST(Picks(1)["none"] == 1);
+}
+
+// A target comes back under its id after a crash. What its former life failed
+// at says nothing of the new one.
+BOOST_AUTO_TEST_CASE(Replace_LaterStartUnderTheSameId_ForgetsTheFailures) {
+  for (int i = 0; i < 10; ++i) {
+    Target(0).OnFailure(Send(Target(0)), now);
+  }
+  entries[0].started_ms = 5;
+  set.Replace(entries, now);
+  BOOST_TEST(Picks(50)["t0"] == 50);
+}
+
+BOOST_AUTO_TEST_CASE(Replace_TargetIsGoneWithWorkInFlight_StaysUntilItsEnd) {
+  const AttemptId id = Send(Target(0));
+  const std::vector<TargetEntry> rest(entries.begin() + 1, entries.end());
+  set.Replace(rest, now);
+  LearnedTarget* const gone = set.Find(TargetId("t0"));
+  BOOST_REQUIRE(gone != nullptr);
+  BOOST_TEST(!gone->TakesWork());
+  gone->OnAnswer(id, milliseconds(20), milliseconds(20), now);
+  set.Replace(rest, now);
+  BOOST_TEST((set.Find(TargetId("t0")) == nullptr));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace jacinthdeck
--- a/test/jacinthdeck/platform/deployments_test.cc
+++ b/test/jacinthdeck/platform/deployments_test.cc
@@ -9,9 +9,9 @@
 #include <string>
 #include <variant>
 
+#include "jacinthdeck/core/json.h"
+#include "jacinthdeck/core/json_reader.h"
 #include "jacinthdeck/platform/host_list_reader.h"
-#include "jacinthdeck/platform/json.h"
-#include "jacinthdeck/platform/json_reader.h"
 #include "jacinthdeck/platform/partition_map_reader.h"
 #include "jacinthdeck/schema/schema.h"
 
--- a/test/jacinthdeck/platform/http_client_test.cc
+++ b/test/jacinthdeck/platform/http_client_test.cc
@@ -6,7 +6,7 @@
 #include <variant>
 
 #include "canned_server.h"
-#include "jacinthdeck/platform/json.h"
+#include "jacinthdeck/core/json.h"
 
 namespace jacinthdeck {
 
--- a/test/jacinthdeck/platform/http_store_client_test.cc
+++ b/test/jacinthdeck/platform/http_store_client_test.cc
@@ -7,8 +7,8 @@
 #include <variant>
 
 #include "canned_server.h"
+#include "jacinthdeck/core/json.h"
 #include "jacinthdeck/core/manual_clock.h"
-#include "jacinthdeck/platform/json.h"
 #include "jacinthdeck/platform/store_call_runner.h"
 #include "store/store_server.h"
 
--- a/test/jacinthdeck/query/waiting_attempts_test.cc
+++ b/test/jacinthdeck/query/waiting_attempts_test.cc
@@ -3,7 +3,7 @@
 
 #include <boost/test/unit_test.hpp>
 
-#include "jacinthdeck/query/timer_queue.h"
+#include "jacinthdeck/core/timer_queue.h"
 
 namespace jacinthdeck {
 
--- a/test/jacinthdeck/runtime/target_transport_test.cc
+++ b/test/jacinthdeck/runtime/target_transport_test.cc
@@ -18,7 +18,7 @@
 #include <thread>
 #include <vector>
 
-#include "jacinthdeck/runtime/steady_clock.h"
+#include "jacinthdeck/core/steady_clock.h"
 
 namespace jacinthdeck {
 
