--- /dev/null
+++ b/test/platform/codecs_test.cc
@@ -0,0 +1,137 @@
+// Tests of the platform's formats.
+#include <boost/test/unit_test.hpp>
+#include <string>
+
+#include "platform/base64.h"
+#include "platform/config_codec.h"
+#include "platform/directory_codec.h"
+#include "platform/store_codec.h"
+#include "platform/target_protocol.h"
+#include "support/printers.h"
+
+namespace jacinthdeck::platform {
+
+namespace {
+
+[[nodiscard]] std::shared_ptr<const RoutingConfig> ReadOk(
+    const std::string& text) {
+  const auto read = Capture([&] { return ReadConfig(text); });
+  BOOST_REQUIRE_EQUAL(read.index(), 0U);
+  return std::get<0>(read);
+}
+
+constexpr const char* kConfig = R"({"version":7,"future":{},"routes":[
+  {"name":"r1","host":"h","prefix":"/a/","routeType":"idempotent",
+   "timeoutMs":600,"targetLatencyMs":60,"priority":2,"fanout":["s1","s2"],
+   "maxAttempts":2,"topK":5,"minPartShare":0.75},
+  {"name":"r2","host":"h","prefix":"/b/","routeType":"non_idempotent",
+   "trafficSplit":[{"service":"s1","weight":3},{"service":"s2","weight":0}]},
+  {"name":"r3","host":"h","prefix":"/c/","routeType":"anything",
+   "service":"s2"}],
+ "services":[{"name":"s1","maxConnections":30}],
+ "limits":{"maxHeaderBytes":100,"maxBodyBytes":200,"headerTimeoutMs":300,
+           "idleTimeoutMs":400}})";
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(PlatformCodecsTest)
+
+BOOST_AUTO_TEST_CASE(Config_AllForms_AreRead) {
+  const auto config = ReadOk(kConfig);
+  BOOST_TEST(config->version() == 7U);
+  const Route* fan = config->Find("h", "/a/x");
+  BOOST_REQUIRE(fan != nullptr);
+  BOOST_TEST(fan->shards.size() == 2U);
+  BOOST_TEST(fan->top_records == 5U);
+  BOOST_TEST(fan->min_share == 0.75);
+  BOOST_TEST((fan->objective == std::chrono::milliseconds(60)));
+  BOOST_TEST((fan->repeat == RepeatRule::kIdempotent));
+  const Route* split = config->Find("h", "/b/x");
+  BOOST_REQUIRE(split != nullptr);
+  BOOST_TEST(split->services.size() == 1U);
+  BOOST_TEST((split->repeat == RepeatRule::kAtMostOnce));
+  // A kind that is not known must not be repeated.
+  BOOST_TEST((config->Find("h", "/c/x")->repeat == RepeatRule::kAtMostOnce));
+  BOOST_TEST(config->TargetConnections(ServiceId("s1")) == 30U);
+  BOOST_TEST(config->limits().body_bytes == 200U);
+}
+
+BOOST_AUTO_TEST_CASE(Config_FieldIsWrong_ErrorNamesIt) {
+  const auto read = Capture([] {
+    return ReadConfig(
+        R"({"version":1,"services":[],"routes":[{"name":"r","host":"h",)"
+        R"("prefix":"/","routeType":"idempotent","service":"s",)"
+        R"("timeoutMs":"soon"}]})");
+  });
+  BOOST_REQUIRE_EQUAL(read.index(), 1U);
+  BOOST_TEST(std::get<Error>(read).subject == "config.routes[0].timeoutMs");
+}
+
+BOOST_AUTO_TEST_CASE(Base64_AllLengths_RoundTrip) {
+  std::string bytes;
+  for (int i = 0; i < 40; ++i) {
+    const auto back =
+        Capture([&] { return DecodeBase64(EncodeBase64(bytes)); });
+    BOOST_REQUIRE_EQUAL(back.index(), 0U);
+    BOOST_TEST(std::get<0>(back) == bytes);
+    bytes += static_cast<char>(i * 37);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(Base64_NoPaddedBase64_IsRefused) {
+  for (const char* text : {"a", "ab", "a===", "ab*=", "====", "ab=c"}) {
+    BOOST_TEST(Capture([&] { return DecodeBase64(text); }).index() == 1U);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(Load_ThreeOrFourFigures_AreRead) {
+  const auto read = MakeTargetProtocol().read_load;
+  BOOST_REQUIRE(read("3,2,8").has_value());
+  BOOST_TEST(read("3,2,8")->waiting == 2U);
+  BOOST_TEST(read("3,2,8")->slowdown == 1.0);
+  BOOST_TEST(read("3, 2, 8, 250")->slowdown == 2.5);
+  BOOST_TEST(!read("3,2").has_value());
+  BOOST_TEST(!read("a,b,c").has_value());
+  BOOST_TEST(!read("1,1,0").has_value());
+}
+
+BOOST_AUTO_TEST_CASE(Watch_ItemsAndRemovals_AreToldApart) {
+  const StoreCodec codec;
+  const WatchBatch batch = codec.ReadBatch(
+      {200,
+       R"({"events":[{"key":"a","value":"eA==","revision":4,"created":4,)"
+       R"("leaseId":0},{"key":"b","revision":5,"deleted":true}],"readRev":5})",
+       "", false});
+  BOOST_REQUIRE((batch.status == StoreReplyStatus::kOk));
+  BOOST_REQUIRE_EQUAL(batch.changes.size(), 2U);
+  BOOST_TEST(batch.changes[0].value.value() == "x");
+  BOOST_TEST(!batch.changes[1].value.has_value());
+  BOOST_TEST(batch.revision == 5U);
+}
+
+BOOST_AUTO_TEST_CASE(Statuses_OfTheStore_AreToldApart) {
+  const StoreCodec codec;
+  const auto status = [&](int code) {
+    return codec.ReadBatch({code, "", "", false}).status;
+  };
+  BOOST_TEST((status(0) == StoreReplyStatus::kNoReply));
+  BOOST_TEST((status(410) == StoreReplyStatus::kCompacted));
+  BOOST_TEST((status(429) == StoreReplyStatus::kBusy));
+  BOOST_TEST((status(503) == StoreReplyStatus::kBusy));
+  BOOST_TEST((status(500) == StoreReplyStatus::kCorrupt));
+  BOOST_TEST((codec.ReadBatch({200, "{", "", false}).status ==
+              StoreReplyStatus::kCorrupt));
+}
+
+BOOST_AUTO_TEST_CASE(Directory_CallAndAnswer_AreInThePlatformsForm) {
+  BOOST_TEST(ReadDirectoryCall("/-/resolve?name=x&region=r&zone=z-a").raw() ==
+             "z-a");
+  BOOST_TEST(ReadDirectoryCall("/-/resolve").raw().empty());
+  const EdgeResponse answer =
+      WriteDirectoryAnswer({"10.0.0.1:80"}, std::chrono::seconds(1));
+  BOOST_TEST(answer.body == R"({"addrs":["10.0.0.1:80"],"ttl_s":1.0})");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace jacinthdeck::platform
--- a/test/standins/dataset_test.cc
+++ b/test/standins/dataset_test.cc
@@ -7,7 +7,7 @@
 #include <set>
 #include <string>
 
-#include "jacinthdeck/platform/json.h"
+#include "jacinthdeck/core/json.h"
 
 namespace jacinthdeck::standins {
 
