--- a/src/daemons/ctl/arguments.cc
+++ b/src/daemons/ctl/arguments.cc
@@ -11,18 +11,17 @@
 
 namespace po = boost::program_options;
 
-constexpr const char* kDefaultOperators = "127.0.0.1:7301";
-constexpr const char* kDefaultCallers = "127.0.0.1:7300";
+constexpr const char* kDefaultStore = "127.0.0.1:7400";
+constexpr const char* kDefaultHost = "127.0.0.1:7301";
+constexpr const char* kDefaultQueries = "127.0.0.1:7300";
 constexpr std::uint64_t kDefaultTimeoutMs = 5000;
-constexpr std::uint64_t kDefaultWaitMs = 10000;
 
 /*! \brief Values as the option library leaves them. */
 struct RawValues {
-  std::string operators;
-  std::string callers;
+  std::string store;
+  std::string host;
+  std::string queries;
   std::uint64_t timeout_ms = 0;
-  std::uint64_t wait_ms = 0;
-  std::uint64_t expected = 0;
   std::uint64_t deadline_ms = 0;
 };
 
@@ -33,38 +32,30 @@
                         "print this text")(
       "version", po::bool_switch(&arguments.version), "print the version")(
       "json", po::bool_switch(&arguments.json),
-      "print the daemon's reply as one line of JSON")(
-      "operators", po::value(&raw.operators)->default_value(kDefaultOperators),
-      "operator port of a daemon, IP:PORT")(
-      "callers", po::value(&raw.callers)->default_value(kDefaultCallers),
-      "caller port of a daemon, IP:PORT; for entries and query")(
+      "print the reply as one line of JSON")(
+      "store", po::value(&raw.store)->default_value(kDefaultStore),
+      "the platform's store, IP:PORT; for schema, index and hosts")(
+      "host", po::value(&raw.host)->default_value(kDefaultHost),
+      "metrics port of a host, IP:PORT; for status")(
+      "queries", po::value(&raw.queries)->default_value(kDefaultQueries),
+      "port of a host for typed calls, IP:PORT; for entries and query")(
       "timeout-ms",
       po::value(&raw.timeout_ms)->default_value(kDefaultTimeoutMs),
-      "longest time of one call")(
-      "wait-ms", po::value(&raw.wait_ms)->default_value(kDefaultWaitMs),
-      "how long a change may stay pending or unknown")(
-      "operation", po::value(&arguments.operation),
-      "id of the change; give it again to ask about a change that ended "
-      "unknown")(
-      "expected", po::value(&raw.expected),
-      "revision that the change is based on (default: the present one)")(
-      "tenant", po::value(&arguments.tenant), "tenant of a query")(
+      "longest time of one call")("tenant", po::value(&arguments.tenant),
+                                  "tenant of a query")(
       "request-id", po::value(&arguments.request_id),
-      "id of a query: TOKEN-NONCE, TOKEN as `entries` prints it")(
-      "deadline-ms", po::value(&raw.deadline_ms), "deadline of a query");
+      "id of a query, for the logs")("deadline-ms", po::value(&raw.deadline_ms),
+                                     "deadline of a query");
   return options;
 }
 
 [[nodiscard]] Result<Arguments> Check(Arguments arguments,
                                       const RawValues& raw,
                                       const po::variables_map& values) {
-  BOOST_LEAF_ASSIGN(arguments.operators, HttpEndpoint::Parse(raw.operators));
-  BOOST_LEAF_ASSIGN(arguments.callers, HttpEndpoint::Parse(raw.callers));
+  BOOST_LEAF_ASSIGN(arguments.store, Endpoint::Parse(raw.store));
+  BOOST_LEAF_ASSIGN(arguments.host, Endpoint::Parse(raw.host));
+  BOOST_LEAF_ASSIGN(arguments.queries, Endpoint::Parse(raw.queries));
   arguments.timeout = std::chrono::milliseconds(raw.timeout_ms);
-  arguments.wait = std::chrono::milliseconds(raw.wait_ms);
-  if (values.count("expected") > 0) {
-    arguments.expected = raw.expected;
-  }
   if (values.count("deadline-ms") > 0) {
     arguments.deadline_ms = raw.deadline_ms;
   }
--- a/src/daemons/ctl/arguments.h
+++ b/src/daemons/ctl/arguments.h
@@ -8,9 +8,9 @@
 #include <string>
 #include <vector>
 
+#include "jacinthdeck/core/endpoint.h"
 #include "jacinthdeck/core/result.h"
 #include "jacinthdeck/core/time.h"
-#include "jacinthdeck/platform/http_client.h"
 
 namespace jacinthdeck::ctl {
 
@@ -19,16 +19,16 @@
   bool help = false;
   bool version = false;
   bool json = false;
-  HttpEndpoint operators;
-  HttpEndpoint callers;
+  //! The platform's store.
+  Endpoint store;
+  //! A host's metrics port.
+  Endpoint host;
+  //! A host's port for typed calls.
+  Endpoint queries;
+  //! Of one call.
   Duration timeout{};
-  //! How long a change may stay pending before the command gives up.
-  Duration wait{};
   //! Words of the command and its operands.
   std::vector<std::string> words;
-  //! Empty: chosen by the command.
-  std::string operation;
-  std::optional<std::uint64_t> expected;
   std::string tenant;
   std::string request_id;
   std::optional<std::uint64_t> deadline_ms;
--- a/src/daemons/ctl/command.cc
+++ b/src/daemons/ctl/command.cc
@@ -5,9 +5,8 @@
 #include <array>
 #include <limits>
 
-#include "ctl/config_commands.h"
-#include "ctl/entry_commands.h"
-#include "ctl/quarantine_commands.h"
+#include "ctl/explain_command.h"
+#include "ctl/host_commands.h"
 #include "ctl/query_command.h"
 #include "ctl/schema_commands.h"
 
@@ -17,29 +16,21 @@
 
 constexpr std::size_t kAny = std::numeric_limits<std::size_t>::max();
 
-constexpr std::array<Command, 13> kCommands{{
+constexpr std::array<Command, 9> kCommands{{
     {"schema", "check", "FILE", "check a schema file without sending it", 1, 1,
      &SchemaCheck},
     {"schema", "apply", "FILE", "put a schema file in force", 1, 1,
      &SchemaApply},
     {"schema", "show", "", "print the schema in force", 0, 0, &SchemaShow},
-    {"config", "get", "[KEY]", "print the settings in force", 0, 1, &ConfigGet},
-    {"config", "set", "KEY=VALUE...", "change settings; KEY= removes one", 1,
-     kAny, &ConfigSet},
-    {"config", "history", "", "print former revisions", 0, 0, &ConfigHistory},
-    {"config", "rollback", "REVISION",
-     "put a former revision in force, as a new revision", 1, 1,
-     &ConfigRollback},
-    {"status", "", "", "print what the entry knows and does", 0, 0,
-     &ShowStatus},
-    {"entries", "", "", "print the addresses for callers", 0, 0, &ShowEntries},
+    {"index", "apply", "FILE", "put partition maps in force", 1, 1,
+     &IndexApply},
+    {"status", "", "", "print what a host knows and does", 0, 0, &ShowStatus},
+    {"hosts", "", "", "print the hosts in the store", 0, 0, &ShowHosts},
+    {"entries", "", "", "print the addresses for typed calls", 0, 0,
+     &ShowEntries},
     {"query", "", "SERVICE/METHOD JSON", "ask one request", 2, 2, &Query},
-    {"drain", "", "", "make the entry leave: no new work, finish the rest", 0,
-     0, &Drain},
-    {"quarantine", "list", "", "print requests that are refused as crashing", 0,
-     0, &QuarantineList},
-    {"quarantine", "clear", "FINGERPRINT", "let a request run again", 1, 1,
-     &QuarantineClear},
+    {"explain", "", "REQUEST_ID FILE...",
+     "tell the story of a request from logs", 2, kAny, &Explain},
 }};
 
 [[nodiscard]] bool Names(const Command& command,
--- a/src/daemons/ctl/query_command.cc
+++ b/src/daemons/ctl/query_command.cc
@@ -18,13 +18,11 @@
 
 constexpr const char* kMayHaveRun = "; it may or may not have run";
 constexpr const char* kAskAgain =
-    "send it again with the same --request-id to learn its end; with another "
-    "id it may run twice";
+    "look at its effect before it is sent again: it may run twice";
 
-[[nodiscard]] HttpCall MakeCall(const Arguments& arguments,
-                                const std::vector<std::string>& operands) {
-  HttpCall call{
-      .verb = "POST", .path = "/v1/" + operands[0], .body = operands[1]};
+[[nodiscard]] ClientRequest MakeCall(const Arguments& arguments,
+                                     const std::vector<std::string>& operands) {
+  ClientRequest call{"POST", "/v1/" + operands[0], operands[1]};
   if (!arguments.tenant.empty()) {
     call.headers.push_back({"X-Tenant", arguments.tenant});
   }
@@ -102,7 +100,7 @@
              : "ask another of `entries`";
 }
 
-ExitCode Report(Session& session, const DaemonReply& reply) {
+ExitCode Report(Session& session, const HostReply& reply) {
   const auto outcome = kOutcomeNames.Find(Text(*reply.body, "outcome"));
   if (!outcome) {
     return session.FailReply(reply);
@@ -137,7 +135,8 @@
                         "write SERVICE/METHOD; `schema show` lists them");
   }
   const auto called = Capture([&] {
-    return session.CallCallers(MakeCall(session.arguments(), operands));
+    return session.Call(session.arguments().queries,
+                        MakeCall(session.arguments(), operands));
   });
   if (const auto* error = std::get_if<Error>(&called)) {
     // A lost reply looks like this too, so "not run" would be a guess.
--- a/src/daemons/ctl/schema_commands.cc
+++ b/src/daemons/ctl/schema_commands.cc
@@ -9,7 +9,7 @@
 #include <optional>
 #include <variant>
 
-#include "ctl/config_change.h"
+#include "ctl/store_key.h"
 #include "jacinthdeck/schema/schema.h"
 
 namespace jacinthdeck::ctl {
@@ -97,30 +97,23 @@
   if (checked != ExitCode::kDone) {
     return checked;
   }
-  return ChangeConfig(session, [&](json_t& content) {
-    json_object_set_new(&content, "schema",
-                        json_stringn(text.data(), text.size()));
-  });
+  return WriteKey(session, session.codec().SchemaKey(), text);
 }
 
 ExitCode SchemaShow(Session& session,
                     const std::vector<std::string>& /*none*/) {
-  const auto reply =
-      Capture([&] { return session.CallOperators({.path = "/v1/config"}); });
-  if (const auto* error = std::get_if<Error>(&reply)) {
+  const auto read = Capture([&] { return session.ReadStore(); });
+  if (const auto* error = std::get_if<Error>(&read)) {
     return session.Fail(*error);
   }
-  const DaemonReply& config = std::get<0>(reply);
-  if (config.status != 200) {
-    return session.FailReply(config);
+  for (const StoreChange& item : std::get<0>(read)) {
+    if (item.key == session.codec().SchemaKey()) {
+      session.out() << item.value.value_or("");
+      return ExitCode::kDone;
+    }
   }
-  const json_t* schema = json_object_get(config.body.get(), "schema");
-  if (!json_is_string(schema) || session.arguments().json) {
-    session.Print(*config.body);
-    return ExitCode::kDone;
-  }
-  session.out() << json_string_value(schema);
-  return ExitCode::kDone;
+  return session.Fail(ExitCode::kRefused, "no schema is in the store",
+                      "put one there with `schema apply`");
 }
 
 }  // namespace jacinthdeck::ctl
--- a/src/daemons/ctl/session.cc
+++ b/src/daemons/ctl/session.cc
@@ -1,4 +1,4 @@
-// Calls to a daemon and the printing of their ends.
+// Calls to hosts and the store, and the printing of their ends.
 #include "ctl/session.h"
 
 #include <jansson.h>
@@ -6,25 +6,23 @@
 #include <utility>
 
 #include "ctl/human.h"
-#include "jacinthdeck/core/json_reader.h"
+#include "jacinthdeck/http/blocking_client.h"
 
 namespace jacinthdeck::ctl {
 
 namespace {
 
-constexpr long kFirstError = 400;
-constexpr long kFirstServerError = 500;
+constexpr int kFirstError = 400;
+constexpr int kFirstServerError = 500;
 
 }  // namespace
 
 Session::Session(Arguments arguments,
-                 const Clock& clock,
-                 std::function<void(Duration)> sleep,
+                 const PlatformCodec& codec,
                  std::ostream& out,
                  std::ostream& err)
     : m_arguments(std::move(arguments)),
-      m_clock(clock),
-      m_sleep(std::move(sleep)),
+      m_codec(codec),
       m_out(out),
       m_err(err) {}
 
@@ -34,29 +32,49 @@
   return {words.begin() + skip, words.end()};
 }
 
-Result<DaemonReply> Session::CallOperators(HttpCall call) const {
-  return Call(m_arguments.operators, std::move(call));
-}
-
-Result<DaemonReply> Session::CallCallers(HttpCall call) const {
-  return Call(m_arguments.callers, std::move(call));
-}
-
-Result<DaemonReply> Session::Call(const HttpEndpoint& endpoint,
-                                  HttpCall call) const {
-  call.timeout = m_arguments.timeout;
-  const HttpClient client(endpoint);
-  BOOST_LEAF_AUTO(answer, client.Call(call));
-  DaemonReply reply;
+Result<HostReply> Session::Call(const Endpoint& endpoint,
+                                const ClientRequest& request) const {
+  const ClientReply answer =
+      CallAndWait(endpoint, request, m_arguments.timeout);
+  if (!answer.answered()) {
+    return jacinthdeck::Fail(ErrorCode::kUnavailable, endpoint.ToString(),
+                             answer.error);
+  }
+  HostReply reply;
   reply.status = answer.status;
   if (answer.body.empty()) {
     reply.body.reset(json_object());
     return reply;
   }
-  BOOST_LEAF_ASSIGN(reply.body, ParseJson(answer.body, "reply of the daemon"));
+  BOOST_LEAF_ASSIGN(reply.body, ParseJson(answer.body, "reply"));
   return reply;
 }
 
+Result<std::vector<StoreChange>> Session::ReadStore() const {
+  std::vector<StoreChange> items;
+  while (true) {
+    const std::string after = items.empty() ? "" : items.back().key;
+    const StorePage page = m_codec.ReadPage(CallAndWait(
+        m_arguments.store, m_codec.RangeCall(after), m_arguments.timeout));
+    if (page.status != StoreStatus::kOk) {
+      return jacinthdeck::Fail(ErrorCode::kUnavailable,
+                               m_arguments.store.ToString(), page.problem);
+    }
+    items.insert(items.end(), page.items.begin(), page.items.end());
+    if (!page.has_more || page.items.empty()) {
+      return items;
+    }
+  }
+}
+
+StoreAck Session::Swap(const std::string& key,
+                       const std::string& value,
+                       std::uint64_t revision) const {
+  return m_codec.ReadWrite(CallAndWait(m_arguments.store,
+                                       m_codec.SwapCall(key, value, revision),
+                                       m_arguments.timeout));
+}
+
 void Session::Print(const json_t& value) {
   if (m_arguments.json) {
     m_out << DumpJson(value) << "\n";
@@ -80,8 +98,8 @@
   switch (error.code) {
     case ErrorCode::kUnavailable:
       return Fail(ExitCode::kUnreachable, what,
-                  "check the address, or name another entry with --operators "
-                  "or --callers");
+                  "check the address, or name another one with --store, "
+                  "--host or --queries");
     case ErrorCode::kInvalidArgument:
     case ErrorCode::kNotFound:
       return Fail(ExitCode::kUsage, what, "see --help");
@@ -91,11 +109,11 @@
   }
 }
 
-ExitCode Session::FailReply(const DaemonReply& reply) {
+ExitCode Session::FailReply(const HostReply& reply) {
   if (m_arguments.json) {
     m_out << DumpJson(*reply.body) << "\n";
   }
-  std::string what = "the daemon answered status " +
+  std::string what = "the host answered status " +
                      std::to_string(reply.status) + ": " +
                      DumpJson(*reply.body);
   const json_t* error = json_object_get(reply.body.get(), "error");
@@ -111,7 +129,7 @@
     return Fail(ExitCode::kRefused, what,
                 "nothing was changed; correct the input and send it again");
   }
-  return Fail(ExitCode::kFailed, what, "see the log of the daemon");
+  return Fail(ExitCode::kFailed, what, "see the log of the host");
 }
 
 }  // namespace jacinthdeck::ctl
--- a/src/daemons/ctl/session.h
+++ b/src/daemons/ctl/session.h
@@ -1,24 +1,23 @@
-// What every command needs: its arguments, the daemon, and where to print.
+// What every command needs: its arguments, the servers, and where to print.
 #ifndef JACINTHDECK_DAEMONS_CTL_SESSION_H_
 #define JACINTHDECK_DAEMONS_CTL_SESSION_H_
 
-#include <functional>
 #include <ostream>
 #include <string>
 #include <vector>
 
 #include "ctl/arguments.h"
 #include "ctl/exit_code.h"
-#include "jacinthdeck/core/clock.h"
 #include "jacinthdeck/core/json.h"
 #include "jacinthdeck/core/result.h"
-#include "jacinthdeck/platform/http_client.h"
+#include "jacinthdeck/discovery/platform_codec.h"
+#include "jacinthdeck/http/client_session.h"
 
 namespace jacinthdeck::ctl {
 
-/*! \brief A reply of a daemon, parsed. */
-struct DaemonReply {
-  long status = 0;
+/*! \brief A reply of a host, parsed. */
+struct HostReply {
+  int status = 0;
   //! An empty object where the reply has no body.
   JsonPtr body;
 };
@@ -27,37 +26,41 @@
 class Session {
  public:
   /**
-   * \brief Makes a session.
+   * \brief Makes a session; all that it is given outlives it.
    * \param arguments Command line.
-   * \param clock Clock of the waits; outlives the session.
-   * \param sleep Waits for a time of that clock.
-   * \param out Where results go; outlives the session.
-   * \param err Where errors go; outlives the session.
+   * \param codec The store's format.
+   * \param out Where results go.
+   * \param err Where errors go.
    */
   Session(Arguments arguments,
-          const Clock& clock,
-          std::function<void(Duration)> sleep,
+          const PlatformCodec& codec,
           std::ostream& out,
           std::ostream& err);
 
   [[nodiscard]] const Arguments& arguments() const noexcept {
     return m_arguments;
   }
-  [[nodiscard]] const Clock& clock() const noexcept { return m_clock; }
-  /*! \brief Waits. */
-  void Sleep(Duration duration) const { m_sleep(duration); }
-
+  [[nodiscard]] const PlatformCodec& codec() const noexcept { return m_codec; }
   [[nodiscard]] std::ostream& out() noexcept { return m_out; }
 
   /*! \brief Operands after the words of the command. */
   [[nodiscard]] std::vector<std::string> Operands(
       std::size_t command_words) const;
 
-  /*! \brief Calls the operator port. */
-  [[nodiscard]] Result<DaemonReply> CallOperators(HttpCall call) const;
+  /*! \brief Calls a server and reads its JSON. */
+  [[nodiscard]] Result<HostReply> Call(const Endpoint& endpoint,
+                                       const ClientRequest& request) const;
 
-  /*! \brief Calls the caller port. */
-  [[nodiscard]] Result<DaemonReply> CallCallers(HttpCall call) const;
+  /*! \brief Reads all keys of the store. */
+  [[nodiscard]] Result<std::vector<StoreChange>> ReadStore() const;
+
+  /**
+   * \brief Writes a key of the store if it is as it was read.
+   * \param revision Revision that was read; 0 if the key was not there.
+   */
+  [[nodiscard]] StoreAck Swap(const std::string& key,
+                              const std::string& value,
+                              std::uint64_t revision) const;
 
   /*! \brief Prints a reply: as one line with --json, else for people. */
   void Print(const json_t& value);
@@ -74,15 +77,11 @@
   ExitCode Fail(const Error& error);
 
   /*! \brief Prints a reply that refuses a call. */
-  ExitCode FailReply(const DaemonReply& reply);
+  ExitCode FailReply(const HostReply& reply);
 
  private:
-  [[nodiscard]] Result<DaemonReply> Call(const HttpEndpoint& endpoint,
-                                         HttpCall call) const;
-
   Arguments m_arguments;
-  const Clock& m_clock;
-  std::function<void(Duration)> m_sleep;
+  const PlatformCodec& m_codec;
   std::ostream& m_out;
   std::ostream& m_err;
 };
--- a/src/daemons/ctl/show.cc
+++ b/src/daemons/ctl/show.cc
@@ -3,18 +3,21 @@
 
 namespace jacinthdeck::ctl {
 
-ExitCode ShowOperators(Session& session, const std::string& path) {
-  return ShowReply(
-      session, Capture([&] { return session.CallOperators({.path = path}); }));
+ExitCode Show(Session& session,
+              const Endpoint& endpoint,
+              const std::string& path) {
+  return ShowReply(session, Capture([&] {
+                     return session.Call(endpoint, {"GET", path, ""});
+                   }));
 }
 
 ExitCode ShowReply(Session& session,
-                   const std::variant<DaemonReply, Error>& called) {
-  constexpr long kFirstError = 300;
+                   const std::variant<HostReply, Error>& called) {
+  constexpr int kFirstError = 300;
   if (const auto* error = std::get_if<Error>(&called)) {
     return session.Fail(*error);
   }
-  const DaemonReply& reply = std::get<0>(called);
+  const HostReply& reply = std::get<0>(called);
   if (reply.status >= kFirstError) {
     return session.FailReply(reply);
   }
--- a/src/daemons/ctl/show.h
+++ b/src/daemons/ctl/show.h
@@ -1,4 +1,4 @@
-// Commands that print one reply of the daemon as it is.
+// Commands that print one reply of a host as it is.
 #ifndef JACINTHDECK_DAEMONS_CTL_SHOW_H_
 #define JACINTHDECK_DAEMONS_CTL_SHOW_H_
 
@@ -10,12 +10,14 @@
 
 namespace jacinthdeck::ctl {
 
-/*! \brief Gets a path of the operator port and prints the reply. */
-ExitCode ShowOperators(Session& session, const std::string& path);
+/*! \brief Gets a path of a server and prints the reply. */
+ExitCode Show(Session& session,
+              const Endpoint& endpoint,
+              const std::string& path);
 
 /*! \brief Prints a reply, or why there is none. */
 ExitCode ShowReply(Session& session,
-                   const std::variant<DaemonReply, Error>& called);
+                   const std::variant<HostReply, Error>& called);
 
 }  // namespace jacinthdeck::ctl
 
--- /dev/null
+++ b/src/jacinthdeck/core/endpoint.cc
@@ -0,0 +1,31 @@
+// Text form of endpoints.
+#include "jacinthdeck/core/endpoint.h"
+
+#include <arpa/inet.h>
+
+#include <charconv>
+
+namespace jacinthdeck {
+
+std::string Endpoint::ToString() const {
+  return address + ":" + std::to_string(port);
+}
+
+Result<Endpoint> Endpoint::Parse(std::string_view text) {
+  Endpoint endpoint;
+  const std::size_t colon = text.rfind(':');
+  const char* end = text.data() + text.size();
+  const bool has_port =
+      colon != text.npos &&
+      std::from_chars(text.data() + colon + 1, end, endpoint.port).ptr == end &&
+      colon + 1 < text.size();
+  endpoint.address = std::string(text.substr(0, colon));
+  in_addr parsed{};
+  if (!has_port || inet_pton(AF_INET, endpoint.address.c_str(), &parsed) != 1) {
+    return Fail(ErrorCode::kInvalidArgument, "address",
+                "is \"" + std::string(text) + "\"; expected IPv4:port");
+  }
+  return endpoint;
+}
+
+}  // namespace jacinthdeck
--- a/src/jacinthdeck/core/settings_table.cc
+++ b/src/jacinthdeck/core/settings_table.cc
@@ -1,10 +1,7 @@
 // Lookup and checks over toml++.
 #include "jacinthdeck/core/settings_table.h"
 
-#include <arpa/inet.h>
-
 #include <algorithm>
-#include <charconv>
 #include <sstream>
 #include <utility>
 
@@ -22,11 +19,6 @@
   return text.str();
 }
 
-[[nodiscard]] bool IsAddress(const std::string& text) {
-  in_addr parsed{};
-  return inet_pton(AF_INET, text.c_str(), &parsed) == 1;
-}
-
 }  // namespace
 
 struct SettingsTable::Impl {
@@ -152,25 +144,17 @@
   return Duration(static_cast<Duration::rep>(value * kMicroseconds));
 }
 
-SettingAddress SettingsTable::Address(const std::string& key,
-                                      SettingNeed need) {
+Endpoint SettingsTable::Address(const std::string& key, SettingNeed need) {
   const std::string text = Text(key, need);
-  SettingAddress address;
   if (text.empty()) {
-    return address;
+    return {};
   }
-  const std::size_t colon = text.rfind(':');
-  const char* end = text.data() + text.size();
-  const bool has_port =
-      colon != text.npos &&
-      std::from_chars(text.data() + colon + 1, end, address.port).ptr == end;
-  address.address = text.substr(0, colon);
-  if (!has_port || !IsAddress(address.address)) {
-    m_impl->Add(*m_impl->root.at_path(key).node(), key,
-                "is \"" + text + "\"; expected IPv4:port");
+  auto parsed = Capture([&] { return Endpoint::Parse(text); });
+  if (const auto* error = std::get_if<Error>(&parsed)) {
+    m_impl->Add(*m_impl->root.at_path(key).node(), key, error->message);
     return {};
   }
-  return address;
+  return std::get<0>(std::move(parsed));
 }
 
 std::vector<SettingsFault> SettingsTable::TakeFaults() {
--- a/src/jacinthdeck/core/settings_table.h
+++ b/src/jacinthdeck/core/settings_table.h
@@ -9,6 +9,7 @@
 #include <string_view>
 #include <vector>
 
+#include "jacinthdeck/core/endpoint.h"
 #include "jacinthdeck/core/time.h"
 
 namespace jacinthdeck {
@@ -34,14 +35,6 @@
   double high = 0;
 };
 
-/*! \brief An IPv4 number and a port. */
-struct SettingAddress {
-  std::string address;
-  std::uint16_t port = 0;
-
-  [[nodiscard]] bool operator==(const SettingAddress&) const = default;
-};
-
 /**
  * \brief Typed access to the keys of a settings file.
  *
@@ -78,8 +71,7 @@
                                       Duration fallback);
 
   /*! \brief Reads `address:port`. */
-  [[nodiscard]] SettingAddress Address(const std::string& key,
-                                       SettingNeed need);
+  [[nodiscard]] Endpoint Address(const std::string& key, SettingNeed need);
 
   /*! \brief Gives all faults, unknown keys included; called last. */
   [[nodiscard]] std::vector<SettingsFault> TakeFaults();
--- a/src/jacinthdeck/discovery/fwd.h
+++ b/src/jacinthdeck/discovery/fwd.h
@@ -19,7 +19,7 @@
 struct StorePage;
 struct WatchBatch;
 enum class KeyKind;
-enum class StoreReplyStatus;
+enum class StoreStatus;
 
 }  // namespace jacinthdeck
 
--- a/src/jacinthdeck/discovery/host_record.h
+++ b/src/jacinthdeck/discovery/host_record.h
@@ -15,6 +15,8 @@
   FailureDomain domain;
   //! `address:port` that callers connect to.
   std::string callers;
+  //! `address:port` of the typed calls; empty if it takes none.
+  std::string queries;
   //! Start of its process in Unix milliseconds: tells its lives apart.
   std::uint64_t started_ms = 0;
 
--- a/src/jacinthdeck/discovery/knowledge.cc
+++ b/src/jacinthdeck/discovery/knowledge.cc
@@ -83,6 +83,19 @@
       }
       break;
     }
+    case KeyKind::kSchema:
+      if (change.value && *change.value != m_schema) {
+        m_schema = *change.value;
+        changed.schema = true;
+      }
+      break;
+    case KeyKind::kIndex:
+      if (change.value) {
+        const ServiceId service(name.id);
+        m_indexes[service] = *change.value;
+        changed.indexes.push_back(service);
+      }
+      break;
     case KeyKind::kOther:
       break;
   }
--- a/src/jacinthdeck/discovery/knowledge.h
+++ b/src/jacinthdeck/discovery/knowledge.h
@@ -4,6 +4,7 @@
 #define JACINTHDECK_DISCOVERY_KNOWLEDGE_H_
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -28,6 +29,9 @@
   bool config = false;
   bool targets = false;
   bool hosts = false;
+  bool schema = false;
+  //! Services whose partition maps were written.
+  std::vector<ServiceId> indexes;
   //! Requests that another host found to crash targets.
   std::vector<Fingerprint> convictions;
   //! Entries that could not be read: key and what is wrong.
@@ -58,6 +62,13 @@
   [[nodiscard]] const HostRecord* FindHost(const NodeId& name) const {
     return m_hosts.Find(m_codec.HostKey(name));
   }
+  /*! \brief Text of the schema of typed calls; empty if there is none. */
+  [[nodiscard]] const std::string& schema() const noexcept { return m_schema; }
+  /*! \brief Text of a service's partition maps; empty if there is none. */
+  [[nodiscard]] std::string IndexOf(const ServiceId& service) const {
+    const auto found = m_indexes.find(service);
+    return found == m_indexes.end() ? std::string() : found->second;
+  }
   [[nodiscard]] std::size_t target_count() const noexcept {
     return m_targets.size();
   }
@@ -100,6 +111,8 @@
   const PlatformCodec& m_codec;
   RemovalHold m_hold;
   std::shared_ptr<const RoutingConfig> m_config;
+  std::string m_schema;
+  std::map<ServiceId, std::string> m_indexes;
   HeldEntries<TargetEntry> m_targets;
   HeldEntries<HostRecord> m_hosts;
 };
--- a/src/jacinthdeck/discovery/knowledge_observer.h
+++ b/src/jacinthdeck/discovery/knowledge_observer.h
@@ -19,14 +19,13 @@
                            std::uint64_t revision) = 0;
 
   /*! \brief A call to the store failed after one that went well. */
-  virtual void OnStoreLost(StoreReplyStatus status,
-                           const std::string& problem) = 0;
+  virtual void OnStoreLost(StoreStatus status, const std::string& problem) = 0;
 
   /*! \brief A call to the store went well after one that failed. */
   virtual void OnStoreRegained() = 0;
 
   /*! \brief This host's own record was written, or could not be. */
-  virtual void OnRegistration(StoreReplyStatus status) = 0;
+  virtual void OnRegistration(StoreStatus status) = 0;
 };
 
 }  // namespace jacinthdeck
--- a/src/jacinthdeck/discovery/platform_codec.h
+++ b/src/jacinthdeck/discovery/platform_codec.h
@@ -20,11 +20,19 @@
 namespace jacinthdeck {
 
 /*! \brief What a key of the store holds. */
-enum class KeyKind { kConfig, kTarget, kHost, kConviction, kOther };
+enum class KeyKind {
+  kConfig,
+  kTarget,
+  kHost,
+  kConviction,
+  kSchema,
+  kIndex,
+  kOther,
+};
 
 //! Names of the kinds, for logs.
-inline constexpr NameTable<KeyKind, 5> kKeyKindNames{
-    {"config", "target", "host", "conviction", "other"}};
+inline constexpr NameTable<KeyKind, 7> kKeyKindNames{
+    {"config", "target", "host", "conviction", "schema", "index", "other"}};
 
 /*! \brief A key taken apart. */
 struct KeyName {
@@ -46,6 +54,9 @@
   [[nodiscard]] virtual std::string HostKey(const NodeId& host) const = 0;
   [[nodiscard]] virtual std::string ConvictionKey(
       Fingerprint fingerprint) const = 0;
+  [[nodiscard]] virtual std::string SchemaKey() const = 0;
+  [[nodiscard]] virtual std::string IndexKey(
+      const std::string& service) const = 0;
 
   [[nodiscard]] virtual Result<std::shared_ptr<const RoutingConfig>> ReadConfig(
       const std::string& value) const = 0;
@@ -73,6 +84,12 @@
   [[nodiscard]] virtual ClientRequest PutCall(const std::string& key,
                                               const std::string& value,
                                               std::uint64_t lease) const = 0;
+  /*! \brief Writes a key if it is still at a revision; 0: if it is not there.
+   */
+  [[nodiscard]] virtual ClientRequest SwapCall(
+      const std::string& key,
+      const std::string& value,
+      std::uint64_t revision) const = 0;
   [[nodiscard]] virtual StoreAck ReadWrite(const ClientReply& reply) const = 0;
 };
 
--- a/src/jacinthdeck/discovery/store_session.cc
+++ b/src/jacinthdeck/discovery/store_session.cc
@@ -76,7 +76,7 @@
 }
 
 void StoreSession::OnPage(const StorePage& page) {
-  if (page.status != StoreReplyStatus::kOk) {
+  if (page.status != StoreStatus::kOk) {
     OnFailure(page.status, page.problem);
     return;
   }
@@ -106,12 +106,12 @@
 }
 
 void StoreSession::OnBatch(const WatchBatch& batch) {
-  if (batch.status == StoreReplyStatus::kCompacted) {
+  if (batch.status == StoreStatus::kCompacted) {
     m_loaded = false;
     ReadAll();
     return;
   }
-  if (batch.status != StoreReplyStatus::kOk) {
+  if (batch.status != StoreStatus::kOk) {
     OnFailure(batch.status, batch.problem);
     return;
   }
@@ -143,8 +143,7 @@
   }
 }
 
-void StoreSession::OnFailure(StoreReplyStatus status,
-                             const std::string& problem) {
+void StoreSession::OnFailure(StoreStatus status, const std::string& problem) {
   ++m_counters.failures;
   m_knowledge.OnStoreAway();
   if (!m_lost) {
@@ -168,7 +167,8 @@
   if (change.hosts) {
     CheckOwnRecord();
   }
-  const bool news = change.config || change.targets || change.hosts ||
+  const bool news = change.schema || !change.indexes.empty() || change.config ||
+                    change.targets || change.hosts ||
                     !change.convictions.empty() || !change.unreadable.empty();
   if (news) {
     m_observer.OnKnowledge(change, m_revision);
--- a/src/jacinthdeck/discovery/store_session.h
+++ b/src/jacinthdeck/discovery/store_session.h
@@ -88,7 +88,7 @@
   void OnBatch(const WatchBatch& batch);
   void WatchAfter(Duration pause);
   void OnWell();
-  void OnFailure(StoreReplyStatus status, const std::string& problem);
+  void OnFailure(StoreStatus status, const std::string& problem);
   void Tell(const KnowledgeChange& change);
 
   // Writing, in store_session_writes.cc.
@@ -99,7 +99,7 @@
   void Renew();
   void End();
   void WriteConviction();
-  void OnWriteFailed(StoreReplyStatus status);
+  void OnWriteFailed(StoreStatus status);
   void CheckOwnRecord();
 
   asio::io_context& m_loop;
--- a/src/jacinthdeck/discovery/store_session_writes.cc
+++ b/src/jacinthdeck/discovery/store_session_writes.cc
@@ -78,7 +78,7 @@
   m_writes.Call(m_codec.GrantCall(kLeaseLife), kCallTimeout,
                 [this](const ClientReply& reply) {
                   const StoreAck ack = m_codec.ReadWrite(reply);
-                  if (ack.status != StoreReplyStatus::kOk || ack.lease == 0) {
+                  if (ack.status != StoreStatus::kOk || ack.lease == 0) {
                     OnWriteFailed(ack.status);
                     return;
                   }
@@ -95,14 +95,14 @@
   m_writes.Call(m_codec.PutCall(key, m_codec.WriteHost(*m_record), m_lease),
                 kCallTimeout, [this](const ClientReply& reply) {
                   const StoreAck ack = m_codec.ReadWrite(reply);
-                  if (ack.status != StoreReplyStatus::kOk) {
+                  if (ack.status != StoreStatus::kOk) {
                     OnWriteFailed(ack.status);
                     return;
                   }
                   m_written = true;
                   m_seen = false;
                   m_write_backoff.OnSuccess();
-                  m_observer.OnRegistration(StoreReplyStatus::kOk);
+                  m_observer.OnRegistration(StoreStatus::kOk);
                   Step();
                 });
 }
@@ -112,7 +112,7 @@
   m_writes.Call(m_codec.RenewCall(m_lease), kCallTimeout,
                 [this](const ClientReply& reply) {
                   const StoreAck ack = m_codec.ReadWrite(reply);
-                  if (ack.status != StoreReplyStatus::kOk) {
+                  if (ack.status != StoreStatus::kOk) {
                     OnWriteFailed(ack.status);
                     return;
                   }
@@ -128,8 +128,8 @@
   m_writes.Call(m_codec.EndCall(lease), kCallTimeout,
                 [this](const ClientReply& reply) {
                   const StoreAck ack = m_codec.ReadWrite(reply);
-                  if (ack.status == StoreReplyStatus::kOk ||
-                      ack.status == StoreReplyStatus::kNoLease) {
+                  if (ack.status == StoreStatus::kOk ||
+                      ack.status == StoreStatus::kNoLease) {
                     m_lease = 0;
                     return;
                   }
@@ -143,7 +143,7 @@
       m_codec.GrantCall(kConvictionLife), kCallTimeout,
       [this](const ClientReply& granted) {
         const StoreAck lease = m_codec.ReadWrite(granted);
-        if (lease.status != StoreReplyStatus::kOk || m_convictions.empty()) {
+        if (lease.status != StoreStatus::kOk || m_convictions.empty()) {
           OnWriteFailed(lease.status);
           return;
         }
@@ -152,7 +152,7 @@
         m_writes.Call(m_codec.PutCall(key, "1", lease.lease), kCallTimeout,
                       [this](const ClientReply& reply) {
                         const StoreAck ack = m_codec.ReadWrite(reply);
-                        if (ack.status != StoreReplyStatus::kOk) {
+                        if (ack.status != StoreStatus::kOk) {
                           OnWriteFailed(ack.status);
                           return;
                         }
@@ -164,9 +164,9 @@
       });
 }
 
-void StoreSession::OnWriteFailed(StoreReplyStatus status) {
+void StoreSession::OnWriteFailed(StoreStatus status) {
   ++m_counters.failures;
-  if (status == StoreReplyStatus::kNoLease) {
+  if (status == StoreStatus::kNoLease) {
     m_lease = 0;
     m_written = false;
   }
--- a/src/jacinthdeck/discovery/store_types.h
+++ b/src/jacinthdeck/discovery/store_types.h
@@ -13,7 +13,7 @@
 namespace jacinthdeck {
 
 /*! \brief How the store took a call. */
-enum class StoreReplyStatus {
+enum class StoreStatus {
   kOk,
   //! The call did nothing: the store is busy, or calls beyond its rate.
   kBusy,
@@ -30,7 +30,7 @@
 };
 
 //! Names of the statuses, for logs and metrics.
-inline constexpr NameTable<StoreReplyStatus, 7> kStoreReplyStatusNames{
+inline constexpr NameTable<StoreStatus, 7> kStoreStatusNames{
     {"ok", "busy", "compacted", "no_lease", "conflict", "no_reply", "corrupt"}};
 
 /*! \brief A key with its value, or its removal. */
@@ -43,7 +43,7 @@
 
 /*! \brief One page of a range of keys. */
 struct StorePage {
-  StoreReplyStatus status = StoreReplyStatus::kNoReply;
+  StoreStatus status = StoreStatus::kNoReply;
   //! Why, where the status is not kOk.
   std::string problem;
   std::vector<StoreChange> items;
@@ -54,7 +54,7 @@
 
 /*! \brief What a watch returned. */
 struct WatchBatch {
-  StoreReplyStatus status = StoreReplyStatus::kNoReply;
+  StoreStatus status = StoreStatus::kNoReply;
   std::string problem;
   std::vector<StoreChange> changes;
   //! Where the next watch goes on.
@@ -63,7 +63,7 @@
 
 /*! \brief What a call on a lease, or a write, returned. */
 struct StoreAck {
-  StoreReplyStatus status = StoreReplyStatus::kNoReply;
+  StoreStatus status = StoreStatus::kNoReply;
   std::string problem;
   //! Of a new lease.
   std::uint64_t lease = 0;
--- a/src/jacinthdeck/runtime/metrics.cc
+++ b/src/jacinthdeck/entry/call_metrics.cc
@@ -1,5 +1,5 @@
 // Latency and outcomes by tenant and service.
-#include "jacinthdeck/runtime/metrics.h"
+#include "jacinthdeck/entry/call_metrics.h"
 
 #include <sstream>
 #include <utility>
--- a/src/jacinthdeck/runtime/metrics.h
+++ b/src/jacinthdeck/entry/call_metrics.h
@@ -1,6 +1,6 @@
 // Latency and outcomes by tenant and service, for the operators' metrics.
-#ifndef JACINTHDECK_RUNTIME_METRICS_H_
-#define JACINTHDECK_RUNTIME_METRICS_H_
+#ifndef JACINTHDECK_ENTRY_CALL_METRICS_H_
+#define JACINTHDECK_ENTRY_CALL_METRICS_H_
 
 #include <boost/accumulators/accumulators.hpp>
 #include <boost/accumulators/statistics/count.hpp>
@@ -68,4 +68,4 @@
 
 }  // namespace jacinthdeck
 
-#endif  // JACINTHDECK_RUNTIME_METRICS_H_
+#endif  // JACINTHDECK_ENTRY_CALL_METRICS_H_
--- a/src/jacinthdeck/entry/entry_node.cc
+++ b/src/jacinthdeck/entry/entry_node.cc
@@ -35,6 +35,8 @@
 constexpr std::uint32_t kLeastHosts = 1;
 //! Time kept back at the end of the grace for the last answers.
 constexpr Duration kStopMargin = milliseconds(900);
+//! Time for the requests that were on their way when the ports closed.
+constexpr Duration kSettle = milliseconds(250);
 //! The callers' addresses that one directory answer holds.
 constexpr std::size_t kMostAddresses = 64;
 //! Caller's own bounds on a request that no configuration has set yet.
@@ -63,6 +65,29 @@
   return response;
 }
 
+//! The registry's targets in the terms of typed calls.
+[[nodiscard]] std::vector<TargetInfo> TargetInfosOf(
+    const Knowledge& knowledge) {
+  std::vector<TargetInfo> infos;
+  for (const TargetEntry& entry : knowledge.Targets()) {
+    TargetInfo info;
+    info.id = entry.id;
+    info.service = entry.service;
+    info.domain = entry.domain;
+    info.address = entry.address;
+    info.port = entry.port;
+    info.state = entry.draining ? TargetState::kLeaving : TargetState::kLive;
+    info.slots = entry.slots;
+    info.connections =
+        knowledge.config() == nullptr
+            ? entry.slots
+            : std::max(knowledge.config()->TargetConnections(entry.service),
+                       entry.slots);
+    infos.push_back(info);
+  }
+  return infos;
+}
+
 [[nodiscard]] EdgeLimits EdgeLimitsOf(const CallerLimits& limits) {
   return {limits.header_bytes, limits.body_bytes, limits.header_timeout,
           limits.idle_timeout};
@@ -101,6 +126,13 @@
               m_settings.store.address,
               m_settings.store.port,
               std::random_device{}()),
+      m_typed(
+          m_clock,
+          m_pool,
+          m_metrics,
+          [this] { return m_store.knowledge().Hosts(); },
+          std::random_device{}()),
+      m_queries(m_loop, m_clock, m_typed),
       m_hosts(kHostWindow, kLeastHosts),
       m_decision_timer(m_loop),
       m_tick(m_loop),
@@ -115,12 +147,12 @@
                                     m_settings.callers.port, most));
   struct SmallPort {
     EdgeServer& server;
-    const SettingAddress& address;
+    const Endpoint& address;
   };
-  for (const SmallPort& port :
-       {SmallPort{m_ready, m_settings.ready},
-        SmallPort{m_directory, m_settings.directory},
-        SmallPort{m_metrics_server, m_settings.metrics}}) {
+  for (const SmallPort& port : {SmallPort{m_ready, m_settings.ready},
+                                SmallPort{m_directory, m_settings.directory},
+                                SmallPort{m_metrics_server, m_settings.metrics},
+                                SmallPort{m_queries, m_settings.queries}}) {
     if (!port.address.address.empty()) {
       BOOST_LEAF_CHECK(port.server.Listen(
           port.address.address, port.address.port, kSmallPortConnections));
@@ -129,8 +161,10 @@
   LogLine line = m_log.Begin(LogEvent::kStarted);
   line.Text("host", m_settings.name.raw())
       .Text("failure_domain", m_settings.domain.raw())
-      .Text("callers", m_settings.callers.address)
-      .Count("port", m_callers.port())
+      .Text("address", m_settings.callers.address)
+      .Count("callers_port", m_callers.port())
+      .Count("metrics_port", m_metrics_server.port())
+      .Count("queries_port", m_queries.port())
       .Count("started_unix_ms", m_started_ms);
   m_log.Add(std::move(line));
   m_store.Start();
@@ -200,6 +234,11 @@
 }
 
 void EntryNode::OnAttemptEnd(AttemptEnd& end) {
+  if (TypedService::Owns(end.id)) {
+    m_typed.OnAttemptEnd(end);
+    ArmDecisions();
+    return;
+  }
   m_forwarder.OnAttemptEnd(end, m_clock.Now());
   ArmDecisions();
 }
@@ -223,15 +262,52 @@
   for (const Fingerprint fingerprint : change.convictions) {
     m_forwarder.Convict(fingerprint, now);
   }
+  TakeTyped(change, now);
   m_decisions.OnKnowledge(change, knowledge, revision, now - m_started);
   TellReadiness();
   ArmDecisions();
 }
 
-void EntryNode::OnStoreLost(StoreReplyStatus status,
-                            const std::string& problem) {
+void EntryNode::TakeTyped(const KnowledgeChange& change, TimePoint now) {
+  if (m_settings.queries.address.empty()) {
+    return;
+  }
+  TypedCalls& calls = m_typed.calls();
+  const Knowledge& knowledge = m_store.knowledge();
+  const auto tell = [&](const std::string& subject, const auto& taken) {
+    const auto* error = std::get_if<Error>(&taken);
+    LogLine line = m_log.Begin(error == nullptr ? LogEvent::kSchemaApplied
+                                                : LogEvent::kEntryUnreadable);
+    line.Text("entry", subject);
+    if (error != nullptr) {
+      line.Text("problem", error->subject + " " + error->message);
+    }
+    m_log.Add(std::move(line));
+  };
+  if (change.schema) {
+    tell("schema", Capture([&]() -> Result<bool> {
+           BOOST_LEAF_CHECK(calls.SetSchema(knowledge.schema()));
+           return true;
+         }));
+  }
+  for (const ServiceId& service : change.indexes) {
+    tell(
+        service.raw(), Capture([&]() -> Result<bool> {
+          BOOST_LEAF_CHECK(calls.SetIndex(service, knowledge.IndexOf(service)));
+          return true;
+        }));
+  }
+  if (change.targets || change.config) {
+    calls.SetTargets(TargetInfosOf(knowledge), now);
+  }
+  if (change.hosts) {
+    calls.SetHosts(m_hosts.Highest(now), now);
+  }
+}
+
+void EntryNode::OnStoreLost(StoreStatus status, const std::string& problem) {
   LogLine line = m_log.Begin(LogEvent::kStoreLost);
-  line.Text("status", kStoreReplyStatusNames.Name(status))
+  line.Text("status", kStoreStatusNames.Name(status))
       .Text("problem", problem)
       .Count("store_revision", m_store.revision());
   m_log.Add(std::move(line));
@@ -243,11 +319,11 @@
   m_log.Add(std::move(line));
 }
 
-void EntryNode::OnRegistration(StoreReplyStatus status) {
-  const bool well = status == StoreReplyStatus::kOk;
+void EntryNode::OnRegistration(StoreStatus status) {
+  const bool well = status == StoreStatus::kOk;
   LogLine line =
       m_log.Begin(well ? LogEvent::kRegistered : LogEvent::kRegistrationFailed);
-  line.Text("status", kStoreReplyStatusNames.Name(status));
+  line.Text("status", kStoreStatusNames.Name(status));
   m_log.Add(std::move(line));
 }
 
@@ -277,8 +353,13 @@
   return m_protocol.write_directory_answer(addresses, m_settings.directory_ttl);
 }
 
-EdgeResponse EntryNode::AnswerMetrics(const EdgeRequest& /*request*/) const {
+EdgeResponse EntryNode::AnswerMetrics(const EdgeRequest& request) const {
   EdgeResponse response;
+  if (request.target == "/status") {
+    response.headers.push_back({"Content-Type", "application/json"});
+    response.body = AnswerStatus();
+    return response;
+  }
   response.headers.push_back({"Content-Type", "text/plain; version=0.0.4"});
   response.body = m_metrics.Render() +
                   RenderNodeMetrics({m_forwarder, m_pool, m_callers, m_store,
@@ -286,13 +367,37 @@
   return response;
 }
 
+std::string EntryNode::AnswerStatus() const {
+  const Knowledge& knowledge = m_store.knowledge();
+  LogLine status;
+  status.Text("host", m_settings.name.raw())
+      .Text("failure_domain", m_settings.domain.raw())
+      .Flag("ready", IsReady())
+      .Flag("stopping", m_stopping)
+      .Flag("store_away", knowledge.store_away())
+      .Milliseconds("knowledge_age_ms", KnowledgeAge())
+      .Count("store_revision", m_store.revision())
+      .Count("config_version",
+             knowledge.config() == nullptr ? 0 : knowledge.config()->version())
+      .Count("targets", knowledge.target_count())
+      .Count("hosts", knowledge.Hosts().size())
+      .Count("open_calls", m_forwarder.open_calls())
+      .Count("caller_connections", m_callers.connections())
+      .Count("target_connections", m_pool.connections());
+  return std::move(status).Finish();
+}
+
 bool EntryNode::IsReady() const {
   return !m_stopping && m_forwarder.config() != nullptr &&
          m_forwarder.targets().size() > 0;
 }
 
 void EntryNode::ArmDecisions() {
-  const auto next = m_forwarder.NextTimer();
+  auto next = m_forwarder.NextTimer();
+  const auto typed = m_typed.calls().NextTimer();
+  if (typed && (!next || *typed < *next)) {
+    next = typed;
+  }
   if (!next || *next >= m_decision_at) {
     return;
   }
@@ -309,6 +414,7 @@
 void EntryNode::OnDecisionTimer() {
   m_decision_at = TimePoint::max();
   m_forwarder.OnTimer(m_clock.Now());
+  m_typed.calls().OnTimer(m_clock.Now());
   ArmDecisions();
 }
 
@@ -325,6 +431,8 @@
   m_ready.CheckTimes();
   m_directory.CheckTimes();
   m_metrics_server.CheckTimes();
+  m_queries.CheckTimes();
+  ArmDecisions();
   m_store.CheckTimes();
   m_forwarder.SetHosts(m_hosts.Highest(now));
   m_log.Flush();
@@ -375,6 +483,7 @@
   m_stopping = true;
   m_store.Unregister();
   m_callers.Drain();
+  m_queries.Drain();
   LogLine line = m_log.Begin(LogEvent::kStopping);
   line.Count("open_calls", m_forwarder.open_calls())
       .Count("connections", m_callers.connections())
@@ -392,9 +501,21 @@
   });
 }
 
+// A caller whose connection is refused goes elsewhere; one whose connection
+// ends after it was accepted cannot know whether its request was read. So the
+// ports close first, and what was accepted has time to be answered.
 void EntryNode::Stop() {
-  m_callers.CloseIdle();
-  if (m_caller_handler.waiting() == 0) {
+  const TimePoint now = m_clock.Now();
+  if (m_ports_closed == TimePoint{}) {
+    m_ports_closed = now;
+    m_callers.StopListening();
+    m_queries.StopListening();
+  }
+  const bool settled = now - m_ports_closed >= kSettle &&
+                       m_caller_handler.waiting() == 0 &&
+                       m_typed.waiting() == 0;
+  if (settled || now - m_ports_closed >= kStopMargin) {
+    m_callers.CloseIdle();
     m_loop.stop();
     return;
   }
@@ -408,10 +529,13 @@
 }
 
 HostRecord EntryNode::OwnRecord() const {
-  return {m_settings.name, m_settings.domain,
-          m_settings.callers.address + ":" +
-              std::to_string(m_settings.callers.port),
-          m_started_ms};
+  return {
+      m_settings.name, m_settings.domain,
+      Endpoint{m_settings.callers.address, m_callers.port()}.ToString(),
+      m_settings.queries.address.empty()
+          ? std::string()
+          : Endpoint{m_settings.queries.address, m_queries.port()}.ToString(),
+      m_started_ms};
 }
 
 Duration EntryNode::KnowledgeAge() const {
--- a/src/jacinthdeck/entry/entry_node.h
+++ b/src/jacinthdeck/entry/entry_node.h
@@ -10,6 +10,7 @@
 #include "jacinthdeck/core/result.h"
 #include "jacinthdeck/core/steady_clock.h"
 #include "jacinthdeck/discovery/store_session.h"
+#include "jacinthdeck/entry/call_metrics.h"
 #include "jacinthdeck/entry/caller_handler.h"
 #include "jacinthdeck/entry/decision_log.h"
 #include "jacinthdeck/entry/entry_protocol.h"
@@ -17,11 +18,11 @@
 #include "jacinthdeck/entry/event_log.h"
 #include "jacinthdeck/entry/log_writer.h"
 #include "jacinthdeck/entry/simple_handler.h"
+#include "jacinthdeck/entry/typed_service.h"
 #include "jacinthdeck/forward/forwarder.h"
 #include "jacinthdeck/http/edge_server.h"
 #include "jacinthdeck/http/target_pool.h"
 #include "jacinthdeck/routing/entry_count_window.h"
-#include "jacinthdeck/runtime/metrics.h"
 
 namespace jacinthdeck {
 
@@ -67,14 +68,16 @@
   void OnAttemptEnd(AttemptEnd& end) override;
   void OnKnowledge(const KnowledgeChange& change,
                    std::uint64_t revision) override;
-  void OnStoreLost(StoreReplyStatus status,
-                   const std::string& problem) override;
+  void OnStoreLost(StoreStatus status, const std::string& problem) override;
   void OnStoreRegained() override;
-  void OnRegistration(StoreReplyStatus status) override;
+  void OnRegistration(StoreStatus status) override;
+
+  void TakeTyped(const KnowledgeChange& change, TimePoint now);
 
   [[nodiscard]] EdgeResponse AnswerReady(const EdgeRequest& request) const;
   [[nodiscard]] EdgeResponse AnswerDirectory(const EdgeRequest& request) const;
   [[nodiscard]] EdgeResponse AnswerMetrics(const EdgeRequest& request) const;
+  [[nodiscard]] std::string AnswerStatus() const;
   [[nodiscard]] bool IsReady() const;
 
   void ArmDecisions();
@@ -109,6 +112,8 @@
   TargetPool m_pool;
   Forwarder m_forwarder;
   StoreSession m_store;
+  TypedService m_typed;
+  EdgeServer m_queries;
   EntryCountWindow m_hosts;
   asio::steady_timer m_decision_timer;
   //! When the decision timer is set to; max() while it is not.
@@ -117,6 +122,8 @@
   TimePoint m_ticked;
   asio::steady_timer m_stop_timer;
   std::function<void()> m_reload;
+  //! When the callers' ports were closed; the epoch while they are open.
+  TimePoint m_ports_closed;
   bool m_stopping = false;
   bool m_told_ready = false;
 };
--- a/src/jacinthdeck/entry/entry_settings.cc
+++ b/src/jacinthdeck/entry/entry_settings.cc
@@ -33,6 +33,7 @@
   settings.directory =
       table.Address("listen.directory", SettingNeed::kOptional);
   settings.metrics = table.Address("listen.metrics", SettingNeed::kOptional);
+  settings.queries = table.Address("listen.queries", SettingNeed::kOptional);
   settings.store = table.Address("store.address", SettingNeed::kRequired);
 }
 
--- a/src/jacinthdeck/entry/entry_settings.h
+++ b/src/jacinthdeck/entry/entry_settings.h
@@ -7,6 +7,7 @@
 #include <variant>
 #include <vector>
 
+#include "jacinthdeck/core/endpoint.h"
 #include "jacinthdeck/core/ids.h"
 #include "jacinthdeck/core/settings_table.h"
 #include "jacinthdeck/core/time.h"
@@ -19,13 +20,15 @@
   NodeId name;
   FailureDomain domain;
   //! Where callers connect.
-  SettingAddress callers;
+  Endpoint callers;
   //! Where the platform asks whether this host is ready.
-  SettingAddress ready;
+  Endpoint ready;
   //! Where callers ask which hosts to use.
-  SettingAddress directory;
-  SettingAddress metrics;
-  SettingAddress store;
+  Endpoint directory;
+  Endpoint metrics;
+  //! Where the product's own typed calls come in; may be absent.
+  Endpoint queries;
+  Endpoint store;
   //! Descriptors that the process may open.
   std::uint32_t descriptors = 1024;
   //! Extra attempts for each request, over all hosts.
--- a/src/jacinthdeck/entry/log_event.h
+++ b/src/jacinthdeck/entry/log_event.h
@@ -20,6 +20,7 @@
   kConfigApplied,
   kTargetsChanged,
   kHostsChanged,
+  kSchemaApplied,
   kEntryUnreadable,
   kConvicted,
   kCallRefused,
@@ -33,7 +34,7 @@
 };
 
 //! Names of the events, as they stand in logs.
-inline constexpr NameTable<LogEvent, 22> kLogEventNames{{"started",
+inline constexpr NameTable<LogEvent, 23> kLogEventNames{{"started",
                                                          "stopping",
                                                          "stopped",
                                                          "reloaded",
@@ -45,6 +46,7 @@
                                                          "config_applied",
                                                          "targets_changed",
                                                          "hosts_changed",
+                                                         "schema_applied",
                                                          "entry_unreadable",
                                                          "convicted",
                                                          "call_refused",
--- a/src/jacinthdeck/entry/node_metrics.h
+++ b/src/jacinthdeck/entry/node_metrics.h
@@ -6,11 +6,11 @@
 
 #include "jacinthdeck/core/time.h"
 #include "jacinthdeck/discovery/store_session.h"
+#include "jacinthdeck/entry/call_metrics.h"
 #include "jacinthdeck/entry/event_log.h"
 #include "jacinthdeck/forward/forwarder.h"
 #include "jacinthdeck/http/edge_server.h"
 #include "jacinthdeck/http/target_pool.h"
-#include "jacinthdeck/runtime/metrics.h"
 
 namespace jacinthdeck {
 
--- /dev/null
+++ b/src/jacinthdeck/entry/typed_service.h
@@ -0,0 +1,91 @@
+// The port of the product's own typed calls.
+#ifndef JACINTHDECK_ENTRY_TYPED_SERVICE_H_
+#define JACINTHDECK_ENTRY_TYPED_SERVICE_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "jacinthdeck/core/clock.h"
+#include "jacinthdeck/core/ids.h"
+#include "jacinthdeck/core/time.h"
+#include "jacinthdeck/discovery/host_record.h"
+#include "jacinthdeck/entry/call_metrics.h"
+#include "jacinthdeck/forward/attempt_end.h"
+#include "jacinthdeck/http/edge_connection.h"
+#include "jacinthdeck/http/edge_handler.h"
+#include "jacinthdeck/http/target_pool.h"
+#include "jacinthdeck/typed/typed_calls.h"
+
+namespace jacinthdeck {
+
+/**
+ * \brief Reads typed calls from HTTP, runs them, and writes their answers.
+ *
+ * Calls are `POST /v1/SERVICE/METHOD`; `GET /v1/entries` names the hosts that
+ * take them (docs/design/protocols.md).
+ */
+class TypedService final : public EdgeHandler, private TypedPort {
+ public:
+  using HostList = std::function<std::vector<HostRecord>()>;
+
+  /*! \brief Makes the service; all that it is given outlives it. */
+  TypedService(const Clock& clock,
+               TargetPool& pool,
+               Metrics& metrics,
+               HostList hosts,
+               std::uint64_t seed);
+
+  /*! \brief Callers that wait for an answer. */
+  [[nodiscard]] std::size_t waiting() const noexcept {
+    return m_waiting.size();
+  }
+  [[nodiscard]] TypedCalls& calls() noexcept { return m_calls; }
+
+  void OnRequest(const std::shared_ptr<EdgeConnection>& connection,
+                 EdgeRequest request,
+                 TimePoint arrived) override;
+  void OnLeft(EdgeConnection& connection) override;
+
+  /*! \brief Tells whether an attempt belongs to a typed call. */
+  [[nodiscard]] static bool Owns(AttemptId attempt) noexcept {
+    return attempt.raw() >= TypedCalls::kFirstAttempt;
+  }
+
+  /*! \brief Takes the end of an attempt. */
+  void OnAttemptEnd(const AttemptEnd& end);
+
+ private:
+  struct Waiting {
+    std::shared_ptr<EdgeConnection> connection;
+    std::string request_id;
+    TimePoint arrived;
+    CallLabels labels;
+  };
+
+  void SendTyped(const SendAttempt& attempt,
+                 const TargetInfo& target,
+                 std::uint32_t connection_limit) override;
+  void CancelTyped(AttemptId attempt) override;
+  void DeliverTyped(CallId call, Answer answer) override;
+  [[nodiscard]] EdgeResponse AnswerEntries() const;
+  void Begin(const std::shared_ptr<EdgeConnection>& connection,
+             const EdgeRequest& request,
+             TimePoint arrived);
+
+  const Clock& m_clock;
+  TargetPool& m_pool;
+  Metrics& m_metrics;
+  HostList m_hosts;
+  TypedCalls m_calls;
+  std::uint64_t m_next_call = 1;
+  std::unordered_map<CallId, Waiting> m_waiting;
+  std::unordered_map<const EdgeConnection*, CallId> m_by_connection;
+};
+
+}  // namespace jacinthdeck
+
+#endif  // JACINTHDECK_ENTRY_TYPED_SERVICE_H_
--- a/src/jacinthdeck/http/client_session.cc
+++ b/src/jacinthdeck/http/client_session.cc
@@ -40,6 +40,9 @@
   m_sent = false;
   m_out = request.method + " " + request.target +
           " HTTP/1.1\r\nHost: " + m_address + "\r\n";
+  for (const Header& header : request.headers) {
+    m_out += header.name + ": " + header.value + "\r\n";
+  }
   if (!request.body.empty()) {
     m_out += "Content-Type: application/json\r\n";
   }
--- a/src/jacinthdeck/http/client_session.h
+++ b/src/jacinthdeck/http/client_session.h
@@ -10,9 +10,11 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "jacinthdeck/core/error.h"
 #include "jacinthdeck/core/time.h"
+#include "jacinthdeck/forward/opaque_request.h"
 #include "jacinthdeck/http/asio.h"
 
 namespace jacinthdeck {
@@ -24,6 +26,8 @@
   std::string target;
   //! Empty for none; otherwise JSON.
   std::string body;
+  //! Beside those of the connection and the body.
+  std::vector<Header> headers = {};
 };
 
 /*! \brief How a call ended. */
--- a/src/jacinthdeck/http/edge_server.cc
+++ b/src/jacinthdeck/http/edge_server.cc
@@ -54,6 +54,12 @@
   return m_acceptor.local_endpoint(ignored).port();
 }
 
+void EdgeServer::StopListening() {
+  SystemError ignored;
+  m_acceptor.close(ignored);
+  m_accept_pause.cancel();
+}
+
 void EdgeServer::CloseIdle() {
   std::vector<std::shared_ptr<EdgeConnection>> connections;
   connections.reserve(m_connections.size());
--- a/src/jacinthdeck/http/edge_server.h
+++ b/src/jacinthdeck/http/edge_server.h
@@ -68,6 +68,9 @@
    * still taken. */
   void Drain() noexcept { m_draining = true; }
 
+  /*! \brief Takes no new connections; those that are open go on. */
+  void StopListening();
+
   /*! \brief Closes connections without a request under way. */
   void CloseIdle();
 
--- a/src/jacinthdeck/runtime/answer_json.cc
+++ b/src/jacinthdeck/typed/answer_json.cc
@@ -1,5 +1,5 @@
 // JSON of answers to callers.
-#include "jacinthdeck/runtime/answer_json.h"
+#include "jacinthdeck/typed/answer_json.h"
 
 #include <jansson.h>
 
--- a/src/jacinthdeck/runtime/answer_json.h
+++ b/src/jacinthdeck/typed/answer_json.h
@@ -1,13 +1,13 @@
 // JSON of answers to callers (docs/design/protocols.md).
-#ifndef JACINTHDECK_RUNTIME_ANSWER_JSON_H_
-#define JACINTHDECK_RUNTIME_ANSWER_JSON_H_
+#ifndef JACINTHDECK_TYPED_ANSWER_JSON_H_
+#define JACINTHDECK_TYPED_ANSWER_JSON_H_
 
 #include <string>
 
 #include "jacinthdeck/core/error.h"
 #include "jacinthdeck/core/name_table.h"
 #include "jacinthdeck/query/answer.h"
-#include "jacinthdeck/runtime/call_result.h"
+#include "jacinthdeck/typed/encoded_answer.h"
 
 namespace jacinthdeck {
 
@@ -38,4 +38,4 @@
 
 }  // namespace jacinthdeck
 
-#endif  // JACINTHDECK_RUNTIME_ANSWER_JSON_H_
+#endif  // JACINTHDECK_TYPED_ANSWER_JSON_H_
--- /dev/null
+++ b/src/jacinthdeck/typed/encoded_answer.h
@@ -0,0 +1,18 @@
+// An answer as it goes over HTTP.
+#ifndef JACINTHDECK_TYPED_ENCODED_ANSWER_H_
+#define JACINTHDECK_TYPED_ENCODED_ANSWER_H_
+
+#include <cstdint>
+#include <string>
+
+namespace jacinthdeck {
+
+/*! \brief Status and JSON. */
+struct EncodedAnswer {
+  std::uint16_t status = 0;
+  std::string body;
+};
+
+}  // namespace jacinthdeck
+
+#endif  // JACINTHDECK_TYPED_ENCODED_ANSWER_H_
--- /dev/null
+++ b/src/jacinthdeck/typed/fwd.h
@@ -0,0 +1,17 @@
+// Forward declarations of the typed module: the product's own interface, calls
+// that a schema declares.
+#ifndef JACINTHDECK_TYPED_FWD_H_
+#define JACINTHDECK_TYPED_FWD_H_
+
+namespace jacinthdeck {
+
+class TypedCalls;
+class TypedPort;
+struct EncodedAnswer;
+struct TypedCall;
+struct TypedOptions;
+enum class Ran;
+
+}  // namespace jacinthdeck
+
+#endif  // JACINTHDECK_TYPED_FWD_H_
--- a/src/jacinthdeck/platform/partition_map_reader.cc
+++ b/src/jacinthdeck/typed/partition_map_reader.cc
@@ -1,5 +1,5 @@
 // Shape and invariants of published partition maps.
-#include "jacinthdeck/platform/partition_map_reader.h"
+#include "jacinthdeck/typed/partition_map_reader.h"
 
 #include <cstdint>
 #include <limits>
--- a/src/jacinthdeck/platform/partition_map_reader.h
+++ b/src/jacinthdeck/typed/partition_map_reader.h
@@ -1,6 +1,6 @@
 // Reads the partition maps that the index builders publish.
-#ifndef JACINTHDECK_PLATFORM_PARTITION_MAP_READER_H_
-#define JACINTHDECK_PLATFORM_PARTITION_MAP_READER_H_
+#ifndef JACINTHDECK_TYPED_PARTITION_MAP_READER_H_
+#define JACINTHDECK_TYPED_PARTITION_MAP_READER_H_
 
 #include <string_view>
 #include <vector>
@@ -31,4 +31,4 @@
 
 }  // namespace jacinthdeck
 
-#endif  // JACINTHDECK_PLATFORM_PARTITION_MAP_READER_H_
+#endif  // JACINTHDECK_TYPED_PARTITION_MAP_READER_H_
--- a/src/jacinthdeck/runtime/refusal.h
+++ b/src/jacinthdeck/typed/refusal.h
@@ -1,6 +1,6 @@
 // The answers that are made without a target: not run, and unknown.
-#ifndef JACINTHDECK_RUNTIME_REFUSAL_H_
-#define JACINTHDECK_RUNTIME_REFUSAL_H_
+#ifndef JACINTHDECK_TYPED_REFUSAL_H_
+#define JACINTHDECK_TYPED_REFUSAL_H_
 
 #include "jacinthdeck/core/time.h"
 #include "jacinthdeck/query/answer.h"
@@ -31,4 +31,4 @@
 
 }  // namespace jacinthdeck
 
-#endif  // JACINTHDECK_RUNTIME_REFUSAL_H_
+#endif  // JACINTHDECK_TYPED_REFUSAL_H_
--- a/src/jacinthdeck/runtime/target_codec.cc
+++ b/src/jacinthdeck/typed/target_codec.cc
@@ -1,5 +1,5 @@
 // JSON of the target protocol.
-#include "jacinthdeck/runtime/target_codec.h"
+#include "jacinthdeck/typed/target_codec.h"
 
 #include <jansson.h>
 
--- a/src/jacinthdeck/runtime/target_codec.h
+++ b/src/jacinthdeck/typed/target_codec.h
@@ -1,6 +1,6 @@
 // JSON of the target protocol (docs/design/protocols.md).
-#ifndef JACINTHDECK_RUNTIME_TARGET_CODEC_H_
-#define JACINTHDECK_RUNTIME_TARGET_CODEC_H_
+#ifndef JACINTHDECK_TYPED_TARGET_CODEC_H_
+#define JACINTHDECK_TYPED_TARGET_CODEC_H_
 
 #include <string>
 
@@ -24,4 +24,4 @@
 
 }  // namespace jacinthdeck
 
-#endif  // JACINTHDECK_RUNTIME_TARGET_CODEC_H_
+#endif  // JACINTHDECK_TYPED_TARGET_CODEC_H_
--- a/standins/loadgen/load_options.cc
+++ b/standins/loadgen/load_options.cc
@@ -12,10 +12,10 @@
 
 }  // namespace
 
-Result<std::vector<HttpEndpoint>> CheckLoad(const LoadOptions& options) {
-  std::vector<HttpEndpoint> entries;
+Result<std::vector<Endpoint>> CheckLoad(const LoadOptions& options) {
+  std::vector<Endpoint> entries;
   for (const std::string& text : options.entries) {
-    BOOST_LEAF_AUTO(entry, HttpEndpoint::Parse(text));
+    BOOST_LEAF_AUTO(entry, Endpoint::Parse(text));
     if (!entry.address.starts_with("127.")) {
       return Fail(ErrorCode::kInvalidArgument, text,
                   "load goes to loopback addresses only");
--- a/standins/loadgen/load_options.h
+++ b/standins/loadgen/load_options.h
@@ -6,8 +6,8 @@
 #include <string>
 #include <vector>
 
+#include "jacinthdeck/core/endpoint.h"
 #include "jacinthdeck/core/result.h"
-#include "jacinthdeck/platform/http_client.h"
 
 namespace jacinthdeck::standins {
 
@@ -41,7 +41,7 @@
  * \return The entries, at least one; kInvalidArgument for an address outside
  * 127.0.0.0/8 or a load above the bounds.
  */
-[[nodiscard]] Result<std::vector<HttpEndpoint>> CheckLoad(
+[[nodiscard]] Result<std::vector<Endpoint>> CheckLoad(
     const LoadOptions& options);
 
 }  // namespace jacinthdeck::standins
--- a/standins/loadgen_main.cc
+++ b/standins/loadgen_main.cc
@@ -63,7 +63,7 @@
       "tenant", po::value(&load.tenant), "tenant of the requests")(
       "csv", po::value(&load.csv), "file for one line a request")(
       "request-ids", po::bool_switch(&load.request_ids),
-      "name each request, so that a resend is known")(
+      "give each request an id, for the logs")(
       "fresh-connections", po::bool_switch(&load.fresh_connections),
       "one connection a request")("histogram", po::bool_switch(&load.histogram),
                                   "print a histogram");
--- a/standins/store/store_server.h
+++ b/standins/store/store_server.h
@@ -1,7 +1,8 @@
-// The stand-in store over HTTP, with its faults, limits and counts.
+// The platform's store over HTTP, with faults, limits and counts.
 #ifndef JACINTHDECK_STANDINS_STORE_STORE_SERVER_H_
 #define JACINTHDECK_STANDINS_STORE_STORE_SERVER_H_
 
+#include <atomic>
 #include <cstdint>
 #include <mutex>
 #include <string>
@@ -11,18 +12,23 @@
 #include "jacinthdeck/core/random.h"
 #include "store/kv_store.h"
 #include "store/rate_limit.h"
+#include "store/store_control.h"
 #include "store/store_faults.h"
 
 namespace jacinthdeck::standins {
 
-/*! \brief Answers the calls of the platform store. */
+/**
+ * \brief Answers the store's calls as the platform's pages give them.
+ *
+ * Operators and targets write through `POST /control`, which faults do not
+ * touch: what they see of the store is no matter of this project.
+ */
 class StoreServer {
  public:
   /**
    * \brief Opens the server.
    * \param port Port on 127.0.0.1; 0 lets the kernel pick.
    * \param clock Clock of leases and rates; outlives the server.
-   * \param rates Limits.
    * \param seed Seed of the random faults.
    */
   StoreServer(std::uint16_t port,
@@ -40,8 +46,8 @@
 
   [[nodiscard]] StoreCounts counts() const;
 
-  /*! \brief Replaces the faults. */
-  void SetFaults(const StoreFaults& faults);
+  /*! \brief Does what a control message asks for. */
+  void Apply(const StoreControl& control);
 
  private:
   using CallHandler = HttpReply (StoreServer::*)(const HttpRequest&);
@@ -50,12 +56,12 @@
   [[nodiscard]] HttpReply Handle(const HttpRequest& request);
   [[nodiscard]] HttpReply Dispatch(const HttpRequest& request);
   [[nodiscard]] HttpReply Get(const HttpRequest& request);
-  [[nodiscard]] HttpReply List(const HttpRequest& request);
-  [[nodiscard]] HttpReply Put(const HttpRequest& request);
-  [[nodiscard]] HttpReply Delete(const HttpRequest& request);
+  [[nodiscard]] HttpReply Range(const HttpRequest& request);
   [[nodiscard]] HttpReply Watch(const HttpRequest& request);
+  [[nodiscard]] HttpReply Write(const HttpRequest& request);
   [[nodiscard]] HttpReply Grant(const HttpRequest& request);
   [[nodiscard]] HttpReply Renew(const HttpRequest& request);
+  [[nodiscard]] HttpReply End(const HttpRequest& request);
   [[nodiscard]] HttpReply Control(const HttpRequest& request);
   [[nodiscard]] HttpReply Counts() const;
   [[nodiscard]] bool Admit(const Route& route);
@@ -70,6 +76,7 @@
   RateLimit m_reads;
   RateLimit m_writes;
   Random m_random;
+  std::atomic<bool> m_stopping = false;
   //! Last: it calls the members above from its first moment on.
   HttpServer m_server;
 };
--- a/standins/target/target_group.cc
+++ b/standins/target/target_group.cc
@@ -8,7 +8,7 @@
 #include <variant>
 
 #include "jacinthdeck/core/json.h"
-#include "jacinthdeck/platform/partition_map_reader.h"
+#include "jacinthdeck/typed/partition_map_reader.h"
 
 namespace jacinthdeck::standins {
 
--- a/src/jacinthdeck/platform/host_list_reader.cc
+++ b/standins/target/target_list.cc
@@ -1,5 +1,5 @@
 // Shape and ranges of the host list.
-#include "jacinthdeck/platform/host_list_reader.h"
+#include "target/target_list.h"
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
--- a/src/jacinthdeck/platform/host_list_reader.h
+++ b/standins/target/target_list.h
@@ -1,6 +1,6 @@
 // Reads the answer of the host list.
-#ifndef JACINTHDECK_PLATFORM_HOST_LIST_READER_H_
-#define JACINTHDECK_PLATFORM_HOST_LIST_READER_H_
+#ifndef JACINTHDECK_STANDINS_TARGET_TARGET_LIST_H_
+#define JACINTHDECK_STANDINS_TARGET_TARGET_LIST_H_
 
 #include <string_view>
 #include <vector>
@@ -24,4 +24,4 @@
 
 }  // namespace jacinthdeck
 
-#endif  // JACINTHDECK_PLATFORM_HOST_LIST_READER_H_
+#endif  // JACINTHDECK_STANDINS_TARGET_TARGET_LIST_H_
--- /dev/null
+++ b/test/jacinthdeck/discovery/store_session_test.cc
@@ -0,0 +1,147 @@
+// Tests of the store's client against the stand-in store, with real sockets and
+// short waits: what is asserted never depends on how fast something was.
+#include "jacinthdeck/discovery/store_session.h"
+
+#include <boost/test/unit_test.hpp>
+#include <chrono>
+#include <functional>
+#include <string>
+
+#include "jacinthdeck/core/steady_clock.h"
+#include "platform/store_codec.h"
+#include "store/store_server.h"
+
+namespace jacinthdeck {
+
+namespace {
+
+using std::chrono::seconds;
+
+struct SessionFixture : KnowledgeObserver {
+  SteadyClock clock;
+  standins::StoreServer store{0, clock, {}, 1};
+  platform::StoreCodec codec;
+  asio::io_context loop;
+  StoreSession session{loop, clock, codec, *this, "127.0.0.1", store.port(), 1};
+  int lost = 0;
+  int regained = 0;
+
+  void OnKnowledge(const KnowledgeChange& /*change*/,
+                   std::uint64_t /*revision*/) override {}
+  void OnStoreLost(StoreStatus /*status*/,
+                   const std::string& /*problem*/) override {
+    ++lost;
+  }
+  void OnStoreRegained() override { ++regained; }
+  void OnRegistration(StoreStatus /*status*/) override {}
+
+  void Until(const std::function<bool()>& done) {
+    const auto end = std::chrono::steady_clock::now() + seconds(30);
+    while (!done()) {
+      BOOST_REQUIRE(std::chrono::steady_clock::now() < end);
+      loop.restart();
+      loop.run_one_for(std::chrono::milliseconds(20));
+      session.CheckTimes();
+    }
+  }
+
+  void PutTarget(const std::string& id) {
+    standins::StoreControl control;
+    control.puts.push_back(
+        {"servers/" + id,
+         R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":1,)"
+         R"("state":"ready"})",
+         {}});
+    store.Apply(control);
+  }
+
+  void SetOutage(standins::Outage outage) {
+    standins::StoreControl control;
+    control.faults.outage = outage;
+    store.Apply(control);
+  }
+
+  [[nodiscard]] std::size_t targets() const {
+    return session.knowledge().target_count();
+  }
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(StoreSessionTest, SessionFixture)
+
+BOOST_AUTO_TEST_CASE(Start_EntriesAreThere_AreReadAndChangesFollow) {
+  PutTarget("a");
+  session.Start();
+  Until([&] { return targets() == 1; });
+  PutTarget("b");
+  Until([&] { return targets() == 2; });
+}
+
+// The store takes calls and answers none, on connections that stay open. Only
+// the call's own timeout shows it; afterwards the watch goes on from where it
+// was.
+BOOST_AUTO_TEST_CASE(Watch_StoreFallsSilent_IsNoticedAndCatchesUp) {
+  session.Start();
+  Until([&] { return session.last_well().has_value(); });
+  SetOutage(standins::Outage::kSilent);
+  Until([&] { return lost == 1; });
+  PutTarget("a");
+  SetOutage(standins::Outage::kNone);
+  Until([&] { return regained == 1 && targets() == 1; });
+}
+
+// The store forgets its history while the host waits. The host reads all again;
+// until then it keeps what it knows.
+BOOST_AUTO_TEST_CASE(Watch_HistoryIsForgotten_ReadsAllAgain) {
+  PutTarget("a");
+  session.Start();
+  Until([&] { return targets() == 1; });
+  const std::uint64_t reads = session.counters().reads;
+  PutTarget("b");
+  standins::StoreControl control;
+  control.compact = true;
+  store.Apply(control);
+  Until([&] { return targets() == 2; });
+  BOOST_TEST(session.counters().reads >= reads);
+}
+
+BOOST_AUTO_TEST_CASE(Register_LeaseIsEndedByTheStore_IsWrittenAgain) {
+  const HostRecord host{NodeId("h"), FailureDomain("z"), "10.0.0.1:80", "", 1};
+  session.Start();
+  session.Register(host);
+  const auto is_known = [&] {
+    return session.knowledge().FindHost(host.name) != nullptr;
+  };
+  Until(is_known);
+  const std::uint64_t first =
+      store.content().Get(codec.HostKey(host.name))->lease;
+  BOOST_TEST(store.content().End(first));
+  Until([&] {
+    const auto item = store.content().Get(codec.HostKey(host.name));
+    return item && item->lease != first;
+  });
+  session.Unregister();
+  Until([&] { return !store.content().Get(codec.HostKey(host.name)); });
+}
+
+// Every write takes effect and loses its reply. The host goes on trying, and
+// its record stands once replies come again.
+BOOST_AUTO_TEST_CASE(Register_RepliesAreLost_RecordStandsInTheEnd) {
+  standins::StoreControl control;
+  control.faults.lose_reply_share = 1;
+  store.Apply(control);
+  const HostRecord host{NodeId("h"), FailureDomain("z"), "10.0.0.1:80", "", 1};
+  session.Start();
+  session.Register(host);
+  Until([&] { return store.counts().replies_lost >= 2; });
+  control.faults.lose_reply_share = 0;
+  store.Apply(control);
+  Until([&] {
+    return store.content().Get(codec.HostKey(host.name)).has_value();
+  });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace jacinthdeck
--- a/test/jacinthdeck/platform/partition_map_reader_test.cc
+++ b/test/jacinthdeck/typed/partition_map_reader_test.cc
@@ -1,5 +1,5 @@
 // Tests of the checks on published partition maps.
-#include "jacinthdeck/platform/partition_map_reader.h"
+#include "jacinthdeck/typed/partition_map_reader.h"
 
 #include <boost/test/unit_test.hpp>
 #include <string>
--- a/test/jacinthdeck/platform/deployments_test.cc
+++ b/test/standins/deployments_test.cc
@@ -11,9 +11,9 @@
 
 #include "jacinthdeck/core/json.h"
 #include "jacinthdeck/core/json_reader.h"
-#include "jacinthdeck/platform/host_list_reader.h"
-#include "jacinthdeck/platform/partition_map_reader.h"
 #include "jacinthdeck/schema/schema.h"
+#include "jacinthdeck/typed/partition_map_reader.h"
+#include "target/target_list.h"
 
 namespace jacinthdeck {
 
--- /dev/null
+++ b/test/standins/kv_store_test.cc
@@ -0,0 +1,79 @@
+// Tests of the stand-in store's content.
+#include "store/kv_store.h"
+
+#include <boost/test/unit_test.hpp>
+#include <chrono>
+
+#include "jacinthdeck/core/manual_clock.h"
+
+namespace jacinthdeck::standins {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+struct KvFixture {
+  ManualClock clock;
+  KvStore store{clock};
+  std::uint64_t revision = 0;
+
+  ChangeEnd Put(const std::string& key,
+                const std::string& value,
+                std::uint64_t lease = 0) {
+    return store.Apply({{}, {{key, value, lease}}, {}}, revision);
+  }
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(KvStoreTest, KvFixture)
+
+BOOST_AUTO_TEST_CASE(Apply_ConditionFails_ChangesNothing) {
+  BOOST_TEST((Put("a", "1") == ChangeEnd::kDone));
+  const Transaction transaction{{{"a", 0}}, {{"b", "2", 0}}, {"a"}};
+  BOOST_TEST((store.Apply(transaction, revision) == ChangeEnd::kConflict));
+  BOOST_TEST(store.Get("a").has_value());
+  BOOST_TEST(!store.Get("b").has_value());
+}
+
+BOOST_AUTO_TEST_CASE(Lease_Lapses_ItsKeysGoAndTheWatchTells) {
+  const std::uint64_t lease = store.Grant(seconds(1));
+  BOOST_TEST((Put("a", "1", lease) == ChangeEnd::kDone));
+  clock.Advance(milliseconds(600));
+  BOOST_TEST(store.Renew(lease).has_value());
+  clock.Advance(milliseconds(600));
+  BOOST_TEST(store.Get("a").has_value());
+  clock.Advance(seconds(1));
+  const WatchResult result = store.Watch("", revision, milliseconds(0));
+  BOOST_REQUIRE_EQUAL(result.events.size(), 1U);
+  BOOST_TEST(!result.events[0].value.has_value());
+  BOOST_TEST(!store.Renew(lease).has_value());
+  BOOST_TEST((Put("b", "1", lease) == ChangeEnd::kNoLease));
+}
+
+BOOST_AUTO_TEST_CASE(Watch_HistoryIsForgotten_SaysSo) {
+  (void)Put("a", "1");
+  const std::uint64_t before = revision;
+  (void)Put("a", "2");
+  store.Compact();
+  BOOST_TEST(store.Watch("", before, milliseconds(0)).compacted);
+  BOOST_TEST(!store.Watch("", revision, milliseconds(0)).compacted);
+}
+
+BOOST_AUTO_TEST_CASE(Range_MoreThanAPage_GoesOnAfterTheLastKey) {
+  Transaction transaction;
+  for (int i = 1000; i < 1700; ++i) {
+    transaction.puts.push_back({"k" + std::to_string(i), "v", 0});
+  }
+  (void)store.Apply(transaction, revision);
+  const KeyPage first = store.Range("k", "");
+  BOOST_TEST(first.has_more);
+  const KeyPage second = store.Range("k", first.items.back().key);
+  BOOST_TEST(!second.has_more);
+  BOOST_TEST(first.items.size() + second.items.size() == 700U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace jacinthdeck::standins
--- a/tools/lib/deployment.sh
+++ b/tools/lib/deployment.sh
@@ -18,7 +18,7 @@
 
 is_running() { kill -0 "${pid_of[$1]}" 2>/dev/null; }
 has_ended() { ! is_running "$1"; }
-is_listening() { grep -q '^listening ' "$work/$1.out"; }
+is_listening() { grep -qE '^listening |"event":"started"' "$work/$1.out"; }
 listens_or_ended() { is_listening "$1" || has_ended "$1"; }
 
 # start NAME COMMAND...: starts a process and waits for its ready line.
@@ -29,13 +29,12 @@
   pid_of[$name]=$!
   started+=("$name")
   until_true 30 listens_or_ended "$name" || fail "$name is not ready after 30 s"
-  is_listening "$name" || { cat "$work/$name.err" >&2; fail "$name ended before it was ready"; }
+  is_listening "$name" || { cat "$work/$name.err" >&2; fail "$name ended"; }
 }
 
-# signal NAME SIGNAL: sends a signal to a process of ours.
 signal() { kill "-$2" "${pid_of[$1]}"; }
 
-# wait_end NAME SECONDS: waits for the end of a process and puts its exit code into end_code.
+# wait_end NAME SECONDS: waits for a process and leaves its code in end_code.
 wait_end() {
   until_true "$2" has_ended "$1" || return 1
   end_code=0
@@ -54,71 +53,60 @@
 }
 
 address_of() { sed -n 's/^listening \(127[0-9.:]*\)$/\1/p' "$work/$1.out"; }
-port_of() { sed -n "s/^listening .*$2=\([0-9]*\).*/\1/p" "$work/$1.out"; }
-callers_of() { echo "127.0.0.1:$(port_of "$1" callers)"; }
-operators_of() { echo "127.0.0.1:$(port_of "$1" operators)"; }
+# port_of NAME WHICH: a port that a daemon told in its first line.
+port_of() { sed -n "s/.*\"event\":\"started\".*\"$2\":\([0-9]*\).*/\1/p" "$work/$1.out"; }
+queries_of() { echo "127.0.0.1:$(port_of "$1" queries_port)"; }
+host_of() { echo "127.0.0.1:$(port_of "$1" metrics_port)"; }
+callers_of() { echo "127.0.0.1:$(port_of "$1" callers_port)"; }
+store_control() { curl -s -m 10 -o /dev/null -d "$1" "http://$(address_of store)/control"; }
 
-# start_platform DEPLOYMENT [TARGET OPTIONS...]: targets, store and host list.
+# start_platform DEPLOYMENT [TARGET OPTIONS...]: store and targets.
 start_platform() {
   local files=$1; shift
+  start store "$build/standins/standin_store"
   start targets "$build/standins/standin_target" --hosts "$files/hosts.json" --index "$files/index.json" \
-    --hosts-out "$work/hosts.json" "$@"
-  start store "$build/standins/standin_store" --index "$files/index.json"
-  start hostlist "$build/standins/standin_hostlist" --hosts "$work/hosts.json"
+    --store "$(address_of store)" "$@"
 }
 
-# write_settings NAME DOMAIN [SEED...]: settings of one entry; a seed is NODE@IP:PORT.
+# write_config DEPLOYMENT VERSION: the operator's configuration, a service for each of the targets'.
+write_config() {
+  local services
+  services=$(sed -n 's/^ *"\([A-Za-z]*\)": {"versions.*/{\\"name\\":\\"\1\\",\\"maxConnections\\":60}/p' "$1/index.json" | paste -sd,)
+  store_control "{\"put\":[{\"key\":\"op/config\",\"value\":\"{\\\"version\\\":$2,\\\"routes\\\":[],\\\"services\\\":[$services]}\"}]}"
+}
+
+# write_settings NAME DOMAIN: settings of one host.
 write_settings() {
-  local name=$1 domain=$2; shift 2
-  local seeds=""
-  local seed
-  for seed in "$@"; do seeds+="\"$seed\", "; done
-  local store host_list
-  store=$(address_of store)
-  host_list=$(address_of hostlist)
-  cat >"$work/$name.toml" <<END
-[node]
-name = "$name"
-region = "local"
-failure_domain = "$domain"
+  cat >"$work/$1.toml" <<END
+[host]
+name = "$1"
+failure_domain = "$2"
 [listen]
-callers = { address = "127.0.0.1", port = 0 }
-operators = { address = "127.0.0.1", port = 0 }
-peers = { address = "127.0.0.1", port = 0 }
-[platform]
-store = { address = "${store%:*}", port = ${store#*:} }
-host_list = { address = "${host_list%:*}", port = ${host_list#*:} }
-[peers]
-seeds = [${seeds%, }]
+callers = "127.0.0.1:0"
+queries = "127.0.0.1:0"
+metrics = "127.0.0.1:0"
+[store]
+address = "$(address_of store)"
+[shutdown]
+grace_ms = 2500
 END
 }
 
-# start_entry NAME DOMAIN: one daemon, with the entries that run already as seeds.
+# start_entry NAME DOMAIN: one host.
 start_entry() {
-  local name=$1 domain=$2 other
-  local seeds=()
-  for other in "${entries[@]}"; do
-    is_running "$other" && seeds+=("$other@127.0.0.1:$(port_of "$other" peers)")
-  done
-  write_settings "$name" "$domain" "${seeds[@]}"
-  start "$name" "$build/src/jacinthdeckd" --config "$work/$name.toml"
+  local name=$1 domain=$2
+  write_settings "$name" "$domain"
+  start "$name" "$build/platform/jacinthdeckd" --config "$work/$name.toml"
   [[ " ${entries[*]} " == *" $name "* ]] || entries+=("$name")
 }
 entries=()
 
-# ctl NAME ARGUMENTS...: the command line against one entry.
+# ctl NAME ARGUMENTS...: the command line against one host and the store.
 ctl() {
   local name=$1; shift
-  "$build/src/jacinthdeckctl" --operators "$(operators_of "$name")" --callers "$(callers_of "$name")" "$@"
-}
-
-# accepts_schema NAME FILE: puts a schema in force, as one operation; asks again while members still gather.
-accepts_schema() {
-  local operation="apply-$RANDOM-$RANDOM"
-  until_true 60 ctl "$1" schema apply "$2" --operation "$operation" && return 0
-  ctl "$1" schema apply "$2" --operation "$operation"
+  "$build/platform/jacinthdeckctl" --store "$(address_of store)" --host "$(host_of "$name")" \
+    --queries "$(queries_of "$name")" "$@"
 }
-apply_schema() { accepts_schema "$@" || fail "the schema was not accepted"; }
 
-# answers NAME CALL REQUEST: whether an entry gives a whole answer.
+# answers NAME CALL REQUEST: whether a host gives a whole answer.
 answers() { ctl "$1" query "$2" "$3" --deadline-ms 2000; }
