--- a/src/jacinthdeck/core/settings_table.cc
+++ b/src/jacinthdeck/core/settings_table.cc
@@ -135,6 +135,18 @@
   return *value;
 }
 
+bool SettingsTable::Flag(const std::string& key, bool fallback) {
+  const toml::node* node = m_impl->Find(key, SettingNeed::kOptional);
+  if (node == nullptr) {
+    return fallback;
+  }
+  const auto value = node->value_exact<bool>();
+  if (!value) {
+    m_impl->Add(*node, key, "has the wrong type; expected true or false");
+  }
+  return value.value_or(fallback);
+}
+
 Duration SettingsTable::Milliseconds(const std::string& key,
                                      SettingRange range,
                                      Duration fallback) {
@@ -157,6 +169,29 @@
   return std::get<0>(std::move(parsed));
 }
 
+std::vector<Endpoint> SettingsTable::Addresses(const std::string& key) {
+  std::vector<Endpoint> addresses;
+  const toml::node* node = m_impl->Find(key, SettingNeed::kOptional);
+  if (node == nullptr) {
+    return addresses;
+  }
+  const toml::array* list = node->as_array();
+  if (list == nullptr) {
+    m_impl->Add(*node, key, "has the wrong type; expected a list of IPv4:port");
+    return addresses;
+  }
+  for (const toml::node& item : *list) {
+    const std::string text = item.value<std::string>().value_or("");
+    auto parsed = Capture([&] { return Endpoint::Parse(text); });
+    if (const auto* error = std::get_if<Error>(&parsed)) {
+      m_impl->Add(item, key, "holds an entry that " + error->message);
+      continue;
+    }
+    addresses.push_back(std::get<0>(std::move(parsed)));
+  }
+  return addresses;
+}
+
 std::vector<SettingsFault> SettingsTable::TakeFaults() {
   m_impl->FindUnknown(m_impl->root, "");
   return std::move(m_impl->faults);
--- a/src/jacinthdeck/core/settings_table.h
+++ b/src/jacinthdeck/core/settings_table.h
@@ -65,6 +65,9 @@
                               SettingNeed need,
                               double fallback = 0);
 
+  /*! \brief Reads true or false. */
+  [[nodiscard]] bool Flag(const std::string& key, bool fallback);
+
   /*! \brief Reads a time in milliseconds. */
   [[nodiscard]] Duration Milliseconds(const std::string& key,
                                       SettingRange range,
@@ -73,6 +76,9 @@
   /*! \brief Reads `address:port`. */
   [[nodiscard]] Endpoint Address(const std::string& key, SettingNeed need);
 
+  /*! \brief Reads a list of `address:port`; empty if it is absent. */
+  [[nodiscard]] std::vector<Endpoint> Addresses(const std::string& key);
+
   /*! \brief Gives all faults, unknown keys included; called last. */
   [[nodiscard]] std::vector<SettingsFault> TakeFaults();
 
--- a/src/jacinthdeck/discovery/host_record.h
+++ b/src/jacinthdeck/discovery/host_record.h
@@ -17,6 +17,12 @@
   std::string callers;
   //! `address:port` of the typed calls; empty if it takes none.
   std::string queries;
+  //! `address:port` where other hosts learn from it; empty if they cannot.
+  std::string peers;
+  //! Processor that it has, in thousandths of a core.
+  std::uint32_t strength = 0;
+  //! Its processor is the bottleneck of its calls now.
+  bool busy = false;
   //! Start of its process in Unix milliseconds: tells its lives apart.
   std::uint64_t started_ms = 0;
 
--- a/src/jacinthdeck/discovery/knowledge_observer.h
+++ b/src/jacinthdeck/discovery/knowledge_observer.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 #include "jacinthdeck/discovery/knowledge.h"
 
@@ -18,6 +19,11 @@
   virtual void OnKnowledge(const KnowledgeChange& change,
                            std::uint64_t revision) = 0;
 
+  /*! \brief The store's content changed, as far as it is news here. */
+  virtual void OnContent(const std::vector<StoreChange>& changes,
+                         std::uint64_t revision,
+                         bool whole) = 0;
+
   /*! \brief A call to the store failed after one that went well. */
   virtual void OnStoreLost(StoreStatus status, const std::string& problem) = 0;
 
--- /dev/null
+++ b/src/jacinthdeck/discovery/store_content.h
@@ -0,0 +1,54 @@
+// The store's keys as this host knows them, for handing on.
+#ifndef JACINTHDECK_DISCOVERY_STORE_CONTENT_H_
+#define JACINTHDECK_DISCOVERY_STORE_CONTENT_H_
+
+#include <cstdint>
+#include <map>
+#include <span>
+#include <string>
+#include <vector>
+
+#include "jacinthdeck/discovery/store_types.h"
+
+namespace jacinthdeck {
+
+/**
+ * \brief Keys and values by revision.
+ *
+ * Content reaches a host from the store and from other hosts, in any order. A
+ * word that is older than what is known of its key is dropped here, also where
+ * the key was removed meanwhile: an entry that left would come back otherwise.
+ */
+class StoreContent {
+ public:
+  //! Removals that are remembered; others than the newest cannot come late.
+  static constexpr std::size_t kMostRemovals = 4096;
+
+  /*! \brief All keys that are there. */
+  [[nodiscard]] std::vector<StoreChange> Items() const;
+
+  /**
+   * \brief Takes changes.
+   * \return Those that were news, in order.
+   */
+  std::vector<StoreChange> Apply(std::span<const StoreChange> changes);
+
+  /**
+   * \brief Takes the whole content at a revision.
+   * \return Its items without those that are known to be out of date.
+   */
+  std::vector<StoreChange> Replace(std::span<const StoreChange> items,
+                                   std::uint64_t revision);
+
+ private:
+  [[nodiscard]] bool IsNews(const StoreChange& change) const;
+  void Remember(const std::string& key, std::uint64_t revision);
+
+  std::map<std::string, StoreChange> m_items;
+  //! Removed keys and when; disjoint from m_items.
+  std::map<std::string, std::uint64_t> m_removed;
+};
+
+}  // namespace jacinthdeck
+
+#endif  // JACINTHDECK_DISCOVERY_STORE_CONTENT_H_
--- a/src/jacinthdeck/discovery/store_session.cc
+++ b/src/jacinthdeck/discovery/store_session.cc
@@ -17,7 +17,7 @@
 //! How long a watch waits. A change must be in force within seconds also after
 //! the watch's connection went silent, so that bounds this wait; each new watch
 //! costs a call.
-constexpr Duration kWatchWait = milliseconds(2500);
+constexpr Duration kWatchWait = milliseconds(1500);
 //! Time beyond the wait after which a watch is taken for lost.
 constexpr Duration kWatchSlack = milliseconds(900);
 //! Pause after a change: registrations come in bunches, and each batch costs a
@@ -49,8 +49,61 @@
       m_write_timer(loop),
       m_write_backoff(kFirstPause, seconds(1)) {}
 
-void StoreSession::Start() {
-  ReadAll();
+void StoreSession::SetWatching(bool watching) {
+  if (watching == m_watching) {
+    return;
+  }
+  m_watching = watching;
+  m_read_timer.cancel();
+  m_reads.Abort();
+  if (watching) {
+    Resume();
+  }
+}
+
+void StoreSession::TakeContent(const std::vector<StoreChange>& changes,
+                               std::uint64_t revision,
+                               bool whole) {
+  if (!m_loaded && !whole) {
+    return;
+  }
+  m_loaded = true;
+  Take(changes, revision, whole);
+}
+
+void StoreSession::TakeAge(Duration age, bool store_away) {
+  const TimePoint now = m_clock.Now();
+  const TimePoint heard = now - age;
+  m_last_well = std::max(m_last_well.value_or(heard), heard);
+  if (store_away) {
+    m_knowledge.OnStoreAway();
+  } else if (m_knowledge.store_away() && !m_lost) {
+    Tell(m_knowledge.OnChanges({}, now));
+  }
+}
+
+void StoreSession::Resume() {
+  if (m_loaded) {
+    Watch();
+  } else {
+    ReadAll();
+  }
+}
+
+void StoreSession::Take(const std::vector<StoreChange>& changes,
+                        std::uint64_t revision,
+                        bool whole) {
+  const TimePoint now = m_clock.Now();
+  const std::vector<StoreChange> news =
+      whole ? m_content.Replace(changes, revision) : m_content.Apply(changes);
+  m_revision = std::max(m_revision, revision);
+  const KnowledgeChange change =
+      whole ? m_knowledge.OnReading(news, revision, now)
+            : m_knowledge.OnChanges(news, now);
+  if (whole || !news.empty()) {
+    m_observer.OnContent(news, m_revision, whole);
+  }
+  Tell(change);
 }
 
 void StoreSession::CheckTimes() {
@@ -92,8 +145,7 @@
   }
   OnWell();
   m_loaded = true;
-  m_revision = m_pages_revision;
-  Tell(m_knowledge.OnReading(m_pages, m_pages_revision, m_clock.Now()));
+  Take(m_pages, m_pages_revision, true);
   m_pages.clear();
   WatchAfter(kGather);
 }
@@ -116,8 +168,7 @@
     return;
   }
   OnWell();
-  m_revision = std::max(m_revision, batch.revision);
-  Tell(m_knowledge.OnChanges(batch.changes, m_clock.Now()));
+  Take(batch.changes, batch.revision, false);
   WatchAfter(batch.changes.empty() ? Duration::zero() : kGather);
 }
 
@@ -152,13 +203,8 @@
   }
   m_read_timer.expires_after(m_read_backoff.OnFailure(m_random));
   m_read_timer.async_wait([this](const SystemError& ended) {
-    if (ended) {
-      return;
-    }
-    if (m_loaded) {
-      Watch();
-    } else {
-      ReadAll();
+    if (!ended) {
+      Resume();
     }
   });
 }
--- a/src/jacinthdeck/discovery/store_session.h
+++ b/src/jacinthdeck/discovery/store_session.h
@@ -17,6 +17,7 @@
 #include "jacinthdeck/discovery/knowledge.h"
 #include "jacinthdeck/discovery/knowledge_observer.h"
 #include "jacinthdeck/discovery/platform_codec.h"
+#include "jacinthdeck/discovery/store_content.h"
 #include "jacinthdeck/http/asio.h"
 #include "jacinthdeck/http/client_session.h"
 
@@ -64,8 +65,23 @@
     return m_last_well;
   }
 
-  /*! \brief Begins to read and to watch. */
-  void Start();
+  [[nodiscard]] const StoreContent& content() const noexcept {
+    return m_content;
+  }
+
+  /*! \brief Begins to watch the store, or ends it; what is known stays. */
+  void SetWatching(bool watching);
+
+  /*! \brief Takes content that another host handed on. */
+  void TakeContent(const std::vector<StoreChange>& changes,
+                   std::uint64_t revision,
+                   bool whole);
+
+  /*! \brief Takes another host's word on how old that content is. */
+  void TakeAge(Duration age, bool store_away);
+
+  /*! \brief Says how long this host's record may outlive it. */
+  void SetLeaseLife(Duration life) noexcept { m_lease_life = life; }
 
   /*! \brief Keeps this host's record in the store from now on. */
   void Register(const HostRecord& record);
@@ -89,6 +105,10 @@
   void WatchAfter(Duration pause);
   void OnWell();
   void OnFailure(StoreStatus status, const std::string& problem);
+  void Resume();
+  void Take(const std::vector<StoreChange>& changes,
+            std::uint64_t revision,
+            bool whole);
   void Tell(const KnowledgeChange& change);
 
   // Writing, in store_session_writes.cc.
@@ -101,6 +121,7 @@
   void WriteConviction();
   void OnWriteFailed(StoreStatus status);
   void CheckOwnRecord();
+  [[nodiscard]] Duration RenewPause() const noexcept;
 
   asio::io_context& m_loop;
   const Clock& m_clock;
@@ -108,6 +129,7 @@
   KnowledgeObserver& m_observer;
   Random m_random;
   Knowledge m_knowledge;
+  StoreContent m_content;
   StoreCounters m_counters;
 
   ClientSession m_reads;
@@ -115,6 +137,7 @@
   Backoff m_read_backoff;
   //! Everything was read once since the history was last lost.
   bool m_loaded = false;
+  bool m_watching = false;
   bool m_lost = false;
   //! Where the next watch goes on.
   std::uint64_t m_revision = 0;
@@ -128,6 +151,7 @@
   Backoff m_write_backoff;
   //! This host's record as it should stand; nothing while it should not.
   std::optional<HostRecord> m_record;
+  Duration m_lease_life = std::chrono::milliseconds(3500);
   //! 0 while there is no lease.
   std::uint64_t m_lease = 0;
   bool m_written = false;
--- a/src/jacinthdeck/discovery/store_session_writes.cc
+++ b/src/jacinthdeck/discovery/store_session_writes.cc
@@ -12,10 +12,8 @@
 using std::chrono::seconds;
 
 constexpr Duration kCallTimeout = milliseconds(1200);
-//! How long a record outlives its host: callers are sent to a dead host for
-//! that long at most, and one lost renewal must not end it.
-constexpr Duration kLeaseLife = milliseconds(3500);
-constexpr Duration kRenewEvery = milliseconds(1100);
+//! Renewals within a lease's life: two may be lost before it ends.
+constexpr int kRenewalsInLife = 3;
 //! Other hosts have refused the request for long by then.
 constexpr Duration kConvictionLife = seconds(60);
 //! Convictions that wait for the store.
@@ -75,7 +73,7 @@
 
 void StoreSession::Grant() {
   ++m_counters.writes;
-  m_writes.Call(m_codec.GrantCall(kLeaseLife), kCallTimeout,
+  m_writes.Call(m_codec.GrantCall(m_lease_life), kCallTimeout,
                 [this](const ClientReply& reply) {
                   const StoreAck ack = m_codec.ReadWrite(reply);
                   if (ack.status != StoreStatus::kOk || ack.lease == 0) {
@@ -84,7 +82,7 @@
                   }
                   m_lease = ack.lease;
                   m_written = false;
-                  m_renew_at = m_clock.Now() + kRenewEvery;
+                  m_renew_at = m_clock.Now() + RenewPause();
                   Step();
                 });
 }
@@ -117,8 +115,8 @@
                     return;
                   }
                   m_write_backoff.OnSuccess();
-                  m_renew_at = m_clock.Now() + kRenewEvery;
-                  StepAfter(kRenewEvery);
+                  m_renew_at = m_clock.Now() + RenewPause();
+                  StepAfter(RenewPause());
                 });
 }
 
@@ -174,6 +172,10 @@
   StepAfter(m_write_backoff.OnFailure(m_random));
 }
 
+Duration StoreSession::RenewPause() const noexcept {
+  return m_lease_life / kRenewalsInLife;
+}
+
 void StoreSession::CheckOwnRecord() {
   // The store may drop the record while its lease still seems to hold; other
   // hosts would send no callers here until it is written again.
--- a/src/jacinthdeck/entry/entry_node.cc
+++ b/src/jacinthdeck/entry/entry_node.cc
@@ -11,6 +11,7 @@
 #include <utility>
 
 #include "jacinthdeck/discovery/directory_choice.h"
+#include "jacinthdeck/discovery/fleet.h"
 #include "jacinthdeck/entry/answer_encoder.h"
 #include "jacinthdeck/entry/node_metrics.h"
 
@@ -33,6 +34,12 @@
 constexpr Duration kHostWindow = seconds(25);
 //! Hosts of which nothing is known yet when this one starts.
 constexpr std::uint32_t kLeastHosts = 1;
+//! How long a record outlives its host: callers are sent to a dead host for
+//! that long at most.
+constexpr Duration kFrontLease = milliseconds(3500);
+//! The same of a host that no callers are sent to.
+constexpr Duration kStandbyLease = milliseconds(9000);
+constexpr std::size_t kSmallFleet = 12;
 //! Time kept back at the end of the grace for the last answers.
 constexpr Duration kStopMargin = milliseconds(900);
 //! Time for the requests that were on their way when the ports closed.
@@ -126,6 +133,14 @@
               m_settings.store.address,
               m_settings.store.port,
               std::random_device{}()),
+      m_feed(m_loop,
+             m_clock,
+             m_store,
+             *this,
+             OwnRecord(),
+             m_settings.seeds,
+             m_settings.fleet_starts,
+             std::random_device{}()),
       m_typed(
           m_clock,
           m_pool,
@@ -133,7 +148,7 @@
           [this] { return m_store.knowledge().Hosts(); },
           std::random_device{}()),
       m_queries(m_loop, m_clock, m_typed),
-      m_hosts(kHostWindow, kLeastHosts),
+      m_fronts(kHostWindow, kLeastHosts),
       m_decision_timer(m_loop),
       m_tick(m_loop),
       m_ticked(m_started),
@@ -158,6 +173,9 @@
           port.address.address, port.address.port, kSmallPortConnections));
     }
   }
+  if (!m_settings.peers.address.empty()) {
+    BOOST_LEAF_CHECK(m_feed.Listen(m_settings.peers));
+  }
   LogLine line = m_log.Begin(LogEvent::kStarted);
   line.Text("host", m_settings.name.raw())
       .Text("failure_domain", m_settings.domain.raw())
@@ -167,8 +185,8 @@
       .Count("queries_port", m_queries.port())
       .Count("started_unix_ms", m_started_ms);
   m_log.Add(std::move(line));
-  m_store.Start();
   m_store.Register(OwnRecord());
+  m_feed.Tick();
   Tick();
   return {};
 }
@@ -255,9 +273,8 @@
     m_forwarder.SetTargets(targets, now);
     m_pool.Retain(targets);
   }
-  if (change.hosts) {
-    m_hosts.Add(static_cast<std::uint32_t>(knowledge.Hosts().size()), now);
-    m_forwarder.SetHosts(m_hosts.Highest(now));
+  if (change.hosts || change.config) {
+    TakeHosts(now);
   }
   for (const Fingerprint fingerprint : change.convictions) {
     m_forwarder.Convict(fingerprint, now);
@@ -268,6 +285,49 @@
   ArmDecisions();
 }
 
+void EntryNode::OnContent(const std::vector<StoreChange>& changes,
+                          std::uint64_t revision,
+                          bool whole) {
+  m_feed.OnContent(changes, revision, whole);
+}
+
+void EntryNode::OnFeedOpened(const Endpoint& feeder) {
+  LogLine line = m_log.Begin(LogEvent::kFeedOpened);
+  line.Text("feeder", feeder.ToString());
+  m_log.Add(std::move(line));
+}
+
+void EntryNode::OnFeedEnded(const std::string& problem) {
+  LogLine line = m_log.Begin(LogEvent::kFeedEnded);
+  line.Text("problem", problem)
+      .Count("store_revision", m_store.revision())
+      .Milliseconds("knowledge_age_ms", KnowledgeAge());
+  m_log.Add(std::move(line));
+}
+
+void EntryNode::TakeHosts(TimePoint now) {
+  const std::vector<HostRecord> hosts = m_store.knowledge().Hosts();
+  m_feed.OnHosts(hosts);
+  const std::vector<HostRecord> fronts = Fronts();
+  m_fronts.Add(static_cast<std::uint32_t>(fronts.size()), now);
+  m_fronts_known = !fronts.empty();
+  m_is_front = std::ranges::find(fronts, m_settings.name, &HostRecord::name) !=
+               fronts.end();
+  m_forwarder.SetHosts(m_fronts.Highest(now), m_is_front, now);
+  // A front that dies must not be named for long; of the others only the
+  // budget of calls to the store matters.
+  const bool small = hosts.size() <= kSmallFleet;
+  m_store.SetLeaseLife(m_is_front || small ? kFrontLease : kStandbyLease);
+}
+
+std::vector<HostRecord> EntryNode::Fronts() const {
+  const Knowledge& knowledge = m_store.knowledge();
+  return ChooseFronts(knowledge.Hosts(),
+                      knowledge.config() == nullptr
+                          ? 0
+                          : knowledge.config()->FewestTargetConnections());
+}
+
 void EntryNode::TakeTyped(const KnowledgeChange& change, TimePoint now) {
   if (m_settings.queries.address.empty()) {
     return;
@@ -301,7 +361,7 @@
     calls.SetTargets(TargetInfosOf(knowledge), now);
   }
   if (change.hosts) {
-    calls.SetHosts(m_hosts.Highest(now), now);
+    calls.SetHosts(m_fronts.Highest(now), now);
   }
 }
 
@@ -343,10 +403,10 @@
   DirectoryQuestion question;
   question.caller = m_protocol.read_directory_call(request.target);
   question.self = OwnRecord();
-  question.self_serves = IsReady();
+  // A host that knows no front yet names itself rather than nobody.
+  question.self_serves = IsReady() && (m_is_front || !m_fronts_known);
   question.most = kMostAddresses;
-  const std::vector<std::string> addresses =
-      ChooseHosts(question, m_store.knowledge().Hosts());
+  const std::vector<std::string> addresses = ChooseHosts(question, Fronts());
   if (addresses.empty()) {
     return Plain(kUnavailable);
   }
@@ -425,6 +485,10 @@
     line.Milliseconds("for_ms", now - m_ticked);
     m_log.Add(std::move(line));
   }
+  if (m_lag.Add(std::max(now - m_ticked - kTick, Duration::zero()), now) &&
+      !m_stopping) {
+    m_store.Register(OwnRecord());
+  }
   m_ticked = now;
   m_pool.CheckTimes();
   m_callers.CheckTimes();
@@ -434,7 +498,8 @@
   m_queries.CheckTimes();
   ArmDecisions();
   m_store.CheckTimes();
-  m_forwarder.SetHosts(m_hosts.Highest(now));
+  m_forwarder.SetHosts(m_fronts.Highest(now), m_is_front, now);
+  m_feed.Tick();
   m_log.Flush();
   m_tick.expires_after(kTick);
   m_tick.async_wait([this](const SystemError& ended) {
@@ -529,13 +594,22 @@
 }
 
 HostRecord EntryNode::OwnRecord() const {
-  return {
-      m_settings.name, m_settings.domain,
-      Endpoint{m_settings.callers.address, m_callers.port()}.ToString(),
-      m_settings.queries.address.empty()
-          ? std::string()
-          : Endpoint{m_settings.queries.address, m_queries.port()}.ToString(),
-      m_started_ms};
+  constexpr double kThousandths = 1000;
+  const auto address = [](const Endpoint& asked, std::uint16_t port) {
+    return asked.address.empty() ? std::string()
+                                 : Endpoint{asked.address, port}.ToString();
+  };
+  HostRecord record;
+  record.name = m_settings.name;
+  record.domain = m_settings.domain;
+  record.callers = address(m_settings.callers, m_callers.port());
+  record.queries = address(m_settings.queries, m_queries.port());
+  record.peers = address(m_settings.peers, m_settings.peers.port);
+  record.strength = static_cast<std::uint32_t>(
+      kThousandths * m_settings.cpu_share * m_settings.cores);
+  record.busy = m_lag.busy();
+  record.started_ms = m_started_ms;
+  return record;
 }
 
 Duration EntryNode::KnowledgeAge() const {
--- a/src/jacinthdeck/entry/entry_node.h
+++ b/src/jacinthdeck/entry/entry_node.h
@@ -16,7 +16,9 @@
 #include "jacinthdeck/entry/entry_protocol.h"
 #include "jacinthdeck/entry/entry_settings.h"
 #include "jacinthdeck/entry/event_log.h"
+#include "jacinthdeck/entry/feed_hub.h"
 #include "jacinthdeck/entry/log_writer.h"
+#include "jacinthdeck/entry/loop_lag.h"
 #include "jacinthdeck/entry/simple_handler.h"
 #include "jacinthdeck/entry/typed_service.h"
 #include "jacinthdeck/forward/forwarder.h"
@@ -37,7 +39,8 @@
 class EntryNode final : private CallerSink,
                         private ForwardPort,
                         private TargetPoolSink,
-                        private KnowledgeObserver {
+                        private KnowledgeObserver,
+                        private FeedHubObserver {
  public:
   EntryNode(EntrySettings settings, EntryProtocol protocol);
 
@@ -68,10 +71,17 @@
   void OnAttemptEnd(AttemptEnd& end) override;
   void OnKnowledge(const KnowledgeChange& change,
                    std::uint64_t revision) override;
+  void OnContent(const std::vector<StoreChange>& changes,
+                 std::uint64_t revision,
+                 bool whole) override;
+  void OnFeedOpened(const Endpoint& feeder) override;
+  void OnFeedEnded(const std::string& problem) override;
   void OnStoreLost(StoreStatus status, const std::string& problem) override;
   void OnStoreRegained() override;
   void OnRegistration(StoreStatus status) override;
 
+  void TakeHosts(TimePoint now);
+  [[nodiscard]] std::vector<HostRecord> Fronts() const;
   void TakeTyped(const KnowledgeChange& change, TimePoint now);
 
   [[nodiscard]] EdgeResponse AnswerReady(const EdgeRequest& request) const;
@@ -112,9 +122,12 @@
   TargetPool m_pool;
   Forwarder m_forwarder;
   StoreSession m_store;
+  FeedHub m_feed;
   TypedService m_typed;
   EdgeServer m_queries;
-  EntryCountWindow m_hosts;
+  //! Hosts that take callers, over a while.
+  EntryCountWindow m_fronts;
+  LoopLag m_lag;
   asio::steady_timer m_decision_timer;
   //! When the decision timer is set to; max() while it is not.
   TimePoint m_decision_at = TimePoint::max();
@@ -124,6 +137,9 @@
   std::function<void()> m_reload;
   //! When the callers' ports were closed; the epoch while they are open.
   TimePoint m_ports_closed;
+  //! Callers are sent to this host.
+  bool m_is_front = false;
+  bool m_fronts_known = false;
   bool m_stopping = false;
   bool m_told_ready = false;
 };
--- a/src/jacinthdeck/entry/entry_settings.cc
+++ b/src/jacinthdeck/entry/entry_settings.cc
@@ -6,6 +6,8 @@
 namespace {
 
 constexpr SettingRange kDescriptors{64, 1'048'576};
+constexpr SettingRange kShare{0.001, 1024};
+constexpr SettingRange kCores{0.001, 1024};
 constexpr SettingRange kRatio{0, 10};
 constexpr SettingRange kConstant{0, 1'000'000};
 constexpr SettingRange kWindowMs{1000, 600'000};
@@ -22,6 +24,10 @@
   settings.name = NodeId(table.Text("host.name", SettingNeed::kRequired));
   settings.domain =
       FailureDomain(table.Text("host.failure_domain", SettingNeed::kRequired));
+  settings.cpu_share = table.Number("host.cpu_share", kShare,
+                                    SettingNeed::kOptional, settings.cpu_share);
+  settings.cores = table.Number("host.cores", kCores, SettingNeed::kOptional,
+                                settings.cores);
   settings.descriptors =
       Whole(table.Number("host.descriptors", kDescriptors,
                          SettingNeed::kOptional, settings.descriptors));
@@ -34,6 +40,9 @@
       table.Address("listen.directory", SettingNeed::kOptional);
   settings.metrics = table.Address("listen.metrics", SettingNeed::kOptional);
   settings.queries = table.Address("listen.queries", SettingNeed::kOptional);
+  settings.peers = table.Address("listen.peers", SettingNeed::kOptional);
+  settings.seeds = table.Addresses("peers.seeds");
+  settings.fleet_starts = table.Flag("peers.fleet_starts", false);
   settings.store = table.Address("store.address", SettingNeed::kRequired);
 }
 
--- a/src/jacinthdeck/entry/entry_settings.h
+++ b/src/jacinthdeck/entry/entry_settings.h
@@ -28,7 +28,17 @@
   Endpoint metrics;
   //! Where the product's own typed calls come in; may be absent.
   Endpoint queries;
+  //! Where other hosts learn from this one; may be absent.
+  Endpoint peers;
+  //! Hosts to learn from before any is known.
+  std::vector<Endpoint> seeds;
+  //! All hosts of the deployment start for the first time.
+  bool fleet_starts = false;
   Endpoint store;
+  //! Part of a core that the host has.
+  double cpu_share = 1;
+  //! Speed of its core over a usual one.
+  double cores = 1;
   //! Descriptors that the process may open.
   std::uint32_t descriptors = 1024;
   //! Extra attempts for each request, over all hosts.
--- /dev/null
+++ b/src/jacinthdeck/entry/feed_hub.cc
@@ -0,0 +1,91 @@
+// Does what the choice says.
+#include "jacinthdeck/entry/feed_hub.h"
+
+#include <chrono>
+
+namespace jacinthdeck {
+
+namespace {
+
+//! Between two signs of life to followers; FeedChoice counts on it.
+constexpr Duration kBeatEvery = std::chrono::milliseconds(500);
+//! Age of content that was never heard of.
+constexpr Duration kNoAge = std::chrono::hours(1);
+
+}  // namespace
+
+FeedHub::FeedHub(asio::io_context& loop,
+                 const Clock& clock,
+                 StoreSession& store,
+                 FeedHubObserver& observer,
+                 const HostRecord& self,
+                 const std::vector<Endpoint>& seeds,
+                 bool fleet_starts,
+                 std::uint64_t seed)
+    : m_clock(clock),
+      m_store(store),
+      m_observer(observer),
+      m_name(self.name),
+      m_server(loop, *this),
+      m_link(loop, *this),
+      m_choice(self, seeds, fleet_starts, seed, clock.Now()) {}
+
+Result<void> FeedHub::Listen(const Endpoint& endpoint) {
+  return m_server.Listen(endpoint.address, endpoint.port);
+}
+
+void FeedHub::OnHosts(const std::vector<HostRecord>& hosts) {
+  m_choice.OnHosts(hosts);
+}
+
+void FeedHub::OnContent(const std::vector<StoreChange>& changes,
+                        std::uint64_t revision,
+                        bool whole) {
+  m_server.Publish({revision, whole, changes});
+}
+
+void FeedHub::Tick() {
+  const TimePoint now = m_clock.Now();
+  if (now >= m_beat_at) {
+    m_server.Beat();
+    m_beat_at = now + kBeatEvery;
+  }
+  const FeedStep step = m_choice.Step(now);
+  if (step.close) {
+    m_link.Close();
+    m_observer.OnFeedEnded("given up");
+  }
+  if (step.open) {
+    m_observer.OnFeedOpened(*step.open);
+    m_link.Open(*step.open, {m_name, m_store.revision()});
+  }
+  m_store.SetWatching(step.watch_store);
+}
+
+FeedChanges FeedHub::Content() const {
+  return {m_store.revision(), true, m_store.content().Items()};
+}
+
+FeedBeat FeedHub::Beat() const {
+  const auto heard = m_store.last_well();
+  return {m_store.revision(), heard ? m_clock.Now() - *heard : kNoAge,
+          m_store.knowledge().store_away()};
+}
+
+void FeedHub::OnFeedChanges(const FeedChanges& changes) {
+  m_choice.OnChanges(m_clock.Now());
+  m_store.TakeContent(changes.changes, changes.revision, changes.whole);
+}
+
+void FeedHub::OnFeedBeat(const FeedBeat& beat) {
+  m_choice.OnBeat(beat, m_clock.Now());
+  m_store.TakeAge(beat.age, beat.store_away);
+  Tick();
+}
+
+void FeedHub::OnFeedLost(const std::string& problem) {
+  m_choice.OnLost(m_clock.Now());
+  m_observer.OnFeedEnded(problem);
+}
+
+}  // namespace jacinthdeck
--- a/src/jacinthdeck/entry/log_event.h
+++ b/src/jacinthdeck/entry/log_event.h
@@ -15,6 +15,8 @@
   kReadiness,
   kStoreLost,
   kStoreRegained,
+  kFeedOpened,
+  kFeedEnded,
   kRegistered,
   kRegistrationFailed,
   kConfigApplied,
@@ -34,13 +36,15 @@
 };
 
 //! Names of the events, as they stand in logs.
-inline constexpr NameTable<LogEvent, 23> kLogEventNames{{"started",
+inline constexpr NameTable<LogEvent, 25> kLogEventNames{{"started",
                                                          "stopping",
                                                          "stopped",
                                                          "reloaded",
                                                          "readiness",
                                                          "store_lost",
                                                          "store_regained",
+                                                         "feed_opened",
+                                                         "feed_ended",
                                                          "registered",
                                                          "registration_failed",
                                                          "config_applied",
--- a/src/jacinthdeck/forward/attempt_budget.cc
+++ b/src/jacinthdeck/forward/attempt_budget.cc
@@ -13,9 +13,8 @@
 
 }  // namespace
 
-AttemptBudget::AttemptBudget(const AttemptBudgetOptions& options,
-                             TimePoint started)
-    : m_options(options), m_started(started) {}
+AttemptBudget::AttemptBudget(const AttemptBudgetOptions& options)
+    : m_options(options) {}
 
 void AttemptBudget::OnRequest(TimePoint now) {
   Advance(now);
@@ -49,10 +48,10 @@
 
 double AttemptBudget::Left(TimePoint now) {
   Advance(now);
-  const auto age = static_cast<double>((now - m_started).count());
+  const auto age = static_cast<double>((now - m_share_since).count());
   const double warm =
       std::min(age / static_cast<double>(m_options.window.count()), 1.0);
-  const double constant = warm * m_options.constant / m_hosts;
+  const double constant = warm * m_options.constant * m_share;
   const double bound = m_options.ratio * m_requests + constant;
   return kSpentShare * bound - m_extras;
 }
--- a/src/jacinthdeck/forward/attempt_budget.h
+++ b/src/jacinthdeck/forward/attempt_budget.h
@@ -23,15 +23,24 @@
  *
  * Each host spends its own requests' ratio and an equal share of the constant,
  * so that the sum over the hosts keeps the bound without a message: also while
- * hosts are cut off from each other. After a start the share of the constant
- * grows from zero over one window, since the life before may have spent it.
+ * hosts are cut off from each other. A share that is new grows from zero over
+ * one window, since the life before, or another host, may have spent it.
  */
 class AttemptBudget {
  public:
-  AttemptBudget(const AttemptBudgetOptions& options, TimePoint started);
+  /*! \brief Makes a budget without a share of the constant. */
+  explicit AttemptBudget(const AttemptBudgetOptions& options);
 
-  /*! \brief Says among how many hosts the constant is shared; at least 1. */
-  void SetHosts(std::uint32_t hosts) noexcept { m_hosts = hosts; }
+  /**
+   * \brief Says which part of the constant is this host's.
+   * \param share Part, 0 to 1.
+   * \param since Since when it has one; the part grows from zero over one
+   * window from then on.
+   */
+  void SetShare(double share, TimePoint since) noexcept {
+    m_share = share;
+    m_share_since = since;
+  }
 
   /*! \brief Counts a request whose first attempt is the service's. */
   void OnRequest(TimePoint now);
@@ -64,8 +73,8 @@
   void Advance(TimePoint now);
 
   AttemptBudgetOptions m_options;
-  TimePoint m_started;
-  std::uint32_t m_hosts = 1;
+  double m_share = 0;
+  TimePoint m_share_since;
   //! Ring; m_slot is the number of its newest bucket since the epoch.
   std::array<Bucket, kBuckets + 1> m_ring{};
   std::int64_t m_slot = 0;
--- a/src/jacinthdeck/forward/forwarder.cc
+++ b/src/jacinthdeck/forward/forwarder.cc
@@ -13,8 +13,8 @@
     : m_options(options),
       m_port(port),
       m_random(seed),
-      m_started(now),
-      m_targets(options.domain, m_random.Fork()) {}
+      m_targets(options.domain, m_random.Fork()),
+      m_share_since(now) {}
 
 std::optional<TimePoint> Forwarder::NextTimer() const {
   const auto calls = m_timers.Next();
@@ -39,13 +39,24 @@
   m_targets.Replace(entries, now);
 }
 
-void Forwarder::SetHosts(std::uint32_t hosts) {
+void Forwarder::SetHosts(std::uint32_t hosts, bool self, TimePoint now) {
+  if (m_hosts == std::max(hosts, 1U) && m_has_share == self) {
+    return;
+  }
+  if (self && !m_has_share) {
+    m_share_since = now;
+  }
   m_hosts = std::max(hosts, 1U);
+  m_has_share = self;
   for (auto& [service, budget] : m_budgets) {
-    budget.SetHosts(m_hosts);
+    ShareBudget(budget);
   }
 }
 
+void Forwarder::ShareBudget(AttemptBudget& budget) const {
+  budget.SetShare(m_has_share ? 1.0 / m_hosts : 0, m_share_since);
+}
+
 void Forwarder::Convict(Fingerprint fingerprint, TimePoint now) {
   m_crashes.Convict(fingerprint, now);
 }
--- a/src/jacinthdeck/forward/forwarder.h
+++ b/src/jacinthdeck/forward/forwarder.h
@@ -76,9 +76,13 @@
   /*! \brief Replaces the known targets. */
   void SetTargets(std::span<const TargetEntry> entries, TimePoint now);
 
-  /*! \brief Says among how many hosts budgets and connections are shared; at
-   * least 1. */
-  void SetHosts(std::uint32_t hosts);
+  /**
+   * \brief Says among how many hosts budgets and connections are shared.
+   * \param hosts Hosts that callers are sent to; at least 1.
+   * \param self This host is one of them; else it has no share of the constant
+   * and one connection a target.
+   */
+  void SetHosts(std::uint32_t hosts, bool self, TimePoint now);
 
   /*! \brief Takes another host's word that a request crashes its targets. */
   void Convict(Fingerprint fingerprint, TimePoint now);
@@ -114,6 +118,7 @@
   [[nodiscard]] Duration ComeBackAfter(ForwardReason reason,
                                        const PendingCall& open);
   [[nodiscard]] LatencyProfile& ProfileOf(const Route& route);
+  void ShareBudget(AttemptBudget& budget) const;
   [[nodiscard]] AttemptBudget& BudgetOf(const ServiceId& service,
                                         TimePoint now);
 
@@ -165,12 +170,14 @@
   const ForwardOptions m_options;
   ForwardPort& m_port;
   Random m_random;
-  const TimePoint m_started;
   ForwardCounters m_counters;
   //! Null until the first configuration; its version only rises.
   std::shared_ptr<const RoutingConfig> m_config;
   TargetSet m_targets;
   std::uint32_t m_hosts = 1;
+  bool m_has_share = true;
+  //! Since when this host has a share.
+  TimePoint m_share_since;
   CrashGuard m_crashes;
   std::uint64_t m_next_attempt = 1;
   //! By route name; they outlive configurations. References stay valid.
--- a/src/jacinthdeck/forward/forwarder_admission.cc
+++ b/src/jacinthdeck/forward/forwarder_admission.cc
@@ -226,8 +226,8 @@
   }
   (void)now;
   AttemptBudget& budget =
-      m_budgets.try_emplace(service, m_options.budget, m_started).first->second;
-  budget.SetHosts(m_hosts);
+      m_budgets.try_emplace(service, m_options.budget).first->second;
+  ShareBudget(budget);
   return budget;
 }
 
--- a/src/jacinthdeck/forward/forwarder_attempts.cc
+++ b/src/jacinthdeck/forward/forwarder_attempts.cc
@@ -13,6 +13,9 @@
 //! Attempts of a part beyond those that may run: refusals and connections that
 //! could not be opened leave the next target free to be tried.
 constexpr std::uint32_t kSpareSends = 3;
+//! A host that is stopping is no longer counted, but still holds its
+//! connections; beyond the limit a target resets them at random.
+constexpr std::uint32_t kHoldersNotCounted = 1;
 //! Pause before a target is looked for again when none has a place.
 constexpr Duration kNoPlacePause = milliseconds(4);
 //! Part of the objective for which a call may look for a place; after that its
@@ -26,7 +29,11 @@
 
 std::uint32_t Forwarder::ConnectionLimit(const PendingCall& open,
                                          const ServiceId& service) const {
-  return std::max(open.config->TargetConnections(service) / m_hosts, 1U);
+  if (!m_has_share) {
+    return 1;
+  }
+  const std::uint32_t holders = m_hosts + kHoldersNotCounted;
+  return std::max(open.config->TargetConnections(service) / holders, 1U);
 }
 
 void Forwarder::SendPart(PendingCall& open,
--- a/src/jacinthdeck/forward/routing_config.cc
+++ b/src/jacinthdeck/forward/routing_config.cc
@@ -35,6 +35,10 @@
   }
   for (const ServiceConfig& service : services) {
     m_target_connections[service.id] = service.target_connections;
+    m_fewest_connections =
+        m_fewest_connections == 0
+            ? service.target_connections
+            : std::min(m_fewest_connections, service.target_connections);
   }
 }
 
--- a/src/jacinthdeck/forward/routing_config.h
+++ b/src/jacinthdeck/forward/routing_config.h
@@ -63,6 +63,12 @@
   [[nodiscard]] const Route* Find(std::string_view host,
                                   std::string_view path) const;
 
+  /*! \brief Fewest connections that a target of any service that a route
+   * names accepts; 0 if there is none. */
+  [[nodiscard]] std::uint32_t FewestTargetConnections() const noexcept {
+    return m_fewest_connections;
+  }
+
   /*! \brief Connections that a target of a service accepts in all; 1 for an
    * unknown one. */
   [[nodiscard]] std::uint32_t TargetConnections(const ServiceId& service) const;
@@ -74,6 +80,7 @@
   //! Routes of each host, longest prefix first.
   std::unordered_map<std::string, std::vector<const Route*>> m_by_host;
   std::unordered_map<ServiceId, std::uint32_t> m_target_connections;
+  std::uint32_t m_fewest_connections = 0;
   CallerLimits m_limits;
 };
 
--- /dev/null
+++ b/src/jacinthdeck/peer/feed_choice.cc
@@ -0,0 +1,171 @@
+// Freshness of the link, and the order of feeders.
+#include "jacinthdeck/peer/feed_choice.h"
+
+#include <algorithm>
+#include <functional>
+#include <utility>
+
+#include "jacinthdeck/discovery/fleet.h"
+
+namespace jacinthdeck {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+//! Feeders beat twice a second; two lost beats and some delay are silence.
+constexpr Duration kSilence = milliseconds(1600);
+//! A feeder that watches has heard the store within its own watch's length.
+constexpr Duration kMostAge = milliseconds(2700);
+constexpr Duration kOpenTimeout = milliseconds(600);
+constexpr Duration kTryAgain = milliseconds(700);
+//! A feeder that stays stale is given up for another one after this time.
+constexpr Duration kStalePatience = milliseconds(2500);
+//! When the fleet starts: time for a seed to answer before the store is asked.
+constexpr Duration kStartPatience = milliseconds(1100);
+//! Hosts that start at one moment.
+constexpr Duration kStartSpread = milliseconds(30);
+//! Followers of one lost feeder must not all ask the store at one moment.
+constexpr Duration kLostSpread = milliseconds(150);
+//! If the feeder lost the store, it is likely away for all, and calls to it are
+//! in vain.
+constexpr Duration kAwaySpread = milliseconds(1200);
+
+}  // namespace
+
+FeedChoice::FeedChoice(HostRecord self,
+                       std::vector<Endpoint> seeds,
+                       bool fleet_starts,
+                       std::uint64_t seed,
+                       TimePoint now)
+    : m_self(std::move(self)), m_seeds(std::move(seeds)), m_random(seed) {
+  const auto own = [&](const Endpoint& endpoint) {
+    return endpoint.ToString() == m_self.peers;
+  };
+  // Before any host is known the seeds watch for the others.
+  m_is_watcher = m_seeds.empty() || std::ranges::any_of(m_seeds, own);
+  std::ranges::remove_copy_if(m_seeds, std::back_inserter(m_feeders), own);
+  if (!m_feeders.empty()) {
+    m_next = m_random.Below(m_feeders.size());
+  }
+  ScheduleWatch(kStartSpread,
+                now + (fleet_starts ? kStartPatience : Duration::zero()));
+}
+
+bool FeedChoice::IsFollowing(TimePoint now) const {
+  return m_link == Link::kOpen && !IsSilent(now) && !IsStale(now);
+}
+
+void FeedChoice::OnHosts(std::span<const HostRecord> hosts) {
+  const std::vector<NodeId> watchers = ChooseWatchers(hosts);
+  if (watchers.empty()) {
+    return;
+  }
+  m_is_watcher = std::ranges::find(watchers, m_self.name) != watchers.end();
+  std::vector<const HostRecord*> feeders;
+  for (const HostRecord& host : hosts) {
+    const bool watches =
+        std::ranges::find(watchers, host.name) != watchers.end();
+    if (watches && host.name != m_self.name && !host.peers.empty()) {
+      feeders.push_back(&host);
+    }
+  }
+  // The own failure domain first: that way is short and costs least.
+  std::stable_partition(
+      feeders.begin(), feeders.end(),
+      [&](const HostRecord* host) { return host->domain == m_self.domain; });
+  m_feeders.clear();
+  for (const HostRecord* host : feeders) {
+    const auto parsed = Capture([&] { return Endpoint::Parse(host->peers); });
+    if (const auto* endpoint = std::get_if<Endpoint>(&parsed)) {
+      m_feeders.push_back(*endpoint);
+    }
+  }
+  m_next = 0;
+}
+
+void FeedChoice::OnBeat(const FeedBeat& beat, TimePoint now) {
+  m_link = Link::kOpen;
+  m_heard = now;
+  m_beat = beat;
+  m_beat_at = now;
+  if (IsFollowing(now)) {
+    m_watch_at.reset();
+  }
+}
+
+void FeedChoice::OnChanges(TimePoint now) {
+  m_heard = now;
+}
+
+void FeedChoice::OnLost(TimePoint now) {
+  m_link = Link::kNone;
+  m_try_at = now + kTryAgain;
+  ScheduleWatch(kLostSpread, now);
+}
+
+FeedStep FeedChoice::Step(TimePoint now) {
+  FeedStep step;
+  if (m_is_watcher) {
+    step.watch_store = true;
+    step.close = m_link != Link::kNone;
+    m_link = Link::kNone;
+    m_watch_at = now;
+    return step;
+  }
+  const bool too_slow =
+      m_link == Link::kOpening && now - m_link_since > kOpenTimeout;
+  const bool useless =
+      m_link == Link::kOpen &&
+      (IsSilent(now) || (IsStale(now) && now - m_link_since > kStalePatience &&
+                         m_feeders.size() > 1));
+  if (too_slow || useless) {
+    step.close = true;
+    OnLost(now);
+    m_try_at = now;
+  }
+  if (m_link == Link::kNone && now >= m_try_at) {
+    step.open = NextFeeder();
+    if (step.open) {
+      m_link = Link::kOpening;
+      m_link_since = now;
+    }
+    m_try_at = now + kTryAgain;
+  }
+  if (IsFollowing(now)) {
+    m_watch_at.reset();
+    return step;
+  }
+  ScheduleWatch(m_link == Link::kOpen ? kAwaySpread : kLostSpread, now);
+  step.watch_store = now >= *m_watch_at;
+  return step;
+}
+
+bool FeedChoice::IsSilent(TimePoint now) const {
+  return now - m_heard > kSilence;
+}
+
+bool FeedChoice::IsStale(TimePoint now) const {
+  return m_beat.store_away || m_beat.revision == 0 ||
+         m_beat.age + (now - m_beat_at) > kMostAge;
+}
+
+std::optional<Endpoint> FeedChoice::NextFeeder() {
+  if (m_feeders.empty()) {
+    return std::nullopt;
+  }
+  const Endpoint feeder = m_feeders[m_next % m_feeders.size()];
+  ++m_next;
+  return feeder;
+}
+
+void FeedChoice::ScheduleWatch(Duration spread, TimePoint from) {
+  if (m_watch_at) {
+    return;
+  }
+  const auto bound = static_cast<std::uint64_t>(spread.count());
+  m_watch_at =
+      from + Duration(static_cast<Duration::rep>(m_random.Below(bound)));
+}
+
+}  // namespace jacinthdeck
--- /dev/null
+++ b/src/jacinthdeck/peer/feed_choice.h
@@ -0,0 +1,106 @@
+// Decides from whom a host learns: from another host, or from the store itself.
+#ifndef JACINTHDECK_PEER_FEED_CHOICE_H_
+#define JACINTHDECK_PEER_FEED_CHOICE_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <vector>
+
+#include "jacinthdeck/core/endpoint.h"
+#include "jacinthdeck/core/ids.h"
+#include "jacinthdeck/core/random.h"
+#include "jacinthdeck/core/time.h"
+#include "jacinthdeck/discovery/host_record.h"
+#include "jacinthdeck/peer/feed_message.h"
+
+namespace jacinthdeck {
+
+/*! \brief What is to be done now. */
+struct FeedStep {
+  //! Watch the store.
+  bool watch_store = false;
+  //! Open a link to this host, in place of the present one.
+  std::optional<Endpoint> open;
+  //! End the present link.
+  bool close = false;
+};
+
+/**
+ * \brief Follows a watcher as long as that one is fresh.
+ *
+ * A host whose feeder falls silent, loses the store, or lags reads the store
+ * itself at once, and looks for another feeder meanwhile; so a change is never
+ * later than by the time in which silence shows. A feeder's word is as old as
+ * the feeder says: hosts that follow each other in a circle see the age grow.
+ */
+class FeedChoice {
+ public:
+  /**
+   * \brief Makes a choice that knows only the seeds.
+   * \param self This host; its own link address is never followed.
+   * \param seeds Links to try before any host is known.
+   * \param fleet_starts All hosts start now, and nobody is served yet: the
+   * seeds have time to answer. A host that starts among others reads the store
+   * at once.
+   */
+  FeedChoice(HostRecord self,
+             std::vector<Endpoint> seeds,
+             bool fleet_starts,
+             std::uint64_t seed,
+             TimePoint now);
+
+  /*! \brief Tells whether this host watches the store for others. */
+  [[nodiscard]] bool is_watcher() const noexcept { return m_is_watcher; }
+  /*! \brief Tells whether the link is fresh enough to be relied on. */
+  [[nodiscard]] bool IsFollowing(TimePoint now) const;
+
+  /*! \brief Takes the hosts that are known. */
+  void OnHosts(std::span<const HostRecord> hosts);
+
+  /*! \brief Takes a sign of life of the link. */
+  void OnBeat(const FeedBeat& beat, TimePoint now);
+
+  /*! \brief Takes changes over the link. */
+  void OnChanges(TimePoint now);
+
+  /*! \brief Takes the end of the link. */
+  void OnLost(TimePoint now);
+
+  /*! \brief Says what is to be done; called often. */
+  [[nodiscard]] FeedStep Step(TimePoint now);
+
+ private:
+  enum class Link { kNone, kOpening, kOpen };
+
+  [[nodiscard]] bool IsSilent(TimePoint now) const;
+  [[nodiscard]] bool IsStale(TimePoint now) const;
+  [[nodiscard]] std::optional<Endpoint> NextFeeder();
+  //! Watches the store from a moment within the spread on, unless that is
+  //! settled already.
+  void ScheduleWatch(Duration spread, TimePoint from);
+
+  const HostRecord m_self;
+  const std::vector<Endpoint> m_seeds;
+  Random m_random;
+  bool m_is_watcher = false;
+  //! In the order in which they are tried; this host is not among them.
+  std::vector<Endpoint> m_feeders;
+  std::size_t m_next = 0;
+  Link m_link = Link::kNone;
+  TimePoint m_link_since;
+  //! Last message over the link.
+  TimePoint m_heard;
+  //! Last beat and when it came.
+  FeedBeat m_beat;
+  TimePoint m_beat_at;
+  TimePoint m_try_at;
+  //! When the store is watched, unless the link is fresh by then; nothing while
+  //! it is.
+  std::optional<TimePoint> m_watch_at;
+};
+
+}  // namespace jacinthdeck
+
+#endif  // JACINTHDECK_PEER_FEED_CHOICE_H_
--- /dev/null
+++ b/src/jacinthdeck/peer/feed_link.h
@@ -0,0 +1,58 @@
+// A connection to the host that this one learns from.
+#ifndef JACINTHDECK_PEER_FEED_LINK_H_
+#define JACINTHDECK_PEER_FEED_LINK_H_
+
+#include <array>
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include "jacinthdeck/core/endpoint.h"
+#include "jacinthdeck/http/asio.h"
+#include "jacinthdeck/peer/feed_frames.h"
+#include "jacinthdeck/peer/feed_message.h"
+
+namespace jacinthdeck {
+
+/*! \brief Takes what a link brings. */
+class FeedLinkSink {
+ public:
+  virtual ~FeedLinkSink() = default;
+
+  virtual void OnFeedChanges(const FeedChanges& changes) = 0;
+  virtual void OnFeedBeat(const FeedBeat& beat) = 0;
+  /*! \brief The link ended, or could not be opened. */
+  virtual void OnFeedLost(const std::string& problem) = 0;
+};
+
+/*! \brief One link at a time; opening another ends the one before. */
+class FeedLink {
+ public:
+  /*! \brief Makes a link that is not open; the sink outlives it. */
+  FeedLink(asio::io_context& loop, FeedLinkSink& sink);
+  ~FeedLink();
+  FeedLink(const FeedLink&) = delete;
+  FeedLink& operator=(const FeedLink&) = delete;
+
+  /*! \brief Connects and says hello. */
+  void Open(const Endpoint& endpoint, const FeedHello& hello);
+
+  /*! \brief Ends the link without a word to the sink. */
+  void Close();
+
+ private:
+  struct State;
+
+  void Read(const std::shared_ptr<State>& state);
+  void OnFrame(const std::string& frame);
+  void Lose(const std::shared_ptr<State>& state, const std::string& problem);
+
+  asio::io_context& m_loop;
+  FeedLinkSink& m_sink;
+  //! Null while there is no link; handlers of an earlier one see another.
+  std::shared_ptr<State> m_state;
+};
+
+}  // namespace jacinthdeck
+
+#endif  // JACINTHDECK_PEER_FEED_LINK_H_
--- /dev/null
+++ b/src/jacinthdeck/peer/feed_message.cc
@@ -0,0 +1,122 @@
+// FlatBuffers do the layout; the verifier keeps damaged frames out.
+#include "jacinthdeck/peer/feed_message.h"
+
+#include <feed_generated.h>
+
+#include <algorithm>
+#include <chrono>
+#include <limits>
+#include <utility>
+
+#include "jacinthdeck/peer/feed_frames.h"
+
+namespace jacinthdeck {
+
+namespace {
+
+using flatbuffers::FlatBufferBuilder;
+using flatbuffers::Offset;
+
+[[nodiscard]] std::string TextOf(const flatbuffers::String* text) {
+  return text == nullptr ? std::string() : text->str();
+}
+
+[[nodiscard]] Offset<void> Build(FlatBufferBuilder& builder,
+                                 const FeedHello& hello) {
+  const auto host = builder.CreateString(hello.host.raw());
+  return wire::CreateHello(builder, host, hello.revision).Union();
+}
+
+[[nodiscard]] Offset<void> Build(FlatBufferBuilder& builder,
+                                 const FeedChanges& changes) {
+  std::vector<Offset<wire::Change>> built;
+  built.reserve(changes.changes.size());
+  for (const StoreChange& change : changes.changes) {
+    const auto key = builder.CreateString(change.key);
+    const std::string_view value =
+        change.value ? std::string_view(*change.value) : std::string_view();
+    const auto bytes = builder.CreateVector(
+        reinterpret_cast<const std::uint8_t*>(value.data()), value.size());
+    built.push_back(wire::CreateChange(builder, key, change.revision,
+                                       !change.value, bytes));
+  }
+  const auto list = builder.CreateVector(built);
+  return wire::CreateChanges(builder, changes.revision, changes.whole, list)
+      .Union();
+}
+
+[[nodiscard]] Offset<void> Build(FlatBufferBuilder& builder,
+                                 const FeedBeat& beat) {
+  const auto age =
+      std::chrono::duration_cast<std::chrono::milliseconds>(beat.age).count();
+  const auto bounded = static_cast<std::uint32_t>(std::clamp<std::int64_t>(
+      age, 0, std::numeric_limits<std::uint32_t>::max()));
+  return wire::CreateBeat(builder, beat.revision, bounded, beat.store_away)
+      .Union();
+}
+
+[[nodiscard]] wire::Body KindOf(const FeedMessage& message) {
+  constexpr wire::Body kKinds[] = {wire::Body::Hello, wire::Body::Changes,
+                                   wire::Body::Beat};
+  return kKinds[message.index()];
+}
+
+[[nodiscard]] FeedChanges Read(const wire::Changes& wired) {
+  FeedChanges changes;
+  changes.revision = wired.revision();
+  changes.whole = wired.whole();
+  if (wired.changes() == nullptr) {
+    return changes;
+  }
+  for (const wire::Change* change : *wired.changes()) {
+    StoreChange read;
+    read.key = TextOf(change->key());
+    read.revision = change->revision();
+    if (!change->removed()) {
+      const auto* value = change->value();
+      read.value = value == nullptr ? std::string()
+                                    : std::string(value->begin(), value->end());
+    }
+    changes.changes.push_back(std::move(read));
+  }
+  return changes;
+}
+
+}  // namespace
+
+std::string EncodeFeed(const FeedMessage& message) {
+  FlatBufferBuilder builder;
+  const Offset<void> body = std::visit(
+      [&](const auto& which) { return Build(builder, which); }, message);
+  builder.Finish(wire::CreateMessage(builder, KindOf(message), body));
+  // Not the library's own prefix: it shifts the alignment that the verifier of
+  // the frame without its prefix checks.
+  std::string frame = FrameLength(builder.GetSize());
+  frame.append(reinterpret_cast<const char*>(builder.GetBufferPointer()),
+               builder.GetSize());
+  return frame;
+}
+
+Result<FeedMessage> DecodeFeed(std::string_view frame) {
+  const auto* bytes = reinterpret_cast<const std::uint8_t*>(frame.data());
+  flatbuffers::Verifier verifier(bytes, frame.size());
+  if (!wire::VerifyMessageBuffer(verifier)) {
+    return Fail(ErrorCode::kCorrupt, "feed", "is no message");
+  }
+  const wire::Message* message = wire::GetMessage(bytes);
+  if (const auto* hello = message->body_as_Hello()) {
+    return FeedMessage(
+        FeedHello{NodeId(TextOf(hello->host())), hello->revision()});
+  }
+  if (const auto* changes = message->body_as_Changes()) {
+    return FeedMessage(Read(*changes));
+  }
+  if (const auto* beat = message->body_as_Beat()) {
+    return FeedMessage(FeedBeat{beat->revision(),
+                                std::chrono::milliseconds(beat->age_ms()),
+                                beat->store_away()});
+  }
+  return Fail(ErrorCode::kCorrupt, "feed", "has a body of no known kind");
+}
+
+}  // namespace jacinthdeck
--- /dev/null
+++ b/src/jacinthdeck/peer/feed_message.h
@@ -0,0 +1,53 @@
+// Messages between hosts, decoded.
+#ifndef JACINTHDECK_PEER_FEED_MESSAGE_H_
+#define JACINTHDECK_PEER_FEED_MESSAGE_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "jacinthdeck/core/ids.h"
+#include "jacinthdeck/core/result.h"
+#include "jacinthdeck/core/time.h"
+#include "jacinthdeck/discovery/store_types.h"
+
+namespace jacinthdeck {
+
+/*! \brief A follower presents itself. */
+struct FeedHello {
+  NodeId host;
+  //! 0 if it knows nothing.
+  std::uint64_t revision = 0;
+};
+
+/*! \brief Changes of the store's content. */
+struct FeedChanges {
+  std::uint64_t revision = 0;
+  //! What is not named is gone.
+  bool whole = false;
+  std::vector<StoreChange> changes;
+};
+
+/*! \brief A sign of life. */
+struct FeedBeat {
+  std::uint64_t revision = 0;
+  //! Since the store was last heard, by whoever heard it.
+  Duration age{};
+  bool store_away = false;
+};
+
+/*! \brief Any message. */
+using FeedMessage = std::variant<FeedHello, FeedChanges, FeedBeat>;
+
+/*! \brief Encodes a message as one frame, its length first. */
+[[nodiscard]] std::string EncodeFeed(const FeedMessage& message);
+
+/*! \brief Decodes a frame without its length; kCorrupt for what is no message.
+ */
+[[nodiscard]] Result<FeedMessage> DecodeFeed(std::string_view frame);
+
+}  // namespace jacinthdeck
+
+#endif  // JACINTHDECK_PEER_FEED_MESSAGE_H_
--- /dev/null
+++ b/src/jacinthdeck/peer/feed_server.cc
@@ -0,0 +1,187 @@
+// Frames to followers, shared between them.
+#include "jacinthdeck/peer/feed_server.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/asio/write.hpp>
+#include <utility>
+
+#include "jacinthdeck/http/socket_options.h"
+
+namespace jacinthdeck {
+
+namespace {
+
+//! Followers beyond this are turned away: they find another host.
+constexpr std::size_t kMostFollowers = 256;
+//! Bytes that wait for one follower.
+constexpr std::size_t kMostWaiting = std::size_t{8} << 20U;
+constexpr std::size_t kReadBytes = 4096;
+
+}  // namespace
+
+struct FeedServer::Follower {
+  explicit Follower(tcp::socket taken) : socket(std::move(taken)) {}
+
+  tcp::socket socket;
+  FeedFrames frames;
+  std::array<char, kReadBytes> bytes{};
+  std::deque<std::shared_ptr<const std::string>> waiting;
+  std::size_t waiting_bytes = 0;
+  //! It has said hello and gets the changes.
+  bool greeted = false;
+  bool closed = false;
+};
+
+FeedServer::FeedServer(asio::io_context& loop, const FeedSource& source)
+    : m_loop(loop), m_source(source), m_acceptor(loop) {}
+
+std::uint16_t FeedServer::port() const {
+  SystemError ignored;
+  return m_acceptor.local_endpoint(ignored).port();
+}
+
+Result<void> FeedServer::Listen(const std::string& address,
+                                std::uint16_t port) {
+  SystemError error;
+  const auto ip = asio::ip::make_address_v4(address, error);
+  if (!error) {
+    m_acceptor.open(tcp::v4(), error);
+  }
+  if (!error) {
+    m_acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+    m_acceptor.bind(tcp::endpoint(ip, port), error);
+  }
+  if (!error) {
+    m_acceptor.listen(asio::socket_base::max_listen_connections, error);
+  }
+  if (error) {
+    return Fail(ErrorCode::kUnavailable, address + ":" + std::to_string(port),
+                "cannot listen: " + error.message());
+  }
+  Accept();
+  return {};
+}
+
+void FeedServer::Publish(const FeedChanges& changes) {
+  if (!m_followers.empty()) {
+    SendAll(changes);
+  }
+}
+
+void FeedServer::Beat() {
+  if (!m_followers.empty()) {
+    SendAll(m_source.Beat());
+  }
+}
+
+void FeedServer::Accept() {
+  m_acceptor.async_accept([this](const SystemError& error, tcp::socket socket) {
+    if (error == asio::error::operation_aborted) {
+      return;
+    }
+    if (!error && m_followers.size() < kMostFollowers) {
+      SetStreamOptions(socket);
+      auto follower = std::make_shared<Follower>(std::move(socket));
+      m_followers.push_back(follower);
+      Read(follower);
+    }
+    Accept();
+  });
+}
+
+void FeedServer::Read(const std::shared_ptr<Follower>& follower) {
+  follower->socket.async_read_some(
+      asio::buffer(follower->bytes),
+      [this, follower](const SystemError& error, std::size_t count) {
+        if (follower->closed) {
+          return;
+        }
+        if (error) {
+          Drop(follower);
+          return;
+        }
+        follower->frames.Add({follower->bytes.data(), count});
+        while (const auto frame = follower->frames.Next()) {
+          OnFrame(follower, *frame);
+        }
+        if (follower->frames.broken()) {
+          Drop(follower);
+        }
+        if (!follower->closed) {
+          Read(follower);
+        }
+      });
+}
+
+void FeedServer::OnFrame(const std::shared_ptr<Follower>& follower,
+                         const std::string& frame) {
+  const auto message = Capture([&] { return DecodeFeed(frame); });
+  const auto* read = std::get_if<FeedMessage>(&message);
+  if (read == nullptr || !std::holds_alternative<FeedHello>(*read) ||
+      follower->closed) {
+    Drop(follower);
+    return;
+  }
+  follower->greeted = true;
+  const FeedChanges content = m_source.Content();
+  if (content.revision > 0) {
+    Send(follower, std::make_shared<const std::string>(EncodeFeed(content)));
+  }
+  Send(follower,
+       std::make_shared<const std::string>(EncodeFeed(m_source.Beat())));
+}
+
+void FeedServer::SendAll(const FeedMessage& message) {
+  const auto frame = std::make_shared<const std::string>(EncodeFeed(message));
+  const std::vector<std::shared_ptr<Follower>> followers(m_followers);
+  for (const auto& follower : followers) {
+    if (follower->greeted) {
+      Send(follower, frame);
+    }
+  }
+}
+
+void FeedServer::Send(const std::shared_ptr<Follower>& follower,
+                      const std::shared_ptr<const std::string>& frame) {
+  if (follower->closed) {
+    return;
+  }
+  if (follower->waiting_bytes + frame->size() > kMostWaiting) {
+    Drop(follower);
+    return;
+  }
+  follower->waiting.push_back(frame);
+  follower->waiting_bytes += frame->size();
+  if (follower->waiting.size() == 1) {
+    Write(follower);
+  }
+}
+
+void FeedServer::Write(const std::shared_ptr<Follower>& follower) {
+  asio::async_write(follower->socket, asio::buffer(*follower->waiting.front()),
+                    [this, follower](const SystemError& error, std::size_t) {
+                      if (follower->closed) {
+                        return;
+                      }
+                      if (error) {
+                        Drop(follower);
+                        return;
+                      }
+                      follower->waiting_bytes -=
+                          follower->waiting.front()->size();
+                      follower->waiting.pop_front();
+                      if (!follower->waiting.empty()) {
+                        Write(follower);
+                      }
+                    });
+}
+
+void FeedServer::Drop(const std::shared_ptr<Follower>& follower) {
+  follower->closed = true;
+  SystemError ignored;
+  follower->socket.close(ignored);
+  std::erase(m_followers, follower);
+}
+
+}  // namespace jacinthdeck
--- /dev/null
+++ b/src/jacinthdeck/peer/feed_server.h
@@ -0,0 +1,68 @@
+// Hands the store's content on to the hosts that ask for it.
+#ifndef JACINTHDECK_PEER_FEED_SERVER_H_
+#define JACINTHDECK_PEER_FEED_SERVER_H_
+
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "jacinthdeck/core/result.h"
+#include "jacinthdeck/http/asio.h"
+#include "jacinthdeck/peer/feed_frames.h"
+#include "jacinthdeck/peer/feed_source.h"
+
+namespace jacinthdeck {
+
+/**
+ * \brief Accepts followers; sends each the content, then what changes.
+ *
+ * A follower that does not take what it is sent is dropped: it asks again, and
+ * gets the content anew.
+ */
+class FeedServer {
+ public:
+  /*! \brief Makes a server that does not listen; the source outlives it. */
+  FeedServer(asio::io_context& loop, const FeedSource& source);
+  FeedServer(const FeedServer&) = delete;
+  FeedServer& operator=(const FeedServer&) = delete;
+
+  [[nodiscard]] std::size_t followers() const noexcept {
+    return m_followers.size();
+  }
+  [[nodiscard]] std::uint16_t port() const;
+
+  /*! \brief Opens the port and begins to accept. */
+  [[nodiscard]] Result<void> Listen(const std::string& address,
+                                    std::uint16_t port);
+
+  /*! \brief Hands changes on to all followers. */
+  void Publish(const FeedChanges& changes);
+
+  /*! \brief Sends a sign of life to all followers; called some times a second.
+   */
+  void Beat();
+
+ private:
+  struct Follower;
+
+  void Accept();
+  void Read(const std::shared_ptr<Follower>& follower);
+  void OnFrame(const std::shared_ptr<Follower>& follower,
+               const std::string& frame);
+  void Send(const std::shared_ptr<Follower>& follower,
+            const std::shared_ptr<const std::string>& frame);
+  void Write(const std::shared_ptr<Follower>& follower);
+  void SendAll(const FeedMessage& message);
+  void Drop(const std::shared_ptr<Follower>& follower);
+
+  asio::io_context& m_loop;
+  const FeedSource& m_source;
+  tcp::acceptor m_acceptor;
+  std::vector<std::shared_ptr<Follower>> m_followers;
+};
+
+}  // namespace jacinthdeck
+
+#endif  // JACINTHDECK_PEER_FEED_SERVER_H_
--- a/test/jacinthdeck/discovery/store_session_test.cc
+++ b/test/jacinthdeck/discovery/store_session_test.cc
@@ -28,6 +28,9 @@
 
   void OnKnowledge(const KnowledgeChange& /*change*/,
                    std::uint64_t /*revision*/) override {}
+  void OnContent(const std::vector<StoreChange>& /*changes*/,
+                 std::uint64_t /*revision*/,
+                 bool /*whole*/) override {}
   void OnStoreLost(StoreStatus /*status*/,
                    const std::string& /*problem*/) override {
     ++lost;
@@ -72,7 +75,7 @@
 
 BOOST_AUTO_TEST_CASE(Start_EntriesAreThere_AreReadAndChangesFollow) {
   PutTarget("a");
-  session.Start();
+  session.SetWatching(true);
   Until([&] { return targets() == 1; });
   PutTarget("b");
   Until([&] { return targets() == 2; });
@@ -82,7 +85,7 @@
 // the call's own timeout shows it; afterwards the watch goes on from where it
 // was.
 BOOST_AUTO_TEST_CASE(Watch_StoreFallsSilent_IsNoticedAndCatchesUp) {
-  session.Start();
+  session.SetWatching(true);
   Until([&] { return session.last_well().has_value(); });
   SetOutage(standins::Outage::kSilent);
   Until([&] { return lost == 1; });
@@ -95,7 +98,7 @@
 // until then it keeps what it knows.
 BOOST_AUTO_TEST_CASE(Watch_HistoryIsForgotten_ReadsAllAgain) {
   PutTarget("a");
-  session.Start();
+  session.SetWatching(true);
   Until([&] { return targets() == 1; });
   const std::uint64_t reads = session.counters().reads;
   PutTarget("b");
@@ -107,8 +110,9 @@
 }
 
 BOOST_AUTO_TEST_CASE(Register_LeaseIsEndedByTheStore_IsWrittenAgain) {
-  const HostRecord host{NodeId("h"), FailureDomain("z"), "10.0.0.1:80", "", 1};
-  session.Start();
+  const HostRecord host{
+      NodeId("h"), FailureDomain("z"), "10.0.0.1:80", "", "", 1, false, 1};
+  session.SetWatching(true);
   session.Register(host);
   const auto is_known = [&] {
     return session.knowledge().FindHost(host.name) != nullptr;
@@ -131,8 +135,9 @@
   standins::StoreControl control;
   control.faults.lose_reply_share = 1;
   store.Apply(control);
-  const HostRecord host{NodeId("h"), FailureDomain("z"), "10.0.0.1:80", "", 1};
-  session.Start();
+  const HostRecord host{
+      NodeId("h"), FailureDomain("z"), "10.0.0.1:80", "", "", 1, false, 1};
+  session.SetWatching(true);
   session.Register(host);
   Until([&] { return store.counts().replies_lost >= 2; });
   control.faults.lose_reply_share = 0;
--- a/test/jacinthdeck/forward/attempt_budget_test.cc
+++ b/test/jacinthdeck/forward/attempt_budget_test.cc
@@ -53,9 +53,8 @@
     Random random(seed);
     std::vector<AttemptBudget> hosts;
     for (int i = 0; i < 6; ++i) {
-      hosts.emplace_back(AttemptBudgetOptions{kRatio, kConstant, kWindow},
-                         TimePoint(seconds(0)));
-      hosts.back().SetHosts(6);
+      hosts.emplace_back(AttemptBudgetOptions{kRatio, kConstant, kWindow});
+      hosts.back().SetShare(1.0 / 6, TimePoint(seconds(0)));
     }
     std::vector<Moment> moments;
     TimePoint now(seconds(60));
@@ -77,14 +76,16 @@
 // the new life must not spend the same share in the same window.
 BOOST_AUTO_TEST_CASE(AttemptBudget_FreshProcess_HasNoConstantYet) {
   const TimePoint start(seconds(100));
-  AttemptBudget budget({kRatio, kConstant, kWindow}, start);
+  AttemptBudget budget({kRatio, kConstant, kWindow});
+  budget.SetShare(1, start);
   BOOST_TEST(!budget.TrySpend(start));
   BOOST_TEST(budget.TrySpend(start + kWindow));
 }
 
 BOOST_AUTO_TEST_CASE(AttemptBudget_AttemptNeverLeft_PaymentIsTakenBack) {
   const TimePoint now(seconds(100));
-  AttemptBudget budget({0, 2, kWindow}, TimePoint(seconds(0)));
+  AttemptBudget budget({0, 2, kWindow});
+  budget.SetShare(1, TimePoint(seconds(0)));
   BOOST_TEST(budget.TrySpend(now));
   BOOST_TEST(!budget.TrySpend(now));
   budget.Refund(now);
--- a/test/jacinthdeck/forward/forwarder_load_test.cc
+++ b/test/jacinthdeck/forward/forwarder_load_test.cc
@@ -51,7 +51,7 @@
   Forwarder bounded(tight, port, 1, clock.Now());
   bounded.SetTargets(targets, clock.Now());
   BOOST_REQUIRE(bounded.SetConfig(Config(1)));
-  bounded.SetHosts(6);
+  bounded.SetHosts(6, true, clock.Now());
   int calls = 0;
   for (int i = 0; i < 500; ++i) {
     auto request = std::make_shared<OpaqueRequest>();
--- /dev/null
+++ b/test/jacinthdeck/peer/feed_choice_test.cc
@@ -0,0 +1,134 @@
+// Tests of whom a host learns from.
+#include "jacinthdeck/peer/feed_choice.h"
+
+#include <boost/test/unit_test.hpp>
+#include <chrono>
+#include <string>
+#include <vector>
+
+#include "support/printers.h"
+
+namespace jacinthdeck {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+[[nodiscard]] HostRecord MakeHost(int number, int domain, int strength = 250) {
+  HostRecord host;
+  host.name = NodeId("h" + std::to_string(number));
+  host.domain = FailureDomain("d" + std::to_string(domain));
+  host.peers = "10.0.0." + std::to_string(number) + ":1";
+  host.strength = static_cast<std::uint32_t>(strength);
+  return host;
+}
+
+struct ChoiceFixture {
+  TimePoint now{seconds(100)};
+  //! h1, h2 and h3 watch, one in each failure domain; h9 follows.
+  std::vector<HostRecord> hosts{MakeHost(1, 1, 500), MakeHost(2, 2, 500),
+                                MakeHost(3, 3, 500), MakeHost(9, 2)};
+  FeedChoice choice{MakeHost(9, 2), {Endpoint{"10.0.0.1", 1}}, true, 1, now};
+
+  FeedStep StepIn(Duration time) {
+    now += time;
+    return choice.Step(now);
+  }
+
+  //! Opens a link and makes it fresh.
+  void Follow() {
+    choice.OnHosts(hosts);
+    const FeedStep step = choice.Step(now);
+    BOOST_REQUIRE(step.open.has_value());
+    Beat();
+  }
+
+  void Beat(Duration age = milliseconds(100), bool away = false) {
+    choice.OnBeat({5, age, away}, now);
+  }
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(FeedChoiceTest, ChoiceFixture)
+
+BOOST_AUTO_TEST_CASE(Start_SeedAnswers_StoreIsNotAsked) {
+  BOOST_TEST(StepIn(milliseconds(0)).open->address == "10.0.0.1");
+  Beat();
+  BOOST_TEST(!StepIn(milliseconds(1500)).watch_store);
+}
+
+// All hosts start at once, and the seeds are down. The host must not wait for
+// them: it asks the store itself within about a second.
+BOOST_AUTO_TEST_CASE(Start_NoSeedAnswers_StoreIsAskedSoon) {
+  (void)StepIn(milliseconds(0));
+  BOOST_TEST(!StepIn(milliseconds(300)).watch_store);
+  BOOST_TEST(StepIn(milliseconds(1000)).watch_store);
+}
+
+// All hosts lost power and start again while callers wait. Each of them reads
+// the store at once: following would cost the time in which a seed starts.
+BOOST_AUTO_TEST_CASE(Start_AmongOthers_StoreIsReadAtOnce) {
+  FeedChoice again(MakeHost(9, 2), {Endpoint{"10.0.0.1", 1}}, false, 1, now);
+  BOOST_TEST(again.Step(now + milliseconds(40)).watch_store);
+}
+
+BOOST_AUTO_TEST_CASE(Hosts_OwnDomainHasAWatcher_ItIsFollowed) {
+  choice.OnHosts(hosts);
+  BOOST_TEST(choice.Step(now).open->address == "10.0.0.2");
+}
+
+BOOST_AUTO_TEST_CASE(Hosts_ThisOneIsTheStrongest_WatchesItself) {
+  hosts[3].strength = 900;
+  choice.OnHosts(hosts);
+  const FeedStep step = choice.Step(now);
+  BOOST_TEST(step.watch_store);
+  BOOST_TEST(!step.open.has_value());
+}
+
+// The watcher freezes and its connection stays open. The host sees silence,
+// reads the store itself, and follows another watcher as soon as one answers.
+BOOST_AUTO_TEST_CASE(Feeder_FallsSilent_StoreIsReadAndAnotherFollowed) {
+  Follow();
+  const FeedStep step = StepIn(milliseconds(1700));
+  BOOST_TEST(step.close);
+  BOOST_REQUIRE(step.open.has_value());
+  BOOST_TEST(step.open->address != "10.0.0.2");
+  BOOST_TEST(StepIn(milliseconds(200)).watch_store);
+  Beat();
+  BOOST_TEST(!StepIn(milliseconds(10)).watch_store);
+}
+
+// The watcher is cut off from the store, but not from this host. Its beats go
+// on and say how old its knowledge is; a change would never come this way.
+BOOST_AUTO_TEST_CASE(Feeder_LosesTheStore_StoreIsReadInItsPlace) {
+  Follow();
+  for (int i = 0; i < 4; ++i) {
+    (void)StepIn(milliseconds(500));
+    Beat(milliseconds(1000 * (i + 1)), true);
+  }
+  BOOST_TEST(StepIn(milliseconds(500)).watch_store);
+}
+
+BOOST_AUTO_TEST_CASE(Feeder_LinkEnds_StoreIsReadSoon) {
+  Follow();
+  choice.OnLost(now);
+  BOOST_TEST(StepIn(milliseconds(200)).watch_store);
+}
+
+// Hosts that follow each other in a circle hand on what nobody heard from the
+// store. The age that they tell grows until each of them reads the store.
+BOOST_AUTO_TEST_CASE(Feeder_AgeOnlyGrows_StoreIsReadInTheEnd) {
+  Follow();
+  bool watched = false;
+  for (int i = 1; i <= 10; ++i) {
+    watched = watched || StepIn(milliseconds(500)).watch_store;
+    Beat(milliseconds(500 * i));
+  }
+  BOOST_TEST(watched);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace jacinthdeck
--- /dev/null
+++ b/test/jacinthdeck/peer/feed_message_test.cc
@@ -0,0 +1,97 @@
+// Tests of the messages between hosts.
+#include "jacinthdeck/peer/feed_message.h"
+
+#include <boost/test/unit_test.hpp>
+#include <chrono>
+#include <string>
+
+#include "jacinthdeck/peer/feed_frames.h"
+#include "support/printers.h"
+
+namespace jacinthdeck {
+
+namespace {
+
+//! Through frames and back, as over a link.
+[[nodiscard]] FeedMessage RoundTrip(const FeedMessage& message) {
+  FeedFrames frames;
+  frames.Add(EncodeFeed(message));
+  const auto frame = frames.Next();
+  BOOST_REQUIRE(frame.has_value());
+  auto decoded = Capture([&] { return DecodeFeed(*frame); });
+  BOOST_REQUIRE_EQUAL(decoded.index(), 0U);
+  return std::get<0>(decoded);
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(FeedMessageTest)
+
+BOOST_AUTO_TEST_CASE(Changes_ValuesAndRemovals_RoundTrip) {
+  const std::string bytes("\x00\xff value", 8);
+  const FeedChanges sent{
+      77,
+      true,
+      {{"op/config", 70, bytes}, {"gone", 76, std::nullopt}, {"", 1, ""}}};
+  const auto got = std::get<FeedChanges>(RoundTrip(sent));
+  BOOST_TEST(got.revision == 77U);
+  BOOST_TEST(got.whole);
+  BOOST_REQUIRE_EQUAL(got.changes.size(), 3U);
+  BOOST_TEST(got.changes[0].value.value() == bytes);
+  BOOST_TEST(got.changes[0].revision == 70U);
+  BOOST_TEST(!got.changes[1].value.has_value());
+  BOOST_TEST(got.changes[2].value.value().empty());
+}
+
+BOOST_AUTO_TEST_CASE(HelloAndBeat_RoundTrip) {
+  const auto hello =
+      std::get<FeedHello>(RoundTrip(FeedHello{NodeId("host-1"), 5}));
+  BOOST_TEST(hello.host == NodeId("host-1"));
+  BOOST_TEST(hello.revision == 5U);
+  const auto beat = std::get<FeedBeat>(
+      RoundTrip(FeedBeat{9, std::chrono::milliseconds(1234), true}));
+  BOOST_TEST(beat.revision == 9U);
+  BOOST_TEST((beat.age == std::chrono::milliseconds(1234)));
+  BOOST_TEST(beat.store_away);
+}
+
+// A damaged frame must not be read as knowledge: a host would serve by it.
+BOOST_AUTO_TEST_CASE(Decode_DamagedFrames_AreRefusedOrDecodeWhole) {
+  FeedFrames frames;
+  frames.Add(EncodeFeed(FeedChanges{7, true, {{"key", 1, "value"}}}));
+  const std::string whole = *frames.Next();
+  for (std::size_t length = 0; length < whole.size(); ++length) {
+    const std::string cut = whole.substr(0, length);
+    (void)Capture([&] { return DecodeFeed(cut); });
+  }
+  for (std::size_t at = 0; at < whole.size(); ++at) {
+    std::string flipped = whole;
+    flipped[at] = static_cast<char>(~flipped[at]);
+    (void)Capture([&] { return DecodeFeed(flipped); });
+  }
+  BOOST_TEST(Capture([] { return DecodeFeed(""); }).index() == 1U);
+  BOOST_TEST(Capture([] { return DecodeFeed("nonsense"); }).index() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(Frames_ComeInPieces_AreCutWhereTheyEnd) {
+  const std::string two = EncodeFeed(FeedHello{NodeId("a"), 1}) +
+                          EncodeFeed(FeedHello{NodeId("b"), 2});
+  FeedFrames frames;
+  int whole = 0;
+  for (const char byte : two) {
+    frames.Add({&byte, 1});
+    whole += frames.Next() ? 1 : 0;
+  }
+  BOOST_TEST(whole == 2);
+}
+
+BOOST_AUTO_TEST_CASE(Frames_LengthIsAbsurd_StreamIsBroken) {
+  FeedFrames frames;
+  frames.Add("\xff\xff\xff\xff");
+  BOOST_TEST(!frames.Next().has_value());
+  BOOST_TEST(frames.broken());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace jacinthdeck
