Hold whole calls, not single losses, against a request that may crash targets

Ruled out: retry budgets (budget_refusals 0) and doubtful targets.

Change: a strike is a call that lost connections and got no answer at all; the next call of that request risks one target before one has answered, and a second strike convicts it. FanOut_LossesComeBeforeAnswers_OtherTargetsAreAsked failed before.

--- a/src/jacinthdeck/forward/crash_guard.cc
+++ b/src/jacinthdeck/forward/crash_guard.cc
@@ -1,4 +1,4 @@
-// Losses by fingerprint, forgotten after a while.
+// Failed calls by fingerprint, forgotten after a while.
 #include "jacinthdeck/forward/crash_guard.h"
 
 #include <xxhash.h>
@@ -23,7 +23,7 @@
 
 bool CrashGuard::IsConvicted(Fingerprint fingerprint, TimePoint now) const {
   const auto found = m_records.find(fingerprint);
-  return found != m_records.end() && found->second.losses >= kLossesToConvict &&
+  return found != m_records.end() && found->second.calls >= kCallsToConvict &&
          now - found->second.last < kMemory;
 }
 
@@ -32,24 +32,24 @@
   return found != m_records.end() && now - found->second.last < kMemory;
 }
 
-bool CrashGuard::OnLost(Fingerprint fingerprint, TimePoint now) {
+bool CrashGuard::OnCallLost(Fingerprint fingerprint, TimePoint now) {
   MakeRoom(now);
   Record& record = m_records[fingerprint];
-  record.losses = now - record.last < kMemory ? record.losses + 1 : 1;
+  record.calls = now - record.last < kMemory ? record.calls + 1 : 1;
   record.last = now;
-  return record.losses == kLossesToConvict;
+  return record.calls == kCallsToConvict;
 }
 
 void CrashGuard::OnAnswered(Fingerprint fingerprint) {
   const auto found = m_records.find(fingerprint);
-  if (found != m_records.end() && found->second.losses < kLossesToConvict) {
+  if (found != m_records.end() && found->second.calls < kCallsToConvict) {
     m_records.erase(found);
   }
 }
 
 void CrashGuard::Convict(Fingerprint fingerprint, TimePoint now) {
   MakeRoom(now);
-  m_records[fingerprint] = {kLossesToConvict, now};
+  m_records[fingerprint] = {kCallsToConvict, now};
 }
 
 void CrashGuard::MakeRoom(TimePoint now) {
--- a/src/jacinthdeck/forward/crash_guard.h
+++ b/src/jacinthdeck/forward/crash_guard.h
@@ -16,19 +16,20 @@
 [[nodiscard]] Fingerprint FingerprintOf(const OpaqueRequest& request);
 
 /**
- * \brief Counts the connections that were lost under a request, by its
- * fingerprint.
+ * \brief Counts the calls under which connections to targets were lost and no
+ * target answered, by the fingerprint of their request.
  *
  * A caller repeats a request that got no answer. If the request itself crashes
  * its targets, the repeats take down one target after the other until none is
- * left. A request under which connections to several targets were lost, and
- * none answered, is refused for a while; one that got an answer anywhere is
- * cleared. Losses by other causes seldom hit the same request that often.
+ * left. A request whose call failed that way is a suspect: its next call risks
+ * no second target before one has answered. If that one fails too, it is
+ * refused for a while. Losses by other causes seldom take all targets of two
+ * calls of one request; an answer anywhere clears it.
  */
 class CrashGuard {
  public:
-  //! Lost connections that convict a request.
-  static constexpr std::uint32_t kLossesToConvict = 3;
+  //! Calls that convict a request.
+  static constexpr std::uint32_t kCallsToConvict = 2;
   //! How long losses and convictions are remembered.
   static constexpr Duration kMemory = std::chrono::seconds(60);
   //! Fingerprints held at once; each is one failed request.
@@ -37,14 +38,14 @@
   /*! \brief Tells whether a request is refused. */
   [[nodiscard]] bool IsConvicted(Fingerprint fingerprint, TimePoint now) const;
 
-  /*! \brief Tells whether a connection was lost under it before. */
+  /*! \brief Tells whether a call of it failed by lost connections before. */
   [[nodiscard]] bool IsSuspect(Fingerprint fingerprint, TimePoint now) const;
 
   /**
-   * \brief Takes a connection that was lost under a request.
-   * \return True if that newly convicts it.
+   * \brief Takes a call that failed by lost connections, without an answer.
+   * \return True if that newly convicts its request.
    */
-  [[nodiscard]] bool OnLost(Fingerprint fingerprint, TimePoint now);
+  [[nodiscard]] bool OnCallLost(Fingerprint fingerprint, TimePoint now);
 
   /*! \brief Takes an answer to a request. */
   void OnAnswered(Fingerprint fingerprint);
@@ -54,7 +55,7 @@
 
  private:
   struct Record {
-    std::uint32_t losses = 0;
+    std::uint32_t calls = 0;
     TimePoint last;
   };
 
--- a/src/jacinthdeck/forward/forwarder.h
+++ b/src/jacinthdeck/forward/forwarder.h
@@ -162,6 +162,7 @@
   [[nodiscard]] ForwardAnswer Merge(PendingCall& open) const;
   [[nodiscard]] ForwardAnswer FailureOf(PendingCall& open, TimePoint now);
   void Close(PendingCall& open, TimePoint now);
+  void CountLosses(const PendingCall& open, TimePoint now);
 
   // Timers, in forwarder.cc.
   void Wake(PendingCall& open, TimePoint now);
--- a/src/jacinthdeck/forward/forwarder_attempts.cc
+++ b/src/jacinthdeck/forward/forwarder_attempts.cc
@@ -205,11 +205,7 @@
       break;
     case AttemptOutcome::kBroken:
       part.reason = ForwardReason::kTargetsFailed;
-      if (end.connection_lost && open.answered == 0 &&
-          m_crashes.OnLost(open.fingerprint, now)) {
-        ++m_counters.convictions;
-        m_port.ShareConviction(open.fingerprint);
-      }
+      open.lost += end.connection_lost ? 1 : 0;
       break;
   }
   if (part.phase == internal::PartPhase::kOpen) {
@@ -241,10 +237,11 @@
                              TimePoint now) const {
   const bool repeatable =
       open.route->repeat == RepeatRule::kIdempotent || part.runs == 0;
+  const bool endangers = open.lost > 0 && open.answered == 0 &&
+                         m_crashes.IsSuspect(open.fingerprint, now);
   return repeatable && part.runs < open.route->max_attempts &&
          part.sends < open.route->max_attempts + kSpareSends &&
-         now + open.profile->mean() / 2 < open.final_at &&
-         !m_crashes.IsConvicted(open.fingerprint, now);
+         now + open.profile->mean() / 2 < open.final_at && !endangers;
 }
 
 void Forwarder::Retry(PendingCall& open,
@@ -285,6 +282,7 @@
     return;
   }
   ++m_counters.abandoned;
+  CountLosses(found->second, now);
   for (const CallPart& part : found->second.parts) {
     for (const AttemptId attempt : std::vector<AttemptId>(part.in_flight)) {
       CancelAttempt(attempt, now);
--- a/src/jacinthdeck/forward/forwarder_finish.cc
+++ b/src/jacinthdeck/forward/forwarder_finish.cc
@@ -32,10 +32,19 @@
 void Forwarder::Finish(PendingCall& open, TimePoint now) {
   ForwardAnswer answer = AnswerOf(open, now);
   open.story.answered = static_cast<std::uint32_t>(open.answered);
+  CountLosses(open, now);
   m_port.Deliver(open.call.id, std::move(answer), open.story);
   Close(open, now);
 }
 
+void Forwarder::CountLosses(const PendingCall& open, TimePoint now) {
+  if (open.lost > 0 && open.answered == 0 &&
+      m_crashes.OnCallLost(open.fingerprint, now)) {
+    ++m_counters.convictions;
+    m_port.ShareConviction(open.fingerprint);
+  }
+}
+
 ForwardAnswer Forwarder::AnswerOf(PendingCall& open, TimePoint now) {
   if (open.answered < open.route->min_shards()) {
     return FailureOf(open, now);
--- a/src/jacinthdeck/forward/pending_call.h
+++ b/src/jacinthdeck/forward/pending_call.h
@@ -54,6 +54,8 @@
   Fingerprint fingerprint;
   std::vector<CallPart> parts;
   std::size_t answered = 0;
+  //! Connections that were lost while a target had the request.
+  std::size_t lost = 0;
   //! Number of parts in phase kOpen.
   std::size_t unsettled = 0;
   //! When it gets its final answer at the latest.
--- a/test/jacinthdeck/forward/forwarder_fan_out_test.cc
+++ b/test/jacinthdeck/forward/forwarder_fan_out_test.cc
@@ -110,6 +110,24 @@
   BOOST_TEST(Only().answer.part_stamps.size() == kShards - 1);
 }
 
+// Many targets lose their connections at once, for a cause of their own. Quick
+// losses come in before the first answer; they must not be taken for the
+// request's fault and end it, since other targets of the shards answer.
+BOOST_AUTO_TEST_CASE(FanOut_LossesComeBeforeAnswers_OtherTargetsAreAsked) {
+  (void)Submit("/fan/1");
+  const std::vector<OutgoingAttempt> first(port.sent);
+  End(first[0], AttemptOutcome::kBroken, true);
+  End(first[1], AttemptOutcome::kBroken, true);
+  End(first[2], AttemptOutcome::kBroken, true);
+  BOOST_TEST(port.delivered.empty());
+  BOOST_REQUIRE_EQUAL(port.sent.size(), kShards + 3);
+  for (std::size_t at = 3; at < port.sent.size(); ++at) {
+    Answer(port.sent[at]);
+  }
+  BOOST_TEST(Only().answer.missing_parts == 0U);
+  BOOST_TEST(port.convictions.empty());
+}
+
 // Two shards have failed for good, so no answer is possible any more: the
 // caller learns it at once and not at its deadline.
 BOOST_AUTO_TEST_CASE(FanOut_HopelessCall_EndsAtOnce) {
