--- /dev/null
+++ b/scenarios/caller_leaves.lua
@@ -0,0 +1,11 @@
+-- A caller leaves: its call gets no answer, and its attempts are ended.
+dofile((arg0 or "scenarios/") .. "common.lua")
+start()
+behave("desk/1", {latency_ms = 400})
+behave("desk/2", {latency_ms = 400})
+behave("desk/3", {latency_ms = 400})
+local call = submit("/read/1")
+advance(10)
+leave(call)
+advance(2000)
+expect_open(call)
--- /dev/null
+++ b/scenarios/claim_is_shed.lua
@@ -0,0 +1,13 @@
+-- Targets refuse a claim without running it. It goes on to one that takes it, and if none does, 'not run' is true.
+dofile((arg0 or "scenarios/") .. "common.lua")
+start()
+behave("desk/1", {sheds = true})
+behave("desk/2", {sheds = true})
+local call = claim("/claim/1")
+advance(100)
+expect_answer(call, "response")
+behave("desk/3", {sheds = true})
+local refused = claim("/claim/2")
+advance(100)
+expect_answer(refused, "not_run")
+expect_true(runs_of(refused) == 0, "it ran")
--- /dev/null
+++ b/scenarios/resharding.lua
@@ -0,0 +1,16 @@
+-- The index is cut into other shards while queries run. Each answer is of one version.
+dofile((arg0 or "scenarios/") .. "common.lua")
+start()
+warm_up("/fan/1", 20)
+local before = submit("/fan/2")
+for _, shard in ipairs({"part-1", "part-2", "part-3"}) do add_service(shard) end
+config(routes(2, {"part-1", "part-2", "part-3"}))
+local after = submit("/fan/3")
+advance(300)
+expect_answer(before, "merged")
+expect_answer(after, "merged")
+expect_true(runs_at("part-1/1") + runs_at("part-1/2") + runs_at("part-1/3") >= 1, "the new shards are not asked")
+config(routes(1, shards))
+local last = submit("/fan/4")
+advance(300)
+expect_answer(last, "merged")
--- /dev/null
+++ b/scenarios/store_outage.lua
@@ -0,0 +1,16 @@
+-- The store is away and all leases run out. Targets that live are not dropped before they had time to return.
+dofile((arg0 or "scenarios/") .. "common.lua")
+start()
+store_away()
+advance(5000)
+for replica = 1, 3 do remove("desk/" .. replica) end
+local call = submit("/read/1")
+advance(100)
+expect_answer(call, "response")
+advance(1500)
+add("desk", 1)
+advance(1500)
+local later = submit("/read/2")
+advance(100)
+expect_answer(later, "response")
+expect_true(runs_at("desk/1") >= 1, "the target that came back is not used")
