Tell in each log line its host, the full and the missing shards

Lines of several hosts read together did not say whose they were, a refusal did not say how many shards were full, and a partial answer named no shard. A process whose standard output was stuck could not end: its writer waited in write().

Change: `host` on each line, `full_shards`, `missing_shards`; explain keeps beliefs by host; the writer polls and writes no more than a pipe takes at once. docs/operate/logs.md lists the events and a test compares it with the table; the metrics' text is parsed whole by a test of a running entry.

Reader_IsStuck_LoggingGoesOnAndCounts hung before and passes now.

--- a/src/daemons/ctl/explain_command.cc
+++ b/src/daemons/ctl/explain_command.cc
@@ -6,8 +6,10 @@
 
 #include <algorithm>
 #include <array>
+#include <cstdlib>
 #include <fstream>
 #include <map>
+#include <memory>
 #include <string_view>
 
 namespace jacinthdeck::ctl {
@@ -22,6 +24,7 @@
 
 struct Line {
   json_int_t unix_ms = 0;
+  std::string host;
   std::string file;
   JsonPtr json;
 };
@@ -50,7 +53,8 @@
 }
 
 [[nodiscard]] Line Copy(const json_t* json, const std::string& file) {
-  return {json_integer_value(json_object_get(json, "unix_ms")), file,
+  return {json_integer_value(json_object_get(json, "unix_ms")),
+          std::string(TextOf(json, "host")), file,
           JsonPtr(json_deep_copy(json))};
 }
 
@@ -58,7 +62,8 @@
              const std::string& file,
              const std::string& request,
              Story& story) {
-  std::map<std::string, Line> beliefs;
+  //! By host, then by event.
+  std::map<std::string, std::map<std::string, Line>> beliefs;
   std::string text;
   while (std::getline(in, text)) {
     ++story.read;
@@ -69,35 +74,47 @@
       continue;
     }
     if (std::ranges::find(kBeliefs, event) != kBeliefs.end()) {
-      beliefs.insert_or_assign(std::string(event), Copy(json.get(), file));
+      Line line = Copy(json.get(), file);
+      beliefs[line.host].insert_or_assign(std::string(event), std::move(line));
     }
     if (TextOf(json.get(), "request") != request) {
       continue;
     }
-    for (const auto& [name, line] : beliefs) {
+    Line told = Copy(json.get(), file);
+    for (const auto& [name, line] : beliefs[told.host]) {
       story.beliefs.push_back(Copy(line.json.get(), file));
     }
-    beliefs.clear();
-    story.lines.push_back(Copy(json.get(), file));
+    beliefs.erase(told.host);
+    story.lines.push_back(std::move(told));
   }
 }
 
+//! With as many digits as the log had.
+[[nodiscard]] std::string Shown(const json_t* value) {
+  constexpr std::size_t kDigits = 10;
+  const std::unique_ptr<char, decltype(&std::free)> text(
+      json_dumps(value,
+                 JSON_COMPACT | JSON_ENCODE_ANY | JSON_REAL_PRECISION(kDigits)),
+      &std::free);
+  return text == nullptr ? std::string() : std::string(text.get());
+}
+
 void PrintLine(const Line& line, std::ostream& out) {
-  out << line.unix_ms << "  " << line.file << "  "
+  out << line.unix_ms << "  " << line.host << "  " << line.file << "  "
       << TextOf(line.json.get(), "event") << "\n";
   const char* name = nullptr;
   json_t* value = nullptr;
   json_object_foreach(line.json.get(), name, value) {
     const std::string_view field(name);
     if (field == "unix_ms" || field == "event" || field == "uptime_clock_ms" ||
-        field == "attempts") {
+        field == "host" || field == "attempts") {
       continue;
     }
-    out << "    " << name << " " << DumpJson(*value) << "\n";
+    out << "    " << name << " " << Shown(value) << "\n";
   }
   const json_t* attempts = json_object_get(line.json.get(), "attempts");
   for (std::size_t i = 0; i < json_array_size(attempts); ++i) {
-    out << "    attempt " << DumpJson(*json_array_get(attempts, i)) << "\n";
+    out << "    attempt " << Shown(json_array_get(attempts, i)) << "\n";
   }
 }
 
--- a/src/jacinthdeck/entry/decision_log.cc
+++ b/src/jacinthdeck/entry/decision_log.cc
@@ -12,6 +12,16 @@
 //! Attempts told of one call.
 constexpr std::size_t kMostAttempts = 24;
 
+[[nodiscard]] std::string NumbersText(
+    const std::vector<std::uint32_t>& numbers) {
+  std::string text = "[";
+  for (const std::uint32_t number : numbers) {
+    text += text.size() > 1 ? "," : "";
+    text += std::to_string(number);
+  }
+  return text + "]";
+}
+
 //! Attempts as a JSON array; good ones of a fan-out are left out, since there
 //! are as many as shards.
 [[nodiscard]] std::string AttemptsText(const CallStory& story) {
@@ -69,6 +79,7 @@
         .Milliseconds("expected_ms", story.expected)
         .Milliseconds("objective_ms", story.route->objective)
         .Count("shards", story.shards)
+        .Count("full_shards", story.full)
         .Count("answered", story.answered)
         .Count("sends", story.attempts.size())
         .Count("budget_refusals", story.budget_refusals);
@@ -79,6 +90,7 @@
   if (call.answer.retry_after) {
     line.Milliseconds("retry_after_ms", *call.answer.retry_after);
   }
+  line.Raw("missing_shards", NumbersText(story.missing));
   line.Raw("attempts", AttemptsText(story));
   m_log.Add(std::move(line));
 }
--- a/src/jacinthdeck/entry/entry_node.cc
+++ b/src/jacinthdeck/entry/entry_node.cc
@@ -108,7 +108,9 @@
       m_started(m_clock.Now()),
       m_started_ms(UnixMilliseconds()),
       m_writer(STDOUT_FILENO),
-      m_log({m_settings.log_bytes_per_second}, m_clock, m_writer),
+      m_log({m_settings.name.raw(), m_settings.log_bytes_per_second},
+            m_clock,
+            m_writer),
       m_decisions(m_log, m_settings.log_sample),
       m_loop(1),
       m_caller_handler(m_clock, m_protocol.targets, *this),
@@ -177,8 +179,7 @@
     BOOST_LEAF_CHECK(m_feed.Listen(m_settings.peers));
   }
   LogLine line = m_log.Begin(LogEvent::kStarted);
-  line.Text("host", m_settings.name.raw())
-      .Text("failure_domain", m_settings.domain.raw())
+  line.Text("failure_domain", m_settings.domain.raw())
       .Text("address", m_settings.callers.address)
       .Count("callers_port", m_callers.port())
       .Count("metrics_port", m_metrics_server.port())
--- a/src/jacinthdeck/entry/event_log.cc
+++ b/src/jacinthdeck/entry/event_log.cc
@@ -15,13 +15,11 @@
 
 }  // namespace
 
-EventLog::EventLog(const Options& options,
-                   const Clock& clock,
-                   LogWriter& writer)
-    : m_options(options),
+EventLog::EventLog(Options options, const Clock& clock, LogWriter& writer)
+    : m_options(std::move(options)),
       m_clock(clock),
       m_writer(writer),
-      m_room(kBurstSeconds * options.bytes_per_second),
+      m_room(kBurstSeconds * m_options.bytes_per_second),
       m_refilled(clock.Now()) {}
 
 LogLine EventLog::Begin(LogEvent event) const {
@@ -32,6 +30,7 @@
   LogLine line;
   line.Count("unix_ms", wall.count());
   line.Milliseconds("uptime_clock_ms", m_clock.Now().time_since_epoch());
+  line.Text("host", m_options.host);
   line.Text("event", kLogEventNames.Name(event));
   return line;
 }
--- a/src/jacinthdeck/entry/event_log.h
+++ b/src/jacinthdeck/entry/event_log.h
@@ -25,11 +25,13 @@
  public:
   /*! \brief What the log is bounded by. */
   struct Options {
+    //! Stands on each line, since logs of several hosts are read together.
+    std::string host;
     std::uint32_t bytes_per_second = 65536;
   };
 
   /*! \brief Makes a log; the clock and the writer outlive it. */
-  EventLog(const Options& options, const Clock& clock, LogWriter& writer);
+  EventLog(Options options, const Clock& clock, LogWriter& writer);
 
   /*! \brief Lines dropped since the start. */
   [[nodiscard]] std::uint64_t dropped() const noexcept { return m_dropped; }
--- a/src/jacinthdeck/entry/log_writer.cc
+++ b/src/jacinthdeck/entry/log_writer.cc
@@ -1,9 +1,11 @@
 // Chunks go out in order; an empty chunk wakes the thread for its end.
 #include "jacinthdeck/entry/log_writer.h"
 
+#include <limits.h>
 #include <poll.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <chrono>
 #include <utility>
@@ -18,6 +20,7 @@
 //! Time that a reader of the log has to take a chunk, at the end of the
 //! process too.
 constexpr int kWriteTimeoutMs = 200;
+constexpr std::size_t kPieceBytes = PIPE_BUF;
 
 }  // namespace
 
@@ -42,25 +45,33 @@
     last = m_stopping;
     for (const std::string& chunk :
          m_ring.PopAll(last ? std::chrono::microseconds(0) : kLongestWait)) {
-      WriteOut(chunk);
+      if (!WriteOut(chunk) && m_stopping) {
+        return;
+      }
     }
   }
 }
 
-void LogWriter::WriteOut(const std::string& chunk) const {
+// Never in a write that waits: the process could not end while the reader of
+// its output is stuck. A pipe that is ready takes a piece of this size whole.
+bool LogWriter::WriteOut(const std::string& chunk) const {
   std::size_t done = 0;
   while (done < chunk.size()) {
     pollfd ready{m_descriptor, POLLOUT, 0};
-    if (m_stopping && poll(&ready, 1, kWriteTimeoutMs) <= 0) {
-      return;
+    if (poll(&ready, 1, kWriteTimeoutMs) <= 0) {
+      if (m_stopping) {
+        return false;
+      }
+      continue;
     }
-    const ssize_t written =
-        write(m_descriptor, chunk.data() + done, chunk.size() - done);
+    const std::size_t piece = std::min(chunk.size() - done, kPieceBytes);
+    const ssize_t written = write(m_descriptor, chunk.data() + done, piece);
     if (written < 0 && errno != EINTR && errno != EAGAIN) {
-      return;
+      return false;
     }
     done += written > 0 ? static_cast<std::size_t>(written) : 0;
   }
+  return true;
 }
 
 }  // namespace jacinthdeck
--- a/src/jacinthdeck/entry/log_writer.h
+++ b/src/jacinthdeck/entry/log_writer.h
@@ -31,7 +31,8 @@
 
  private:
   void Run();
-  void WriteOut(const std::string& chunk) const;
+  //! False if the descriptor takes nothing any more.
+  [[nodiscard]] bool WriteOut(const std::string& chunk) const;
 
   const int m_descriptor;
   std::atomic<bool> m_stopping = false;
--- a/src/jacinthdeck/forward/call_story.h
+++ b/src/jacinthdeck/forward/call_story.h
@@ -44,6 +44,11 @@
   std::uint32_t answered = 0;
   //! Delay that was expected when it was admitted.
   Duration expected{};
+  //! Shards, or 1 for the service, of which no target had a slot free when it
+  //! was admitted or refused.
+  std::uint32_t full = 0;
+  //! Positions of the shards that the answer lacks.
+  std::vector<std::uint32_t> missing;
   //! Extra attempts that the budget of a service refused.
   std::uint32_t budget_refusals = 0;
   std::vector<AttemptNote> attempts;
--- a/src/jacinthdeck/forward/forwarder.h
+++ b/src/jacinthdeck/forward/forwarder.h
@@ -114,7 +114,7 @@
   void SetTimes(PendingCall& open) const;
   [[nodiscard]] std::optional<ForwardReason> ReasonToRefuse(PendingCall& open,
                                                             TimePoint now);
-  [[nodiscard]] Duration ExpectedDelay(const PendingCall& open, TimePoint now);
+  [[nodiscard]] Duration ExpectedDelay(PendingCall& open, TimePoint now);
   [[nodiscard]] Duration ComeBackAfter(ForwardReason reason,
                                        const PendingCall& open);
   [[nodiscard]] LatencyProfile& ProfileOf(const Route& route);
--- a/src/jacinthdeck/forward/forwarder_admission.cc
+++ b/src/jacinthdeck/forward/forwarder_admission.cc
@@ -167,7 +167,7 @@
   return std::nullopt;
 }
 
-Duration Forwarder::ExpectedDelay(const PendingCall& open, TimePoint now) {
+Duration Forwarder::ExpectedDelay(PendingCall& open, TimePoint now) {
   std::vector<Duration> delays;
   delays.reserve(open.parts.size());
   for (const CallPart& part : open.parts) {
@@ -179,6 +179,7 @@
         .most_in_flight = ConnectionLimit(open, part.service)};
     const TargetChoice choice = m_targets.Pick(need, now);
     delays.push_back(QueueDelay(choice, *open.profile, now));
+    open.story.full += delays.back() > Duration::zero() ? 1 : 0;
   }
   // Shards that the answer can do without do not hold it up.
   std::ranges::sort(delays);
--- a/src/jacinthdeck/forward/forwarder_finish.cc
+++ b/src/jacinthdeck/forward/forwarder_finish.cc
@@ -32,6 +32,11 @@
 void Forwarder::Finish(PendingCall& open, TimePoint now) {
   ForwardAnswer answer = AnswerOf(open, now);
   open.story.answered = static_cast<std::uint32_t>(open.answered);
+  for (std::size_t part = 0; part < open.parts.size(); ++part) {
+    if (open.parts[part].phase != internal::PartPhase::kAnswered) {
+      open.story.missing.push_back(static_cast<std::uint32_t>(part));
+    }
+  }
   CountLosses(open, now);
   m_port.Deliver(open.call.id, std::move(answer), open.story);
   Close(open, now);
--- a/test/daemons/ctl_test.cc
+++ b/test/daemons/ctl_test.cc
@@ -106,9 +106,11 @@
 BOOST_AUTO_TEST_CASE(Explain_LinesOfTwoHosts_AreTheRequestsInOrder) {
   const std::string first = MakeFile(
       "cut line {\"event\":\n"
-      R"({"unix_ms":1,"event":"config_applied","config_version":7})"
+      R"({"unix_ms":1,"host":"a","event":"config_applied","config_version":7})"
       "\n"
-      R"({"unix_ms":5,"event":"call_failed","request":"r1","attempts":[{"target":"t1"}]})"
+      R"({"unix_ms":2,"host":"b","event":"store_lost","problem":"elsewhere"})"
+      "\n"
+      R"({"unix_ms":5,"host":"a","event":"call_failed","request":"r1","attempts":[{"target":"t1"}]})"
       "\n");
   const std::string second = MakeFile(
       R"(host b {"unix_ms":3,"event":"call_refused","request":"r1","reason":"overload"})"
@@ -117,10 +119,11 @@
       "\n");
   BOOST_TEST((Run({"explain", "r1", first, second}) == ExitCode::kDone));
   const std::string story = out.str();
-  BOOST_TEST(story.starts_with("1 of 5 lines could not be read"));
+  BOOST_TEST(story.starts_with("1 of 6 lines could not be read"));
   BOOST_TEST(story.find("config_version 7") != story.npos);
   BOOST_TEST(story.find("call_refused") < story.find("call_failed"));
   BOOST_TEST(story.find("t1") != story.npos);
+  BOOST_TEST(story.find("elsewhere") == story.npos);
   BOOST_TEST(story.find("call_done") == story.npos);
 }
 
--- /dev/null
+++ b/test/jacinthdeck/entry/entry_node_test.cc
@@ -0,0 +1,159 @@
+// Tests of an entry as a whole, against the stand-in store and a target that
+// the test plays.
+#include "jacinthdeck/entry/entry_node.h"
+
+#include <signal.h>
+
+#include <boost/test/unit_test.hpp>
+#include <chrono>
+#include <functional>
+#include <regex>
+#include <sstream>
+#include <string>
+#include <thread>
+
+#include "http/http_server.h"
+#include "jacinthdeck/core/steady_clock.h"
+#include "jacinthdeck/http/blocking_client.h"
+#include "platform/directory_codec.h"
+#include "platform/store_codec.h"
+#include "platform/target_protocol.h"
+#include "platform/wire_names.h"
+#include "store/store_server.h"
+
+namespace jacinthdeck {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+struct NodeFixture {
+  SteadyClock clock;
+  standins::StoreServer store{0, clock, {}, 1};
+  standins::HttpServer target{
+      {},
+      [](const standins::HttpRequest& request) {
+        return standins::HttpReply{200, "from " + request.path, false};
+      }};
+  platform::StoreCodec codec;
+  std::uint16_t callers = FreePort();
+  std::uint16_t ready = FreePort();
+  std::uint16_t directory = FreePort();
+  std::uint16_t metrics = FreePort();
+  std::unique_ptr<EntryNode> node;
+  std::thread runner;
+
+  NodeFixture() {
+    EntrySettings settings;
+    settings.name = NodeId("h1");
+    settings.domain = FailureDomain("z");
+    settings.callers = {"127.0.0.1", callers};
+    settings.ready = {"127.0.0.1", ready};
+    settings.directory = {"127.0.0.1", directory};
+    settings.metrics = {"127.0.0.1", metrics};
+    settings.store = {"127.0.0.1", store.port()};
+    settings.grace = milliseconds(300);
+    EntryProtocol protocol;
+    protocol.targets = platform::MakeTargetProtocol();
+    protocol.codec = &codec;
+    protocol.ready_path = platform::wire::kReadyPath;
+    protocol.directory_path = platform::wire::kResolvePath;
+    protocol.read_directory_call = &platform::ReadDirectoryCall;
+    protocol.write_directory_answer = &platform::WriteDirectoryAnswer;
+    node = std::make_unique<EntryNode>(settings, protocol);
+    const auto started = Capture([&]() -> Result<bool> {
+      BOOST_LEAF_CHECK(node->Start());
+      return true;
+    });
+    BOOST_REQUIRE_EQUAL(started.index(), 0U);
+    runner = std::thread([this] { node->Run(); });
+  }
+
+  ~NodeFixture() {
+    // The node has a handler of its own for it, so the process lives on.
+    (void)raise(SIGTERM);
+    runner.join();
+  }
+
+  [[nodiscard]] static std::uint16_t FreePort() {
+    asio::io_context loop;
+    const tcp::acceptor probe(
+        loop, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    return probe.local_endpoint().port();
+  }
+
+  [[nodiscard]] static ClientReply Get(std::uint16_t port,
+                                       const std::string& path) {
+    return CallAndWait({"127.0.0.1", port}, {"GET", path, ""}, seconds(5));
+  }
+
+  static bool Until(const std::function<bool()>& done) {
+    const auto end = std::chrono::steady_clock::now() + seconds(20);
+    while (!done()) {
+      if (std::chrono::steady_clock::now() > end) {
+        return false;
+      }
+      std::this_thread::sleep_for(milliseconds(10));
+    }
+    return true;
+  }
+
+  void PutAll() {
+    standins::StoreControl control;
+    control.puts.push_back(
+        {"op/config",
+         R"({"version":3,"services":[{"name":"s","maxConnections":9}],)"
+         R"("routes":[{"name":"r","host":"127.0.0.1","prefix":"/a/",)"
+         R"("routeType":"idempotent","service":"s"}]})",
+         {}});
+    control.puts.push_back({"servers/t1",
+                            R"({"service":"s","address":"127.0.0.1:)" +
+                                std::to_string(target.port()) +
+                                R"(","zone":"z","slots":3,"state":"ready"})",
+                            {}});
+    store.Apply(control);
+  }
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(EntryNodeTest, NodeFixture)
+
+// A host that has just started knows nothing yet. It says so with a time to
+// come back, instead of answering that there is no such route.
+BOOST_AUTO_TEST_CASE(Host_WithoutConfig_RefusesAndIsNotReady) {
+  BOOST_TEST(Get(callers, "/a/1").status == 503);
+  BOOST_TEST(Get(ready, "/-/ready").status == 503);
+}
+
+BOOST_AUTO_TEST_CASE(Host_LearnsFromTheStore_ServesAndIsNamed) {
+  PutAll();
+  BOOST_TEST(Until([&] { return Get(ready, "/-/ready").status == 200; }));
+  // The target of this test bears no proof, so its answers are no success.
+  BOOST_TEST(Until([&] { return Get(callers, "/a/1").status == 502; }));
+  BOOST_TEST(Get(callers, "/b/1").status == 404);
+  const ClientReply named = Get(directory, "/-/resolve?name=x&zone=z");
+  BOOST_TEST(named.status == 200);
+  BOOST_TEST(named.body.find(std::to_string(callers)) != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(Metrics_AreRead_EachLineIsOfTheTextFormat) {
+  PutAll();
+  BOOST_TEST(Until([&] { return Get(callers, "/a/1").status == 502; }));
+  const std::regex line(
+      R"(^(# (TYPE|HELP) .*|[a-zA-Z_:][a-zA-Z0-9_:]*(\{[a-z_]+="[^"\n]*")"
+      R"((,[a-z_]+="[^"\n]*")*\})? -?[0-9.e+-]+)$)");
+  std::istringstream text(Get(metrics, "/metrics").body);
+  int lines = 0;
+  for (std::string one; std::getline(text, one); ++lines) {
+    BOOST_TEST(std::regex_match(one, line), "no metric: " << one);
+  }
+  BOOST_TEST(lines > 40);
+  BOOST_TEST(Get(metrics, "/status").body.find("\"config_version\":3") !=
+             std::string::npos);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace jacinthdeck
--- /dev/null
+++ b/test/jacinthdeck/entry/event_log_test.cc
@@ -0,0 +1,131 @@
+// Tests of the log: its form, its bounds, and the page that explains it.
+#include "jacinthdeck/entry/event_log.h"
+
+#include <jansson.h>
+#include <unistd.h>
+
+#include <array>
+#include <boost/test/unit_test.hpp>
+#include <fstream>
+#include <iterator>
+#include <set>
+#include <sstream>
+#include <string>
+
+#include "jacinthdeck/core/json.h"
+#include "jacinthdeck/core/manual_clock.h"
+
+namespace jacinthdeck {
+
+namespace {
+
+using std::chrono::seconds;
+
+struct LogFixture {
+  std::array<int, 2> pipe_ends{};
+  ManualClock clock;
+
+  LogFixture() { BOOST_REQUIRE_EQUAL(pipe(pipe_ends.data()), 0); }
+  ~LogFixture() {
+    close(pipe_ends[0]);
+    close(pipe_ends[1]);
+  }
+
+  //! What was written; the writer has ended by then.
+  [[nodiscard]] std::vector<std::string> Lines() {
+    std::string text(1 << 16, '\0');
+    const ssize_t count = read(pipe_ends[0], text.data(), text.size());
+    text.resize(count > 0 ? static_cast<std::size_t>(count) : 0);
+    std::vector<std::string> lines;
+    std::istringstream in(text);
+    for (std::string line; std::getline(in, line);) {
+      lines.push_back(line);
+    }
+    return lines;
+  }
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(EventLogTest, LogFixture)
+
+BOOST_AUTO_TEST_CASE(Line_HoldsAnyBytes_IsOneJsonObject) {
+  {
+    LogWriter writer(pipe_ends[1]);
+    EventLog log({"h1", 65536}, clock, writer);
+    LogLine line = log.Begin(LogEvent::kCallFailed);
+    line.Text("request", std::string("a\"b\\c\n\x01\xff", 8))
+        .Milliseconds("took_ms", std::chrono::microseconds(1250))
+        .Flag("away", true)
+        .Raw("attempts", "[1]");
+    log.Add(std::move(line));
+    log.Flush();
+  }
+  const auto lines = Lines();
+  BOOST_REQUIRE_EQUAL(lines.size(), 1U);
+  const JsonPtr json(json_loads(lines[0].c_str(), 0, nullptr));
+  BOOST_REQUIRE(json != nullptr);
+  BOOST_TEST(json_string_value(json_object_get(json.get(), "event")) ==
+             std::string("call_failed"));
+  BOOST_TEST(json_string_value(json_object_get(json.get(), "host")) ==
+             std::string("h1"));
+  BOOST_TEST(json_real_value(json_object_get(json.get(), "took_ms")) == 1.3,
+             boost::test_tools::tolerance(0.1));
+}
+
+// Callers press, and every call has something to tell. The log stays within its
+// bytes a second; what was left out is counted and told when there is room.
+BOOST_AUTO_TEST_CASE(Volume_IsAboveTheBound_LinesAreDroppedAndTheGapTold) {
+  {
+    LogWriter writer(pipe_ends[1]);
+    EventLog log({"h1", 1024}, clock, writer);
+    for (int i = 0; i < 200; ++i) {
+      log.Add(log.Begin(LogEvent::kCallRefused));
+    }
+    BOOST_TEST(log.dropped() > 100U);
+    clock.Advance(seconds(10));
+    log.Add(log.Begin(LogEvent::kCallRefused));
+    log.Flush();
+  }
+  const auto lines = Lines();
+  BOOST_TEST(lines.size() < 40U);
+  BOOST_TEST(lines[lines.size() - 2].find("\"event\":\"lines_dropped\"") !=
+             std::string::npos);
+}
+
+// The reader of standard output is stuck. Whoever logs must not wait for it.
+BOOST_AUTO_TEST_CASE(Reader_IsStuck_LoggingGoesOnAndCounts) {
+  LogWriter writer(pipe_ends[1]);
+  EventLog log({"h1", 1U << 30U}, clock, writer);
+  const std::string text(8000, 'x');
+  for (int i = 0; i < 400; ++i) {
+    LogLine line = log.Begin(LogEvent::kCallDone);
+    line.Text("request", text);
+    log.Add(std::move(line));
+    log.Flush();
+  }
+  BOOST_TEST(log.dropped() > 0U);
+}
+
+// The page lists each event, and none that is not logged.
+BOOST_AUTO_TEST_CASE(Page_NamesTheEvents_ExactlyThoseOfTheTable) {
+  std::string path(JACINTHDECK_DOCS);
+  path.append("/operate/logs.md");
+  std::ifstream page(path);
+  BOOST_REQUIRE(page.good());
+  std::set<std::string> named;
+  for (std::string line; std::getline(page, line);) {
+    if (line.starts_with("| `")) {
+      named.insert(line.substr(3, line.find('`', 3) - 3));
+    }
+  }
+  std::set<std::string> logged;
+  for (const std::string_view name : kLogEventNames.names) {
+    logged.emplace(name);
+  }
+  BOOST_TEST(named == logged, boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace jacinthdeck
