Look for another target when those asked refuse connections

Cause: a killed target refuses a connection within half a millisecond, and the pick fell on the same closed port again, since the shard's other targets were full or refused too. Ruled out: stale knowledge (the registry followed within 0.3 to 1 s; the ports close first) and sheds (they are not in doubt and are as before). Change: a target that is in doubt and let this call down counts as none; the call looks again every 4 ms for a quarter of its objective, then is refused as not run. Two tests failed first.

--- a/src/jacinthdeck/forward/forwarder.cc
+++ b/src/jacinthdeck/forward/forwarder.cc
@@ -86,10 +86,7 @@
     }
     if (part.retry_at && *part.retry_at <= now) {
       part.retry_at.reset();
-      SendPart(
-          open, index,
-          part.arrivals == 0 ? AttemptReason::kFirst : AttemptReason::kRetry,
-          now);
+      Retry(open, index, now);
     } else if (part.hedge_at && *part.hedge_at <= now) {
       part.hedge_at.reset();
       SendPart(open, index, AttemptReason::kHedge, now);
--- a/src/jacinthdeck/forward/forwarder_attempts.cc
+++ b/src/jacinthdeck/forward/forwarder_attempts.cc
@@ -25,6 +25,30 @@
 //! usable, and a target that wakes from a pause is known to be back.
 constexpr Duration kLoserGrace = milliseconds(350);
 
+/*! \brief Time from its arrival for which a call may look for a place. */
+[[nodiscard]] Duration PatienceOf(const internal::PendingCall& open) {
+  Duration whole = open.partial_at - open.call.arrived;
+  if (open.route->objective > Duration::zero()) {
+    whole = std::min(whole, open.route->objective);
+  }
+  return whole / kNoPlacePart;
+}
+
+/**
+ * \brief Tells whether a target let this very call down a moment ago.
+ *
+ * A killed target refuses a connection within half a millisecond. Calls that
+ * asked again at once spent all their attempts on closed ports: 2,500 in four
+ * seconds in which a third of a shard's targets was away, and the shard was
+ * missing from the answer although another target was free soon after.
+ */
+[[nodiscard]] bool HasLeftUnanswered(const internal::CallPart& part,
+                                     const LearnedTarget& target,
+                                     TimePoint now) {
+  return target.IsDoubtful(now) &&
+         std::ranges::find(part.tried, target.entry().id) != part.tried.end();
+}
+
 }  // namespace
 
 std::uint32_t Forwarder::ConnectionLimit(const PendingCall& open,
@@ -57,7 +81,8 @@
                         .reason = reason,
                         .most_in_flight = ConnectionLimit(open, part.service)};
   const TargetChoice choice = m_targets.Pick(need, now);
-  if (choice.target == nullptr) {
+  if (choice.target == nullptr ||
+      HasLeftUnanswered(part, *choice.target, now)) {
     OnNoTarget(open, part, reason, now);
     return;
   }
@@ -73,11 +98,11 @@
     return;
   }
   const bool live = m_targets.Live(part.service) > 0;
-  const Duration patience =
-      (open.partial_at - open.call.arrived) / kNoPlacePart;
-  if (!live || now - open.call.arrived > patience) {
-    GiveUp(open, part,
-           live ? ForwardReason::kOverload : ForwardReason::kNoTarget);
+  if (!live || now - open.call.arrived > PatienceOf(open)) {
+    const bool failed = part.reason == ForwardReason::kTargetsFailed;
+    const ForwardReason full =
+        failed ? ForwardReason::kTargetsFailed : ForwardReason::kOverload;
+    GiveUp(open, part, live ? full : ForwardReason::kNoTarget);
     return;
   }
   part.retry_at = now + kNoPlacePause;
--- a/test/jacinthdeck/forward/forwarder_test.cc
+++ b/test/jacinthdeck/forward/forwarder_test.cc
@@ -75,6 +75,40 @@
   BOOST_TEST((clock.Now() == start));
 }
 
+// All targets of a service were killed and refuse connections. A call that asks
+// them again within the same millisecond uses up its attempts on closed ports;
+// it looks for another target instead, and finds the one that has just started.
+BOOST_AUTO_TEST_CASE(Forwarder_TargetsRefuseConnections_WaitsForANewOne) {
+  (void)Submit("/read/1");
+  for (std::size_t at = 0; at < port.sent.size(); ++at) {
+    End(port.sent[at], AttemptOutcome::kNotSent);
+  }
+  BOOST_REQUIRE_EQUAL(port.sent.size(), kReplicas);
+  TargetEntry fresh = targets.back();
+  fresh.id = TargetId("plain/new");
+  targets.push_back(fresh);
+  forwarder.SetTargets(targets, clock.Now());
+  Advance(milliseconds(10));
+  BOOST_REQUIRE_EQUAL(port.sent.size(), kReplicas + 1);
+  BOOST_TEST(port.sent.back().target.id == fresh.id);
+  Answer(port.sent.back());
+  BOOST_TEST((Only().answer.kind == AnswerKind::kResponse));
+}
+
+// As above, but nothing comes back: the caller is told so long before its
+// deadline, truthfully, and the closed ports were asked once each.
+BOOST_AUTO_TEST_CASE(Forwarder_TargetsRefuseForLong_NotRunWithinAQuarter) {
+  (void)Submit("/read/1");
+  for (std::size_t at = 0; at < port.sent.size(); ++at) {
+    End(port.sent[at], AttemptOutcome::kNotSent);
+  }
+  Advance(kObjective / 3);
+  BOOST_TEST(port.sent.size() == kReplicas);
+  BOOST_TEST((Only().answer.kind == AnswerKind::kNotRun));
+  BOOST_TEST((Only().answer.reason == ForwardReason::kTargetsFailed));
+  BOOST_TEST(Only().answer.retry_after.has_value());
+}
+
 // The address of a target belongs to another service by now. The new owner
 // refuses by the expected id; the target is not asked again, and another
 // target serves the claim.
