Hand on whole readings complete, and try stale feeders in turn

A host that took an older whole reading handed it on under its own newer revision: followers dropped what was missing in it, and took later words on it for old; hosts at one revision knew 241, 145 and 79 targets for 25 s. And the order of feeders began anew with each list of hosts, which a stale feeder's content brings too: hosts cut from the store asked one stale feeder for 12.4 s. Ruled out: lost frames (links stood), history compaction (whole readings were right), the hold of removals (ended after 2.3 s each time). Change: a reading is handed on with all that is known; the next feeder is the one after the last; a stale one is left after 1 s instead of 2.5 s, and sends its content only to those who know less.

--- a/src/jacinthdeck/discovery/store_session.cc
+++ b/src/jacinthdeck/discovery/store_session.cc
@@ -100,8 +100,12 @@
   const KnowledgeChange change =
       whole ? m_knowledge.OnReading(news, revision, now)
             : m_knowledge.OnChanges(news, now);
-  if (whole || !news.empty()) {
-    m_observer.OnContent(news, m_revision, whole);
+  if (whole) {
+    // A reading may be older than what this host knows. Handed on as it came,
+    // under the newer revision, it made followers drop live targets for good.
+    m_observer.OnContent(m_content.Items(), m_revision, true);
+  } else if (!news.empty()) {
+    m_observer.OnContent(news, m_revision, false);
   }
   Tell(change);
 }
--- a/src/jacinthdeck/entry/feed_hub.cc
+++ b/src/jacinthdeck/entry/feed_hub.cc
@@ -35,7 +35,7 @@
 }
 
 void FeedHub::OnHosts(const std::vector<HostRecord>& hosts) {
-  m_choice.OnHosts(hosts);
+  m_choice.OnHosts(hosts, m_clock.Now());
 }
 
 void FeedHub::OnContent(const std::vector<StoreChange>& changes,
--- a/src/jacinthdeck/peer/feed_choice.cc
+++ b/src/jacinthdeck/peer/feed_choice.cc
@@ -19,8 +19,10 @@
 constexpr Duration kMostAge = milliseconds(2700);
 constexpr Duration kOpenTimeout = milliseconds(600);
 constexpr Duration kTryAgain = milliseconds(700);
-//! A feeder that stays stale is given up for another one after this time.
-constexpr Duration kStalePatience = milliseconds(2500);
+//! A feeder that stays stale is given up for another one after this time. It
+//! beats as soon as it is asked, so its age is known at once; three feeders are
+//! tried within the bound in which a leaving target must be known.
+constexpr Duration kStalePatience = milliseconds(1000);
 //! When the fleet starts: time for a seed to answer before the store is asked.
 constexpr Duration kStartPatience = milliseconds(1100);
 //! Hosts that start at one moment.
@@ -56,7 +58,7 @@
   return m_link == Link::kOpen && !IsSilent(now) && !IsStale(now);
 }
 
-void FeedChoice::OnHosts(std::span<const HostRecord> hosts) {
+void FeedChoice::OnHosts(std::span<const HostRecord> hosts, TimePoint now) {
   const std::vector<NodeId> watchers = ChooseWatchers(hosts);
   if (watchers.empty()) {
     return;
@@ -74,6 +76,7 @@
   std::stable_partition(
       feeders.begin(), feeders.end(),
       [&](const HostRecord* host) { return host->domain == m_self.domain; });
+  const bool following = IsFollowing(now);
   m_feeders.clear();
   for (const HostRecord* host : feeders) {
     const auto parsed = Capture([&] { return Endpoint::Parse(host->peers); });
@@ -81,7 +84,23 @@
       m_feeders.push_back(*endpoint);
     }
   }
-  m_next = 0;
+  m_next = PositionAfter(following);
+}
+
+std::size_t FeedChoice::PositionAfter(bool following) const {
+  const auto last =
+      std::ranges::find_if(m_feeders, [&](const Endpoint& feeder) {
+        return m_last && feeder.ToString() == m_last->ToString();
+      });
+  const bool unknown = last == m_feeders.end();
+  const bool nearest = last == m_feeders.begin();
+  if (unknown || (following && !nearest)) {
+    return 0;
+  }
+  // Content from a stale feeder names the hosts too. Starting over with each
+  // such list meant that hosts which were cut from the store asked one stale
+  // feeder for twelve seconds, with fresh ones in the next failure domain.
+  return static_cast<std::size_t>(std::distance(m_feeders.begin(), last)) + 1;
 }
 
 void FeedChoice::OnBeat(const FeedBeat& beat, TimePoint now) {
@@ -156,6 +175,7 @@
   }
   const Endpoint feeder = m_feeders[m_next % m_feeders.size()];
   ++m_next;
+  m_last = feeder;
   return feeder;
 }
 
--- a/src/jacinthdeck/peer/feed_choice.h
+++ b/src/jacinthdeck/peer/feed_choice.h
@@ -57,7 +57,7 @@
   [[nodiscard]] bool IsFollowing(TimePoint now) const;
 
   /*! \brief Takes the hosts that are known. */
-  void OnHosts(std::span<const HostRecord> hosts);
+  void OnHosts(std::span<const HostRecord> hosts, TimePoint now);
 
   /*! \brief Takes a sign of life of the link. */
   void OnBeat(const FeedBeat& beat, TimePoint now);
@@ -77,6 +77,8 @@
   [[nodiscard]] bool IsSilent(TimePoint now) const;
   [[nodiscard]] bool IsStale(TimePoint now) const;
   [[nodiscard]] std::optional<Endpoint> NextFeeder();
+  //! Position from which the next feeder is looked for.
+  [[nodiscard]] std::size_t PositionAfter(bool following) const;
   //! Watches the store from a moment within the spread on, unless that is
   //! settled already.
   void ScheduleWatch(Duration spread, TimePoint from);
@@ -88,6 +90,8 @@
   //! In the order in which they are tried; this host is not among them.
   std::vector<Endpoint> m_feeders;
   std::size_t m_next = 0;
+  //! Feeder of the present link, or of the last one.
+  std::optional<Endpoint> m_last;
   Link m_link = Link::kNone;
   TimePoint m_link_since;
   //! Last message over the link.
--- a/src/jacinthdeck/peer/feed_server.cc
+++ b/src/jacinthdeck/peer/feed_server.cc
@@ -34,7 +34,7 @@
 };
 
 FeedServer::FeedServer(asio::io_context& loop, const FeedSource& source)
-    : m_loop(loop), m_source(source), m_acceptor(loop) {}
+    : m_source(source), m_acceptor(loop) {}
 
 std::uint16_t FeedServer::port() const {
   SystemError ignored;
@@ -118,14 +118,16 @@
                          const std::string& frame) {
   const auto message = Capture([&] { return DecodeFeed(frame); });
   const auto* read = std::get_if<FeedMessage>(&message);
-  if (read == nullptr || !std::holds_alternative<FeedHello>(*read) ||
-      follower->closed) {
+  const auto* hello = read == nullptr ? nullptr : std::get_if<FeedHello>(read);
+  if (hello == nullptr || follower->closed) {
     Drop(follower);
     return;
   }
   follower->greeted = true;
+  // Followers that look for a fresh feeder mostly know what a stale one has;
+  // the content is some 100 KB, to each of dozens of followers a second.
   const FeedChanges content = m_source.Content();
-  if (content.revision > 0) {
+  if (content.revision > hello->revision) {
     Send(follower, std::make_shared<const std::string>(EncodeFeed(content)));
   }
   Send(follower,
--- a/src/jacinthdeck/peer/feed_server.h
+++ b/src/jacinthdeck/peer/feed_server.h
@@ -57,7 +57,6 @@
   void SendAll(const FeedMessage& message);
   void Drop(const std::shared_ptr<Follower>& follower);
 
-  asio::io_context& m_loop;
   const FeedSource& m_source;
   tcp::acceptor m_acceptor;
   std::vector<std::shared_ptr<Follower>> m_followers;
--- a/test/jacinthdeck/discovery/store_session_test.cc
+++ b/test/jacinthdeck/discovery/store_session_test.cc
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <functional>
 #include <string>
+#include <vector>
 
 #include "jacinthdeck/core/steady_clock.h"
 #include "platform/store_codec.h"
@@ -17,6 +18,19 @@
 
 using std::chrono::seconds;
 
+struct HandedOn {
+  std::vector<StoreChange> changes;
+  std::uint64_t revision = 0;
+  bool whole = false;
+};
+
+[[nodiscard]] StoreChange Target(const std::string& id,
+                                 std::uint64_t revision) {
+  return {"servers/" + id, revision,
+          R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":1,)"
+          R"("state":"ready"})"};
+}
+
 struct SessionFixture : KnowledgeObserver {
   SteadyClock clock;
   standins::StoreServer store{0, clock, {}, 1};
@@ -25,12 +39,15 @@
   StoreSession session{loop, clock, codec, *this, "127.0.0.1", store.port(), 1};
   int lost = 0;
   int regained = 0;
+  std::vector<HandedOn> handed_on;
 
   void OnKnowledge(const KnowledgeChange& /*change*/,
                    std::uint64_t /*revision*/) override {}
-  void OnContent(const std::vector<StoreChange>& /*changes*/,
-                 std::uint64_t /*revision*/,
-                 bool /*whole*/) override {}
+  void OnContent(const std::vector<StoreChange>& changes,
+                 std::uint64_t revision,
+                 bool whole) override {
+    handed_on.push_back({changes, revision, whole});
+  }
   void OnStoreLost(StoreStatus /*status*/,
                    const std::string& /*problem*/) override {
     ++lost;
@@ -73,6 +90,20 @@
 
 BOOST_FIXTURE_TEST_SUITE(StoreSessionTest, SessionFixture)
 
+// Callers of another host are refused, as it knows a third of the targets. This
+// host followed a fresh feeder, then a stale one, and handed the stale content
+// on under its own newer revision; whoever learned from it took the targets in
+// between for removed, and later words on them for old.
+BOOST_AUTO_TEST_CASE(Content_OfAnOlderReading_IsHandedOnWithAllThatIsKnown) {
+  session.TakeContent({Target("a", 5)}, 5, true);
+  session.TakeContent({Target("b", 6)}, 6, false);
+  session.TakeContent({Target("a", 5)}, 5, true);
+  const HandedOn& last = handed_on.back();
+  BOOST_TEST(last.whole);
+  BOOST_TEST(last.revision == 6U);
+  BOOST_TEST(last.changes.size() == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(Start_EntriesAreThere_AreReadAndChangesFollow) {
   PutTarget("a");
   session.SetWatching(true);
--- a/test/jacinthdeck/peer/feed_choice_test.cc
+++ b/test/jacinthdeck/peer/feed_choice_test.cc
@@ -38,7 +38,7 @@
 
   //! Opens a link and makes it fresh.
   void Follow() {
-    choice.OnHosts(hosts);
+    choice.OnHosts(hosts, now);
     const FeedStep step = choice.Step(now);
     BOOST_REQUIRE(step.open.has_value());
     Beat();
@@ -75,13 +75,13 @@
 }
 
 BOOST_AUTO_TEST_CASE(Hosts_OwnDomainHasAWatcher_ItIsFollowed) {
-  choice.OnHosts(hosts);
+  choice.OnHosts(hosts, now);
   BOOST_TEST(choice.Step(now).open->address == "10.0.0.2");
 }
 
 BOOST_AUTO_TEST_CASE(Hosts_ThisOneIsTheStrongest_WatchesItself) {
   hosts[3].strength = 900;
-  choice.OnHosts(hosts);
+  choice.OnHosts(hosts, now);
   const FeedStep step = choice.Step(now);
   BOOST_TEST(step.watch_store);
   BOOST_TEST(!step.open.has_value());
@@ -117,6 +117,24 @@
   BOOST_TEST(StepIn(milliseconds(200)).watch_store);
 }
 
+// The host is cut from the store, and so is the watcher of its failure domain,
+// whose content arrives with the list of hosts. The next feeder must be another
+// one each time, until one is fresh.
+BOOST_AUTO_TEST_CASE(Feeder_StaysStaleAndTellsTheHosts_AllAreTriedInTurn) {
+  Follow();
+  std::vector<std::string> tried;
+  for (int second = 0; second < 6 && tried.size() < 3; ++second) {
+    Beat(seconds(4), true);
+    choice.OnHosts(hosts, now);
+    const FeedStep step = StepIn(milliseconds(1100));
+    if (step.open) {
+      tried.push_back(step.open->address);
+    }
+  }
+  const std::vector<std::string> expected{"10.0.0.1", "10.0.0.3", "10.0.0.2"};
+  BOOST_TEST(tried == expected, boost::test_tools::per_element());
+}
+
 // Hosts that follow each other in a circle hand on what nobody heard from the
 // store. The age that they tell grows until each of them reads the store.
 BOOST_AUTO_TEST_CASE(Feeder_AgeOnlyGrows_StoreIsReadInTheEnd) {
