Let watchers follow one another, so that one turned away alone still hears

The store turned away one watcher silently for 8 s; a watcher followed nobody and read rev 54 until then. Ruled out: the hold of removals (nothing had arrived), the followers (they left it after 2.5 s, as meant). Change: a watcher follows another one beside its own watch. A store that refuses this host while others hear it is not taken for away.

--- a/src/jacinthdeck/discovery/store_content.cc
+++ b/src/jacinthdeck/discovery/store_content.cc
@@ -23,6 +23,7 @@
       continue;
     }
     news.push_back(change);
+    ++m_changes;
     if (change.value) {
       m_items[change.key] = change;
       m_removed.erase(change.key);
@@ -46,6 +47,7 @@
         !named.contains(at->first) && at->second.revision <= revision;
     if (gone) {
       Remember(at->first, revision);
+      ++m_changes;
     }
     at = gone ? m_items.erase(at) : std::next(at);
   }
--- a/src/jacinthdeck/discovery/store_content.h
+++ b/src/jacinthdeck/discovery/store_content.h
@@ -27,6 +27,9 @@
   /*! \brief All keys that are there. */
   [[nodiscard]] std::vector<StoreChange> Items() const;
 
+  /*! \brief Counts what was ever changed; equal counts mean equal content. */
+  [[nodiscard]] std::uint64_t changes() const noexcept { return m_changes; }
+
   /**
    * \brief Takes changes.
    * \return Those that were news, in order.
@@ -47,6 +50,7 @@
   std::map<std::string, StoreChange> m_items;
   //! Removed keys and when; disjoint from m_items.
   std::map<std::string, std::uint64_t> m_removed;
+  std::uint64_t m_changes = 0;
 };
 
 }  // namespace jacinthdeck
--- a/src/jacinthdeck/discovery/store_session.cc
+++ b/src/jacinthdeck/discovery/store_session.cc
@@ -23,6 +23,9 @@
 //! Pause after a change: registrations come in bunches, and each batch costs a
 //! call.
 constexpr Duration kGather = milliseconds(200);
+//! Another host that heard the store so lately proves that it is not away for
+//! all. Below the time in which an own call shows that the store went silent.
+constexpr Duration kHeardLately = milliseconds(800);
 //! Bounds of the pause after a failed call.
 constexpr Duration kFirstPause = milliseconds(100);
 constexpr Duration kLongestPause = milliseconds(800);
@@ -75,9 +78,11 @@
   const TimePoint now = m_clock.Now();
   const TimePoint heard = now - age;
   m_last_well = std::max(m_last_well.value_or(heard), heard);
-  if (store_away) {
+  m_others_heard = heard;
+  const bool heard_by_self = m_watching && m_loaded && !m_lost;
+  if (store_away && !heard_by_self) {
     m_knowledge.OnStoreAway();
-  } else if (m_knowledge.store_away() && !m_lost) {
+  } else if (!store_away && m_knowledge.store_away()) {
     Tell(m_knowledge.OnChanges({}, now));
   }
 }
@@ -94,17 +99,20 @@
                         std::uint64_t revision,
                         bool whole) {
   const TimePoint now = m_clock.Now();
+  const std::uint64_t changes_before = m_content.changes();
   const std::vector<StoreChange> news =
       whole ? m_content.Replace(changes, revision) : m_content.Apply(changes);
   m_revision = std::max(m_revision, revision);
   const KnowledgeChange change =
       whole ? m_knowledge.OnReading(news, revision, now)
             : m_knowledge.OnChanges(news, now);
-  if (whole) {
+  if (m_content.changes() == changes_before) {
+    // Hosts that follow each other would hand one reading on for ever.
+  } else if (whole) {
     // A reading may be older than what this host knows. Handed on as it came,
     // under the newer revision, it made followers drop live targets for good.
     m_observer.OnContent(m_content.Items(), m_revision, true);
-  } else if (!news.empty()) {
+  } else {
     m_observer.OnContent(news, m_revision, false);
   }
   Tell(change);
@@ -200,7 +208,13 @@
 
 void StoreSession::OnFailure(StoreStatus status, const std::string& problem) {
   ++m_counters.failures;
-  m_knowledge.OnStoreAway();
+  const bool heard_by_others =
+      m_others_heard && m_clock.Now() - *m_others_heard < kHeardLately;
+  // Taken for away, a store that refuses this host alone would delay removals
+  // that others tell of: targets that have left would get requests.
+  if (!heard_by_others) {
+    m_knowledge.OnStoreAway();
+  }
   if (!m_lost) {
     m_lost = true;
     m_observer.OnStoreLost(status, problem);
--- a/src/jacinthdeck/discovery/store_session.h
+++ b/src/jacinthdeck/discovery/store_session.h
@@ -142,6 +142,8 @@
   //! Where the next watch goes on.
   std::uint64_t m_revision = 0;
   std::optional<TimePoint> m_last_well;
+  //! When a host that is followed last heard the store.
+  std::optional<TimePoint> m_others_heard;
   //! The reading under way.
   std::vector<StoreChange> m_pages;
   std::uint64_t m_pages_revision = 0;
--- a/src/jacinthdeck/peer/feed_choice.cc
+++ b/src/jacinthdeck/peer/feed_choice.cc
@@ -125,13 +125,6 @@
 
 FeedStep FeedChoice::Step(TimePoint now) {
   FeedStep step;
-  if (m_is_watcher) {
-    step.watch_store = true;
-    step.close = m_link != Link::kNone;
-    m_link = Link::kNone;
-    m_watch_at = now;
-    return step;
-  }
   const bool too_slow =
       m_link == Link::kOpening && now - m_link_since > kOpenTimeout;
   const bool useless =
@@ -151,6 +144,14 @@
     }
     m_try_at = now + kTryAgain;
   }
+  // A watcher follows another one beside its own watch. One that the store
+  // turned away alone would notice only after its watch's timeout, and send to
+  // targets that have left for as long as it stays cut off.
+  if (m_is_watcher) {
+    step.watch_store = true;
+    m_watch_at = now;
+    return step;
+  }
   if (IsFollowing(now)) {
     m_watch_at.reset();
     return step;
--- a/src/jacinthdeck/peer/feed_choice.h
+++ b/src/jacinthdeck/peer/feed_choice.h
@@ -32,7 +32,8 @@
  *
  * A host whose feeder falls silent, loses the store, or lags reads the store
  * itself at once, and looks for another feeder meanwhile; so a change is never
- * later than by the time in which silence shows. A feeder's word is as old as
+ * later than by the time in which silence shows. Watchers follow one another
+ * beside their own watch. A feeder's word is as old as
  * the feeder says: hosts that follow each other in a circle see the age grow.
  */
 class FeedChoice {
