Take handed-on changes also after the store forgot its history

Cause, found by reading the feed's code after the last two faults: a host that was told that the history is gone counted as having read nothing. When it then found a fresh host to follow and stopped its reading, it took no change any more, while its knowledge looked fresh by the beats. Change: what is known stays valid; only the next own watch begins with a reading. One test, failed first.

--- a/src/jacinthdeck/discovery/store_session.cc
+++ b/src/jacinthdeck/discovery/store_session.cc
@@ -88,7 +88,7 @@
 }
 
 void StoreSession::Resume() {
-  if (m_loaded) {
+  if (m_loaded && !m_must_read) {
     Watch();
   } else {
     ReadAll();
@@ -157,6 +157,7 @@
   }
   OnWell();
   m_loaded = true;
+  m_must_read = false;
   Take(m_pages, m_pages_revision, true);
   m_pages.clear();
   WatchAfter(kGather);
@@ -171,7 +172,10 @@
 
 void StoreSession::OnBatch(const WatchBatch& batch) {
   if (batch.status == StoreStatus::kCompacted) {
-    m_loaded = false;
+    // What is known stays valid, and so do changes that another host hands on:
+    // a host that stopped watching in the middle of the reading and took none
+    // of them would look fresh and know nothing new.
+    m_must_read = true;
     ReadAll();
     return;
   }
--- a/src/jacinthdeck/discovery/store_session.h
+++ b/src/jacinthdeck/discovery/store_session.h
@@ -135,8 +135,10 @@
   ClientSession m_reads;
   asio::steady_timer m_read_timer;
   Backoff m_read_backoff;
-  //! Everything was read once since the history was last lost.
+  //! Everything was read once, here or by a host that handed it on.
   bool m_loaded = false;
+  //! The store forgot the history after m_revision: a watch cannot go on there.
+  bool m_must_read = false;
   bool m_watching = false;
   bool m_lost = false;
   //! Where the next watch goes on.
--- a/test/jacinthdeck/discovery/store_session_test.cc
+++ b/test/jacinthdeck/discovery/store_session_test.cc
@@ -104,6 +104,27 @@
   BOOST_TEST(last.changes.size() == 3U);
 }
 
+// The store forgets its history, and the host reads all again. Meanwhile it
+// finds a fresh host to follow and stops reading; changes from there count.
+BOOST_AUTO_TEST_CASE(Watch_StopsInTheMiddleOfAReading_TakesHandedOnChanges) {
+  PutTarget("a");
+  session.SetWatching(true);
+  Until([&] { return targets() == 1; });
+  SetOutage(standins::Outage::kDrop);
+  Until([&] { return lost == 1; });
+  PutTarget("b");
+  standins::StoreControl control;
+  control.compact = true;
+  store.Apply(control);
+  const std::uint64_t reads = session.counters().reads;
+  SetOutage(standins::Outage::kNone);
+  Until([&] { return session.counters().reads > reads; });
+  session.SetWatching(false);
+  const std::size_t before = targets();
+  session.TakeContent({Target("z", 1000)}, 1000, false);
+  BOOST_TEST(targets() == before + 1);
+}
+
 // Two hosts follow each other. A reading that tells nothing new must end at the
 // one that has it: handed on, it would go to and fro for ever.
 BOOST_AUTO_TEST_CASE(Content_ReadingWithoutNews_IsNotHandedOn) {
