Ask no server for its port before it exists

Cause: under the undefined-behaviour sanitizer the entry's tests end with a null reference: the feed's part of a host is made with the own record, which asked the callers' and the queries' servers for their ports; the latter comes later in the order of members. The values went into fields that the feed does not read, so that nothing else showed. Change: the record of the settings alone is a function of its own.

--- a/src/jacinthdeck/entry/entry_node.cc
+++ b/src/jacinthdeck/entry/entry_node.cc
@@ -139,7 +139,7 @@
              m_clock,
              m_store,
              *this,
-             OwnRecord(),
+             SettledRecord(),
              m_settings.seeds,
              m_settings.fleet_starts,
              std::random_device{}()),
@@ -595,20 +595,27 @@
 }
 
 HostRecord EntryNode::OwnRecord() const {
-  constexpr double kThousandths = 1000;
   const auto address = [](const Endpoint& asked, std::uint16_t port) {
     return asked.address.empty() ? std::string()
                                  : Endpoint{asked.address, port}.ToString();
   };
+  HostRecord record = SettledRecord();
+  record.callers = address(m_settings.callers, m_callers.port());
+  record.queries = address(m_settings.queries, m_queries.port());
+  record.busy = m_lag.busy();
+  return record;
+}
+
+HostRecord EntryNode::SettledRecord() const {
+  constexpr double kThousandths = 1000;
   HostRecord record;
   record.name = m_settings.name;
   record.domain = m_settings.domain;
-  record.callers = address(m_settings.callers, m_callers.port());
-  record.queries = address(m_settings.queries, m_queries.port());
-  record.peers = address(m_settings.peers, m_settings.peers.port);
+  if (!m_settings.peers.address.empty()) {
+    record.peers = m_settings.peers.ToString();
+  }
   record.strength = static_cast<std::uint32_t>(
       kThousandths * m_settings.cpu_share * m_settings.cores);
-  record.busy = m_lag.busy();
   record.started_ms = m_started_ms;
   return record;
 }
--- a/src/jacinthdeck/entry/entry_node.h
+++ b/src/jacinthdeck/entry/entry_node.h
@@ -99,6 +99,9 @@
   void BeginStop();
   void Stop();
   [[nodiscard]] HostRecord OwnRecord() const;
+  //! What of the own record the settings say: all that may be asked before the
+  //! ports and their servers exist.
+  [[nodiscard]] HostRecord SettledRecord() const;
   [[nodiscard]] Duration KnowledgeAge() const;
 
   EntrySettings m_settings;
