Open listening ports in one place

Cause: the servers for callers and for followers held the same steps. Ruled out: sharing the read of the two HTTP connections, which has the same shape but different ends; a base for both would hide what each does when the other side leaves.

--- a/src/jacinthdeck/http/edge_server.cc
+++ b/src/jacinthdeck/http/edge_server.cc
@@ -4,6 +4,7 @@
 #include <utility>
 #include <vector>
 
+#include "jacinthdeck/http/listening.h"
 #include "jacinthdeck/http/socket_options.h"
 
 namespace jacinthdeck {
@@ -29,29 +30,13 @@
                                 std::uint16_t port,
                                 std::size_t most_connections) {
   m_most_connections = most_connections;
-  SystemError error;
-  const auto ip = asio::ip::make_address_v4(address, error);
-  if (!error) {
-    m_acceptor.open(tcp::v4(), error);
-  }
-  if (!error) {
-    m_acceptor.set_option(tcp::acceptor::reuse_address(true), error);
-    m_acceptor.bind(tcp::endpoint(ip, port), error);
-  }
-  if (!error) {
-    m_acceptor.listen(asio::socket_base::max_listen_connections, error);
-  }
-  if (error) {
-    return Fail(ErrorCode::kUnavailable, address + ":" + std::to_string(port),
-                "cannot listen: " + error.message());
-  }
+  BOOST_LEAF_CHECK(StartListening(m_acceptor, address, port));
   Accept();
   return {};
 }
 
 std::uint16_t EdgeServer::port() const {
-  SystemError ignored;
-  return m_acceptor.local_endpoint(ignored).port();
+  return ListeningPort(m_acceptor);
 }
 
 void EdgeServer::StopListening() {
