--- /dev/null
+++ b/soak/callers.cc
@@ -0,0 +1,132 @@
+// One timer and one session a caller.
+#include "soak/callers.h"
+
+#include <array>
+#include <chrono>
+#include <iterator>
+#include <string_view>
+#include <utility>
+
+#include "jacinthdeck/http/status.h"
+#include "platform/wire_names.h"
+
+namespace jacinthdeck::soak {
+
+namespace {
+
+namespace wire = platform::wire;
+using std::chrono::milliseconds;
+
+//! Between two calls of one caller.
+constexpr std::uint64_t kMostPauseMs = 40;
+//! What callers say that they wait, and what they wait.
+constexpr std::string_view kDeadlineMs = "1500";
+constexpr Duration kPatience = milliseconds(3000);
+//! Paths in the order of CallKind.
+constexpr std::array<std::string_view, 3> kPaths{"/claim/1", "/lookup/1",
+                                                 "/query/1"};
+
+[[nodiscard]] CallEnd EndOf(const ClientReply& reply) {
+  if (reply.answered()) {
+    return CallEnd::kAnswered;
+  }
+  if (reply.not_sent) {
+    return CallEnd::kNotSent;
+  }
+  return reply.error == "timed out" ? CallEnd::kTimedOut : CallEnd::kClosed;
+}
+
+}  // namespace
+
+struct Callers::Caller {
+  explicit Caller(asio::io_context& loop) : timer(loop) {}
+
+  asio::steady_timer timer;
+  std::size_t entry = 0;
+  //! Empty: the next call goes to an entry that is drawn.
+  std::unique_ptr<ClientSession> session;
+  bool gives_up_connection = false;
+};
+
+Callers::Callers(asio::io_context& loop, std::size_t count, std::uint64_t seed)
+    : m_loop(loop), m_random(seed), m_seed(seed) {
+  for (std::size_t index = 0; index < count; ++index) {
+    m_callers.push_back(std::make_unique<Caller>(loop));
+    Pause(*m_callers.back());
+  }
+}
+
+Callers::~Callers() = default;
+
+void Callers::Add(std::size_t entry, std::uint16_t port) {
+  m_entries[entry] = port;
+}
+
+void Callers::Remove(std::size_t entry) {
+  m_entries.erase(entry);
+}
+
+void Callers::Pause(Caller& caller) {
+  caller.timer.expires_after(milliseconds(1 + m_random.Below(kMostPauseMs)));
+  caller.timer.async_wait([this, &caller](const SystemError& error) {
+    if (!error && !m_stopped) {
+      Begin(caller);
+    }
+  });
+}
+
+bool Callers::Connect(Caller& caller) {
+  if (caller.gives_up_connection) {
+    caller.session.reset();
+    caller.gives_up_connection = false;
+  }
+  if (caller.session) {
+    return true;
+  }
+  if (m_entries.empty()) {
+    return false;
+  }
+  const auto drawn =
+      std::next(m_entries.begin(),
+                static_cast<std::ptrdiff_t>(m_random.Below(m_entries.size())));
+  caller.entry = drawn->first;
+  caller.session =
+      std::make_unique<ClientSession>(m_loop, "127.0.0.1", drawn->second);
+  return true;
+}
+
+void Callers::Begin(Caller& caller) {
+  if (!Connect(caller)) {
+    Pause(caller);
+    return;
+  }
+  Call call;
+  call.id = std::to_string(m_seed) + "-" + std::to_string(m_next_id++);
+  call.kind = static_cast<CallKind>(m_random.Below(kPaths.size()));
+  call.entry = caller.entry;
+  call.sent = m_clock.Now();
+  const ClientRequest request{
+      "GET",
+      std::string(kPaths[static_cast<std::size_t>(call.kind)]),
+      "",
+      {{std::string(wire::kRequestId), call.id},
+       {std::string(wire::kDeadlineMs), std::string(kDeadlineMs)}}};
+  caller.session->Call(request, kPatience,
+                       [this, &caller, call](const ClientReply& reply) {
+                         End(caller, call, reply);
+                       });
+}
+
+void Callers::End(Caller& caller, Call call, const ClientReply& reply) {
+  call.ended = m_clock.Now();
+  call.end = EndOf(reply);
+  call.status = reply.status;
+  if (reply.status == http_status::kOk) {
+    call.records = DecodeRecords(reply.body).value_or(std::vector<Record>{});
+  }
+  caller.gives_up_connection = call.end != CallEnd::kAnswered;
+  m_calls.push_back(std::move(call));
+  Pause(caller);
+}
+
+}  // namespace jacinthdeck::soak
--- /dev/null
+++ b/soak/callers.h
@@ -0,0 +1,65 @@
+// Callers that keep their connections, and note what they see.
+#ifndef SOAK_CALLERS_H_
+#define SOAK_CALLERS_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "jacinthdeck/core/random.h"
+#include "jacinthdeck/core/steady_clock.h"
+#include "jacinthdeck/http/asio.h"
+#include "jacinthdeck/http/client_session.h"
+#include "soak/history.h"
+
+namespace jacinthdeck::soak {
+
+/**
+ * \brief Some callers on one loop: each makes one call at a time, on its kept
+ * connection, until that ends; then it goes to another entry.
+ *
+ * All members but the constructor run on the loop.
+ */
+class Callers {
+ public:
+  Callers(asio::io_context& loop, std::size_t count, std::uint64_t seed);
+  ~Callers();
+  Callers(const Callers&) = delete;
+  Callers& operator=(const Callers&) = delete;
+
+  /*! \brief New connections may go to this life of an entry. */
+  void Add(std::size_t entry, std::uint16_t port);
+  /*! \brief New connections no longer go there; kept ones are still used. */
+  void Remove(std::size_t entry);
+  /*! \brief No call is begun any more. */
+  void Stop() { m_stopped = true; }
+
+  [[nodiscard]] const std::vector<Call>& calls() const noexcept {
+    return m_calls;
+  }
+
+ private:
+  struct Caller;
+
+  void Pause(Caller& caller);
+  void Begin(Caller& caller);
+  void End(Caller& caller, Call call, const ClientReply& reply);
+  [[nodiscard]] bool Connect(Caller& caller);
+
+  asio::io_context& m_loop;
+  SteadyClock m_clock;
+  Random m_random;
+  const std::uint64_t m_seed;
+  std::map<std::size_t, std::uint16_t> m_entries;
+  std::vector<std::unique_ptr<Caller>> m_callers;
+  std::vector<Call> m_calls;
+  std::uint64_t m_next_id = 1;
+  bool m_stopped = false;
+};
+
+}  // namespace jacinthdeck::soak
+
+#endif  // SOAK_CALLERS_H_
--- /dev/null
+++ b/soak/loopback_proxy.cc
@@ -0,0 +1,166 @@
+// Two pumps a connection; a held pump looks at the mode every few milliseconds.
+#include "soak/loopback_proxy.h"
+
+#include <array>
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+#include <chrono>
+#include <functional>
+#include <utility>
+
+namespace jacinthdeck::soak {
+
+namespace {
+
+constexpr std::chrono::milliseconds kHeldPeriod{5};
+//! Of a slow link, each way and each piece of data.
+constexpr std::chrono::milliseconds kLinkDelay{150};
+constexpr std::size_t kPieceBytes = 16384;
+
+}  // namespace
+
+namespace internal {
+
+/*! \brief One connection and its other half. */
+class ProxiedConnection
+    : public std::enable_shared_from_this<ProxiedConnection> {
+ public:
+  ProxiedConnection(LoopbackProxy& proxy, tcp::socket near)
+      : m_proxy(proxy),
+        m_forward{std::move(near), asio::steady_timer(proxy.m_loop), {}},
+        m_back{tcp::socket(proxy.m_loop),
+               asio::steady_timer(proxy.m_loop),
+               {}} {}
+
+  void Start() {
+    const tcp::endpoint upstream(asio::ip::address_v4::loopback(),
+                                 m_proxy.m_upstream);
+    m_back.from.async_connect(
+        upstream, [self = shared_from_this()](const SystemError& error) {
+          if (error) {
+            self->End(true);
+            return;
+          }
+          self->Read(self->m_forward, self->m_back);
+          self->Read(self->m_back, self->m_forward);
+        });
+  }
+
+  //! With a reset, what is under way is lost; else it is delivered first.
+  void End(bool reset) {
+    SystemError ignored;
+    for (Half* half : {&m_forward, &m_back}) {
+      if (reset) {
+        half->from.set_option(asio::socket_base::linger(true, 0), ignored);
+      }
+      half->from.close(ignored);
+      half->timer.cancel();
+    }
+  }
+
+ private:
+  //! What comes from one side.
+  struct Half {
+    tcp::socket from;
+    asio::steady_timer timer;
+    std::array<char, kPieceBytes> data;
+  };
+
+  [[nodiscard]] bool IsHeld(const Half& half) const {
+    const LinkMode mode = m_proxy.m_mode;
+    const LinkMode cut =
+        &half == &m_forward ? LinkMode::kCutForward : LinkMode::kCutBack;
+    return mode == LinkMode::kSilent || mode == cut;
+  }
+
+  void Read(Half& half, Half& to) {
+    half.from.async_read_some(
+        asio::buffer(half.data),
+        [self = shared_from_this(), &half, &to](const SystemError& error,
+                                                std::size_t bytes) {
+          if (error) {
+            self->End(error != asio::error::eof);
+            return;
+          }
+          const bool slow = self->m_proxy.m_mode == LinkMode::kDelay;
+          self->Hold(half, to, bytes, slow ? kLinkDelay : kLinkDelay.zero());
+        });
+  }
+
+  void Hold(Half& half,
+            Half& to,
+            std::size_t bytes,
+            std::chrono::milliseconds wait) {
+    if (wait.count() == 0 && !IsHeld(half)) {
+      Write(half, to, bytes);
+      return;
+    }
+    half.timer.expires_after(wait.count() == 0 ? kHeldPeriod : wait);
+    half.timer.async_wait([self = shared_from_this(), &half, &to,
+                           bytes](const SystemError& error) {
+      if (!error) {
+        self->Hold(half, to, bytes, kLinkDelay.zero());
+      }
+    });
+  }
+
+  void Write(Half& half, Half& to, std::size_t bytes) {
+    asio::async_write(to.from, asio::buffer(half.data, bytes),
+                      [self = shared_from_this(), &half, &to](
+                          const SystemError& error, std::size_t) {
+                        if (error) {
+                          self->End(true);
+                          return;
+                        }
+                        self->Read(half, to);
+                      });
+  }
+
+  LoopbackProxy& m_proxy;
+  Half m_forward;
+  Half m_back;
+};
+
+}  // namespace internal
+
+LoopbackProxy::LoopbackProxy(asio::io_context& loop)
+    : m_loop(loop),
+      m_acceptor(loop, tcp::endpoint(asio::ip::address_v4::loopback(), 0)),
+      m_port(m_acceptor.local_endpoint().port()) {
+  asio::post(m_loop, [this] { Accept(); });
+}
+
+void LoopbackProxy::SetMode(LinkMode mode) {
+  m_mode = mode;
+  if (mode == LinkMode::kReset) {
+    asio::post(m_loop, [this] { EndAll(); });
+  }
+}
+
+void LoopbackProxy::Accept() {
+  m_acceptor.async_accept([this](const SystemError& error, tcp::socket socket) {
+    if (error) {
+      return;
+    }
+    const auto connection =
+        std::make_shared<internal::ProxiedConnection>(*this, std::move(socket));
+    std::erase_if(m_connections, [](const auto& old) { return old.expired(); });
+    m_connections.push_back(connection);
+    if (m_mode == LinkMode::kReset) {
+      connection->End(true);
+    } else {
+      connection->Start();
+    }
+    Accept();
+  });
+}
+
+void LoopbackProxy::EndAll() {
+  for (const auto& weak : m_connections) {
+    if (const auto connection = weak.lock()) {
+      connection->End(true);
+    }
+  }
+}
+
+}  // namespace jacinthdeck::soak
--- /dev/null
+++ b/soak/main.cc
@@ -0,0 +1,144 @@
+// Plays seeds, one after the other, and says which promises broke.
+#include <unistd.h>
+
+#include <chrono>
+#include <cstdlib>
+#include <filesystem>
+#include <iostream>
+#include <thread>
+
+#include "process/process.h"
+#include "soak/checks.h"
+#include "soak/plan.h"
+#include "soak/stage.h"
+
+namespace jacinthdeck::soak {
+
+namespace {
+
+constexpr int kPromiseBroken = 3;
+constexpr std::chrono::milliseconds kTick{5};
+//! Before the first fault: all entries know what they need.
+constexpr Duration kWarmUp = std::chrono::seconds(2);
+//! After the last: time to recover, and to be seen to serve.
+constexpr Duration kCalm = std::chrono::seconds(8);
+//! Breaches that are printed of one seed.
+constexpr std::size_t kMostPrinted = 10;
+
+struct SoakOptions {
+  PlanOptions plan;
+  StageOptions stage;
+  std::string programs = "build";
+  std::uint64_t seeds = 1;
+  std::uint64_t seconds = 12;
+  bool plan_only = false;
+  bool keep = false;
+};
+
+void Play(Stage& stage, const std::vector<Action>& plan, Duration length) {
+  const TimePoint begin = stage.Now() + kWarmUp;
+  std::size_t next = 0;
+  bool is_calm = false;
+  while (stage.Now() < begin + length + kCalm) {
+    stage.DoDue();
+    if (next < plan.size() && begin + plan[next].at <= stage.Now()) {
+      stage.Do(plan[next]);
+      ++next;
+    } else if (!is_calm && begin + length < stage.Now()) {
+      stage.Calm();
+      is_calm = true;
+    }
+    std::this_thread::sleep_for(kTick);
+  }
+}
+
+//! Whether all promises held.
+[[nodiscard]] bool Report(std::uint64_t seed,
+                          const History& history,
+                          const std::vector<Violation>& found) {
+  std::cout << "seed " << seed << ": " << history.calls.size() << " calls, "
+            << history.runs.size() << " runs, " << history.layouts.size()
+            << " layouts, " << history.leavings.size() << " targets left, "
+            << found.size() << " promises broken" << std::endl;
+  for (std::size_t index = 0; index < found.size() && index < kMostPrinted;
+       ++index) {
+    std::cout << "  " << kPromiseNames.Name(found[index].promise) << ": "
+              << found[index].text << "\n";
+  }
+  return found.empty();
+}
+
+[[nodiscard]] bool PlaySeed(SoakOptions options, std::uint64_t seed) {
+  options.plan.seed = seed;
+  options.plan.length = std::chrono::seconds(options.seconds);
+  options.plan.entries = options.stage.entries;
+  const std::vector<Action> plan = MakePlan(options.plan);
+  if (options.plan_only) {
+    for (const Action& action : plan) {
+      std::cout << Describe(action) << "\n";
+    }
+    return true;
+  }
+  std::string work =
+      (std::filesystem::temp_directory_path() / "soak-XXXXXX").string();
+  if (mkdtemp(work.data()) == nullptr) {
+    throw std::runtime_error("cannot make " + work);
+  }
+  options.stage.seed = seed;
+  options.stage.work = work;
+  options.stage.programs = options.programs;
+  bool kept = false;
+  {
+    Stage stage(options.stage);
+    stage.Start();
+    Play(stage, plan, options.plan.length);
+    const History history = stage.Finish();
+    kept = Report(seed, history, FindViolations(history));
+  }
+  if (kept && !options.keep) {
+    std::filesystem::remove_all(work);
+  } else {
+    std::cout << "  logs: " << work << std::endl;
+  }
+  return kept;
+}
+
+int PlayAll(const SoakOptions& options) {
+  std::uint64_t broken = 0;
+  for (std::uint64_t index = 0; index < options.seeds; ++index) {
+    broken += PlaySeed(options, options.plan.seed + index) ? 0 : 1;
+  }
+  std::cout << options.seeds << " seeds, " << broken << " with broken promises"
+            << std::endl;
+  return broken == 0 ? 0 : kPromiseBroken;
+}
+
+}  // namespace
+
+}  // namespace jacinthdeck::soak
+
+int main(int argc, char** argv) {
+  namespace po = boost::program_options;
+  jacinthdeck::soak::SoakOptions soak;
+  po::options_description options("Soak");
+  options.add_options()(
+      "seed", po::value(&soak.plan.seed)->default_value(soak.plan.seed),
+      "first seed")("seeds", po::value(&soak.seeds)->default_value(soak.seeds),
+                    "seeds to play, one after the other")(
+      "faults", po::value(&soak.plan.faults)->default_value(soak.plan.faults),
+      "faults of a seed")("seconds",
+                          po::value(&soak.seconds)->default_value(soak.seconds),
+                          "time in which faults begin and end")(
+      "entries",
+      po::value(&soak.stage.entries)->default_value(soak.stage.entries),
+      "entry processes")(
+      "callers",
+      po::value(&soak.stage.callers)->default_value(soak.stage.callers),
+      "callers, each with one connection")(
+      "programs", po::value(&soak.programs)->default_value(soak.programs),
+      "build directory")("plan", po::bool_switch(&soak.plan_only),
+                         "print the plan and play nothing")(
+      "keep", po::bool_switch(&soak.keep), "keep the logs of good seeds too");
+  return jacinthdeck::standins::RunProgram(
+      argc, argv, options, [&] { return jacinthdeck::soak::PlayAll(soak); });
+}
--- /dev/null
+++ b/soak/plan.cc
@@ -0,0 +1,112 @@
+// Draws faults that overlap, each with its end.
+#include "soak/plan.h"
+
+#include <algorithm>
+#include <array>
+
+#include "jacinthdeck/core/random.h"
+
+namespace jacinthdeck::soak {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+//! Faults last so long: from a blink to beyond the bounds of the promises.
+constexpr std::uint64_t kShortestMs = 200;
+constexpr std::uint64_t kLongestMs = 4000;
+//! Targets that a plan tells apart.
+constexpr std::size_t kTargets = 64;
+
+//! A fault that is begun, and what ends it; both the same for what ends itself.
+//! What stands twice is drawn twice as often: a target is one of many.
+struct Pair {
+  ActionKind begin;
+  ActionKind end;
+};
+
+constexpr std::array kPairs{
+    Pair{ActionKind::kStopEntry, ActionKind::kContinueEntry},
+    Pair{ActionKind::kKillEntry, ActionKind::kStartEntry},
+    Pair{ActionKind::kDrainEntry, ActionKind::kStartEntry},
+    Pair{ActionKind::kStopTarget, ActionKind::kContinueTarget},
+    Pair{ActionKind::kKillTarget, ActionKind::kKillTarget},
+    Pair{ActionKind::kDrainTarget, ActionKind::kDrainTarget},
+    Pair{ActionKind::kDrainTarget, ActionKind::kDrainTarget},
+    Pair{ActionKind::kLoseAnswers, ActionKind::kAnswerAll},
+    Pair{ActionKind::kLoseAnswers, ActionKind::kAnswerAll},
+    Pair{ActionKind::kReshard, ActionKind::kReshard},
+    Pair{ActionKind::kStoreFault, ActionKind::kStoreWell},
+    Pair{ActionKind::kStoreForgets, ActionKind::kStoreForgets},
+    Pair{ActionKind::kLinkFault, ActionKind::kLinkWell}};
+
+template <typename Enum, std::size_t Size>
+[[nodiscard]] Enum Draw(const NameTable<Enum, Size>& /*names*/,
+                        Random& random,
+                        std::uint64_t first = 0) {
+  return static_cast<Enum>(first + random.Below(Size - first));
+}
+
+//! Half of them to targets: what is lost there is what is told untruly.
+[[nodiscard]] Link DrawLink(Random& random) {
+  constexpr std::uint64_t kChances = 4;
+  const std::uint64_t drawn = random.Below(kChances);
+  return drawn == 0   ? Link::kCallers
+         : drawn == 1 ? Link::kStore
+                      : Link::kTarget;
+}
+
+[[nodiscard]] bool IsOfEntries(const Action& action) {
+  return action.kind == ActionKind::kStopEntry ||
+         action.kind == ActionKind::kKillEntry ||
+         action.kind == ActionKind::kDrainEntry ||
+         (action.kind == ActionKind::kLinkFault &&
+          action.link != Link::kTarget);
+}
+
+}  // namespace
+
+std::vector<Action> MakePlan(const PlanOptions& options) {
+  Random random(options.seed);
+  std::vector<Action> plan;
+  for (std::size_t fault = 0; fault < options.faults; ++fault) {
+    const Pair& pair = kPairs[random.Below(kPairs.size())];
+    Action action;
+    action.kind = pair.begin;
+    action.store = Draw(kStoreFaultNames, random);
+    action.link = DrawLink(random);
+    action.mode = Draw(kLinkModeNames, random, 1);
+    action.subject =
+        random.Below(IsOfEntries(action) ? options.entries : kTargets);
+    const Duration lasts =
+        milliseconds(kShortestMs + random.Below(kLongestMs - kShortestMs));
+    const Duration room = std::max(options.length - lasts, Duration(1));
+    action.at =
+        Duration(random.Below(static_cast<std::uint64_t>(room.count())));
+    plan.push_back(action);
+    if (pair.end != pair.begin) {
+      action.kind = pair.end;
+      action.at += lasts;
+      plan.push_back(action);
+    }
+  }
+  std::ranges::stable_sort(plan, {}, &Action::at);
+  return plan;
+}
+
+std::string Describe(const Action& action) {
+  std::string text = std::to_string(action.at.count() / 1000) + " ms " +
+                     std::string(kActionNames.Name(action.kind)) + " " +
+                     std::to_string(action.subject);
+  if (action.kind == ActionKind::kStoreFault) {
+    text += " " + std::string(kStoreFaultNames.Name(action.store));
+  }
+  if (action.kind == ActionKind::kLinkFault ||
+      action.kind == ActionKind::kLinkWell) {
+    text += " " + std::string(kLinkNames.Name(action.link)) + " " +
+            std::string(kLinkModeNames.Name(action.mode));
+  }
+  return text;
+}
+
+}  // namespace jacinthdeck::soak
--- /dev/null
+++ b/soak/stage.cc
@@ -0,0 +1,522 @@
+// One member function an action.
+#include "soak/stage.h"
+
+#include <jansson.h>
+
+#include <algorithm>
+#include <array>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+#include <chrono>
+#include <csignal>
+#include <fstream>
+#include <ranges>
+#include <stdexcept>
+#include <utility>
+
+#include "jacinthdeck/core/json.h"
+#include "jacinthdeck/http/blocking_client.h"
+#include "jacinthdeck/http/status.h"
+#include "platform/wire_names.h"
+#include "process/process.h"
+
+namespace jacinthdeck::soak {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Duration kStartPatience = seconds(20);
+constexpr Duration kControlTimeout = seconds(5);
+//! As the entries' settings say; the end of a drain may cut what is left.
+constexpr int kGraceMs = 2500;
+//! New targets are up for so long before a configuration names them.
+constexpr Duration kBeforeReshard = milliseconds(1500);
+//! Old targets leave once the configuration is due everywhere.
+constexpr Duration kAfterReshard = milliseconds(3200);
+//! A thawed process first sees to what lapsed while it stood still.
+constexpr Duration kThaw = seconds(1);
+//! The bound on contact, and a little: from then on all must be served.
+constexpr Duration kRecovery = seconds(6);
+//! Callers' patience, so that each call under way has an end.
+constexpr Duration kLastCalls = milliseconds(3200);
+constexpr std::uint32_t kShards = 3;
+constexpr std::uint32_t kReplicas = 2;
+constexpr const char* kSingle = "single";
+//! Messages to the store's control port in the order of StoreFault.
+constexpr std::array kStoreMessages{
+    R"({"outage":"busy"})", R"({"outage":"drop"})", R"({"outage":"silent"})",
+    R"({"delay_ms":800})", R"({"lose_reply_share":0.5})"};
+constexpr const char* kStoreWell =
+    R"({"outage":"none","delay_ms":0,"lose_reply_share":0})";
+
+[[nodiscard]] std::string ServiceName(std::uint32_t layout,
+                                      std::uint32_t shard) {
+  return "shard-" + std::to_string(layout) + "-" + std::to_string(shard);
+}
+
+[[nodiscard]] std::string SingleName(std::uint32_t layout) {
+  return std::string(kSingle) + "-" + std::to_string(layout);
+}
+
+[[nodiscard]] json_t* RouteJson(const char* name,
+                                const char* type,
+                                const std::string& service) {
+  const std::string prefix = "/" + std::string(name) + "/";
+  json_t* route = json_pack(
+      "{s:s, s:s, s:s, s:s, s:i, s:i, s:i, s:i}", "name", name, "host",
+      "127.0.0.1", "prefix", prefix.c_str(), "routeType", type, "timeoutMs",
+      1200, "targetLatencyMs", 150, "maxAttempts", 3, "priority", 1);
+  if (!service.empty()) {
+    json_object_set_new(route, "service", json_string(service.c_str()));
+  }
+  return route;
+}
+
+[[nodiscard]] json_t* ServiceJson(const std::string& name) {
+  return json_pack("{s:s, s:i}", "name", name.c_str(), "maxConnections", 64);
+}
+
+//! The configuration that names one layout and no other.
+[[nodiscard]] std::string ConfigText(std::uint32_t layout) {
+  json_t* query = RouteJson("query", "idempotent", "");
+  json_t* shards = json_array();
+  json_t* services = json_array();
+  for (std::uint32_t shard = 0; shard < kShards; ++shard) {
+    const std::string name = ServiceName(layout, shard);
+    json_array_append_new(shards, json_string(name.c_str()));
+    json_array_append_new(services, ServiceJson(name));
+  }
+  json_object_set_new(query, "fanout", shards);
+  json_object_set_new(query, "topK", json_integer(json_int_t{kShards} * 2));
+  json_object_set_new(query, "minPartShare", json_real(0.3));
+  const std::string single = SingleName(layout);
+  json_array_append_new(services, ServiceJson(single));
+  const JsonPtr config(json_pack(
+      "{s:i, s:[o, o, o], s:o}", "version", static_cast<int>(layout), "routes",
+      RouteJson("claim", "non_idempotent", single),
+      RouteJson("lookup", "idempotent", single), query, "services", services));
+  return DumpJson(*config);
+}
+
+[[nodiscard]] std::vector<std::size_t> LivesOf(const auto& entries) {
+  std::vector<std::size_t> lives;
+  lives.reserve(entries.size());
+  for (const auto& entry : entries) {
+    lives.push_back(entry.life);
+  }
+  return lives;
+}
+
+[[nodiscard]] std::string Cause(const char* what, std::size_t life) {
+  return std::string(what) + " " + std::to_string(life);
+}
+
+}  // namespace
+
+Stage::Stage(StageOptions options)
+    : m_options(std::move(options)),
+      m_callers(m_loop, m_options.callers, m_options.seed),
+      m_loop_thread([this] {
+        const auto guard = asio::make_work_guard(m_loop);
+        m_loop.run();
+      }) {}
+
+Stage::~Stage() {
+  m_loop.stop();
+}
+
+std::string Stage::PathOf(const std::string& program) const {
+  return (m_options.programs / program).string();
+}
+
+std::string Stage::FileOf(const std::string& name) const {
+  return (m_options.work / name).string();
+}
+
+void Stage::Start() {
+  StartStore();
+  StartLayout();
+  WriteConfig();
+  for (std::size_t index = 0; index < m_options.entries; ++index) {
+    m_entries.push_back(
+        {"entry-" + std::to_string(index), 0, nullptr, nullptr, nullptr});
+  }
+  for (Entry& entry : m_entries) {
+    StartEntry(entry);
+  }
+}
+
+void Stage::Do(const Action& action) {
+  //! In the order of ActionKind.
+  static constexpr std::array<Step, kActionNames.names.size()> kSteps{
+      &Stage::StopEntry,      &Stage::ContinueEntry, &Stage::KillEntry,
+      &Stage::DrainEntry,     &Stage::RestartEntry,  &Stage::StopTarget,
+      &Stage::ContinueTarget, &Stage::KillTarget,    &Stage::DrainTarget,
+      &Stage::LoseAnswers,    &Stage::AnswerAll,     &Stage::Reshard,
+      &Stage::HarmStore,      &Stage::ForgetInStore, &Stage::HealStore,
+      &Stage::HarmLink,       &Stage::HealLink};
+  const Step step = kSteps[static_cast<std::size_t>(action.kind)];
+  (this->*step)(action);
+}
+
+void Stage::Later(Duration after, std::function<void()> step) {
+  m_later.emplace(Now() + after, std::move(step));
+}
+
+void Stage::DoDue() {
+  while (!m_later.empty() && m_later.begin()->first <= Now()) {
+    const auto due = m_later.extract(m_later.begin());
+    due.mapped()();
+  }
+}
+
+void Stage::Begin(const std::string& cause,
+                  const std::vector<std::size_t>& lives,
+                  Harm harm,
+                  Duration after) {
+  for (const std::size_t life : lives) {
+    m_open[cause].push_back(m_troubles.size());
+    m_troubles.push_back({life, harm, Now() + after});
+  }
+}
+
+void Stage::End(const std::string& cause, Duration after) {
+  for (const std::size_t index : m_open[cause]) {
+    m_troubles[index].to = Now() + after;
+  }
+  m_open.erase(cause);
+}
+
+// ---- Entries
+
+Stage::Entry& Stage::EntryOf(const Action& action) {
+  return m_entries[action.subject % m_entries.size()];
+}
+
+void Stage::StopEntry(const Action& action) {
+  const Entry& entry = EntryOf(action);
+  entry.child->Signal(SIGSTOP);
+  const std::string cause = Cause("stopped", entry.life);
+  Begin(cause, {entry.life}, Harm::kKnowledge);
+  Begin(cause, {entry.life}, Harm::kConnections);
+}
+
+void Stage::ContinueEntry(const Action& action) {
+  const Entry& entry = EntryOf(action);
+  entry.child->Signal(SIGCONT);
+  End(Cause("stopped", entry.life), kThaw);
+}
+
+void Stage::KillEntry(const Action& action) {
+  const Entry& entry = EntryOf(action);
+  entry.child->Signal(SIGKILL);
+  Begin(Cause("killed", entry.life), {entry.life}, Harm::kConnections);
+  asio::post(m_loop, [this, life = entry.life] { m_callers.Remove(life); });
+}
+
+void Stage::DrainEntry(const Action& action) {
+  const Entry& entry = EntryOf(action);
+  entry.child->Signal(SIGTERM);
+  Begin(Cause("killed", entry.life), {entry.life}, Harm::kConnections,
+        milliseconds(kGraceMs));
+  asio::post(m_loop, [this, life = entry.life] { m_callers.Remove(life); });
+}
+
+void Stage::RestartEntry(const Action& action) {
+  Entry& entry = EntryOf(action);
+  if (entry.child->IsRunning() &&
+      !m_open.contains(Cause("killed", entry.life))) {
+    return;
+  }
+  if (entry.child->IsRunning()) {
+    // It still drains: its name is taken until it has gone.
+    Later(milliseconds(200), [this, action] { RestartEntry(action); });
+    return;
+  }
+  StartEntry(entry);
+}
+
+void Stage::StartEntry(Entry& entry) {
+  entry.life = m_lives++;
+  Retire(std::move(entry.store));
+  Retire(std::move(entry.callers));
+  entry.store = std::make_unique<LoopbackProxy>(m_loop);
+  entry.store->SetUpstream(m_store_port);
+  entry.callers = std::make_unique<LoopbackProxy>(m_loop);
+  const std::string settings = FileOf(entry.name + ".toml");
+  standins::WriteFile(
+      settings,
+      "[host]\nname = \"" + entry.name +
+          "\"\nfailure_domain = \"a\"\n"
+          "[listen]\ncallers = \"127.0.0.1:0\"\nmetrics = \"127.0.0.1:0\"\n"
+          "peers = \"127.0.0.1:0\"\n[store]\naddress = \"127.0.0.1:" +
+          std::to_string(entry.store->port()) + "\"\n[shutdown]\ngrace_ms = " +
+          std::to_string(kGraceMs) + "\n[log]\nsample = 1\n");
+  const std::string output =
+      FileOf(entry.name + "." + std::to_string(entry.life) + ".log");
+  entry.child = std::make_unique<Child>(
+      std::vector<std::string>{PathOf("platform/jacinthdeckd"), "--config",
+                               settings},
+      output);
+  const std::string port =
+      entry.child->WaitFor(R"("callers_port":(\d+))", kStartPatience);
+  entry.callers->SetUpstream(static_cast<std::uint16_t>(std::stoi(port)));
+  const std::string started = Cause("started", entry.life);
+  Begin(started, {entry.life}, Harm::kKnowledge);
+  End(started);
+  if (m_open.contains("store")) {
+    Begin("store", {entry.life}, Harm::kKnowledge);
+  }
+  asio::post(m_loop, [this, life = entry.life, proxy = entry.callers->port()] {
+    m_callers.Add(life, proxy);
+  });
+}
+
+void Stage::Retire(std::unique_ptr<LoopbackProxy> proxy) {
+  if (proxy) {
+    m_retired.push_back(std::move(proxy));
+  }
+}
+
+// ---- Targets
+
+Stage::Target& Stage::TargetOf(const Action& action) {
+  // Half of the requests go to the targets of one service, and so do half of
+  // the faults.
+  Target& any = *m_targets[action.subject / 2 % m_targets.size()];
+  if (action.subject % 2 == 0) {
+    return any;
+  }
+  const auto of_singles = std::ranges::find_if(
+      m_targets | std::views::reverse, [&](const auto& it) {
+        return it->service == SingleName(m_layout) && !it->leaving;
+      });
+  return of_singles == m_targets.rend() ? any : **of_singles;
+}
+
+void Stage::StartTarget(const std::string& service, std::uint32_t shard) {
+  auto target = std::make_unique<Target>();
+  target->id = "t-" + std::to_string(m_target_lives++);
+  target->service = service;
+  target->shard = shard;
+  target->proxy = std::make_unique<LoopbackProxy>(m_loop);
+  target->child = std::make_unique<Child>(
+      std::vector<std::string>{
+          PathOf("soak/soak_target"), "--id", target->id, "--service", service,
+          "--store", std::to_string(m_store_port), "--advertised",
+          std::to_string(target->proxy->port()), "--log", FileOf("runs.log"),
+          "--layout", std::to_string(m_layout), "--shard",
+          std::to_string(shard)},
+      FileOf(target->id + ".log"));
+  const std::string port =
+      target->child->WaitFor(R"(listening 127\.0\.0\.1:(\d+))", kStartPatience);
+  target->proxy->SetUpstream(static_cast<std::uint16_t>(std::stoi(port)));
+  m_targets.push_back(std::move(target));
+}
+
+void Stage::StartLayout() {
+  ++m_layout;
+  for (std::uint32_t replica = 0; replica < kReplicas; ++replica) {
+    for (std::uint32_t shard = 0; shard < kShards; ++shard) {
+      StartTarget(ServiceName(m_layout, shard), shard);
+    }
+    StartTarget(SingleName(m_layout), 0);
+  }
+}
+
+void Stage::StopTarget(const Action& action) {
+  TargetOf(action).child->Signal(SIGSTOP);
+}
+
+void Stage::ContinueTarget(const Action& /*action*/) {
+  // Subjects shift as targets come, so all go on.
+  for (const auto& target : m_targets) {
+    target->child->Signal(SIGCONT);
+  }
+}
+
+void Stage::KillTarget(const Action& action) {
+  Target& target = TargetOf(action);
+  target.child->Signal(SIGKILL);
+  if (!std::exchange(target.leaving, true) && !m_is_resharding) {
+    StartTarget(target.service, target.shard);
+  }
+}
+
+void Stage::DrainTarget(const Action& action) {
+  Target& target = TargetOf(action);
+  if (!std::exchange(target.leaving, true) && !m_is_resharding) {
+    target.child->Signal(SIGTERM);
+    StartTarget(target.service, target.shard);
+  }
+}
+
+void Stage::LoseAnswers(const Action& action) {
+  TargetOf(action).child->Signal(SIGUSR1);
+}
+
+void Stage::AnswerAll(const Action& /*action*/) {
+  for (const auto& target : m_targets) {
+    target->child->Signal(SIGUSR2);
+  }
+}
+
+// ---- Configuration
+
+void Stage::Reshard(const Action& /*action*/) {
+  if (std::exchange(m_is_resharding, true)) {
+    return;
+  }
+  StartLayout();
+  Later(kBeforeReshard, [this] {
+    WriteConfig();
+    Later(kAfterReshard, [this] { DrainOldTargets(); });
+  });
+}
+
+void Stage::DrainOldTargets() {
+  const std::string current = "-" + std::to_string(m_layout);
+  for (const auto& target : m_targets) {
+    const bool is_current =
+        target->service == SingleName(m_layout) ||
+        target->service.starts_with("shard" + current + "-");
+    if (!is_current && !std::exchange(target->leaving, true)) {
+      target->child->Signal(SIGTERM);
+    }
+  }
+  m_is_resharding = false;
+}
+
+void Stage::WriteConfig() {
+  const std::string key(platform::wire::kConfigKey);
+  const std::string config = ConfigText(m_layout);
+  const JsonPtr message(json_pack("{s:[{s:s, s:s}]}", "put", "key", key.c_str(),
+                                  "value", config.c_str()));
+  if (!ControlStore(DumpJson(*message))) {
+    throw std::runtime_error("the store took no configuration");
+  }
+  m_layouts.push_back({m_layout, Now()});
+}
+
+// ---- Store and links
+
+void Stage::StartStore() {
+  m_store = std::make_unique<Child>(
+      std::vector<std::string>{PathOf("standins/standin_store")},
+      FileOf("store.log"));
+  const std::string port =
+      m_store->WaitFor(R"(listening 127\.0\.0\.1:(\d+))", kStartPatience);
+  m_store_port = static_cast<std::uint16_t>(std::stoi(port));
+}
+
+bool Stage::ControlStore(const std::string& message) {
+  const ClientReply reply =
+      CallAndWait({"127.0.0.1", m_store_port}, {"POST", "/control", message},
+                  kControlTimeout);
+  return reply.status == http_status::kOk;
+}
+
+void Stage::HarmStore(const Action& action) {
+  if (!m_open.contains("store")) {
+    Begin("store", LivesOf(m_entries), Harm::kKnowledge);
+  }
+  const auto fault = static_cast<std::size_t>(action.store);
+  if (!ControlStore(kStoreMessages[fault])) {
+    throw std::runtime_error("the store took no fault");
+  }
+}
+
+void Stage::ForgetInStore(const Action& /*action*/) {
+  if (!ControlStore(R"({"compact":true})")) {
+    throw std::runtime_error("the store took no fault");
+  }
+}
+
+void Stage::HealStore(const Action& /*action*/) {
+  if (!ControlStore(kStoreWell)) {
+    throw std::runtime_error("the store does not heal");
+  }
+  End("store");
+}
+
+LoopbackProxy& Stage::LinkOf(const Action& action) {
+  if (action.link == Link::kTarget) {
+    return *TargetOf(action).proxy;
+  }
+  Entry& entry = EntryOf(action);
+  return action.link == Link::kStore ? *entry.store : *entry.callers;
+}
+
+void Stage::HarmLink(const Action& action) {
+  const std::size_t life = EntryOf(action).life;
+  if (action.link == Link::kStore) {
+    Begin(Cause("store link", life), {life}, Harm::kKnowledge);
+  } else if (action.link == Link::kCallers) {
+    Begin(Cause("callers link", life), {life}, Harm::kConnections);
+  }
+  LinkOf(action).SetMode(action.mode);
+}
+
+void Stage::HealLink(const Action& action) {
+  if (action.link == Link::kTarget) {
+    for (const auto& target : m_targets) {
+      target->proxy->SetMode(LinkMode::kPass);
+    }
+    return;
+  }
+  LinkOf(action).SetMode(LinkMode::kPass);
+  const std::size_t life = EntryOf(action).life;
+  End(Cause(action.link == Link::kStore ? "store link" : "callers link", life),
+      action.link == Link::kStore ? Duration::zero() : kThaw);
+}
+
+// ---- The end
+
+void Stage::Calm() {
+  HealStore({});
+  HealLink({{}, ActionKind::kLinkWell, 0, {}, Link::kTarget});
+  ContinueTarget({});
+  AnswerAll({});
+  for (std::size_t index = 0; index < m_entries.size(); ++index) {
+    const Action of_entry{{}, ActionKind::kStartEntry, index};
+    ContinueEntry(of_entry);
+    for (const Link link : {Link::kCallers, Link::kStore}) {
+      HealLink({{}, ActionKind::kLinkWell, index, {}, link});
+    }
+    RestartEntry(of_entry);
+  }
+  m_calm_since = Now() + kRecovery;
+}
+
+History Stage::Finish() {
+  asio::post(m_loop, [this] { m_callers.Stop(); });
+  std::this_thread::sleep_for(kLastCalls);
+  m_loop.stop();
+  m_loop_thread.join();
+  History history;
+  history.calls = m_callers.calls();
+  history.layouts = m_layouts;
+  history.troubles = m_troubles;
+  history.calm_since = m_calm_since;
+  ReadLog(history);
+  return history;
+}
+
+void Stage::ReadLog(History& history) const {
+  std::ifstream file(FileOf("runs.log"));
+  std::string event;
+  std::string target;
+  std::string request;
+  Duration::rep at = 0;
+  while (file >> event >> target >> request >> at) {
+    if (event == "run") {
+      history.runs.push_back({request, target, TimePoint(Duration(at))});
+    } else {
+      history.leavings.push_back({target, TimePoint(Duration(at))});
+    }
+  }
+}
+
+}  // namespace jacinthdeck::soak
--- /dev/null
+++ b/soak/stage.h
@@ -0,0 +1,148 @@
+// The processes of one run and what is done to them.
+#ifndef SOAK_STAGE_H_
+#define SOAK_STAGE_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <filesystem>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "jacinthdeck/core/steady_clock.h"
+#include "jacinthdeck/http/asio.h"
+#include "soak/callers.h"
+#include "soak/child.h"
+#include "soak/history.h"
+#include "soak/loopback_proxy.h"
+#include "soak/plan.h"
+
+namespace jacinthdeck::soak {
+
+/*! \brief Where the programs are, and how many of them run. */
+struct StageOptions {
+  //! Build directory.
+  std::filesystem::path programs;
+  //! For settings and logs; made by the caller.
+  std::filesystem::path work;
+  std::uint64_t seed = 1;
+  std::size_t entries = 4;
+  std::size_t callers = 12;
+};
+
+/**
+ * \brief A store, targets, entries and callers, on loopback, with a proxy on
+ * every link that can be harmed.
+ *
+ * Runs on the main thread, beside the loop of the proxies and callers. What was
+ * harmed and when is noted, so that no entry is blamed for it.
+ */
+class Stage {
+ public:
+  explicit Stage(StageOptions options);
+  ~Stage();
+  Stage(const Stage&) = delete;
+  Stage& operator=(const Stage&) = delete;
+
+  /*! \brief Starts everything; throws std::runtime_error if a process fails. */
+  void Start();
+  /*! \brief Does one step of a plan now. */
+  void Do(const Action& action);
+  /*! \brief Does what has been put off until now. */
+  void DoDue();
+  /*! \brief Ends all faults, and starts again what is gone. */
+  void Calm();
+  /*! \brief Ends the callers and gives what was seen. */
+  [[nodiscard]] History Finish();
+
+  [[nodiscard]] TimePoint Now() const { return m_clock.Now(); }
+
+ private:
+  struct Target {
+    std::string id;
+    std::string service;
+    std::uint32_t shard = 0;
+    std::unique_ptr<LoopbackProxy> proxy;
+    std::unique_ptr<Child> child;
+    bool leaving = false;
+  };
+  struct Entry {
+    std::string name;
+    //! Number of this life, in the order of starts.
+    std::size_t life = 0;
+    std::unique_ptr<LoopbackProxy> store;
+    std::unique_ptr<LoopbackProxy> callers;
+    std::unique_ptr<Child> child;
+  };
+  using Step = void (Stage::*)(const Action&);
+
+  void StopEntry(const Action& action);
+  void ContinueEntry(const Action& action);
+  void KillEntry(const Action& action);
+  void DrainEntry(const Action& action);
+  void RestartEntry(const Action& action);
+  void StopTarget(const Action& action);
+  void ContinueTarget(const Action& action);
+  void KillTarget(const Action& action);
+  void DrainTarget(const Action& action);
+  void LoseAnswers(const Action& action);
+  void AnswerAll(const Action& action);
+  void Reshard(const Action& action);
+  void HarmStore(const Action& action);
+  void ForgetInStore(const Action& action);
+  void HealStore(const Action& action);
+  void HarmLink(const Action& action);
+  void HealLink(const Action& action);
+
+  void StartStore();
+  void StartEntry(Entry& entry);
+  //! The loop may still be in it, so it stays until the end.
+  void Retire(std::unique_ptr<LoopbackProxy> proxy);
+  void StartTarget(const std::string& service, std::uint32_t shard);
+  void StartLayout();
+  void DrainOldTargets();
+  void WriteConfig();
+  [[nodiscard]] bool ControlStore(const std::string& message);
+  [[nodiscard]] Entry& EntryOf(const Action& action);
+  [[nodiscard]] Target& TargetOf(const Action& action);
+  [[nodiscard]] LoopbackProxy& LinkOf(const Action& action);
+  void Later(Duration after, std::function<void()> step);
+  //! A cause harms lives from now on; one that is open already is left so.
+  void Begin(const std::string& cause,
+             const std::vector<std::size_t>& lives,
+             Harm harm,
+             Duration after = {});
+  void End(const std::string& cause, Duration after = {});
+  void ReadLog(History& history) const;
+  [[nodiscard]] std::string PathOf(const std::string& program) const;
+  [[nodiscard]] std::string FileOf(const std::string& name) const;
+
+  StageOptions m_options;
+  SteadyClock m_clock;
+  asio::io_context m_loop;
+  std::unique_ptr<Child> m_store;
+  std::uint16_t m_store_port = 0;
+  std::vector<Entry> m_entries;
+  std::vector<std::unique_ptr<Target>> m_targets;
+  std::vector<std::unique_ptr<LoopbackProxy>> m_retired;
+  std::size_t m_lives = 0;
+  std::size_t m_target_lives = 0;
+  std::uint32_t m_layout = 0;
+  bool m_is_resharding = false;
+  std::multimap<TimePoint, std::function<void()>> m_later;
+  std::vector<Trouble> m_troubles;
+  //! Indices into m_troubles of the causes that still last.
+  std::map<std::string, std::vector<std::size_t>> m_open;
+  std::vector<LayoutChange> m_layouts;
+  TimePoint m_calm_since = TimePoint::max();
+  Callers m_callers;
+  //! Last: it uses the members above.
+  std::jthread m_loop_thread;
+};
+
+}  // namespace jacinthdeck::soak
+
+#endif  // SOAK_STAGE_H_
--- /dev/null
+++ b/soak/target_main.cc
@@ -0,0 +1,198 @@
+// A target of the soak: answers any request with one record, and writes down
+// each run before it begins, so that a kill loses none.
+#include <fcntl.h>
+#include <jansson.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <csignal>
+#include <iostream>
+#include <stdexcept>
+#include <stop_token>
+#include <thread>
+
+#include "http/http_server.h"
+#include "jacinthdeck/core/endpoint.h"
+#include "jacinthdeck/core/json.h"
+#include "jacinthdeck/core/steady_clock.h"
+#include "jacinthdeck/http/blocking_client.h"
+#include "jacinthdeck/http/status.h"
+#include "platform/wire_names.h"
+#include "process/process.h"
+#include "soak/record.h"
+
+namespace jacinthdeck::soak {
+
+namespace {
+
+namespace wire = platform::wire;
+using std::chrono::milliseconds;
+
+constexpr milliseconds kBeatPeriod{1000};
+//! Three beats of silence.
+constexpr int kLifeMs = 3600;
+//! A leaving target serves on for twice the bound in which all must know, so
+//! that a request which comes too late is seen.
+constexpr milliseconds kDrain{6000};
+//! Requests take up to this long, each its own time.
+constexpr std::uint64_t kMostWorkMs = 60;
+constexpr Duration kStoreTimeout = std::chrono::seconds(2);
+constexpr int kSlots = 8;
+//! One in so many answers is lost, while answers are.
+constexpr std::uint64_t kLostOneIn = 3;
+
+//! Set by signals from outside.
+volatile std::sig_atomic_t loses_answers = 0;
+
+struct TargetOptions {
+  std::string id;
+  std::string service;
+  //! Ports on loopback: of the store, and that which entries are told.
+  std::uint16_t store = 0;
+  std::uint16_t advertised = 0;
+  std::string log;
+  std::uint32_t layout = 0;
+  std::uint32_t shard = 0;
+};
+
+class Target {
+ public:
+  explicit Target(TargetOptions options)
+      : m_options(std::move(options)),
+        m_log(open(m_options.log.c_str(), O_CREAT | O_WRONLY | O_APPEND, 0644)),
+        m_server({}, [this](const standins::HttpRequest& request) {
+          return Handle(request);
+        }) {
+    if (m_log < 0) {
+      throw std::runtime_error("cannot write " + m_options.log);
+    }
+  }
+
+  [[nodiscard]] std::uint16_t port() const { return m_server.port(); }
+
+  //! Tells the store again and again, from a thread of its own.
+  void Beat(const std::stop_token& stop) {
+    while (!stop.stop_requested()) {
+      if (Register() && m_leaving && !m_told) {
+        Write("leaving", "-");
+        m_told = true;
+      }
+      std::this_thread::sleep_for(kBeatPeriod / 10);
+    }
+  }
+
+  void Leave() { m_leaving = true; }
+  [[nodiscard]] bool has_told() const { return m_told; }
+
+ private:
+  //! One line with one call: lines of a killed process are whole.
+  void Write(const char* event, const std::string& request) {
+    const std::string line =
+        std::string(event) + " " + m_options.id + " " + request + " " +
+        std::to_string(m_clock.Now().time_since_epoch().count()) + "\n";
+    if (write(m_log, line.data(), line.size()) < 0) {
+      std::cerr << "cannot log " << line;
+    }
+  }
+
+  [[nodiscard]] standins::HttpReply NotRun(int status) const {
+    return {static_cast<unsigned int>(status),
+            "not run",
+            false,
+            {{std::string(wire::kNotExecuted), "1"}}};
+  }
+
+  standins::HttpReply Handle(const standins::HttpRequest& request) {
+    const auto id = request.headers.find("x-jacinthdeck-request-id");
+    const auto expected = request.headers.find("x-jacinthdeck-expect-instance");
+    if (id == request.headers.end()) {
+      return NotRun(http_status::kBadRequest);
+    }
+    if (expected != request.headers.end() && expected->second != m_options.id) {
+      return NotRun(http_status::kMisdirected);
+    }
+    Write("run", id->second);
+    std::this_thread::sleep_for(milliseconds(HashOf(id->second) % kMostWorkMs));
+    if (loses_answers != 0 && HashOf(id->second) % kLostOneIn == 0) {
+      return standins::DropConnection();
+    }
+    const Record record{m_options.layout, m_options.shard, HashOf(id->second)};
+    return {
+        static_cast<unsigned int>(http_status::kOk),
+        Encode(record),
+        false,
+        {{std::string(wire::kRequestId), id->second},
+         {std::string(wire::kServerStamp), m_options.id + "." + id->second}}};
+  }
+
+  [[nodiscard]] bool Register() {
+    const auto now = m_clock.Now();
+    if (!m_leaving && now < m_next_beat) {
+      return false;
+    }
+    m_next_beat = now + kBeatPeriod;
+    const std::string address =
+        "127.0.0.1:" + std::to_string(m_options.advertised);
+    const JsonPtr entry(
+        json_pack("{s:s, s:s, s:s, s:s, s:i, s:s, s:i, s:I}", "service",
+                  m_options.service.c_str(), "address", address.c_str(), "zone",
+                  "a", "version", "v1", "slots", kSlots, "state",
+                  m_leaving ? "draining" : "ready", "coldRemainingMs", 0, "seq",
+                  static_cast<json_int_t>(++m_beats)));
+    const std::string key = std::string(wire::kTargetKeys) + m_options.id;
+    const JsonPtr message(
+        json_pack("{s:[{s:s, s:s, s:i}]}", "put", "key", key.c_str(), "value",
+                  DumpJson(*entry).c_str(), "ttl_ms", kLifeMs));
+    const ClientReply reply =
+        CallAndWait({"127.0.0.1", m_options.store},
+                    {"POST", "/control", DumpJson(*message)}, kStoreTimeout);
+    return reply.status == http_status::kOk;
+  }
+
+  TargetOptions m_options;
+  SteadyClock m_clock;
+  const int m_log;
+  TimePoint m_next_beat;
+  std::uint64_t m_beats = 0;
+  std::atomic<bool> m_leaving = false;
+  std::atomic<bool> m_told = false;
+  //! Last: it calls the members above from its first moment on.
+  standins::HttpServer m_server;
+};
+
+int Serve(const TargetOptions& options) {
+  (void)std::signal(SIGUSR1, [](int) { loses_answers = 1; });
+  (void)std::signal(SIGUSR2, [](int) { loses_answers = 0; });
+  Target target(options);
+  std::jthread beats(
+      [&target](const std::stop_token& stop) { target.Beat(stop); });
+  standins::ServeUntilSignal(target.port());
+  target.Leave();
+  while (!target.has_told()) {
+    std::this_thread::sleep_for(kBeatPeriod / 10);
+  }
+  std::this_thread::sleep_for(kDrain);
+  return 0;
+}
+
+}  // namespace
+
+}  // namespace jacinthdeck::soak
+
+int main(int argc, char** argv) {
+  namespace po = boost::program_options;
+  jacinthdeck::soak::TargetOptions target;
+  po::options_description options("Target");
+  options.add_options()("id", po::value(&target.id)->required(),
+                        "id of this life")(
+      "service", po::value(&target.service)->required(), "its service")(
+      "store", po::value(&target.store)->required(), "port of the store")(
+      "advertised", po::value(&target.advertised)->required(),
+      "port that entries are told")("log", po::value(&target.log)->required(),
+                                    "file that takes its runs")(
+      "layout", po::value(&target.layout), "layout that its records name")(
+      "shard", po::value(&target.shard), "shard that its records name");
+  return jacinthdeck::standins::RunServer(
+      argc, argv, options,
+      [&](std::uint16_t) { return jacinthdeck::soak::Serve(target); });
+}
--- a/standins/http/http_message.h
+++ b/standins/http/http_message.h
@@ -39,6 +39,8 @@
   std::string body;
   //! Close the connection without a reply.
   bool drop = false;
+  //! Beside those of the body.
+  std::map<std::string, std::string> headers = {};
 };
 
 /*! \brief A new JSON value that its container takes over. */
--- a/standins/http/http_server.cc
+++ b/standins/http/http_server.cc
@@ -104,6 +104,9 @@
       self.connections.Close(client);
       return U_CALLBACK_COMPLETE;
     }
+    for (const auto& [name, value] : reply.headers) {
+      ulfius_add_header_to_response(response, name.c_str(), value.c_str());
+    }
     if (reply.body.empty()) {
       ulfius_set_empty_body_response(response, reply.status);
       return U_CALLBACK_COMPLETE;
--- /dev/null
+++ b/test/soak/checks_test.cc
@@ -0,0 +1,183 @@
+// Tests of the soak's checks: a planted breach of each promise must be seen.
+#include "soak/checks.h"
+
+#include <boost/test/unit_test.hpp>
+#include <chrono>
+#include <string>
+#include <vector>
+
+#include "jacinthdeck/http/status.h"
+
+namespace jacinthdeck::soak {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::size_t kEntry = 3;
+
+[[nodiscard]] TimePoint At(Duration since_start) {
+  return TimePoint(seconds(100)) + since_start;
+}
+
+struct HistoryFixture {
+  History history;
+
+  //! A query of layout 1 that was answered whole, 20 ms after it was sent.
+  Call& AddCall(const std::string& id, Duration sent, std::uint32_t layout) {
+    Call call;
+    call.id = id;
+    call.kind = CallKind::kQuery;
+    call.entry = kEntry;
+    call.sent = At(sent);
+    call.ended = At(sent + milliseconds(20));
+    call.status = http_status::kOk;
+    call.records = {{layout, 0, HashOf(id)}, {layout, 1, HashOf(id)}};
+    history.calls.push_back(call);
+    return history.calls.back();
+  }
+
+  void AddRun(const std::string& id, const std::string& target, Duration at) {
+    history.runs.push_back({id, target, At(at)});
+  }
+
+  [[nodiscard]] bool IsBroken(Promise promise) const {
+    const std::vector<Violation> found = FindViolations(history);
+    return found.size() == 1 && found.front().promise == promise;
+  }
+
+  [[nodiscard]] bool IsKept() const { return FindViolations(history).empty(); }
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(ChecksTest, HistoryFixture)
+
+BOOST_AUTO_TEST_CASE(Claim_RanTwice_IsSeen) {
+  AddCall("a", seconds(1), 1).kind = CallKind::kClaim;
+  AddRun("a", "t1", seconds(1));
+  BOOST_TEST(IsKept());
+  AddRun("a", "t2", seconds(1));
+  BOOST_TEST(IsBroken(Promise::kRunsOnce));
+}
+
+BOOST_AUTO_TEST_CASE(Lookup_RanTwice_IsAllowed) {
+  AddCall("a", seconds(1), 1).kind = CallKind::kLookup;
+  AddRun("a", "t1", seconds(1));
+  AddRun("a", "t2", seconds(1));
+  BOOST_TEST(IsKept());
+}
+
+BOOST_AUTO_TEST_CASE(Claim_ToldNotRunAndRanLater_IsSeen) {
+  Call& call = AddCall("a", seconds(1), 1);
+  call.kind = CallKind::kClaim;
+  call.status = http_status::kUnavailable;
+  call.records.clear();
+  BOOST_TEST(IsKept());
+  AddRun("a", "t1", seconds(5));
+  BOOST_TEST(IsBroken(Promise::kNotRunIsTrue));
+}
+
+BOOST_AUTO_TEST_CASE(Run_NobodyAskedForIt_IsSeen) {
+  AddRun("a", "t1", seconds(1));
+  BOOST_TEST(IsBroken(Promise::kOnlyAskedRuns));
+}
+
+BOOST_AUTO_TEST_CASE(Answer_HoldsTwoLayouts_IsSeen) {
+  AddCall("a", seconds(1), 1).records[1].layout = 2;
+  BOOST_TEST(IsBroken(Promise::kOneLayout));
+}
+
+BOOST_AUTO_TEST_CASE(Answer_HoldsAShardTwice_IsSeen) {
+  AddCall("a", seconds(1), 1).records[1].shard = 0;
+  BOOST_TEST(IsBroken(Promise::kOneLayout));
+}
+
+BOOST_AUTO_TEST_CASE(Answer_HoldsAnotherRequestsRecord_IsSeen) {
+  AddCall("a", seconds(1), 1).records[1].request = HashOf("b");
+  BOOST_TEST(IsBroken(Promise::kOneLayout));
+}
+
+BOOST_AUTO_TEST_CASE(Answer_IsEmptySuccess_IsSeen) {
+  AddCall("a", seconds(1), 1).records.clear();
+  BOOST_TEST(IsBroken(Promise::kOneLayout));
+}
+
+BOOST_AUTO_TEST_CASE(OldLayout_WithinTheBound_IsAllowed) {
+  history.layouts = {{1, At({})}, {2, At(seconds(10))}};
+  AddCall("a", milliseconds(12900), 1);
+  BOOST_TEST(IsKept());
+}
+
+BOOST_AUTO_TEST_CASE(OldLayout_AfterTheBound_IsSeen) {
+  history.layouts = {{1, At({})}, {2, At(seconds(10))}};
+  AddCall("a", milliseconds(13100), 1);
+  BOOST_TEST(IsBroken(Promise::kConfigInTime));
+}
+
+BOOST_AUTO_TEST_CASE(OldLayout_AtAnEntryThatWasHarmed_IsAllowedUntilContact) {
+  history.layouts = {{1, At({})}, {2, At(seconds(10))}};
+  history.troubles = {
+      {kEntry, Harm::kKnowledge, At(seconds(9)), At(seconds(12))}};
+  AddCall("a", milliseconds(15900), 1);
+  BOOST_TEST(IsKept());
+  AddCall("b", milliseconds(16100), 1);
+  BOOST_TEST(IsBroken(Promise::kConfigInTime));
+}
+
+BOOST_AUTO_TEST_CASE(Layout_GoesBackAtOneEntry_IsSeen) {
+  AddCall("a", seconds(1), 2);
+  AddCall("b", milliseconds(1200), 1);
+  BOOST_TEST(IsKept());
+  AddCall("c", milliseconds(1300), 1);
+  BOOST_TEST(IsBroken(Promise::kConfigNeverReverts));
+}
+
+BOOST_AUTO_TEST_CASE(Layout_IsOlderAtAnotherEntry_IsAllowed) {
+  AddCall("a", seconds(1), 2);
+  AddCall("b", seconds(2), 1).entry = kEntry + 1;
+  BOOST_TEST(IsKept());
+}
+
+BOOST_AUTO_TEST_CASE(Target_HasLeftAndGetsARequest_IsSeen) {
+  history.leavings = {{"t1", At(seconds(10))}};
+  AddCall("a", milliseconds(12900), 1);
+  AddRun("a", "t1", milliseconds(12900));
+  BOOST_TEST(IsKept());
+  AddCall("b", milliseconds(13100), 1);
+  AddRun("b", "t1", milliseconds(13100));
+  BOOST_TEST(IsBroken(Promise::kLeftTargetGetsNothing));
+}
+
+BOOST_AUTO_TEST_CASE(Request_RanAndItsConnectionEnded_IsSeen) {
+  Call& call = AddCall("a", seconds(1), 1);
+  call.end = CallEnd::kClosed;
+  call.status = 0;
+  call.records.clear();
+  BOOST_TEST(IsKept());
+  AddRun("a", "t1", seconds(1));
+  BOOST_TEST(IsBroken(Promise::kNoRequestIsCut));
+  history.troubles = {
+      {kEntry, Harm::kConnections, At(milliseconds(1010)), TimePoint::max()}};
+  BOOST_TEST(IsKept());
+}
+
+BOOST_AUTO_TEST_CASE(CalmTimes_FewAreAnswered_IsSeen) {
+  history.calm_since = At(seconds(10));
+  for (int index = 0; index < 10; ++index) {
+    Call& call = AddCall(std::to_string(index), seconds(11 + index), 1);
+    if (index >= 3) {
+      call.status = http_status::kUnavailable;
+      call.records.clear();
+    }
+  }
+  BOOST_TEST(IsKept());
+  history.calls[2].status = http_status::kUnavailable;
+  history.calls[2].records.clear();
+  BOOST_TEST(IsBroken(Promise::kRecovers));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace jacinthdeck::soak
--- /dev/null
+++ b/test/soak/plan_test.cc
@@ -0,0 +1,44 @@
+// Tests of the soak's plans.
+#include "soak/plan.h"
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <cstddef>
+#include <set>
+#include <vector>
+
+namespace jacinthdeck::soak {
+
+struct PlanFixture {
+  PlanOptions options;
+};
+
+BOOST_FIXTURE_TEST_SUITE(PlanTest, PlanFixture)
+
+BOOST_AUTO_TEST_CASE(Plan_SameSeed_IsTheSame) {
+  options.seed = 7;
+  BOOST_TEST((MakePlan(options) == MakePlan(options)));
+}
+
+BOOST_AUTO_TEST_CASE(Plan_AnySeed_IsInOrderAndInItsTime) {
+  for (options.seed = 1; options.seed <= 100; ++options.seed) {
+    const std::vector<Action> plan = MakePlan(options);
+    BOOST_TEST(plan.size() >= options.faults);
+    BOOST_TEST(std::ranges::is_sorted(plan, {}, &Action::at));
+    BOOST_TEST((plan.back().at <= options.length));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(Plans_OfFiftySeeds_HoldEveryAction) {
+  std::set<ActionKind> seen;
+  for (options.seed = 1; options.seed <= 50; ++options.seed) {
+    for (const Action& action : MakePlan(options)) {
+      seen.insert(action.kind);
+    }
+  }
+  BOOST_TEST(seen.size() == kActionNames.names.size());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace jacinthdeck::soak
