Tell the store the port on which other hosts ask

Where the settings leave the peers' port to the kernel, the host's record named the port of the settings.

Change: the record names the port that is open. The test reads the record from the stand-in store; it failed first (port 0).

--- a/src/jacinthdeck/entry/entry_node.cc
+++ b/src/jacinthdeck/entry/entry_node.cc
@@ -599,6 +599,7 @@
   HostRecord record = SettledRecord();
   record.callers = address(m_settings.callers, m_callers.port());
   record.queries = address(m_settings.queries, m_queries.port());
+  record.peers = address(m_settings.peers, m_feed.port());
   record.busy = m_lag.busy();
   return record;
 }
--- a/test/jacinthdeck/entry/entry_node_test.cc
+++ b/test/jacinthdeck/entry/entry_node_test.cc
@@ -52,6 +52,7 @@
     settings.ready = {"127.0.0.1", ready};
     settings.directory = {"127.0.0.1", directory};
     settings.metrics = {"127.0.0.1", metrics};
+    settings.peers = {"127.0.0.1", 0};
     settings.store = {"127.0.0.1", store.port()};
     settings.grace = milliseconds(300);
     EntryProtocol protocol;
@@ -127,6 +128,21 @@
   BOOST_TEST(Get(ready, "/-/ready").status == 503);
 }
 
+// No host learns from another one, and each reads the store itself.
+// The kernel picks the port on which others ask; the host told the store the
+// port 0 of its settings, so others dialled a port that nobody listens on.
+BOOST_AUTO_TEST_CASE(Host_PeersPortIsOfTheKernel_RecordNamesTheRealOne) {
+  const std::string key = std::string(platform::wire::kHostKeys) + "h1";
+  BOOST_TEST(Until([&] { return store.content().Get(key).has_value(); }));
+  const auto record =
+      Capture([&] { return codec.ReadHost(*store.content().Get(key)->value); });
+  BOOST_REQUIRE_EQUAL(record.index(), 0U);
+  const auto peers = Capture(
+      [&] { return Endpoint::Parse(std::get<HostRecord>(record).peers); });
+  BOOST_REQUIRE_EQUAL(peers.index(), 0U);
+  BOOST_TEST(std::get<Endpoint>(peers).port != 0);
+}
+
 BOOST_AUTO_TEST_CASE(Host_LearnsFromTheStore_ServesAndIsNamed) {
   PutAll();
   BOOST_TEST(Until([&] { return Get(ready, "/-/ready").status == 200; }));
