Refuse no request as a crasher that was answered lately

Ruled out: a target that really crashes (none ended); knowledge (ages of 14 to 115 ms, all seven targets known).

Change: a request that was answered within the memory of a minute counts as suspect at most, and another host's conviction of it is not taken. A request that crashes each target that runs it has no answers, so it is refused as before. 1024 slots by fingerprint, 24 KB.

Test: CrashGuardTest, failed first. An answer that comes after a conviction now ends it, since it disproves it.

--- a/src/jacinthdeck/forward/crash_guard.cc
+++ b/src/jacinthdeck/forward/crash_guard.cc
@@ -35,23 +35,36 @@
 bool CrashGuard::OnCallLost(Fingerprint fingerprint, TimePoint now) {
   MakeRoom(now);
   Record& record = m_records[fingerprint];
-  record.calls = now - record.last < kMemory ? record.calls + 1 : 1;
+  const bool again =
+      now - record.last < kMemory && !WasAnswered(fingerprint, now);
+  record.calls = again ? record.calls + 1 : 1;
   record.last = now;
   return record.calls == kCallsToConvict;
 }
 
-void CrashGuard::OnAnswered(Fingerprint fingerprint) {
-  const auto found = m_records.find(fingerprint);
-  if (found != m_records.end() && found->second.calls < kCallsToConvict) {
-    m_records.erase(found);
-  }
+void CrashGuard::OnAnswered(Fingerprint fingerprint, TimePoint now) {
+  SlotOf(fingerprint) = {fingerprint, now};
+  m_records.erase(fingerprint);
 }
 
 void CrashGuard::Convict(Fingerprint fingerprint, TimePoint now) {
+  if (WasAnswered(fingerprint, now)) {
+    return;
+  }
   MakeRoom(now);
   m_records[fingerprint] = {kCallsToConvict, now};
 }
 
+CrashGuard::Answer& CrashGuard::SlotOf(Fingerprint fingerprint) {
+  return m_answers[fingerprint.raw() % kAnsweredSlots];
+}
+
+bool CrashGuard::WasAnswered(Fingerprint fingerprint, TimePoint now) {
+  const Answer& answer = SlotOf(fingerprint);
+  return answer.request == fingerprint && answer.at &&
+         now - *answer.at < kMemory;
+}
+
 void CrashGuard::MakeRoom(TimePoint now) {
   if (m_records.size() < kMostHeld) {
     return;
--- a/src/jacinthdeck/forward/crash_guard.h
+++ b/src/jacinthdeck/forward/crash_guard.h
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <unordered_map>
 
 #include "jacinthdeck/core/ids.h"
@@ -24,7 +25,12 @@
  * left. A request whose call failed that way is a suspect: its next call risks
  * no second target before one has answered. If that one fails too, it is
  * refused for a while. Losses by other causes seldom take all targets of two
- * calls of one request; an answer anywhere clears it.
+ * calls of one request; an answer clears it.
+ *
+ * A request that crashes its targets has no answers. One that was answered
+ * lately is therefore never refused: without this, a popular request was
+ * refused by all hosts for a minute after targets had lost two answers in a
+ * row.
  */
 class CrashGuard {
  public:
@@ -34,6 +40,9 @@
   static constexpr Duration kMemory = std::chrono::seconds(60);
   //! Fingerprints held at once; each is one failed request.
   static constexpr std::size_t kMostHeld = 4096;
+  //! Answered requests that are remembered; popular ones come back to their
+  //! slot at once when another took it.
+  static constexpr std::size_t kAnsweredSlots = 1024;
 
   /*! \brief Tells whether a request is refused. */
   [[nodiscard]] bool IsConvicted(Fingerprint fingerprint, TimePoint now) const;
@@ -48,9 +57,9 @@
   [[nodiscard]] bool OnCallLost(Fingerprint fingerprint, TimePoint now);
 
   /*! \brief Takes an answer to a request. */
-  void OnAnswered(Fingerprint fingerprint);
+  void OnAnswered(Fingerprint fingerprint, TimePoint now);
 
-  /*! \brief Takes another host's conviction. */
+  /*! \brief Takes another host's conviction, unless an answer disproves it. */
   void Convict(Fingerprint fingerprint, TimePoint now);
 
  private:
@@ -59,9 +68,18 @@
     TimePoint last;
   };
 
+  struct Answer {
+    Fingerprint request;
+    std::optional<TimePoint> at;
+  };
+
+  [[nodiscard]] Answer& SlotOf(Fingerprint fingerprint);
+  [[nodiscard]] bool WasAnswered(Fingerprint fingerprint, TimePoint now);
   void MakeRoom(TimePoint now);
 
   std::unordered_map<Fingerprint, Record> m_records;
+  //! The last answer of each slot.
+  std::array<Answer, kAnsweredSlots> m_answers{};
 };
 
 }  // namespace jacinthdeck
--- a/src/jacinthdeck/forward/forwarder.h
+++ b/src/jacinthdeck/forward/forwarder.h
@@ -150,7 +150,10 @@
                const PendingAttempt& attempt,
                AttemptEnd& end,
                TimePoint now);
-  void TakeResponse(PendingCall& open, CallPart& part, AttemptEnd& end);
+  void TakeResponse(PendingCall& open,
+                    CallPart& part,
+                    AttemptEnd& end,
+                    TimePoint now);
   void Retry(PendingCall& open, std::size_t part, TimePoint now);
   void CancelAttempt(AttemptId attempt, TimePoint now);
 
--- a/src/jacinthdeck/forward/forwarder_attempts.cc
+++ b/src/jacinthdeck/forward/forwarder_attempts.cc
@@ -213,7 +213,7 @@
   }
   switch (end.outcome) {
     case AttemptOutcome::kResponse:
-      TakeResponse(open, part, end);
+      TakeResponse(open, part, end, now);
       break;
     case AttemptOutcome::kNotSent:
       --part.arrivals;
@@ -241,14 +241,15 @@
 
 void Forwarder::TakeResponse(PendingCall& open,
                              CallPart& part,
-                             AttemptEnd& end) {
+                             AttemptEnd& end,
+                             TimePoint now) {
   const bool whole = !end.response.stamp.empty() && !end.response.encoded;
   if (end.response.succeeded() && whole) {
     part.response = std::move(end.response);
     part.phase = internal::PartPhase::kAnswered;
     ++open.answered;
     --open.unsettled;
-    m_crashes.OnAnswered(open.fingerprint);
+    m_crashes.OnAnswered(open.fingerprint, now);
     return;
   }
   part.reason = ForwardReason::kTargetsFailed;
--- /dev/null
+++ b/test/jacinthdeck/forward/crash_guard_test.cc
@@ -0,0 +1,66 @@
+// Tests of the guard against requests that crash their targets.
+#include "jacinthdeck/forward/crash_guard.h"
+
+#include <boost/test/unit_test.hpp>
+#include <chrono>
+#include <cstdint>
+
+#include "jacinthdeck/core/manual_clock.h"
+
+namespace jacinthdeck {
+
+struct CrashGuardFixture {
+  CrashGuard guard;
+  ManualClock clock;
+  const Fingerprint request{7};
+
+  [[nodiscard]] bool LoseCalls(int calls) {
+    bool convicted = false;
+    for (int call = 0; call < calls; ++call) {
+      convicted |= guard.OnCallLost(request, clock.Now());
+    }
+    return convicted;
+  }
+};
+
+BOOST_FIXTURE_TEST_SUITE(CrashGuardTest, CrashGuardFixture)
+
+BOOST_AUTO_TEST_CASE(Request_NeverAnsweredAndLostTwice_IsConvictedOnce) {
+  BOOST_TEST(!LoseCalls(1));
+  BOOST_TEST(guard.IsSuspect(request, clock.Now()));
+  BOOST_TEST(LoseCalls(1));
+  BOOST_TEST(guard.IsConvicted(request, clock.Now()));
+  BOOST_TEST(!LoseCalls(1));
+  clock.Advance(CrashGuard::kMemory);
+  BOOST_TEST(!guard.IsConvicted(request, clock.Now()));
+}
+
+// All callers of a popular request are refused for a minute.
+// Targets answer it all the time; then some of them lose answers for a second,
+// and two calls in a row get none. It was taken for one that crashes targets,
+// and the other hosts were told so.
+BOOST_AUTO_TEST_CASE(Request_WasAnsweredLately_IsNotConvictedForLosses) {
+  guard.OnAnswered(request, clock.Now());
+  clock.Advance(std::chrono::seconds(5));
+  BOOST_TEST(!LoseCalls(4));
+  BOOST_TEST(!guard.IsConvicted(request, clock.Now()));
+  guard.Convict(request, clock.Now());
+  BOOST_TEST(!guard.IsConvicted(request, clock.Now()));
+}
+
+BOOST_AUTO_TEST_CASE(Request_WasAnsweredLongAgo_CountsAsNeverAnswered) {
+  guard.OnAnswered(request, clock.Now());
+  clock.Advance(CrashGuard::kMemory);
+  BOOST_TEST(LoseCalls(2));
+}
+
+BOOST_AUTO_TEST_CASE(Request_OthersWereAnswered_IsConvictedAllTheSame) {
+  for (std::uint64_t other = 100; other < 5000; ++other) {
+    guard.OnAnswered(Fingerprint(other), clock.Now());
+  }
+  BOOST_TEST(LoseCalls(2));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace jacinthdeck
