--- a/soak/stage.cc
+++ b/soak/stage.cc
@@ -10,7 +10,6 @@
 #include <chrono>
 #include <csignal>
 #include <fstream>
-#include <ranges>
 #include <stdexcept>
 #include <utility>
 
@@ -289,11 +288,11 @@
   if (action.subject % 2 == 0) {
     return any;
   }
-  const auto of_singles = std::ranges::find_if(
-      m_targets | std::views::reverse, [&](const auto& it) {
+  const auto single =
+      std::find_if(m_targets.rbegin(), m_targets.rend(), [&](const auto& it) {
         return it->service == SingleName(m_layout) && !it->leaving;
       });
-  return of_singles == m_targets.rend() ? any : **of_singles;
+  return single == m_targets.rend() ? any : **single;
 }
 
 void Stage::StartTarget(const std::string& service, std::uint32_t shard) {
