Say never, not an hour, where the store was never heard

Cause: a host that never heard the store told its followers an age of an hour, and their logs and metrics showed knowledge_age_ms 3600000 as if the store had been away for that long.

Change: the age of a beat may be absent; on the wire that is the largest number. A follower then counts its age from its own start, as a host without a feeder does.

Test: Beat_StoreWasNeverHeard_HasNoAge; with the hour in its place the message has an age and the test fails.

--- a/src/jacinthdeck/discovery/store_session.cc
+++ b/src/jacinthdeck/discovery/store_session.cc
@@ -73,11 +73,13 @@
   Take(changes, revision, whole);
 }
 
-void StoreSession::TakeAge(Duration age, bool store_away) {
+void StoreSession::TakeAge(std::optional<Duration> age, bool store_away) {
   const TimePoint now = m_clock.Now();
-  const TimePoint heard = now - age;
-  m_last_well = std::max(m_last_well.value_or(heard), heard);
-  m_others_heard = heard;
+  if (age) {
+    const TimePoint heard = now - *age;
+    m_last_well = std::max(m_last_well.value_or(heard), heard);
+    m_others_heard = heard;
+  }
   const bool heard_by_self = m_watching && m_loaded && !m_lost;
   if (store_away && !heard_by_self) {
     m_knowledge.OnStoreAway();
--- a/src/jacinthdeck/discovery/store_session.h
+++ b/src/jacinthdeck/discovery/store_session.h
@@ -77,8 +77,9 @@
                    std::uint64_t revision,
                    bool whole);
 
-  /*! \brief Takes another host's word on how old that content is. */
-  void TakeAge(Duration age, bool store_away);
+  /*! \brief Takes another host's word on how old that content is; nothing: it
+   * never heard the store. */
+  void TakeAge(std::optional<Duration> age, bool store_away);
 
   /*! \brief Says how long this host's record may outlive it. */
   void SetLeaseLife(Duration life) noexcept { m_lease_life = life; }
--- a/src/jacinthdeck/entry/feed_hub.cc
+++ b/src/jacinthdeck/entry/feed_hub.cc
@@ -9,8 +9,6 @@
 
 //! Between two signs of life to followers; FeedChoice counts on it.
 constexpr Duration kBeatEvery = std::chrono::milliseconds(500);
-//! Age of content that was never heard of.
-constexpr Duration kNoAge = std::chrono::hours(1);
 
 }  // namespace
 
@@ -68,8 +66,13 @@
 
 FeedBeat FeedHub::Beat() const {
   const auto heard = m_store.last_well();
-  return {m_store.revision(), heard ? m_clock.Now() - *heard : kNoAge,
-          m_store.knowledge().store_away()};
+  FeedBeat beat;
+  beat.revision = m_store.revision();
+  beat.store_away = m_store.knowledge().store_away();
+  if (heard) {
+    beat.age = m_clock.Now() - *heard;
+  }
+  return beat;
 }
 
 void FeedHub::OnFeedChanges(const FeedChanges& changes) {
--- a/src/jacinthdeck/peer/feed_choice.cc
+++ b/src/jacinthdeck/peer/feed_choice.cc
@@ -166,8 +166,8 @@
 }
 
 bool FeedChoice::IsStale(TimePoint now) const {
-  return m_beat.store_away || m_beat.revision == 0 ||
-         m_beat.age + (now - m_beat_at) > kMostAge;
+  return m_beat.store_away || m_beat.revision == 0 || !m_beat.age ||
+         *m_beat.age + (now - m_beat_at) > kMostAge;
 }
 
 std::optional<Endpoint> FeedChoice::NextFeeder() {
--- a/src/jacinthdeck/peer/feed_message.cc
+++ b/src/jacinthdeck/peer/feed_message.cc
@@ -45,13 +45,30 @@
       .Union();
 }
 
+//! What the field of a beat says where the store was never heard.
+constexpr std::uint32_t kNeverHeard = std::numeric_limits<std::uint32_t>::max();
+
+[[nodiscard]] std::uint32_t AgeField(std::optional<Duration> age) {
+  if (!age) {
+    return kNeverHeard;
+  }
+  const auto milliseconds =
+      std::chrono::duration_cast<std::chrono::milliseconds>(*age).count();
+  return static_cast<std::uint32_t>(
+      std::clamp<std::int64_t>(milliseconds, 0, kNeverHeard - 1));
+}
+
+[[nodiscard]] std::optional<Duration> ReadAge(std::uint32_t field) {
+  if (field == kNeverHeard) {
+    return std::nullopt;
+  }
+  return std::chrono::milliseconds(field);
+}
+
 [[nodiscard]] Offset<void> Build(FlatBufferBuilder& builder,
                                  const FeedBeat& beat) {
-  const auto age =
-      std::chrono::duration_cast<std::chrono::milliseconds>(beat.age).count();
-  const auto bounded = static_cast<std::uint32_t>(std::clamp<std::int64_t>(
-      age, 0, std::numeric_limits<std::uint32_t>::max()));
-  return wire::CreateBeat(builder, beat.revision, bounded, beat.store_away)
+  return wire::CreateBeat(builder, beat.revision, AgeField(beat.age),
+                          beat.store_away)
       .Union();
 }
 
@@ -112,8 +129,7 @@
     return FeedMessage(Read(*changes));
   }
   if (const auto* beat = message->body_as_Beat()) {
-    return FeedMessage(FeedBeat{beat->revision(),
-                                std::chrono::milliseconds(beat->age_ms()),
+    return FeedMessage(FeedBeat{beat->revision(), ReadAge(beat->age_ms()),
                                 beat->store_away()});
   }
   return Fail(ErrorCode::kCorrupt, "feed", "has a body of no known kind");
--- a/src/jacinthdeck/peer/feed_message.h
+++ b/src/jacinthdeck/peer/feed_message.h
@@ -3,6 +3,7 @@
 #define JACINTHDECK_PEER_FEED_MESSAGE_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -33,8 +34,8 @@
 /*! \brief A sign of life. */
 struct FeedBeat {
   std::uint64_t revision = 0;
-  //! Since the store was last heard, by whoever heard it.
-  Duration age{};
+  //! Since the store was last heard, by whoever heard it; nothing: never.
+  std::optional<Duration> age;
   bool store_away = false;
 };
 
--- a/test/jacinthdeck/peer/feed_message_test.cc
+++ b/test/jacinthdeck/peer/feed_message_test.cc
@@ -92,6 +92,14 @@
   BOOST_TEST(frames.broken());
 }
 
+// The log of a follower says that its knowledge is an hour old.
+// Its feeder had never heard the store and told an hour in place of that, so
+// whoever read the log looked for an outage that was none.
+BOOST_AUTO_TEST_CASE(Beat_StoreWasNeverHeard_HasNoAge) {
+  const auto beat = std::get<FeedBeat>(RoundTrip(FeedBeat{9, {}, false}));
+  BOOST_TEST(!beat.age.has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace jacinthdeck
