--- a/src/jacinthdeck/forward/forwarder.h
+++ b/src/jacinthdeck/forward/forwarder.h
@@ -110,7 +110,7 @@
               ForwardReason reason,
               std::optional<Duration> retry_after,
               const CallStory& story);
-  [[nodiscard]] bool Open(PendingCall& open, TimePoint now);
+  [[nodiscard]] bool Open(PendingCall& open);
   void SetTimes(PendingCall& open) const;
   [[nodiscard]] std::optional<ForwardReason> ReasonToRefuse(PendingCall& open,
                                                             TimePoint now);
@@ -119,8 +119,7 @@
                                        const PendingCall& open);
   [[nodiscard]] LatencyProfile& ProfileOf(const Route& route);
   void ShareBudget(AttemptBudget& budget) const;
-  [[nodiscard]] AttemptBudget& BudgetOf(const ServiceId& service,
-                                        TimePoint now);
+  [[nodiscard]] AttemptBudget& BudgetOf(const ServiceId& service);
 
   // Attempts, in forwarder_attempts.cc.
   void SendPart(PendingCall& open,
--- a/src/jacinthdeck/forward/forwarder_admission.cc
+++ b/src/jacinthdeck/forward/forwarder_admission.cc
@@ -72,7 +72,7 @@
   ++m_counters.calls;
   PendingCall open;
   open.call = std::move(call);
-  if (!Open(open, now)) {
+  if (!Open(open)) {
     return;
   }
   if (const auto reason = ReasonToRefuse(open, now)) {
@@ -83,13 +83,13 @@
   const CallId id = open.call.id;
   PendingCall& placed = m_calls.emplace(id, std::move(open)).first->second;
   for (std::size_t part = 0; part < placed.parts.size(); ++part) {
-    BudgetOf(placed.parts[part].service, now).OnRequest(now);
+    BudgetOf(placed.parts[part].service).OnRequest(now);
     SendPart(placed, part, AttemptReason::kFirst, now);
   }
   Settle(placed, now);
 }
 
-bool Forwarder::Open(PendingCall& open, TimePoint now) {
+bool Forwarder::Open(PendingCall& open) {
   open.story.config = m_config;
   if (m_config == nullptr) {
     Refuse(open.call, AnswerKind::kNotRun, ForwardReason::kNoConfig,
@@ -120,7 +120,6 @@
   open.unsettled = open.parts.size();
   open.story.shards = static_cast<std::uint32_t>(open.parts.size());
   SetTimes(open);
-  (void)now;
   return true;
 }
 
@@ -220,12 +219,11 @@
   return m_profiles.try_emplace(route.name, route.objective).first->second;
 }
 
-AttemptBudget& Forwarder::BudgetOf(const ServiceId& service, TimePoint now) {
+AttemptBudget& Forwarder::BudgetOf(const ServiceId& service) {
   const auto found = m_budgets.find(service);
   if (found != m_budgets.end()) {
     return found->second;
   }
-  (void)now;
   AttemptBudget& budget =
       m_budgets.try_emplace(service, m_options.budget).first->second;
   ShareBudget(budget);
--- a/src/jacinthdeck/forward/forwarder_attempts.cc
+++ b/src/jacinthdeck/forward/forwarder_attempts.cc
@@ -66,7 +66,7 @@
                          TimePoint now) {
   CallPart& part = open.parts[part_index];
   const bool extra = part.arrivals > 0;
-  AttemptBudget& budget = BudgetOf(part.service, now);
+  AttemptBudget& budget = BudgetOf(part.service);
   if (extra && !budget.HasRoom(now)) {
     ++m_counters.budget_refusals;
     ++open.story.budget_refusals;
@@ -219,7 +219,7 @@
       --part.arrivals;
       --part.runs;
       if (attempt.paid) {
-        BudgetOf(part.service, now).Refund(now);
+        BudgetOf(part.service).Refund(now);
       }
       part.reason = ForwardReason::kTargetsFailed;
       break;
