--- a/src/jacinthdeck/entry/entry_node.h
+++ b/src/jacinthdeck/entry/entry_node.h
@@ -57,7 +57,7 @@
   void Apply(const EntrySettings& settings);
 
  private:
-  // Ends of the parts, in entry_node.cc.
+  // Ends of the parts, in entry_node.cc and entry_node_knowledge.cc.
   void OnCall(ForwardCall call) override;
   void OnCallerLeft(CallId call,
                     const std::string& request_id,
@@ -84,20 +84,24 @@
   [[nodiscard]] std::vector<HostRecord> Fronts() const;
   void TakeTyped(const KnowledgeChange& change, TimePoint now);
 
+  // In entry_node_answers.cc.
   [[nodiscard]] EdgeResponse AnswerReady(const EdgeRequest& request) const;
   [[nodiscard]] EdgeResponse AnswerDirectory(const EdgeRequest& request) const;
   [[nodiscard]] EdgeResponse AnswerMetrics(const EdgeRequest& request) const;
   [[nodiscard]] std::string AnswerStatus() const;
   [[nodiscard]] bool IsReady() const;
 
+  // In entry_node.cc.
   void ArmDecisions();
   void OnDecisionTimer();
   void Tick();
   void TellReadiness();
+  // In entry_node_stop.cc.
   void WaitForSignal();
   void OnSignal(int signal);
   void BeginStop();
   void Stop();
+  // In entry_node_knowledge.cc.
   [[nodiscard]] HostRecord OwnRecord() const;
   //! What of the own record the settings say: all that may be asked before the
   //! ports and their servers exist.
--- /dev/null
+++ b/src/jacinthdeck/entry/entry_node_answers.cc
@@ -0,0 +1,90 @@
+// Answers to the platform, to operators and to callers that look for a host.
+#include "jacinthdeck/entry/entry_node.h"
+
+#include <string_view>
+
+#include "jacinthdeck/discovery/directory_choice.h"
+#include "jacinthdeck/entry/node_metrics.h"
+#include "jacinthdeck/http/status.h"
+
+namespace jacinthdeck {
+
+namespace {
+
+//! The callers' addresses that one directory answer holds.
+constexpr std::size_t kMostAddresses = 64;
+
+[[nodiscard]] EdgeResponse Plain(int status) {
+  EdgeResponse response;
+  response.status = status;
+  return response;
+}
+
+}  // namespace
+
+EdgeResponse EntryNode::AnswerReady(const EdgeRequest& request) const {
+  if (request.target != m_protocol.ready_path) {
+    return Plain(http_status::kNotFound);
+  }
+  return Plain(IsReady() ? http_status::kOk : http_status::kUnavailable);
+}
+
+EdgeResponse EntryNode::AnswerDirectory(const EdgeRequest& request) const {
+  const std::string_view path =
+      std::string_view(request.target).substr(0, request.target.find('?'));
+  if (path != m_protocol.directory_path) {
+    return Plain(http_status::kNotFound);
+  }
+  DirectoryQuestion question;
+  question.caller = m_protocol.read_directory_call(request.target);
+  question.self = OwnRecord();
+  // A host that knows no front yet names itself rather than nobody.
+  question.self_serves = IsReady() && (m_is_front || !m_fronts_known);
+  question.most = kMostAddresses;
+  const std::vector<std::string> addresses = ChooseHosts(question, Fronts());
+  if (addresses.empty()) {
+    return Plain(http_status::kUnavailable);
+  }
+  return m_protocol.write_directory_answer(addresses, m_settings.directory_ttl);
+}
+
+EdgeResponse EntryNode::AnswerMetrics(const EdgeRequest& request) const {
+  EdgeResponse response;
+  if (request.target == "/status") {
+    response.headers.push_back({"Content-Type", "application/json"});
+    response.body = AnswerStatus();
+    return response;
+  }
+  response.headers.push_back({"Content-Type", "text/plain; version=0.0.4"});
+  response.body = m_metrics.Render() +
+                  RenderNodeMetrics({m_forwarder, m_pool, m_callers, m_store,
+                                     m_log, IsReady(), KnowledgeAge()});
+  return response;
+}
+
+std::string EntryNode::AnswerStatus() const {
+  const Knowledge& knowledge = m_store.knowledge();
+  LogLine status;
+  status.Text("host", m_settings.name.raw())
+      .Text("failure_domain", m_settings.domain.raw())
+      .Flag("ready", IsReady())
+      .Flag("stopping", m_stopping)
+      .Flag("store_away", knowledge.store_away())
+      .Milliseconds("knowledge_age_ms", KnowledgeAge())
+      .Count("store_revision", m_store.revision())
+      .Count("config_version",
+             knowledge.config() == nullptr ? 0 : knowledge.config()->version())
+      .Count("targets", knowledge.target_count())
+      .Count("hosts", knowledge.Hosts().size())
+      .Count("open_calls", m_forwarder.open_calls())
+      .Count("caller_connections", m_callers.connections())
+      .Count("target_connections", m_pool.connections());
+  return std::move(status).Finish();
+}
+
+bool EntryNode::IsReady() const {
+  return !m_stopping && m_forwarder.config() != nullptr &&
+         m_forwarder.targets().size() > 0;
+}
+
+}  // namespace jacinthdeck
--- /dev/null
+++ b/src/jacinthdeck/entry/entry_node_knowledge.cc
@@ -0,0 +1,212 @@
+// What the host learns and what it tells others of itself.
+#include "jacinthdeck/entry/entry_node.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+#include "jacinthdeck/discovery/fleet.h"
+
+namespace jacinthdeck {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+//! How long a record outlives its host: callers are sent to a dead host for
+//! that long at most.
+constexpr Duration kFrontLease = milliseconds(3500);
+//! The same of a host that no callers are sent to.
+constexpr Duration kStandbyLease = milliseconds(9000);
+//! Up to so many hosts may renew as often as fronts do.
+constexpr std::size_t kSmallFleet = 12;
+
+//! The registry's targets in the terms of typed calls.
+[[nodiscard]] std::vector<TargetInfo> TargetInfosOf(
+    const Knowledge& knowledge) {
+  std::vector<TargetInfo> infos;
+  for (const TargetEntry& entry : knowledge.Targets()) {
+    TargetInfo info;
+    info.id = entry.id;
+    info.service = entry.service;
+    info.domain = entry.domain;
+    info.address = entry.address;
+    info.port = entry.port;
+    info.state = entry.draining ? TargetState::kLeaving : TargetState::kLive;
+    info.slots = entry.slots;
+    info.connections =
+        knowledge.config() == nullptr
+            ? entry.slots
+            : std::max(knowledge.config()->TargetConnections(entry.service),
+                       entry.slots);
+    infos.push_back(info);
+  }
+  return infos;
+}
+
+[[nodiscard]] EdgeLimits EdgeLimitsOf(const CallerLimits& limits) {
+  return {limits.header_bytes, limits.body_bytes, limits.header_timeout,
+          limits.idle_timeout};
+}
+
+}  // namespace
+
+void EntryNode::OnKnowledge(const KnowledgeChange& change,
+                            std::uint64_t revision) {
+  const TimePoint now = m_clock.Now();
+  const Knowledge& knowledge = m_store.knowledge();
+  if (change.config && m_forwarder.SetConfig(knowledge.config())) {
+    m_callers.SetLimits(EdgeLimitsOf(knowledge.config()->limits()));
+  }
+  if (change.targets) {
+    const std::vector<TargetEntry> targets = knowledge.Targets();
+    m_forwarder.SetTargets(targets, now);
+    m_pool.Retain(targets);
+  }
+  if (change.hosts || change.config) {
+    TakeHosts(now);
+  }
+  for (const Fingerprint fingerprint : change.convictions) {
+    m_forwarder.Convict(fingerprint, now);
+  }
+  TakeTyped(change, now);
+  m_decisions.OnKnowledge(change, knowledge, revision, now - m_started);
+  TellReadiness();
+  ArmDecisions();
+}
+
+void EntryNode::OnContent(const std::vector<StoreChange>& changes,
+                          std::uint64_t revision,
+                          bool whole) {
+  m_feed.OnContent(changes, revision, whole);
+}
+
+void EntryNode::OnFeedOpened(const Endpoint& feeder) {
+  LogLine line = m_log.Begin(LogEvent::kFeedOpened);
+  line.Text("feeder", feeder.ToString());
+  m_log.Add(std::move(line));
+}
+
+void EntryNode::OnFeedEnded(const std::string& problem) {
+  LogLine line = m_log.Begin(LogEvent::kFeedEnded);
+  line.Text("problem", problem)
+      .Count("store_revision", m_store.revision())
+      .Milliseconds("knowledge_age_ms", KnowledgeAge());
+  m_log.Add(std::move(line));
+}
+
+void EntryNode::TakeHosts(TimePoint now) {
+  const std::vector<HostRecord> hosts = m_store.knowledge().Hosts();
+  m_feed.OnHosts(hosts);
+  const std::vector<HostRecord> fronts = Fronts();
+  m_fronts.Add(static_cast<std::uint32_t>(fronts.size()), now);
+  m_fronts_known = !fronts.empty();
+  m_is_front = std::ranges::find(fronts, m_settings.name, &HostRecord::name) !=
+               fronts.end();
+  m_forwarder.SetHosts(m_fronts.Highest(now), m_is_front, now);
+  // A front that dies must not be named for long; of the others only the
+  // budget of calls to the store matters.
+  const bool small = hosts.size() <= kSmallFleet;
+  m_store.SetLeaseLife(m_is_front || small ? kFrontLease : kStandbyLease);
+}
+
+std::vector<HostRecord> EntryNode::Fronts() const {
+  const Knowledge& knowledge = m_store.knowledge();
+  return ChooseFronts(knowledge.Hosts(),
+                      knowledge.config() == nullptr
+                          ? 0
+                          : knowledge.config()->FewestTargetConnections());
+}
+
+void EntryNode::TakeTyped(const KnowledgeChange& change, TimePoint now) {
+  if (m_settings.queries.address.empty()) {
+    return;
+  }
+  TypedCalls& calls = m_typed.calls();
+  const Knowledge& knowledge = m_store.knowledge();
+  const auto tell = [&](const std::string& subject, const auto& taken) {
+    const auto* error = std::get_if<Error>(&taken);
+    LogLine line = m_log.Begin(error == nullptr ? LogEvent::kSchemaApplied
+                                                : LogEvent::kEntryUnreadable);
+    line.Text("entry", subject);
+    if (error != nullptr) {
+      line.Text("problem", error->subject + " " + error->message);
+    }
+    m_log.Add(std::move(line));
+  };
+  if (change.schema) {
+    tell("schema", Capture([&]() -> Result<bool> {
+           BOOST_LEAF_CHECK(calls.SetSchema(knowledge.schema()));
+           return true;
+         }));
+  }
+  for (const ServiceId& service : change.indexes) {
+    tell(
+        service.raw(), Capture([&]() -> Result<bool> {
+          BOOST_LEAF_CHECK(calls.SetIndex(service, knowledge.IndexOf(service)));
+          return true;
+        }));
+  }
+  if (change.targets || change.config) {
+    calls.SetTargets(TargetInfosOf(knowledge), now);
+  }
+  if (change.hosts) {
+    calls.SetHosts(m_fronts.Highest(now), now);
+  }
+}
+
+void EntryNode::OnStoreLost(StoreStatus status, const std::string& problem) {
+  LogLine line = m_log.Begin(LogEvent::kStoreLost);
+  line.Text("status", kStoreStatusNames.Name(status))
+      .Text("problem", problem)
+      .Count("store_revision", m_store.revision());
+  m_log.Add(std::move(line));
+}
+
+void EntryNode::OnStoreRegained() {
+  LogLine line = m_log.Begin(LogEvent::kStoreRegained);
+  line.Count("store_revision", m_store.revision());
+  m_log.Add(std::move(line));
+}
+
+void EntryNode::OnRegistration(StoreStatus status) {
+  const bool well = status == StoreStatus::kOk;
+  LogLine line =
+      m_log.Begin(well ? LogEvent::kRegistered : LogEvent::kRegistrationFailed);
+  line.Text("status", kStoreStatusNames.Name(status));
+  m_log.Add(std::move(line));
+}
+
+HostRecord EntryNode::OwnRecord() const {
+  const auto address = [](const Endpoint& asked, std::uint16_t port) {
+    return asked.address.empty() ? std::string()
+                                 : Endpoint{asked.address, port}.ToString();
+  };
+  HostRecord record = SettledRecord();
+  record.callers = address(m_settings.callers, m_callers.port());
+  record.queries = address(m_settings.queries, m_queries.port());
+  record.peers = address(m_settings.peers, m_feed.port());
+  record.busy = m_lag.busy();
+  return record;
+}
+
+HostRecord EntryNode::SettledRecord() const {
+  constexpr double kThousandths = 1000;
+  HostRecord record;
+  record.name = m_settings.name;
+  record.domain = m_settings.domain;
+  if (!m_settings.peers.address.empty()) {
+    record.peers = m_settings.peers.ToString();
+  }
+  record.strength = static_cast<std::uint32_t>(
+      kThousandths * m_settings.cpu_share * m_settings.cores);
+  record.started_ms = m_started_ms;
+  return record;
+}
+
+Duration EntryNode::KnowledgeAge() const {
+  const auto heard = m_store.last_well();
+  return m_clock.Now() - heard.value_or(m_started);
+}
+
+}  // namespace jacinthdeck
