--- a/src/jacinthdeck/forward/call_story.h
+++ b/src/jacinthdeck/forward/call_story.h
@@ -38,6 +38,8 @@
   std::shared_ptr<const RoutingConfig> config;
   //! Null if no route matched; lies in config.
   const Route* route = nullptr;
+  //! The same for all that ask the same: tells a request that comes again.
+  Fingerprint fingerprint;
   //! Service that the traffic split chose; empty for a fan-out.
   ServiceId service;
   std::uint32_t shards = 0;
--- a/src/jacinthdeck/forward/forwarder_admission.cc
+++ b/src/jacinthdeck/forward/forwarder_admission.cc
@@ -107,6 +107,7 @@
   }
   open.profile = &ProfileOf(*open.route);
   open.fingerprint = FingerprintOf(*open.call.request);
+  open.story.fingerprint = open.fingerprint;
   if (open.route->fans_out()) {
     for (const ServiceId& shard : open.route->shards) {
       open.parts.emplace_back().service = shard;
