--- a/soak/stage.cc
+++ b/soak/stage.cc
@@ -40,6 +40,15 @@
 constexpr Duration kRecovery = seconds(6);
 //! Callers' patience, so that each call under way has an end.
 constexpr Duration kLastCalls = milliseconds(3200);
+//! Of all routes: long enough for a second attempt after a lost one, and below
+//! what callers wait.
+constexpr int kRouteTimeoutMs = 1200;
+constexpr int kObjectiveMs = 150;
+constexpr int kMostAttempts = 3;
+//! One shard of three is enough for an answer, so that faults show as partial.
+constexpr double kLeastShare = 0.3;
+//! Above the connections that all entries open to one target.
+constexpr int kTargetConnections = 64;
 constexpr std::uint32_t kShards = 3;
 constexpr std::uint32_t kReplicas = 2;
 constexpr const char* kSingle = "single";
@@ -63,10 +72,11 @@
                                 const char* type,
                                 const std::string& service) {
   const std::string prefix = "/" + std::string(name) + "/";
-  json_t* route = json_pack(
-      "{s:s, s:s, s:s, s:s, s:i, s:i, s:i, s:i}", "name", name, "host",
-      "127.0.0.1", "prefix", prefix.c_str(), "routeType", type, "timeoutMs",
-      1200, "targetLatencyMs", 150, "maxAttempts", 3, "priority", 1);
+  json_t* route =
+      json_pack("{s:s, s:s, s:s, s:s, s:i, s:i, s:i, s:i}", "name", name,
+                "host", "127.0.0.1", "prefix", prefix.c_str(), "routeType",
+                type, "timeoutMs", kRouteTimeoutMs, "targetLatencyMs",
+                kObjectiveMs, "maxAttempts", kMostAttempts, "priority", 1);
   if (!service.empty()) {
     json_object_set_new(route, "service", json_string(service.c_str()));
   }
@@ -74,7 +84,8 @@
 }
 
 [[nodiscard]] json_t* ServiceJson(const std::string& name) {
-  return json_pack("{s:s, s:i}", "name", name.c_str(), "maxConnections", 64);
+  return json_pack("{s:s, s:i}", "name", name.c_str(), "maxConnections",
+                   kTargetConnections);
 }
 
 //! The configuration that names one layout and no other.
@@ -89,7 +100,7 @@
   }
   json_object_set_new(query, "fanout", shards);
   json_object_set_new(query, "topK", json_integer(json_int_t{kShards} * 2));
-  json_object_set_new(query, "minPartShare", json_real(0.3));
+  json_object_set_new(query, "minPartShare", json_real(kLeastShare));
   const std::string single = SingleName(layout);
   json_array_append_new(services, ServiceJson(single));
   const JsonPtr config(json_pack(
@@ -188,8 +199,6 @@
   m_open.erase(cause);
 }
 
-// ---- Entries
-
 Stage::Entry& Stage::EntryOf(const Action& action) {
   return m_entries[action.subject % m_entries.size()];
 }
@@ -279,8 +288,6 @@
   }
 }
 
-// ---- Targets
-
 Stage::Target& Stage::TargetOf(const Action& action) {
   // Half of the requests go to the targets of one service, and so do half of
   // the faults.
@@ -362,8 +369,6 @@
   }
 }
 
-// ---- Configuration
-
 void Stage::Reshard(const Action& /*action*/) {
   if (std::exchange(m_is_resharding, true)) {
     return;
@@ -399,8 +404,6 @@
   m_layouts.push_back({m_layout, Now()});
 }
 
-// ---- Store and links
-
 void Stage::StartStore() {
   m_store = std::make_unique<Child>(
       std::vector<std::string>{PathOf("standins/standin_store")},
@@ -471,8 +474,6 @@
       action.link == Link::kStore ? Duration::zero() : kThaw);
 }
 
-// ---- The end
-
 void Stage::Calm() {
   HealStore({});
   HealLink({{}, ActionKind::kLinkWell, 0, {}, Link::kTarget});
