Note a kill before it is done, in the soak

The soak sent the signal first and noted the kill then; the caller saw the end in between, so the entry was not excused.

Ruled out: a drain that cut it (the entry had been draining for 0.8 of 2.5 s and its log ends without a line on stopping; the plan kills it at that moment).

Change: kills and freezes are noted before the signal is sent.

--- a/soak/stage.cc
+++ b/soak/stage.cc
@@ -205,10 +205,10 @@
 
 void Stage::StopEntry(const Action& action) {
   const Entry& entry = EntryOf(action);
-  entry.child->Signal(SIGSTOP);
   const std::string cause = Cause("stopped", entry.life);
   Begin(cause, {entry.life}, Harm::kKnowledge);
   Begin(cause, {entry.life}, Harm::kConnections);
+  entry.child->Signal(SIGSTOP);
 }
 
 void Stage::ContinueEntry(const Action& action) {
@@ -219,8 +219,9 @@
 
 void Stage::KillEntry(const Action& action) {
   const Entry& entry = EntryOf(action);
-  entry.child->Signal(SIGKILL);
+  // Noted first: callers see the end within microseconds of the signal.
   Begin(Cause("killed", entry.life), {entry.life}, Harm::kConnections);
+  entry.child->Signal(SIGKILL);
   asio::post(m_loop, [this, life = entry.life] { m_callers.Remove(life); });
 }
 
