Write fingerprints as text in the log

Change: hexadecimal text. The log's test holds the largest one and reads the line with the reader of the command line.

--- a/src/jacinthdeck/entry/decision_log.cc
+++ b/src/jacinthdeck/entry/decision_log.cc
@@ -76,7 +76,7 @@
   }
   if (story.route != nullptr) {
     line.Text("route", story.route->name)
-        .Count("fingerprint", story.fingerprint.raw())
+        .Hash("fingerprint", story.fingerprint.raw())
         .Milliseconds("expected_ms", story.expected)
         .Milliseconds("objective_ms", story.route->objective)
         .Count("shards", story.shards)
--- a/src/jacinthdeck/entry/entry_node.cc
+++ b/src/jacinthdeck/entry/entry_node.cc
@@ -195,7 +195,7 @@
 
 void EntryNode::ShareConviction(Fingerprint fingerprint) {
   LogLine line = m_log.Begin(LogEvent::kConvicted);
-  line.Count("fingerprint", fingerprint.raw());
+  line.Hash("fingerprint", fingerprint.raw());
   m_log.Add(std::move(line));
   m_store.ShareConviction(fingerprint);
 }
--- a/src/jacinthdeck/entry/log_line.cc
+++ b/src/jacinthdeck/entry/log_line.cc
@@ -31,6 +31,14 @@
   return *this;
 }
 
+LogLine& LogLine::Hash(std::string_view name, std::uint64_t value) {
+  constexpr int kHex = 16;
+  std::array<char, 16> digits{};
+  const auto end =
+      std::to_chars(digits.data(), digits.data() + digits.size(), value, kHex);
+  return Text(name, {digits.data(), end.ptr});
+}
+
 LogLine& LogLine::Milliseconds(std::string_view name, Duration value) {
   constexpr int kDecimals = 1;
   std::array<char, 32> digits{};
--- a/src/jacinthdeck/entry/log_line.h
+++ b/src/jacinthdeck/entry/log_line.h
@@ -3,6 +3,7 @@
 #define JACINTHDECK_ENTRY_LOG_LINE_H_
 
 #include <concepts>
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -24,6 +25,10 @@
     return *this;
   }
 
+  /*! \brief Adds 64 bits as hexadecimal text: readers of JSON refuse or round
+   * whole numbers of that size. */
+  LogLine& Hash(std::string_view name, std::uint64_t value);
+
   /*! \brief Adds a time in milliseconds; the name should end in `_ms`. */
   LogLine& Milliseconds(std::string_view name, Duration value);
 
--- a/test/jacinthdeck/entry/event_log_test.cc
+++ b/test/jacinthdeck/entry/event_log_test.cc
@@ -57,6 +57,8 @@
     line.Text("request", std::string("a\"b\\c\n\x01\xff", 8))
         .Milliseconds("took_ms", std::chrono::microseconds(1250))
         .Flag("away", true)
+        // The largest number of a hash, which readers refuse as a number.
+        .Hash("fingerprint", ~std::uint64_t{0})
         .Raw("attempts", "[1]");
     log.Add(std::move(line));
     log.Flush();
