Model several forwarders over shared targets

Cause: a policy for opaque calls could only be tried with real processes; the model of the tail drives the typed path and knows no objective, no dark shard, no budget shared by hosts.

--- /dev/null
+++ b/bench/forward.cc
@@ -0,0 +1,50 @@
+// Plays the model's loads on the forwarders and prints a table.
+#include <boost/program_options.hpp>
+#include <cstdint>
+#include <iomanip>
+#include <iostream>
+
+#include "support/forward_cases.h"
+#include "support/forward_model.h"
+
+namespace {
+
+namespace po = boost::program_options;
+using jacinthdeck::bench::ForwardResult;
+
+void PrintRow(std::string_view name, const ForwardResult& result) {
+  const auto part = [&](std::uint64_t count) {
+    return 100 * static_cast<double>(count) / static_cast<double>(result.calls);
+  };
+  std::cout << std::fixed << std::setprecision(1) << "| " << name << " | "
+            << 100 * result.value() << " | " << part(result.in_time) << " | "
+            << part(result.late) << " | " << part(result.refused) << " | "
+            << part(result.failed) << " | " << result.p50_ms << " | "
+            << 100 * static_cast<double>(result.extras) /
+                   static_cast<double>(result.attempts)
+            << " | " << std::setprecision(2) << result.budget_used << " |\n";
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  std::uint64_t seeds = 20;
+  po::options_description options("Options");
+  options.add_options()("help", "print this")(
+      "seeds", po::value(&seeds)->default_value(seeds),
+      "runs of each load, with seeds from 1 on");
+  po::variables_map given;
+  po::store(po::parse_command_line(argc, argv, options), given);
+  po::notify(given);
+  if (given.contains("help")) {
+    std::cout << options;
+    return 0;
+  }
+  std::cout << "| load | value % | in time % | late % | refused % | failed % | "
+               "p50 ms | extra attempts % | of the budget |\n"
+               "|---|---|---|---|---|---|---|---|---|\n";
+  for (const auto& [name, load] : jacinthdeck::bench::ForwardCases()) {
+    PrintRow(name, jacinthdeck::bench::RunSeeds(load, seeds));
+  }
+  return 0;
+}
--- /dev/null
+++ b/bench/support/forward_cases.h
@@ -0,0 +1,97 @@
+// Loads under which hosts must decide well: each is a pattern that users met.
+#ifndef JACINTHDECK_BENCH_SUPPORT_FORWARD_CASES_H_
+#define JACINTHDECK_BENCH_SUPPORT_FORWARD_CASES_H_
+
+#include <chrono>
+#include <string_view>
+#include <vector>
+
+#include "support/forward_case.h"
+
+namespace jacinthdeck::bench {
+
+/*! \brief A load and its name in tables. */
+struct NamedForwardCase {
+  std::string_view name;
+  ForwardCase load;
+};
+
+/**
+ * \brief The search of visitor desks: two kinds of call over ten shards.
+ *
+ * Figures of a users' sheet: work of 15 and 5 ms, objectives of 120 and 60 ms,
+ * nine and eight of ten shards needed, three targets a shard.
+ */
+[[nodiscard]] inline ForwardCase DeskSearch(double calls_per_second) {
+  using std::chrono::milliseconds;
+  constexpr double kSearchShare = 0.75;
+  ForwardCase load;
+  load.calls = {{calls_per_second * kSearchShare, milliseconds(120),
+                 milliseconds(800), milliseconds(15), 0.89, 1},
+                {calls_per_second * (1 - kSearchShare), milliseconds(60),
+                 milliseconds(300), milliseconds(5), 0.75, 2}};
+  return load;
+}
+
+/*! \brief Adds a trouble that lasts for the whole run. */
+inline void AddTrouble(ForwardCase& load,
+                       std::size_t shard,
+                       std::size_t replica,
+                       Trouble kind,
+                       double strength = 1) {
+  load.troubles.push_back({shard, replica, kind, strength, Duration::zero(),
+                           load.warm_up + load.length});
+}
+
+/*! \brief Three shards have one sound target each; it carries 80% of its
+ * slots' time, so that it queues. */
+[[nodiscard]] inline ForwardCase SingleSoundTargets() {
+  ForwardCase load = DeskSearch(200);
+  for (std::size_t shard = 0; shard < 3; ++shard) {
+    AddTrouble(load, shard, 0, Trouble::kDown);
+    AddTrouble(load, shard, 1, Trouble::kSlow, 10);
+  }
+  return load;
+}
+
+/*! \brief All targets of a shard are silent, and one in each other shard is
+ * slow: the answer can do without no further shard. */
+[[nodiscard]] inline ForwardCase DarkShardAndSlowTargets() {
+  ForwardCase load = DeskSearch(200);
+  for (std::size_t replica = 0; replica < load.replicas; ++replica) {
+    AddTrouble(load, 0, replica, Trouble::kDark);
+  }
+  for (std::size_t shard = 1; shard < load.shards; ++shard) {
+    AddTrouble(load, shard, shard % load.replicas, Trouble::kSlow, 9);
+  }
+  return load;
+}
+
+/*! \brief Two targets of half of the shards refuse three requests in five
+ * although they are idle. */
+[[nodiscard]] inline ForwardCase SheddingTargets() {
+  ForwardCase load = DeskSearch(200);
+  for (std::size_t shard = 0; shard < load.shards; shard += 2) {
+    AddTrouble(load, shard, 0, Trouble::kShedding, 0.6);
+    AddTrouble(load, shard, 1, Trouble::kShedding, 0.6);
+  }
+  return load;
+}
+
+/*! \brief More calls than the slots can work on. */
+[[nodiscard]] inline ForwardCase AboveCapacity() {
+  return DeskSearch(900);
+}
+
+/*! \brief All of them, the calm one first. */
+[[nodiscard]] inline std::vector<NamedForwardCase> ForwardCases() {
+  return {{"calm", DeskSearch(180)},
+          {"one sound target in three shards", SingleSoundTargets()},
+          {"dark shard, slow targets", DarkShardAndSlowTargets()},
+          {"shedding targets", SheddingTargets()},
+          {"above capacity", AboveCapacity()}};
+}
+
+}  // namespace jacinthdeck::bench
+
+#endif  // JACINTHDECK_BENCH_SUPPORT_FORWARD_CASES_H_
