Bound a host's attempts at a target by its share of the slots

Cause: the only bound was the host's share of the target's connections.

Change: MostInFlight() shares four turns of the slots among the hosts, at least two attempts each.

--- a/bench/support/forward_cases.h
+++ b/bench/support/forward_cases.h
@@ -43,10 +43,10 @@
                            load.warm_up + load.length});
 }
 
-/*! \brief Three shards have one sound target each; it carries 80% of its
- * slots' time, so that it queues. */
+/*! \brief Three shards have one sound target each; their work takes 90%
+ * of its slots' time, so that it queues. */
 [[nodiscard]] inline ForwardCase SingleSoundTargets() {
-  ForwardCase load = DeskSearch(200);
+  ForwardCase load = DeskSearch(216);
   for (std::size_t shard = 0; shard < 3; ++shard) {
     AddTrouble(load, shard, 0, Trouble::kDown);
     AddTrouble(load, shard, 1, Trouble::kSlow, 10);
--- a/src/jacinthdeck/forward/forwarder.h
+++ b/src/jacinthdeck/forward/forwarder.h
@@ -132,6 +132,8 @@
               LearnedTarget& target,
               bool paid,
               TimePoint now);
+  [[nodiscard]] TargetShare ShareOf(const PendingCall& open,
+                                    const ServiceId& service) const;
   [[nodiscard]] std::uint32_t ConnectionLimit(const PendingCall& open,
                                               const ServiceId& service) const;
   [[nodiscard]] bool MaySendAgain(const PendingCall& open,
--- a/src/jacinthdeck/forward/forwarder_admission.cc
+++ b/src/jacinthdeck/forward/forwarder_admission.cc
@@ -171,12 +171,11 @@
   std::vector<Duration> delays;
   delays.reserve(open.parts.size());
   for (const CallPart& part : open.parts) {
-    const TargetNeed need{
-        .service = part.service,
-        .mean = open.profile->mean(),
-        .tried = {},
-        .reason = AttemptReason::kFirst,
-        .most_in_flight = ConnectionLimit(open, part.service)};
+    const TargetNeed need{.service = part.service,
+                          .mean = open.profile->mean(),
+                          .tried = {},
+                          .reason = AttemptReason::kFirst,
+                          .share = ShareOf(open, part.service)};
     const TargetChoice choice = m_targets.Pick(need, now);
     delays.push_back(QueueDelay(choice, *open.profile, now));
     open.story.full += delays.back() > Duration::zero() ? 1 : 0;
--- a/src/jacinthdeck/forward/forwarder_attempts.cc
+++ b/src/jacinthdeck/forward/forwarder_attempts.cc
@@ -51,6 +51,11 @@
 
 }  // namespace
 
+TargetShare Forwarder::ShareOf(const PendingCall& open,
+                               const ServiceId& service) const {
+  return {.connections = ConnectionLimit(open, service), .hosts = m_hosts};
+}
+
 std::uint32_t Forwarder::ConnectionLimit(const PendingCall& open,
                                          const ServiceId& service) const {
   if (!m_has_share) {
@@ -79,7 +84,7 @@
                         .mean = open.profile->mean(),
                         .tried = part.tried,
                         .reason = reason,
-                        .most_in_flight = ConnectionLimit(open, part.service)};
+                        .share = ShareOf(open, part.service)};
   const TargetChoice choice = m_targets.Pick(need, now);
   if (choice.target == nullptr ||
       HasLeftUnanswered(part, *choice.target, now)) {
--- /dev/null
+++ b/src/jacinthdeck/forward/in_flight_bound.cc
@@ -0,0 +1,27 @@
+// An equal share of a few turns of the target's slots.
+#include "jacinthdeck/forward/in_flight_bound.h"
+
+#include <algorithm>
+
+namespace jacinthdeck {
+
+namespace {
+
+//! Requests at a target that is full by all hosts' shares, over its slots:
+//! one turn that runs and three that wait.
+constexpr std::uint32_t kTurns = 4;
+//! A smaller share leaves targets idle where calls overlap at one host.
+constexpr std::uint32_t kLeastShare = 2;
+
+}  // namespace
+
+std::uint32_t MostInFlight(const TargetShare& share,
+                           std::uint32_t slots) noexcept {
+  const std::uint32_t hosts = std::max(share.hosts, 1U);
+  const std::uint32_t places = kTurns * std::max(slots, 1U);
+  const std::uint32_t fair = (places + hosts - 1) / hosts;
+  return std::clamp(std::max(fair, kLeastShare), 1U,
+                    std::max(share.connections, 1U));
+}
+
+}  // namespace jacinthdeck
--- a/src/jacinthdeck/forward/target_set.cc
+++ b/src/jacinthdeck/forward/target_set.cc
@@ -65,7 +65,9 @@
   TargetChoice best;
   double best_score = std::numeric_limits<double>::max();
   for (LearnedTarget* target : found->second) {
-    if (!target->TakesWork() || target->in_flight() >= need.most_in_flight) {
+    if (!target->TakesWork() ||
+        target->in_flight() >=
+            MostInFlight(need.share, target->entry().slots)) {
       continue;
     }
     if (need.reason == AttemptReason::kHedge &&
--- a/src/jacinthdeck/forward/target_set.h
+++ b/src/jacinthdeck/forward/target_set.h
@@ -13,6 +13,7 @@
 #include "jacinthdeck/core/random.h"
 #include "jacinthdeck/core/time.h"
 #include "jacinthdeck/forward/attempt_end.h"
+#include "jacinthdeck/forward/in_flight_bound.h"
 #include "jacinthdeck/forward/learned_target.h"
 
 namespace jacinthdeck {
@@ -25,8 +26,7 @@
   //! Targets that had this request before.
   std::span<const TargetId> tried;
   AttemptReason reason = AttemptReason::kFirst;
-  //! Attempts that one target may have from this host at once.
-  std::uint32_t most_in_flight = 1;
+  TargetShare share;
 };
 
 /*! \brief A chosen target. */
--- a/test/jacinthdeck/forward/target_set_test.cc
+++ b/test/jacinthdeck/forward/target_set_test.cc
@@ -35,7 +35,7 @@
     set.Replace(entries, now);
     need.service = ServiceId("desk");
     need.mean = milliseconds(20);
-    need.most_in_flight = 5;
+    need.share.connections = 5;
   }
 
   [[nodiscard]] LearnedTarget& Target(int index) {
@@ -139,7 +139,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(Pick_AllAreAtTheirLimit_ChoosesNone) {
-  need.most_in_flight = 1;
+  need.share.connections = 1;
   for (int i = 0; i < 3; ++i) {
     (void)Send(Target(i));
   }
