Let a hedge that finds no free slot look again

Cause: a hedge looked once for a target with a free slot.

Change: without a place the hedge is due again after 6 ms, or a quarter of the route's mean latency where that is longer. A slot counts as free below an occupancy of 1.0, not 0.8: of three slots the last one was never free.

The new test fails without the change (one attempt, not two).

--- a/src/jacinthdeck/forward/forwarder.h
+++ b/src/jacinthdeck/forward/forwarder.h
@@ -139,10 +139,7 @@
   [[nodiscard]] bool MaySendAgain(const PendingCall& open,
                                   const CallPart& part,
                                   TimePoint now) const;
-  void OnNoTarget(PendingCall& open,
-                  CallPart& part,
-                  AttemptReason reason,
-                  TimePoint now);
+  void OnNoTarget(PendingCall& open, CallPart& part, TimePoint now);
   void Learn(const PendingAttempt& attempt,
              const AttemptEnd& end,
              TimePoint now);
--- a/src/jacinthdeck/forward/forwarder_attempts.cc
+++ b/src/jacinthdeck/forward/forwarder_attempts.cc
@@ -18,6 +18,11 @@
 constexpr std::uint32_t kHoldersNotCounted = 1;
 //! Pause before a target is looked for again when none has a place.
 constexpr Duration kNoPlacePause = milliseconds(4);
+//! The same for a hedge. Looked for once, two thirds of the shards missing from
+//! partial answers had no second attempt although the budget had room.
+constexpr Duration kHedgePause = milliseconds(6);
+//! Where work takes long, places come free that much more rarely.
+constexpr int kHedgePauseMeans = 4;
 //! Part of the objective for which a call may look for a place; after that its
 //! caller is better off elsewhere.
 constexpr int kNoPlacePart = 4;
@@ -88,18 +93,21 @@
   const TargetChoice choice = m_targets.Pick(need, now);
   if (choice.target == nullptr ||
       HasLeftUnanswered(part, *choice.target, now)) {
-    OnNoTarget(open, part, reason, now);
+    OnNoTarget(open, part, now);
     return;
   }
   const bool paid = extra && budget.TrySpend(now);
   Launch(open, part_index, reason, *choice.target, paid, now);
 }
 
-void Forwarder::OnNoTarget(PendingCall& open,
-                           CallPart& part,
-                           AttemptReason reason,
-                           TimePoint now) {
-  if (reason == AttemptReason::kHedge || !part.in_flight.empty()) {
+void Forwarder::OnNoTarget(PendingCall& open, CallPart& part, TimePoint now) {
+  if (!part.in_flight.empty()) {
+    // The first attempt may still be answered, so the hedge can wait for a
+    // place instead of being given up.
+    if (MaySendAgain(open, part, now)) {
+      part.hedge_at =
+          now + std::max(kHedgePause, open.profile->mean() / kHedgePauseMeans);
+    }
     return;
   }
   const bool live = m_targets.Live(part.service) > 0;
--- a/src/jacinthdeck/forward/target_set.cc
+++ b/src/jacinthdeck/forward/target_set.cc
@@ -23,9 +23,10 @@
 constexpr double kDoubtfulCost = 1000;
 //! As above, for a target that had the request before.
 constexpr double kTriedCost = 10000;
-//! A hedge needs a slot that is likely free: an extra request that waits in a
-//! queue delays others and helps nobody.
-constexpr double kHedgeOccupancy = 0.8;
+//! A hedge needs a free slot: an extra request that waits in a queue delays
+//! others and helps nobody. With 0.8 a target of three slots counted as full
+//! while one of them was free.
+constexpr double kHedgeOccupancy = 1.0;
 
 [[nodiscard]] bool Contains(std::span<const TargetId> ids, const TargetId& id) {
   return std::ranges::find(ids, id) != ids.end();
--- a/test/jacinthdeck/forward/forwarder_load_test.cc
+++ b/test/jacinthdeck/forward/forwarder_load_test.cc
@@ -42,6 +42,35 @@
   BOOST_TEST(port.delivered.empty());
 }
 
+// All targets have a queue when the hedge falls due, and its first target never
+// answers. A hedge that looks for a free slot once leaves the call with that
+// one attempt to its end, though slots come free soon after; it must look
+// again.
+BOOST_AUTO_TEST_CASE(Hedge_NoSlotIsFreeWhenItIsDue_IsSentOnceOneIs) {
+  WarmUp("/read/1", milliseconds(20));
+  for (std::size_t i = 0; i < kReplicas; ++i) {
+    (void)Submit("/read/" + std::to_string(i));
+    AttemptEnd end;
+    end.id = port.sent.back().id;
+    end.outcome = AttemptOutcome::kResponse;
+    end.response.status = 200;
+    end.response.stamp = "stamp";
+    end.load = LoadReport{3, 3, 3, 1};
+    forwarder.OnAttemptEnd(end, clock.Now());
+  }
+  port.sent.clear();
+  port.delivered.clear();
+  (void)Submit("/read/next");
+  Advance(milliseconds(150));
+  BOOST_TEST(port.sent.size() == 1U);
+  // The reports are too old by now to tell of a queue.
+  Advance(milliseconds(100));
+  BOOST_REQUIRE_EQUAL(port.sent.size(), 2U);
+  BOOST_TEST((port.sent[0].target.id != port.sent[1].target.id));
+  Answer(port.sent[1]);
+  BOOST_TEST((Only().answer.kind == AnswerKind::kResponse));
+}
+
 // Every target is slow at once, and each call asks for a hedge. The extra
 // attempts of all hosts together must stay within the budget, or they become
 // the load that keeps the targets slow.
