Send no hedge, and one attempt at a time, to a target that will be late

Cause: hedges went to any untried target with a free slot, slow ones too. A shard with only slow targets got 24 attempts at each, 150 ms of work apiece, and answered none for seconds after.

Change: an attempt tells in which time its answer is of use. A target that is expected to take longer gets no hedge, and one attempt of a host at a time while the answer can do without the shard. A shard that the answer needs is waited for as before.

Tests of both rules fail without them.

--- a/src/jacinthdeck/forward/forwarder.h
+++ b/src/jacinthdeck/forward/forwarder.h
@@ -132,6 +132,9 @@
               LearnedTarget& target,
               bool paid,
               TimePoint now);
+  [[nodiscard]] Duration UsefulTime(const PendingCall& open,
+                                    AttemptReason reason,
+                                    TimePoint now) const;
   [[nodiscard]] TargetShare ShareOf(const PendingCall& open,
                                     const ServiceId& service) const;
   [[nodiscard]] std::uint32_t ConnectionLimit(const PendingCall& open,
--- a/src/jacinthdeck/forward/forwarder_attempts.cc
+++ b/src/jacinthdeck/forward/forwarder_attempts.cc
@@ -56,6 +56,20 @@
 
 }  // namespace
 
+Duration Forwarder::UsefulTime(const PendingCall& open,
+                               AttemptReason reason,
+                               TimePoint now) const {
+  const TimePoint end = now < open.partial_at ? open.partial_at : open.final_at;
+  if (reason == AttemptReason::kHedge) {
+    return end - now;
+  }
+  // A shard that the answer needs is waited for, also beyond the objective.
+  const std::size_t hopeful = open.answered + open.unsettled;
+  const bool can_do_without =
+      open.route->fans_out() && hopeful > open.route->min_shards();
+  return can_do_without ? end - now : Duration::max();
+}
+
 TargetShare Forwarder::ShareOf(const PendingCall& open,
                                const ServiceId& service) const {
   return {.connections = ConnectionLimit(open, service), .hosts = m_hosts};
@@ -89,7 +103,8 @@
                         .mean = open.profile->mean(),
                         .tried = part.tried,
                         .reason = reason,
-                        .share = ShareOf(open, part.service)};
+                        .share = ShareOf(open, part.service),
+                        .useful = UsefulTime(open, reason, now)};
   const TargetChoice choice = m_targets.Pick(need, now);
   if (choice.target == nullptr ||
       HasLeftUnanswered(part, *choice.target, now)) {
--- a/src/jacinthdeck/forward/target_set.cc
+++ b/src/jacinthdeck/forward/target_set.cc
@@ -71,11 +71,14 @@
             MostInFlight(need.share, target->entry().slots)) {
       continue;
     }
-    if (need.reason == AttemptReason::kHedge &&
-        !SuitsHedge(*target, need, now)) {
+    const Duration expected = target->ExpectedDelay(need.mean, now);
+    const bool hedge = need.reason == AttemptReason::kHedge;
+    if (hedge && !SuitsHedge(*target, need, now)) {
+      continue;
+    }
+    if (expected > need.useful && (hedge || target->in_flight() > 0)) {
       continue;
     }
-    const Duration expected = target->ExpectedDelay(need.mean, now);
     const double score = Score(*target, need, expected, now);
     if (score < best_score) {
       best_score = score;
--- a/src/jacinthdeck/forward/target_set.h
+++ b/src/jacinthdeck/forward/target_set.h
@@ -27,6 +27,10 @@
   std::span<const TargetId> tried;
   AttemptReason reason = AttemptReason::kFirst;
   TargetShare share;
+  //! Time in which an answer is of use. A target that is expected to take
+  //! longer gets no hedge, and one attempt of this host at a time: enough to
+  //! learn when it is fast again.
+  Duration useful = Duration::max();
 };
 
 /*! \brief A chosen target. */
--- a/test/jacinthdeck/forward/target_set_test.cc
+++ b/test/jacinthdeck/forward/target_set_test.cc
@@ -48,6 +48,10 @@
     return id;
   }
 
+  void Answer(LearnedTarget& target, Duration latency) {
+    target.OnAnswer(Send(target), latency, need.mean, now);
+  }
+
   [[nodiscard]] std::map<std::string, int> Picks(int count) {
     std::map<std::string, int> picks;
     for (int i = 0; i < count; ++i) {
@@ -155,6 +159,35 @@
   BOOST_TEST(Picks(1)["none"] == 1);
 }
 
+// A target is ten times slower than the route's answers. A hedge to it would
+// come after its answer is of use, spend the shard's last attempt and hold a
+// slot of the slow target.
+BOOST_AUTO_TEST_CASE(Pick_HedgeWouldComeTooLate_ChoosesNone) {
+  need.reason = AttemptReason::kHedge;
+  need.useful = milliseconds(60);
+  for (int i = 0; i < 3; ++i) {
+    Answer(Target(i), need.mean * 10);
+  }
+  BOOST_TEST(Picks(1)["none"] == 1);
+}
+
+// All targets of a shard are slow, and the answer can do without the shard. One
+// attempt at a time finds out when a target is fast again; more would fill its
+// queue, so that it answers late for a while longer.
+BOOST_AUTO_TEST_CASE(Pick_TargetsAnswerTooLate_EachGetsOneAttemptAtATime) {
+  need.useful = milliseconds(60);
+  for (int i = 0; i < 3; ++i) {
+    Answer(Target(i), need.mean * 10);
+  }
+  for (int i = 0; i < 3; ++i) {
+    const TargetChoice choice = set.Pick(need, now);
+    BOOST_REQUIRE(choice.target != nullptr);
+    BOOST_TEST(choice.target->in_flight() == 0U);
+    (void)Send(*choice.target);
+  }
+  BOOST_TEST(Picks(1)["none"] == 1);
+}
+
 // A target comes back under its id after a crash. What its former life failed
 // at says nothing of the new one.
 BOOST_AUTO_TEST_CASE(Replace_LaterStartUnderTheSameId_ForgetsTheFailures) {
