Admit calls past the objective while only a few shards have a queue

Cause: a call was refused once the ninth of ten shards was expected to take 0.9 of the objective.

Change: while at most half of the shards have a queue, half an objective more of expected delay is allowed.

--- a/src/jacinthdeck/forward/forwarder_admission.cc
+++ b/src/jacinthdeck/forward/forwarder_admission.cc
@@ -30,6 +30,11 @@
 //! Longest expected delay of a call, in objectives, by its priority: the
 //! urgent ones may use the queue that others must leave free.
 constexpr double kMostDelay = 1.0;
+//! The same while at most half of the shards have a queue. The delay is an
+//! estimate from this host's view; a few crowded shards mostly answer sooner,
+//! by a hedge or another target, and a caller that is sent away finds the same
+//! shards when it comes back. Above capacity all shards have one.
+constexpr double kMostLocalDelay = 1.5;
 constexpr double kDelayStep = 0.1;
 constexpr double kLeastMostDelay = 0.5;
 //! Stands for the objective of a route without one.
@@ -46,10 +51,12 @@
                                             : kDefaultObjective;
 }
 
-//! Longest delay with which a call of the route is worth its work.
-[[nodiscard]] Duration MostDelay(const Route& route) {
+//! Longest delay with which a call is worth its work.
+[[nodiscard]] Duration MostDelay(const Route& route, const CallStory& story) {
+  const bool local = 2 * story.full <= story.shards;
+  const double most = local ? kMostLocalDelay : kMostDelay;
   const double part =
-      std::max(kMostDelay - kDelayStep * route.priority, kLeastMostDelay);
+      std::max(most - kDelayStep * route.priority, kLeastMostDelay);
   return Duration(static_cast<Duration::rep>(
       part * static_cast<double>(ObjectiveOf(route).count())));
 }
@@ -161,7 +168,7 @@
     return ForwardReason::kDeadline;
   }
   open.story.expected = ExpectedDelay(open, now);
-  if (open.story.expected > MostDelay(*open.route)) {
+  if (open.story.expected > MostDelay(*open.route, open.story)) {
     return ForwardReason::kOverload;
   }
   return std::nullopt;
