Take twins out of the load tests and the soak

Two load tests told the same load the same way; the soak had its own copy of the size of a record; crash_guard.h used std::array without its header. No behaviour changes; the assertions stay as they were.";

--- a/soak/record.cc
+++ b/soak/record.cc
@@ -2,16 +2,14 @@
 #include "soak/record.h"
 
 #include <boost/endian/conversion.hpp>
-#include <cstddef>
 
+#include "jacinthdeck/forward/top_records.h"
 #include "target/dataset.h"
 
 namespace jacinthdeck::soak {
 
 namespace {
 
-constexpr std::size_t kRecordBytes = 16;
-
 template <typename Number>
 [[nodiscard]] Number Load(std::string_view bytes) {
   Number number = 0;
--- a/src/jacinthdeck/forward/crash_guard.h
+++ b/src/jacinthdeck/forward/crash_guard.h
@@ -2,6 +2,7 @@
 #ifndef JACINTHDECK_FORWARD_CRASH_GUARD_H_
 #define JACINTHDECK_FORWARD_CRASH_GUARD_H_
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
--- a/test/jacinthdeck/forward/forwarder_fixture.h
+++ b/test/jacinthdeck/forward/forwarder_fixture.h
@@ -205,6 +205,22 @@
     port.delivered.clear();
   }
 
+  //! Each target of the plain service tells of its load with an answer.
+  void TellLoadOfAll(const LoadReport& load) {
+    for (std::size_t i = 0; i < kReplicas; ++i) {
+      (void)Submit("/read/" + std::to_string(i));
+      AttemptEnd end;
+      end.id = port.sent.back().id;
+      end.outcome = AttemptOutcome::kResponse;
+      end.response.status = 200;
+      end.response.stamp = "stamp";
+      end.load = load;
+      forwarder.OnAttemptEnd(end, clock.Now());
+    }
+    port.sent.clear();
+    port.delivered.clear();
+  }
+
   [[nodiscard]] const RecordingPort::Delivered& Only() const {
     BOOST_REQUIRE_EQUAL(port.delivered.size(), 1U);
     return port.delivered.front();
--- a/test/jacinthdeck/forward/forwarder_load_test.cc
+++ b/test/jacinthdeck/forward/forwarder_load_test.cc
@@ -12,19 +12,7 @@
 // the targets keep to work that is still of use.
 BOOST_AUTO_TEST_CASE(Overload_QueuesAreLong_RefusedAtOnce) {
   WarmUp("/read/1", milliseconds(40));
-  // Each target tells of its queue with an answer.
-  for (std::size_t i = 0; i < kReplicas; ++i) {
-    (void)Submit("/read/" + std::to_string(i));
-    AttemptEnd end;
-    end.id = port.sent.back().id;
-    end.outcome = AttemptOutcome::kResponse;
-    end.response.status = 200;
-    end.response.stamp = "stamp";
-    end.load = LoadReport{3, 18, 3, 1};
-    forwarder.OnAttemptEnd(end, clock.Now());
-  }
-  port.sent.clear();
-  port.delivered.clear();
+  TellLoadOfAll(LoadReport{3, 18, 3, 1});
   (void)Submit("/read/next");
   BOOST_TEST(port.sent.empty());
   BOOST_TEST((Only().answer.reason == ForwardReason::kOverload));
@@ -48,18 +36,7 @@
 // again.
 BOOST_AUTO_TEST_CASE(Hedge_NoSlotIsFreeWhenItIsDue_IsSentOnceOneIs) {
   WarmUp("/read/1", milliseconds(20));
-  for (std::size_t i = 0; i < kReplicas; ++i) {
-    (void)Submit("/read/" + std::to_string(i));
-    AttemptEnd end;
-    end.id = port.sent.back().id;
-    end.outcome = AttemptOutcome::kResponse;
-    end.response.status = 200;
-    end.response.stamp = "stamp";
-    end.load = LoadReport{3, 3, 3, 1};
-    forwarder.OnAttemptEnd(end, clock.Now());
-  }
-  port.sent.clear();
-  port.delivered.clear();
+  TellLoadOfAll(LoadReport{3, 3, 3, 1});
   (void)Submit("/read/next");
   Advance(milliseconds(150));
   BOOST_TEST(port.sent.size() == 1U);
