Say in the log what the expected delay of a call was made of

Refusals for overload named an expected delay and nothing of its making. An incident left two causes open that the log could not tell apart: no place at the only target of a shard, or a delay reckoned from a guess. Lines on calls now have the route's usual latency and the answers it was measured on, the shards without a place, and the live targets of the shard that has fewest. No decision changes.

--- a/src/jacinthdeck/entry/decision_log.cc
+++ b/src/jacinthdeck/entry/decision_log.cc
@@ -79,8 +79,12 @@
         .Hash("fingerprint", story.fingerprint.raw())
         .Milliseconds("expected_ms", story.expected)
         .Milliseconds("objective_ms", story.route->objective)
+        .Milliseconds("usual_ms", story.usual)
+        .Count("usual_samples", story.usual_samples)
         .Count("shards", story.shards)
         .Count("full_shards", story.full)
+        .Count("shards_without_place", story.without_place)
+        .Count("fewest_targets", story.fewest_targets)
         .Count("answered", story.answered)
         .Count("sends", story.attempts.size())
         .Count("budget_refusals", story.budget_refusals);
--- a/src/jacinthdeck/forward/call_story.h
+++ b/src/jacinthdeck/forward/call_story.h
@@ -49,6 +49,14 @@
   //! Shards, or 1 for the service, of which no target had a slot free when it
   //! was admitted or refused.
   std::uint32_t full = 0;
+  //! The same, of which no target had room for one more attempt of this host.
+  std::uint32_t without_place = 0;
+  //! Targets that take work, of the shard that has fewest.
+  std::uint32_t fewest_targets = 0;
+  //! Average latency of the route that `expected` was reckoned with.
+  Duration usual{};
+  //! Answers that it was measured on; 0 if it is a guess.
+  std::uint64_t usual_samples = 0;
   //! Positions of the shards that the answer lacks.
   std::vector<std::uint32_t> missing;
   //! Extra attempts that the budget of a service refused.
--- a/src/jacinthdeck/forward/forwarder.h
+++ b/src/jacinthdeck/forward/forwarder.h
@@ -114,10 +114,11 @@
   void SetTimes(PendingCall& open) const;
   [[nodiscard]] std::optional<ForwardReason> ReasonToRefuse(PendingCall& open,
                                                             TimePoint now);
-  [[nodiscard]] Duration DelayAt(const PendingCall& open,
-                                 const ServiceId& service,
-                                 const TargetShare& share,
-                                 TimePoint now);
+  [[nodiscard]] std::size_t LiveShards(PendingCall& open) const;
+  [[nodiscard]] TargetChoice FirstChoice(const PendingCall& open,
+                                         const ServiceId& service,
+                                         const TargetShare& share,
+                                         TimePoint now);
   [[nodiscard]] Duration ExpectedDelay(PendingCall& open, TimePoint now);
   [[nodiscard]] Duration ComeBackAfter(ForwardReason reason,
                                        const PendingCall& open);
--- a/src/jacinthdeck/forward/forwarder_admission.cc
+++ b/src/jacinthdeck/forward/forwarder_admission.cc
@@ -1,6 +1,7 @@
 // Which calls are taken, and what the others are told.
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <utility>
 
 #include "jacinthdeck/forward/forwarder.h"
@@ -122,6 +123,8 @@
     return false;
   }
   open.profile = &ProfileOf(*open.route);
+  open.story.usual = open.profile->mean();
+  open.story.usual_samples = open.profile->samples();
   open.fingerprint = FingerprintOf(*open.call.request);
   open.story.fingerprint = open.fingerprint;
   if (open.route->fans_out()) {
@@ -160,15 +163,24 @@
   }
 }
 
+std::size_t Forwarder::LiveShards(PendingCall& open) const {
+  std::size_t shards = 0;
+  std::size_t fewest = std::numeric_limits<std::uint32_t>::max();
+  for (const CallPart& part : open.parts) {
+    const std::size_t live = m_targets.Live(part.service);
+    shards += live > 0 ? 1 : 0;
+    fewest = std::min(fewest, live);
+  }
+  open.story.fewest_targets = static_cast<std::uint32_t>(fewest);
+  return shards;
+}
+
 std::optional<ForwardReason> Forwarder::ReasonToRefuse(PendingCall& open,
                                                        TimePoint now) {
   if (m_crashes.IsConvicted(open.fingerprint, now)) {
     return ForwardReason::kCrashesTargets;
   }
-  const auto live = static_cast<std::size_t>(std::ranges::count_if(
-      open.parts,
-      [&](const CallPart& part) { return m_targets.Live(part.service) > 0; }));
-  if (live < open.route->min_shards()) {
+  if (LiveShards(open) < open.route->min_shards()) {
     return ForwardReason::kNoTarget;
   }
   const auto least = static_cast<Duration::rep>(
@@ -183,25 +195,27 @@
   return std::nullopt;
 }
 
-Duration Forwarder::DelayAt(const PendingCall& open,
-                            const ServiceId& service,
-                            const TargetShare& share,
-                            TimePoint now) {
+TargetChoice Forwarder::FirstChoice(const PendingCall& open,
+                                    const ServiceId& service,
+                                    const TargetShare& share,
+                                    TimePoint now) {
   const TargetNeed need{.service = service,
                         .mean = open.profile->mean(),
                         .tried = {},
                         .reason = AttemptReason::kFirst,
                         .share = share};
-  return QueueDelay(m_targets.Pick(need, now), *open.profile, now);
+  return m_targets.Pick(need, now);
 }
 
 Duration Forwarder::ExpectedDelay(PendingCall& open, TimePoint now) {
   std::vector<Duration> delays;
   delays.reserve(open.parts.size());
   for (const CallPart& part : open.parts) {
-    delays.push_back(
-        DelayAt(open, part.service, ShareOf(open, part.service), now));
+    const TargetChoice choice =
+        FirstChoice(open, part.service, ShareOf(open, part.service), now);
+    delays.push_back(QueueDelay(choice, *open.profile, now));
     open.story.full += delays.back() > Duration::zero() ? 1 : 0;
+    open.story.without_place += choice.target == nullptr ? 1 : 0;
   }
   if (IsLocal(open.story)) {
     // Calls that overlap at this host hold its share of a shard's targets, and
@@ -209,9 +223,10 @@
     // Without this three of 8,640 calm calls were refused (modelled hosts).
     for (std::size_t index = 0; index < delays.size(); ++index) {
       if (delays[index] > Duration::zero()) {
+        const TargetChoice choice =
+            FirstChoice(open, open.parts[index].service, kUnbounded, now);
         delays[index] =
-            std::min(delays[index],
-                     DelayAt(open, open.parts[index].service, kUnbounded, now));
+            std::min(delays[index], QueueDelay(choice, *open.profile, now));
       }
     }
   }
--- a/src/jacinthdeck/forward/latency_profile.cc
+++ b/src/jacinthdeck/forward/latency_profile.cc
@@ -46,6 +46,11 @@
       m_hedge_delay(Scaled(m_objective, kLatestHedgePart)),
       m_late_after(Scaled(m_hedge_delay, kLateFactor)) {}
 
+std::uint64_t LatencyProfile::samples() const noexcept {
+  const std::uint64_t samples = m_histogram.samples();
+  return samples < kLeastSamples ? 0 : samples;
+}
+
 void LatencyProfile::Add(Duration latency) {
   m_histogram.Add(latency);
   m_average.Add(static_cast<double>(latency.count()));
--- a/src/jacinthdeck/forward/latency_profile.h
+++ b/src/jacinthdeck/forward/latency_profile.h
@@ -23,6 +23,9 @@
   /*! \brief Average latency of an answer; never zero. */
   [[nodiscard]] Duration mean() const noexcept { return m_mean; }
 
+  /*! \brief Answers that the mean was measured on; 0 while it is a guess. */
+  [[nodiscard]] std::uint64_t samples() const noexcept;
+
   /*! \brief Time after which a second attempt is worth its load. */
   [[nodiscard]] Duration hedge_delay() const noexcept { return m_hedge_delay; }
 
