Bring about the refusal of calls for a shard's service, in tests that fail

The model of several hosts plays calls for one service and shards with one target left; two cases on one forwarder tell the two causes apart.

--- a/bench/support/forward_case.h
+++ b/bench/support/forward_case.h
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 #include "jacinthdeck/core/name_table.h"
@@ -39,7 +40,7 @@
   Duration until{};
 };
 
-/*! \brief A kind of call; all of them go to all shards. */
+/*! \brief A kind of call. */
 struct CallMix {
   double per_second = 0;
   Duration objective{};
@@ -49,6 +50,8 @@
   //! Least share of the shards that makes an answer.
   double min_share = 1;
   std::uint32_t priority = 1;
+  //! Asks this shard alone, as a call for one service; else all shards.
+  std::optional<std::size_t> only_shard = std::nullopt;
 };
 
 /*! \brief A deployment and its load. */
@@ -56,6 +59,8 @@
   std::uint32_t hosts = 6;
   std::size_t shards = 10;
   std::size_t replicas = 3;
+  //! Shards, from the first on, that have lost all targets but one.
+  std::size_t lone_shards = 0;
   std::uint32_t slots = 3;
   //! Requests that a target lets wait; it refuses those beyond.
   std::size_t queue = 18;
@@ -75,6 +80,19 @@
   Duration length = std::chrono::seconds(12);
 };
 
+/*! \brief What the callers of one kind got. */
+struct KindResult {
+  std::uint64_t calls = 0;
+  //! Answers, also late ones.
+  std::uint64_t served = 0;
+
+  [[nodiscard]] double served_share() const noexcept {
+    return calls == 0
+               ? 0
+               : static_cast<double>(served) / static_cast<double>(calls);
+  }
+};
+
 /*! \brief What the callers of one run got. */
 struct ForwardResult {
   std::uint64_t calls = 0;
@@ -93,6 +111,8 @@
   double budget_used = 0;
   //! Median time to the answers in time and late.
   double p50_ms = 0;
+  //! By kind of call, as the case lists them.
+  std::vector<KindResult> kinds;
 
   //! Part of the calls that were answered in time, weighted by coverage.
   [[nodiscard]] double value() const noexcept {
--- a/bench/support/forward_cases.h
+++ b/bench/support/forward_cases.h
@@ -78,6 +78,27 @@
   return load;
 }
 
+/*! \brief The first shard has one target left, whose slots the searches could
+ * fill alone, and a few calls a second ask that shard's service by itself.
+ *
+ * Figures of a users' sheet: work of 20 and 6.7 ms, objectives of 150 and
+ * 60 ms, pauses of 200 ms each 4.5 s. The calls for one service are those of
+ * routes that were added a moment ago: 1 ms of work, an objective of 1 s.
+ */
+[[nodiscard]] inline ForwardCase LoneTargetOfAShard() {
+  using std::chrono::microseconds;
+  using std::chrono::milliseconds;
+  ForwardCase load;
+  load.lone_shards = 1;
+  load.pause = milliseconds(200);
+  load.pause_period = milliseconds(4500);
+  load.calls = {
+      {135, milliseconds(150), milliseconds(1500), milliseconds(20), 0.89, 1},
+      {45, milliseconds(60), milliseconds(600), microseconds(6700), 0.75, 2},
+      {4, milliseconds(1000), milliseconds(4000), milliseconds(1), 1, 2, 0}};
+  return load;
+}
+
 /*! \brief More calls than the slots can work on. */
 [[nodiscard]] inline ForwardCase AboveCapacity() {
   return DeskSearch(900);
@@ -89,6 +110,7 @@
           {"one sound target in three shards", SingleSoundTargets()},
           {"dark shard, slow targets", DarkShardAndSlowTargets()},
           {"shedding targets", SheddingTargets()},
+          {"one target left of a shard", LoneTargetOfAShard()},
           {"above capacity", AboveCapacity()}};
 }
 
--- a/bench/support/forward_model.h
+++ b/bench/support/forward_model.h
@@ -68,8 +68,8 @@
   std::unordered_map<std::uint64_t, Flight> m_flights;
   std::unordered_map<CallId, Asked> m_asked;
   std::uint64_t m_next_id = 1;
-  //! Calls; each of them asks every shard.
-  std::vector<TimePoint> m_requests;
+  //! By shard: calls that ask it.
+  std::vector<std::vector<TimePoint>> m_requests;
   //! By shard: arrivals beyond the first of a call.
   std::vector<std::vector<TimePoint>> m_extras;
   //! Call and shard of each first arrival.
--- a/test/jacinthdeck/forward/forwarder_load_test.cc
+++ b/test/jacinthdeck/forward/forwarder_load_test.cc
@@ -87,4 +87,88 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+namespace {
+
+/*! \brief A shard with one target left, and a route to its service that was
+ * added a moment ago. */
+struct AddedRouteFixture : ForwarderFixture {
+  static constexpr Duration kWork = milliseconds(20);
+
+  AddedRouteFixture() {
+    std::erase_if(targets, [](const TargetEntry& entry) {
+      return entry.service == ServiceId("shard-0") &&
+             entry.id != TargetId("shard-0/0");
+    });
+    forwarder.SetTargets(targets, clock.Now());
+    WarmUp("/fan/warm", kWork);
+    AddRoute();
+  }
+
+  void AddRoute() {
+    std::vector<Route> routes = Routes();
+    Route added = MakeRoute("added", RepeatRule::kIdempotent);
+    added.services = {{ServiceId("shard-0"), 1}};
+    added.objective = seconds(1);
+    added.priority = 2;
+    added.timeout = seconds(4);
+    routes.push_back(added);
+    BOOST_REQUIRE(forwarder.SetConfig(Config(2, routes)));
+  }
+
+  //! The target that is left tells of its load with an answer to a search.
+  void TellLoad(const LoadReport& load) {
+    (void)Submit("/fan/load");
+    Advance(kWork);
+    for (const OutgoingAttempt& attempt : port.sent) {
+      AttemptEnd end;
+      end.id = attempt.id;
+      end.outcome = AttemptOutcome::kResponse;
+      end.response.status = 200;
+      end.response.stamp = "stamp-of-" + attempt.target.id.raw();
+      end.response.body = std::string(16, 'a');
+      if (attempt.target.service == ServiceId("shard-0")) {
+        end.load = load;
+      }
+      forwarder.OnAttemptEnd(end, clock.Now());
+    }
+    port.sent.clear();
+    port.delivered.clear();
+  }
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(AddedRouteTest, AddedRouteFixture)
+
+// A route is added whose only target has a queue of searches, 20 ms of work
+// each: some 150 ms to wait. Its callers, who would wait a second, are told
+// "not run" at once, each time they come: the wait is reckoned as if the queue
+// were made of the added route's own requests, and what those take is a guess
+// of 125 ms that nobody can correct while all of them are refused.
+BOOST_AUTO_TEST_CASE(Admission_QueueIsOfShorterWork_CallOfAnAddedRouteIsTaken) {
+  TellLoad(LoadReport{3, 18, 3, 1});
+  (void)Submit("/added/1");
+  BOOST_TEST(port.delivered.empty());
+  BOOST_REQUIRE_EQUAL(port.sent.size(), 1U);
+  BOOST_TEST(port.sent.front().target.id.raw() == "shard-0/0");
+}
+
+// Searches hold this host's places at the one target that a shard has left,
+// though three of four shards are enough for them. A call for that shard's
+// service has no other target: without a place it is told "not run" at once,
+// while searches go on being answered.
+BOOST_AUTO_TEST_CASE(Admission_SearchesHoldAllPlaces_CallForTheServiceIsTaken) {
+  forwarder.SetHosts(6, true, clock.Now());
+  for (int search = 0; search < 4; ++search) {
+    (void)Submit("/fan/" + std::to_string(search));
+  }
+  port.sent.clear();
+  (void)Submit("/added/1");
+  BOOST_TEST(port.delivered.empty());
+  BOOST_REQUIRE_EQUAL(port.sent.size(), 1U);
+  BOOST_TEST(port.sent.front().target.id.raw() == "shard-0/0");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 }  // namespace jacinthdeck
--- a/test/jacinthdeck/forward/shared_targets_test.cc
+++ b/test/jacinthdeck/forward/shared_targets_test.cc
@@ -44,6 +44,21 @@
   BOOST_TEST(result.budget_used <= 1.0);
 }
 
+// A route to a shard's service is added while that shard has one target left.
+// Its callers are told "not run, come back" at once, again and again, although
+// the work is a millisecond and they would wait a second: searches, which can
+// do without the shard, hold this host's places at the target, and the wait
+// for one is reckoned as if the target did the added route's work, of which
+// nothing is known. They must be served as often as the searches are.
+BOOST_AUTO_TEST_CASE(Fleet_LoneTargetOfAShard_CallsForItsServiceAreServed) {
+  constexpr std::size_t kSearch = 0;
+  constexpr std::size_t kForOneService = 2;
+  const auto result = bench::RunSeeds(bench::LoneTargetOfAShard(), kSeeds);
+  BOOST_TEST(result.kinds[kForOneService].calls > 100U);
+  BOOST_TEST(result.kinds[kForOneService].served_share() >=
+             0.95 * result.kinds[kSearch].served_share());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace jacinthdeck
