Keep places at a target for the calls that cannot do without it

What callers saw: a call for a shard's service alone was told "not run" while searches, which can do without that shard, were answered.

Cause: searches took this host's whole share of the only target that the shard had left. A call with no other target found no place there.

Why it holds: an attempt that its call cannot be answered without counts only its like against the share, so that no number of searches takes its place; the connections bound both kinds together. Where a host has one connection a target, a place is free within a search's time, and the mended estimate admits the call to wait for it (case of 58 hosts).

--- a/src/jacinthdeck/forward/forwarder.h
+++ b/src/jacinthdeck/forward/forwarder.h
@@ -138,10 +138,12 @@
                 TimePoint now);
   void Launch(PendingCall& open,
               std::size_t part,
-              AttemptReason reason,
+              const TargetNeed& need,
               LearnedTarget& target,
               bool paid,
               TimePoint now);
+  //! Tells whether a further shard that is given up leaves no answer.
+  [[nodiscard]] static bool NeedsEachShard(const PendingCall& open);
   [[nodiscard]] Duration UsefulTime(const PendingCall& open,
                                     AttemptReason reason,
                                     TimePoint now) const;
--- a/src/jacinthdeck/forward/forwarder_admission.cc
+++ b/src/jacinthdeck/forward/forwarder_admission.cc
@@ -204,7 +204,8 @@
                         .usual = open.profile->usual(),
                         .tried = {},
                         .reason = AttemptReason::kFirst,
-                        .share = share};
+                        .share = share,
+                        .needed = NeedsEachShard(open)};
   return m_targets.Pick(need, now);
 }
 
--- a/src/jacinthdeck/forward/forwarder_attempts.cc
+++ b/src/jacinthdeck/forward/forwarder_attempts.cc
@@ -65,10 +65,12 @@
     return end - now;
   }
   // A shard that the answer needs is waited for, also beyond the objective.
+  return NeedsEachShard(open) ? Duration::max() : end - now;
+}
+
+bool Forwarder::NeedsEachShard(const PendingCall& open) {
   const std::size_t hopeful = open.answered + open.unsettled;
-  const bool can_do_without =
-      open.route->fans_out() && hopeful > open.route->min_shards();
-  return can_do_without ? end - now : Duration::max();
+  return hopeful <= open.route->min_shards();
 }
 
 TargetShare Forwarder::ShareOf(const PendingCall& open,
@@ -105,6 +107,7 @@
                         .tried = part.tried,
                         .reason = reason,
                         .share = ShareOf(open, part.service),
+                        .needed = NeedsEachShard(open),
                         .useful = UsefulTime(open, reason, now)};
   const TargetChoice choice = m_targets.Pick(need, now);
   if (choice.target == nullptr ||
@@ -113,7 +116,7 @@
     return;
   }
   const bool paid = extra && budget.TrySpend(now);
-  Launch(open, part_index, reason, *choice.target, paid, now);
+  Launch(open, part_index, need, *choice.target, paid, now);
 }
 
 void Forwarder::OnNoTarget(PendingCall& open, CallPart& part, TimePoint now) {
@@ -139,16 +142,17 @@
 
 void Forwarder::Launch(PendingCall& open,
                        std::size_t part_index,
-                       AttemptReason reason,
+                       const TargetNeed& need,
                        LearnedTarget& target,
                        bool paid,
                        TimePoint now) {
   CallPart& part = open.parts[part_index];
+  const AttemptReason reason = need.reason;
   const AttemptId id(m_next_attempt++);
   m_attempts.emplace(
       id, PendingAttempt{open.call.id, part_index, &target, open.profile, now,
                          reason, paid, open.fingerprint});
-  target.OnSend(id, open.profile->late_after(), now);
+  target.OnSend(id, open.profile->late_after(), need.needed, now);
   part.tried.push_back(target.entry().id);
   part.in_flight.push_back(id);
   ++part.runs;
--- a/src/jacinthdeck/forward/learned_target.cc
+++ b/src/jacinthdeck/forward/learned_target.cc
@@ -55,6 +55,11 @@
       m_cold_until(now + m_entry.cold_left),
       m_load_at(now - kLoadLife) {}
 
+std::size_t LearnedTarget::needed_in_flight() const noexcept {
+  return static_cast<std::size_t>(
+      std::ranges::count_if(m_in_flight, &InFlight::needed));
+}
+
 bool LearnedTarget::IsDoubtful(TimePoint now) const noexcept {
   if (now < m_doubtful_until || IsSilent(now)) {
     return true;
@@ -117,8 +122,9 @@
 
 void LearnedTarget::OnSend(AttemptId attempt,
                            Duration late_after,
+                           bool needed,
                            TimePoint now) {
-  m_in_flight.push_back({attempt, now, late_after});
+  m_in_flight.push_back({attempt, now, late_after, needed});
 }
 
 void LearnedTarget::OnAnswer(AttemptId attempt,
--- a/src/jacinthdeck/forward/learned_target.h
+++ b/src/jacinthdeck/forward/learned_target.h
@@ -30,6 +30,8 @@
   [[nodiscard]] std::size_t in_flight() const noexcept {
     return m_in_flight.size();
   }
+  /*! \brief Those whose calls cannot do without them. */
+  [[nodiscard]] std::size_t needed_in_flight() const noexcept;
 
   /*! \brief Tells whether it may get new work at all. */
   [[nodiscard]] bool TakesWork() const noexcept {
@@ -79,8 +81,12 @@
   /**
    * \brief Counts an attempt that is being sent.
    * \param late_after Time after which silence is not explained by its work.
+   * \param needed Its call cannot be answered without it.
    */
-  void OnSend(AttemptId attempt, Duration late_after, TimePoint now);
+  void OnSend(AttemptId attempt,
+              Duration late_after,
+              bool needed,
+              TimePoint now);
 
   /**
    * \brief Takes an answer.
@@ -113,6 +119,7 @@
     AttemptId id;
     TimePoint sent;
     Duration late_after;
+    bool needed = true;
   };
 
   //! Takes an attempt off the list; nothing if it is not there.
--- a/src/jacinthdeck/forward/target_set.cc
+++ b/src/jacinthdeck/forward/target_set.cc
@@ -39,6 +39,15 @@
          target.Occupancy(now) < kHedgeOccupancy;
 }
 
+//! Tells whether this host may have one more attempt at the target.
+[[nodiscard]] bool HasPlace(const LearnedTarget& target,
+                            const TargetNeed& need) {
+  const std::size_t like =
+      need.needed ? target.needed_in_flight() : target.in_flight();
+  return like < MostInFlight(need.share, target.entry().slots) &&
+         target.in_flight() < std::max(need.share.connections, 1U);
+}
+
 }  // namespace
 
 TargetSet::TargetSet(FailureDomain domain, std::uint64_t seed)
@@ -66,9 +75,7 @@
   TargetChoice best;
   double best_score = std::numeric_limits<double>::max();
   for (LearnedTarget* target : found->second) {
-    if (!target->TakesWork() ||
-        target->in_flight() >=
-            MostInFlight(need.share, target->entry().slots)) {
+    if (!target->TakesWork() || !HasPlace(*target, need)) {
       continue;
     }
     const Duration expected = target->ExpectedDelay(need.usual, now);
--- a/test/jacinthdeck/forward/shared_targets_test.cc
+++ b/test/jacinthdeck/forward/shared_targets_test.cc
@@ -59,6 +59,24 @@
              0.95 * result.kinds[kSearch].served_share());
 }
 
+// The same with 58 hosts, each of which may hold one connection to a target. A
+// search holds it for as long as it takes, so that a call for the service alone
+// must wait for it: it is admitted, since a place is free within a search's
+// time, and served as often as the searches are.
+BOOST_AUTO_TEST_CASE(Fleet_OneConnectionAHost_CallsForAServiceAreServed) {
+  constexpr std::size_t kSearch = 0;
+  constexpr std::size_t kForOneService = 2;
+  bench::ForwardCase load = bench::LoneTargetOfAShard();
+  load.hosts = 58;
+  load.shards = 36;
+  load.slots = 4;
+  load.connections = 61;
+  const auto result = bench::RunSeeds(load, kSeeds);
+  BOOST_TEST(result.kinds[kForOneService].calls > 100U);
+  BOOST_TEST(result.kinds[kForOneService].served_share() >=
+             0.95 * result.kinds[kSearch].served_share());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace jacinthdeck
--- a/test/jacinthdeck/forward/target_set_test.cc
+++ b/test/jacinthdeck/forward/target_set_test.cc
@@ -44,7 +44,7 @@
 
   AttemptId Send(LearnedTarget& target) {
     const AttemptId id(next++);
-    target.OnSend(id, milliseconds(50), now);
+    target.OnSend(id, milliseconds(50), need.needed, now);
     return id;
   }
 
