Let no guess and no old latency refuse a call for want of time

What callers saw, in a test: a caller that waits for 300 ms on a route that was added with an objective of ten seconds was told "not run" at once, always; so were hasty callers of a route that had been slow once.

Half of the route's usual latency was asked of the caller's time; of a new route that is a guess, and of one whose calls are all refused nothing new is measured.

Why it holds: a guess refuses nobody here, and a measured latency only within half a second of the last answer or while attempts of the route are under way, which correct it. Of a route that is slow still one call is tried at a time.

Both cases fail without it.

--- a/src/jacinthdeck/forward/forwarder.h
+++ b/src/jacinthdeck/forward/forwarder.h
@@ -115,6 +115,8 @@
   [[nodiscard]] std::optional<ForwardReason> ReasonToRefuse(PendingCall& open,
                                                             TimePoint now);
   [[nodiscard]] std::size_t LiveShards(PendingCall& open) const;
+  //! Tells whether what time the call has left is known to be too little.
+  [[nodiscard]] bool IsTooLate(const PendingCall& open, TimePoint now) const;
   //! Delay by the queue of the chosen target, or by the want of one.
   [[nodiscard]] Duration QueueDelay(const PendingCall& open,
                                     const ServiceId& service,
--- a/src/jacinthdeck/forward/forwarder_admission.cc
+++ b/src/jacinthdeck/forward/forwarder_admission.cc
@@ -171,9 +171,7 @@
   if (LiveShards(open) < open.route->min_shards()) {
     return ForwardReason::kNoTarget;
   }
-  const auto least = static_cast<Duration::rep>(
-      kLeastTimePart * static_cast<double>(open.profile->mean().count()));
-  if (open.final_at - now < Duration(least)) {
+  if (IsTooLate(open, now)) {
     return ForwardReason::kDeadline;
   }
   open.story.expected = ExpectedDelay(open, now);
@@ -183,6 +181,24 @@
   return std::nullopt;
 }
 
+// A guess tells nobody that it is too late, and a measured latency only while
+// it is fresh or attempts of the route are under way, which will correct it.
+// Else the callers of a route that was slow, or is new, would be refused for as
+// long as the process lives: those that are refused measure nothing. Of a route
+// that is slow still one call is tried at a time, so that little work is lost.
+bool Forwarder::IsTooLate(const PendingCall& open, TimePoint now) const {
+  const UsualLatency usual = open.profile->usual();
+  const auto least = Duration(static_cast<Duration::rep>(
+      kLeastTimePart * static_cast<double>(usual.mean.count())));
+  if (!usual.is_measured() || open.final_at - now >= least) {
+    return false;
+  }
+  return open.profile->IsFresh(now) ||
+         std::ranges::any_of(m_attempts, [&](const auto& item) {
+           return item.second.profile == open.profile;
+         });
+}
+
 // None while a slot is free. Past latencies alone must not count: after a hard
 // time they are high, refusals would keep new ones from being learned, and a
 // tier with idle targets would refuse for ever.
--- a/src/jacinthdeck/forward/forwarder_attempts.cc
+++ b/src/jacinthdeck/forward/forwarder_attempts.cc
@@ -200,7 +200,7 @@
       if (end.response.succeeded()) {
         const Duration latency = now - attempt.sent;
         target.OnAnswer(end.id, latency, attempt.profile->usual(), now);
-        attempt.profile->Add(latency);
+        attempt.profile->Add(latency, now);
       } else {
         target.OnFailure(end.id, now);
       }
--- a/src/jacinthdeck/forward/latency_profile.cc
+++ b/src/jacinthdeck/forward/latency_profile.cc
@@ -31,6 +31,9 @@
 //! Silence that work does not explain: this multiple of the hedge delay.
 constexpr double kLateFactor = 1.5;
 constexpr Duration kLeastLate = milliseconds(10);
+//! Time for which the last answer vouches for the latencies: more than twice
+//! the longest pause of a target that users report.
+constexpr Duration kFreshFor = milliseconds(500);
 
 [[nodiscard]] Duration Scaled(Duration duration, double factor) {
   return Duration(static_cast<Duration::rep>(
@@ -51,7 +54,12 @@
   return {.mean = m_mean, .samples = samples < kLeastSamples ? 0 : samples};
 }
 
-void LatencyProfile::Add(Duration latency) {
+bool LatencyProfile::IsFresh(TimePoint now) const noexcept {
+  return usual().is_measured() && now - m_learned_at < kFreshFor;
+}
+
+void LatencyProfile::Add(Duration latency, TimePoint now) {
+  m_learned_at = now;
   m_histogram.Add(latency);
   m_average.Add(static_cast<double>(latency.count()));
   const std::uint64_t samples = m_histogram.samples();
--- a/src/jacinthdeck/forward/latency_profile.h
+++ b/src/jacinthdeck/forward/latency_profile.h
@@ -25,6 +25,9 @@
   /*! \brief The mean, and whether it is more than a guess. */
   [[nodiscard]] UsualLatency usual() const noexcept;
 
+  /*! \brief Tells whether the mean was measured, and lately. */
+  [[nodiscard]] bool IsFresh(TimePoint now) const noexcept;
+
   /*! \brief Time after which a second attempt is worth its load. */
   [[nodiscard]] Duration hedge_delay() const noexcept { return m_hedge_delay; }
 
@@ -32,7 +35,7 @@
   [[nodiscard]] Duration late_after() const noexcept { return m_late_after; }
 
   /*! \brief Takes the latency of an answer. */
-  void Add(Duration latency);
+  void Add(Duration latency, TimePoint now);
 
  private:
   void Learn();
@@ -44,6 +47,8 @@
   Duration m_mean{};
   Duration m_hedge_delay{};
   Duration m_late_after{};
+  //! Moment of the last answer.
+  TimePoint m_learned_at;
 };
 
 }  // namespace jacinthdeck
--- a/test/jacinthdeck/forward/forwarder_load_test.cc
+++ b/test/jacinthdeck/forward/forwarder_load_test.cc
@@ -30,6 +30,21 @@
   BOOST_TEST(port.delivered.empty());
 }
 
+// A route was slow for a while, then its callers give it less time than that.
+// "Too little time" is told to all of them on the word of past latencies, and a
+// route without a call under way never learns that it is fast again: its
+// callers would be refused for as long as the process lives.
+BOOST_AUTO_TEST_CASE(Overload_IsOverAndCallersAreHasty_OneAtATimeIsTried) {
+  WarmUp("/read/1", milliseconds(400));
+  Advance(seconds(1));
+  (void)Submit("/read/2", milliseconds(150));
+  BOOST_TEST(port.sent.size() == 1U);
+  BOOST_TEST(port.delivered.empty());
+  (void)Submit("/read/3", milliseconds(150));
+  BOOST_TEST(port.sent.size() == 1U);
+  BOOST_TEST((Only().answer.reason == ForwardReason::kDeadline));
+}
+
 // All targets have a queue when the hedge falls due, and its first target never
 // answers. A hedge that looks for a free slot once leaves the call with that
 // one attempt to its end, though slots come free soon after; it must look
@@ -101,18 +116,18 @@
     });
     forwarder.SetTargets(targets, clock.Now());
     WarmUp("/fan/warm", kWork);
-    AddRoute();
+    AddRoute(seconds(1), 2);
   }
 
-  void AddRoute() {
+  void AddRoute(Duration objective, std::uint64_t version) {
     std::vector<Route> routes = Routes();
     Route added = MakeRoute("added", RepeatRule::kIdempotent);
     added.services = {{ServiceId("shard-0"), 1}};
-    added.objective = seconds(1);
+    added.objective = objective;
     added.priority = 2;
     added.timeout = seconds(4);
     routes.push_back(added);
-    BOOST_REQUIRE(forwarder.SetConfig(Config(2, routes)));
+    BOOST_REQUIRE(forwarder.SetConfig(Config(version, routes)));
   }
 
   //! The target that is left tells of its load with an answer to a search.
@@ -153,6 +168,17 @@
   BOOST_TEST(port.sent.front().target.id.raw() == "shard-0/0");
 }
 
+// Nothing is known of an added route but that its operator allows ten seconds;
+// its callers wait for 300 ms, and the work takes some milliseconds. A guess of
+// an eighth of the ten seconds must not tell them that this is too little.
+BOOST_AUTO_TEST_CASE(Admission_LatencyIsAGuess_HastyCallsAreTaken) {
+  AddRoute(seconds(10), 3);
+  (void)Submit("/added/1", milliseconds(300));
+  (void)Submit("/added/2", milliseconds(300));
+  BOOST_TEST(port.delivered.empty());
+  BOOST_TEST(port.sent.size() == 2U);
+}
+
 // Searches hold this host's places at the one target that a shard has left,
 // though three of four shards are enough for them. A call for that shard's
 // service has no other target: without a place it is told "not run" at once,
