--- a/src/jacinthdeck/forward/forwarder.h
+++ b/src/jacinthdeck/forward/forwarder.h
@@ -157,6 +157,9 @@
                                   const CallPart& part,
                                   TimePoint now) const;
   void OnNoTarget(PendingCall& open, CallPart& part, TimePoint now);
+  void Retry(PendingCall& open, std::size_t part, TimePoint now);
+
+  // Ends of attempts, in forwarder_replies.cc.
   void Learn(const PendingAttempt& attempt,
              const AttemptEnd& end,
              TimePoint now);
@@ -169,10 +172,9 @@
                     CallPart& part,
                     AttemptEnd& end,
                     TimePoint now);
-  void Retry(PendingCall& open, std::size_t part, TimePoint now);
   void CancelAttempt(AttemptId attempt, TimePoint now);
 
-  // Ends, in forwarder_finish.cc.
+  // Ends of calls, in forwarder_finish.cc.
   void GiveUp(PendingCall& open, CallPart& part, ForwardReason reason);
   void Settle(PendingCall& open, TimePoint now);
   void Finish(PendingCall& open, TimePoint now);
--- a/src/jacinthdeck/forward/forwarder_attempts.cc
+++ b/src/jacinthdeck/forward/forwarder_attempts.cc
@@ -1,4 +1,4 @@
-// Attempts: sending, ends, and whether there is another one.
+// Attempts: sending, and whether there is another one.
 #include <algorithm>
 #include <utility>
 
@@ -27,9 +27,6 @@
 //! Part of the objective for which a call may look for a place; after that its
 //! caller is better off elsewhere.
 constexpr int kNoPlacePart = 4;
-//! Time that an attempt which lost to another may go on: its connection stays
-//! usable, and a target that wakes from a pause is known to be back.
-constexpr Duration kLoserGrace = milliseconds(350);
 
 /*! \brief Time from its arrival for which a call may look for a place. */
 [[nodiscard]] Duration PatienceOf(const internal::PendingCall& open) {
@@ -175,122 +172,6 @@
                               open.route->repeat == RepeatRule::kAtMostOnce});
 }
 
-void Forwarder::OnAttemptEnd(AttemptEnd& end, TimePoint now) {
-  const auto found = m_attempts.find(end.id);
-  if (found == m_attempts.end()) {
-    return;
-  }
-  const PendingAttempt attempt = found->second;
-  m_attempts.erase(found);
-  m_stale_attempts.Remove(end.id);
-  ++m_counters.outcomes[static_cast<std::size_t>(end.outcome)];
-  Learn(attempt, end, now);
-  const auto open = m_calls.find(attempt.call);
-  if (open != m_calls.end()) {
-    TakeEnd(open->second, attempt, end, now);
-  }
-}
-
-void Forwarder::Learn(const PendingAttempt& attempt,
-                      const AttemptEnd& end,
-                      TimePoint now) {
-  LearnedTarget& target = *attempt.target;
-  switch (end.outcome) {
-    case AttemptOutcome::kResponse:
-      if (end.response.succeeded()) {
-        const Duration latency = now - attempt.sent;
-        target.OnAnswer(end.id, latency, attempt.profile->usual(), now);
-        attempt.profile->Add(latency, now);
-      } else {
-        target.OnFailure(end.id, now);
-      }
-      break;
-    case AttemptOutcome::kNotExecuted:
-      target.OnShed(end.id, now);
-      break;
-    case AttemptOutcome::kWrongTarget:
-      // Its address has a new owner; the registry will say so.
-      target.OnLost(end.id, now);
-      target.SetGone();
-      break;
-    case AttemptOutcome::kNotSent:
-    case AttemptOutcome::kBroken:
-      target.OnLost(end.id, now);
-      break;
-  }
-  if (end.load) {
-    target.OnLoad(*end.load, now);
-  }
-}
-
-void Forwarder::Note(PendingCall& open, const AttemptEnd& end, TimePoint now) {
-  const auto note =
-      std::ranges::find(open.story.attempts, end.id, &AttemptNote::id);
-  if (note == open.story.attempts.end()) {
-    return;
-  }
-  note->took = now - open.call.arrived - note->sent;
-  note->outcome = end.outcome;
-  note->status = end.response.status;
-}
-
-void Forwarder::TakeEnd(PendingCall& open,
-                        const PendingAttempt& attempt,
-                        AttemptEnd& end,
-                        TimePoint now) {
-  Note(open, end, now);
-  CallPart& part = open.parts[attempt.part];
-  std::erase(part.in_flight, end.id);
-  if (part.phase != internal::PartPhase::kOpen) {
-    return;
-  }
-  switch (end.outcome) {
-    case AttemptOutcome::kResponse:
-      TakeResponse(open, part, end, now);
-      break;
-    case AttemptOutcome::kNotSent:
-      --part.arrivals;
-      --part.runs;
-      if (attempt.paid) {
-        BudgetOf(part.service).Refund(now);
-      }
-      part.reason = ForwardReason::kTargetsFailed;
-      break;
-    case AttemptOutcome::kNotExecuted:
-    case AttemptOutcome::kWrongTarget:
-      --part.runs;
-      part.reason = ForwardReason::kOverload;
-      break;
-    case AttemptOutcome::kBroken:
-      part.reason = ForwardReason::kTargetsFailed;
-      open.lost += end.connection_lost ? 1 : 0;
-      break;
-  }
-  if (part.phase == internal::PartPhase::kOpen) {
-    Retry(open, attempt.part, now);
-  }
-  Settle(open, now);
-}
-
-void Forwarder::TakeResponse(PendingCall& open,
-                             CallPart& part,
-                             AttemptEnd& end,
-                             TimePoint now) {
-  const bool whole = !end.response.stamp.empty() && !end.response.encoded;
-  if (end.response.succeeded() && whole) {
-    part.response = std::move(end.response);
-    part.phase = internal::PartPhase::kAnswered;
-    ++open.answered;
-    --open.unsettled;
-    m_crashes.OnAnswered(open.fingerprint, now);
-    return;
-  }
-  part.reason = ForwardReason::kTargetsFailed;
-  if (!end.response.succeeded()) {
-    part.response = std::move(end.response);
-  }
-}
-
 bool Forwarder::MaySendAgain(const PendingCall& open,
                              const CallPart& part,
                              TimePoint now) const {
@@ -323,43 +204,4 @@
   }
 }
 
-void Forwarder::CancelAttempt(AttemptId id, TimePoint now) {
-  const auto found = m_attempts.find(id);
-  if (found == m_attempts.end()) {
-    return;
-  }
-  found->second.target->OnCancel(id, now);
-  m_attempts.erase(found);
-  m_stale_attempts.Remove(id);
-  ++m_counters.cancelled;
-  m_port.Cancel(id);
-}
-
-void Forwarder::Abandon(CallId id, TimePoint now) {
-  const auto found = m_calls.find(id);
-  if (found == m_calls.end()) {
-    return;
-  }
-  ++m_counters.abandoned;
-  CountLosses(found->second, now);
-  for (const CallPart& part : found->second.parts) {
-    for (const AttemptId attempt : std::vector<AttemptId>(part.in_flight)) {
-      CancelAttempt(attempt, now);
-    }
-  }
-  m_timers.Remove(id);
-  m_calls.erase(found);
-}
-
-void Forwarder::Close(PendingCall& open, TimePoint now) {
-  const CallId id = open.call.id;
-  for (const CallPart& part : open.parts) {
-    for (const AttemptId attempt : part.in_flight) {
-      m_stale_attempts.Set(attempt, now + kLoserGrace);
-    }
-  }
-  m_timers.Remove(id);
-  m_calls.erase(id);
-}
-
 }  // namespace jacinthdeck
--- a/src/jacinthdeck/forward/forwarder_finish.cc
+++ b/src/jacinthdeck/forward/forwarder_finish.cc
@@ -1,12 +1,23 @@
 // Ends of parts and calls, and the answers.
 #include <algorithm>
 #include <utility>
+#include <vector>
 
 #include "jacinthdeck/forward/forwarder.h"
 #include "jacinthdeck/forward/top_records.h"
 
 namespace jacinthdeck {
 
+namespace {
+
+using std::chrono::milliseconds;
+
+//! Time that an attempt which lost to another may go on: its connection stays
+//! usable, and a target that wakes from a pause is known to be back.
+constexpr Duration kLoserGrace = milliseconds(350);
+
+}  // namespace
+
 void Forwarder::GiveUp(PendingCall& open,
                        CallPart& part,
                        ForwardReason reason) {
@@ -106,4 +117,31 @@
   return answer;
 }
 
+void Forwarder::Abandon(CallId id, TimePoint now) {
+  const auto found = m_calls.find(id);
+  if (found == m_calls.end()) {
+    return;
+  }
+  ++m_counters.abandoned;
+  CountLosses(found->second, now);
+  for (const CallPart& part : found->second.parts) {
+    for (const AttemptId attempt : std::vector<AttemptId>(part.in_flight)) {
+      CancelAttempt(attempt, now);
+    }
+  }
+  m_timers.Remove(id);
+  m_calls.erase(found);
+}
+
+void Forwarder::Close(PendingCall& open, TimePoint now) {
+  const CallId id = open.call.id;
+  for (const CallPart& part : open.parts) {
+    for (const AttemptId attempt : part.in_flight) {
+      m_stale_attempts.Set(attempt, now + kLoserGrace);
+    }
+  }
+  m_timers.Remove(id);
+  m_calls.erase(id);
+}
+
 }  // namespace jacinthdeck
