Let a guess not end a call that waits for a place

What callers saw, in a test: on a route that was added with an objective of ten seconds a caller who waits for 300 ms was refused 4 ms after its arrival, though a place at the target came free 6 ms later.

Cause: whether there is time for another attempt was asked of half the route's usual latency, here a guess of 1.25 s, in a second copy of that rule.

Why it holds: both rules now ask the profile for the least time of an attempt, which is zero while the latency is a guess.

--- a/src/jacinthdeck/forward/forwarder_admission.cc
+++ b/src/jacinthdeck/forward/forwarder_admission.cc
@@ -25,9 +25,6 @@
 constexpr Duration kMostComeBack = milliseconds(2000);
 //! Callers refused together must not come back together.
 constexpr double kComeBackSpread = 1.0;
-//! Calls with less time left than this part of the usual latency cannot be
-//! served; work on them is lost.
-constexpr double kLeastTimePart = 0.5;
 //! Longest expected delay of a call, in objectives, by its priority: the
 //! urgent ones may use the queue that others must leave free.
 constexpr double kMostDelay = 1.0;
@@ -187,10 +184,7 @@
 // long as the process lives: those that are refused measure nothing. Of a route
 // that is slow still one call is tried at a time, so that little work is lost.
 bool Forwarder::IsTooLate(const PendingCall& open, TimePoint now) const {
-  const UsualLatency usual = open.profile->usual();
-  const auto least = Duration(static_cast<Duration::rep>(
-      kLeastTimePart * static_cast<double>(usual.mean.count())));
-  if (!usual.is_measured() || open.final_at - now >= least) {
+  if (open.final_at - now >= open.profile->least_time()) {
     return false;
   }
   return open.profile->IsFresh(now) ||
--- a/src/jacinthdeck/forward/forwarder_attempts.cc
+++ b/src/jacinthdeck/forward/forwarder_attempts.cc
@@ -181,7 +181,7 @@
                          m_crashes.IsSuspect(open.fingerprint, now);
   return repeatable && part.runs < open.route->max_attempts &&
          part.sends < open.route->max_attempts + kSpareSends &&
-         now + open.profile->mean() / 2 < open.final_at && !endangers;
+         now + open.profile->least_time() < open.final_at && !endangers;
 }
 
 void Forwarder::Retry(PendingCall& open,
--- a/src/jacinthdeck/forward/latency_profile.cc
+++ b/src/jacinthdeck/forward/latency_profile.cc
@@ -31,6 +31,8 @@
 //! Silence that work does not explain: this multiple of the hedge delay.
 constexpr double kLateFactor = 1.5;
 constexpr Duration kLeastLate = milliseconds(10);
+//! With less than this part of the mean left nearly all answers come too late.
+constexpr double kLeastTimePart = 0.5;
 //! Time for which the last answer vouches for the latencies: more than twice
 //! the longest pause of a target that users report.
 constexpr Duration kFreshFor = milliseconds(500);
@@ -54,6 +56,11 @@
   return {.mean = m_mean, .samples = samples < kLeastSamples ? 0 : samples};
 }
 
+Duration LatencyProfile::least_time() const noexcept {
+  return usual().is_measured() ? Scaled(m_mean, kLeastTimePart)
+                               : Duration::zero();
+}
+
 bool LatencyProfile::IsFresh(TimePoint now) const noexcept {
   return usual().is_measured() && now - m_learned_at < kFreshFor;
 }
--- a/src/jacinthdeck/forward/latency_profile.h
+++ b/src/jacinthdeck/forward/latency_profile.h
@@ -25,6 +25,10 @@
   /*! \brief The mean, and whether it is more than a guess. */
   [[nodiscard]] UsualLatency usual() const noexcept;
 
+  /*! \brief Time below which an attempt is not worth its work; zero while the
+   * mean is a guess, which must not end a call. */
+  [[nodiscard]] Duration least_time() const noexcept;
+
   /*! \brief Tells whether the mean was measured, and lately. */
   [[nodiscard]] bool IsFresh(TimePoint now) const noexcept;
 
--- a/test/jacinthdeck/forward/forwarder_load_test.cc
+++ b/test/jacinthdeck/forward/forwarder_load_test.cc
@@ -179,6 +179,23 @@
   BOOST_TEST(port.sent.size() == 2U);
 }
 
+// A call of an added route waits for a place at its only target, and its caller
+// for 300 ms. One comes free after 10 ms. A guess of 1.25 s for the work, an
+// eighth of what the operator allows, must not end the wait before.
+BOOST_AUTO_TEST_CASE(Admission_LatencyIsAGuess_HastyCallWaitsForAPlace) {
+  AddRoute(seconds(10), 3);
+  forwarder.SetHosts(6, true, clock.Now());
+  (void)Submit("/added/1");
+  (void)Submit("/added/2");
+  BOOST_REQUIRE_EQUAL(port.sent.size(), 2U);
+  (void)Submit("/added/3", milliseconds(300));
+  Advance(milliseconds(10));
+  BOOST_TEST(port.delivered.empty());
+  Answer(port.sent.front());
+  Advance(milliseconds(10));
+  BOOST_TEST(port.sent.size() == 3U);
+}
+
 // Searches hold this host's places at the one target that a shard has left,
 // though three of four shards are enough for them. A call for that shard's
 // service has no other target: without a place it is told "not run" at once,
