--- a/src/jacinthdeck/forward/forwarder.h
+++ b/src/jacinthdeck/forward/forwarder.h
@@ -114,7 +114,8 @@
   void SetTimes(PendingCall& open) const;
   [[nodiscard]] std::optional<ForwardReason> ReasonToRefuse(PendingCall& open,
                                                             TimePoint now);
-  [[nodiscard]] std::size_t LiveShards(PendingCall& open) const;
+  //! Shards with a target that takes work; notes the fewest in the story.
+  [[nodiscard]] std::size_t CountLiveShards(PendingCall& open) const;
   //! Tells whether what time the call has left is known to be too little.
   [[nodiscard]] bool IsTooLate(const PendingCall& open, TimePoint now) const;
   //! Delay by the queue of the chosen target, or by the want of one.
--- a/src/jacinthdeck/forward/forwarder_admission.cc
+++ b/src/jacinthdeck/forward/forwarder_admission.cc
@@ -148,7 +148,7 @@
   }
 }
 
-std::size_t Forwarder::LiveShards(PendingCall& open) const {
+std::size_t Forwarder::CountLiveShards(PendingCall& open) const {
   std::size_t shards = 0;
   std::size_t fewest = std::numeric_limits<std::uint32_t>::max();
   for (const CallPart& part : open.parts) {
@@ -165,7 +165,7 @@
   if (m_crashes.IsConvicted(open.fingerprint, now)) {
     return ForwardReason::kCrashesTargets;
   }
-  if (LiveShards(open) < open.route->min_shards()) {
+  if (CountLiveShards(open) < open.route->min_shards()) {
     return ForwardReason::kNoTarget;
   }
   if (IsTooLate(open, now)) {
