Tell of no wait for a place where nothing was measured

Such a host has measured neither the route nor the target, so that the want of a place was 16 times an eighth of the objective.

Why it holds: where nothing was measured the call is admitted and looks for a place, for a quarter of its objective, and is refused if it finds none; after the first answers of a service's targets their latency counts.

--- a/src/jacinthdeck/forward/forwarder_admission.cc
+++ b/src/jacinthdeck/forward/forwarder_admission.cc
@@ -201,7 +201,11 @@
                                const TargetChoice& choice,
                                TimePoint now) const {
   if (choice.target == nullptr) {
-    return m_targets.UsualOf(service, open.profile->mean()) * kNoPlaceMeans;
+    // Where neither a target nor the route was measured there is no wait to
+    // tell of: the call looks for a place, and is refused if it finds none.
+    const UsualLatency usual = open.profile->usual();
+    const Duration known = usual.is_measured() ? usual.mean : Duration::zero();
+    return m_targets.UsualOf(service, known) * kNoPlaceMeans;
   }
   return choice.target->Occupancy(now) < 1 ? Duration::zero() : choice.expected;
 }
--- a/test/jacinthdeck/forward/forwarder_load_test.cc
+++ b/test/jacinthdeck/forward/forwarder_load_test.cc
@@ -45,6 +45,24 @@
   BOOST_TEST((Only().answer.reason == ForwardReason::kDeadline));
 }
 
+// A host that stands by has one connection a target, and has answered nothing
+// yet. Three calls hold those there are; a fourth comes. Told of a wait of 16
+// times a guess it would be refused at once, with a time to come back that
+// nobody has measured. It looks for a place, and one comes free.
+BOOST_AUTO_TEST_CASE(Overload_NothingIsMeasured_CallLooksForAPlace) {
+  forwarder.SetHosts(6, false, clock.Now());
+  for (int call = 0; call < 3; ++call) {
+    (void)Submit("/read/" + std::to_string(call));
+  }
+  BOOST_REQUIRE_EQUAL(port.sent.size(), 3U);
+  (void)Submit("/read/next");
+  BOOST_TEST(port.delivered.empty());
+  Advance(milliseconds(10));
+  Answer(port.sent.front());
+  Advance(milliseconds(10));
+  BOOST_TEST(port.sent.size() == 4U);
+}
+
 // A host that stands by serves whoever comes, and gives each connection to a
 // target back; once callers are sent to it, it keeps them.
 BOOST_AUTO_TEST_CASE(Connections_HostStandsBy_AreGivenBackWithTheAnswer) {
