--- a/src/jacinthdeck/forward/attempt_end.h
+++ b/src/jacinthdeck/forward/attempt_end.h
@@ -57,8 +57,8 @@
   //! Its connection ends with the answer. Hosts that stand by are many and have
   //! no share of a target's connections: one kept by each of them took the one
   //! target that a shard had left past its limit, and it reset the next ones;
-  //! 386 of 2,262 calls at such hosts failed. Held for a request alone, they
-  //! are few at a time.
+  //! of 2,262 calls for its service 386 failed, all at such hosts. Held for a
+  //! request alone, they are few at a time.
   bool gives_back_connection = false;
 };
 
