--- a/src/daemons/ctl/arguments.cc
+++ b/src/daemons/ctl/arguments.cc
@@ -33,6 +33,8 @@
       "version", po::bool_switch(&arguments.version), "print the version")(
       "json", po::bool_switch(&arguments.json),
       "print the reply as one line of JSON")(
+      "summary", po::bool_switch(&arguments.summary),
+      "count what callers lost; for explain")(
       "store", po::value(&raw.store)->default_value(kDefaultStore),
       "the platform's store, IP:PORT; for schema, index and hosts")(
       "host", po::value(&raw.host)->default_value(kDefaultHost),
--- a/src/daemons/ctl/arguments.h
+++ b/src/daemons/ctl/arguments.h
@@ -19,6 +19,8 @@
   bool help = false;
   bool version = false;
   bool json = false;
+  //! Of explain: all losses in place of one request's story.
+  bool summary = false;
   //! The platform's store.
   Endpoint store;
   //! A host's metrics port.
--- a/src/daemons/ctl/command.cc
+++ b/src/daemons/ctl/command.cc
@@ -30,7 +30,9 @@
      &ShowEntries},
     {"query", "", "SERVICE/METHOD JSON", "ask one request", 2, 2, &Query},
     {"explain", "", "REQUEST_ID FILE...",
-     "tell the story of a request from logs", 2, kAny, &Explain},
+     "tell the story of a request from logs; with --summary and no id, count "
+     "all losses",
+     1, kAny, &Explain},
 }};
 
 [[nodiscard]] bool Names(const Command& command,
--- a/src/daemons/ctl/explain_command.cc
+++ b/src/daemons/ctl/explain_command.cc
@@ -1,5 +1,4 @@
-// Log lines are JSON objects; what stands before the first brace is passed
-// over, since collectors put their own words there.
+// The story of one request, and the summary of all that was lost.
 #include "ctl/explain_command.h"
 
 #include <jansson.h>
@@ -8,10 +7,15 @@
 #include <array>
 #include <cstdlib>
 #include <fstream>
+#include <functional>
 #include <map>
 #include <memory>
+#include <span>
 #include <string_view>
 
+#include "ctl/log_lines.h"
+#include "ctl/loss_summary.h"
+
 namespace jacinthdeck::ctl {
 
 namespace {
@@ -33,28 +37,11 @@
   std::vector<Line> lines;
   //! By file and event: the last belief before the request's line.
   std::vector<Line> beliefs;
-  std::size_t read = 0;
-  std::size_t unreadable = 0;
+  LineCounts counts;
 };
 
-[[nodiscard]] std::string_view TextOf(const json_t* json, const char* name) {
-  const json_t* value = json_object_get(json, name);
-  return json_is_string(value) ? std::string_view(json_string_value(value))
-                               : std::string_view();
-}
-
-[[nodiscard]] JsonPtr ParseLine(const std::string& text) {
-  const std::size_t brace = text.find('{');
-  if (brace == text.npos) {
-    return nullptr;
-  }
-  return JsonPtr(
-      json_loadb(text.data() + brace, text.size() - brace, 0, nullptr));
-}
-
 [[nodiscard]] Line Copy(const json_t* json, const std::string& file) {
-  return {json_integer_value(json_object_get(json, "unix_ms")),
-          std::string(TextOf(json, "host")), file,
+  return {NumberOf(json, "unix_ms"), std::string(TextOf(json, "host")), file,
           JsonPtr(json_deep_copy(json))};
 }
 
@@ -64,29 +51,22 @@
              Story& story) {
   //! By host, then by event.
   std::map<std::string, std::map<std::string, Line>> beliefs;
-  std::string text;
-  while (std::getline(in, text)) {
-    ++story.read;
-    const JsonPtr json = ParseLine(text);
-    const std::string_view event = TextOf(json.get(), "event");
-    if (event.empty()) {
-      ++story.unreadable;
-      continue;
-    }
+  ReadLines(in, story.counts, [&](const json_t& json) {
+    const std::string_view event = TextOf(&json, "event");
     if (std::ranges::find(kBeliefs, event) != kBeliefs.end()) {
-      Line line = Copy(json.get(), file);
+      Line line = Copy(&json, file);
       beliefs[line.host].insert_or_assign(std::string(event), std::move(line));
     }
-    if (TextOf(json.get(), "request") != request) {
-      continue;
+    if (TextOf(&json, "request") != request) {
+      return;
     }
-    Line told = Copy(json.get(), file);
+    Line told = Copy(&json, file);
     for (const auto& [name, line] : beliefs[told.host]) {
       story.beliefs.push_back(Copy(line.json.get(), file));
     }
     beliefs.erase(told.host);
     story.lines.push_back(std::move(told));
-  }
+  });
 }
 
 //! With as many digits as the log had.
@@ -129,34 +109,88 @@
   }
 }
 
-}  // namespace
-
-ExitCode Explain(Session& session, const std::vector<std::string>& operands) {
-  Story story;
-  for (std::size_t i = 1; i < operands.size(); ++i) {
-    std::ifstream file(operands[i]);
+/**
+ * \brief Opens each file and hands it on.
+ * \return The first file that cannot be read; empty if all were.
+ */
+[[nodiscard]] std::string ForEachFile(
+    std::span<const std::string> names,
+    const std::function<void(std::istream&, const std::string&)>& read) {
+  for (const std::string& name : names) {
+    std::ifstream file(name);
     if (!file) {
-      return session.Fail(ExitCode::kUsage, operands[i] + ": cannot be read",
-                          "name the hosts' log files");
+      return name;
     }
-    ReadLog(file, operands[i], operands[0], story);
+    read(file, name);
+  }
+  return {};
+}
+
+void TellUnreadable(const LineCounts& counts, std::ostream& out) {
+  if (counts.unreadable > 0) {
+    out << counts.unreadable << " of " << counts.read
+        << " lines could not be read\n";
+  }
+}
+
+ExitCode FailUnreadableFile(Session& session, const std::string& name) {
+  return session.Fail(ExitCode::kUsage, name + ": cannot be read",
+                      "name the hosts' log files");
+}
+
+ExitCode Summarize(Session& session, std::span<const std::string> names) {
+  LossSummary summary;
+  LineCounts counts;
+  const std::string bad =
+      ForEachFile(names, [&](std::istream& in, const std::string&) {
+        ReadLines(in, counts, [&](const json_t& line) { summary.Add(line); });
+      });
+  if (!bad.empty()) {
+    return FailUnreadableFile(session, bad);
+  }
+  TellUnreadable(counts, session.out());
+  summary.Print(session.out());
+  return ExitCode::kDone;
+}
+
+ExitCode TellStory(Session& session,
+                   const std::string& request,
+                   std::span<const std::string> names) {
+  Story story;
+  const std::string bad =
+      ForEachFile(names, [&](std::istream& in, const std::string& name) {
+        ReadLog(in, name, request, story);
+      });
+  if (!bad.empty()) {
+    return FailUnreadableFile(session, bad);
   }
   const auto by_time = [](const Line& left, const Line& right) {
     return left.unix_ms < right.unix_ms;
   };
   std::ranges::stable_sort(story.lines, by_time);
   std::ranges::stable_sort(story.beliefs, by_time);
-  if (story.unreadable > 0) {
-    session.out() << story.unreadable << " of " << story.read
-                  << " lines could not be read\n";
-  }
+  TellUnreadable(story.counts, session.out());
   if (story.lines.empty()) {
     return session.Fail(
-        ExitCode::kFailed, "no line tells of " + operands[0],
+        ExitCode::kFailed, "no line tells of " + request,
         "good requests are sampled: look at the metrics of the hosts");
   }
   Print(story, session.out());
   return ExitCode::kDone;
 }
 
+}  // namespace
+
+ExitCode Explain(Session& session, const std::vector<std::string>& operands) {
+  const std::span<const std::string> words(operands);
+  if (session.arguments().summary) {
+    return Summarize(session, words);
+  }
+  if (words.size() < 2) {
+    return session.Fail(ExitCode::kUsage, "explain: no log file",
+                        "name the request's id and the hosts' log files");
+  }
+  return TellStory(session, words.front(), words.subspan(1));
+}
+
 }  // namespace jacinthdeck::ctl
--- /dev/null
+++ b/src/daemons/ctl/log_lines.cc
@@ -0,0 +1,45 @@
+// One JSON object a line, parsed one at a time: logs are larger than memory.
+#include "ctl/log_lines.h"
+
+namespace jacinthdeck::ctl {
+
+namespace {
+
+[[nodiscard]] JsonPtr ParseLine(const std::string& text) {
+  const std::size_t brace = text.find('{');
+  if (brace == text.npos) {
+    return nullptr;
+  }
+  return JsonPtr(
+      json_loadb(text.data() + brace, text.size() - brace, 0, nullptr));
+}
+
+}  // namespace
+
+std::string_view TextOf(const json_t* json, const char* name) {
+  const json_t* value = json_object_get(json, name);
+  return json_is_string(value) ? std::string_view(json_string_value(value))
+                               : std::string_view();
+}
+
+json_int_t NumberOf(const json_t* json, const char* name) {
+  return static_cast<json_int_t>(
+      json_number_value(json_object_get(json, name)));
+}
+
+void ReadLines(std::istream& in,
+               LineCounts& counts,
+               const std::function<void(const json_t&)>& take) {
+  std::string text;
+  while (std::getline(in, text)) {
+    ++counts.read;
+    const JsonPtr json = ParseLine(text);
+    if (TextOf(json.get(), "event").empty()) {
+      ++counts.unreadable;
+      continue;
+    }
+    take(*json);
+  }
+}
+
+}  // namespace jacinthdeck::ctl
--- /dev/null
+++ b/src/daemons/ctl/loss_summary.cc
@@ -0,0 +1,142 @@
+// Tables of losses. Columns are the kinds of loss, rows what they are counted
+// by.
+#include "ctl/loss_summary.h"
+
+#include <algorithm>
+#include <iomanip>
+#include <numeric>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "ctl/log_lines.h"
+
+namespace jacinthdeck::ctl {
+
+namespace {
+
+//! Length of a window. Losses come in bursts of a second or two.
+constexpr json_int_t kWindowMs = 2000;
+constexpr int kNameWidth = 44;
+constexpr int kCountWidth = 16;
+
+[[nodiscard]] json_int_t WindowOf(const json_t& line) {
+  const json_int_t at = NumberOf(&line, "unix_ms");
+  return at - at % kWindowMs;
+}
+
+//! Event with what tells its kinds apart; addresses and ids are left out.
+[[nodiscard]] std::string KindOf(const json_t& line) {
+  std::string kind(TextOf(&line, "event"));
+  for (const char* field : {"status", "problem"}) {
+    const std::string_view value = TextOf(&line, field);
+    kind += value.empty() ? "" : " " + std::string(value);
+  }
+  return kind;
+}
+
+//! Attempts at a shard in the order of their sending.
+[[nodiscard]] std::string AttemptsOf(const json_t& line, json_int_t shard) {
+  std::vector<std::pair<double, std::string>> sent;
+  const json_t* attempts = json_object_get(&line, "attempts");
+  for (std::size_t i = 0; i < json_array_size(attempts); ++i) {
+    const json_t* attempt = json_array_get(attempts, i);
+    if (NumberOf(attempt, "shard") == shard) {
+      sent.emplace_back(json_number_value(json_object_get(attempt, "sent_ms")),
+                        std::string(TextOf(attempt, "reason")) + " " +
+                            std::string(TextOf(attempt, "outcome")));
+    }
+  }
+  std::ranges::stable_sort(sent, {}, &std::pair<double, std::string>::first);
+  std::string text;
+  for (const auto& [at, attempt] : sent) {
+    text += (text.empty() ? "" : ", ") + attempt;
+  }
+  return text.empty() ? "none" : text;
+}
+
+void PrintName(const std::string& name, std::ostream& out) {
+  out << std::left << std::setw(kNameWidth) << name << std::right;
+}
+
+void PrintHeader(const std::string& name, std::ostream& out) {
+  PrintName(name, out);
+  for (const std::string_view loss : kLossNames.names) {
+    out << std::setw(kCountWidth) << loss;
+  }
+  out << "\n";
+}
+
+template <typename Counts>
+void PrintRow(const std::string& name,
+              const Counts& counts,
+              std::ostream& out) {
+  PrintName(name, out);
+  for (const std::uint64_t count : counts) {
+    out << std::setw(kCountWidth) << count;
+  }
+  out << "\n";
+}
+
+}  // namespace
+
+void LossSummary::Add(const json_t& line) {
+  const auto loss = kLossNames.Find(TextOf(&line, "event"));
+  if (!loss) {
+    if (TextOf(&line, "event") != "call_done") {
+      ++m_events[KindOf(line)][WindowOf(line)];
+    }
+    return;
+  }
+  const auto column = static_cast<std::size_t>(*loss);
+  ++m_by_window[WindowOf(line)][column];
+  const std::string route(TextOf(&line, "route"));
+  const std::string reason(TextOf(&line, "reason"));
+  ++m_by_route[route.empty() ? "unknown" : route]
+              [reason.empty() ? "left" : reason][column];
+  if (*loss == Loss::kPartial || *loss == Loss::kFailed) {
+    AddMissingShards(line);
+  }
+}
+
+void LossSummary::AddMissingShards(const json_t& line) {
+  const json_t* missing = json_object_get(&line, "missing_shards");
+  for (std::size_t i = 0; i < json_array_size(missing); ++i) {
+    const json_int_t shard = json_integer_value(json_array_get(missing, i));
+    ++m_by_attempts[AttemptsOf(line, shard)];
+  }
+}
+
+void LossSummary::Print(std::ostream& out) const {
+  const json_int_t first = m_by_window.empty() ? 0 : m_by_window.begin()->first;
+  PrintHeader("losses by window (seconds from the first)", out);
+  for (const auto& [window, losses] : m_by_window) {
+    PrintRow(std::to_string((window - first) / 1000), losses, out);
+  }
+  out << "\n";
+  PrintHeader("losses by route and reason", out);
+  for (const auto& [route, by_reason] : m_by_route) {
+    for (const auto& [reason, losses] : by_reason) {
+      PrintRow(route + " " + reason, losses, out);
+    }
+  }
+  out << "\nmissing shards by the attempts they had\n";
+  for (const auto& [attempts, count] : m_by_attempts) {
+    PrintRow(attempts, std::array{count}, out);
+  }
+  out << "\nother events (total; most in one window, and when)\n";
+  for (const auto& [kind, by_window] : m_events) {
+    const auto most = std::ranges::max_element(
+        by_window, {}, [](const auto& item) { return item.second; });
+    std::uint64_t total = 0;
+    for (const auto& [window, count] : by_window) {
+      total += count;
+    }
+    PrintName(kind, out);
+    out << std::setw(kCountWidth) << total << std::setw(kCountWidth)
+        << most->second << std::setw(kCountWidth)
+        << (most->first - first) / 1000 << "\n";
+  }
+}
+
+}  // namespace jacinthdeck::ctl
--- a/test/daemons/ctl_test.cc
+++ b/test/daemons/ctl_test.cc
@@ -54,6 +54,22 @@
     return command->run(session, session.Operands(command->words()));
   }
 
+  //! What was printed, line by line, with one space between words.
+  [[nodiscard]] std::vector<std::string> Rows() const {
+    std::istringstream lines(out.str());
+    std::vector<std::string> rows;
+    std::string line;
+    while (std::getline(lines, line)) {
+      std::istringstream words(line);
+      std::string row;
+      for (std::string word; words >> word;) {
+        row += (row.empty() ? "" : " ") + word;
+      }
+      rows.push_back(row);
+    }
+    return rows;
+  }
+
   [[nodiscard]] std::string Held(const std::string& key) {
     const auto item = store.content().Get(key);
     return item ? item->value.value_or("") : "";
@@ -127,6 +143,55 @@
   BOOST_TEST(story.find("call_done") == story.npos);
 }
 
+// Logs of two hosts around a shard that is down: the losses are counted over
+// both, and a missing shard by all the attempts that it had.
+BOOST_AUTO_TEST_CASE(ExplainSummary_LinesOfTwoHosts_CountsLossesByCause) {
+  const std::string first = MakeFile(
+      R"({"unix_ms":10000,"host":"a","event":"call_partial","request":"r1","route":"sweep","reason":"left_out","missing_shards":[3,7],"attempts":[{"shard":3,"reason":"hedge","sent_ms":40.5,"outcome":"unanswered"},{"shard":3,"reason":"first","sent_ms":0,"outcome":"broken"}]})"
+      "\n"
+      R"({"unix_ms":10100,"host":"a","event":"call_done","request":"r2"})"
+      "\n"
+      "{\"unix_ms\":1010");
+  const std::string second = MakeFile(
+      R"({"unix_ms":14500,"host":"b","event":"call_refused","request":"r3","route":"sweep","reason":"overload"})"
+      "\n"
+      R"({"unix_ms":14500,"host":"b","event":"registration_failed","status":"busy"})"
+      "\n"
+      R"({"unix_ms":14600,"host":"b","event":"registration_failed","status":"busy"})"
+      "\n");
+  BOOST_TEST((Run({"--summary", "explain", first, second}) == ExitCode::kDone));
+  const std::vector<std::string> rows = Rows();
+  const std::vector<std::string> expected{
+      "1 of 6 lines could not be read",
+      "losses by window (seconds from the first) call_refused call_failed "
+      "call_partial call_slow call_abandoned",
+      "0 0 0 1 0 0",
+      "4 1 0 0 0 0",
+      "",
+      "losses by route and reason call_refused call_failed call_partial "
+      "call_slow call_abandoned",
+      "sweep left_out 0 0 1 0 0",
+      "sweep overload 1 0 0 0 0",
+      "",
+      "missing shards by the attempts they had",
+      "first broken, hedge unanswered 1",
+      "none 1",
+      "",
+      "other events (total; most in one window, and when)",
+      "registration_failed busy 2 2 4"};
+  BOOST_TEST(rows == expected, boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(ExplainSummary_FileIsNotThere_SaysWhich) {
+  BOOST_TEST(
+      (Run({"--summary", "explain", "no-such-log"}) == ExitCode::kUsage));
+  BOOST_TEST(err.str().find("no-such-log") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(Explain_NoFileIsNamed_SaysHowToAsk) {
+  BOOST_TEST((Run({"explain", "r1"}) == ExitCode::kUsage));
+}
+
 BOOST_AUTO_TEST_CASE(Explain_RequestIsNotThere_SaysSo) {
   const std::string file = MakeFile("\n");
   BOOST_TEST((Run({"explain", "r1", file}) == ExitCode::kFailed));
