Take callers where the targets stand

Cause: callers were sent to the strong hosts of all five failure domains, though the shards' targets stand in three of them. Ruled out: the domains' own targets, 2 of 280 there, of a service with one target a call.

Change: a failure domain with less than a quarter of an equal share of the targets takes no callers, as long as two others do, so that the loss of one is borne. The choice is kept until hosts or the targets' domains change; each directory question computed it anew.

--- a/src/jacinthdeck/entry/entry_node.cc
+++ b/src/jacinthdeck/entry/entry_node.cc
@@ -104,7 +104,7 @@
           [this] { return m_store.knowledge().Hosts(); },
           std::random_device{}()),
       m_queries(m_loop, m_clock, m_typed),
-      m_fronts(kHostWindow, kLeastHosts),
+      m_front_count(kHostWindow, kLeastHosts),
       m_decision_timer(m_loop),
       m_tick(m_loop),
       m_ticked(m_started),
@@ -264,7 +264,7 @@
   m_queries.CheckTimes();
   ArmDecisions();
   m_store.CheckTimes();
-  m_forwarder.SetHosts(m_fronts.Highest(now), m_is_front, now);
+  m_forwarder.SetHosts(m_front_count.Highest(now), m_is_front, now);
   m_feed.Tick();
   m_log.Flush();
   const bool knows_nothing =
--- a/src/jacinthdeck/entry/entry_node.h
+++ b/src/jacinthdeck/entry/entry_node.h
@@ -6,9 +6,11 @@
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <vector>
 
 #include "jacinthdeck/core/result.h"
 #include "jacinthdeck/core/steady_clock.h"
+#include "jacinthdeck/discovery/fleet.h"
 #include "jacinthdeck/discovery/store_session.h"
 #include "jacinthdeck/entry/call_metrics.h"
 #include "jacinthdeck/entry/caller_handler.h"
@@ -81,7 +83,6 @@
   void OnRegistration(StoreStatus status) override;
 
   void TakeHosts(TimePoint now);
-  [[nodiscard]] std::vector<HostRecord> Fronts() const;
   void TakeTyped(const KnowledgeChange& change, TimePoint now);
 
   // In entry_node_answers.cc.
@@ -132,8 +133,12 @@
   FeedHub m_feed;
   TypedService m_typed;
   EdgeServer m_queries;
-  //! Hosts that take callers, over a while.
-  EntryCountWindow m_fronts;
+  //! Where the targets stood when m_fronts was chosen.
+  TargetLayout m_layout;
+  //! Hosts that callers are sent to.
+  std::vector<HostRecord> m_fronts;
+  //! Their number over a while.
+  EntryCountWindow m_front_count;
   LoopLag m_lag;
   asio::steady_timer m_decision_timer;
   //! When the decision timer is set to; max() while it is not.
@@ -146,7 +151,6 @@
   TimePoint m_ports_closed;
   //! Callers are sent to this host.
   bool m_is_front = false;
-  bool m_fronts_known = false;
   bool m_stopping = false;
   bool m_told_ready = false;
 };
--- a/src/jacinthdeck/entry/entry_node_answers.cc
+++ b/src/jacinthdeck/entry/entry_node_answers.cc
@@ -39,9 +39,9 @@
   question.caller = m_protocol.read_directory_call(request.target);
   question.self = OwnRecord();
   // A host that knows no front yet names itself rather than nobody.
-  question.self_serves = IsReady() && (m_is_front || !m_fronts_known);
+  question.self_serves = IsReady() && (m_is_front || m_fronts.empty());
   question.most = kMostAddresses;
-  const std::vector<std::string> addresses = ChooseHosts(question, Fronts());
+  const std::vector<std::string> addresses = ChooseHosts(question, m_fronts);
   if (addresses.empty()) {
     return Plain(http_status::kUnavailable);
   }
--- a/src/jacinthdeck/entry/entry_node_knowledge.cc
+++ b/src/jacinthdeck/entry/entry_node_knowledge.cc
@@ -18,8 +18,6 @@
 constexpr Duration kFrontLease = milliseconds(3500);
 //! The same of a host that no callers are sent to.
 constexpr Duration kStandbyLease = milliseconds(9000);
-//! Up to so many hosts may renew as often as fronts do.
-constexpr std::size_t kSmallFleet = 12;
 
 //! The registry's targets in the terms of typed calls.
 [[nodiscard]] std::vector<TargetInfo> TargetInfosOf(
@@ -63,7 +61,12 @@
     m_forwarder.SetTargets(targets, now);
     m_pool.Retain(targets);
   }
-  if (change.hosts || change.config) {
+  if (change.hosts) {
+    m_feed.OnHosts(knowledge.Hosts());
+  }
+  const TargetLayout layout = knowledge.LayoutOfTargets();
+  if (change.hosts || layout != m_layout) {
+    m_layout = layout;
     TakeHosts(now);
   }
   for (const Fingerprint fingerprint : change.convictions) {
@@ -97,27 +100,17 @@
 
 void EntryNode::TakeHosts(TimePoint now) {
   const std::vector<HostRecord> hosts = m_store.knowledge().Hosts();
-  m_feed.OnHosts(hosts);
-  const std::vector<HostRecord> fronts = Fronts();
-  m_fronts.Add(static_cast<std::uint32_t>(fronts.size()), now);
-  m_fronts_known = !fronts.empty();
-  m_is_front = std::ranges::find(fronts, m_settings.name, &HostRecord::name) !=
-               fronts.end();
-  m_forwarder.SetHosts(m_fronts.Highest(now), m_is_front, now);
+  m_fronts = ChooseFronts(hosts, m_layout);
+  m_front_count.Add(static_cast<std::uint32_t>(m_fronts.size()), now);
+  m_is_front = std::ranges::find(m_fronts, m_settings.name,
+                                 &HostRecord::name) != m_fronts.end();
+  m_forwarder.SetHosts(m_front_count.Highest(now), m_is_front, now);
   // A front that dies must not be named for long; of the others only the
   // budget of calls to the store matters.
   const bool small = hosts.size() <= kSmallFleet;
   m_store.SetLeaseLife(m_is_front || small ? kFrontLease : kStandbyLease);
 }
 
-std::vector<HostRecord> EntryNode::Fronts() const {
-  const Knowledge& knowledge = m_store.knowledge();
-  return ChooseFronts(knowledge.Hosts(),
-                      knowledge.config() == nullptr
-                          ? 0
-                          : knowledge.config()->FewestTargetConnections());
-}
-
 void EntryNode::TakeTyped(const KnowledgeChange& change, TimePoint now) {
   if (m_settings.queries.address.empty()) {
     return;
@@ -151,7 +144,7 @@
     calls.SetTargets(TargetInfosOf(knowledge), now);
   }
   if (change.hosts) {
-    calls.SetHosts(m_fronts.Highest(now), now);
+    calls.SetHosts(m_front_count.Highest(now), now);
   }
 }
 
