--- a/src/daemons/ctl/session.cc
+++ b/src/daemons/ctl/session.cc
@@ -70,9 +70,11 @@
 StoreAck Session::Swap(const std::string& key,
                        const std::string& value,
                        std::uint64_t revision) const {
-  return m_codec.ReadWrite(CallAndWait(m_arguments.store,
-                                       m_codec.SwapCall(key, value, revision),
-                                       m_arguments.timeout));
+  const StoreWrite write{.conditions = {{key, revision}},
+                         .puts = {{key, value, 0}},
+                         .removals = {}};
+  return m_codec.ReadWrite(CallAndWait(
+      m_arguments.store, m_codec.WriteCall(write), m_arguments.timeout));
 }
 
 void Session::Print(const json_t& value) {
--- a/src/jacinthdeck/discovery/host_record.h
+++ b/src/jacinthdeck/discovery/host_record.h
@@ -25,6 +25,8 @@
   bool busy = false;
   //! Start of its process in Unix milliseconds: tells its lives apart.
   std::uint64_t started_ms = 0;
+  //! Host that wrote this record into the store, with whose lease it ends.
+  NodeId writer;
 
   [[nodiscard]] bool operator==(const HostRecord&) const = default;
 };
--- a/src/jacinthdeck/discovery/knowledge.h
+++ b/src/jacinthdeck/discovery/knowledge.h
@@ -75,6 +75,9 @@
   [[nodiscard]] std::size_t target_count() const noexcept {
     return m_targets.size();
   }
+  [[nodiscard]] std::size_t host_count() const noexcept {
+    return m_hosts.size();
+  }
   [[nodiscard]] bool store_away() const noexcept { return m_hold.away(); }
   /*! \brief Moment at which OnTimer() is due. */
   [[nodiscard]] std::optional<TimePoint> NextTimer() const;
--- a/src/jacinthdeck/discovery/platform_codec.h
+++ b/src/jacinthdeck/discovery/platform_codec.h
@@ -81,15 +81,8 @@
   [[nodiscard]] virtual ClientRequest GrantCall(Duration lifetime) const = 0;
   [[nodiscard]] virtual ClientRequest RenewCall(std::uint64_t lease) const = 0;
   [[nodiscard]] virtual ClientRequest EndCall(std::uint64_t lease) const = 0;
-  [[nodiscard]] virtual ClientRequest PutCall(const std::string& key,
-                                              const std::string& value,
-                                              std::uint64_t lease) const = 0;
-  /*! \brief Writes a key if it is still at a revision; 0: if it is not there.
-   */
-  [[nodiscard]] virtual ClientRequest SwapCall(
-      const std::string& key,
-      const std::string& value,
-      std::uint64_t revision) const = 0;
+  [[nodiscard]] virtual ClientRequest WriteCall(
+      const StoreWrite& write) const = 0;
   [[nodiscard]] virtual StoreAck ReadWrite(const ClientReply& reply) const = 0;
 };
 
--- a/src/jacinthdeck/discovery/store_content.cc
+++ b/src/jacinthdeck/discovery/store_content.cc
@@ -15,6 +15,11 @@
   return items;
 }
 
+std::uint64_t StoreContent::RevisionOf(const std::string& key) const {
+  const auto found = m_items.find(key);
+  return found == m_items.end() ? 0 : found->second.revision;
+}
+
 std::vector<StoreChange> StoreContent::Apply(
     std::span<const StoreChange> changes) {
   std::vector<StoreChange> news;
--- a/src/jacinthdeck/discovery/store_content.h
+++ b/src/jacinthdeck/discovery/store_content.h
@@ -27,6 +27,9 @@
   /*! \brief All keys that are there. */
   [[nodiscard]] std::vector<StoreChange> Items() const;
 
+  /*! \brief Revision of a key's last write; 0 if the key is not there. */
+  [[nodiscard]] std::uint64_t RevisionOf(const std::string& key) const;
+
   /*! \brief Counts what was ever changed; equal counts mean equal content. */
   [[nodiscard]] std::uint64_t changes() const noexcept { return m_changes; }
 
--- a/src/jacinthdeck/discovery/store_session.cc
+++ b/src/jacinthdeck/discovery/store_session.cc
@@ -36,20 +36,22 @@
                            const Clock& clock,
                            const PlatformCodec& codec,
                            KnowledgeObserver& observer,
-                           const std::string& address,
-                           std::uint16_t port,
+                           NodeId name,
+                           const Endpoint& store,
                            std::uint64_t seed)
     : m_clock(clock),
       m_codec(codec),
       m_observer(observer),
       m_random(seed),
       m_knowledge(codec),
-      m_reads(loop, address, port),
+      m_reads(loop, store.address, store.port),
       m_read_timer(loop),
       m_read_backoff(kFirstPause, kLongestPause),
-      m_writes(loop, address, port),
+      m_writes(loop, store.address, store.port),
       m_write_timer(loop),
-      m_write_backoff(kFirstPause, seconds(1)) {}
+      m_write_backoff(kFirstPause, seconds(1)),
+      m_name(std::move(name)),
+      m_members(m_name) {}
 
 void StoreSession::SetWatching(bool watching) {
   if (watching == m_watching) {
@@ -125,6 +127,7 @@
   if (due && *due <= now) {
     Tell(m_knowledge.OnTimer(now));
   }
+  CheckMembers();
 }
 
 void StoreSession::ReadAll() {
@@ -235,6 +238,7 @@
 void StoreSession::Tell(const KnowledgeChange& change) {
   if (change.hosts) {
     CheckOwnRecord();
+    LookAtMembers();
   }
   const bool news = change.schema || !change.indexes.empty() || change.config ||
                     change.targets || change.hosts ||
--- a/src/jacinthdeck/discovery/store_session.h
+++ b/src/jacinthdeck/discovery/store_session.h
@@ -11,11 +11,13 @@
 
 #include "jacinthdeck/core/backoff.h"
 #include "jacinthdeck/core/clock.h"
+#include "jacinthdeck/core/endpoint.h"
 #include "jacinthdeck/core/random.h"
 #include "jacinthdeck/core/time.h"
 #include "jacinthdeck/discovery/host_record.h"
 #include "jacinthdeck/discovery/knowledge.h"
 #include "jacinthdeck/discovery/knowledge_observer.h"
+#include "jacinthdeck/discovery/member_records.h"
 #include "jacinthdeck/discovery/platform_codec.h"
 #include "jacinthdeck/discovery/store_content.h"
 #include "jacinthdeck/http/asio.h"
@@ -46,8 +48,8 @@
                const Clock& clock,
                const PlatformCodec& codec,
                KnowledgeObserver& observer,
-               const std::string& address,
-               std::uint16_t port,
+               NodeId name,
+               const Endpoint& store,
                std::uint64_t seed);
   StoreSession(const StoreSession&) = delete;
   StoreSession& operator=(const StoreSession&) = delete;
@@ -87,9 +89,26 @@
   /*! \brief Keeps this host's record in the store from now on. */
   void Register(const HostRecord& record);
 
-  /*! \brief Takes this host's record out of the store. */
+  /*! \brief Another host writes this one's record from now on: the own lease
+   * is left to end by itself, which costs no call. */
+  void LeaveRecord();
+
+  /*! \brief Takes this host's record out of the store, whoever wrote it. */
   void Unregister();
 
+  /*! \brief Writes another host's record from now on, with this host's lease.
+   * \param value As the store holds records; what cannot be read is told and
+   * left out. */
+  void TakeMember(const std::string& value);
+
+  /*! \brief Ends that. */
+  void DropMember(const NodeId& name);
+
+  /*! \brief A record as the store holds it. */
+  [[nodiscard]] std::string ValueOf(const HostRecord& record) const {
+    return m_codec.WriteHost(record);
+  }
+
   /*! \brief Writes that a request crashes its targets. */
   void ShareConviction(Fingerprint fingerprint);
 
@@ -119,9 +138,13 @@
   void Put();
   void Renew();
   void End();
+  void Remove();
+  void WriteMembers();
   void WriteConviction();
   void OnWriteFailed(StoreStatus status);
   void CheckOwnRecord();
+  void LookAtMembers();
+  void CheckMembers();
   [[nodiscard]] Duration RenewPause() const noexcept;
 
   const Clock& m_clock;
@@ -153,8 +176,15 @@
   ClientSession m_writes;
   asio::steady_timer m_write_timer;
   Backoff m_write_backoff;
-  //! This host's record as it should stand; nothing while it should not.
+  const NodeId m_name;
+  //! This host's record as it should stand; nothing while it should not, or is
+  //! another host's to write.
   std::optional<HostRecord> m_record;
+  //! The record is to be taken out of the store.
+  bool m_must_remove = false;
+  MemberRecords m_members;
+  //! When they are looked at next.
+  TimePoint m_members_at;
   Duration m_lease_life = std::chrono::milliseconds(3500);
   //! 0 while there is no lease.
   std::uint64_t m_lease = 0;
--- a/src/jacinthdeck/discovery/store_session_writes.cc
+++ b/src/jacinthdeck/discovery/store_session_writes.cc
@@ -14,6 +14,9 @@
 constexpr Duration kWriteTimeout = milliseconds(1200);
 //! Renewals within a lease's life: two may be lost before it ends.
 constexpr int kRenewalsInLife = 3;
+//! Between two looks at what is to be written for members: they come in
+//! bunches, and each write is a call.
+constexpr Duration kMembersPause = milliseconds(300);
 //! Other hosts have refused the request for long by then.
 constexpr Duration kConvictionLife = seconds(60);
 //! Convictions that wait for the store.
@@ -27,12 +30,34 @@
   StepAfter(Duration::zero());
 }
 
+void StoreSession::LeaveRecord() {
+  m_record.reset();
+  m_lease = 0;
+  m_written = false;
+}
+
 void StoreSession::Unregister() {
   m_record.reset();
+  m_must_remove = true;
   m_writes.Abort();
   StepAfter(Duration::zero());
 }
 
+void StoreSession::TakeMember(const std::string& value) {
+  auto read = Capture([&] { return m_codec.ReadHost(value); });
+  if (auto* error = std::get_if<Error>(&read)) {
+    KnowledgeChange change;
+    change.unreadable.push_back(std::move(*error));
+    m_observer.OnKnowledge(change, m_revision);
+    return;
+  }
+  m_members.OnMember(std::get<0>(std::move(read)));
+}
+
+void StoreSession::DropMember(const NodeId& name) {
+  m_members.OnMemberLeft(name);
+}
+
 void StoreSession::ShareConviction(Fingerprint fingerprint) {
   if (m_convictions.size() < kMostConvictions) {
     m_convictions.push_back(fingerprint);
@@ -52,13 +77,17 @@
 }
 
 void StoreSession::Step() {
-  if (!m_record) {
-    if (m_lease != 0) {
+  if (m_must_remove) {
+    if (m_lease != 0 && m_members.empty()) {
       End();
+    } else {
+      Remove();
     }
-    return;
-  }
-  if (m_lease == 0) {
+  } else if (!m_record) {
+    if (!m_convictions.empty()) {
+      WriteConviction();
+    }
+  } else if (m_lease == 0) {
     Grant();
   } else if (!m_written) {
     Put();
@@ -89,9 +118,12 @@
 
 void StoreSession::Put() {
   ++m_counters.writes;
-  const std::string key = m_codec.HostKey(m_record->name);
-  m_writes.Call(m_codec.PutCall(key, m_codec.WriteHost(*m_record), m_lease),
-                kWriteTimeout, [this](const ClientReply& reply) {
+  m_record->writer = m_name;
+  StoreWrite write;
+  write.puts.push_back(
+      {m_codec.HostKey(m_name), m_codec.WriteHost(*m_record), m_lease});
+  m_writes.Call(m_codec.WriteCall(write), kWriteTimeout,
+                [this](const ClientReply& reply) {
                   const StoreAck ack = m_codec.ReadWrite(reply);
                   if (ack.status != StoreStatus::kOk) {
                     OnWriteFailed(ack.status);
@@ -129,12 +161,64 @@
                   if (ack.status == StoreStatus::kOk ||
                       ack.status == StoreStatus::kNoLease) {
                     m_lease = 0;
+                    m_must_remove = false;
                     return;
                   }
                   OnWriteFailed(ack.status);
                 });
 }
 
+//! What this host wrote for members stays until its lease ends: by then they
+//! have found another writer, and none of them was missing from the store.
+void StoreSession::Remove() {
+  ++m_counters.writes;
+  StoreWrite write;
+  write.removals.push_back(m_codec.HostKey(m_name));
+  m_writes.Call(m_codec.WriteCall(write), kWriteTimeout,
+                [this](const ClientReply& reply) {
+                  const StoreAck ack = m_codec.ReadWrite(reply);
+                  if (ack.status != StoreStatus::kOk) {
+                    OnWriteFailed(ack.status);
+                    return;
+                  }
+                  m_must_remove = false;
+                });
+}
+
+void StoreSession::WriteMembers() {
+  const MemberWrite due = m_members.NextWrite(m_clock.Now());
+  if (due.empty()) {
+    return;
+  }
+  StoreWrite write;
+  for (const HostRecord& put : due.puts) {
+    write.puts.push_back(
+        {m_codec.HostKey(put.name), m_codec.WriteHost(put), m_lease});
+  }
+  for (const HeldRecord& removal : due.removals) {
+    const std::string key = m_codec.HostKey(removal.record.name);
+    write.conditions.push_back({key, removal.revision});
+    write.removals.push_back(key);
+  }
+  ++m_counters.writes;
+  m_writes.Call(m_codec.WriteCall(write), kWriteTimeout,
+                [this, due](const ClientReply& reply) {
+                  const StoreAck ack = m_codec.ReadWrite(reply);
+                  const bool done = ack.status == StoreStatus::kOk;
+                  const bool conflict = ack.status == StoreStatus::kConflict;
+                  if (!done && !conflict) {
+                    OnWriteFailed(ack.status);
+                    return;
+                  }
+                  m_members.OnWritten(
+                      due,
+                      done ? MemberWriteEnd::kDone : MemberWriteEnd::kConflict,
+                      ack.revision);
+                  m_write_backoff.OnSuccess();
+                  Step();
+                });
+}
+
 void StoreSession::WriteConviction() {
   ++m_counters.writes;
   m_writes.Call(
@@ -146,8 +230,10 @@
           return;
         }
         ++m_counters.writes;
-        const std::string key = m_codec.ConvictionKey(m_convictions.back());
-        m_writes.Call(m_codec.PutCall(key, "1", lease.lease), kWriteTimeout,
+        StoreWrite write;
+        write.puts.push_back(
+            {m_codec.ConvictionKey(m_convictions.back()), "1", lease.lease});
+        m_writes.Call(m_codec.WriteCall(write), kWriteTimeout,
                       [this](const ClientReply& reply) {
                         const StoreAck ack = m_codec.ReadWrite(reply);
                         if (ack.status != StoreStatus::kOk) {
@@ -167,9 +253,12 @@
   if (status == StoreStatus::kNoLease) {
     m_lease = 0;
     m_written = false;
+    m_members.OnLeaseLost();
   }
   m_observer.OnRegistration(status);
-  StepAfter(m_write_backoff.OnFailure(m_random));
+  const Duration pause = m_write_backoff.OnFailure(m_random);
+  m_members_at = m_clock.Now() + pause;
+  StepAfter(pause);
 }
 
 Duration StoreSession::RenewPause() const noexcept {
@@ -177,12 +266,11 @@
 }
 
 void StoreSession::CheckOwnRecord() {
-  // The store may drop the record while its lease still seems to hold; other
-  // hosts would send no callers here until it is written again.
   if (!m_record || !m_written) {
     return;
   }
-  if (m_knowledge.FindHost(m_record->name) != nullptr) {
+  const HostRecord* held = m_knowledge.FindHost(m_name);
+  if (held != nullptr && held->writer == m_name) {
     m_seen = true;
     return;
   }
@@ -190,11 +278,41 @@
     return;
   }
   m_seen = false;
-  m_lease = 0;
   m_written = false;
+  if (held == nullptr) {
+    // The store may drop the record while its lease still seems to hold; other
+    // hosts would send no callers here until it is written again.
+    m_lease = 0;
+    m_members.OnLeaseLost();
+  }
+  // Else a former feeder's late write stands in its place, and would go when
+  // that one notices.
   if (!m_writes.busy()) {
     StepAfter(Duration::zero());
   }
 }
 
+void StoreSession::LookAtMembers() {
+  if (!m_record) {
+    return;
+  }
+  std::vector<HeldRecord> held;
+  for (HostRecord& host : m_knowledge.Hosts()) {
+    const std::uint64_t revision =
+        m_content.RevisionOf(m_codec.HostKey(host.name));
+    held.push_back({std::move(host), revision});
+  }
+  m_members.OnHosts(held, m_revision, m_clock.Now());
+}
+
+void StoreSession::CheckMembers() {
+  const bool can_write =
+      m_record && m_written && m_lease != 0 && !m_writes.busy();
+  if (!can_write || m_clock.Now() < m_members_at) {
+    return;
+  }
+  m_members_at = m_clock.Now() + kMembersPause;
+  WriteMembers();
+}
+
 }  // namespace jacinthdeck
--- a/src/jacinthdeck/discovery/store_types.h
+++ b/src/jacinthdeck/discovery/store_types.h
@@ -2,6 +2,7 @@
 #ifndef JACINTHDECK_DISCOVERY_STORE_TYPES_H_
 #define JACINTHDECK_DISCOVERY_STORE_TYPES_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -67,6 +68,33 @@
   std::string problem;
   //! Of a new lease.
   std::uint64_t lease = 0;
+  //! The store's revision after a write.
+  std::uint64_t revision = 0;
+};
+
+/*! \brief A condition of a write: the key's last change is this one. */
+struct StoreCondition {
+  std::string key;
+  //! 0: the key is not there.
+  std::uint64_t revision = 0;
+};
+
+/*! \brief A key to be written. */
+struct StorePut {
+  std::string key;
+  std::string value;
+  //! Lease that it ends with; 0: none.
+  std::uint64_t lease = 0;
+};
+
+/*! \brief A write that is done whole or not at all. */
+struct StoreWrite {
+  //! Conditions, puts and removals that one write may hold together.
+  static constexpr std::size_t kMostEntries = 32;
+
+  std::vector<StoreCondition> conditions;
+  std::vector<StorePut> puts;
+  std::vector<std::string> removals;
 };
 
 }  // namespace jacinthdeck
--- a/src/jacinthdeck/entry/decision_log.cc
+++ b/src/jacinthdeck/entry/decision_log.cc
@@ -1,6 +1,7 @@
 // Stories of calls as JSON lines.
 #include "jacinthdeck/entry/decision_log.h"
 
+#include <map>
 #include <utility>
 
 namespace jacinthdeck {
@@ -22,6 +23,15 @@
   return text + "]";
 }
 
+[[nodiscard]] std::string CountsText(
+    const std::map<FailureDomain, std::size_t>& counts) {
+  LogLine line;
+  for (const auto& [domain, count] : counts) {
+    line.Count(domain.raw(), count);
+  }
+  return std::move(line).Finish();
+}
+
 //! Attempts as a JSON array; good ones of a fan-out are left out, since there
 //! are as many as shards.
 [[nodiscard]] std::string AttemptsText(const CallStory& story) {
@@ -142,6 +152,19 @@
   }
 }
 
+void DecisionLog::OnFronts(const std::vector<HostRecord>& fronts,
+                           const TargetLayout& targets) {
+  std::map<FailureDomain, std::size_t> by_domain;
+  for (const HostRecord& front : fronts) {
+    ++by_domain[front.domain];
+  }
+  LogLine line = m_log.Begin(LogEvent::kFrontsChanged);
+  line.Count("fronts", fronts.size())
+      .Raw("fronts_by_domain", CountsText(by_domain))
+      .Raw("targets_by_domain", CountsText(targets.counts));
+  m_log.Add(std::move(line));
+}
+
 LogEvent DecisionLog::EventOf(const EndedCall& call) const {
   switch (call.answer.kind) {
     case AnswerKind::kNotRun:
--- a/src/jacinthdeck/entry/decision_log.h
+++ b/src/jacinthdeck/entry/decision_log.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 #include "jacinthdeck/core/time.h"
 #include "jacinthdeck/discovery/knowledge.h"
@@ -48,6 +49,10 @@
                    std::uint64_t revision,
                    Duration since_start);
 
+  /*! \brief Writes that other hosts take the callers from now on. */
+  void OnFronts(const std::vector<HostRecord>& fronts,
+                const TargetLayout& targets);
+
  private:
   [[nodiscard]] LogEvent EventOf(const EndedCall& call) const;
   [[nodiscard]] bool IsTold(LogEvent event);
--- a/src/jacinthdeck/entry/entry_node.cc
+++ b/src/jacinthdeck/entry/entry_node.cc
@@ -86,8 +86,8 @@
               m_clock,
               *m_protocol.codec,
               *this,
-              m_settings.store.address,
-              m_settings.store.port,
+              m_settings.name,
+              m_settings.store,
               std::random_device{}()),
       m_feed(m_loop,
              m_clock,
@@ -97,6 +97,7 @@
              m_settings.seeds,
              m_settings.fleet_starts,
              std::random_device{}()),
+      m_record_writer(m_settings.fleet_starts, m_started),
       m_typed(
           m_clock,
           m_pool,
@@ -143,7 +144,6 @@
       .Count("queries_port", m_queries.port())
       .Count("started_unix_ms", m_started_ms);
   m_log.Add(std::move(line));
-  m_store.Register(OwnRecord());
   m_feed.Tick();
   Tick();
   return {};
@@ -253,7 +253,7 @@
   }
   if (m_lag.Add(std::max(now - m_ticked - kTick, Duration::zero()), now) &&
       !m_stopping) {
-    m_store.Register(OwnRecord());
+    TellRecord();
   }
   m_ticked = now;
   m_pool.CheckTimes();
@@ -266,6 +266,7 @@
   m_store.CheckTimes();
   m_forwarder.SetHosts(m_front_count.Highest(now), m_is_front, now);
   m_feed.Tick();
+  KeepRecord(now);
   m_log.Flush();
   const bool knows_nothing =
       m_forwarder.config() == nullptr && now - m_started < kStartSpan;
--- a/src/jacinthdeck/entry/entry_node.h
+++ b/src/jacinthdeck/entry/entry_node.h
@@ -11,6 +11,7 @@
 #include "jacinthdeck/core/result.h"
 #include "jacinthdeck/core/steady_clock.h"
 #include "jacinthdeck/discovery/fleet.h"
+#include "jacinthdeck/discovery/record_writer.h"
 #include "jacinthdeck/discovery/store_session.h"
 #include "jacinthdeck/entry/call_metrics.h"
 #include "jacinthdeck/entry/caller_handler.h"
@@ -83,6 +84,9 @@
   void OnRegistration(StoreStatus status) override;
 
   void TakeHosts(TimePoint now);
+  //! Chooses who keeps this host's record, and has it kept.
+  void KeepRecord(TimePoint now);
+  void TellRecord();
   void TakeTyped(const KnowledgeChange& change, TimePoint now);
 
   // In entry_node_answers.cc.
@@ -131,6 +135,7 @@
   Forwarder m_forwarder;
   StoreSession m_store;
   FeedHub m_feed;
+  RecordWriterChoice m_record_writer;
   TypedService m_typed;
   EdgeServer m_queries;
   //! Where the targets stood when m_fronts was chosen.
--- a/src/jacinthdeck/entry/entry_node_knowledge.cc
+++ b/src/jacinthdeck/entry/entry_node_knowledge.cc
@@ -72,6 +72,7 @@
   for (const Fingerprint fingerprint : change.convictions) {
     m_forwarder.Convict(fingerprint, now);
   }
+  KeepRecord(now);
   TakeTyped(change, now);
   m_decisions.OnKnowledge(change, knowledge, revision, now - m_started);
   TellReadiness();
@@ -100,7 +101,11 @@
 
 void EntryNode::TakeHosts(TimePoint now) {
   const std::vector<HostRecord> hosts = m_store.knowledge().Hosts();
-  m_fronts = ChooseFronts(hosts, m_layout);
+  std::vector<HostRecord> fronts = ChooseFronts(hosts, m_layout);
+  if (fronts != m_fronts) {
+    m_fronts = std::move(fronts);
+    m_decisions.OnFronts(m_fronts, m_layout);
+  }
   m_front_count.Add(static_cast<std::uint32_t>(m_fronts.size()), now);
   m_is_front = std::ranges::find(m_fronts, m_settings.name,
                                  &HostRecord::name) != m_fronts.end();
@@ -111,6 +116,41 @@
   m_store.SetLeaseLife(m_is_front || small ? kFrontLease : kStandbyLease);
 }
 
+void EntryNode::KeepRecord(TimePoint now) {
+  if (m_stopping) {
+    return;
+  }
+  const FleetPart part{
+      .knows_hosts = m_store.revision() > 0,
+      .hosts = m_store.knowledge().host_count(),
+      .is_front = m_is_front,
+      .feeds_others = m_feed.is_watcher() || m_feed.followers() > 0,
+      .is_linked = m_feed.IsLinked()};
+  if (m_record_writer.Update(part, now)) {
+    LogLine line = m_log.Begin(LogEvent::kRecordWriter);
+    line.Text("writer", kRecordWriterNames.Name(m_record_writer.writer()))
+        .Count("hosts", part.hosts);
+    m_log.Add(std::move(line));
+    TellRecord();
+  }
+}
+
+void EntryNode::TellRecord() {
+  const HostRecord record = OwnRecord();
+  switch (m_record_writer.writer()) {
+    case RecordWriter::kNobody:
+      break;
+    case RecordWriter::kSelf:
+      m_feed.SetRecord({});
+      m_store.Register(record);
+      break;
+    case RecordWriter::kFeeder:
+      m_store.LeaveRecord();
+      m_feed.SetRecord(m_store.ValueOf(record));
+      break;
+  }
+}
+
 void EntryNode::TakeTyped(const KnowledgeChange& change, TimePoint now) {
   if (m_settings.queries.address.empty()) {
     return;
--- a/src/jacinthdeck/entry/feed_hub.cc
+++ b/src/jacinthdeck/entry/feed_hub.cc
@@ -2,6 +2,7 @@
 #include "jacinthdeck/entry/feed_hub.h"
 
 #include <chrono>
+#include <utility>
 
 namespace jacinthdeck {
 
@@ -24,7 +25,7 @@
       m_store(store),
       m_observer(observer),
       m_name(self.name),
-      m_server(loop, *this),
+      m_server(loop, *this, *this),
       m_link(loop, *this),
       m_choice(self, seeds, fleet_starts, seed, clock.Now()) {}
 
@@ -55,11 +56,35 @@
   }
   if (step.open) {
     m_observer.OnFeedOpened(*step.open);
-    m_link.Open(*step.open, {m_name, m_store.revision()});
+    m_link.Open(*step.open, Hello());
   }
   m_store.SetWatching(step.watch_store);
 }
 
+void FeedHub::SetRecord(std::string value) {
+  if (value == m_record) {
+    return;
+  }
+  m_record = std::move(value);
+  m_link.Say(Hello());
+}
+
+FeedHello FeedHub::Hello() const {
+  return {m_name, m_store.revision(), m_record};
+}
+
+void FeedHub::OnFollower(const FeedHello& hello) {
+  if (hello.record.empty()) {
+    m_store.DropMember(hello.host);
+  } else {
+    m_store.TakeMember(hello.record);
+  }
+}
+
+void FeedHub::OnFollowerLeft(const NodeId& host) {
+  m_store.DropMember(host);
+}
+
 FeedChanges FeedHub::Content() const {
   return {m_store.revision(), true, m_store.content().Items()};
 }
--- a/src/jacinthdeck/entry/feed_hub.h
+++ b/src/jacinthdeck/entry/feed_hub.h
@@ -30,7 +30,9 @@
  * \brief Keeps the knowledge fresh: from a watcher while that one is fresh,
  * else from the store.
  */
-class FeedHub final : private FeedSource, private FeedLinkSink {
+class FeedHub final : private FeedSource,
+                      private FeedLinkSink,
+                      private FollowerObserver {
  public:
   /*! \brief Makes a hub; all that it is given outlives it. */
   FeedHub(asio::io_context& loop,
@@ -49,6 +51,15 @@
   [[nodiscard]] std::size_t followers() const noexcept {
     return m_server.followers();
   }
+  /*! \brief Tells whether a feeder is heard. */
+  [[nodiscard]] bool IsLinked() const {
+    return m_choice.IsLinked(m_clock.Now());
+  }
+
+  /*! \brief Has this host's record kept in the store by its feeder, or no
+   * longer.
+   * \param value As the store holds it; empty: no longer. */
+  void SetRecord(std::string value);
 
   /*! \brief Opens the port on which other hosts ask. */
   [[nodiscard]] Result<void> Listen(const Endpoint& endpoint);
@@ -70,6 +81,9 @@
   void OnFeedChanges(const FeedChanges& changes) override;
   void OnFeedBeat(const FeedBeat& beat) override;
   void OnFeedLost(const std::string& problem) override;
+  void OnFollower(const FeedHello& hello) override;
+  void OnFollowerLeft(const NodeId& host) override;
+  [[nodiscard]] FeedHello Hello() const;
 
   const Clock& m_clock;
   StoreSession& m_store;
@@ -79,6 +93,8 @@
   FeedLink m_link;
   FeedChoice m_choice;
   TimePoint m_beat_at;
+  //! What the feeder keeps in the store for this host; empty: nothing.
+  std::string m_record;
 };
 
 }  // namespace jacinthdeck
--- a/src/jacinthdeck/peer/feed_choice.h
+++ b/src/jacinthdeck/peer/feed_choice.h
@@ -57,6 +57,11 @@
   /*! \brief Tells whether the link is fresh enough to be relied on. */
   [[nodiscard]] bool IsFollowing(TimePoint now) const;
 
+  /*! \brief Tells whether the feeder is heard, whatever it knows. */
+  [[nodiscard]] bool IsLinked(TimePoint now) const {
+    return m_link == Link::kOpen && !IsSilent(now);
+  }
+
   /*! \brief Takes the hosts that are known. */
   void OnHosts(std::span<const HostRecord> hosts, TimePoint now);
 
--- a/src/jacinthdeck/peer/feed_link.cc
+++ b/src/jacinthdeck/peer/feed_link.cc
@@ -2,6 +2,7 @@
 #include "jacinthdeck/peer/feed_link.h"
 
 #include <boost/asio/write.hpp>
+#include <deque>
 #include <utility>
 
 #include "jacinthdeck/http/socket_options.h"
@@ -14,7 +15,9 @@
   tcp::socket socket;
   FeedFrames frames;
   std::array<char, 16384> bytes{};
-  std::string hello;
+  //! Hellos that are not sent yet; the first may be under way.
+  std::deque<std::string> waiting;
+  bool connected = false;
   bool closed = false;
 };
 
@@ -29,29 +32,51 @@
   Close();
   auto state = std::make_shared<State>(m_loop);
   m_state = state;
-  state->hello = EncodeFeed(hello);
+  state->waiting.push_back(EncodeFeed(hello));
   SystemError error;
   const auto address = asio::ip::make_address_v4(endpoint.address, error);
-  state->socket.async_connect(
-      tcp::endpoint(address, endpoint.port),
-      [this, state](const SystemError& ended) {
-        if (state->closed) {
-          return;
-        }
-        if (ended) {
-          Lose(state, "cannot connect: " + ended.message());
-          return;
-        }
-        SetStreamOptions(state->socket);
-        asio::async_write(
-            state->socket, asio::buffer(state->hello),
-            [this, state](const SystemError& written, std::size_t) {
-              if (!state->closed && written) {
-                Lose(state, "cannot send: " + written.message());
-              }
-            });
-        Read(state);
-      });
+  state->socket.async_connect(tcp::endpoint(address, endpoint.port),
+                              [this, state](const SystemError& ended) {
+                                if (state->closed) {
+                                  return;
+                                }
+                                if (ended) {
+                                  Lose(state,
+                                       "cannot connect: " + ended.message());
+                                  return;
+                                }
+                                SetStreamOptions(state->socket);
+                                state->connected = true;
+                                Write(state);
+                                Read(state);
+                              });
+}
+
+void FeedLink::Say(const FeedHello& hello) {
+  if (m_state == nullptr) {
+    return;
+  }
+  m_state->waiting.push_back(EncodeFeed(hello));
+  if (m_state->connected && m_state->waiting.size() == 1) {
+    Write(m_state);
+  }
+}
+
+void FeedLink::Write(const std::shared_ptr<State>& state) {
+  asio::async_write(state->socket, asio::buffer(state->waiting.front()),
+                    [this, state](const SystemError& written, std::size_t) {
+                      if (state->closed) {
+                        return;
+                      }
+                      if (written) {
+                        Lose(state, "cannot send: " + written.message());
+                        return;
+                      }
+                      state->waiting.pop_front();
+                      if (!state->waiting.empty()) {
+                        Write(state);
+                      }
+                    });
 }
 
 void FeedLink::Close() {
--- a/src/jacinthdeck/peer/feed_link.h
+++ b/src/jacinthdeck/peer/feed_link.h
@@ -37,12 +37,17 @@
   /*! \brief Connects and says hello. */
   void Open(const Endpoint& endpoint, const FeedHello& hello);
 
+  /*! \brief Says something else of this host; nothing while there is no link.
+   */
+  void Say(const FeedHello& hello);
+
   /*! \brief Ends the link without a word to the sink. */
   void Close();
 
  private:
   struct State;
 
+  void Write(const std::shared_ptr<State>& state);
   void Read(const std::shared_ptr<State>& state);
   void OnFrame(const std::string& frame);
   void Lose(const std::shared_ptr<State>& state, const std::string& problem);
--- a/src/jacinthdeck/peer/feed_message.cc
+++ b/src/jacinthdeck/peer/feed_message.cc
@@ -24,7 +24,8 @@
 [[nodiscard]] Offset<void> Build(FlatBufferBuilder& builder,
                                  const FeedHello& hello) {
   const auto host = builder.CreateString(hello.host.raw());
-  return wire::CreateHello(builder, host, hello.revision).Union();
+  const auto record = builder.CreateString(hello.record);
+  return wire::CreateHello(builder, host, hello.revision, record).Union();
 }
 
 [[nodiscard]] Offset<void> Build(FlatBufferBuilder& builder,
@@ -122,8 +123,8 @@
   }
   const wire::Message* message = wire::GetMessage(bytes);
   if (const auto* hello = message->body_as_Hello()) {
-    return FeedMessage(
-        FeedHello{NodeId(TextOf(hello->host())), hello->revision()});
+    return FeedMessage(FeedHello{NodeId(TextOf(hello->host())),
+                                 hello->revision(), TextOf(hello->record())});
   }
   if (const auto* changes = message->body_as_Changes()) {
     return FeedMessage(Read(*changes));
--- a/src/jacinthdeck/peer/feed_message.h
+++ b/src/jacinthdeck/peer/feed_message.h
@@ -21,6 +21,9 @@
   NodeId host;
   //! 0 if it knows nothing.
   std::uint64_t revision = 0;
+  //! Its record in the store's format, which the feeder is to keep there; empty
+  //! if the feeder is not to.
+  std::string record;
 };
 
 /*! \brief Changes of the store's content. */
--- a/src/jacinthdeck/peer/feed_server.cc
+++ b/src/jacinthdeck/peer/feed_server.cc
@@ -31,11 +31,15 @@
   std::size_t waiting_bytes = 0;
   //! It has said hello and gets the changes.
   bool greeted = false;
+  //! Known once it is greeted.
+  NodeId host;
   bool closed = false;
 };
 
-FeedServer::FeedServer(asio::io_context& loop, const FeedSource& source)
-    : m_source(source), m_acceptor(loop) {}
+FeedServer::FeedServer(asio::io_context& loop,
+                       const FeedSource& source,
+                       FollowerObserver& observer)
+    : m_source(source), m_observer(observer), m_acceptor(loop) {}
 
 std::uint16_t FeedServer::port() const {
   return ListeningPort(m_acceptor);
@@ -108,7 +112,13 @@
     Drop(follower);
     return;
   }
+  const bool again = follower->greeted;
   follower->greeted = true;
+  follower->host = hello->host;
+  m_observer.OnFollower(*hello);
+  if (again) {
+    return;
+  }
   // Followers that look for a fresh feeder mostly know what a stale one has;
   // the content is some 100 KB, to each of dozens of followers a second.
   const FeedChanges content = m_source.Content();
@@ -169,6 +179,13 @@
   SystemError ignored;
   follower->socket.close(ignored);
   std::erase(m_followers, follower);
+  const bool left = follower->greeted &&
+                    std::ranges::none_of(m_followers, [&](const auto& other) {
+                      return other->greeted && other->host == follower->host;
+                    });
+  if (left) {
+    m_observer.OnFollowerLeft(follower->host);
+  }
 }
 
 }  // namespace jacinthdeck
--- a/src/jacinthdeck/peer/feed_server.h
+++ b/src/jacinthdeck/peer/feed_server.h
@@ -12,6 +12,7 @@
 #include "jacinthdeck/http/asio.h"
 #include "jacinthdeck/peer/feed_frames.h"
 #include "jacinthdeck/peer/feed_source.h"
+#include "jacinthdeck/peer/follower_observer.h"
 
 namespace jacinthdeck {
 
@@ -23,8 +24,11 @@
  */
 class FeedServer {
  public:
-  /*! \brief Makes a server that does not listen; the source outlives it. */
-  FeedServer(asio::io_context& loop, const FeedSource& source);
+  /*! \brief Makes a server that does not listen; source and observer outlive
+   * it. */
+  FeedServer(asio::io_context& loop,
+             const FeedSource& source,
+             FollowerObserver& observer);
   FeedServer(const FeedServer&) = delete;
   FeedServer& operator=(const FeedServer&) = delete;
 
@@ -58,6 +62,7 @@
   void Drop(const std::shared_ptr<Follower>& follower);
 
   const FeedSource& m_source;
+  FollowerObserver& m_observer;
   tcp::acceptor m_acceptor;
   std::vector<std::shared_ptr<Follower>> m_followers;
 };
--- a/test/jacinthdeck/discovery/knowledge_test.cc
+++ b/test/jacinthdeck/discovery/knowledge_test.cc
@@ -133,7 +133,8 @@
   const HostRecord host{NodeId("h1"),  FailureDomain("z"),
                         "10.0.0.9:80", "",
                         "10.0.0.9:81", 250,
-                        true,          5};
+                        true,          5,
+                        NodeId("h2")};
   (void)Change(codec.HostKey(host.name), codec.WriteHost(host));
   BOOST_REQUIRE(knowledge.FindHost(NodeId("h1")) != nullptr);
   BOOST_TEST((*knowledge.FindHost(NodeId("h1")) == host));
--- /dev/null
+++ b/test/jacinthdeck/discovery/member_records_test.cc
@@ -0,0 +1,169 @@
+// Tests of what a feeder writes for its followers.
+#include "jacinthdeck/discovery/member_records.h"
+
+#include <boost/test/unit_test.hpp>
+#include <chrono>
+#include <string>
+#include <vector>
+
+#include "jacinthdeck/discovery/store_types.h"
+#include "support/printers.h"
+
+namespace jacinthdeck {
+
+namespace {
+
+using std::chrono::seconds;
+
+[[nodiscard]] HostRecord MakeHost(const std::string& name) {
+  HostRecord host;
+  host.name = NodeId(name);
+  host.started_ms = 1;
+  return host;
+}
+
+[[nodiscard]] HeldRecord Held(const std::string& name,
+                              const std::string& writer,
+                              std::uint64_t revision) {
+  HeldRecord held{MakeHost(name), revision};
+  held.record.writer = NodeId(writer);
+  return held;
+}
+
+struct MembersFixture {
+  TimePoint now{seconds(100)};
+  MemberRecords members{NodeId("feeder")};
+
+  //! Writes all that is due.
+  void Write(std::uint64_t revision) {
+    const MemberWrite write = members.NextWrite(now);
+    members.OnWritten(write, MemberWriteEnd::kDone, revision);
+  }
+
+  [[nodiscard]] std::vector<std::string> DuePuts() const {
+    std::vector<std::string> names;
+    for (const HostRecord& put : members.NextWrite(now).puts) {
+      names.push_back(put.name.raw());
+    }
+    return names;
+  }
+
+  [[nodiscard]] std::size_t DueRemovals() const {
+    return members.NextWrite(now).removals.size();
+  }
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(MemberRecordsTest, MembersFixture)
+
+// A hundred hosts come at once. The store sees four writes, not two hundred.
+BOOST_AUTO_TEST_CASE(Members_ManyCome_AreWrittenInFewWrites) {
+  for (int i = 0; i < 100; ++i) {
+    members.OnMember(MakeHost("h" + std::to_string(i)));
+  }
+  int writes = 0;
+  while (!members.NextWrite(now).empty()) {
+    BOOST_TEST(members.NextWrite(now).puts.size() <= StoreWrite::kMostEntries);
+    Write(10);
+    ++writes;
+  }
+  BOOST_TEST(writes == 4);
+}
+
+BOOST_AUTO_TEST_CASE(Member_SaysTheSameAgain_IsNotWritten) {
+  members.OnMember(MakeHost("a"));
+  Write(10);
+  members.OnMember(MakeHost("a"));
+  BOOST_TEST(members.NextWrite(now).empty());
+}
+
+// A member changes its record while the former one is being written.
+BOOST_AUTO_TEST_CASE(Member_ChangesDuringAWrite_IsWrittenAgain) {
+  members.OnMember(MakeHost("a"));
+  const MemberWrite write = members.NextWrite(now);
+  HostRecord changed = MakeHost("a");
+  changed.busy = true;
+  members.OnMember(changed);
+  members.OnWritten(write, MemberWriteEnd::kDone, 10);
+  BOOST_TEST(DuePuts().size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(Write_Fails_IsDueAgain) {
+  members.OnMember(MakeHost("a"));
+  members.OnWritten(members.NextWrite(now), MemberWriteEnd::kFailed, 0);
+  BOOST_TEST(DuePuts().size() == 1U);
+}
+
+// The lease ends, or the store drops a single key: the records are written
+// again. Before the store's content has come to the written revision nothing is
+// missing.
+BOOST_AUTO_TEST_CASE(Record_IsDroppedByTheStore_IsWrittenAgain) {
+  members.OnMember(MakeHost("a"));
+  Write(10);
+  members.OnHosts({}, 9, now);
+  BOOST_TEST(DuePuts().empty());
+  members.OnHosts({}, 10, now);
+  BOOST_TEST(DuePuts().size() == 1U);
+  Write(11);
+  members.OnLeaseLost();
+  BOOST_TEST(DuePuts().size() == 1U);
+}
+
+// A host dies. Its record stays for some seconds, in which it may come back or
+// be written by another feeder, and goes then.
+BOOST_AUTO_TEST_CASE(Member_Leaves_RecordGoesAfterAWhile) {
+  members.OnMember(MakeHost("a"));
+  Write(10);
+  members.OnMemberLeft(NodeId("a"));
+  const std::vector<HeldRecord> held{Held("a", "feeder", 10)};
+  members.OnHosts(held, 10, now);
+  BOOST_TEST(DueRemovals() == 0U);
+  now += seconds(4);
+  BOOST_TEST(DueRemovals() == 1U);
+  BOOST_TEST(members.NextWrite(now).removals.front().revision == 10U);
+}
+
+BOOST_AUTO_TEST_CASE(Member_LeavesAndComesBack_RecordStays) {
+  members.OnMember(MakeHost("a"));
+  Write(10);
+  members.OnMemberLeft(NodeId("a"));
+  members.OnHosts({{Held("a", "feeder", 10)}}, 10, now);
+  members.OnMember(MakeHost("a"));
+  now += seconds(4);
+  BOOST_TEST(DueRemovals() == 0U);
+}
+
+// The store does a write seconds after its reply was lost, when the host has
+// long gone to another feeder. The stray record is seen and taken back; what
+// the other feeder wrote since is not.
+BOOST_AUTO_TEST_CASE(Write_IsDoneLate_StrayIsTakenBack) {
+  members.OnMember(MakeHost("a"));
+  members.OnWritten(members.NextWrite(now), MemberWriteEnd::kFailed, 0);
+  members.OnMemberLeft(NodeId("a"));
+  members.OnHosts({{Held("a", "feeder", 20)}}, 20, now);
+  now += seconds(4);
+  BOOST_TEST(DueRemovals() == 1U);
+  members.OnHosts({{Held("a", "other", 21)}}, 21, now);
+  BOOST_TEST(DueRemovals() == 0U);
+}
+
+// One of several strays was written by its new feeder a moment ago. The others
+// are still taken back, each in a write of its own.
+BOOST_AUTO_TEST_CASE(Removal_MeetsALaterWrite_OthersGoAlone) {
+  members.OnHosts({{Held("a", "feeder", 5), Held("b", "feeder", 6)}}, 6, now);
+  now += seconds(4);
+  const MemberWrite both = members.NextWrite(now);
+  BOOST_TEST(both.removals.size() == 2U);
+  members.OnWritten(both, MemberWriteEnd::kConflict, 0);
+  const MemberWrite first = members.NextWrite(now);
+  BOOST_TEST(first.removals.size() == 1U);
+  members.OnWritten(first, MemberWriteEnd::kConflict, 0);
+  BOOST_TEST(DueRemovals() == 1U);
+  members.OnWritten(members.NextWrite(now), MemberWriteEnd::kDone, 9);
+  BOOST_TEST(members.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace jacinthdeck
--- /dev/null
+++ b/test/jacinthdeck/discovery/record_writer_test.cc
@@ -0,0 +1,95 @@
+// Tests of who keeps a host's record in the store.
+#include "jacinthdeck/discovery/record_writer.h"
+
+#include <boost/test/unit_test.hpp>
+#include <chrono>
+
+#include "support/printers.h"
+
+namespace jacinthdeck {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+struct WriterFixture {
+  TimePoint now{seconds(100)};
+  FleetPart part{.knows_hosts = true, .hosts = 295, .is_linked = true};
+  RecordWriterChoice choice{false, now};
+
+  [[nodiscard]] RecordWriter After(Duration time) {
+    now += time;
+    (void)choice.Update(part, now);
+    return choice.writer();
+  }
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(RecordWriterTest, WriterFixture)
+
+BOOST_AUTO_TEST_CASE(LargeFleet_HostStandsBy_FeederWrites) {
+  BOOST_TEST((After(milliseconds(0)) == RecordWriter::kFeeder));
+}
+
+// A front that is lost must not be named for long, so that it has a short lease
+// of its own; a feeder writes for others with its lease.
+BOOST_AUTO_TEST_CASE(LargeFleet_OthersRelyOnTheHost_ItWritesItself) {
+  part.is_front = true;
+  BOOST_TEST((After(milliseconds(0)) == RecordWriter::kSelf));
+  part.is_front = false;
+  BOOST_TEST((After(milliseconds(0)) == RecordWriter::kFeeder));
+  part.feeds_others = true;
+  BOOST_TEST((After(milliseconds(0)) == RecordWriter::kSelf));
+}
+
+BOOST_AUTO_TEST_CASE(SmallFleet_Known_EachWritesItself) {
+  part.hosts = 8;
+  BOOST_TEST((After(milliseconds(0)) == RecordWriter::kSelf));
+}
+
+// Hundreds of hosts start at one moment. The first of them see a handful of
+// others and would take that for a small fleet; each would cost two writes.
+BOOST_AUTO_TEST_CASE(FleetStarts_FewAreKnownYet_FeederWrites) {
+  choice = RecordWriterChoice(true, now);
+  part.hosts = 3;
+  part.is_front = true;
+  BOOST_TEST((After(milliseconds(100)) == RecordWriter::kFeeder));
+  BOOST_TEST((After(seconds(3)) == RecordWriter::kSelf));
+}
+
+// All hosts restart after a loss of power. Which part this one has is known
+// from the first word of the store on.
+BOOST_AUTO_TEST_CASE(Restart_NothingIsKnownYet_NobodyWrites) {
+  part = {};
+  BOOST_TEST((After(milliseconds(0)) == RecordWriter::kNobody));
+  part.knows_hosts = true;
+  part.hosts = 6;
+  BOOST_TEST((After(milliseconds(30)) == RecordWriter::kSelf));
+}
+
+// The feeder is lost and no other is found. The record would end with the
+// feeder's lease, so that the host writes it itself in time.
+BOOST_AUTO_TEST_CASE(Feeder_IsLostForGood_HostWritesItself) {
+  BOOST_TEST((After(milliseconds(0)) == RecordWriter::kFeeder));
+  part.is_linked = false;
+  BOOST_TEST((After(milliseconds(0)) == RecordWriter::kFeeder));
+  BOOST_TEST((After(seconds(2)) == RecordWriter::kFeeder));
+  BOOST_TEST((After(seconds(1)) == RecordWriter::kSelf));
+}
+
+BOOST_AUTO_TEST_CASE(Feeder_IsLostForAMoment_FeederWrites) {
+  BOOST_TEST((After(milliseconds(0)) == RecordWriter::kFeeder));
+  part.is_linked = false;
+  (void)After(milliseconds(0));
+  (void)After(seconds(2));
+  part.is_linked = true;
+  (void)After(milliseconds(100));
+  part.is_linked = false;
+  BOOST_TEST((After(seconds(2)) == RecordWriter::kFeeder));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace jacinthdeck
--- a/test/jacinthdeck/discovery/store_session_test.cc
+++ b/test/jacinthdeck/discovery/store_session_test.cc
@@ -31,12 +31,21 @@
           R"("state":"ready"})"};
 }
 
+[[nodiscard]] HostRecord MakeHost(const std::string& name) {
+  HostRecord host;
+  host.name = NodeId(name);
+  host.domain = FailureDomain("z");
+  host.callers = "10.0.0.1:80";
+  return host;
+}
+
 struct SessionFixture : KnowledgeObserver {
   SteadyClock clock;
   standins::StoreServer store{0, clock, {}, 1};
   platform::StoreCodec codec;
   asio::io_context loop;
-  StoreSession session{loop, clock, codec, *this, "127.0.0.1", store.port(), 1};
+  StoreSession session{
+      loop, clock, codec, *this, NodeId("h"), {"127.0.0.1", store.port()}, 1};
   int lost = 0;
   int regained = 0;
   std::vector<HandedOn> handed_on;
@@ -189,8 +198,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(Register_LeaseIsEndedByTheStore_IsWrittenAgain) {
-  const HostRecord host{
-      NodeId("h"), FailureDomain("z"), "10.0.0.1:80", "", "", 1, false, 1};
+  const HostRecord host = MakeHost("h");
   session.SetWatching(true);
   session.Register(host);
   const auto is_known = [&] {
@@ -208,14 +216,62 @@
   Until([&] { return !store.content().Get(codec.HostKey(host.name)); });
 }
 
+// A feeder writes the records of three followers in one call, with its own
+// lease. When one of them goes elsewhere and nobody writes it, the record goes.
+BOOST_AUTO_TEST_CASE(Members_ThreeCome_AreWrittenAtOnceAndGoWhenTheyLeave) {
+  session.SetWatching(true);
+  session.Register(MakeHost("h"));
+  const auto has = [&](const std::string& name) {
+    return store.content().Get(codec.HostKey(NodeId(name))).has_value();
+  };
+  Until([&] { return has("h"); });
+  for (const char* name : {"a", "b", "c"}) {
+    session.TakeMember(codec.WriteHost(MakeHost(name)));
+  }
+  const std::uint64_t writes = session.counters().writes;
+  Until([&] { return has("a") && has("b") && has("c"); });
+  BOOST_TEST(session.counters().writes == writes + 1);
+  session.DropMember(NodeId("b"));
+  Until([&] { return !has("b"); });
+  BOOST_TEST(has("a"));
+}
+
+// The feeder's lease is ended by the store, and with it all that it wrote. All
+// of it is back as soon as the feeder has a lease again.
+BOOST_AUTO_TEST_CASE(Members_LeaseIsEndedByTheStore_AreWrittenAgain) {
+  session.SetWatching(true);
+  session.Register(MakeHost("h"));
+  session.TakeMember(codec.WriteHost(MakeHost("a")));
+  const std::string key = codec.HostKey(NodeId("a"));
+  Until([&] { return store.content().Get(key).has_value(); });
+  const std::uint64_t first = store.content().Get(key)->lease;
+  Until([&] { return session.knowledge().FindHost(NodeId("a")) != nullptr; });
+  BOOST_TEST(store.content().End(first));
+  Until([&] {
+    const auto item = store.content().Get(key);
+    return item && item->lease != first;
+  });
+}
+
+// A host is stopped whose record its feeder wrote. It takes the record out
+// itself: callers would be sent to it for as long as the feeder lives.
+BOOST_AUTO_TEST_CASE(Unregister_RecordIsAnothersLease_IsTakenOut) {
+  const std::string key = codec.HostKey(NodeId("h"));
+  standins::StoreControl control;
+  control.puts.push_back({key, codec.WriteHost(MakeHost("h")), {}});
+  store.Apply(control);
+  session.LeaveRecord();
+  session.Unregister();
+  Until([&] { return !store.content().Get(key).has_value(); });
+}
+
 // Every write takes effect and loses its reply. The host goes on trying, and
 // its record stands once replies come again.
 BOOST_AUTO_TEST_CASE(Register_RepliesAreLost_RecordStandsInTheEnd) {
   standins::StoreControl control;
   control.faults.lose_reply_share = 1;
   store.Apply(control);
-  const HostRecord host{
-      NodeId("h"), FailureDomain("z"), "10.0.0.1:80", "", "", 1, false, 1};
+  const HostRecord host = MakeHost("h");
   session.SetWatching(true);
   session.Register(host);
   Until([&] { return store.counts().replies_lost >= 2; });
--- a/test/jacinthdeck/peer/feed_message_test.cc
+++ b/test/jacinthdeck/peer/feed_message_test.cc
@@ -45,9 +45,10 @@
 
 BOOST_AUTO_TEST_CASE(HelloAndBeat_RoundTrip) {
   const auto hello =
-      std::get<FeedHello>(RoundTrip(FeedHello{NodeId("host-1"), 5}));
+      std::get<FeedHello>(RoundTrip(FeedHello{NodeId("host-1"), 5, "record"}));
   BOOST_TEST(hello.host == NodeId("host-1"));
   BOOST_TEST(hello.revision == 5U);
+  BOOST_TEST(hello.record == "record");
   const auto beat = std::get<FeedBeat>(
       RoundTrip(FeedBeat{9, std::chrono::milliseconds(1234), true}));
   BOOST_TEST(beat.revision == 9U);
@@ -74,8 +75,8 @@
 }
 
 BOOST_AUTO_TEST_CASE(Frames_ComeInPieces_AreCutWhereTheyEnd) {
-  const std::string two = EncodeFeed(FeedHello{NodeId("a"), 1}) +
-                          EncodeFeed(FeedHello{NodeId("b"), 2});
+  const std::string two = EncodeFeed(FeedHello{NodeId("a"), 1, ""}) +
+                          EncodeFeed(FeedHello{NodeId("b"), 2, ""});
   FeedFrames frames;
   int whole = 0;
   for (const char byte : two) {
--- a/test/jacinthdeck/peer/feed_server_test.cc
+++ b/test/jacinthdeck/peer/feed_server_test.cc
@@ -3,6 +3,7 @@
 
 #include <boost/test/unit_test.hpp>
 #include <chrono>
+#include <map>
 #include <string>
 
 #include "jacinthdeck/peer/feed_link.h"
@@ -23,14 +24,20 @@
   }
 };
 
-struct ServerFixture : FeedLinkSink {
+struct ServerFixture : FeedLinkSink, FollowerObserver {
   asio::io_context loop;
   FixedSource source;
-  FeedServer server{loop, source};
+  FeedServer server{loop, source, *this};
   FeedLink link{loop, *this};
   int contents = 0;
   int beats = 0;
+  //! Records of the hosts that follow.
+  std::map<NodeId, std::string> followers;
 
+  void OnFollower(const FeedHello& hello) override {
+    followers[hello.host] = hello.record;
+  }
+  void OnFollowerLeft(const NodeId& host) override { followers.erase(host); }
   void OnFeedChanges(const FeedChanges& /*changes*/) override { ++contents; }
   void OnFeedBeat(const FeedBeat& /*beat*/) override { ++beats; }
   void OnFeedLost(const std::string& problem) override {
@@ -40,7 +47,8 @@
   //! Follows until the first beat, which comes after the content.
   void Follow(std::uint64_t known_revision) {
     BOOST_REQUIRE(static_cast<bool>(server.Listen("127.0.0.1", 0)));
-    link.Open({"127.0.0.1", server.port()}, {NodeId("h1"), known_revision});
+    link.Open({"127.0.0.1", server.port()},
+              {NodeId("h1"), known_revision, "first"});
     while (beats == 0) {
       loop.run_one();
     }
@@ -65,6 +73,39 @@
   BOOST_TEST(beats == 1);
 }
 
+// A follower says what its feeder is to keep in the store, and says so again
+// when it changes; the content is not sent anew for that.
+BOOST_AUTO_TEST_CASE(Follower_SaysAnotherRecord_IsTakenWithoutTheContent) {
+  Follow(6);
+  BOOST_TEST(followers.at(NodeId("h1")) == "first");
+  link.Say({NodeId("h1"), 7, "second"});
+  while (followers.at(NodeId("h1")) != "second") {
+    loop.run_one();
+  }
+  BOOST_TEST(contents == 1);
+}
+
+// A follower opens a second link before its first one is known to have ended,
+// as after a power loss. It left only when the last one ends.
+BOOST_AUTO_TEST_CASE(Follower_HasTwoLinks_LeavesWithTheLast) {
+  Follow(6);
+  FeedLink second(loop, *this);
+  second.Open({"127.0.0.1", server.port()}, {NodeId("h1"), 7, "second"});
+  while (server.followers() < 2 || beats < 2) {
+    loop.run_one();
+  }
+  link.Close();
+  while (server.followers() > 1) {
+    loop.run_one();
+  }
+  BOOST_TEST(followers.contains(NodeId("h1")));
+  second.Close();
+  while (server.followers() > 0) {
+    loop.run_one();
+  }
+  BOOST_TEST(followers.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace jacinthdeck
