--- a/src/jacinthdeck/discovery/fleet.cc
+++ b/src/jacinthdeck/discovery/fleet.cc
@@ -20,10 +20,6 @@
 //! More hosts take callers while more than this share of the fronts is busy:
 //! twice as many hosts, of which the former half is busy, are enough.
 constexpr double kBusyShare = 0.5;
-//! Failure domains that take callers at least: one may be lost.
-constexpr std::size_t kLeastFrontDomains = 2;
-//! A domain takes callers if it has this part of an equal share of the targets.
-constexpr double kNearPart = 0.25;
 
 using Ranked = std::map<FailureDomain, std::vector<const HostRecord*>>;
 
@@ -68,28 +64,6 @@
   return taken;
 }
 
-//! Leaves out domains with next to no targets, if enough others have some.
-[[nodiscard]] Ranked NearTargets(
-    const Ranked& ranked,
-    const std::map<FailureDomain, std::size_t>& targets) {
-  std::size_t all = 0;
-  for (const auto& [domain, count] : targets) {
-    all += count;
-  }
-  const double equal =
-      static_cast<double>(all) / static_cast<double>(ranked.size());
-  Ranked near;
-  for (const auto& [domain, of_domain] : ranked) {
-    const auto found = targets.find(domain);
-    const auto count =
-        static_cast<double>(found == targets.end() ? 0 : found->second);
-    if (count >= kNearPart * equal && count > 0) {
-      near.emplace(domain, of_domain);
-    }
-  }
-  return near.size() < kLeastFrontDomains ? ranked : near;
-}
-
 [[nodiscard]] bool IsBusy(const std::vector<HostRecord>& fronts) {
   const auto busy = std::ranges::count_if(
       fronts, [](const HostRecord& host) { return host.busy; });
@@ -116,17 +90,17 @@
 }
 
 std::vector<HostRecord> ChooseFronts(std::span<const HostRecord> hosts,
-                                     const TargetLayout& targets) {
+                                     std::uint32_t target_connections) {
   if (hosts.size() <= kSmallFleet) {
     return {hosts.begin(), hosts.end()};
   }
-  const Ranked ranked = NearTargets(Rank(hosts), targets.counts);
+  const Ranked ranked = Rank(hosts);
   std::uint32_t strongest = 0;
   for (const HostRecord& host : hosts) {
     strongest = std::max(strongest, host.strength);
   }
   const std::size_t most = std::max<std::size_t>(
-      targets.connections / kConnectionsPerFront, kLeastFronts * ranked.size());
+      target_connections / kConnectionsPerFront, kLeastFronts * ranked.size());
   const std::size_t most_of_domain =
       std::max<std::size_t>(most / ranked.size(), kLeastFronts);
   std::map<FailureDomain, std::size_t> counts;
--- a/src/jacinthdeck/discovery/fleet.h
+++ b/src/jacinthdeck/discovery/fleet.h
@@ -4,7 +4,6 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <map>
 #include <span>
 #include <vector>
 
@@ -30,17 +29,6 @@
 [[nodiscard]] std::vector<NodeId> ChooseWatchers(
     std::span<const HostRecord> hosts);
 
-/*! \brief What the choice of fronts needs to know of the targets. */
-struct TargetLayout {
-  //! Fewest connections that a target of any service accepts from all hosts; 0
-  //! if unknown.
-  std::uint32_t connections = 0;
-  //! Targets that take work, by failure domain.
-  std::map<FailureDomain, std::size_t> counts;
-
-  [[nodiscard]] bool operator==(const TargetLayout&) const = default;
-};
-
 /**
  * \brief Chooses the hosts that callers are sent to.
  *
@@ -49,18 +37,15 @@
  * strongest hosts of each failure domain take the callers, more of them while
  * those are busy; the rest stand by and are next when hosts are lost.
  *
- * A failure domain with next to no targets is left out: there each part of each
- * answer would come from another domain, where the callers' one answer can. At
- * least two domains stay, so that the loss of one is borne.
- *
  * \param hosts Live hosts.
- * \param targets Where the targets stand and how many connections they take.
+ * \param target_connections Fewest connections that a target of any service
+ * accepts from all hosts; 0 if unknown.
  * \return Records, strongest first in each domain; all hosts where the fleet
  * is small.
  */
 [[nodiscard]] std::vector<HostRecord> ChooseFronts(
     std::span<const HostRecord> hosts,
-    const TargetLayout& targets);
+    std::uint32_t target_connections);
 
 }  // namespace jacinthdeck
 
--- a/src/jacinthdeck/discovery/held_entries.h
+++ b/src/jacinthdeck/discovery/held_entries.h
@@ -31,14 +31,6 @@
     return entries;
   }
 
-  /*! \brief Calls a function with each entry, held ones included. */
-  template <typename Visit>
-  void ForEach(Visit visit) const {
-    for (const auto& [key, held] : m_held) {
-      visit(held.entry);
-    }
-  }
-
   [[nodiscard]] std::size_t size() const noexcept { return m_held.size(); }
 
   /*! \brief Finds an entry; null if there is none. */
--- a/src/jacinthdeck/discovery/knowledge.cc
+++ b/src/jacinthdeck/discovery/knowledge.cc
@@ -7,19 +7,6 @@
 
 namespace jacinthdeck {
 
-TargetLayout Knowledge::LayoutOfTargets() const {
-  TargetLayout layout;
-  if (m_config != nullptr) {
-    layout.connections = m_config->FewestTargetConnections();
-  }
-  m_targets.ForEach([&](const TargetEntry& entry) {
-    if (!entry.draining) {
-      ++layout.counts[entry.domain];
-    }
-  });
-  return layout;
-}
-
 std::optional<TimePoint> Knowledge::NextTimer() const {
   const auto targets = m_targets.NextExpiry();
   const auto hosts = m_hosts.NextExpiry();
--- a/src/jacinthdeck/discovery/knowledge.h
+++ b/src/jacinthdeck/discovery/knowledge.h
@@ -14,7 +14,6 @@
 
 #include "jacinthdeck/core/ids.h"
 #include "jacinthdeck/core/time.h"
-#include "jacinthdeck/discovery/fleet.h"
 #include "jacinthdeck/discovery/held_entries.h"
 #include "jacinthdeck/discovery/host_record.h"
 #include "jacinthdeck/discovery/platform_codec.h"
@@ -70,8 +69,6 @@
     const auto found = m_indexes.find(service);
     return found == m_indexes.end() ? std::string() : found->second;
   }
-  /*! \brief Where the targets that take work stand. */
-  [[nodiscard]] TargetLayout LayoutOfTargets() const;
   [[nodiscard]] std::size_t target_count() const noexcept {
     return m_targets.size();
   }
--- a/src/jacinthdeck/entry/decision_log.cc
+++ b/src/jacinthdeck/entry/decision_log.cc
@@ -152,16 +152,14 @@
   }
 }
 
-void DecisionLog::OnFronts(const std::vector<HostRecord>& fronts,
-                           const TargetLayout& targets) {
+void DecisionLog::OnFronts(const std::vector<HostRecord>& fronts) {
   std::map<FailureDomain, std::size_t> by_domain;
   for (const HostRecord& front : fronts) {
     ++by_domain[front.domain];
   }
   LogLine line = m_log.Begin(LogEvent::kFrontsChanged);
   line.Count("fronts", fronts.size())
-      .Raw("fronts_by_domain", CountsText(by_domain))
-      .Raw("targets_by_domain", CountsText(targets.counts));
+      .Raw("fronts_by_domain", CountsText(by_domain));
   m_log.Add(std::move(line));
 }
 
--- a/src/jacinthdeck/entry/decision_log.h
+++ b/src/jacinthdeck/entry/decision_log.h
@@ -50,8 +50,7 @@
                    Duration since_start);
 
   /*! \brief Writes that other hosts take the callers from now on. */
-  void OnFronts(const std::vector<HostRecord>& fronts,
-                const TargetLayout& targets);
+  void OnFronts(const std::vector<HostRecord>& fronts);
 
  private:
   [[nodiscard]] LogEvent EventOf(const EndedCall& call) const;
--- a/src/jacinthdeck/entry/entry_node.h
+++ b/src/jacinthdeck/entry/entry_node.h
@@ -138,8 +138,6 @@
   RecordWriterChoice m_record_writer;
   TypedService m_typed;
   EdgeServer m_queries;
-  //! Where the targets stood when m_fronts was chosen.
-  TargetLayout m_layout;
   //! Hosts that callers are sent to.
   std::vector<HostRecord> m_fronts;
   //! Their number over a while.
--- a/src/jacinthdeck/entry/entry_node_knowledge.cc
+++ b/src/jacinthdeck/entry/entry_node_knowledge.cc
@@ -64,9 +64,7 @@
   if (change.hosts) {
     m_feed.OnHosts(knowledge.Hosts());
   }
-  const TargetLayout layout = knowledge.LayoutOfTargets();
-  if (change.hosts || layout != m_layout) {
-    m_layout = layout;
+  if (change.hosts || change.config) {
     TakeHosts(now);
   }
   for (const Fingerprint fingerprint : change.convictions) {
@@ -101,10 +99,13 @@
 
 void EntryNode::TakeHosts(TimePoint now) {
   const std::vector<HostRecord> hosts = m_store.knowledge().Hosts();
-  std::vector<HostRecord> fronts = ChooseFronts(hosts, m_layout);
+  const std::shared_ptr<const RoutingConfig>& config =
+      m_store.knowledge().config();
+  std::vector<HostRecord> fronts = ChooseFronts(
+      hosts, config == nullptr ? 0 : config->FewestTargetConnections());
   if (fronts != m_fronts) {
     m_fronts = std::move(fronts);
-    m_decisions.OnFronts(m_fronts, m_layout);
+    m_decisions.OnFronts(m_fronts);
   }
   m_front_count.Add(static_cast<std::uint32_t>(m_fronts.size()), now);
   m_is_front = std::ranges::find(m_fronts, m_settings.name,
