Keep followers in their domain, and still while all feeders are stale

Cause: at the start all hosts follow the seeds, which stand in three of five failure domains, and stay with them: 233 of 295 feeds cross a domain.

Change: a follower goes over to the feeder of its own domain once that is known, ever more rarely where it fails. One that has tried five feeders, or all, and found each stale stays with the nearest, whose beat tells of the store's return, and tries another every four seconds. Callers' hosts still read the store at once; of the others one in 50 ms does, in case the store turns the feeders away and not them. A follower whose link ends asks another feeder at once, and the store only 1.3 s later.

Tests: all feeders away (stays with the nearest; few of 300 ask), a feeder lost, the own domain's feeder known late and failing. Each failed on the code before.

--- a/src/jacinthdeck/entry/entry_node_knowledge.cc
+++ b/src/jacinthdeck/entry/entry_node_knowledge.cc
@@ -103,8 +103,11 @@
       m_store.knowledge().config();
   std::vector<HostRecord> fronts = ChooseFronts(
       hosts, config == nullptr ? 0 : config->FewestTargetConnections());
-  if (fronts != m_fronts) {
-    m_fronts = std::move(fronts);
+  const bool same =
+      std::ranges::equal(fronts, m_fronts, {}, &HostRecord::name,
+                         &HostRecord::name);
+  m_fronts = std::move(fronts);
+  if (!same) {
     m_decisions.OnFronts(m_fronts);
   }
   m_front_count.Add(static_cast<std::uint32_t>(m_fronts.size()), now);
@@ -115,6 +118,7 @@
   // budget of calls to the store matters.
   const bool small = hosts.size() <= kSmallFleet;
   m_store.SetLeaseLife(m_is_front || small ? kFrontLease : kStandbyLease);
+  m_feed.SetServesCallers(m_is_front || small);
 }
 
 void EntryNode::KeepRecord(TimePoint now) {
--- a/src/jacinthdeck/entry/feed_hub.h
+++ b/src/jacinthdeck/entry/feed_hub.h
@@ -64,6 +64,9 @@
   /*! \brief Opens the port on which other hosts ask. */
   [[nodiscard]] Result<void> Listen(const Endpoint& endpoint);
 
+  /*! \brief Says whether callers are sent to this host. */
+  void SetServesCallers(bool serves) { m_choice.SetServesCallers(serves); }
+
   /*! \brief Takes the hosts that are known. */
   void OnHosts(const std::vector<HostRecord>& hosts);
 
--- a/src/jacinthdeck/peer/feed_choice.cc
+++ b/src/jacinthdeck/peer/feed_choice.cc
@@ -23,15 +23,31 @@
 //! beats as soon as it is asked, so its age is known at once; three feeders are
 //! tried within the bound in which a leaving target must be known.
 constexpr Duration kStalePatience = milliseconds(1000);
+//! The same for one that has lost the store, which it knows for certain.
+constexpr Duration kAwayPatience = milliseconds(300);
+//! The same once all feeders that were tried are stale.
+constexpr Duration kSettledPatience = milliseconds(4000);
+//! So many feeders of different failure domains are not turned away together
+//! while the store serves others.
+constexpr std::size_t kMostStaleTried = 5;
+//! Time for which a feeder of another failure domain is followed before the
+//! own one's is tried again, and the longest such time where it fails.
+constexpr Duration kFirstHomePause = milliseconds(1000);
+constexpr Duration kLongestHomePause = milliseconds(16000);
 //! When the fleet starts: time for a seed to answer before the store is asked.
 constexpr Duration kStartPatience = milliseconds(1100);
 //! Hosts that start at one moment.
 constexpr Duration kStartSpread = milliseconds(30);
 //! Followers of one lost feeder must not all ask the store at one moment.
 constexpr Duration kLostSpread = milliseconds(150);
+//! Time in which a host without callers looks for another feeder first.
+constexpr Duration kLostPatience = milliseconds(1300);
 //! If the feeder lost the store, it is likely away for all, and calls to it are
 //! in vain.
 constexpr Duration kAwaySpread = milliseconds(1200);
+//! Hosts without callers ask the store one after the other while the feeders
+//! are stale, one in this time.
+constexpr Duration kAskEvery = milliseconds(50);
 
 }  // namespace
 
@@ -40,7 +56,10 @@
                        bool fleet_starts,
                        std::uint64_t seed,
                        TimePoint now)
-    : m_self(std::move(self)), m_seeds(std::move(seeds)), m_random(seed) {
+    : m_self(std::move(self)),
+      m_seeds(std::move(seeds)),
+      m_random(seed),
+      m_home_pause(kFirstHomePause) {
   const auto own = [&](const Endpoint& endpoint) {
     return endpoint.ToString() == m_self.peers;
   };
@@ -63,6 +82,7 @@
   if (watchers.empty()) {
     return;
   }
+  m_hosts = hosts.size();
   m_is_watcher = std::ranges::find(watchers, m_self.name) != watchers.end();
   std::vector<const HostRecord*> feeders;
   for (const HostRecord& host : hosts) {
@@ -78,10 +98,12 @@
       [&](const HostRecord* host) { return host->domain == m_self.domain; });
   const bool following = IsFollowing(now);
   m_feeders.clear();
+  m_near = 0;
   for (const HostRecord* host : feeders) {
     const auto parsed = Capture([&] { return Endpoint::Parse(host->peers); });
     if (const auto* endpoint = std::get_if<Endpoint>(&parsed)) {
       m_feeders.push_back(*endpoint);
+      m_near += host->domain == m_self.domain ? 1 : 0;
     }
   }
   m_next = PositionAfter(following);
@@ -110,6 +132,7 @@
   m_beat_at = now;
   if (IsFollowing(now)) {
     m_watch_at.reset();
+    m_stale_in_row = 0;
   }
 }
 
@@ -118,23 +141,19 @@
 }
 
 void FeedChoice::OnLost(TimePoint now) {
+  const bool was_open = m_link == Link::kOpen;
   m_link = Link::kNone;
-  m_try_at = now + kTryAgain;
-  ScheduleWatch(kLostSpread, now);
+  m_try_at = was_open ? now : now + kTryAgain;
+  ScheduleWatchWithoutLink(now);
 }
 
 FeedStep FeedChoice::Step(TimePoint now) {
   FeedStep step;
   const bool too_slow =
       m_link == Link::kOpening && now - m_link_since > kLinkTimeout;
-  const bool useless =
-      m_link == Link::kOpen &&
-      (IsSilent(now) || (IsStale(now) && now - m_link_since > kStalePatience &&
-                         m_feeders.size() > 1));
-  if (too_slow || useless) {
+  if (too_slow || IsUseless(now) || IsDueHome(now)) {
     step.close = true;
-    OnLost(now);
-    m_try_at = now;
+    LeaveFeeder(now);
   }
   if (m_link == Link::kNone && now >= m_try_at) {
     step.open = NextFeeder();
@@ -156,11 +175,75 @@
     m_watch_at.reset();
     return step;
   }
-  ScheduleWatch(m_link == Link::kOpen ? kAwaySpread : kLostSpread, now);
+  if (m_link == Link::kOpen) {
+    ScheduleWatchWhileStale(now);
+  } else {
+    ScheduleWatchWithoutLink(now);
+  }
   step.watch_store = now >= *m_watch_at;
   return step;
 }
 
+bool FeedChoice::IsUseless(TimePoint now) const {
+  if (m_link != Link::kOpen) {
+    return false;
+  }
+  if (IsSilent(now)) {
+    return true;
+  }
+  if (!IsStale(now) || m_feeders.size() < 2) {
+    return false;
+  }
+  const bool settled = m_stale_in_row >= MostStale();
+  const Duration patience = settled             ? kSettledPatience
+                            : m_beat.store_away ? kAwayPatience
+                                                : kStalePatience;
+  return now - m_link_since > patience;
+}
+
+std::size_t FeedChoice::MostStale() const noexcept {
+  return std::min(m_feeders.size(), kMostStaleTried);
+}
+
+bool FeedChoice::IsDueHome(TimePoint now) {
+  const auto nearest = m_feeders.begin();
+  const auto far = nearest + static_cast<std::ptrdiff_t>(m_near);
+  const bool is_near =
+      std::find_if(nearest, far, [&](const Endpoint& feeder) {
+        return m_last && feeder.ToString() == m_last->ToString();
+      }) != far;
+  if (m_near == 0 || is_near || !IsFollowing(now)) {
+    m_home_at.reset();
+    return false;
+  }
+  if (!m_home_at) {
+    // All followers of a domain whose feeder was away would come back at once.
+    const auto bound = static_cast<std::uint64_t>(m_home_pause.count());
+    m_home_at = now + m_home_pause +
+                Duration(static_cast<Duration::rep>(m_random.Below(bound)));
+  }
+  if (now < *m_home_at) {
+    return false;
+  }
+  m_home_at.reset();
+  m_home_pause = std::min(2 * m_home_pause, kLongestHomePause);
+  m_next = 0;
+  return true;
+}
+
+void FeedChoice::LeaveFeeder(TimePoint now) {
+  const bool stale =
+      m_link == Link::kOpen && !IsSilent(now) && !IsFollowing(now);
+  if (stale) {
+    ScheduleWatchWhileStale(now);
+    const bool settles = m_stale_in_row + 1 == MostStale();
+    m_next = settles ? 0 : m_next;
+    m_stale_in_row = std::min(m_stale_in_row + 1, MostStale());
+  }
+  OnLost(now);
+  m_try_at = now;
+}
+
 bool FeedChoice::IsSilent(TimePoint now) const {
   return now - m_heard > kSilence;
 }
@@ -180,6 +263,18 @@
   return feeder;
 }
 
+void FeedChoice::ScheduleWatchWithoutLink(TimePoint now) {
+  // Another feeder mostly answers within milliseconds.
+  const Duration patience = m_serves_callers ? Duration::zero() : kLostPatience;
+  ScheduleWatch(kLostSpread, now + patience);
+}
+
+void FeedChoice::ScheduleWatchWhileStale(TimePoint now) {
+  const Duration one_by_one = m_hosts * kAskEvery;
+  ScheduleWatch(
+      m_serves_callers ? kAwaySpread : std::max(kAwaySpread, one_by_one), now);
+}
+
 void FeedChoice::ScheduleWatch(Duration spread, TimePoint from) {
   if (m_watch_at) {
     return;
--- a/src/jacinthdeck/peer/feed_choice.h
+++ b/src/jacinthdeck/peer/feed_choice.h
@@ -30,11 +30,18 @@
 /**
  * \brief Follows a watcher as long as that one is fresh.
  *
- * A host whose feeder falls silent, loses the store, or lags reads the store
- * itself at once, and looks for another feeder meanwhile; so a change is never
- * later than by the time in which silence shows. Watchers follow one another
- * beside their own watch. A feeder's word is as old as
- * the feeder says: hosts that follow each other in a circle see the age grow.
+ * A host whose feeder falls silent, loses the store, or lags looks for another
+ * feeder and reads the store itself meanwhile; so a change is never later than
+ * by the time in which silence shows. Watchers follow one another beside their
+ * own watch. A feeder's word is as old as the feeder says: hosts that follow
+ * each other in a circle see the age grow.
+ *
+ * If feeder after feeder has lost the store, it is away for all, and hundreds
+ * of hosts that ask for it and go from one feeder to the next only keep it and
+ * them busy. Then a host stays with the nearest feeder, whose next beat tells
+ * of the store's return. Only those that callers are sent to go on asking; of
+ * the others a few at a time do, in case the store turns the feeders away and
+ * not them.
  */
 class FeedChoice {
  public:
@@ -62,6 +69,10 @@
     return m_link == Link::kOpen && !IsSilent(now);
   }
 
+  /*! \brief Says whether callers are sent to this host, which then reads the
+   * store itself as soon as its feeder is stale. */
+  void SetServesCallers(bool serves) noexcept { m_serves_callers = serves; }
+
   /*! \brief Takes the hosts that are known. */
   void OnHosts(std::span<const HostRecord> hosts, TimePoint now);
 
@@ -82,19 +93,39 @@
 
   [[nodiscard]] bool IsSilent(TimePoint now) const;
   [[nodiscard]] bool IsStale(TimePoint now) const;
+  //! Tells whether the link is to be ended for another feeder.
+  [[nodiscard]] bool IsUseless(TimePoint now) const;
+  //! Feeders that are tried before all are taken for stale alike.
+  [[nodiscard]] std::size_t MostStale() const noexcept;
+  //! Tells whether it is time to go back to the own failure domain's feeder.
+  [[nodiscard]] bool IsDueHome(TimePoint now);
+  void LeaveFeeder(TimePoint now);
   [[nodiscard]] std::optional<Endpoint> NextFeeder();
   //! Position from which the next feeder is looked for.
   [[nodiscard]] std::size_t PositionAfter(bool following) const;
   //! Watches the store from a moment within the spread on, unless that is
   //! settled already.
   void ScheduleWatch(Duration spread, TimePoint from);
+  void ScheduleWatchWithoutLink(TimePoint now);
+  void ScheduleWatchWhileStale(TimePoint now);
 
-  const HostRecord m_self;
-  const std::vector<Endpoint> m_seeds;
+  HostRecord m_self;
+  std::vector<Endpoint> m_seeds;
   Random m_random;
   bool m_is_watcher = false;
+  bool m_serves_callers = true;
+  //! Hosts that are known.
+  std::size_t m_hosts = 0;
   //! In the order in which they are tried; this host is not among them.
   std::vector<Endpoint> m_feeders;
+  //! Feeders of the own failure domain; the first so many.
+  std::size_t m_near = 0;
+  //! Feeders that were left as stale since one was last followed.
+  std::size_t m_stale_in_row = 0;
+  //! When it goes back to the own failure domain; nothing while it is there.
+  std::optional<TimePoint> m_home_at;
+  //! Time to stay elsewhere before that.
+  Duration m_home_pause;
   std::size_t m_next = 0;
   //! Feeder of the present link, or of the last one.
   std::optional<Endpoint> m_last;
--- a/test/jacinthdeck/peer/feed_choice_test.cc
+++ b/test/jacinthdeck/peer/feed_choice_test.cc
@@ -3,6 +3,7 @@
 
 #include <boost/test/unit_test.hpp>
 #include <chrono>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -155,6 +156,99 @@
   BOOST_TEST(watched);
 }
 
+// The store turns everyone away. Hundreds of hosts that take no callers would
+// each ask it, and every feeder in turn, for as long as that lasts. They try
+// each feeder once, stay with the nearest, and hear from it when the store is
+// back.
+BOOST_AUTO_TEST_CASE(Feeders_AreAllAway_HostStaysWithTheNearest) {
+  choice.SetServesCallers(false);
+  Follow();
+  std::vector<std::string> tried;
+  for (int i = 0; i < 30; ++i) {
+    Beat(seconds(4), true);
+    const FeedStep step = StepIn(milliseconds(100));
+    if (step.open) {
+      tried.push_back(step.open->address);
+    }
+  }
+  const std::vector<std::string> expected{"10.0.0.1", "10.0.0.3", "10.0.0.2"};
+  BOOST_TEST(tried == expected, boost::test_tools::per_element());
+  Beat();
+  BOOST_TEST(!StepIn(milliseconds(100)).close);
+}
+
+// The same with 300 hosts. The store is asked by a few of them a second, not by
+// all; those that take callers ask at once.
+BOOST_AUTO_TEST_CASE(Feeders_AreAllAway_FewHostsAskTheStore) {
+  for (int number = 10; number < 306; ++number) {
+    hosts.push_back(MakeHost(number, number % 3));
+  }
+  int asked = 0;
+  for (std::uint64_t seed = 1; seed <= 300; ++seed) {
+    choice = FeedChoice(MakeHost(9, 2), {}, true, seed, now);
+    choice.SetServesCallers(seed <= 9);
+    Follow();
+    for (int i = 0; i < 40; ++i) {
+      Beat(seconds(4), true);
+      const bool watches = StepIn(milliseconds(100)).watch_store;
+      asked += watches ? 1 : 0;
+      if (watches) {
+        break;
+      }
+    }
+  }
+  BOOST_TEST(asked >= 9);
+  BOOST_TEST(asked <= 100);
+}
+
+// A feeder dies. Its followers find another one within milliseconds; none of
+// those that take no callers asks the store meanwhile.
+BOOST_AUTO_TEST_CASE(Feeder_LinkEnds_HostWithoutCallersAsksAnotherFeeder) {
+  choice.SetServesCallers(false);
+  Follow();
+  choice.OnLost(now);
+  BOOST_TEST(StepIn(milliseconds(10)).open.has_value());
+  BOOST_TEST(!StepIn(milliseconds(300)).watch_store);
+  BOOST_TEST(StepIn(milliseconds(1300)).watch_store);
+}
+
+// At the start of the fleet all hosts follow the seeds. Each goes over to the
+// feeder of its own failure domain: what is fed stays within the domain.
+BOOST_AUTO_TEST_CASE(Feeder_IsInAnotherDomain_OwnOneIsFollowedSoon) {
+  (void)choice.Step(now);
+  Beat();
+  choice.OnHosts(hosts, now);
+  std::optional<Endpoint> opened;
+  for (int i = 0; i < 25 && !opened; ++i) {
+    Beat();
+    opened = StepIn(milliseconds(100)).open;
+  }
+  BOOST_REQUIRE(opened.has_value());
+  BOOST_TEST(opened->address == "10.0.0.2");
+}
+
+// The own domain's feeder does not answer. The host goes on with another one
+// and tries to come home ever more rarely.
+BOOST_AUTO_TEST_CASE(Feeder_OfTheOwnDomainFails_IsTriedEverMoreRarely) {
+  choice.OnHosts(hosts, now);
+  int home = 0;
+  bool linked = false;
+  for (int i = 0; i < 600; ++i) {
+    const FeedStep step = StepIn(milliseconds(100));
+    if (step.open) {
+      linked = step.open->address != "10.0.0.2";
+      home += linked ? 0 : 1;
+    }
+    if (linked) {
+      Beat();
+    } else if (step.open) {
+      choice.OnLost(now);
+    }
+  }
+  BOOST_TEST(home >= 3);
+  BOOST_TEST(home <= 8);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace jacinthdeck
