Give a follower what it lacks in place of the whole content

Cause: a follower that goes to another feeder gets the whole content (some 200 KB at 295 hosts) if as much as one entry is newer there, which it mostly is while hosts or targets come and go.

Change: the feeder sends the changes since the revision that the follower names. Removals are remembered since the first reading; a follower that is older, or knows nothing, gets the whole content as before.

Tests: writes and removals since a revision, over a second reading, before the first one, and beyond the removals that are remembered.

--- a/src/jacinthdeck/discovery/store_content.cc
+++ b/src/jacinthdeck/discovery/store_content.cc
@@ -15,6 +15,26 @@
   return items;
 }
 
+std::optional<std::vector<StoreChange>> StoreContent::Since(
+    std::uint64_t revision) const {
+  if (!m_removals_from || revision < *m_removals_from) {
+    return std::nullopt;
+  }
+  std::vector<StoreChange> changes;
+  for (const auto& [key, item] : m_items) {
+    if (item.revision > revision) {
+      changes.push_back(item);
+    }
+  }
+  for (const auto& [key, removed] : m_removed) {
+    if (removed > revision) {
+      changes.push_back({key, removed, std::nullopt});
+    }
+  }
+  std::ranges::sort(changes, {}, &StoreChange::revision);
+  return changes;
+}
+
 std::uint64_t StoreContent::RevisionOf(const std::string& key) const {
   const auto found = m_items.find(key);
   return found == m_items.end() ? 0 : found->second.revision;
@@ -57,6 +77,9 @@
     at = gone ? m_items.erase(at) : std::next(at);
   }
   (void)Apply(items);
+  // Keys that went between two readings are remembered as removed at the
+  // second, so that the first one's revision holds on.
+  m_removals_from = m_removals_from.value_or(revision);
   std::vector<StoreChange> valid;
   std::ranges::copy_if(
       items, std::back_inserter(valid),
@@ -83,6 +106,9 @@
   }
   const auto oldest = std::ranges::min_element(
       m_removed, {}, [](const auto& removal) { return removal.second; });
+  if (m_removals_from) {
+    m_removals_from = std::max(*m_removals_from, oldest->second);
+  }
   m_removed.erase(oldest);
 }
 
--- a/src/jacinthdeck/discovery/store_content.h
+++ b/src/jacinthdeck/discovery/store_content.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <span>
 #include <string>
 #include <vector>
@@ -27,6 +28,14 @@
   /*! \brief All keys that are there. */
   [[nodiscard]] std::vector<StoreChange> Items() const;
 
+  /**
+   * \brief Gives what was changed after a revision.
+   * \return Changes in the order of their revisions; nothing if some of the
+   * removals since then are not known here.
+   */
+  [[nodiscard]] std::optional<std::vector<StoreChange>> Since(
+      std::uint64_t revision) const;
+
   /*! \brief Revision of a key's last write; 0 if the key is not there. */
   [[nodiscard]] std::uint64_t RevisionOf(const std::string& key) const;
 
@@ -54,6 +63,9 @@
   //! Removed keys and when; disjoint from m_items.
   std::map<std::string, std::uint64_t> m_removed;
   std::uint64_t m_changes = 0;
+  //! Revision from which on all removals are in m_removed; nothing before the
+  //! first whole content.
+  std::optional<std::uint64_t> m_removals_from;
 };
 
 }  // namespace jacinthdeck
--- a/src/jacinthdeck/entry/feed_hub.cc
+++ b/src/jacinthdeck/entry/feed_hub.cc
@@ -85,8 +85,14 @@
   m_store.DropMember(host);
 }
 
-FeedChanges FeedHub::Content() const {
-  return {m_store.revision(), true, m_store.content().Items()};
+FeedChanges FeedHub::ContentSince(std::uint64_t revision) const {
+  const StoreContent& content = m_store.content();
+  if (revision > 0) {
+    if (auto changes = content.Since(revision)) {
+      return {m_store.revision(), false, std::move(*changes)};
+    }
+  }
+  return {m_store.revision(), true, content.Items()};
 }
 
 FeedBeat FeedHub::Beat() const {
--- a/src/jacinthdeck/entry/feed_hub.h
+++ b/src/jacinthdeck/entry/feed_hub.h
@@ -79,7 +79,7 @@
   void Tick();
 
  private:
-  [[nodiscard]] FeedChanges Content() const override;
+  [[nodiscard]] FeedChanges ContentSince(std::uint64_t revision) const override;
   [[nodiscard]] FeedBeat Beat() const override;
   void OnFeedChanges(const FeedChanges& changes) override;
   void OnFeedBeat(const FeedBeat& beat) override;
--- a/src/jacinthdeck/peer/feed_server.cc
+++ b/src/jacinthdeck/peer/feed_server.cc
@@ -119,9 +119,10 @@
   if (again) {
     return;
   }
-  // Followers that look for a fresh feeder mostly know what a stale one has;
-  // the content is some 100 KB, to each of dozens of followers a second.
-  const FeedChanges content = m_source.Content();
+  // Followers that look for a fresh feeder mostly know nearly all of what this
+  // one has. The whole content to each of dozens of followers a second would
+  // fill the links of both.
+  const FeedChanges content = m_source.ContentSince(hello->revision);
   if (content.revision > hello->revision) {
     Send(follower, std::make_shared<const std::string>(EncodeFeed(content)));
   }
--- a/src/jacinthdeck/peer/feed_source.h
+++ b/src/jacinthdeck/peer/feed_source.h
@@ -11,8 +11,14 @@
  public:
   virtual ~FeedSource() = default;
 
-  /*! \brief The whole content; revision 0 if nothing is known yet. */
-  [[nodiscard]] virtual FeedChanges Content() const = 0;
+  /**
+   * \brief What a follower lacks; revision 0 if nothing is known yet.
+   * \param revision Up to which it knows all; 0 if it knows nothing.
+   * \return The changes since then, or the whole content where they are not
+   * known.
+   */
+  [[nodiscard]] virtual FeedChanges ContentSince(
+      std::uint64_t revision) const = 0;
 
   /*! \brief Revision and age of the content. */
   [[nodiscard]] virtual FeedBeat Beat() const = 0;
--- a/test/jacinthdeck/discovery/store_content_test.cc
+++ b/test/jacinthdeck/discovery/store_content_test.cc
@@ -40,6 +40,61 @@
       content.Replace(std::vector<StoreChange>{{"a", 5, "1"}}, 8).empty());
 }
 
+// A follower goes over to another feeder and says up to which revision it knows
+// all. It gets what was written and removed since, not the whole content.
+BOOST_AUTO_TEST_CASE(Since_AfterAReading_GivesWritesAndRemovals) {
+  StoreContent content;
+  (void)content.Replace(
+      std::vector<StoreChange>{{"a", 3, "0"}, {"b", 4, "0"}, {"c", 5, "0"}},
+      10);
+  (void)content.Apply(
+      std::vector<StoreChange>{{"b", 11, std::nullopt}, {"c", 12, "1"}});
+  const auto changes = content.Since(10);
+  BOOST_REQUIRE(changes.has_value());
+  BOOST_REQUIRE_EQUAL(changes->size(), 2U);
+  BOOST_TEST(changes->at(0).key == "b");
+  BOOST_TEST(!changes->at(0).value.has_value());
+  BOOST_TEST(changes->at(1).key == "c");
+  BOOST_TEST(content.Since(12)->empty());
+}
+
+// What was removed before this host's first reading it cannot know; a follower
+// that is older than that needs the whole content.
+BOOST_AUTO_TEST_CASE(Since_BeforeTheFirstReading_GivesNothing) {
+  StoreContent content;
+  BOOST_TEST(!content.Since(0).has_value());
+  (void)content.Replace(std::vector<StoreChange>{{"a", 3, "0"}}, 10);
+  BOOST_TEST(!content.Since(9).has_value());
+}
+
+// The store forgot its history and was read anew. A key that went in between is
+// told as removed to those that know only the first reading.
+BOOST_AUTO_TEST_CASE(Since_OverASecondReading_TellsWhatWentBetween) {
+  StoreContent content;
+  (void)content.Replace(std::vector<StoreChange>{{"a", 3, "0"}, {"b", 4, "0"}},
+                        10);
+  (void)content.Replace(std::vector<StoreChange>{{"a", 3, "0"}}, 20);
+  const auto changes = content.Since(10);
+  BOOST_REQUIRE(changes.has_value());
+  BOOST_REQUIRE_EQUAL(changes->size(), 1U);
+  BOOST_TEST(changes->front().key == "b");
+  BOOST_TEST(!changes->front().value.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(Since_TooManyRemovals_OldestAreNoLongerKnown) {
+  StoreContent content;
+  (void)content.Replace({}, 1);
+  std::uint64_t revision = 1;
+  for (std::size_t i = 0; i <= StoreContent::kMostRemovals; ++i) {
+    const std::string key = "k" + std::to_string(i);
+    (void)content.Apply(std::vector<StoreChange>{{key, ++revision, "0"}});
+    (void)content.Apply(
+        std::vector<StoreChange>{{key, ++revision, std::nullopt}});
+  }
+  BOOST_TEST(!content.Since(1).has_value());
+  BOOST_TEST(content.Since(3).has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace jacinthdeck
--- a/test/jacinthdeck/peer/feed_server_test.cc
+++ b/test/jacinthdeck/peer/feed_server_test.cc
@@ -16,7 +16,8 @@
 using std::chrono::milliseconds;
 
 struct FixedSource final : FeedSource {
-  [[nodiscard]] FeedChanges Content() const override {
+  [[nodiscard]] FeedChanges ContentSince(
+      std::uint64_t /*revision*/) const override {
     return {7, true, {{"servers/a", 7, "{}"}}};
   }
   [[nodiscard]] FeedBeat Beat() const override {
