Let weak hosts ask a seed first, and tell records over steady links

And a follower that passes by a seed on its way to its own domain's feeder has its record written by both; each write is told to all 295 hosts.

Change: a host that starts again with less than a fifth of a core asks a seed first and the store only after 1.1 s, as at the first start of the fleet; a seed that is not up yet is tried again after 150 ms.

Tests: a weak host starts among others, with a seed and without; a link just opened is not steady.

--- a/src/jacinthdeck/entry/feed_hub.cc
+++ b/src/jacinthdeck/entry/feed_hub.cc
@@ -56,21 +56,26 @@
   }
   if (step.open) {
     m_observer.OnFeedOpened(*step.open);
-    m_link.Open(*step.open, Hello());
+    m_told.clear();
+    m_link.Open(*step.open, {m_name, m_store.revision(), m_told});
   }
+  TellRecord();
   m_store.SetWatching(step.watch_store);
 }
 
 void FeedHub::SetRecord(std::string value) {
-  if (value == m_record) {
-    return;
-  }
   m_record = std::move(value);
-  m_link.Say(Hello());
+  TellRecord();
 }
 
-FeedHello FeedHub::Hello() const {
-  return {m_name, m_store.revision(), m_record};
+// Each feeder that is told writes the record, and all hosts hear of each write:
+// one that is left again at once is not told.
+void FeedHub::TellRecord() {
+  if (m_told == m_record || !m_choice.IsLinkSteady(m_clock.Now())) {
+    return;
+  }
+  m_told = m_record;
+  m_link.Say({m_name, m_store.revision(), m_record});
 }
 
 void FeedHub::OnFollower(const FeedHello& hello) {
--- a/src/jacinthdeck/entry/feed_hub.h
+++ b/src/jacinthdeck/entry/feed_hub.h
@@ -86,7 +86,7 @@
   void OnFeedLost(const std::string& problem) override;
   void OnFollower(const FeedHello& hello) override;
   void OnFollowerLeft(const NodeId& host) override;
-  [[nodiscard]] FeedHello Hello() const;
+  void TellRecord();
 
   const Clock& m_clock;
   StoreSession& m_store;
@@ -96,8 +96,10 @@
   FeedLink m_link;
   FeedChoice m_choice;
   TimePoint m_beat_at;
-  //! What the feeder keeps in the store for this host; empty: nothing.
+  //! What the feeder is to keep in the store for this host; empty: nothing.
   std::string m_record;
+  //! What the present feeder was told of that.
+  std::string m_told;
 };
 
 }  // namespace jacinthdeck
--- a/src/jacinthdeck/peer/feed_choice.cc
+++ b/src/jacinthdeck/peer/feed_choice.cc
@@ -19,6 +19,9 @@
 constexpr Duration kMostAge = milliseconds(2700);
 constexpr Duration kLinkTimeout = milliseconds(600);
 constexpr Duration kTryAgain = milliseconds(700);
+//! The same after the start, as the seeds may start a moment later.
+constexpr Duration kTryAgainAtStart = milliseconds(150);
+constexpr Duration kStartSpan = milliseconds(1500);
 //! A feeder that stays stale is given up for another one after this time. It
 //! beats as soon as it is asked, so its age is known at once; three feeders are
 //! tried within the bound in which a leaving target must be known.
@@ -32,16 +35,24 @@
 constexpr std::size_t kMostStaleTried = 5;
 //! Time for which a feeder of another failure domain is followed before the
 //! own one's is tried again, and the longest such time where it fails.
-constexpr Duration kFirstHomePause = milliseconds(1000);
+constexpr Duration kFirstHomePause = milliseconds(300);
 constexpr Duration kLongestHomePause = milliseconds(16000);
-//! When the fleet starts: time for a seed to answer before the store is asked.
+//! Time for a seed to answer before the store is asked, where callers do not
+//! wait for this host.
 constexpr Duration kStartPatience = milliseconds(1100);
+//! Hosts with less processor than this, in thousandths of a core, are hardly
+//! ever among those that callers are sent to.
+constexpr std::uint32_t kWeakHost = 200;
+//! Hosts that are assumed while none is known.
+constexpr std::size_t kUnknownFleet = 100;
 //! Hosts that start at one moment.
 constexpr Duration kStartSpread = milliseconds(30);
 //! Followers of one lost feeder must not all ask the store at one moment.
 constexpr Duration kLostSpread = milliseconds(150);
 //! Time in which a host without callers looks for another feeder first.
 constexpr Duration kLostPatience = milliseconds(1300);
+//! A follower on its way to the feeder of its own domain stays for less.
+constexpr Duration kSteadyLink = milliseconds(1000);
 //! If the feeder lost the store, it is likely away for all, and calls to it are
 //! in vain.
 constexpr Duration kAwaySpread = milliseconds(1200);
@@ -58,6 +69,7 @@
                        TimePoint now)
     : m_self(std::move(self)),
       m_seeds(std::move(seeds)),
+      m_started(now),
       m_random(seed),
       m_home_pause(kFirstHomePause) {
   const auto own = [&](const Endpoint& endpoint) {
@@ -69,14 +81,20 @@
   if (!m_feeders.empty()) {
     m_next = m_random.Below(m_feeders.size());
   }
+  m_serves_callers = m_self.strength >= kWeakHost;
+  const bool waits = fleet_starts || (!m_serves_callers && !m_is_watcher);
   ScheduleWatch(kStartSpread,
-                now + (fleet_starts ? kStartPatience : Duration::zero()));
+                now + (waits ? kStartPatience : Duration::zero()));
 }
 
 bool FeedChoice::IsFollowing(TimePoint now) const {
   return m_link == Link::kOpen && !IsSilent(now) && !IsStale(now);
 }
 
+bool FeedChoice::IsLinkSteady(TimePoint now) const {
+  return IsLinked(now) && now - m_link_since >= kSteadyLink;
+}
+
 void FeedChoice::OnHosts(std::span<const HostRecord> hosts, TimePoint now) {
   const std::vector<NodeId> watchers = ChooseWatchers(hosts);
   if (watchers.empty()) {
@@ -143,7 +161,8 @@
 void FeedChoice::OnLost(TimePoint now) {
   const bool was_open = m_link == Link::kOpen;
   m_link = Link::kNone;
-  m_try_at = was_open ? now : now + kTryAgain;
+  const bool starts = now - m_started < kStartSpan;
+  m_try_at = was_open ? now : now + (starts ? kTryAgainAtStart : kTryAgain);
   ScheduleWatchWithoutLink(now);
 }
 
@@ -270,7 +289,8 @@
 }
 
 void FeedChoice::ScheduleWatchWhileStale(TimePoint now) {
-  const Duration one_by_one = m_hosts * kAskEvery;
+  const Duration one_by_one =
+      (m_hosts == 0 ? kUnknownFleet : m_hosts) * kAskEvery;
   ScheduleWatch(
       m_serves_callers ? kAwaySpread : std::max(kAwaySpread, one_by_one), now);
 }
--- a/src/jacinthdeck/peer/feed_choice.h
+++ b/src/jacinthdeck/peer/feed_choice.h
@@ -50,8 +50,9 @@
    * \param self This host; its own link address is never followed.
    * \param seeds Links to try before any host is known.
    * \param fleet_starts All hosts start now, and nobody is served yet: the
-   * seeds have time to answer. A host that starts among others reads the store
-   * at once.
+   * seeds have time to answer. A host that starts again reads the store at
+   * once, unless it is too weak for callers to be sent to it: after the loss of
+   * hundreds of hosts the few that serve must not wait behind the others.
    */
   FeedChoice(HostRecord self,
              std::vector<Endpoint> seeds,
@@ -68,6 +69,8 @@
   [[nodiscard]] bool IsLinked(TimePoint now) const {
     return m_link == Link::kOpen && !IsSilent(now);
   }
+  /*! \brief Tells whether that was so for some time with the same one. */
+  [[nodiscard]] bool IsLinkSteady(TimePoint now) const;
 
   /*! \brief Says whether callers are sent to this host, which then reads the
    * store itself as soon as its feeder is stale. */
@@ -111,6 +114,7 @@
 
   HostRecord m_self;
   std::vector<Endpoint> m_seeds;
+  TimePoint m_started;
   Random m_random;
   bool m_is_watcher = false;
   bool m_serves_callers = true;
--- a/test/jacinthdeck/peer/feed_choice_test.cc
+++ b/test/jacinthdeck/peer/feed_choice_test.cc
@@ -68,6 +68,37 @@
   BOOST_TEST(StepIn(milliseconds(1000)).watch_store);
 }
 
+// Hundreds of hosts lost power and start again. One that is too weak for
+// callers to be sent to it waits for a seed, which starts a moment later: the
+// few that serve must not wait behind the reads of all.
+BOOST_AUTO_TEST_CASE(Start_AmongOthersAndWeak_SeedIsAskedFirst) {
+  FeedChoice again(MakeHost(9, 2, 120), {Endpoint{"10.0.0.1", 1}}, false, 1,
+                   now);
+  BOOST_TEST(again.Step(now).open.has_value());
+  again.OnLost(now);
+  now += milliseconds(200);
+  BOOST_TEST(again.Step(now).open.has_value());
+  again.OnBeat({5, milliseconds(100), false}, now);
+  BOOST_TEST(!again.Step(now + milliseconds(1200)).watch_store);
+}
+
+// The same with all seeds down: the store is read after about a second.
+BOOST_AUTO_TEST_CASE(Start_AmongOthersAndWeakWithoutSeeds_StoreIsReadSoon) {
+  FeedChoice again(MakeHost(9, 2, 120), {Endpoint{"10.0.0.1", 1}}, false, 1,
+                   now);
+  BOOST_TEST(!again.Step(now + milliseconds(500)).watch_store);
+  BOOST_TEST(again.Step(now + milliseconds(1200)).watch_store);
+}
+
+// A follower that is on its way to its own domain's feeder is not written by
+// the one that it passes: each write is told to all hosts.
+BOOST_AUTO_TEST_CASE(Link_JustOpened_IsNotSteady) {
+  Follow();
+  BOOST_TEST(choice.IsLinked(now));
+  BOOST_TEST(!choice.IsLinkSteady(now));
+  BOOST_TEST(choice.IsLinkSteady(now + milliseconds(1100)));
+}
+
 // All hosts lost power and start again while callers wait. Each of them reads
 // the store at once: following would cost the time in which a seed starts.
 BOOST_AUTO_TEST_CASE(Start_AmongOthers_StoreIsReadAtOnce) {
