Give a follower that comes before the first reading the content later

Cause: all hosts start at once, and since feeders write their followers' records the store is empty then. The fault was there before; each host's own early record hid it.

Change: a feeder knows which followers have no content, and sends it to them before the first changes. A host that follows for a second and still knows nothing reads the store itself. Also, a host whose record a former feeder overwrote before it had seen its own write never wrote it again: what is missed is judged by the revision of the write now.

Test: a follower before the first reading; it hangs without the change.

--- a/src/jacinthdeck/discovery/store_session.h
+++ b/src/jacinthdeck/discovery/store_session.h
@@ -61,6 +61,8 @@
     return m_counters;
   }
   [[nodiscard]] std::uint64_t revision() const noexcept { return m_revision; }
+  /*! \brief Tells whether the whole content was taken once. */
+  [[nodiscard]] bool loaded() const noexcept { return m_loaded; }
   /*! \brief Moment of the last call that went well; nothing before the first.
    */
   [[nodiscard]] std::optional<TimePoint> last_well() const noexcept {
@@ -189,8 +191,9 @@
   //! 0 while there is no lease.
   std::uint64_t m_lease = 0;
   bool m_written = false;
-  //! The written record was read back; only then can it be missed.
-  bool m_seen = false;
+  //! Revision of the record's last write: content that is older cannot miss
+  //! it.
+  std::uint64_t m_written_revision = 0;
   TimePoint m_renew_at;
   std::vector<Fingerprint> m_convictions;
 };
--- a/src/jacinthdeck/discovery/store_session_writes.cc
+++ b/src/jacinthdeck/discovery/store_session_writes.cc
@@ -130,7 +130,7 @@
                     return;
                   }
                   m_written = true;
-                  m_seen = false;
+                  m_written_revision = ack.revision;
                   m_write_backoff.OnSuccess();
                   m_observer.OnRegistration(StoreStatus::kOk);
                   Step();
@@ -266,18 +266,13 @@
 }
 
 void StoreSession::CheckOwnRecord() {
-  if (!m_record || !m_written) {
+  if (!m_record || !m_written || m_revision < m_written_revision) {
     return;
   }
   const HostRecord* held = m_knowledge.FindHost(m_name);
   if (held != nullptr && held->writer == m_name) {
-    m_seen = true;
     return;
   }
-  if (!m_seen) {
-    return;
-  }
-  m_seen = false;
   m_written = false;
   if (held == nullptr) {
     // The store may drop the record while its lease still seems to hold; other
--- a/src/jacinthdeck/entry/feed_hub.cc
+++ b/src/jacinthdeck/entry/feed_hub.cc
@@ -60,7 +60,10 @@
     m_link.Open(*step.open, {m_name, m_store.revision(), m_told});
   }
   TellRecord();
-  m_store.SetWatching(step.watch_store);
+  // Whoever feeds, a host that knows nothing must not go on knowing nothing.
+  const bool knows_nothing =
+      !m_store.loaded() && m_choice.IsLinkSteady(m_clock.Now());
+  m_store.SetWatching(step.watch_store || knows_nothing);
 }
 
 void FeedHub::SetRecord(std::string value) {
--- a/src/jacinthdeck/peer/feed_server.cc
+++ b/src/jacinthdeck/peer/feed_server.cc
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <array>
 #include <boost/asio/write.hpp>
+#include <iterator>
 #include <utility>
 
 #include "jacinthdeck/http/listening.h"
@@ -33,6 +34,8 @@
   bool greeted = false;
   //! Known once it is greeted.
   NodeId host;
+  //! It knows all up to some revision, so that changes are of use to it.
+  bool has_content = false;
   bool closed = false;
 };
 
@@ -53,9 +56,15 @@
 }
 
 void FeedServer::Publish(const FeedChanges& changes) {
-  if (!m_followers.empty()) {
-    SendAll(changes);
+  if (m_followers.empty()) {
+    return;
+  }
+  for (const auto& follower : Greeted()) {
+    if (!follower->has_content) {
+      SendContent(follower, 0);
+    }
   }
+  SendAll(changes);
 }
 
 void FeedServer::Beat() {
@@ -122,21 +131,35 @@
   // Followers that look for a fresh feeder mostly know nearly all of what this
   // one has. The whole content to each of dozens of followers a second would
   // fill the links of both.
-  const FeedChanges content = m_source.ContentSince(hello->revision);
-  if (content.revision > hello->revision) {
-    Send(follower, std::make_shared<const std::string>(EncodeFeed(content)));
-  }
+  follower->has_content = hello->revision > 0;
+  SendContent(follower, hello->revision);
   Send(follower,
        std::make_shared<const std::string>(EncodeFeed(m_source.Beat())));
 }
 
+// A follower may come before this host has read anything. Changes alone would
+// tell it nothing: it would look fresh by the beats, and know no configuration
+// for as long as it lives. So its first changes are the whole content.
+void FeedServer::SendContent(const std::shared_ptr<Follower>& follower,
+                             std::uint64_t revision) {
+  const FeedChanges content = m_source.ContentSince(revision);
+  if (content.revision > revision) {
+    follower->has_content = true;
+    Send(follower, std::make_shared<const std::string>(EncodeFeed(content)));
+  }
+}
+
+std::vector<std::shared_ptr<FeedServer::Follower>> FeedServer::Greeted() const {
+  std::vector<std::shared_ptr<Follower>> greeted;
+  std::ranges::copy_if(m_followers, std::back_inserter(greeted),
+                       &Follower::greeted);
+  return greeted;
+}
+
 void FeedServer::SendAll(const FeedMessage& message) {
   const auto frame = std::make_shared<const std::string>(EncodeFeed(message));
-  const std::vector<std::shared_ptr<Follower>> followers(m_followers);
-  for (const auto& follower : followers) {
-    if (follower->greeted) {
-      Send(follower, frame);
-    }
+  for (const auto& follower : Greeted()) {
+    Send(follower, frame);
   }
 }
 
--- a/src/jacinthdeck/peer/feed_server.h
+++ b/src/jacinthdeck/peer/feed_server.h
@@ -58,6 +58,11 @@
   void Send(const std::shared_ptr<Follower>& follower,
             const std::shared_ptr<const std::string>& frame);
   void Write(const std::shared_ptr<Follower>& follower);
+  //! Sends what a follower lacks that knows all up to a revision.
+  void SendContent(const std::shared_ptr<Follower>& follower,
+                   std::uint64_t revision);
+  //! Followers that have said hello; sending may drop one.
+  [[nodiscard]] std::vector<std::shared_ptr<Follower>> Greeted() const;
   void SendAll(const FeedMessage& message);
   void Drop(const std::shared_ptr<Follower>& follower);
 
--- a/test/jacinthdeck/peer/feed_server_test.cc
+++ b/test/jacinthdeck/peer/feed_server_test.cc
@@ -16,9 +16,12 @@
 using std::chrono::milliseconds;
 
 struct FixedSource final : FeedSource {
+  //! 0: nothing was read yet.
+  std::uint64_t known = 7;
+
   [[nodiscard]] FeedChanges ContentSince(
       std::uint64_t /*revision*/) const override {
-    return {7, true, {{"servers/a", 7, "{}"}}};
+    return {known, true, {{"servers/a", known, "{}"}}};
   }
   [[nodiscard]] FeedBeat Beat() const override {
     return {7, milliseconds(10), false};
@@ -31,6 +34,8 @@
   FeedServer server{loop, source, *this};
   FeedLink link{loop, *this};
   int contents = 0;
+  //! Those of them that were the whole content.
+  int wholes = 0;
   int beats = 0;
   //! Records of the hosts that follow.
   std::map<NodeId, std::string> followers;
@@ -39,7 +44,10 @@
     followers[hello.host] = hello.record;
   }
   void OnFollowerLeft(const NodeId& host) override { followers.erase(host); }
-  void OnFeedChanges(const FeedChanges& /*changes*/) override { ++contents; }
+  void OnFeedChanges(const FeedChanges& changes) override {
+    ++contents;
+    wholes += changes.whole ? 1 : 0;
+  }
   void OnFeedBeat(const FeedBeat& /*beat*/) override { ++beats; }
   void OnFeedLost(const std::string& problem) override {
     BOOST_FAIL("link lost: " + problem);
@@ -74,6 +82,22 @@
   BOOST_TEST(beats == 1);
 }
 
+// All hosts start at once. A follower comes before its feeder has read
+// anything, and what the feeder reads first is empty. With changes alone the
+// follower would refuse all callers, as it knows no configuration, and look
+// fresh.
+BOOST_AUTO_TEST_CASE(Follower_ComesBeforeTheFirstReading_GetsTheContentLater) {
+  source.known = 0;
+  Follow(0);
+  BOOST_TEST(contents == 0);
+  source.known = 8;
+  server.Publish({8, false, {{"op/config", 8, "{}"}}});
+  while (contents < 2) {
+    loop.run_one();
+  }
+  BOOST_TEST(wholes == 1);
+}
+
 // A follower says what its feeder is to keep in the store, and says so again
 // when it changes; the content is not sent anew for that.
 BOOST_AUTO_TEST_CASE(Follower_SaysAnotherRecord_IsTakenWithoutTheContent) {
