Hedge the last shards of a call as soon as they are the last

Cause: half of the searches over 90 shards still lack a shard or go out at their objective (p50 of rush-lookup 54 of 60 ms): the last shard's hedge is due at the 0.9 quantile of all attempts, and answers after that come too late.

Change: once nine of ten shards are in, the rest are hedged at once, though not before the usual latency.

Test: ten shards, one silent.

--- a/src/jacinthdeck/forward/forwarder.h
+++ b/src/jacinthdeck/forward/forwarder.h
@@ -173,6 +173,8 @@
                     CallPart& part,
                     AttemptEnd& end,
                     TimePoint now);
+  //! Hedges the last shards of a call at once.
+  static void HedgeLastShards(PendingCall& open, TimePoint now);
   void CancelAttempt(AttemptId attempt, TimePoint now);
 
   // Ends of calls, in forwarder_finish.cc.
--- a/src/jacinthdeck/forward/forwarder_replies.cc
+++ b/src/jacinthdeck/forward/forwarder_replies.cc
@@ -5,6 +5,13 @@
 
 namespace jacinthdeck {
 
+namespace {
+
+//! One in so many shards of a call are its last ones.
+constexpr std::size_t kLastShards = 10;
+
+}  // namespace
+
 void Forwarder::OnAttemptEnd(AttemptEnd& end, TimePoint now) {
   const auto found = m_attempts.find(end.id);
   if (found == m_attempts.end()) {
@@ -113,6 +120,7 @@
     ++open.answered;
     --open.unsettled;
     m_crashes.OnAnswered(open.fingerprint, now);
+    HedgeLastShards(open, now);
     return;
   }
   part.reason = ForwardReason::kTargetsFailed;
@@ -121,6 +129,26 @@
   }
 }
 
+// Over dozens of shards some target always stands still, and an answer that
+// waits for it and then for its hedge is late or lacks the shard. Once nearly
+// all shards are in, the rest are known to be late, and their hedges cost a few
+// attempts a call; hedges sent that early for all shards would cost a quarter.
+void Forwarder::HedgeLastShards(PendingCall& open, TimePoint now) {
+  const std::size_t last = open.parts.size() / kLastShards;
+  if (open.unsettled == 0 || open.unsettled > last) {
+    return;
+  }
+  const TimePoint from =
+      std::max(now, open.call.arrived + open.profile->mean());
+  for (CallPart& part : open.parts) {
+    const bool waits = part.phase == internal::PartPhase::kOpen &&
+                       part.arrivals == 1 && part.hedge_at.has_value();
+    if (waits) {
+      part.hedge_at = std::min(*part.hedge_at, from);
+    }
+  }
+}
+
 void Forwarder::CancelAttempt(AttemptId id, TimePoint now) {
   const auto found = m_attempts.find(id);
   if (found == m_attempts.end()) {
--- a/test/jacinthdeck/forward/forwarder_fan_out_test.cc
+++ b/test/jacinthdeck/forward/forwarder_fan_out_test.cc
@@ -140,6 +140,40 @@
   BOOST_TEST((Only().answer.kind == AnswerKind::kFailed));
 }
 
+// Nine of ten shards are in after the usual time, and the last one's target
+// stands still. Its hedge would be due after 40 ms of the caller's 100; it goes
+// out as soon as its shard is the last one.
+BOOST_AUTO_TEST_CASE(FanOut_LastShardOfTen_IsHedgedAtOnce) {
+  constexpr std::size_t kTen = 10;
+  Route wide = MakeRoute("wide", RepeatRule::kIdempotent);
+  wide.top_records = 2;
+  wide.min_share = 0.75;
+  std::vector<ServiceConfig> services;
+  targets.clear();
+  for (std::size_t shard = 0; shard < kTen; ++shard) {
+    const std::string name = "wide-" + std::to_string(shard);
+    wide.shards.emplace_back(name);
+    services.push_back({ServiceId(name), 30});
+    AddTargets(name);
+  }
+  forwarder.SetTargets(targets, clock.Now());
+  BOOST_REQUIRE(forwarder.SetConfig(std::make_shared<const RoutingConfig>(
+      100, std::vector<Route>{wide}, services, CallerLimits{})));
+  WarmUp("/wide/1", milliseconds(20), 50);
+  WarmUp("/wide/1", milliseconds(60), 14);
+  (void)Submit("/wide/2");
+  BOOST_REQUIRE_EQUAL(port.sent.size(), kTen);
+  Advance(milliseconds(30));
+  for (std::size_t shard = 1; shard < kTen; ++shard) {
+    BOOST_TEST(port.sent.size() == kTen);
+    Answer(port.sent[shard]);
+  }
+  Advance(milliseconds(7));
+  BOOST_REQUIRE_EQUAL(port.sent.size(), kTen + 1);
+  BOOST_TEST(port.sent.back().target.service == port.sent[0].target.service);
+  BOOST_TEST(port.sent.back().target.id != port.sent[0].target.id);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace jacinthdeck
