Tell calls to the store and bytes by purpose in the log

What a host costs its platform could not be told from logs: calls to the store stood in the metrics only, bytes nowhere. A line each ten seconds gives both, bytes by purpose (feed, targets) and by failure domain. 295 hosts write some 30 such lines a second.

--- a/src/jacinthdeck/entry/decision_log.cc
+++ b/src/jacinthdeck/entry/decision_log.cc
@@ -152,6 +152,20 @@
   }
 }
 
+void DecisionLog::OnTraffic(const HostTraffic& traffic) {
+  LogLine line = m_log.Begin(LogEvent::kTraffic);
+  line.Count("store_reads", traffic.store.reads)
+      .Count("store_watches", traffic.store.watches)
+      .Count("store_renewals", traffic.store.renewals)
+      .Count("store_writes", traffic.store.writes)
+      .Count("store_failures", traffic.store.failures)
+      .Count("feed_bytes_own_domain", traffic.feed.own)
+      .Count("feed_bytes_other_domains", traffic.feed.other)
+      .Count("target_bytes_own_domain", traffic.targets.own)
+      .Count("target_bytes_other_domains", traffic.targets.other);
+  m_log.Add(std::move(line));
+}
+
 void DecisionLog::OnFronts(const std::vector<HostRecord>& fronts) {
   std::map<FailureDomain, std::size_t> by_domain;
   for (const HostRecord& front : fronts) {
--- a/src/jacinthdeck/entry/decision_log.h
+++ b/src/jacinthdeck/entry/decision_log.h
@@ -6,14 +6,25 @@
 #include <string>
 #include <vector>
 
+#include "jacinthdeck/core/link_bytes.h"
 #include "jacinthdeck/core/time.h"
 #include "jacinthdeck/discovery/knowledge.h"
+#include "jacinthdeck/discovery/store_session.h"
 #include "jacinthdeck/entry/event_log.h"
 #include "jacinthdeck/forward/call_story.h"
 #include "jacinthdeck/forward/forward_answer.h"
 
 namespace jacinthdeck {
 
+/*! \brief Calls and bytes of a host since its start, by purpose. */
+struct HostTraffic {
+  StoreCounters store;
+  //! From the hosts that it learns from.
+  LinkBytes feed;
+  //! To and from targets.
+  LinkBytes targets;
+};
+
 /*! \brief How a call ended, with what the edge knows of it. */
 struct EndedCall {
   const std::string& request_id;
@@ -49,6 +60,9 @@
                    std::uint64_t revision,
                    Duration since_start);
 
+  /*! \brief Writes what was sent and received since the start. */
+  void OnTraffic(const HostTraffic& traffic);
+
   /*! \brief Writes that other hosts take the callers from now on. */
   void OnFronts(const std::vector<HostRecord>& fronts);
 
--- a/src/jacinthdeck/entry/entry_node.cc
+++ b/src/jacinthdeck/entry/entry_node.cc
@@ -28,6 +28,8 @@
 //! Time after the start for which that is worth its wake-ups: then the store is
 //! away, and a tenth of a second more changes nothing.
 constexpr Duration kStartSpan = milliseconds(500);
+//! Between two lines on calls to the store and bytes.
+constexpr Duration kTrafficEvery = seconds(10);
 //! A tick later than this means that the process stood still.
 constexpr Duration kPause = milliseconds(700);
 //! Descriptors kept for targets, the store and files.
@@ -77,7 +79,7 @@
       m_ready(m_loop, m_clock, m_ready_handler),
       m_directory(m_loop, m_clock, m_directory_handler),
       m_metrics_server(m_loop, m_clock, m_metrics_handler),
-      m_pool(m_loop, m_clock, m_protocol.targets, *this),
+      m_pool(m_loop, m_clock, m_protocol.targets, m_settings.domain, *this),
       m_forwarder(ForwardOptionsOf(m_settings),
                   *this,
                   std::random_device{}(),
@@ -267,6 +269,7 @@
   m_forwarder.SetHosts(m_front_count.Highest(now), m_is_front, now);
   m_feed.Tick();
   KeepRecord(now);
+  TellTraffic(now);
   m_log.Flush();
   const bool knows_nothing =
       m_forwarder.config() == nullptr && now - m_started < kStartSpan;
@@ -278,6 +281,15 @@
   });
 }
 
+void EntryNode::TellTraffic(TimePoint now) {
+  if (now < m_traffic_at) {
+    return;
+  }
+  m_traffic_at = now + kTrafficEvery;
+  m_decisions.OnTraffic(
+      {m_store.counters(), m_feed.received(), m_pool.counters().bytes});
+}
+
 void EntryNode::TellReadiness() {
   if (IsReady() == m_told_ready) {
     return;
--- a/src/jacinthdeck/entry/entry_node.h
+++ b/src/jacinthdeck/entry/entry_node.h
@@ -101,6 +101,7 @@
   void OnDecisionTimer();
   void Tick();
   void TellReadiness();
+  void TellTraffic(TimePoint now);
   // In entry_node_stop.cc.
   void WaitForSignal();
   void OnSignal(int signal);
@@ -148,6 +149,8 @@
   TimePoint m_decision_at = TimePoint::max();
   asio::steady_timer m_tick;
   TimePoint m_ticked;
+  //! When the traffic is told next.
+  TimePoint m_traffic_at;
   asio::steady_timer m_stop_timer;
   std::function<void()> m_reload;
   //! When the callers' ports were closed; the epoch while they are open.
--- a/src/jacinthdeck/entry/entry_node_knowledge.cc
+++ b/src/jacinthdeck/entry/entry_node_knowledge.cc
@@ -103,9 +103,8 @@
       m_store.knowledge().config();
   std::vector<HostRecord> fronts = ChooseFronts(
       hosts, config == nullptr ? 0 : config->FewestTargetConnections());
-  const bool same =
-      std::ranges::equal(fronts, m_fronts, {}, &HostRecord::name,
-                         &HostRecord::name);
+  const bool same = std::ranges::equal(fronts, m_fronts, {}, &HostRecord::name,
+                                       &HostRecord::name);
   m_fronts = std::move(fronts);
   if (!same) {
     m_decisions.OnFronts(m_fronts);
--- a/src/jacinthdeck/entry/feed_hub.cc
+++ b/src/jacinthdeck/entry/feed_hub.cc
@@ -43,8 +43,14 @@
   m_server.Publish({revision, whole, changes});
 }
 
+void FeedHub::CountReceived() {
+  const std::uint64_t counted = m_received.own + m_received.other;
+  m_received.Add(m_link.received() - counted, m_choice.IsNear());
+}
+
 void FeedHub::Tick() {
   const TimePoint now = m_clock.Now();
+  CountReceived();
   if (now >= m_beat_at) {
     m_server.Beat();
     m_beat_at = now + kBeatEvery;
--- a/src/jacinthdeck/entry/feed_hub.h
+++ b/src/jacinthdeck/entry/feed_hub.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "jacinthdeck/core/clock.h"
+#include "jacinthdeck/core/link_bytes.h"
 #include "jacinthdeck/core/result.h"
 #include "jacinthdeck/discovery/host_record.h"
 #include "jacinthdeck/discovery/store_session.h"
@@ -64,6 +65,11 @@
   /*! \brief Opens the port on which other hosts ask. */
   [[nodiscard]] Result<void> Listen(const Endpoint& endpoint);
 
+  /*! \brief Bytes from feeders since the start. */
+  [[nodiscard]] const LinkBytes& received() const noexcept {
+    return m_received;
+  }
+
   /*! \brief Says whether callers are sent to this host. */
   void SetServesCallers(bool serves) { m_choice.SetServesCallers(serves); }
 
@@ -87,6 +93,8 @@
   void OnFollower(const FeedHello& hello) override;
   void OnFollowerLeft(const NodeId& host) override;
   void TellRecord();
+  //! Counts what the link received since the last time.
+  void CountReceived();
 
   const Clock& m_clock;
   StoreSession& m_store;
@@ -96,6 +104,7 @@
   FeedLink m_link;
   FeedChoice m_choice;
   TimePoint m_beat_at;
+  LinkBytes m_received;
   //! What the feeder is to keep in the store for this host; empty: nothing.
   std::string m_record;
   //! What the present feeder was told of that.
--- a/src/jacinthdeck/entry/log_event.h
+++ b/src/jacinthdeck/entry/log_event.h
@@ -35,10 +35,11 @@
   kCallAbandoned,
   kLinesDropped,
   kPaused,
+  kTraffic,
 };
 
 //! Names of the events, as they stand in logs.
-inline constexpr NameTable<LogEvent, 27> kLogEventNames{{"started",
+inline constexpr NameTable<LogEvent, 28> kLogEventNames{{"started",
                                                          "stopping",
                                                          "stopped",
                                                          "reloaded",
@@ -64,7 +65,8 @@
                                                          "call_done",
                                                          "call_abandoned",
                                                          "lines_dropped",
-                                                         "paused"}};
+                                                         "paused",
+                                                         "traffic"}};
 
 }  // namespace jacinthdeck
 
--- a/src/jacinthdeck/http/target_connection.cc
+++ b/src/jacinthdeck/http/target_connection.cc
@@ -115,6 +115,7 @@
   }
   m_out += "\r\n";
   m_out += request.body;
+  m_pool.CountBytes(m_target, m_out.size());
   SystemError error;
   const std::size_t written = m_socket.write_some(asio::buffer(m_out), error);
   if (!error && written == m_out.size()) {
@@ -168,6 +169,7 @@
     return;
   }
   m_buffer.commit(bytes);
+  m_pool.CountBytes(m_target, bytes);
   if (m_phase != Phase::kBusy) {
     // Bytes that no request asked for.
     Close();
--- a/src/jacinthdeck/http/target_pool.cc
+++ b/src/jacinthdeck/http/target_pool.cc
@@ -19,10 +19,12 @@
 TargetPool::TargetPool(asio::io_context& loop,
                        const Clock& clock,
                        TargetProtocol protocol,
+                       FailureDomain domain,
                        TargetPoolSink& sink)
     : m_loop(loop),
       m_clock(clock),
       m_protocol(std::move(protocol)),
+      m_domain(std::move(domain)),
       m_sink(sink) {}
 
 void TargetPool::Send(const OutgoingAttempt& attempt) {
--- a/src/jacinthdeck/http/target_pool.h
+++ b/src/jacinthdeck/http/target_pool.h
@@ -10,6 +10,7 @@
 
 #include "jacinthdeck/core/clock.h"
 #include "jacinthdeck/core/ids.h"
+#include "jacinthdeck/core/link_bytes.h"
 #include "jacinthdeck/forward/attempt_end.h"
 #include "jacinthdeck/http/asio.h"
 #include "jacinthdeck/http/target_connection.h"
@@ -26,6 +27,8 @@
   std::uint64_t foreign_responses = 0;
   //! Attempts that found no connection free and no room for one more.
   std::uint64_t no_room = 0;
+  //! Requests and responses, without what the network adds.
+  LinkBytes bytes;
 };
 
 /**
@@ -35,9 +38,16 @@
  */
 class TargetPool {
  public:
+  /**
+   * \brief Makes a pool without connections.
+   * \param domain Failure domain of this host, for counting.
+   * \param sink Told of the ends of attempts; outlives the pool, as loop and
+   * clock do.
+   */
   TargetPool(asio::io_context& loop,
              const Clock& clock,
              TargetProtocol protocol,
+             FailureDomain domain,
              TargetPoolSink& sink);
   TargetPool(const TargetPool&) = delete;
   TargetPool& operator=(const TargetPool&) = delete;
@@ -70,11 +80,15 @@
   [[nodiscard]] std::shared_ptr<TargetConnection> TakeIdle(
       const OutgoingAttempt& attempt);
   void ReportNotSent(AttemptId attempt);
+  void CountBytes(const TargetEntry& target, std::size_t bytes) {
+    m_counters.bytes.Add(bytes, target.domain == m_domain);
+  }
   void Forget(const TargetConnection& connection);
 
   asio::io_context& m_loop;
   const Clock& m_clock;
   const TargetProtocol m_protocol;
+  const FailureDomain m_domain;
   TargetPoolSink& m_sink;
   PoolCounters m_counters;
   std::unordered_map<TargetId, Connections> m_connections;
--- a/src/jacinthdeck/peer/feed_choice.cc
+++ b/src/jacinthdeck/peer/feed_choice.cc
@@ -224,14 +224,16 @@
   return std::min(m_feeders.size(), kMostStaleTried);
 }
 
-bool FeedChoice::IsDueHome(TimePoint now) {
+bool FeedChoice::IsNear() const {
   const auto nearest = m_feeders.begin();
   const auto far = nearest + static_cast<std::ptrdiff_t>(m_near);
-  const bool is_near =
-      std::find_if(nearest, far, [&](const Endpoint& feeder) {
-        return m_last && feeder.ToString() == m_last->ToString();
-      }) != far;
-  if (m_near == 0 || is_near || !IsFollowing(now)) {
+  return std::find_if(nearest, far, [&](const Endpoint& feeder) {
+           return m_last && feeder.ToString() == m_last->ToString();
+         }) != far;
+}
+
+bool FeedChoice::IsDueHome(TimePoint now) {
+  if (m_near == 0 || IsNear() || !IsFollowing(now)) {
     m_home_at.reset();
     return false;
   }
--- a/src/jacinthdeck/peer/feed_choice.h
+++ b/src/jacinthdeck/peer/feed_choice.h
@@ -69,6 +69,9 @@
   [[nodiscard]] bool IsLinked(TimePoint now) const {
     return m_link == Link::kOpen && !IsSilent(now);
   }
+  /*! \brief Tells whether the feeder, or the last one, is known to be of this
+   * host's failure domain. */
+  [[nodiscard]] bool IsNear() const;
   /*! \brief Tells whether that was so for some time with the same one. */
   [[nodiscard]] bool IsLinkSteady(TimePoint now) const;
 
--- a/src/jacinthdeck/peer/feed_link.cc
+++ b/src/jacinthdeck/peer/feed_link.cc
@@ -100,6 +100,7 @@
           Lose(state, "ended: " + error.message());
           return;
         }
+        m_received += count;
         state->frames.Add({state->bytes.data(), count});
         while (const auto frame = state->frames.Next()) {
           OnFrame(*frame);
--- a/src/jacinthdeck/peer/feed_link.h
+++ b/src/jacinthdeck/peer/feed_link.h
@@ -41,6 +41,9 @@
    */
   void Say(const FeedHello& hello);
 
+  /*! \brief Bytes received over all links since the start. */
+  [[nodiscard]] std::uint64_t received() const noexcept { return m_received; }
+
   /*! \brief Ends the link without a word to the sink. */
   void Close();
 
@@ -54,6 +57,7 @@
 
   asio::io_context& m_loop;
   FeedLinkSink& m_sink;
+  std::uint64_t m_received = 0;
   //! Null while there is no link; handlers of an earlier one see another.
   std::shared_ptr<State> m_state;
 };
--- a/test/jacinthdeck/http/target_pool_test.cc
+++ b/test/jacinthdeck/http/target_pool_test.cc
@@ -17,7 +17,7 @@
 struct PoolFixture : LoopFixture, TargetPoolSink {
   tcp::acceptor acceptor{loop,
                          tcp::endpoint(asio::ip::address_v4::loopback(), 0)};
-  TargetPool pool{loop, clock, Protocol(), *this};
+  TargetPool pool{loop, clock, Protocol(), FailureDomain("z"), *this};
   std::vector<AttemptEnd> ends;
   std::uint64_t next = 1;
 
