--- a/test/jacinthdeck/discovery/store_session_test.cc
+++ b/test/jacinthdeck/discovery/store_session_test.cc
@@ -253,6 +253,25 @@
   });
 }
 
+// A host writes its own record, and a late write of its former feeder takes its
+// place before the host has seen its own. The feeder takes the record back some
+// seconds later, and callers would never be sent to the host again.
+BOOST_AUTO_TEST_CASE(Register_FormerFeederWritesLate_IsWrittenAgain) {
+  const std::string key = codec.HostKey(NodeId("h"));
+  session.Register(MakeHost("h"));
+  Until([&] { return store.content().Get(key).has_value(); });
+  HostRecord late = MakeHost("h");
+  late.writer = NodeId("feeder");
+  standins::StoreControl control;
+  control.puts.push_back({key, codec.WriteHost(late), {}});
+  store.Apply(control);
+  session.SetWatching(true);
+  Until([&] {
+    const HostRecord* held = session.knowledge().FindHost(NodeId("h"));
+    return held != nullptr && held->writer == NodeId("h");
+  });
+}
+
 // A host is stopped whose record its feeder wrote. It takes the record out
 // itself: callers would be sent to it for as long as the feeder lives.
 BOOST_AUTO_TEST_CASE(Unregister_RecordIsAnothersLease_IsTakenOut) {
