Remove the factor of targets that have just started

It guards no rule. It only counted before a target's first answer, and the load reports and the first answers tell more. The field of the platform that gave the time is no longer read; no test named it.

--- a/src/jacinthdeck/forward/learned_target.cc
+++ b/src/jacinthdeck/forward/learned_target.cc
@@ -33,8 +33,6 @@
 constexpr double kFailurePenalty = 12;
 //! A reported load is worth nothing after this time.
 constexpr Duration kLoadLife = milliseconds(400);
-//! Work takes this much longer while a target is cold.
-constexpr double kColdFactor = 1.6;
 //! Part of a service time that each busy slot is expected to cost: a slot that
 //! was free at the last report may be taken on arrival.
 constexpr double kBusyCost = 0.25;
@@ -52,7 +50,6 @@
       m_usual(kUsualMemory),
       m_failed_at(now),
       m_doubtful_until(now),
-      m_cold_until(now + m_entry.cold_left),
       m_load_at(now - kLoadLife) {}
 
 std::size_t LearnedTarget::needed_in_flight() const noexcept {
@@ -74,9 +71,7 @@
   const double served = m_usual.samples() > 0 ? m_usual.value() : mean;
   const double queued = std::min(mean, served);
   const double own = usual.is_measured() ? mean : queued;
-  const double slowness = m_slowness.samples() > 0
-                              ? m_slowness.value()
-                              : (now < m_cold_until ? kColdFactor : 1);
+  const double slowness = m_slowness.samples() > 0 ? m_slowness.value() : 1;
   const double busy = Occupancy(now);
   const double slots = std::max<double>(m_entry.slots, 1);
   const double wait = std::max(busy - 1 + 1 / slots, 0.0);
@@ -108,7 +103,6 @@
                         entry.port != m_entry.port;
   m_entry = entry;
   m_gone = false;
-  m_cold_until = std::max(m_cold_until, now + entry.cold_left);
   if (!new_life) {
     return;
   }
--- a/src/jacinthdeck/forward/learned_target.h
+++ b/src/jacinthdeck/forward/learned_target.h
@@ -144,7 +144,6 @@
   TimePoint m_failed_at;
   std::uint32_t m_unanswered_in_row = 0;
   TimePoint m_doubtful_until;
-  TimePoint m_cold_until;
   LoadReport m_load;
   TimePoint m_load_at;
   //! Own attempts that the report counts too.
--- a/src/jacinthdeck/forward/target_entry.h
+++ b/src/jacinthdeck/forward/target_entry.h
@@ -23,8 +23,6 @@
   std::uint32_t slots = 1;
   //! It finishes what it has and gets nothing new.
   bool draining = false;
-  //! How much longer it is slow after its start, when the entry was written.
-  Duration cold_left{};
   //! Start of this life in Unix milliseconds; 0 where the entry does not say.
   //! A target may come back under its id: a later start is a new life, of which
   //! nothing learned before holds.
