--- a/src/jacinthdeck/entry/entry_node.cc
+++ b/src/jacinthdeck/entry/entry_node.cc
@@ -21,9 +21,7 @@
 //! Precision of the timeouts of openings, idle connections and held removals.
 constexpr Duration kTick = milliseconds(100);
 //! The same until a configuration is known: whom to learn it from is decided in
-//! a tick, and a host without one turns callers away. After a loss of all hosts
-//! the first three served 132 to 135 ms after their start with ticks of 100 ms,
-//! and 44 to 61 ms after it with these.
+//! a tick, and a host without one turns callers away.
 constexpr Duration kStartTick = milliseconds(10);
 //! Time after the start for which that is worth its wake-ups: then the store is
 //! away, and a tenth of a second more changes nothing.
--- a/src/jacinthdeck/forward/attempt_end.h
+++ b/src/jacinthdeck/forward/attempt_end.h
@@ -55,10 +55,9 @@
   //! target may be closing.
   bool at_most_once = false;
   //! Its connection ends with the answer. Hosts that stand by are many and have
-  //! no share of a target's connections: one kept by each of them took the one
-  //! target that a shard had left past its limit, and it reset the next ones;
-  //! of 2,262 calls for its service 386 failed, all at such hosts. Held for a
-  //! request alone, they are few at a time.
+  //! no share of a target's connections: one kept by each of them takes the one
+  //! target that a shard has left past its limit, and it resets the next ones.
+  //! Held for a request alone, they are few at a time.
   bool gives_back_connection = false;
 };
 
--- a/src/jacinthdeck/forward/forwarder_admission.cc
+++ b/src/jacinthdeck/forward/forwarder_admission.cc
@@ -31,10 +31,8 @@
 //! The same while at most half of the shards have a queue. The delay is an
 //! estimate from this host's view; a few crowded shards mostly answer sooner,
 //! by a hedge or another target, and a caller that is sent away finds the same
-//! shards when it comes back. Above capacity all shards have one. With a dark
-//! shard and slow targets, 0.5% in place of 1.7% of the calls were refused and
-//! answers rose by 0.7% (`bench_forward`); for all calls alike it would cost an
-//! eighth of the answers above capacity.
+//! shards when it comes back. Above capacity all shards have one, and the same
+//! patience there would fill the queues with calls that come too late.
 constexpr double kMostLocalDelay = 1.5;
 constexpr double kDelayStep = 0.1;
 constexpr double kLeastMostDelay = 0.5;
@@ -236,7 +234,7 @@
   if (IsLocal(open.story)) {
     // Calls that overlap at this host hold its share of a shard's targets, and
     // a place is free within an answer's time: what counts is their queue.
-    // Without this three of 8,640 calm calls were refused (modelled hosts).
+    // Else calm calls would be refused now and then.
     for (std::size_t index = 0; index < delays.size(); ++index) {
       if (delays[index] > Duration::zero()) {
         const ServiceId& service = open.parts[index].service;
--- a/src/jacinthdeck/forward/forwarder_attempts.cc
+++ b/src/jacinthdeck/forward/forwarder_attempts.cc
@@ -18,9 +18,8 @@
 constexpr std::uint32_t kHoldersNotCounted = 1;
 //! Pause before a target is looked for again when none has a place.
 constexpr Duration kNoPlacePause = milliseconds(4);
-//! The same for a hedge. Looked for once, two thirds of the shards missing from
-//! partial answers had no second attempt although the budget had room; answers
-//! with a dark shard and slow targets rose by 1.8% (`bench_forward`).
+//! The same for a hedge. Looked for once, most shards that go missing would
+//! have no second attempt although the budget has room.
 constexpr Duration kHedgePause = milliseconds(6);
 //! Where work takes long, places come free that much more rarely.
 constexpr int kHedgePauseMeans = 4;
@@ -40,10 +39,9 @@
 /**
  * \brief Tells whether a target let this very call down a moment ago.
  *
- * A killed target refuses a connection within half a millisecond. Calls that
- * asked again at once spent all their attempts on closed ports: 2,500 in four
- * seconds in which a third of a shard's targets was away, and the shard was
- * missing from the answer although another target was free soon after.
+ * A killed target refuses a connection at once. Calls that asked again as fast
+ * would spend all their attempts on closed ports, and miss the shard although
+ * another target is free soon after.
  */
 [[nodiscard]] bool HasLeftUnanswered(const internal::CallPart& part,
                                      const LearnedTarget& target,
--- a/src/jacinthdeck/forward/forwarder_replies.cc
+++ b/src/jacinthdeck/forward/forwarder_replies.cc
@@ -132,7 +132,7 @@
 // Over dozens of shards some target always stands still, and an answer that
 // waits for it and then for its hedge is late or lacks the shard. Once nearly
 // all shards are in, the rest are known to be late, and their hedges cost a few
-// attempts a call; hedges sent that early for all shards would cost a quarter.
+// attempts a call; hedges sent that early for all shards would cost many.
 void Forwarder::HedgeLastShards(PendingCall& open, TimePoint now) {
   const std::size_t last = open.parts.size() / kLastShards;
   if (open.unsettled == 0 || open.unsettled > last) {
--- a/src/jacinthdeck/forward/in_flight_bound.h
+++ b/src/jacinthdeck/forward/in_flight_bound.h
@@ -18,14 +18,12 @@
  * \brief Says how many attempts a host may have at a target at once.
  *
  * Hosts do not see one another's attempts, so a target that has lost its peers
- * gets the worst calls of all hosts at once. Bounded by connections alone, six
- * hosts had 24 attempts at three slots, and the last of them waited for seven
- * others: it came after its objective, and the work on it was lost. With this
- * bound a full target holds the work of four turns, about half of an objective
- * that is eight times the work, and what does not fit goes to another target
- * or is refused while its caller can still ask elsewhere. With callers pressing
- * three times the capacity, 65.3% in place of 61.0% of the calls were answered
- * in time, weighted by coverage (six modelled hosts, `bench_forward`).
+ * gets the worst calls of all hosts at once. Bounded by connections alone, the
+ * last of them waits for many others, comes after its objective, and the work
+ * on it is lost. With this bound a full target holds the work of four turns,
+ * about half of an objective that is eight times the work, and what does not
+ * fit goes to another target or is refused while its caller can still ask
+ * elsewhere.
  * \param share This host's share.
  * \param slots Requests that the target works on at once.
  * \return At least 1; at least 2 where connections allow it, since a host with
--- a/src/jacinthdeck/forward/learned_target.h
+++ b/src/jacinthdeck/forward/learned_target.h
@@ -53,12 +53,11 @@
    *
    * Its own work is reckoned in its route's latency, the queue before it in
    * what the target usually answers, if that is less. Reckoned in its own, a
-   * queue of 20 ms searches came out as one of 125 ms for a route of which
-   * nothing was measured; its calls were refused while they had a second to
-   * wait, and a route that is refused is never measured. Where the queue's work
-   * is the longer, the route's own stands for it: usual latencies have a wait
-   * in them already, and short calls would be refused for it (61.4% in place of
-   * 63.6% of the calls above capacity were of use, `bench_forward`).
+   * queue of short searches would look long to a route of which nothing was
+   * measured; its calls would be refused, and a route that is refused is never
+   * measured. Where the queue's work is the longer, the route's own stands for
+   * it: usual latencies have a wait in them already, and short calls would be
+   * refused for it.
    * \param usual Latency of its route; a guess counts for no more than what
    * the target usually takes.
    * \param now Present time.
--- a/src/jacinthdeck/forward/target_set.cc
+++ b/src/jacinthdeck/forward/target_set.cc
@@ -11,9 +11,7 @@
 namespace {
 
 //! Extra delay that a target outside the host's failure domain is charged, in
-//! parts of the mean: it costs a longer way and traffic between domains. 0.7
-//! against 0.35 took the traffic between domains down by a fifth and left the
-//! shares served in time as they were, on both users' sites.
+//! parts of the mean: it costs a longer way and traffic between domains.
 constexpr double kOtherDomainCost = 0.7;
 //! Random part of a score: hosts with the same view must not all send to the
 //! same target.
@@ -24,14 +22,13 @@
 //! As above, for a target that had the request before.
 constexpr double kTriedCost = 10000;
 //! A hedge needs a free slot: an extra request that waits in a queue delays
-//! others and helps nobody. With 0.8 a target of three slots counted as full
-//! while one of them was free.
+//! others and helps nobody.
 constexpr double kHedgeOccupancy = 1.0;
 
 //! A hedge is worth its load at a target whose expected delay is up to so many
 //! times the time that is left. The expectation remembers the last pause for
-//! some answers, and most answers come much sooner; held to it, a hedge found
-//! no target where each of the others had paused a moment ago.
+//! some answers, and most answers come much sooner; held to it, a hedge would
+//! find no target where each of the others paused a moment ago.
 constexpr int kHedgeHope = 2;
 
 [[nodiscard]] bool Contains(std::span<const TargetId> ids, const TargetId& id) {
--- a/src/jacinthdeck/forward/target_set.h
+++ b/src/jacinthdeck/forward/target_set.h
@@ -37,8 +37,7 @@
   bool needed = true;
   //! Time in which an answer is of use. A target that is expected to take
   //! longer gets no hedge, and one attempt of this host at a time: enough to
-  //! learn when it is fast again. Buys 2.6% of the answers where most targets
-  //! shed (`bench_forward`), since hedges no longer go to those.
+  //! learn when it is fast again. Hedges so keep away from targets that shed.
   Duration useful = Duration::max();
 };
 
