--- a/src/daemons/ctl/loss_summary.cc
+++ b/src/daemons/ctl/loss_summary.cc
@@ -117,7 +117,9 @@
   PrintHeader("losses by route and reason", out);
   for (const auto& [route, by_reason] : m_by_route) {
     for (const auto& [reason, losses] : by_reason) {
-      PrintRow(route + " " + reason, losses, out);
+      std::string name = route;
+      name.append(" ").append(reason);
+      PrintRow(name, losses, out);
     }
   }
   out << "\nmissing shards by the attempts they had\n";
