--- a/src/jacinthdeck/peer/feed_choice.cc
+++ b/src/jacinthdeck/peer/feed_choice.cc
@@ -35,8 +35,8 @@
 constexpr std::size_t kMostStaleTried = 5;
 //! Time for which a feeder of another failure domain is followed before the
 //! own one's is tried again, and the longest such time where it fails.
-constexpr Duration kFirstHomePause = milliseconds(300);
-constexpr Duration kLongestHomePause = milliseconds(16000);
+constexpr Duration kFirstReturnPause = milliseconds(300);
+constexpr Duration kLongestReturnPause = milliseconds(16000);
 //! Time for a seed to answer before the store is asked, where callers do not
 //! wait for this host.
 constexpr Duration kStartPatience = milliseconds(1100);
@@ -71,7 +71,7 @@
       m_seeds(std::move(seeds)),
       m_started(now),
       m_random(seed),
-      m_home_pause(kFirstHomePause) {
+      m_return_pause(kFirstReturnPause) {
   const auto own = [&](const Endpoint& endpoint) {
     return endpoint.ToString() == m_self.peers;
   };
@@ -170,7 +170,7 @@
   FeedStep step;
   const bool too_slow =
       m_link == Link::kOpening && now - m_link_since > kLinkTimeout;
-  if (too_slow || IsUseless(now) || IsDueHome(now)) {
+  if (too_slow || IsUseless(now) || IsDueToReturn(now)) {
     step.close = true;
     LeaveFeeder(now);
   }
@@ -232,22 +232,22 @@
          }) != far;
 }
 
-bool FeedChoice::IsDueHome(TimePoint now) {
+bool FeedChoice::IsDueToReturn(TimePoint now) {
   if (m_near == 0 || IsNear() || !IsFollowing(now)) {
-    m_home_at.reset();
+    m_return_at.reset();
     return false;
   }
-  if (!m_home_at) {
+  if (!m_return_at) {
     // All followers of a domain whose feeder was away would come back at once.
-    const auto bound = static_cast<std::uint64_t>(m_home_pause.count());
-    m_home_at = now + m_home_pause +
-                Duration(static_cast<Duration::rep>(m_random.Below(bound)));
+    const auto bound = static_cast<std::uint64_t>(m_return_pause.count());
+    m_return_at = now + m_return_pause +
+                  Duration(static_cast<Duration::rep>(m_random.Below(bound)));
   }
-  if (now < *m_home_at) {
+  if (now < *m_return_at) {
     return false;
   }
-  m_home_at.reset();
-  m_home_pause = std::min(2 * m_home_pause, kLongestHomePause);
+  m_return_at.reset();
+  m_return_pause = std::min(2 * m_return_pause, kLongestReturnPause);
   m_next = 0;
   return true;
 }
--- a/src/jacinthdeck/peer/feed_choice.h
+++ b/src/jacinthdeck/peer/feed_choice.h
@@ -104,7 +104,7 @@
   //! Feeders that are tried before all are taken for stale alike.
   [[nodiscard]] std::size_t MostStale() const noexcept;
   //! Tells whether it is time to go back to the own failure domain's feeder.
-  [[nodiscard]] bool IsDueHome(TimePoint now);
+  [[nodiscard]] bool IsDueToReturn(TimePoint now);
   void LeaveFeeder(TimePoint now);
   [[nodiscard]] std::optional<Endpoint> NextFeeder();
   //! Position from which the next feeder is looked for.
@@ -130,9 +130,9 @@
   //! Feeders that were left as stale since one was last followed.
   std::size_t m_stale_in_row = 0;
   //! When it goes back to the own failure domain; nothing while it is there.
-  std::optional<TimePoint> m_home_at;
+  std::optional<TimePoint> m_return_at;
   //! Time to stay elsewhere before that.
-  Duration m_home_pause;
+  Duration m_return_pause;
   std::size_t m_next = 0;
   //! Feeder of the present link, or of the last one.
   std::optional<Endpoint> m_last;
--- a/test/jacinthdeck/peer/feed_choice_test.cc
+++ b/test/jacinthdeck/peer/feed_choice_test.cc
@@ -259,16 +259,16 @@
 }
 
 // The own domain's feeder does not answer. The host goes on with another one
-// and tries to come home ever more rarely.
+// and tries to return ever more rarely.
 BOOST_AUTO_TEST_CASE(Feeder_OfTheOwnDomainFails_IsTriedEverMoreRarely) {
   choice.OnHosts(hosts, now);
-  int home = 0;
+  int returns = 0;
   bool linked = false;
   for (int i = 0; i < 600; ++i) {
     const FeedStep step = StepIn(milliseconds(100));
     if (step.open) {
       linked = step.open->address != "10.0.0.2";
-      home += linked ? 0 : 1;
+      returns += linked ? 0 : 1;
     }
     if (linked) {
       Beat();
@@ -276,8 +276,8 @@
       choice.OnLost(now);
     }
   }
-  BOOST_TEST(home >= 3);
-  BOOST_TEST(home <= 8);
+  BOOST_TEST(returns >= 3);
+  BOOST_TEST(returns <= 8);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
