Drop timers of the model that were set anew

Cause: a host's timer that moves earlier was pushed beside the one that was set, and each that fired set the next, so that chains of timers grew; hedges that are moved forward made many of them. The daemon is not concerned: its timer is set anew in place. A timer event that is not the one set is passed over.

--- a/bench/support/forward_model.cc
+++ b/bench/support/forward_model.cc
@@ -171,6 +171,10 @@
         break;
       case EventKind::kTimer: {
         Host& host = *m_hosts[event.subject];
+        // An earlier timer was set since; each left over would set another.
+        if (host.armed != event.at) {
+          break;
+        }
         host.armed.reset();
         host.forwarder.OnTimer(m_now);
         Rearm(event.subject);
