Take the ends of all writes to the store in one place

An unreadable member's record is told by Tell(), as other unreadable entries are. MemberWriteEnd::kFailed was never passed by the session: a write that failed stays due without a word, and the two tests say so by not telling of it; what they assert is the same. LookAtMembers() is CompareMembers(). No other change of behaviour: the session's tests pass as they were.

--- a/src/jacinthdeck/discovery/member_records.cc
+++ b/src/jacinthdeck/discovery/member_records.cc
@@ -92,9 +92,6 @@
 void MemberRecords::OnWritten(const MemberWrite& write,
                               MemberWriteEnd end,
                               std::uint64_t revision) {
-  if (end == MemberWriteEnd::kFailed) {
-    return;
-  }
   for (const HostRecord& put : write.puts) {
     const auto found = m_members.find(put.name);
     if (found != m_members.end()) {
--- a/src/jacinthdeck/discovery/member_records.h
+++ b/src/jacinthdeck/discovery/member_records.h
@@ -38,8 +38,6 @@
   kDone,
   //! A record that was to be removed was written by another host.
   kConflict,
-  //! Not done, or not known.
-  kFailed,
 };
 
 /**
@@ -89,7 +87,8 @@
   [[nodiscard]] MemberWrite NextWrite(TimePoint now) const;
 
   /**
-   * \brief Takes the end of a write that NextWrite() gave.
+   * \brief Takes the end of a write that NextWrite() gave; one that was not
+   * done, or of which nothing is known, stays due.
    * \param revision The store's revision after it, where it was done.
    */
   void OnWritten(const MemberWrite& write,
--- a/src/jacinthdeck/discovery/store_session.cc
+++ b/src/jacinthdeck/discovery/store_session.cc
@@ -238,7 +238,7 @@
 void StoreSession::Tell(const KnowledgeChange& change) {
   if (change.hosts) {
     CheckOwnRecord();
-    LookAtMembers();
+    CompareMembers();
   }
   const bool news = change.schema || !change.indexes.empty() || change.config ||
                     change.targets || change.hosts ||
--- a/src/jacinthdeck/discovery/store_session.h
+++ b/src/jacinthdeck/discovery/store_session.h
@@ -136,6 +136,11 @@
   // Writing, in store_session_writes.cc.
   void Step();
   void StepAfter(Duration pause);
+  //! Makes a call of a write; one that ends neither well nor as accepted is
+  //! told and tried again later.
+  void Send(const ClientRequest& request,
+            std::optional<StoreStatus> accepted,
+            std::function<void(const StoreAck&)> done);
   void Grant();
   void Put();
   void Renew();
@@ -145,7 +150,7 @@
   void WriteConviction();
   void OnWriteFailed(StoreStatus status);
   void CheckOwnRecord();
-  void LookAtMembers();
+  void CompareMembers();
   void CheckMembers();
   [[nodiscard]] Duration RenewPause() const noexcept;
 
--- a/src/jacinthdeck/discovery/store_session_writes.cc
+++ b/src/jacinthdeck/discovery/store_session_writes.cc
@@ -48,7 +48,7 @@
   if (auto* error = std::get_if<Error>(&read)) {
     KnowledgeChange change;
     change.unreadable.push_back(std::move(*error));
-    m_observer.OnKnowledge(change, m_revision);
+    Tell(change);
     return;
   }
   m_members.OnMember(std::get<0>(std::move(read)));
@@ -100,20 +100,33 @@
   }
 }
 
+void StoreSession::Send(const ClientRequest& request,
+                        std::optional<StoreStatus> accepted,
+                        std::function<void(const StoreAck&)> done) {
+  m_writes.Call(
+      request, kWriteTimeout,
+      [this, accepted, done = std::move(done)](const ClientReply& reply) {
+        const StoreAck ack = m_codec.ReadWrite(reply);
+        if (ack.status != StoreStatus::kOk && ack.status != accepted) {
+          OnWriteFailed(ack.status);
+          return;
+        }
+        done(ack);
+      });
+}
+
 void StoreSession::Grant() {
   ++m_counters.writes;
-  m_writes.Call(m_codec.GrantCall(m_lease_life), kWriteTimeout,
-                [this](const ClientReply& reply) {
-                  const StoreAck ack = m_codec.ReadWrite(reply);
-                  if (ack.status != StoreStatus::kOk || ack.lease == 0) {
-                    OnWriteFailed(ack.status);
-                    return;
-                  }
-                  m_lease = ack.lease;
-                  m_written = false;
-                  m_renew_at = m_clock.Now() + RenewPause();
-                  Step();
-                });
+  Send(m_codec.GrantCall(m_lease_life), {}, [this](const StoreAck& ack) {
+    if (ack.lease == 0) {
+      OnWriteFailed(ack.status);
+      return;
+    }
+    m_lease = ack.lease;
+    m_written = false;
+    m_renew_at = m_clock.Now() + RenewPause();
+    Step();
+  });
 }
 
 void StoreSession::Put() {
@@ -122,50 +135,31 @@
   StoreWrite write;
   write.puts.push_back(
       {m_codec.HostKey(m_name), m_codec.WriteHost(*m_record), m_lease});
-  m_writes.Call(m_codec.WriteCall(write), kWriteTimeout,
-                [this](const ClientReply& reply) {
-                  const StoreAck ack = m_codec.ReadWrite(reply);
-                  if (ack.status != StoreStatus::kOk) {
-                    OnWriteFailed(ack.status);
-                    return;
-                  }
-                  m_written = true;
-                  m_written_revision = ack.revision;
-                  m_write_backoff.OnSuccess();
-                  m_observer.OnRegistration(StoreStatus::kOk);
-                  Step();
-                });
+  Send(m_codec.WriteCall(write), {}, [this](const StoreAck& ack) {
+    m_written = true;
+    m_written_revision = ack.revision;
+    m_write_backoff.OnSuccess();
+    m_observer.OnRegistration(StoreStatus::kOk);
+    Step();
+  });
 }
 
 void StoreSession::Renew() {
   ++m_counters.renewals;
-  m_writes.Call(m_codec.RenewCall(m_lease), kWriteTimeout,
-                [this](const ClientReply& reply) {
-                  const StoreAck ack = m_codec.ReadWrite(reply);
-                  if (ack.status != StoreStatus::kOk) {
-                    OnWriteFailed(ack.status);
-                    return;
-                  }
-                  m_write_backoff.OnSuccess();
-                  m_renew_at = m_clock.Now() + RenewPause();
-                  StepAfter(RenewPause());
-                });
+  Send(m_codec.RenewCall(m_lease), {}, [this](const StoreAck&) {
+    m_write_backoff.OnSuccess();
+    m_renew_at = m_clock.Now() + RenewPause();
+    StepAfter(RenewPause());
+  });
 }
 
 void StoreSession::End() {
   ++m_counters.writes;
-  const std::uint64_t lease = m_lease;
-  m_writes.Call(m_codec.EndCall(lease), kWriteTimeout,
-                [this](const ClientReply& reply) {
-                  const StoreAck ack = m_codec.ReadWrite(reply);
-                  if (ack.status == StoreStatus::kOk ||
-                      ack.status == StoreStatus::kNoLease) {
-                    m_lease = 0;
-                    m_must_remove = false;
-                    return;
-                  }
-                  OnWriteFailed(ack.status);
-                });
+  Send(m_codec.EndCall(m_lease), StoreStatus::kNoLease,
+       [this](const StoreAck&) {
+         m_lease = 0;
+         m_must_remove = false;
+       });
 }
 
 //! What this host wrote for members stays until its lease ends: by then they
@@ -174,15 +168,8 @@
   ++m_counters.writes;
   StoreWrite write;
   write.removals.push_back(m_codec.HostKey(m_name));
-  m_writes.Call(m_codec.WriteCall(write), kWriteTimeout,
-                [this](const ClientReply& reply) {
-                  const StoreAck ack = m_codec.ReadWrite(reply);
-                  if (ack.status != StoreStatus::kOk) {
-                    OnWriteFailed(ack.status);
-                    return;
-                  }
-                  m_must_remove = false;
-                });
+  Send(m_codec.WriteCall(write), {},
+       [this](const StoreAck&) { m_must_remove = false; });
 }
 
 void StoreSession::WriteMembers() {
@@ -201,51 +188,36 @@
     write.removals.push_back(key);
   }
   ++m_counters.writes;
-  m_writes.Call(m_codec.WriteCall(write), kWriteTimeout,
-                [this, due](const ClientReply& reply) {
-                  const StoreAck ack = m_codec.ReadWrite(reply);
-                  const bool done = ack.status == StoreStatus::kOk;
-                  const bool conflict = ack.status == StoreStatus::kConflict;
-                  if (!done && !conflict) {
-                    OnWriteFailed(ack.status);
-                    return;
-                  }
-                  m_members.OnWritten(
-                      due,
-                      done ? MemberWriteEnd::kDone : MemberWriteEnd::kConflict,
-                      ack.revision);
-                  m_write_backoff.OnSuccess();
-                  Step();
-                });
+  Send(m_codec.WriteCall(write), StoreStatus::kConflict,
+       [this, due](const StoreAck& ack) {
+         m_members.OnWritten(due,
+                             ack.status == StoreStatus::kOk
+                                 ? MemberWriteEnd::kDone
+                                 : MemberWriteEnd::kConflict,
+                             ack.revision);
+         m_write_backoff.OnSuccess();
+         Step();
+       });
 }
 
 void StoreSession::WriteConviction() {
   ++m_counters.writes;
-  m_writes.Call(
-      m_codec.GrantCall(kConvictionLife), kWriteTimeout,
-      [this](const ClientReply& granted) {
-        const StoreAck lease = m_codec.ReadWrite(granted);
-        if (lease.status != StoreStatus::kOk || m_convictions.empty()) {
-          OnWriteFailed(lease.status);
-          return;
-        }
-        ++m_counters.writes;
-        StoreWrite write;
-        write.puts.push_back(
-            {m_codec.ConvictionKey(m_convictions.back()), "1", lease.lease});
-        m_writes.Call(m_codec.WriteCall(write), kWriteTimeout,
-                      [this](const ClientReply& reply) {
-                        const StoreAck ack = m_codec.ReadWrite(reply);
-                        if (ack.status != StoreStatus::kOk) {
-                          OnWriteFailed(ack.status);
-                          return;
-                        }
-                        if (!m_convictions.empty()) {
-                          m_convictions.pop_back();
-                        }
-                        Step();
-                      });
-      });
+  Send(m_codec.GrantCall(kConvictionLife), {}, [this](const StoreAck& lease) {
+    if (m_convictions.empty()) {
+      OnWriteFailed(lease.status);
+      return;
+    }
+    ++m_counters.writes;
+    StoreWrite write;
+    write.puts.push_back(
+        {m_codec.ConvictionKey(m_convictions.back()), "1", lease.lease});
+    Send(m_codec.WriteCall(write), {}, [this](const StoreAck&) {
+      if (!m_convictions.empty()) {
+        m_convictions.pop_back();
+      }
+      Step();
+    });
+  });
 }
 
 void StoreSession::OnWriteFailed(StoreStatus status) {
@@ -287,7 +259,7 @@
   }
 }
 
-void StoreSession::LookAtMembers() {
+void StoreSession::CompareMembers() {
   if (!m_record) {
     return;
   }
--- a/test/jacinthdeck/discovery/member_records_test.cc
+++ b/test/jacinthdeck/discovery/member_records_test.cc
@@ -91,7 +91,7 @@
 
 BOOST_AUTO_TEST_CASE(Write_Fails_IsDueAgain) {
   members.OnMember(MakeHost("a"));
-  members.OnWritten(members.NextWrite(now), MemberWriteEnd::kFailed, 0);
+  (void)members.NextWrite(now);
   BOOST_TEST(DuePuts().size() == 1U);
 }
 
@@ -139,7 +139,7 @@
 // the other feeder wrote since is not.
 BOOST_AUTO_TEST_CASE(Write_IsDoneLate_StrayIsTakenBack) {
   members.OnMember(MakeHost("a"));
-  members.OnWritten(members.NextWrite(now), MemberWriteEnd::kFailed, 0);
+  (void)members.NextWrite(now);
   members.OnMemberLeft(NodeId("a"));
   members.OnHosts({{Held("a", "feeder", 20)}}, 20, now);
   now += seconds(4);
