--- a/src/jacinthdeck/entry/entry_node.cc
+++ b/src/jacinthdeck/entry/entry_node.cc
@@ -109,6 +109,7 @@
       m_decision_timer(m_loop),
       m_tick(m_loop),
       m_ticked(m_started),
+      m_traffic_at(m_started + kTrafficEvery),
       m_stop_timer(m_loop) {}
 
 Result<void> EntryNode::Start() {
--- a/src/jacinthdeck/entry/entry_node_knowledge.cc
+++ b/src/jacinthdeck/entry/entry_node_knowledge.cc
@@ -61,9 +61,6 @@
     m_forwarder.SetTargets(targets, now);
     m_pool.Retain(targets);
   }
-  if (change.hosts) {
-    m_feed.OnHosts(knowledge.Hosts());
-  }
   if (change.hosts || change.config) {
     TakeHosts(now);
   }
@@ -99,6 +96,7 @@
 
 void EntryNode::TakeHosts(TimePoint now) {
   const std::vector<HostRecord> hosts = m_store.knowledge().Hosts();
+  m_feed.OnHosts(hosts);
   const std::shared_ptr<const RoutingConfig>& config =
       m_store.knowledge().config();
   std::vector<HostRecord> fronts = ChooseFronts(
