Make members constant again that tests had opened, and name new types in fwd.h

FeedChoice and RecordWriterChoice had lost the const of members for an assignment in two tests. The fixtures take the seed, or the start of the fleet, in their constructors; the tests assert what they did. The forward declarations lacked the types of records and feeds, and named four that are gone.

--- a/src/jacinthdeck/core/fwd.h
+++ b/src/jacinthdeck/core/fwd.h
@@ -8,6 +8,7 @@
 class ManualClock;
 class Random;
 struct Error;
+struct LinkBytes;
 enum class ErrorCode;
 enum class Outcome;
 
--- a/src/jacinthdeck/discovery/fwd.h
+++ b/src/jacinthdeck/discovery/fwd.h
@@ -5,20 +5,23 @@
 
 namespace jacinthdeck {
 
-class DirectoryChoice;
-class HostRegistry;
 class Knowledge;
 class KnowledgeObserver;
+class MemberRecords;
 class PlatformCodec;
+class RecordWriterChoice;
 class RemovalHold;
+class StoreContent;
 class StoreSession;
-class TargetRegistry;
+struct HeldRecord;
 struct HostRecord;
+struct MemberWrite;
 struct StoreChange;
-struct StoreItem;
 struct StorePage;
+struct StoreWrite;
 struct WatchBatch;
 enum class KeyKind;
+enum class RecordWriter;
 enum class StoreStatus;
 
 }  // namespace jacinthdeck
--- a/src/jacinthdeck/discovery/record_writer.h
+++ b/src/jacinthdeck/discovery/record_writer.h
@@ -63,7 +63,7 @@
   [[nodiscard]] RecordWriter Choose(const FleetPart& part, TimePoint now);
 
   //! From when on the known hosts are the fleet.
-  TimePoint m_settled_at;
+  const TimePoint m_settled_at;
   RecordWriter m_writer = RecordWriter::kNobody;
   //! Since when no feeder is heard; nothing while one is.
   std::optional<TimePoint> m_unlinked_since;
--- a/src/jacinthdeck/entry/fwd.h
+++ b/src/jacinthdeck/entry/fwd.h
@@ -14,6 +14,7 @@
 class SimpleHandler;
 struct EntryProtocol;
 struct EntrySettings;
+struct HostTraffic;
 enum class LogEvent;
 
 }  // namespace jacinthdeck
--- a/src/jacinthdeck/peer/feed_choice.h
+++ b/src/jacinthdeck/peer/feed_choice.h
@@ -115,9 +115,9 @@
   void ScheduleWatchWithoutLink(TimePoint now);
   void ScheduleWatchWhileStale(TimePoint now);
 
-  HostRecord m_self;
-  std::vector<Endpoint> m_seeds;
-  TimePoint m_started;
+  const HostRecord m_self;
+  const std::vector<Endpoint> m_seeds;
+  const TimePoint m_started;
   Random m_random;
   bool m_is_watcher = false;
   bool m_serves_callers = true;
--- a/src/jacinthdeck/peer/fwd.h
+++ b/src/jacinthdeck/peer/fwd.h
@@ -11,6 +11,7 @@
 class FeedLinkSink;
 class FeedServer;
 class FeedSource;
+class FollowerObserver;
 struct FeedBeat;
 struct FeedChanges;
 struct FeedHello;
--- a/test/jacinthdeck/discovery/record_writer_test.cc
+++ b/test/jacinthdeck/discovery/record_writer_test.cc
@@ -16,7 +16,10 @@
 struct WriterFixture {
   TimePoint now{seconds(100)};
   FleetPart part{.knows_hosts = true, .hosts = 295, .is_linked = true};
-  RecordWriterChoice choice{false, now};
+  RecordWriterChoice choice;
+
+  explicit WriterFixture(bool fleet_starts = false)
+      : choice(fleet_starts, now) {}
 
   [[nodiscard]] RecordWriter After(Duration time) {
     now += time;
@@ -52,11 +55,11 @@
 // Hundreds of hosts start at one moment. The first of them see a handful of
 // others and would take that for a small fleet; each would cost two writes.
 BOOST_AUTO_TEST_CASE(FleetStarts_FewAreKnownYet_FeederWrites) {
-  choice = RecordWriterChoice(true, now);
-  part.hosts = 3;
-  part.is_front = true;
-  BOOST_TEST((After(milliseconds(100)) == RecordWriter::kFeeder));
-  BOOST_TEST((After(seconds(3)) == RecordWriter::kSelf));
+  WriterFixture start(true);
+  start.part.hosts = 3;
+  start.part.is_front = true;
+  BOOST_TEST((start.After(milliseconds(100)) == RecordWriter::kFeeder));
+  BOOST_TEST((start.After(seconds(3)) == RecordWriter::kSelf));
 }
 
 // All hosts restart after a loss of power. Which part this one has is known
--- a/test/jacinthdeck/peer/feed_choice_test.cc
+++ b/test/jacinthdeck/peer/feed_choice_test.cc
@@ -30,7 +30,10 @@
   //! h1, h2 and h3 watch, one in each failure domain; h9 follows.
   std::vector<HostRecord> hosts{MakeHost(1, 1, 500), MakeHost(2, 2, 500),
                                 MakeHost(3, 3, 500), MakeHost(9, 2)};
-  FeedChoice choice{MakeHost(9, 2), {Endpoint{"10.0.0.1", 1}}, true, 1, now};
+  FeedChoice choice;
+
+  explicit ChoiceFixture(std::uint64_t seed = 1)
+      : choice(MakeHost(9, 2), {Endpoint{"10.0.0.1", 1}}, true, seed, now) {}
 
   FeedStep StepIn(Duration time) {
     now += time;
@@ -216,12 +219,13 @@
   }
   int asked = 0;
   for (std::uint64_t seed = 1; seed <= 300; ++seed) {
-    choice = FeedChoice(MakeHost(9, 2), {}, true, seed, now);
-    choice.SetServesCallers(seed <= 9);
-    Follow();
+    ChoiceFixture one(seed);
+    one.hosts = hosts;
+    one.choice.SetServesCallers(seed <= 9);
+    one.Follow();
     for (int i = 0; i < 40; ++i) {
-      Beat(seconds(4), true);
-      const bool watches = StepIn(milliseconds(100)).watch_store;
+      one.Beat(seconds(4), true);
+      const bool watches = one.StepIn(milliseconds(100)).watch_store;
       asked += watches ? 1 : 0;
       if (watches) {
         break;
