--- a/bench/support/forward_cases.h
+++ b/bench/support/forward_cases.h
@@ -16,6 +16,9 @@
   ForwardCase load;
 };
 
+//! Part of the calls that are of the slower kind, the searches.
+inline constexpr double kSearchShare = 0.75;
+
 /**
  * \brief The search of visitor desks: two kinds of call over ten shards.
  *
@@ -24,7 +27,6 @@
  */
 [[nodiscard]] inline ForwardCase DeskSearch(double calls_per_second) {
   using std::chrono::milliseconds;
-  constexpr double kSearchShare = 0.75;
   ForwardCase load;
   load.calls = {{calls_per_second * kSearchShare, milliseconds(120),
                  milliseconds(800), milliseconds(15), 0.89, 1},
@@ -78,50 +80,59 @@
   return load;
 }
 
-/*! \brief The first shard has one target left, whose slots the searches could
- * fill alone, and a few calls a second ask that shard's service by itself.
+/*! \brief The search of counters: two kinds of call over all shards.
  *
  * Figures of a users' sheet: work of 20 and 6.7 ms, objectives of 150 and
- * 60 ms, pauses of 200 ms each 4.5 s. The calls for one service are those of
- * routes that were added a moment ago: 1 ms of work, an objective of 1 s.
+ * 60 ms, pauses of 200 ms each 4.5 s.
+ * \param sweep_share Least share of the shards for the slower kind.
+ * \param lookup_share The same for the quicker one.
  */
-[[nodiscard]] inline ForwardCase LoneTargetOfAShard() {
+[[nodiscard]] inline ForwardCase CounterSearch(double calls_per_second,
+                                               double sweep_share,
+                                               double lookup_share) {
   using std::chrono::microseconds;
   using std::chrono::milliseconds;
   ForwardCase load;
-  load.lone_shards = 1;
   load.pause = milliseconds(200);
   load.pause_period = milliseconds(4500);
-  load.calls = {
-      {135, milliseconds(150), milliseconds(1500), milliseconds(20), 0.89, 1},
-      {45, milliseconds(60), milliseconds(600), microseconds(6700), 0.75, 2},
-      {4, milliseconds(1000), milliseconds(4000), milliseconds(1), 1, 2, 0}};
+  load.calls = {{calls_per_second * kSearchShare, milliseconds(150),
+                 milliseconds(1500), milliseconds(20), sweep_share, 1},
+                {calls_per_second * (1 - kSearchShare), milliseconds(60),
+                 milliseconds(600), microseconds(6700), lookup_share, 2}};
+  return load;
+}
+
+/*! \brief The first shard has one target left, whose slots the searches could
+ * fill alone, and a few calls a second ask that shard's service by itself.
+ *
+ * The calls for one service are those of routes that were added a moment ago:
+ * 1 ms of work, an objective of 1 s.
+ */
+[[nodiscard]] inline ForwardCase LoneTargetOfAShard() {
+  using std::chrono::milliseconds;
+  ForwardCase load = CounterSearch(180, 0.89, 0.75);
+  load.lone_shards = 1;
+  load.calls.push_back(
+      {4, milliseconds(1000), milliseconds(4000), milliseconds(1), 1, 2, 0});
   return load;
 }
 
 /*! \brief A search over 90 shards by 15 hosts: some four targets pause at any
  * moment, so that hardly a call meets none.
  *
- * Figures of a users' sheet: work of 20 and 6.7 ms, objectives of 150 and
- * 60 ms, 0.95 and 0.85 of the shards needed, 7 slots and 195 connections a
- * target; half a core a host, on which an attempt takes 50 us both ways.
+ * Figures of a users' sheet: 0.95 and 0.85 of the shards needed, 7 slots and
+ * 195 connections a target; half a core a host, on which an attempt takes 50 us
+ * both ways.
  */
 [[nodiscard]] inline ForwardCase ManyShards() {
-  using std::chrono::microseconds;
-  using std::chrono::milliseconds;
-  ForwardCase load;
+  ForwardCase load = CounterSearch(60, 0.95, 0.85);
   load.hosts = 15;
   load.shards = 90;
   load.slots = 7;
   load.queue = 42;
   load.connections = 195;
-  load.host_work = microseconds(50);
-  load.pause = milliseconds(200);
-  load.pause_period = milliseconds(4500);
+  load.host_work = std::chrono::microseconds(50);
   load.budget.constant = 630;
-  load.calls = {
-      {45, milliseconds(150), milliseconds(1500), milliseconds(20), 0.95, 1},
-      {15, milliseconds(60), milliseconds(600), microseconds(6700), 0.85, 2}};
   return load;
 }
 
