Take two more tales out of comments

What stood there: a host cut from the store asked one stale feeder for twelve seconds; with a shard down to one target all calls that were still refused were without a place.

--- a/src/jacinthdeck/forward/target_set.h
+++ b/src/jacinthdeck/forward/target_set.h
@@ -30,10 +30,9 @@
   TargetShare share;
   //! The call cannot be answered without this attempt. It counts only its like
   //! against the host's share of a target, so that searches, which can do
-  //! without a shard, leave it places there. A call for one service alone that
-  //! found the share taken by searches was refused, or waited for a place with
-  //! them: of the calls that were still refused with a shard down to one
-  //! target, all were without a place. The connections bound both together.
+  //! without a shard, leave it places there. Else a call for one service alone
+  //! would find the share taken by searches, and be refused. The connections
+  //! bound both together.
   bool needed = true;
   //! Time in which an answer is of use. A target that is expected to take
   //! longer gets no hedge, and one attempt of this host at a time: enough to
--- a/src/jacinthdeck/peer/feed_choice.cc
+++ b/src/jacinthdeck/peer/feed_choice.cc
@@ -138,8 +138,8 @@
     return 0;
   }
   // Content from a stale feeder names the hosts too. Starting over with each
-  // such list meant that hosts which were cut from the store asked one stale
-  // feeder for twelve seconds, with fresh ones in the next failure domain.
+  // such list, a host that is cut from the store would ask one stale feeder
+  // again and again, with fresh ones in the next failure domain.
   return static_cast<std::size_t>(std::distance(m_feeders.begin(), last)) + 1;
 }
 
