Count the summary's moments from the first line, not the first loss

Logs without a loss gave the moments of other events in seconds of 1970, and events before the first loss had negative ones. Test: a log with two events and no loss; it failed before.

--- a/src/daemons/ctl/loss_summary.cc
+++ b/src/daemons/ctl/loss_summary.cc
@@ -81,15 +81,17 @@
 }  // namespace
 
 void LossSummary::Add(const json_t& line) {
+  const json_int_t window = WindowOf(line);
+  m_first = std::min(m_first.value_or(window), window);
   const auto loss = kLossNames.Find(TextOf(&line, "event"));
   if (!loss) {
     if (TextOf(&line, "event") != "call_done") {
-      ++m_events[KindOf(line)][WindowOf(line)];
+      ++m_events[KindOf(line)][window];
     }
     return;
   }
   const auto column = static_cast<std::size_t>(*loss);
-  ++m_by_window[WindowOf(line)][column];
+  ++m_by_window[window][column];
   const std::string route(TextOf(&line, "route"));
   const std::string reason(TextOf(&line, "reason"));
   ++m_by_route[route.empty() ? "unknown" : route]
@@ -108,7 +110,7 @@
 }
 
 void LossSummary::Print(std::ostream& out) const {
-  const json_int_t first = m_by_window.empty() ? 0 : m_by_window.begin()->first;
+  const json_int_t first = m_first.value_or(0);
   PrintHeader("losses by window (seconds from the first)", out);
   for (const auto& [window, losses] : m_by_window) {
     PrintRow(std::to_string((window - first) / 1000), losses, out);
--- a/src/daemons/ctl/loss_summary.h
+++ b/src/daemons/ctl/loss_summary.h
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <ostream>
 #include <string>
 
@@ -44,6 +45,8 @@
 
   void AddMissingShards(const json_t& line);
 
+  //! First window that a line falls in; the tables count from it.
+  std::optional<json_int_t> m_first;
   //! By the window's first moment in Unix milliseconds.
   std::map<json_int_t, Losses> m_by_window;
   //! By route, then by reason.
--- a/test/daemons/ctl_test.cc
+++ b/test/daemons/ctl_test.cc
@@ -182,6 +182,18 @@
   BOOST_TEST(rows == expected, boost::test_tools::per_element());
 }
 
+// The logs of a quiet hour hold no loss. Moments of other events still count
+// from the first line; they would be seconds of the year 1970 otherwise.
+BOOST_AUTO_TEST_CASE(ExplainSummary_NothingWasLost_EventsCountFromTheFirst) {
+  const std::string file = MakeFile(
+      R"({"unix_ms":1000000000000,"host":"a","event":"started"})"
+      "\n"
+      R"({"unix_ms":1000000006000,"host":"a","event":"store_regained"})"
+      "\n");
+  BOOST_TEST((Run({"--summary", "explain", file}) == ExitCode::kDone));
+  BOOST_TEST(Rows().back() == "store_regained 1 1 6");
+}
+
 BOOST_AUTO_TEST_CASE(ExplainSummary_FileIsNotThere_SaysWhich) {
   BOOST_TEST(
       (Run({"--summary", "explain", "no-such-log"}) == ExitCode::kUsage));
