Send nothing to the targets of evacuated domains, and bound what cold ones get

Cause: nothing read the operators' evacuations, and no decision knew a cold target. Change: the adapter decodes the order (its key alone counts); Knowledge keeps it by revision, beside the targets, so that watch, feed, whole readings and stale feeders are the ways of a configuration; it marks the targets of the domain, and the one question TakesWork() keeps first attempts, retries, hedges and typed calls away. What is under way is answered. No lease holds an evacuation, so its end counts at once. A target's record tells how long it is cold; a service's bound on a cold target is shared by appointed hosts (rendezvous hashing over the hosts that take callers), each with an even pace. Operators: jacinthdeckctl evacuations, status, a gauge, a log line.

--- a/src/daemons/ctl/command.cc
+++ b/src/daemons/ctl/command.cc
@@ -5,6 +5,7 @@
 #include <array>
 #include <limits>
 
+#include "ctl/evacuation_command.h"
 #include "ctl/explain_command.h"
 #include "ctl/host_commands.h"
 #include "ctl/query_command.h"
@@ -16,7 +17,7 @@
 
 constexpr std::size_t kAny = std::numeric_limits<std::size_t>::max();
 
-constexpr std::array<Command, 9> kCommands{{
+constexpr std::array<Command, 10> kCommands{{
     {"schema", "check", "FILE", "check a schema file without sending it", 1, 1,
      &SchemaCheck},
     {"schema", "apply", "FILE", "put a schema file in force", 1, 1,
@@ -26,6 +27,11 @@
      &IndexApply},
     {"status", "", "", "print what a host knows and does", 0, 0, &ShowStatus},
     {"hosts", "", "", "print the hosts in the store", 0, 0, &ShowHosts},
+    {"evacuations", "", "[HOST...]",
+     "print evacuated failure domains, and which of the hosts (IP:PORT of "
+     "their "
+     "metrics) do not apply them",
+     0, kAny, &ShowEvacuations},
     {"entries", "", "", "print the addresses for typed calls", 0, 0,
      &ShowEntries},
     {"query", "", "SERVICE/METHOD JSON", "ask one request", 2, 2, &Query},
--- /dev/null
+++ b/src/jacinthdeck/discovery/evacuation.h
@@ -0,0 +1,23 @@
+// An operator's order that nothing be sent to the targets of a domain.
+#ifndef JACINTHDECK_DISCOVERY_EVACUATION_H_
+#define JACINTHDECK_DISCOVERY_EVACUATION_H_
+
+#include <cstdint>
+
+#include "jacinthdeck/core/ids.h"
+#include "jacinthdeck/core/time.h"
+
+namespace jacinthdeck {
+
+/*! \brief A failure domain whose targets get nothing until it is removed. */
+struct Evacuation {
+  FailureDomain domain;
+  //! Of the store, at its last write.
+  std::uint64_t revision = 0;
+  //! When this host learned of it.
+  TimePoint since;
+};
+
+}  // namespace jacinthdeck
+
+#endif  // JACINTHDECK_DISCOVERY_EVACUATION_H_
--- a/src/jacinthdeck/discovery/held_entries.h
+++ b/src/jacinthdeck/discovery/held_entries.h
@@ -39,6 +39,12 @@
     return found == m_held.end() ? nullptr : &found->second.entry;
   }
 
+  /*! \brief Revision of a key's last write or removal; 0 if it is unknown. */
+  [[nodiscard]] std::uint64_t RevisionOf(const std::string& key) const {
+    const auto found = m_held.find(key);
+    return found == m_held.end() ? 0 : found->second.revision;
+  }
+
   /*! \brief Earliest moment at which Expire() removes something. */
   [[nodiscard]] std::optional<TimePoint> NextExpiry() const {
     std::optional<TimePoint> next;
--- a/src/jacinthdeck/discovery/knowledge.cc
+++ b/src/jacinthdeck/discovery/knowledge.cc
@@ -7,6 +7,18 @@
 
 namespace jacinthdeck {
 
+std::vector<TargetEntry> Knowledge::Targets() const {
+  std::vector<TargetEntry> targets = m_targets.Entries();
+  std::set<FailureDomain> evacuated;
+  for (const Evacuation& evacuation : m_evacuations.Entries()) {
+    evacuated.insert(evacuation.domain);
+  }
+  for (TargetEntry& target : targets) {
+    target.evacuated = evacuated.contains(target.domain);
+  }
+  return targets;
+}
+
 std::optional<TimePoint> Knowledge::NextTimer() const {
   const auto targets = m_targets.NextExpiry();
   const auto hosts = m_hosts.NextExpiry();
@@ -37,6 +49,9 @@
   const auto counts_at = m_hold.CountsAt(now);
   m_targets.RemoveOthers(named, revision, counts_at);
   m_hosts.RemoveOthers(named, revision, counts_at);
+  m_evacuations.RemoveOthers(named, revision, now);
+  changed.evacuations |= !m_evacuations.Expire(now).empty();
+  changed.targets |= changed.evacuations;
   const KnowledgeChange expired = OnTimer(now);
   changed.targets |= expired.targets;
   changed.hosts |= expired.hosts;
@@ -67,6 +82,9 @@
     case KeyKind::kConfig:
       TakeConfig(change, changed);
       break;
+    case KeyKind::kEvacuation:
+      TakeEvacuation(name.id, change, now, changed);
+      break;
     case KeyKind::kTarget:
       TakeTarget(name.id, change, now, changed);
       break;
@@ -118,6 +136,31 @@
   }
 }
 
+void Knowledge::TakeEvacuation(const std::string& id,
+                               const StoreChange& change,
+                               TimePoint now,
+                               KnowledgeChange& changed) {
+  if (!change.value) {
+    m_evacuations.Remove(change.key, change.revision, now);
+    changed.evacuations |= !m_evacuations.Expire(now).empty();
+    changed.targets |= changed.evacuations;
+    return;
+  }
+  auto read = Capture([&] { return m_codec.ReadEvacuation(id); });
+  if (auto* error = std::get_if<Error>(&read)) {
+    changed.unreadable.push_back(std::move(*error));
+    return;
+  }
+  const Evacuation* known = m_evacuations.Find(change.key);
+  const bool news = known == nullptr;
+  const TimePoint since = news ? now : known->since;
+  (void)m_evacuations.Put(
+      change.key, change.revision,
+      {std::get<0>(std::move(read)), change.revision, since});
+  changed.evacuations |= news;
+  changed.targets |= news;
+}
+
 void Knowledge::TakeTarget(const std::string& id,
                            const StoreChange& change,
                            TimePoint now,
@@ -139,8 +182,17 @@
     changed.unreadable.push_back(std::move(*error));
     return;
   }
+  auto& reading = std::get<0>(read);
+  if (reading.problem) {
+    changed.unreadable.push_back(std::move(*reading.problem));
+  }
+  // Read again in a whole content, the same entry would start its cold time
+  // anew.
+  const bool again = m_targets.RevisionOf(change.key) == change.revision;
+  reading.entry.cold_until =
+      again ? m_targets.Find(change.key)->cold_until : now + reading.cold_for;
   changed.targets |=
-      m_targets.Put(change.key, change.revision, std::get<0>(std::move(read)));
+      m_targets.Put(change.key, change.revision, std::move(reading.entry));
 }
 
 void Knowledge::TakeHost(const StoreChange& change,
--- a/src/jacinthdeck/discovery/knowledge.h
+++ b/src/jacinthdeck/discovery/knowledge.h
@@ -14,6 +14,7 @@
 
 #include "jacinthdeck/core/ids.h"
 #include "jacinthdeck/core/time.h"
+#include "jacinthdeck/discovery/evacuation.h"
 #include "jacinthdeck/discovery/held_entries.h"
 #include "jacinthdeck/discovery/host_record.h"
 #include "jacinthdeck/discovery/platform_codec.h"
@@ -28,6 +29,8 @@
 struct KnowledgeChange {
   bool config = false;
   bool targets = false;
+  //! Targets change with them.
+  bool evacuations = false;
   bool hosts = false;
   bool schema = false;
   //! Services whose partition maps were written.
@@ -53,8 +56,10 @@
       const noexcept {
     return m_config;
   }
-  [[nodiscard]] std::vector<TargetEntry> Targets() const {
-    return m_targets.Entries();
+  /*! \brief All targets; those of evacuated domains are marked. */
+  [[nodiscard]] std::vector<TargetEntry> Targets() const;
+  [[nodiscard]] std::vector<Evacuation> Evacuations() const {
+    return m_evacuations.Entries();
   }
   [[nodiscard]] std::vector<HostRecord> Hosts() const {
     return m_hosts.Entries();
@@ -102,6 +107,10 @@
  private:
   void Take(const StoreChange& change, TimePoint now, KnowledgeChange& changed);
   void TakeConfig(const StoreChange& change, KnowledgeChange& changed);
+  void TakeEvacuation(const std::string& id,
+                      const StoreChange& change,
+                      TimePoint now,
+                      KnowledgeChange& changed);
   void TakeTarget(const std::string& id,
                   const StoreChange& change,
                   TimePoint now,
@@ -117,6 +126,8 @@
   std::string m_schema;
   std::map<ServiceId, std::string> m_indexes;
   HeldEntries<TargetEntry> m_targets;
+  //! No lease holds them: their removals count at once.
+  HeldEntries<Evacuation> m_evacuations;
   HeldEntries<HostRecord> m_hosts;
 };
 
--- a/src/jacinthdeck/discovery/platform_codec.h
+++ b/src/jacinthdeck/discovery/platform_codec.h
@@ -22,6 +22,8 @@
 /*! \brief What a key of the store holds. */
 enum class KeyKind {
   kConfig,
+  //! The operators want nothing sent to the targets of a failure domain.
+  kEvacuation,
   kTarget,
   kHost,
   kConviction,
@@ -31,8 +33,9 @@
 };
 
 //! Names of the kinds, for logs.
-inline constexpr NameTable<KeyKind, 7> kKeyKindNames{
-    {"config", "target", "host", "conviction", "schema", "index", "other"}};
+inline constexpr NameTable<KeyKind, 8> kKeyKindNames{
+    {"config", "evacuation", "target", "host", "conviction", "schema", "index",
+     "other"}};
 
 /*! \brief A key taken apart. */
 struct KeyName {
@@ -41,6 +44,15 @@
   std::string id;
 };
 
+/*! \brief A target's entry as it was read. */
+struct TargetReading {
+  TargetEntry entry;
+  //! Time for which the target was cold when it wrote the entry.
+  Duration cold_for{};
+  //! What is wrong with a field that the entry can do without.
+  std::optional<Error> problem;
+};
+
 /**
  * \brief Builds the store's calls and reads its replies and values.
  *
@@ -60,7 +72,15 @@
 
   [[nodiscard]] virtual Result<std::shared_ptr<const RoutingConfig>> ReadConfig(
       const std::string& value) const = 0;
-  [[nodiscard]] virtual Result<TargetEntry> ReadTarget(
+  /**
+   * \brief Reads which failure domain an evacuation is for.
+   *
+   * Its key alone gives the order. Its value is not read: an order that
+   * somebody wrote by hand must not fail for it.
+   */
+  [[nodiscard]] virtual Result<FailureDomain> ReadEvacuation(
+      const std::string& id) const = 0;
+  [[nodiscard]] virtual Result<TargetReading> ReadTarget(
       const std::string& id,
       const std::string& value) const = 0;
   [[nodiscard]] virtual Result<HostRecord> ReadHost(
--- a/src/jacinthdeck/entry/decision_log.cc
+++ b/src/jacinthdeck/entry/decision_log.cc
@@ -4,6 +4,8 @@
 #include <map>
 #include <utility>
 
+#include "jacinthdeck/entry/evacuation_text.h"
+
 namespace jacinthdeck {
 
 namespace {
@@ -119,7 +121,8 @@
 void DecisionLog::OnKnowledge(const KnowledgeChange& change,
                               const Knowledge& knowledge,
                               std::uint64_t revision,
-                              Duration since_start) {
+                              Duration since_start,
+                              TimePoint now) {
   if (change.config) {
     LogLine line = m_log.Begin(LogEvent::kConfigApplied);
     line.Count("config_version", knowledge.config()->version())
@@ -135,6 +138,13 @@
         .Flag("store_away", knowledge.store_away());
     m_log.Add(std::move(line));
   }
+  if (change.evacuations) {
+    LogLine line = m_log.Begin(LogEvent::kEvacuationsChanged);
+    line.Raw("evacuated", EvacuationsText(knowledge.Evacuations(), now))
+        .Count("store_revision", revision)
+        .Flag("store_away", knowledge.store_away());
+    m_log.Add(std::move(line));
+  }
   if (change.hosts) {
     LogLine line = m_log.Begin(LogEvent::kHostsChanged);
     line.Count("hosts", knowledge.Hosts().size())
--- a/src/jacinthdeck/entry/decision_log.h
+++ b/src/jacinthdeck/entry/decision_log.h
@@ -58,7 +58,8 @@
   void OnKnowledge(const KnowledgeChange& change,
                    const Knowledge& knowledge,
                    std::uint64_t revision,
-                   Duration since_start);
+                   Duration since_start,
+                   TimePoint now);
 
   /*! \brief Writes what was sent and received since the start. */
   void OnTraffic(const HostTraffic& traffic);
--- a/src/jacinthdeck/entry/entry_node.cc
+++ b/src/jacinthdeck/entry/entry_node.cc
@@ -48,6 +48,7 @@
 
 [[nodiscard]] ForwardOptions ForwardOptionsOf(const EntrySettings& settings) {
   ForwardOptions options;
+  options.host = settings.name;
   options.domain = settings.domain;
   options.budget = {settings.extra_ratio, settings.extra_constant,
                     settings.extra_window};
--- a/src/jacinthdeck/entry/entry_node_answers.cc
+++ b/src/jacinthdeck/entry/entry_node_answers.cc
@@ -4,6 +4,7 @@
 #include <string_view>
 
 #include "jacinthdeck/discovery/directory_choice.h"
+#include "jacinthdeck/entry/evacuation_text.h"
 #include "jacinthdeck/entry/node_metrics.h"
 #include "jacinthdeck/http/status.h"
 
@@ -75,6 +76,7 @@
       .Count("config_version",
              knowledge.config() == nullptr ? 0 : knowledge.config()->version())
       .Count("targets", knowledge.target_count())
+      .Raw("evacuated", EvacuationsText(knowledge.Evacuations(), m_clock.Now()))
       .Count("hosts", knowledge.Hosts().size())
       .Count("open_calls", m_forwarder.open_calls())
       .Count("caller_connections", m_callers.connections())
--- a/src/jacinthdeck/entry/entry_node_knowledge.cc
+++ b/src/jacinthdeck/entry/entry_node_knowledge.cc
@@ -19,9 +19,19 @@
 //! The same of a host that no callers are sent to.
 constexpr Duration kStandbyLease = milliseconds(9000);
 
+//! Tells whether typed calls keep away from a target. They do not count what it
+//! gets from all hosts, so that one with a bound gets none while it is cold.
+[[nodiscard]] bool IsAvoided(const TargetEntry& entry,
+                             const Knowledge& knowledge,
+                             TimePoint now) {
+  const bool bounded = knowledge.config() != nullptr &&
+                       knowledge.config()->ColdRate(entry.service) > 0;
+  return !entry.TakesWork() || (bounded && entry.IsCold(now));
+}
+
 //! The registry's targets in the terms of typed calls.
-[[nodiscard]] std::vector<TargetInfo> TargetInfosOf(
-    const Knowledge& knowledge) {
+[[nodiscard]] std::vector<TargetInfo> TargetInfosOf(const Knowledge& knowledge,
+                                                    TimePoint now) {
   std::vector<TargetInfo> infos;
   for (const TargetEntry& entry : knowledge.Targets()) {
     TargetInfo info;
@@ -30,7 +40,8 @@
     info.domain = entry.domain;
     info.address = entry.address;
     info.port = entry.port;
-    info.state = entry.draining ? TargetState::kLeaving : TargetState::kLive;
+    info.state = IsAvoided(entry, knowledge, now) ? TargetState::kLeaving
+                                                  : TargetState::kLive;
     info.slots = entry.slots;
     info.connections =
         knowledge.config() == nullptr
@@ -69,7 +80,7 @@
   }
   KeepRecord(now);
   TakeTyped(change, now);
-  m_decisions.OnKnowledge(change, knowledge, revision, now - m_started);
+  m_decisions.OnKnowledge(change, knowledge, revision, now - m_started, now);
   TellReadiness();
   ArmDecisions();
 }
@@ -106,6 +117,10 @@
   m_fronts = std::move(fronts);
   if (!same) {
     m_decisions.OnFronts(m_fronts);
+    std::vector<NodeId> names;
+    std::ranges::transform(m_fronts, std::back_inserter(names),
+                           &HostRecord::name);
+    m_forwarder.SetHostNames(names);
   }
   m_front_count.Add(static_cast<std::uint32_t>(m_fronts.size()), now);
   m_is_front = std::ranges::find(m_fronts, m_settings.name,
@@ -183,7 +198,7 @@
         }));
   }
   if (change.targets || change.config) {
-    calls.SetTargets(TargetInfosOf(knowledge), now);
+    calls.SetTargets(TargetInfosOf(knowledge, now), now);
   }
   if (change.hosts) {
     calls.SetHosts(m_front_count.Highest(now), now);
--- a/src/jacinthdeck/entry/log_event.h
+++ b/src/jacinthdeck/entry/log_event.h
@@ -22,6 +22,7 @@
   kRecordWriter,
   kConfigApplied,
   kTargetsChanged,
+  kEvacuationsChanged,
   kHostsChanged,
   kFrontsChanged,
   kSchemaApplied,
@@ -39,7 +40,7 @@
 };
 
 //! Names of the events, as they stand in logs.
-inline constexpr NameTable<LogEvent, 28> kLogEventNames{{"started",
+inline constexpr NameTable<LogEvent, 29> kLogEventNames{{"started",
                                                          "stopping",
                                                          "stopped",
                                                          "reloaded",
@@ -53,6 +54,7 @@
                                                          "record_writer",
                                                          "config_applied",
                                                          "targets_changed",
+                                                         "evacuations_changed",
                                                          "hosts_changed",
                                                          "fronts_changed",
                                                          "schema_applied",
--- a/src/jacinthdeck/entry/node_metrics.cc
+++ b/src/jacinthdeck/entry/node_metrics.cc
@@ -98,6 +98,8 @@
            ? 0
            : static_cast<double>(knowledge.config()->version()));
   Line(out, "targets", static_cast<double>(knowledge.target_count()));
+  Line(out, "domains_evacuated",
+       static_cast<double>(knowledge.Evacuations().size()));
   Line(out, "hosts", static_cast<double>(knowledge.Hosts().size()));
   Line(out, "ready", source.ready ? 1 : 0);
   Line(out, "log_lines_dropped_total",
--- a/src/jacinthdeck/forward/forwarder.h
+++ b/src/jacinthdeck/forward/forwarder.h
@@ -84,6 +84,11 @@
    */
   void SetHosts(std::uint32_t hosts, bool self, TimePoint now);
 
+  /*! \brief Takes the names of the hosts that callers are sent to. */
+  void SetHostNames(std::span<const NodeId> hosts) {
+    m_targets.SetHosts(m_options.host, hosts);
+  }
+
   /*! \brief Takes another host's word that a request crashes its targets. */
   void Convict(Fingerprint fingerprint, TimePoint now);
 
--- a/src/jacinthdeck/forward/forwarder_admission.cc
+++ b/src/jacinthdeck/forward/forwarder_admission.cc
@@ -217,7 +217,8 @@
                         .tried = {},
                         .reason = AttemptReason::kFirst,
                         .share = share,
-                        .needed = NeedsEachShard(open)};
+                        .needed = NeedsEachShard(open),
+                        .cold_rate = open.config->ColdRate(service)};
   return m_targets.Pick(need, now);
 }
 
--- a/src/jacinthdeck/forward/forwarder_attempts.cc
+++ b/src/jacinthdeck/forward/forwarder_attempts.cc
@@ -103,7 +103,8 @@
                         .reason = reason,
                         .share = ShareOf(open, part.service),
                         .needed = NeedsEachShard(open),
-                        .useful = UsefulTime(open, reason, now)};
+                        .useful = UsefulTime(open, reason, now),
+                        .cold_rate = open.config->ColdRate(part.service)};
   const TargetChoice choice = m_targets.Pick(need, now);
   if (choice.target == nullptr ||
       HasLeftUnanswered(part, *choice.target, now)) {
--- a/src/jacinthdeck/forward/fwd.h
+++ b/src/jacinthdeck/forward/fwd.h
@@ -6,6 +6,7 @@
 namespace jacinthdeck {
 
 class AttemptBudget;
+class ColdShare;
 class CrashGuard;
 class Forwarder;
 class LatencyProfile;
--- a/src/jacinthdeck/forward/learned_target.cc
+++ b/src/jacinthdeck/forward/learned_target.cc
@@ -119,6 +119,7 @@
                            bool needed,
                            TimePoint now) {
   m_in_flight.push_back({attempt, now, late_after, needed});
+  m_last_sent = now;
 }
 
 void LearnedTarget::OnAnswer(AttemptId attempt,
--- a/src/jacinthdeck/forward/learned_target.h
+++ b/src/jacinthdeck/forward/learned_target.h
@@ -30,12 +30,14 @@
   [[nodiscard]] std::size_t in_flight() const noexcept {
     return m_in_flight.size();
   }
+  /*! \brief When an attempt was sent to it last. */
+  [[nodiscard]] TimePoint last_sent() const noexcept { return m_last_sent; }
   /*! \brief Those whose calls cannot do without them. */
   [[nodiscard]] std::size_t needed_in_flight() const noexcept;
 
   /*! \brief Tells whether it may get new work at all. */
   [[nodiscard]] bool TakesWork() const noexcept {
-    return !m_gone && !m_entry.draining;
+    return !m_gone && m_entry.TakesWork();
   }
 
   /*! \brief Tells whether it has answered nothing for longer than its work
@@ -132,6 +134,7 @@
   bool m_gone = false;
   //! Oldest first.
   std::vector<InFlight> m_in_flight;
+  TimePoint m_last_sent;
   //! Last sign of life.
   TimePoint m_last_reply;
   //! Latency over the mean of its route.
--- a/src/jacinthdeck/forward/routing_config.cc
+++ b/src/jacinthdeck/forward/routing_config.cc
@@ -39,6 +39,9 @@
         m_fewest_connections == 0
             ? service.target_connections
             : std::min(m_fewest_connections, service.target_connections);
+    if (service.cold_rate > 0) {
+      m_cold_rates[service.id] = service.cold_rate;
+    }
   }
 }
 
@@ -59,4 +62,9 @@
   return found == m_target_connections.end() ? 1 : found->second;
 }
 
+double RoutingConfig::ColdRate(const ServiceId& service) const {
+  const auto found = m_cold_rates.find(service);
+  return found == m_cold_rates.end() ? 0 : found->second;
+}
+
 }  // namespace jacinthdeck
--- a/src/jacinthdeck/forward/routing_config.h
+++ b/src/jacinthdeck/forward/routing_config.h
@@ -31,6 +31,9 @@
   ServiceId id;
   //! Connections that each of its targets accepts from all callers together.
   std::uint32_t target_connections = 1;
+  //! Requests a second that each of its targets bears from all callers together
+  //! while it is cold; 0: no bound.
+  double cold_rate = 0;
 };
 
 /**
@@ -73,6 +76,10 @@
    * unknown one. */
   [[nodiscard]] std::uint32_t TargetConnections(const ServiceId& service) const;
 
+  /*! \brief Requests a second that a cold target of a service bears; 0: no
+   * bound. */
+  [[nodiscard]] double ColdRate(const ServiceId& service) const;
+
  private:
   std::uint64_t m_version;
   //! Never changed after the constructor; pointers into it are handed out.
@@ -80,6 +87,8 @@
   //! Routes of each host, longest prefix first.
   std::unordered_map<std::string, std::vector<const Route*>> m_by_host;
   std::unordered_map<ServiceId, std::uint32_t> m_target_connections;
+  //! Of services with a bound alone.
+  std::unordered_map<ServiceId, double> m_cold_rates;
   std::uint32_t m_fewest_connections = 0;
   CallerLimits m_limits;
 };
--- a/src/jacinthdeck/forward/target_entry.h
+++ b/src/jacinthdeck/forward/target_entry.h
@@ -23,11 +23,22 @@
   std::uint32_t slots = 1;
   //! It finishes what it has and gets nothing new.
   bool draining = false;
+  //! Nothing may be sent to the targets of its failure domain.
+  bool evacuated = false;
+  //! Until then it is slow, and its service may bound its requests.
+  TimePoint cold_until;
   //! Start of this life in Unix milliseconds; 0 where the entry does not say.
   //! A target may come back under its id: a later start is a new life, of which
   //! nothing learned before holds.
   std::uint64_t started_ms = 0;
 
+  [[nodiscard]] bool TakesWork() const noexcept {
+    return !draining && !evacuated;
+  }
+  [[nodiscard]] bool IsCold(TimePoint now) const noexcept {
+    return now < cold_until;
+  }
+
   [[nodiscard]] bool operator==(const TargetEntry&) const = default;
 };
 
--- a/src/jacinthdeck/forward/target_set.cc
+++ b/src/jacinthdeck/forward/target_set.cc
@@ -78,7 +78,8 @@
   TargetChoice best;
   double best_score = std::numeric_limits<double>::max();
   for (LearnedTarget* target : found->second) {
-    if (!target->TakesWork() || !HasPlace(*target, need)) {
+    if (!target->TakesWork() || !HasPlace(*target, need) ||
+        !MayLoad(*target, need, now)) {
       continue;
     }
     const Duration expected = target->ExpectedDelay(need.usual, now);
@@ -141,6 +142,14 @@
   }
 }
 
+bool TargetSet::MayLoad(const LearnedTarget& target,
+                        const TargetNeed& need,
+                        TimePoint now) const {
+  return need.cold_rate <= 0 || !target.entry().IsCold(now) ||
+         m_cold_share.MaySend(target.entry().id, need.cold_rate,
+                              target.last_sent(), now);
+}
+
 double TargetSet::Score(const LearnedTarget& target,
                         const TargetNeed& need,
                         Duration expected,
--- a/src/jacinthdeck/forward/target_set.h
+++ b/src/jacinthdeck/forward/target_set.h
@@ -13,6 +13,7 @@
 #include "jacinthdeck/core/random.h"
 #include "jacinthdeck/core/time.h"
 #include "jacinthdeck/forward/attempt_end.h"
+#include "jacinthdeck/forward/cold_share.h"
 #include "jacinthdeck/forward/in_flight_bound.h"
 #include "jacinthdeck/forward/learned_target.h"
 #include "jacinthdeck/forward/usual_latency.h"
@@ -38,6 +39,9 @@
   //! longer gets no hedge, and one attempt of this host at a time: enough to
   //! learn when it is fast again. Hedges so keep away from targets that shed.
   Duration useful = Duration::max();
+  //! Requests a second that a cold target of the service bears from all hosts;
+  //! 0: no bound.
+  double cold_rate = 0;
 };
 
 /*! \brief A chosen target. */
@@ -86,6 +90,11 @@
   [[nodiscard]] Duration UsualOf(const ServiceId& service,
                                  Duration other) const;
 
+  /*! \brief Takes the hosts that share what cold targets bear. */
+  void SetHosts(const NodeId& self, std::span<const NodeId> hosts) {
+    m_cold_share.SetHosts(self, hosts);
+  }
+
   /**
    * \brief Replaces the known targets.
    * \param entries All targets of all services; of equal ids the last counts.
@@ -93,12 +102,18 @@
   void Replace(std::span<const TargetEntry> entries, TimePoint now);
 
  private:
+  //! Tells whether the target is warm, or this host's share of what it bears
+  //! while it is cold allows one more request.
+  [[nodiscard]] bool MayLoad(const LearnedTarget& target,
+                             const TargetNeed& need,
+                             TimePoint now) const;
   [[nodiscard]] double Score(const LearnedTarget& target,
                              const TargetNeed& need,
                              Duration expected,
                              TimePoint now);
 
   FailureDomain m_domain;
+  ColdShare m_cold_share;
   Random m_random;
   std::unordered_map<TargetId, std::unique_ptr<LearnedTarget>> m_targets;
   //! Targets that are not gone.
--- a/test/daemons/ctl_test.cc
+++ b/test/daemons/ctl_test.cc
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "ctl/command.h"
+#include "http/http_server.h"
 #include "jacinthdeck/core/steady_clock.h"
 #include "platform/store_codec.h"
 #include "store/store_server.h"
@@ -119,6 +120,29 @@
   BOOST_TEST((Run({"hosts"}) == ExitCode::kUnreachable));
 }
 
+// Guards against an operator who takes a domain down while a host still sends
+// to it.
+BOOST_AUTO_TEST_CASE(Evacuations_OneHostLacksOneAndOneIsDown_BothAreNamed) {
+  standins::StoreControl control;
+  control.puts.push_back({"op/evacuate/z1", "{}", {}});
+  control.puts.push_back({"op/evacuate/z2", "{}", {}});
+  store.Apply(control);
+  standins::HttpServer host{
+      {}, [](const standins::HttpRequest&) {
+        return standins::HttpReply{
+            200, R"({"evacuated":[{"failure_domain":"z1"}]})", false};
+      }};
+  const std::string up = Endpoint{"127.0.0.1", host.port()}.ToString();
+  BOOST_TEST((Run({"evacuations"}) == ExitCode::kDone));
+  BOOST_TEST((Run({"evacuations", up, "127.0.0.1:1"}) == ExitCode::kPartial));
+  const std::string printed = out.str();
+  const std::size_t lacking = printed.rfind("not_applied");
+  BOOST_TEST(printed.find(up, lacking) != printed.npos);
+  BOOST_TEST(printed.find("z2", lacking) != printed.npos);
+  BOOST_TEST(printed.find("z1", lacking) == printed.npos);
+  BOOST_TEST(printed.find("127.0.0.1:1", lacking) != printed.npos);
+}
+
 BOOST_AUTO_TEST_CASE(Explain_LinesOfTwoHosts_AreTheRequestsInOrder) {
   const std::string first = MakeFile(
       "cut line {\"event\":\n"
--- a/test/jacinthdeck/discovery/knowledge_test.cc
+++ b/test/jacinthdeck/discovery/knowledge_test.cc
@@ -40,6 +40,13 @@
     return knowledge.OnChanges({&change, 1}, now);
   }
 
+  //! Number of targets that may get work.
+  [[nodiscard]] std::size_t InUse() const {
+    const std::vector<TargetEntry> all = knowledge.Targets();
+    return static_cast<std::size_t>(
+        std::ranges::count_if(all, &TargetEntry::TakesWork));
+  }
+
   [[nodiscard]] std::size_t targets() const { return knowledge.target_count(); }
 };
 
@@ -150,6 +157,99 @@
   BOOST_TEST(change.convictions.front() == fingerprint);
 }
 
+// Guards against requests to the targets of an evacuated domain.
+BOOST_AUTO_TEST_CASE(Evacuation_IsOrdered_TargetsOfThatDomainAreMarked) {
+  (void)Change("servers/a", Server("ready"));
+  BOOST_TEST(!Change("op/evacuate/elsewhere", "{}").unreadable.size());
+  BOOST_TEST(InUse() == 1U);
+  const KnowledgeChange change = Change("op/evacuate/z", "{}");
+  BOOST_TEST(change.evacuations);
+  BOOST_TEST(change.targets);
+  BOOST_TEST(InUse() == 0U);
+  BOOST_TEST(targets() == 1U);
+  (void)Change("servers/b", Server("ready"));
+  BOOST_TEST(InUse() == 0U);
+  BOOST_TEST(Change("op/evacuate/z", std::nullopt).targets);
+  BOOST_TEST(InUse() == 2U);
+  BOOST_TEST(knowledge.Evacuations().size() == 1U);
+}
+
+// Guards against an order that is held back like a lapsed lease.
+BOOST_AUTO_TEST_CASE(Evacuation_StoreIsAway_BothOrdersCountAtOnce) {
+  (void)Change("servers/a", Server("ready"));
+  knowledge.OnStoreAway();
+  (void)Change("op/evacuate/z", "{}");
+  BOOST_TEST(InUse() == 0U);
+  knowledge.OnStoreAway();
+  (void)Change("op/evacuate/z", std::nullopt);
+  BOOST_TEST(InUse() == 1U);
+}
+
+// Guards against an evacuation that ends by a reading older than it.
+BOOST_AUTO_TEST_CASE(Evacuation_OlderReadingLacksIt_Holds) {
+  revision = 50;
+  (void)Change("servers/a", Server("ready"));
+  (void)Change("op/evacuate/z", "{}");
+  (void)knowledge.OnReading({}, 40, now);
+  BOOST_TEST(InUse() == 0U);
+  const std::vector<StoreChange> items{{"servers/a", 51, Server("ready")}};
+  BOOST_TEST(knowledge.OnReading(items, 60, now).evacuations);
+  BOOST_TEST(InUse() == 1U);
+}
+
+// Guards against an order that is lost for its value, and against one that
+// names no domain and hides others.
+BOOST_AUTO_TEST_CASE(Evacuation_ValueOrKeyIsOdd_DomainHoldsAndOddKeyIsTold) {
+  (void)Change("servers/a", Server("ready"));
+  BOOST_TEST(Change("op/evacuate/z", std::string("\xff\x00", 2)).evacuations);
+  for (const std::string& key :
+       {std::string("op/evacuate/"), "op/evacuate/" + std::string(180, 'z')}) {
+    BOOST_TEST(Change(key, "{}").unreadable.size() == 1U);
+  }
+  BOOST_TEST(knowledge.Evacuations().size() == 1U);
+  BOOST_TEST(InUse() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(Evacuation_IsWrittenAgain_SinceWhenStays) {
+  (void)Change("op/evacuate/z", "{}");
+  const TimePoint first = now;
+  now += seconds(3);
+  BOOST_TEST(!Change("op/evacuate/z", "{}").evacuations);
+  BOOST_TEST((knowledge.Evacuations().front().since == first));
+}
+
+BOOST_AUTO_TEST_CASE(Target_TellsItsColdTime_IsColdForThatLong) {
+  (void)Change("servers/a", Server("ready", R"(,"coldRemainingMs":1500)"));
+  const TargetEntry entry = knowledge.Targets().front();
+  BOOST_TEST(entry.IsCold(now + milliseconds(1499)));
+  BOOST_TEST(!entry.IsCold(now + milliseconds(1500)));
+}
+
+// Guards against a cold time that starts anew with each reading.
+BOOST_AUTO_TEST_CASE(Target_IsReadAgainWhileCold_ColdTimeGoesOn) {
+  const std::string cold = Server("ready", R"(,"coldRemainingMs":1500)");
+  (void)Change("servers/a", cold);
+  const std::vector<StoreChange> items{{"servers/a", revision, cold}};
+  const TimePoint warm = now + milliseconds(1500);
+  now += milliseconds(1000);
+  (void)knowledge.OnReading(items, revision, now);
+  BOOST_TEST((knowledge.Targets().front().cold_until == warm));
+}
+
+// Guards against a target that is lost, or avoided for a day, for a cold time
+// that makes no sense.
+BOOST_AUTO_TEST_CASE(Target_ColdTimeMakesNoSense_IsToldAndUsedAsWarm) {
+  for (const std::string value : {"-5", "\"soon\"", "86400000", "1e400"}) {
+    const KnowledgeChange change =
+        Change("servers/a", Server("ready", ",\"coldRemainingMs\":" + value));
+    BOOST_TEST(change.unreadable.size() == 1U);
+    if (value != "1e400") {
+      BOOST_REQUIRE_EQUAL(targets(), 1U);
+      BOOST_TEST(!knowledge.Targets().front().IsCold(now));
+    }
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace jacinthdeck
--- a/test/jacinthdeck/entry/entry_node_test.cc
+++ b/test/jacinthdeck/entry/entry_node_test.cc
@@ -159,6 +159,27 @@
   BOOST_TEST(named.body.find(std::to_string(callers)) != std::string::npos);
 }
 
+// Guards against a host that serves on into an evacuated domain, and one that
+// does not come back after its end.
+BOOST_AUTO_TEST_CASE(Host_DomainIsEvacuatedAndGivenBack_RefusesAndServes) {
+  PutAll();
+  BOOST_TEST(Until([&] { return Get(callers, "/a/1").status == 502; }));
+  standins::StoreControl evacuate;
+  evacuate.puts.push_back({"op/evacuate/z", "{}", {}});
+  store.Apply(evacuate);
+  BOOST_TEST(Until([&] { return Get(callers, "/a/1").status == 503; }));
+  BOOST_TEST(Get(metrics, "/status")
+                 .body.find(R"("evacuated":[{"failure_domain":"z",)") !=
+             std::string::npos);
+  BOOST_TEST(
+      Get(metrics, "/metrics").body.find("jacinthdeck_domains_evacuated 1") !=
+      std::string::npos);
+  standins::StoreControl give_back;
+  give_back.removes.push_back("op/evacuate/z");
+  store.Apply(give_back);
+  BOOST_TEST(Until([&] { return Get(callers, "/a/1").status == 502; }));
+}
+
 // The settings file changes while callers hold connections.
 // SIGHUP reads it again; a caller that has sent half of a request sends the
 // rest afterwards and must be answered on the same connection.
--- a/test/jacinthdeck/forward/forwarder_test.cc
+++ b/test/jacinthdeck/forward/forwarder_test.cc
@@ -214,6 +214,52 @@
   BOOST_TEST((Only().answer.reason == ForwardReason::kDeadline));
 }
 
+// Guards against a retry or hedge into an evacuated domain, and against the
+// loss of what is under way there.
+BOOST_AUTO_TEST_CASE(Domain_IsEvacuatedWithWorkUnderWay_WorkIsAnsweredThere) {
+  WarmUp("/read/1", milliseconds(10));
+  (void)Submit("/read/1");
+  const OutgoingAttempt under_way = port.sent.back();
+  for (TargetEntry& entry : targets) {
+    entry.evacuated = entry.domain == under_way.target.domain;
+  }
+  forwarder.SetTargets(targets, clock.Now());
+  for (int i = 0; i < 20; ++i) {
+    (void)Submit("/read/1");
+    End(port.sent.back(), AttemptOutcome::kBroken);
+    Advance(milliseconds(20));
+  }
+  for (std::size_t at = 1; at < port.sent.size(); ++at) {
+    BOOST_TEST(port.sent[at].target.domain != under_way.target.domain);
+  }
+  const CallId call(next_call - 21);
+  Answer(under_way);
+  const auto answered =
+      std::ranges::find(port.delivered, call, &RecordingPort::Delivered::call);
+  BOOST_REQUIRE(answered != port.delivered.end());
+  BOOST_TEST((answered->answer.kind == AnswerKind::kResponse));
+}
+
+// Guards against callers that wait for a service whose targets are evacuated.
+BOOST_AUTO_TEST_CASE(Domain_HoldsAllTargetsOfAService_CallIsRefusedAtOnce) {
+  for (TargetEntry& entry : targets) {
+    entry.evacuated = entry.service == ServiceId("plain") ||
+                      entry.service == ServiceId("shard-1");
+  }
+  forwarder.SetTargets(targets, clock.Now());
+  (void)Submit("/read/1");
+  BOOST_TEST((Only().answer.kind == AnswerKind::kNotRun));
+  BOOST_TEST(Only().answer.retry_after.has_value());
+  BOOST_TEST(port.sent.empty());
+  port.delivered.clear();
+  (void)Submit("/fan/1");
+  BOOST_TEST(port.sent.size() == kShards - 1);
+  for (const OutgoingAttempt& attempt : port.sent) {
+    Answer(attempt);
+  }
+  BOOST_TEST(Only().answer.missing_parts == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace jacinthdeck
--- a/test/jacinthdeck/forward/target_set_test.cc
+++ b/test/jacinthdeck/forward/target_set_test.cc
@@ -220,6 +220,52 @@
   BOOST_TEST(Picks(1)["none"] == 1);
 }
 
+// Guards against work for the targets of an evacuated domain.
+BOOST_AUTO_TEST_CASE(Pick_TargetIsEvacuated_GetsNothingForWhateverReason) {
+  for (TargetEntry& entry : entries) {
+    entry.evacuated = entry.id != TargetId("t2");
+  }
+  set.Replace(entries, now);
+  BOOST_TEST(set.Live(need.service) == 1U);
+  for (const AttemptReason reason :
+       {AttemptReason::kFirst, AttemptReason::kHedge, AttemptReason::kRetry}) {
+    need.reason = reason;
+    BOOST_TEST(Picks(20)["t2"] == 20);
+  }
+}
+
+// Guards against a crash of a cold target by requests beyond what it bears.
+BOOST_AUTO_TEST_CASE(Pick_ColdTargetHasABound_GetsNoMoreThanTheHostsShare) {
+  for (TargetEntry& entry : entries) {
+    entry.cold_until = now + seconds(4);
+  }
+  set.Replace(entries, now);
+  set.SetHosts(NodeId("h0"), std::vector<NodeId>{NodeId("h0")});
+  need.cold_rate = 5;
+  need.share.connections = 1000;
+  int sent = 0;
+  for (int i = 0; i < 3000; ++i) {
+    now += milliseconds(1);
+    const TargetChoice choice = set.Pick(need, now);
+    if (choice.target != nullptr) {
+      (void)Send(*choice.target);
+      ++sent;
+    }
+  }
+  BOOST_TEST(sent >= 3 * 3 * 4);
+  BOOST_TEST(sent <= 3 * (3 * 5 + 1));
+  now += seconds(2);
+  BOOST_TEST(Picks(50).count("none") == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(Pick_HostTakesNoCallers_SendsNothingToABoundedColdTarget) {
+  entries[0].cold_until = now + seconds(4);
+  set.Replace(entries, now);
+  set.SetHosts(NodeId("h0"), std::vector<NodeId>{NodeId("h1")});
+  need.cold_rate = 100;
+  BOOST_TEST(Picks(50).count("t0") == 0U);
+}
+
 // A target comes back under its id after a crash. What its former life failed
 // at says nothing of the new one.
 BOOST_AUTO_TEST_CASE(Replace_LaterStartUnderTheSameId_ForgetsTheFailures) {
--- a/test/platform/codecs_test.cc
+++ b/test/platform/codecs_test.cc
@@ -28,7 +28,8 @@
    "trafficSplit":[{"service":"s1","weight":3},{"service":"s2","weight":0}]},
   {"name":"r3","host":"h","prefix":"/c/","routeType":"anything",
    "service":"s2"}],
- "services":[{"name":"s1","maxConnections":30}],
+ "services":[{"name":"s1","maxConnections":30,"coldPerS":12.5},
+             {"name":"s2","coldPerS":0.0}],
  "limits":{"maxHeaderBytes":100,"maxBodyBytes":200,"headerTimeoutMs":300,
            "idleTimeoutMs":400}})";
 
@@ -53,9 +54,24 @@
   // A kind that is not known must not be repeated.
   BOOST_TEST((config->Find("h", "/c/x")->repeat == RepeatRule::kAtMostOnce));
   BOOST_TEST(config->TargetConnections(ServiceId("s1")) == 30U);
+  BOOST_TEST(config->ColdRate(ServiceId("s1")) == 12.5);
+  BOOST_TEST(config->ColdRate(ServiceId("s2")) == 0);
   BOOST_TEST(config->limits().body_bytes == 200U);
 }
 
+// Guards against a bound that is taken for "no bound".
+BOOST_AUTO_TEST_CASE(Config_ColdBoundIsWrong_ErrorNamesIt) {
+  for (const std::string bound : {"-1", "\"many\"", "null"}) {
+    const auto read = Capture([&] {
+      return ReadConfig(
+          R"({"version":1,"routes":[],"services":[{"name":"s","coldPerS":)" +
+          bound + "}]}");
+    });
+    BOOST_REQUIRE_EQUAL(read.index(), 1U);
+    BOOST_TEST(std::get<Error>(read).subject == "config.services[0].coldPerS");
+  }
+}
+
 BOOST_AUTO_TEST_CASE(Config_FieldIsWrong_ErrorNamesIt) {
   const auto read = Capture([] {
     return ReadConfig(
