Count attempts that leave the host's failure domain, by reason

Cause: bytes between domains are the largest price that decisions make on the shifted deployment, and the log said only how many there were, not which decisions sent them. Change: a counter beside the attempts by reason, in the metrics and in the line on traffic.

--- a/src/jacinthdeck/entry/decision_log.cc
+++ b/src/jacinthdeck/entry/decision_log.cc
@@ -1,6 +1,7 @@
 // Stories of calls as JSON lines.
 #include "jacinthdeck/entry/decision_log.h"
 
+#include <array>
 #include <map>
 #include <utility>
 
@@ -34,6 +35,16 @@
   return std::move(line).Finish();
 }
 
+//! Counts by reason of an attempt as a JSON object.
+[[nodiscard]] std::string CountsText(
+    const std::array<std::uint64_t, 3>& by_reason) {
+  LogLine line;
+  for (std::size_t index = 0; index < by_reason.size(); ++index) {
+    line.Count(kAttemptReasonNames.names[index], by_reason[index]);
+  }
+  return std::move(line).Finish();
+}
+
 //! Attempts as a JSON array; good ones of a fan-out are left out, since there
 //! are as many as shards.
 [[nodiscard]] std::string AttemptsText(const CallStory& story) {
@@ -172,7 +183,10 @@
       .Count("feed_bytes_own_domain", traffic.feed.own)
       .Count("feed_bytes_other_domains", traffic.feed.other)
       .Count("target_bytes_own_domain", traffic.targets.own)
-      .Count("target_bytes_other_domains", traffic.targets.other);
+      .Count("target_bytes_other_domains", traffic.targets.other)
+      .Raw("attempts", CountsText(traffic.calls.attempts))
+      .Raw("attempts_other_domains",
+           CountsText(traffic.calls.attempts_crossing));
   m_log.Add(std::move(line));
 }
 
--- a/src/jacinthdeck/entry/decision_log.h
+++ b/src/jacinthdeck/entry/decision_log.h
@@ -12,6 +12,7 @@
 #include "jacinthdeck/discovery/store_session.h"
 #include "jacinthdeck/entry/event_log.h"
 #include "jacinthdeck/forward/call_story.h"
+#include "jacinthdeck/forward/forward_counters.h"
 #include "jacinthdeck/forward/forward_answer.h"
 
 namespace jacinthdeck {
@@ -23,6 +24,7 @@
   LinkBytes feed;
   //! To and from targets.
   LinkBytes targets;
+  ForwardCounters calls;
 };
 
 /*! \brief How a call ended, with what the edge knows of it. */
--- a/src/jacinthdeck/entry/entry_node.cc
+++ b/src/jacinthdeck/entry/entry_node.cc
@@ -287,7 +287,8 @@
   }
   m_traffic_at = now + kTrafficEvery;
   m_decisions.OnTraffic(
-      {m_store.counters(), m_feed.received(), m_pool.counters().bytes});
+      {m_store.counters(), m_feed.received(), m_pool.counters().bytes,
+       m_forwarder.counters()});
 }
 
 void EntryNode::TellReadiness() {
--- a/src/jacinthdeck/entry/node_metrics.cc
+++ b/src/jacinthdeck/entry/node_metrics.cc
@@ -59,6 +59,8 @@
   Line(out, "calls_abandoned_total", static_cast<double>(calls.abandoned));
   Line(out, "calls_open", static_cast<double>(source.forwarder.open_calls()));
   Lines(out, "attempts_total", "reason", kAttemptReasonNames, calls.attempts);
+  Lines(out, "attempts_other_domains_total", "reason", kAttemptReasonNames,
+        calls.attempts_crossing);
   Lines(out, "attempt_ends_total", "outcome", kAttemptOutcomeNames,
         calls.outcomes);
   Line(out, "attempts_cancelled_total", static_cast<double>(calls.cancelled));
--- a/src/jacinthdeck/forward/forward_counters.h
+++ b/src/jacinthdeck/forward/forward_counters.h
@@ -14,6 +14,8 @@
   std::uint64_t abandoned = 0;
   //! By AttemptReason.
   std::array<std::uint64_t, 3> attempts{};
+  //! Those to targets of other failure domains, by AttemptReason.
+  std::array<std::uint64_t, 3> attempts_crossing{};
   //! By AttemptOutcome.
   std::array<std::uint64_t, 5> outcomes{};
   //! Attempts cancelled without an end.
--- a/src/jacinthdeck/forward/forwarder_attempts.cc
+++ b/src/jacinthdeck/forward/forwarder_attempts.cc
@@ -155,6 +155,9 @@
   ++part.arrivals;
   ++part.sends;
   ++m_counters.attempts[static_cast<std::size_t>(reason)];
+  if (target.entry().domain != m_options.domain) {
+    ++m_counters.attempts_crossing[static_cast<std::size_t>(reason)];
+  }
   part.hedge_at.reset();
   if (MaySendAgain(open, part, now)) {
     part.hedge_at = now + open.profile->hedge_delay();
