--- a/test/jacinthdeck/forward/target_set_test.cc
+++ b/test/jacinthdeck/forward/target_set_test.cc
@@ -248,7 +248,7 @@
     now += milliseconds(1);
     const TargetChoice choice = set.Pick(need, now);
     if (choice.target != nullptr) {
-      (void)Send(*choice.target);
+      Answer(*choice.target, need.usual.mean);
       ++sent;
     }
   }
