Keep to the own failure domain while its target answers in good time

Bytes between domains were the largest price that decisions make. Hypothesis: what is sooner than needed is worth nothing to the caller; while the own target is expected within half of the objective only a queue should drive work out of the domain.

--- a/src/jacinthdeck/forward/forwarder_admission.cc
+++ b/src/jacinthdeck/forward/forwarder_admission.cc
@@ -218,7 +218,8 @@
                         .reason = AttemptReason::kFirst,
                         .share = share,
                         .needed = NeedsEachShard(open),
-                        .cold_rate = open.config->ColdRate(service)};
+                        .cold_rate = open.config->ColdRate(service),
+                        .objective = open.route->objective};
   return m_targets.Pick(need, now);
 }
 
--- a/src/jacinthdeck/forward/forwarder_attempts.cc
+++ b/src/jacinthdeck/forward/forwarder_attempts.cc
@@ -104,7 +104,8 @@
                         .share = ShareOf(open, part.service),
                         .needed = NeedsEachShard(open),
                         .useful = UsefulTime(open, reason, now),
-                        .cold_rate = open.config->ColdRate(part.service)};
+                        .cold_rate = open.config->ColdRate(part.service),
+                        .objective = open.route->objective};
   const TargetChoice choice = m_targets.Pick(need, now);
   if (choice.target == nullptr ||
       HasLeftUnanswered(part, *choice.target, now)) {
--- a/src/jacinthdeck/forward/target_set.cc
+++ b/src/jacinthdeck/forward/target_set.cc
@@ -12,7 +12,13 @@
 
 //! Extra delay that a target outside the host's failure domain is charged, in
 //! parts of the mean: it costs a longer way and traffic between domains.
-constexpr double kOtherDomainCost = 0.7;
+constexpr double kOtherDomainCost = 1.5;
+//! The same compared with a target of the own domain that is expected to answer
+//! in good time: an answer that is sooner yet is worth nothing to its caller.
+constexpr double kNeedlessCost = 3.0;
+//! Part of the objective within which a target answers in good time. The rest
+//! is for the slowest shard and for a hedge.
+constexpr int kGoodTimePart = 2;
 //! Random part of a score: hosts with the same view must not all send to the
 //! same target.
 constexpr double kJitter = 0.1;
@@ -35,6 +41,10 @@
   return std::ranges::find(ids, id) != ids.end();
 }
 
+[[nodiscard]] bool IsInGoodTime(Duration expected, const TargetNeed& need) {
+  return expected * kGoodTimePart <= need.objective;
+}
+
 [[nodiscard]] bool SuitsHedge(const LearnedTarget& target,
                               const TargetNeed& need,
                               TimePoint now) {
@@ -158,7 +168,11 @@
       static_cast<double>(std::max(need.usual.mean, Duration(1)).count());
   double score = static_cast<double>(expected.count()) / mean;
   score *= 1 + kJitter * m_random.Unit();
-  score += target.entry().domain == m_domain ? 0 : kOtherDomainCost;
+  if (target.entry().domain != m_domain) {
+    score += kNeedlessCost;
+  } else if (!IsInGoodTime(expected, need)) {
+    score += kNeedlessCost - kOtherDomainCost;
+  }
   score += target.IsDoubtful(now) ? kDoubtfulCost : 0;
   score += Contains(need.tried, target.entry().id) ? kTriedCost : 0;
   return score;
--- a/src/jacinthdeck/forward/target_set.h
+++ b/src/jacinthdeck/forward/target_set.h
@@ -42,6 +42,8 @@
   //! Requests a second that a cold target of the service bears from all hosts;
   //! 0: no bound.
   double cold_rate = 0;
+  //! Of the route; zero: none.
+  Duration objective{};
 };
 
 /*! \brief A chosen target. */
--- a/test/jacinthdeck/forward/forwarder_fixture.h
+++ b/test/jacinthdeck/forward/forwarder_fixture.h
@@ -206,9 +206,19 @@
     port.delivered.clear();
   }
 
+  //! Leaves one target of the plain service that takes work.
+  void OfferOnly(const TargetId& id) {
+    std::vector<TargetEntry> offered = targets;
+    for (TargetEntry& entry : offered) {
+      entry.draining = entry.service == ServiceId("plain") && entry.id != id;
+    }
+    forwarder.SetTargets(offered, clock.Now());
+  }
+
   //! Each target of the plain service tells of its load with an answer.
   void TellLoadOfAll(const LoadReport& load) {
     for (std::size_t i = 0; i < kReplicas; ++i) {
+      OfferOnly(TargetId("plain/" + std::to_string(i)));
       (void)Submit("/read/" + std::to_string(i));
       AttemptEnd end;
       end.id = port.sent.back().id;
@@ -218,6 +228,7 @@
       end.load = load;
       forwarder.OnAttemptEnd(end, clock.Now());
     }
+    forwarder.SetTargets(targets, clock.Now());
     port.sent.clear();
     port.delivered.clear();
   }
--- a/test/jacinthdeck/forward/target_set_test.cc
+++ b/test/jacinthdeck/forward/target_set_test.cc
@@ -220,6 +220,29 @@
   BOOST_TEST(Picks(1)["none"] == 1);
 }
 
+// Guards against bytes between domains that bring no answer in time: the own
+// target is slower than the others, and soon enough.
+BOOST_AUTO_TEST_CASE(Pick_OwnTargetIsSlowerButInGoodTime_KeepsToTheOwnDomain) {
+  need.objective = milliseconds(120);
+  for (int i = 0; i < 8; ++i) {
+    Answer(Target(0), milliseconds(44));
+    Answer(Target(1), milliseconds(16));
+    Answer(Target(2), milliseconds(16));
+  }
+  BOOST_TEST(Picks(50)["t0"] == 50);
+}
+
+// Guards against late answers for the sake of bytes.
+BOOST_AUTO_TEST_CASE(Pick_OwnTargetTakesMostOfTheObjective_GoesElsewhere) {
+  need.objective = milliseconds(120);
+  for (int i = 0; i < 8; ++i) {
+    Answer(Target(0), milliseconds(70));
+    Answer(Target(1), milliseconds(16));
+    Answer(Target(2), milliseconds(16));
+  }
+  BOOST_TEST(Picks(50).count("t0") == 0U);
+}
+
 // Guards against work for the targets of an evacuated domain.
 BOOST_AUTO_TEST_CASE(Pick_TargetIsEvacuated_GetsNothingForWhateverReason) {
   for (TargetEntry& entry : entries) {
