--- a/test/jacinthdeck/forward/forwarder_fixture.h
+++ b/test/jacinthdeck/forward/forwarder_fixture.h
@@ -215,8 +215,14 @@
     forwarder.SetTargets(offered, clock.Now());
   }
 
-  //! Each target of the plain service tells of its load with an answer.
-  void TellLoadOfAll(const LoadReport& load) {
+  //! Each target of the plain service answers some calls after a time, and
+  //! tells of its load with the last answer.
+  void TellLoadOfAll(const LoadReport& load, Duration latency) {
+    constexpr int kCalls = 16;
+    for (std::size_t i = 0; i < kReplicas; ++i) {
+      OfferOnly(TargetId("plain/" + std::to_string(i)));
+      WarmUp("/read/" + std::to_string(i), latency, kCalls);
+    }
     for (std::size_t i = 0; i < kReplicas; ++i) {
       OfferOnly(TargetId("plain/" + std::to_string(i)));
       (void)Submit("/read/" + std::to_string(i));
--- a/test/jacinthdeck/forward/forwarder_load_test.cc
+++ b/test/jacinthdeck/forward/forwarder_load_test.cc
@@ -12,7 +12,7 @@
 // the targets keep to work that is still of use.
 BOOST_AUTO_TEST_CASE(Overload_QueuesAreLong_RefusedAtOnce) {
   WarmUp("/read/1", milliseconds(40));
-  TellLoadOfAll(LoadReport{3, 18, 3, 1});
+  TellLoadOfAll(LoadReport{3, 18, 3, 1}, milliseconds(40));
   (void)Submit("/read/next");
   BOOST_TEST(port.sent.empty());
   BOOST_TEST((Only().answer.reason == ForwardReason::kOverload));
@@ -80,7 +80,7 @@
 // again.
 BOOST_AUTO_TEST_CASE(Hedge_NoSlotIsFreeWhenItIsDue_IsSentOnceOneIs) {
   WarmUp("/read/1", milliseconds(20));
-  TellLoadOfAll(LoadReport{3, 3, 3, 1});
+  TellLoadOfAll(LoadReport{3, 3, 3, 1}, milliseconds(20));
   (void)Submit("/read/next");
   Advance(milliseconds(150));
   BOOST_TEST(port.sent.size() == 1U);
