--- a/src/jacinthdeck/entry/decision_log.h
+++ b/src/jacinthdeck/entry/decision_log.h
@@ -12,8 +12,8 @@
 #include "jacinthdeck/discovery/store_session.h"
 #include "jacinthdeck/entry/event_log.h"
 #include "jacinthdeck/forward/call_story.h"
-#include "jacinthdeck/forward/forward_counters.h"
 #include "jacinthdeck/forward/forward_answer.h"
+#include "jacinthdeck/forward/forward_counters.h"
 
 namespace jacinthdeck {
 
--- a/src/jacinthdeck/entry/entry_node.cc
+++ b/src/jacinthdeck/entry/entry_node.cc
@@ -286,9 +286,8 @@
     return;
   }
   m_traffic_at = now + kTrafficEvery;
-  m_decisions.OnTraffic(
-      {m_store.counters(), m_feed.received(), m_pool.counters().bytes,
-       m_forwarder.counters()});
+  m_decisions.OnTraffic({m_store.counters(), m_feed.received(),
+                         m_pool.counters().bytes, m_forwarder.counters()});
 }
 
 void EntryNode::TellReadiness() {
--- a/test/jacinthdeck/discovery/knowledge_test.cc
+++ b/test/jacinthdeck/discovery/knowledge_test.cc
@@ -160,7 +160,7 @@
 // Guards against requests to the targets of an evacuated domain.
 BOOST_AUTO_TEST_CASE(Evacuation_IsOrdered_TargetsOfThatDomainAreMarked) {
   (void)Change("servers/a", Server("ready"));
-  BOOST_TEST(!Change("op/evacuate/elsewhere", "{}").unreadable.size());
+  BOOST_TEST(Change("op/evacuate/elsewhere", "{}").unreadable.empty());
   BOOST_TEST(InUse() == 1U);
   const KnowledgeChange change = Change("op/evacuate/z", "{}");
   BOOST_TEST(change.evacuations);
