--- a/soak/checks.cc
+++ b/soak/checks.cc
@@ -23,16 +23,20 @@
   const Bounds& bounds;
   RunsByRequest runs;
   std::unordered_map<std::string, TimePoint> leaving;
+  std::unordered_map<std::string, std::string> domains;
 };
 
 [[nodiscard]] View MakeView(const History& history, const Bounds& bounds) {
-  View view{history, bounds, {}, {}};
+  View view{history, bounds, {}, {}, {}};
   for (const Run& run : history.runs) {
     view.runs[run.request].push_back(&run);
   }
   for (const Leaving& left : history.leavings) {
     view.leaving.emplace(left.target, left.confirmed);
   }
+  for (const Placement& placement : history.placements) {
+    view.domains.emplace(placement.target, placement.domain);
+  }
   return view;
 }
 
@@ -202,6 +206,34 @@
   }
 }
 
+//! Tells whether a request that was sent then may not run in a domain.
+[[nodiscard]] bool IsEvacuated(const View& view,
+                               const std::string& domain,
+                               const Call& call) {
+  return std::ranges::any_of(
+      view.history.evacuations, [&](const EvacuatedTime& evacuated) {
+        return evacuated.domain == domain &&
+               evacuated.confirmed + view.bounds.evacuate < call.sent &&
+               call.ended < evacuated.ended;
+      });
+}
+
+void CheckEvacuatedDomains(const View& view, Violations& found) {
+  for (const Call& call : view.history.calls) {
+    for (const Run* run : RunsOf(view, call)) {
+      const auto domain = view.domains.find(run->target);
+      if (domain != view.domains.end() &&
+          IsEvacuated(view, domain->second, call) &&
+          !IsHarmed(view.history, call, Harm::kKnowledge,
+                    view.bounds.contact)) {
+        found.push_back({Promise::kEvacuatedGetsNothing,
+                         Seen(call, "ran at " + run->target +
+                                        ", whose domain is evacuated")});
+      }
+    }
+  }
+}
+
 void CheckCuts(const View& view, Violations& found) {
   for (const Call& call : view.history.calls) {
     if (call.end == CallEnd::kClosed && !RunsOf(view, call).empty() &&
@@ -233,10 +265,11 @@
 
 std::vector<Violation> FindViolations(const History& history,
                                       const Bounds& bounds) {
-  constexpr std::array kChecks{
-      &CheckRunsOnce,    &CheckNotRunIsTrue, &CheckOnlyAskedRuns,
-      &CheckOneLayout,   &CheckConfigInTime, &CheckConfigNeverReverts,
-      &CheckLeftTargets, &CheckCuts,         &CheckRecovery};
+  constexpr std::array kChecks{&CheckRunsOnce,      &CheckNotRunIsTrue,
+                               &CheckOnlyAskedRuns, &CheckOneLayout,
+                               &CheckConfigInTime,  &CheckConfigNeverReverts,
+                               &CheckLeftTargets,   &CheckEvacuatedDomains,
+                               &CheckCuts,          &CheckRecovery};
   const View view = MakeView(history, bounds);
   Violations found;
   for (const auto check : kChecks) {
--- a/soak/checks.h
+++ b/soak/checks.h
@@ -20,15 +20,16 @@
   kConfigInTime,
   kConfigNeverReverts,
   kLeftTargetGetsNothing,
+  kEvacuatedGetsNothing,
   kNoRequestIsCut,
   kRecovers,
 };
 
 //! Names of the promises in reports.
-inline constexpr NameTable<Promise, 9> kPromiseNames{
+inline constexpr NameTable<Promise, 10> kPromiseNames{
     {"runs_once", "not_run_is_true", "only_asked_runs", "one_layout",
      "config_in_time", "config_never_reverts", "left_target_gets_nothing",
-     "no_request_is_cut", "recovers"}};
+     "evacuated_gets_nothing", "no_request_is_cut", "recovers"}};
 
 /*! \brief One breach. */
 struct Violation {
@@ -44,6 +45,10 @@
   Duration apply = std::chrono::seconds(3);
   //! From the confirmation that a target leaves until no request reaches it.
   Duration drain = std::chrono::seconds(3);
+  //! From the confirmation of an evacuation until no request reaches the
+  //! domain.
+  //! An order of an operator in an emergency: tighter than users ask.
+  Duration evacuate = std::chrono::seconds(1);
   //! An entry is held to its bounds so long after the end of what harmed it.
   Duration contact = std::chrono::seconds(4);
   //! A request that follows the sight of a configuration may still see the one
--- a/soak/history.h
+++ b/soak/history.h
@@ -59,6 +59,20 @@
   TimePoint confirmed;
 };
 
+/*! \brief A target stands in a failure domain. */
+struct Placement {
+  std::string target;
+  std::string domain;
+};
+
+/*! \brief The store confirmed that nothing may be sent into a domain. */
+struct EvacuatedTime {
+  std::string domain;
+  TimePoint confirmed;
+  //! When its end was asked for.
+  TimePoint ended = TimePoint::max();
+};
+
 /*! \brief What an entry is excused from while it is harmed. */
 enum class Harm {
   //! It may not hear of changes.
@@ -81,6 +95,8 @@
   std::vector<Run> runs;
   std::vector<LayoutChange> layouts;
   std::vector<Leaving> leavings;
+  std::vector<Placement> placements;
+  std::vector<EvacuatedTime> evacuations;
   std::vector<Trouble> troubles;
   //! After the last fault and the time to recover from it.
   TimePoint calm_since = TimePoint::max();
--- a/soak/main.cc
+++ b/soak/main.cc
@@ -85,6 +85,7 @@
     throw std::runtime_error("cannot make " + work);
   }
   options.stage.seed = seed;
+  options.stage.two_domains = options.plan.evacuations > 0;
   options.stage.work = work;
   options.stage.programs = options.programs;
   bool kept = false;
@@ -129,6 +130,9 @@
       "faults of a seed")("seconds",
                           po::value(&soak.seconds)->default_value(soak.seconds),
                           "time in which faults begin and end")(
+      "evacuations",
+      po::value(&soak.plan.evacuations)->default_value(soak.plan.evacuations),
+      "times that one of two failure domains is evacuated")(
       "entries",
       po::value(&soak.stage.entries)->default_value(soak.stage.entries),
       "entry processes")(
--- a/soak/plan.cc
+++ b/soak/plan.cc
@@ -15,6 +15,9 @@
 //! Faults last so long: from a blink to beyond the bounds of the promises.
 constexpr std::uint64_t kShortestMs = 200;
 constexpr std::uint64_t kLongestMs = 4000;
+//! Beyond the bound on an evacuation.
+constexpr std::uint64_t kShortestEvacuationMs = 2000;
+constexpr std::uint64_t kLongestEvacuationMs = 9000;
 //! Targets that a plan tells apart.
 constexpr std::size_t kTargets = 64;
 
@@ -64,6 +67,36 @@
           action.link != Link::kTarget);
 }
 
+struct Span {
+  Duration at{};
+  Duration lasts{};
+};
+
+//! Draws a span within a plan's time.
+[[nodiscard]] Span DrawSpan(const PlanOptions& options,
+                            std::uint64_t shortest_ms,
+                            std::uint64_t longest_ms,
+                            Random& random) {
+  Span span;
+  span.lasts =
+      milliseconds(shortest_ms + random.Below(longest_ms - shortest_ms));
+  const Duration room = std::max(options.length - span.lasts, Duration(1));
+  span.at = Duration(random.Below(static_cast<std::uint64_t>(room.count())));
+  return span;
+}
+
+//! Drawn apart from the faults, whose draws stay those of their seed.
+void AddEvacuations(const PlanOptions& options, std::vector<Action>& plan) {
+  constexpr std::uint64_t kOtherDraws = 0x9e3779b97f4a7c15U;
+  Random random(options.seed ^ kOtherDraws);
+  for (std::size_t index = 0; index < options.evacuations; ++index) {
+    const Span span =
+        DrawSpan(options, kShortestEvacuationMs, kLongestEvacuationMs, random);
+    plan.push_back({span.at, ActionKind::kEvacuate});
+    plan.push_back({span.at + span.lasts, ActionKind::kGiveBack});
+  }
+}
+
 }  // namespace
 
 std::vector<Action> MakePlan(const PlanOptions& options) {
@@ -78,18 +111,16 @@
     action.mode = Draw(kLinkModeNames, random, 1);
     action.subject =
         random.Below(IsOfEntries(action) ? options.entries : kTargets);
-    const Duration lasts =
-        milliseconds(kShortestMs + random.Below(kLongestMs - kShortestMs));
-    const Duration room = std::max(options.length - lasts, Duration(1));
-    action.at =
-        Duration(random.Below(static_cast<std::uint64_t>(room.count())));
+    const Span span = DrawSpan(options, kShortestMs, kLongestMs, random);
+    action.at = span.at;
     plan.push_back(action);
     if (pair.end != pair.begin) {
       action.kind = pair.end;
-      action.at += lasts;
+      action.at += span.lasts;
       plan.push_back(action);
     }
   }
+  AddEvacuations(options, plan);
   std::ranges::stable_sort(plan, {}, &Action::at);
   return plan;
 }
--- a/soak/plan.h
+++ b/soak/plan.h
@@ -32,14 +32,17 @@
   kStoreWell,
   kLinkFault,
   kLinkWell,
+  //! Nothing may be sent to the targets of one failure domain.
+  kEvacuate,
+  kGiveBack,
 };
 
 //! Names of the actions in reports.
-inline constexpr NameTable<ActionKind, 17> kActionNames{
+inline constexpr NameTable<ActionKind, 19> kActionNames{
     {"stop_entry", "continue_entry", "kill_entry", "drain_entry", "start_entry",
      "stop_target", "continue_target", "kill_target", "drain_target",
      "lose_answers", "answer_all", "reshard", "store_fault", "store_forgets",
-     "store_well", "link_fault", "link_well"}};
+     "store_well", "link_fault", "link_well", "evacuate", "give_back"}};
 
 /*! \brief How the store fails. */
 enum class StoreFault { kBusy, kDrop, kSilent, kSlow, kLosesReplies };
@@ -81,6 +84,8 @@
   Duration length = std::chrono::seconds(12);
   std::size_t faults = 20;
   std::size_t entries = 4;
+  //! Evacuations beside the faults; 0 leaves the plan of a seed as it is.
+  std::size_t evacuations = 0;
 };
 
 /*! \brief The same options give the same plan, in the order of time. */
--- a/soak/stage.cc
+++ b/soak/stage.cc
@@ -52,6 +52,10 @@
 constexpr std::uint32_t kShards = 3;
 constexpr std::uint32_t kReplicas = 2;
 constexpr const char* kSingle = "single";
+//! Of the entries and of the first target of each service, so that most
+//! requests go there; it is the one that is evacuated.
+constexpr const char* kDomain = "a";
+constexpr const char* kOtherDomain = "b";
 //! Messages to the store's control port in the order of StoreFault.
 constexpr std::array kStoreMessages{
     R"({"outage":"busy"})", R"({"outage":"drop"})", R"({"outage":"silent"})",
@@ -166,7 +170,8 @@
       &Stage::ContinueTarget, &Stage::KillTarget,    &Stage::DrainTarget,
       &Stage::LoseAnswers,    &Stage::AnswerAll,     &Stage::Reshard,
       &Stage::HarmStore,      &Stage::ForgetInStore, &Stage::HealStore,
-      &Stage::HarmLink,       &Stage::HealLink};
+      &Stage::HarmLink,       &Stage::HealLink,      &Stage::Evacuate,
+      &Stage::GiveBack};
   const Step step = kSteps[static_cast<std::size_t>(action.kind)];
   (this->*step)(action);
 }
@@ -257,8 +262,8 @@
   const std::string settings = FileOf(entry.name + ".toml");
   standins::WriteFile(
       settings,
-      "[host]\nname = \"" + entry.name +
-          "\"\nfailure_domain = \"a\"\n"
+      "[host]\nname = \"" + entry.name + "\"\nfailure_domain = \"" + kDomain +
+          "\"\n"
           "[listen]\ncallers = \"127.0.0.1:0\"\nmetrics = \"127.0.0.1:0\"\n"
           "peers = \"127.0.0.1:0\"\n[store]\naddress = \"127.0.0.1:" +
           std::to_string(entry.store->port()) + "\"\n[shutdown]\ngrace_ms = " +
@@ -303,11 +308,15 @@
   return single == m_targets.rend() ? any : **single;
 }
 
-void Stage::StartTarget(const std::string& service, std::uint32_t shard) {
+void Stage::StartTarget(const std::string& service,
+                        std::uint32_t shard,
+                        const std::string& domain) {
   auto target = std::make_unique<Target>();
   target->id = "t-" + std::to_string(m_target_lives++);
   target->service = service;
   target->shard = shard;
+  target->domain = domain;
+  m_placements.push_back({target->id, domain});
   target->proxy = std::make_unique<LoopbackProxy>(m_loop);
   target->child = std::make_unique<Child>(
       std::vector<std::string>{
@@ -315,7 +324,7 @@
           "--store", std::to_string(m_store_port), "--advertised",
           std::to_string(target->proxy->port()), "--log", FileOf("runs.log"),
           "--layout", std::to_string(m_layout), "--shard",
-          std::to_string(shard)},
+          std::to_string(shard), "--domain", domain},
       FileOf(target->id + ".log"));
   const std::string port =
       target->child->WaitFor(R"(listening 127\.0\.0\.1:(\d+))", kStartPatience);
@@ -326,10 +335,12 @@
 void Stage::StartLayout() {
   ++m_layout;
   for (std::uint32_t replica = 0; replica < kReplicas; ++replica) {
+    const bool other = m_options.two_domains && replica > 0;
+    const std::string domain = other ? kOtherDomain : kDomain;
     for (std::uint32_t shard = 0; shard < kShards; ++shard) {
-      StartTarget(ServiceName(m_layout, shard), shard);
+      StartTarget(ServiceName(m_layout, shard), shard, domain);
     }
-    StartTarget(SingleName(m_layout), 0);
+    StartTarget(SingleName(m_layout), 0, domain);
   }
 }
 
@@ -348,7 +359,7 @@
   Target& target = TargetOf(action);
   target.child->Signal(SIGKILL);
   if (!std::exchange(target.leaving, true) && !m_is_resharding) {
-    StartTarget(target.service, target.shard);
+    StartTarget(target.service, target.shard, target.domain);
   }
 }
 
@@ -356,7 +367,7 @@
   Target& target = TargetOf(action);
   if (!std::exchange(target.leaving, true) && !m_is_resharding) {
     target.child->Signal(SIGTERM);
-    StartTarget(target.service, target.shard);
+    StartTarget(target.service, target.shard, target.domain);
   }
 }
 
@@ -475,7 +486,37 @@
       action.link == Link::kStore ? Duration::zero() : kThaw);
 }
 
+void Stage::Evacuate(const Action& /*action*/) {
+  if (!m_evacuations.empty() &&
+      m_evacuations.back().ended == TimePoint::max()) {
+    return;
+  }
+  const std::string key =
+      std::string(platform::wire::kEvacuationKeys) + kDomain;
+  const JsonPtr message(
+      json_pack("{s:[{s:s, s:s}]}", "put", "key", key.c_str(), "value", "{}"));
+  if (!ControlStore(DumpJson(*message))) {
+    throw std::runtime_error("the store took no evacuation");
+  }
+  m_evacuations.push_back({kDomain, Now()});
+}
+
+void Stage::GiveBack(const Action& /*action*/) {
+  if (m_evacuations.empty() || m_evacuations.back().ended != TimePoint::max()) {
+    return;
+  }
+  // Noted first: requests go there as soon as the store has taken it.
+  m_evacuations.back().ended = Now();
+  const std::string key =
+      std::string(platform::wire::kEvacuationKeys) + kDomain;
+  const JsonPtr message(json_pack("{s:[s]}", "remove", key.c_str()));
+  if (!ControlStore(DumpJson(*message))) {
+    throw std::runtime_error("the store did not end the evacuation");
+  }
+}
+
 void Stage::Calm() {
+  GiveBack({});
   HealStore({});
   HealLink({{}, ActionKind::kLinkWell, 0, {}, Link::kTarget});
   ContinueTarget({});
@@ -499,6 +540,8 @@
   History history;
   history.calls = m_callers.calls();
   history.layouts = m_layouts;
+  history.placements = m_placements;
+  history.evacuations = m_evacuations;
   history.troubles = m_troubles;
   history.calm_since = m_calm_since;
   ReadLog(history);
--- a/soak/stage.h
+++ b/soak/stage.h
@@ -31,6 +31,9 @@
   std::uint64_t seed = 1;
   std::size_t entries = 4;
   std::size_t callers = 12;
+  //! The second target of each service stands in another failure domain than
+  //! the first, whose domain can be evacuated.
+  bool two_domains = false;
 };
 
 /**
@@ -65,6 +68,7 @@
     std::string id;
     std::string service;
     std::uint32_t shard = 0;
+    std::string domain;
     std::unique_ptr<LoopbackProxy> proxy;
     std::unique_ptr<Child> child;
     bool leaving = false;
@@ -96,12 +100,16 @@
   void HealStore(const Action& action);
   void HarmLink(const Action& action);
   void HealLink(const Action& action);
+  void Evacuate(const Action& action);
+  void GiveBack(const Action& action);
 
   void StartStore();
   void StartEntry(Entry& entry);
   //! The loop may still be in it, so it stays until the end.
   void Retire(std::unique_ptr<LoopbackProxy> proxy);
-  void StartTarget(const std::string& service, std::uint32_t shard);
+  void StartTarget(const std::string& service,
+                   std::uint32_t shard,
+                   const std::string& domain);
   void StartLayout();
   void DrainOldTargets();
   void WriteConfig();
@@ -137,6 +145,9 @@
   //! Indices into m_troubles of the causes that still last.
   std::map<std::string, std::vector<std::size_t>> m_open;
   std::vector<LayoutChange> m_layouts;
+  std::vector<Placement> m_placements;
+  //! One at most has no end.
+  std::vector<EvacuatedTime> m_evacuations;
   TimePoint m_calm_since = TimePoint::max();
   Callers m_callers;
   //! Last: it uses the members above.
--- a/soak/target_main.cc
+++ b/soak/target_main.cc
@@ -51,6 +51,8 @@
   std::uint16_t store = 0;
   std::uint16_t advertised = 0;
   std::string log;
+  //! Failure domain.
+  std::string domain = "a";
   std::uint32_t layout = 0;
   std::uint32_t shard = 0;
 };
@@ -136,9 +138,9 @@
     const JsonPtr entry(
         json_pack("{s:s, s:s, s:s, s:s, s:i, s:s, s:i, s:I}", "service",
                   m_options.service.c_str(), "address", address.c_str(), "zone",
-                  "a", "version", "v1", "slots", kSlots, "state",
-                  m_leaving ? "draining" : "ready", "coldRemainingMs", 0, "seq",
-                  static_cast<json_int_t>(++m_beats)));
+                  m_options.domain.c_str(), "version", "v1", "slots", kSlots,
+                  "state", m_leaving ? "draining" : "ready", "coldRemainingMs",
+                  0, "seq", static_cast<json_int_t>(++m_beats)));
     const std::string key = std::string(wire::kTargetKeys) + m_options.id;
     const JsonPtr message(
         json_pack("{s:[{s:s, s:s, s:i}]}", "put", "key", key.c_str(), "value",
@@ -190,6 +192,7 @@
       "advertised", po::value(&target.advertised)->required(),
       "port that entries are told")("log", po::value(&target.log)->required(),
                                     "file that takes its runs")(
+      "domain", po::value(&target.domain), "its failure domain")(
       "layout", po::value(&target.layout), "layout that its records name")(
       "shard", po::value(&target.shard), "shard that its records name");
   return jacinthdeck::standins::RunServer(
--- a/test/soak/checks_test.cc
+++ b/test/soak/checks_test.cc
@@ -150,6 +150,21 @@
   BOOST_TEST(IsBroken(Promise::kLeftTargetGetsNothing));
 }
 
+BOOST_AUTO_TEST_CASE(Domain_IsEvacuatedAndGetsARequest_IsSeen) {
+  history.placements = {{"t1", "z1"}, {"t2", "z2"}};
+  history.evacuations = {{"z1", At(seconds(10)), At(seconds(15))}};
+  AddCall("a", milliseconds(10900), 1);
+  AddRun("a", "t1", milliseconds(10900));
+  AddCall("b", milliseconds(11100), 1);
+  AddRun("b", "t2", milliseconds(11100));
+  AddCall("c", milliseconds(15100), 1);
+  AddRun("c", "t1", milliseconds(15100));
+  BOOST_TEST(IsKept());
+  AddCall("d", milliseconds(11100), 1);
+  AddRun("d", "t1", milliseconds(11100));
+  BOOST_TEST(IsBroken(Promise::kEvacuatedGetsNothing));
+}
+
 BOOST_AUTO_TEST_CASE(Request_RanAndItsConnectionEnded_IsSeen) {
   Call& call = AddCall("a", seconds(1), 1);
   call.end = CallEnd::kClosed;
--- a/test/soak/plan_test.cc
+++ b/test/soak/plan_test.cc
@@ -29,7 +29,21 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(Plan_HoldsEvacuations_FaultsOfItsSeedAreTheSame) {
+  options.seed = 7;
+  const std::vector<Action> faults = MakePlan(options);
+  options.evacuations = 3;
+  std::vector<Action> plan = MakePlan(options);
+  BOOST_TEST(plan.size() == faults.size() + 6);
+  std::erase_if(plan, [](const Action& action) {
+    return action.kind == ActionKind::kEvacuate ||
+           action.kind == ActionKind::kGiveBack;
+  });
+  BOOST_TEST((plan == faults));
+}
+
 BOOST_AUTO_TEST_CASE(Plans_OfFiftySeeds_HoldEveryAction) {
+  options.evacuations = 1;
   std::set<ActionKind> seen;
   for (options.seed = 1; options.seed <= 50; ++options.seed) {
     for (const Action& action : MakePlan(options)) {
