Take an entry with the revision 0 without a crash

Cause, found on the last reading of the diff: the cold time of an entry that is read again is kept by comparing revisions, and an unknown key counts as revision 0; bytes of a peer that name an entry with that revision made the host read through a null pointer. Change: the entry must be known. The test was red (a memory fault) before.

--- a/src/jacinthdeck/discovery/knowledge.cc
+++ b/src/jacinthdeck/discovery/knowledge.cc
@@ -188,9 +188,10 @@
   }
   // Read again in a whole content, the same entry would start its cold time
   // anew.
-  const bool again = m_targets.RevisionOf(change.key) == change.revision;
-  reading.entry.cold_until =
-      again ? m_targets.Find(change.key)->cold_until : now + reading.cold_for;
+  const TargetEntry* held = m_targets.Find(change.key);
+  const bool again =
+      held != nullptr && m_targets.RevisionOf(change.key) == change.revision;
+  reading.entry.cold_until = again ? held->cold_until : now + reading.cold_for;
   changed.targets |=
       m_targets.Put(change.key, change.revision, std::move(reading.entry));
 }
--- a/test/jacinthdeck/discovery/knowledge_test.cc
+++ b/test/jacinthdeck/discovery/knowledge_test.cc
@@ -236,6 +236,13 @@
   BOOST_TEST((knowledge.Targets().front().cold_until == warm));
 }
 
+// Guards against a crash by an entry with the revision of no write.
+BOOST_AUTO_TEST_CASE(Target_RevisionIsZero_IsTaken) {
+  const StoreChange change{"servers/a", 0, Server("ready")};
+  (void)knowledge.OnChanges({&change, 1}, now);
+  BOOST_TEST(targets() == 1U);
+}
+
 // Guards against a target that is lost, or avoided for a day, for a cold time
 // that makes no sense.
 BOOST_AUTO_TEST_CASE(Target_ColdTimeMakesNoSense_IsToldAndUsedAsWarm) {
