--- a/soak/checks.cc
+++ b/soak/checks.cc
@@ -245,24 +245,29 @@
 }
 
 void CheckRecovery(const View& view, Violations& found) {
-  std::size_t sent = 0;
-  std::size_t answered = 0;
-  for (const Call& call : view.history.calls) {
-    if (call.sent > view.history.calm_since) {
-      ++sent;
-      answered += call.status == http_status::kOk ? 1U : 0U;
-    }
-  }
-  if (static_cast<double>(answered) <
-      static_cast<double>(sent) * view.bounds.recovered_share) {
-    found.push_back({Promise::kRecovers, std::to_string(answered) + " of " +
-                                             std::to_string(sent) +
+  const CalmCalls calm = CountCalmCalls(view.history);
+  if (static_cast<double>(calm.answered) <
+      static_cast<double>(calm.sent) * view.bounds.recovered_share) {
+    found.push_back({Promise::kRecovers, std::to_string(calm.answered) +
+                                             " of " +
+                                             std::to_string(calm.sent) +
                                              " answered in calm times"});
   }
 }
 
 }  // namespace
 
+CalmCalls CountCalmCalls(const History& history) {
+  CalmCalls calm;
+  for (const Call& call : history.calls) {
+    if (call.sent > history.calm_since) {
+      ++calm.sent;
+      calm.answered += call.status == http_status::kOk ? 1U : 0U;
+    }
+  }
+  return calm;
+}
+
 std::vector<Violation> FindViolations(const History& history,
                                       const Bounds& bounds) {
   constexpr std::array kChecks{&CheckRunsOnce,      &CheckNotRunIsTrue,
--- a/soak/checks.h
+++ b/soak/checks.h
@@ -3,6 +3,7 @@
 #define SOAK_CHECKS_H_
 
 #include <chrono>
+#include <cstddef>
 #include <string>
 #include <vector>
 
@@ -58,6 +59,14 @@
   double recovered_share = 0.25;
 };
 
+/*! \brief Calls of the calm time at the end of a run. */
+struct CalmCalls {
+  std::size_t sent = 0;
+  std::size_t answered = 0;
+};
+
+[[nodiscard]] CalmCalls CountCalmCalls(const History& history);
+
 /*! \brief All breaches in a run, in the order of the promises. */
 [[nodiscard]] std::vector<Violation> FindViolations(const History& history,
                                                     const Bounds& bounds = {});
--- a/soak/main.cc
+++ b/soak/main.cc
@@ -56,9 +56,11 @@
 [[nodiscard]] bool Report(std::uint64_t seed,
                           const History& history,
                           const std::vector<Violation>& found) {
+  const CalmCalls calm = CountCalmCalls(history);
   std::cout << "seed " << seed << ": " << history.calls.size() << " calls, "
             << history.runs.size() << " runs, " << history.layouts.size()
             << " layouts, " << history.leavings.size() << " targets left, "
+            << calm.answered << " of " << calm.sent << " answered when calm, "
             << found.size() << " promises broken" << std::endl;
   for (std::size_t index = 0; index < found.size() && index < kMostPrinted;
        ++index) {
