Say once what an attempt needs of its target, and once that targets change with evacuations

Cause: the two places that ask for a target each listed the same needs, so that a new one had to be added twice; the rule that targets change with the evacuations of their domains stood in three places; an entry's cold time compared revisions beside a second look-up. Change: NeedOf(), KnowledgeChange::AddEvacuations() and HeldEntries::FindAt(). Behaviour is the same; no test has changed.

--- a/src/jacinthdeck/discovery/held_entries.h
+++ b/src/jacinthdeck/discovery/held_entries.h
@@ -39,10 +39,13 @@
     return found == m_held.end() ? nullptr : &found->second.entry;
   }
 
-  /*! \brief Revision of a key's last write or removal; 0 if it is unknown. */
-  [[nodiscard]] std::uint64_t RevisionOf(const std::string& key) const {
+  /*! \brief Finds an entry as of a revision; null if another one is known. */
+  [[nodiscard]] const Entry* FindAt(const std::string& key,
+                                    std::uint64_t revision) const {
     const auto found = m_held.find(key);
-    return found == m_held.end() ? 0 : found->second.revision;
+    const bool is_of_it =
+        found != m_held.end() && found->second.revision == revision;
+    return is_of_it ? &found->second.entry : nullptr;
   }
 
   /*! \brief Earliest moment at which Expire() removes something. */
--- a/src/jacinthdeck/discovery/knowledge.cc
+++ b/src/jacinthdeck/discovery/knowledge.cc
@@ -50,8 +50,7 @@
   m_targets.RemoveOthers(named, revision, counts_at);
   m_hosts.RemoveOthers(named, revision, counts_at);
   m_evacuations.RemoveOthers(named, revision, now);
-  changed.evacuations |= !m_evacuations.Expire(now).empty();
-  changed.targets |= changed.evacuations;
+  changed.AddEvacuations(!m_evacuations.Expire(now).empty());
   const KnowledgeChange expired = OnTimer(now);
   changed.targets |= expired.targets;
   changed.hosts |= expired.hosts;
@@ -142,8 +141,7 @@
                                KnowledgeChange& changed) {
   if (!change.value) {
     m_evacuations.Remove(change.key, change.revision, now);
-    changed.evacuations |= !m_evacuations.Expire(now).empty();
-    changed.targets |= changed.evacuations;
+    changed.AddEvacuations(!m_evacuations.Expire(now).empty());
     return;
   }
   auto read = Capture([&] { return m_codec.ReadEvacuation(id); });
@@ -157,8 +155,7 @@
   (void)m_evacuations.Put(
       change.key, change.revision,
       {std::get<0>(std::move(read)), change.revision, since});
-  changed.evacuations |= news;
-  changed.targets |= news;
+  changed.AddEvacuations(news);
 }
 
 void Knowledge::TakeTarget(const std::string& id,
@@ -188,10 +185,9 @@
   }
   // Read again in a whole content, the same entry would start its cold time
   // anew.
-  const TargetEntry* held = m_targets.Find(change.key);
-  const bool again =
-      held != nullptr && m_targets.RevisionOf(change.key) == change.revision;
-  reading.entry.cold_until = again ? held->cold_until : now + reading.cold_for;
+  const TargetEntry* same = m_targets.FindAt(change.key, change.revision);
+  reading.entry.cold_until =
+      same != nullptr ? same->cold_until : now + reading.cold_for;
   changed.targets |=
       m_targets.Put(change.key, change.revision, std::move(reading.entry));
 }
--- a/src/jacinthdeck/discovery/knowledge.h
+++ b/src/jacinthdeck/discovery/knowledge.h
@@ -29,7 +29,6 @@
 struct KnowledgeChange {
   bool config = false;
   bool targets = false;
-  //! Targets change with them.
   bool evacuations = false;
   bool hosts = false;
   bool schema = false;
@@ -39,6 +38,12 @@
   std::vector<Fingerprint> convictions;
   //! Entries that could not be read: key and what is wrong.
   std::vector<Error> unreadable;
+
+  //! Targets change with the evacuations of their domains.
+  void AddEvacuations(bool changed) noexcept {
+    evacuations |= changed;
+    targets |= changed;
+  }
 };
 
 /**
--- a/src/jacinthdeck/forward/forwarder.h
+++ b/src/jacinthdeck/forward/forwarder.h
@@ -128,10 +128,10 @@
                                     const ServiceId& service,
                                     const TargetChoice& choice,
                                     TimePoint now) const;
-  [[nodiscard]] TargetChoice FirstChoice(const PendingCall& open,
-                                         const ServiceId& service,
-                                         const TargetShare& share,
-                                         TimePoint now);
+  //! What a first attempt needs, with this share of its target.
+  [[nodiscard]] TargetNeed NeedOf(const PendingCall& open,
+                                  const ServiceId& service,
+                                  const TargetShare& share) const;
   [[nodiscard]] Duration ExpectedDelay(PendingCall& open, TimePoint now);
   [[nodiscard]] Duration ComeBackAfter(ForwardReason reason,
                                        const PendingCall& open);
--- a/src/jacinthdeck/forward/forwarder_admission.cc
+++ b/src/jacinthdeck/forward/forwarder_admission.cc
@@ -208,27 +208,25 @@
   return choice.target->Occupancy(now) < 1 ? Duration::zero() : choice.expected;
 }
 
-TargetChoice Forwarder::FirstChoice(const PendingCall& open,
-                                    const ServiceId& service,
-                                    const TargetShare& share,
-                                    TimePoint now) {
-  const TargetNeed need{.service = service,
-                        .usual = open.profile->usual(),
-                        .tried = {},
-                        .reason = AttemptReason::kFirst,
-                        .share = share,
-                        .needed = NeedsEachShard(open),
-                        .cold_rate = open.config->ColdRate(service),
-                        .objective = open.route->objective};
-  return m_targets.Pick(need, now);
+TargetNeed Forwarder::NeedOf(const PendingCall& open,
+                             const ServiceId& service,
+                             const TargetShare& share) const {
+  TargetNeed need;
+  need.service = service;
+  need.usual = open.profile->usual();
+  need.share = share;
+  need.needed = NeedsEachShard(open);
+  need.cold_rate = open.config->ColdRate(service);
+  need.objective = open.route->objective;
+  return need;
 }
 
 Duration Forwarder::ExpectedDelay(PendingCall& open, TimePoint now) {
   std::vector<Duration> delays;
   delays.reserve(open.parts.size());
   for (const CallPart& part : open.parts) {
-    const TargetChoice choice =
-        FirstChoice(open, part.service, ShareOf(open, part.service), now);
+    const TargetChoice choice = m_targets.Pick(
+        NeedOf(open, part.service, ShareOf(open, part.service)), now);
     delays.push_back(QueueDelay(open, part.service, choice, now));
     open.story.full += delays.back() > Duration::zero() ? 1 : 0;
     open.story.without_place += choice.target == nullptr ? 1 : 0;
@@ -240,7 +238,8 @@
     for (std::size_t index = 0; index < delays.size(); ++index) {
       if (delays[index] > Duration::zero()) {
         const ServiceId& service = open.parts[index].service;
-        const TargetChoice choice = FirstChoice(open, service, kUnbounded, now);
+        const TargetChoice choice =
+            m_targets.Pick(NeedOf(open, service, kUnbounded), now);
         delays[index] =
             std::min(delays[index], QueueDelay(open, service, choice, now));
       }
--- a/src/jacinthdeck/forward/forwarder_attempts.cc
+++ b/src/jacinthdeck/forward/forwarder_attempts.cc
@@ -97,15 +97,10 @@
     }
     return;
   }
-  const TargetNeed need{.service = part.service,
-                        .usual = open.profile->usual(),
-                        .tried = part.tried,
-                        .reason = reason,
-                        .share = ShareOf(open, part.service),
-                        .needed = NeedsEachShard(open),
-                        .useful = UsefulTime(open, reason, now),
-                        .cold_rate = open.config->ColdRate(part.service),
-                        .objective = open.route->objective};
+  TargetNeed need = NeedOf(open, part.service, ShareOf(open, part.service));
+  need.tried = part.tried;
+  need.reason = reason;
+  need.useful = UsefulTime(open, reason, now);
   const TargetChoice choice = m_targets.Pick(need, now);
   if (choice.target == nullptr ||
       HasLeftUnanswered(part, *choice.target, now)) {
