List evacuations beside a key that names no domain

Cause: one unreadable key under the operators' evacuations made jacinthdeckctl evacuations fail as a whole, so that an operator did not see which domains are evacuated and which hosts lack them. Change: such a key is listed with what is wrong; the others are told as before. The test failed before (the command ended with an error).

--- a/src/daemons/ctl/command.cc
+++ b/src/daemons/ctl/command.cc
@@ -28,9 +28,8 @@
     {"status", "", "", "print what a host knows and does", 0, 0, &ShowStatus},
     {"hosts", "", "", "print the hosts in the store", 0, 0, &ShowHosts},
     {"evacuations", "", "[HOST...]",
-     "print evacuated failure domains, and which of the hosts (IP:PORT of "
-     "their "
-     "metrics) do not apply them",
+     "print evacuated failure domains, and the hosts (metrics IP:PORT) that do "
+     "not apply them",
      0, kAny, &ShowEvacuations},
     {"entries", "", "", "print the addresses for typed calls", 0, 0,
      &ShowEntries},
--- a/src/daemons/ctl/evacuation_command.cc
+++ b/src/daemons/ctl/evacuation_command.cc
@@ -3,8 +3,6 @@
 
 #include <jansson.h>
 
-#include <cstdint>
-#include <map>
 #include <set>
 #include <variant>
 
@@ -16,19 +14,33 @@
 
 using Domains = std::set<std::string>;
 
-//! Evacuated domains of the store with their revisions.
-[[nodiscard]] Result<std::map<std::string, std::uint64_t>> ReadEvacuations(
-    const Session& session) {
-  BOOST_LEAF_AUTO(items, session.ReadStore());
-  std::map<std::string, std::uint64_t> evacuated;
-  for (const StoreChange& item : items) {
-    const KeyName key = session.codec().ReadKey(item.key);
-    if (key.kind == KeyKind::kEvacuation) {
-      BOOST_LEAF_AUTO(domain, session.codec().ReadEvacuation(key.id));
-      evacuated[domain.raw()] = item.revision;
-    }
+//! The store's evacuations, as JSON and by domain.
+struct Evacuated {
+  JsonPtr items{json_array()};
+  //! Keys that name no domain, and why.
+  JsonPtr unreadable{json_array()};
+  Domains domains;
+};
+
+void Add(const Session& session, const StoreChange& item, Evacuated& to) {
+  const KeyName key = session.codec().ReadKey(item.key);
+  if (key.kind != KeyKind::kEvacuation) {
+    return;
   }
-  return evacuated;
+  const auto read =
+      Capture([&] { return session.codec().ReadEvacuation(key.id); });
+  if (const auto* error = std::get_if<Error>(&read)) {
+    json_array_append_new(to.unreadable.get(),
+                          json_pack("{s:s, s:s}", "key", item.key.c_str(),
+                                    "problem", error->message.c_str()));
+    return;
+  }
+  const std::string& domain = std::get<FailureDomain>(read).raw();
+  to.domains.insert(domain);
+  json_array_append_new(
+      to.items.get(),
+      json_pack("{s:s, s:I}", "failure_domain", domain.c_str(), "revision",
+                static_cast<json_int_t>(item.revision)));
 }
 
 //! Evacuated domains that a host applies.
@@ -72,28 +84,23 @@
 
 ExitCode ShowEvacuations(Session& session,
                          const std::vector<std::string>& hosts) {
-  const auto read = Capture([&] { return ReadEvacuations(session); });
+  const auto read = Capture([&] { return session.ReadStore(); });
   if (const auto* error = std::get_if<Error>(&read)) {
     return session.Fail(*error);
   }
-  const JsonPtr evacuations(json_array());
-  Domains domains;
-  for (const auto& [domain, revision] : std::get<0>(read)) {
-    domains.insert(domain);
-    json_array_append_new(
-        evacuations.get(),
-        json_pack("{s:s, s:I}", "failure_domain", domain.c_str(), "revision",
-                  static_cast<json_int_t>(revision)));
+  Evacuated evacuated;
+  for (const StoreChange& item : std::get<0>(read)) {
+    Add(session, item, evacuated);
   }
   const JsonPtr lacking(json_array());
   for (const std::string& host : hosts) {
-    if (const JsonPtr lack = Lack(session, host, domains)) {
+    if (const JsonPtr lack = Lack(session, host, evacuated.domains)) {
       json_array_append(lacking.get(), lack.get());
     }
   }
-  const JsonPtr printed(json_pack("{s:O, s:O}", "evacuations",
-                                  evacuations.get(), "not_applied",
-                                  lacking.get()));
+  const JsonPtr printed(json_pack(
+      "{s:O, s:O, s:O}", "evacuations", evacuated.items.get(), "unreadable",
+      evacuated.unreadable.get(), "not_applied", lacking.get()));
   session.Print(*printed);
   return json_array_size(lacking.get()) == 0 ? ExitCode::kDone
                                              : ExitCode::kPartial;
--- a/test/daemons/ctl_test.cc
+++ b/test/daemons/ctl_test.cc
@@ -143,6 +143,17 @@
   BOOST_TEST(printed.find("127.0.0.1:1", lacking) != printed.npos);
 }
 
+// Guards against one odd key that hides the evacuations in force.
+BOOST_AUTO_TEST_CASE(Evacuations_AKeyNamesNoDomain_OthersAreToldBesideIt) {
+  standins::StoreControl control;
+  control.puts.push_back({"op/evacuate/", "{}", {}});
+  control.puts.push_back({"op/evacuate/z1", "{}", {}});
+  store.Apply(control);
+  BOOST_TEST((Run({"evacuations"}) == ExitCode::kDone), err.str());
+  BOOST_TEST(out.str().find("z1") != std::string::npos);
+  BOOST_TEST(out.str().find("names no failure domain") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(Explain_LinesOfTwoHosts_AreTheRequestsInOrder) {
   const std::string first = MakeFile(
       "cut line {\"event\":\n"
