Say once how the soak writes to the store, and give its layouts a file

Cause: the evacuations had copied how a key is written, how a refusal of the store ends the run, and the loop over runs whose entries had no excuse; soak/stage.cc was the largest file. Change: PutInStore(), ControlStore() that throws, ForInformedRuns(); names and configuration of a layout in soak/layout.

--- a/soak/checks.cc
+++ b/soak/checks.cc
@@ -190,22 +190,31 @@
   }
 }
 
-void CheckLeftTargets(const View& view, Violations& found) {
+//! Takes each run of the calls whose entries had no excuse for old knowledge.
+template <typename Take>
+void ForInformedRuns(const View& view, Take take) {
   for (const Call& call : view.history.calls) {
+    if (IsHarmed(view.history, call, Harm::kKnowledge, view.bounds.contact)) {
+      continue;
+    }
     for (const Run* run : RunsOf(view, call)) {
-      const auto left = view.leaving.find(run->target);
-      if (left != view.leaving.end() &&
-          left->second + view.bounds.drain < call.sent &&
-          !IsHarmed(view.history, call, Harm::kKnowledge,
-                    view.bounds.contact)) {
-        found.push_back(
-            {Promise::kLeftTargetGetsNothing,
-             Seen(call, "ran at " + run->target + ", which had left")});
-      }
+      take(call, *run);
     }
   }
 }
 
+void CheckLeftTargets(const View& view, Violations& found) {
+  ForInformedRuns(view, [&](const Call& call, const Run& run) {
+    const auto left = view.leaving.find(run.target);
+    if (left != view.leaving.end() &&
+        left->second + view.bounds.drain < call.sent) {
+      found.push_back(
+          {Promise::kLeftTargetGetsNothing,
+           Seen(call, "ran at " + run.target + ", which had left")});
+    }
+  });
+}
+
 //! Tells whether a request that was sent then may not run in a domain.
 [[nodiscard]] bool IsEvacuated(const View& view,
                                const std::string& domain,
@@ -219,19 +228,15 @@
 }
 
 void CheckEvacuatedDomains(const View& view, Violations& found) {
-  for (const Call& call : view.history.calls) {
-    for (const Run* run : RunsOf(view, call)) {
-      const auto domain = view.domains.find(run->target);
-      if (domain != view.domains.end() &&
-          IsEvacuated(view, domain->second, call) &&
-          !IsHarmed(view.history, call, Harm::kKnowledge,
-                    view.bounds.contact)) {
-        found.push_back({Promise::kEvacuatedGetsNothing,
-                         Seen(call, "ran at " + run->target +
-                                        ", whose domain is evacuated")});
-      }
+  ForInformedRuns(view, [&](const Call& call, const Run& run) {
+    const auto domain = view.domains.find(run.target);
+    if (domain != view.domains.end() &&
+        IsEvacuated(view, domain->second, call)) {
+      found.push_back(
+          {Promise::kEvacuatedGetsNothing,
+           Seen(call, "ran at " + run.target + ", whose domain is evacuated")});
     }
-  }
+  });
 }
 
 void CheckCuts(const View& view, Violations& found) {
--- /dev/null
+++ b/soak/layout.cc
@@ -0,0 +1,74 @@
+// Routes and services as the operators write them to the store.
+#include "soak/layout.h"
+
+#include <jansson.h>
+
+#include "jacinthdeck/core/json.h"
+
+namespace jacinthdeck::soak {
+
+namespace {
+
+//! Of all routes: long enough for a second attempt after a lost one, and below
+//! what callers wait.
+constexpr int kRouteTimeoutMs = 1200;
+constexpr int kObjectiveMs = 150;
+constexpr int kMostAttempts = 3;
+//! One shard of three is enough for an answer, so that faults show as partial.
+constexpr double kLeastShare = 0.3;
+//! Above the connections that all entries open to one target.
+constexpr int kTargetConnections = 64;
+constexpr const char* kSingle = "single";
+
+[[nodiscard]] json_t* RouteJson(const char* name,
+                                const char* type,
+                                const std::string& service) {
+  const std::string prefix = "/" + std::string(name) + "/";
+  json_t* route =
+      json_pack("{s:s, s:s, s:s, s:s, s:i, s:i, s:i, s:i}", "name", name,
+                "host", "127.0.0.1", "prefix", prefix.c_str(), "routeType",
+                type, "timeoutMs", kRouteTimeoutMs, "targetLatencyMs",
+                kObjectiveMs, "maxAttempts", kMostAttempts, "priority", 1);
+  if (!service.empty()) {
+    json_object_set_new(route, "service", json_string(service.c_str()));
+  }
+  return route;
+}
+
+[[nodiscard]] json_t* ServiceJson(const std::string& name) {
+  return json_pack("{s:s, s:i}", "name", name.c_str(), "maxConnections",
+                   kTargetConnections);
+}
+
+}  // namespace
+
+std::string ServiceName(std::uint32_t layout, std::uint32_t shard) {
+  return "shard-" + std::to_string(layout) + "-" + std::to_string(shard);
+}
+
+std::string SingleName(std::uint32_t layout) {
+  return std::string(kSingle) + "-" + std::to_string(layout);
+}
+
+std::string ConfigText(std::uint32_t layout) {
+  json_t* query = RouteJson("query", "idempotent", "");
+  json_t* shards = json_array();
+  json_t* services = json_array();
+  for (std::uint32_t shard = 0; shard < kShards; ++shard) {
+    const std::string name = ServiceName(layout, shard);
+    json_array_append_new(shards, json_string(name.c_str()));
+    json_array_append_new(services, ServiceJson(name));
+  }
+  json_object_set_new(query, "fanout", shards);
+  json_object_set_new(query, "topK", json_integer(json_int_t{kShards} * 2));
+  json_object_set_new(query, "minPartShare", json_real(kLeastShare));
+  const std::string single = SingleName(layout);
+  json_array_append_new(services, ServiceJson(single));
+  const JsonPtr config(json_pack(
+      "{s:i, s:[o, o, o], s:o}", "version", static_cast<int>(layout), "routes",
+      RouteJson("claim", "non_idempotent", single),
+      RouteJson("lookup", "idempotent", single), query, "services", services));
+  return DumpJson(*config);
+}
+
+}  // namespace jacinthdeck::soak
--- a/soak/stage.cc
+++ b/soak/stage.cc
@@ -18,6 +18,7 @@
 #include "jacinthdeck/http/status.h"
 #include "platform/wire_names.h"
 #include "process/process.h"
+#include "soak/layout.h"
 
 namespace jacinthdeck::soak {
 
@@ -40,18 +41,7 @@
 constexpr Duration kRecovery = seconds(6);
 //! Callers' patience, so that each call under way has an end.
 constexpr Duration kLastCalls = milliseconds(3200);
-//! Of all routes: long enough for a second attempt after a lost one, and below
-//! what callers wait.
-constexpr int kRouteTimeoutMs = 1200;
-constexpr int kObjectiveMs = 150;
-constexpr int kMostAttempts = 3;
-//! One shard of three is enough for an answer, so that faults show as partial.
-constexpr double kLeastShare = 0.3;
-//! Above the connections that all entries open to one target.
-constexpr int kTargetConnections = 64;
-constexpr std::uint32_t kShards = 3;
 constexpr std::uint32_t kReplicas = 2;
-constexpr const char* kSingle = "single";
 //! Of the entries and of the first target of each service, so that most
 //! requests go there; it is the one that is evacuated.
 constexpr const char* kDomain = "a";
@@ -63,57 +53,6 @@
 constexpr const char* kStoreWell =
     R"({"outage":"none","delay_ms":0,"lose_reply_share":0})";
 
-[[nodiscard]] std::string ServiceName(std::uint32_t layout,
-                                      std::uint32_t shard) {
-  return "shard-" + std::to_string(layout) + "-" + std::to_string(shard);
-}
-
-[[nodiscard]] std::string SingleName(std::uint32_t layout) {
-  return std::string(kSingle) + "-" + std::to_string(layout);
-}
-
-[[nodiscard]] json_t* RouteJson(const char* name,
-                                const char* type,
-                                const std::string& service) {
-  const std::string prefix = "/" + std::string(name) + "/";
-  json_t* route =
-      json_pack("{s:s, s:s, s:s, s:s, s:i, s:i, s:i, s:i}", "name", name,
-                "host", "127.0.0.1", "prefix", prefix.c_str(), "routeType",
-                type, "timeoutMs", kRouteTimeoutMs, "targetLatencyMs",
-                kObjectiveMs, "maxAttempts", kMostAttempts, "priority", 1);
-  if (!service.empty()) {
-    json_object_set_new(route, "service", json_string(service.c_str()));
-  }
-  return route;
-}
-
-[[nodiscard]] json_t* ServiceJson(const std::string& name) {
-  return json_pack("{s:s, s:i}", "name", name.c_str(), "maxConnections",
-                   kTargetConnections);
-}
-
-//! The configuration that names one layout and no other.
-[[nodiscard]] std::string ConfigText(std::uint32_t layout) {
-  json_t* query = RouteJson("query", "idempotent", "");
-  json_t* shards = json_array();
-  json_t* services = json_array();
-  for (std::uint32_t shard = 0; shard < kShards; ++shard) {
-    const std::string name = ServiceName(layout, shard);
-    json_array_append_new(shards, json_string(name.c_str()));
-    json_array_append_new(services, ServiceJson(name));
-  }
-  json_object_set_new(query, "fanout", shards);
-  json_object_set_new(query, "topK", json_integer(json_int_t{kShards} * 2));
-  json_object_set_new(query, "minPartShare", json_real(kLeastShare));
-  const std::string single = SingleName(layout);
-  json_array_append_new(services, ServiceJson(single));
-  const JsonPtr config(json_pack(
-      "{s:i, s:[o, o, o], s:o}", "version", static_cast<int>(layout), "routes",
-      RouteJson("claim", "non_idempotent", single),
-      RouteJson("lookup", "idempotent", single), query, "services", services));
-  return DumpJson(*config);
-}
-
 [[nodiscard]] std::vector<std::size_t> LivesOf(const auto& entries) {
   std::vector<std::size_t> lives;
   lives.reserve(entries.size());
@@ -123,6 +62,10 @@
   return lives;
 }
 
+[[nodiscard]] std::string EvacuationKey() {
+  return std::string(platform::wire::kEvacuationKeys) + kDomain;
+}
+
 [[nodiscard]] std::string Cause(const char* what, std::size_t life) {
   return std::string(what) + " " + std::to_string(life);
 }
@@ -406,13 +349,7 @@
 }
 
 void Stage::WriteConfig() {
-  const std::string key(platform::wire::kConfigKey);
-  const std::string config = ConfigText(m_layout);
-  const JsonPtr message(json_pack("{s:[{s:s, s:s}]}", "put", "key", key.c_str(),
-                                  "value", config.c_str()));
-  if (!ControlStore(DumpJson(*message))) {
-    throw std::runtime_error("the store took no configuration");
-  }
+  PutInStore(std::string(platform::wire::kConfigKey), ConfigText(m_layout));
   m_layouts.push_back({m_layout, Now()});
 }
 
@@ -425,11 +362,19 @@
   m_store_port = static_cast<std::uint16_t>(std::stoi(port));
 }
 
-bool Stage::ControlStore(const std::string& message) {
+void Stage::ControlStore(const std::string& message) {
   const ClientReply reply =
       CallAndWait({"127.0.0.1", m_store_port}, {"POST", "/control", message},
                   kControlTimeout);
-  return reply.status == http_status::kOk;
+  if (reply.status != http_status::kOk) {
+    throw std::runtime_error("the store did not take " + message);
+  }
+}
+
+void Stage::PutInStore(const std::string& key, const std::string& value) {
+  const JsonPtr message(json_pack("{s:[{s:s, s:s}]}", "put", "key", key.c_str(),
+                                  "value", value.c_str()));
+  ControlStore(DumpJson(*message));
 }
 
 void Stage::HarmStore(const Action& action) {
@@ -437,21 +382,15 @@
     Begin("store", LivesOf(m_entries), Harm::kKnowledge);
   }
   const auto fault = static_cast<std::size_t>(action.store);
-  if (!ControlStore(kStoreMessages[fault])) {
-    throw std::runtime_error("the store took no fault");
-  }
+  ControlStore(kStoreMessages[fault]);
 }
 
 void Stage::ForgetInStore(const Action& /*action*/) {
-  if (!ControlStore(R"({"compact":true})")) {
-    throw std::runtime_error("the store took no fault");
-  }
+  ControlStore(R"({"compact":true})");
 }
 
 void Stage::HealStore(const Action& /*action*/) {
-  if (!ControlStore(kStoreWell)) {
-    throw std::runtime_error("the store does not heal");
-  }
+  ControlStore(kStoreWell);
   End("store");
 }
 
@@ -486,33 +425,27 @@
       action.link == Link::kStore ? Duration::zero() : kThaw);
 }
 
+bool Stage::IsEvacuated() const {
+  return !m_evacuations.empty() &&
+         m_evacuations.back().ended == TimePoint::max();
+}
+
 void Stage::Evacuate(const Action& /*action*/) {
-  if (!m_evacuations.empty() &&
-      m_evacuations.back().ended == TimePoint::max()) {
-    return;
+  if (!IsEvacuated()) {
+    PutInStore(EvacuationKey(), "{}");
+    m_evacuations.push_back({kDomain, Now()});
   }
-  const std::string key =
-      std::string(platform::wire::kEvacuationKeys) + kDomain;
-  const JsonPtr message(
-      json_pack("{s:[{s:s, s:s}]}", "put", "key", key.c_str(), "value", "{}"));
-  if (!ControlStore(DumpJson(*message))) {
-    throw std::runtime_error("the store took no evacuation");
-  }
-  m_evacuations.push_back({kDomain, Now()});
 }
 
 void Stage::GiveBack(const Action& /*action*/) {
-  if (m_evacuations.empty() || m_evacuations.back().ended != TimePoint::max()) {
+  if (!IsEvacuated()) {
     return;
   }
   // Noted first: requests go there as soon as the store has taken it.
   m_evacuations.back().ended = Now();
-  const std::string key =
-      std::string(platform::wire::kEvacuationKeys) + kDomain;
-  const JsonPtr message(json_pack("{s:[s]}", "remove", key.c_str()));
-  if (!ControlStore(DumpJson(*message))) {
-    throw std::runtime_error("the store did not end the evacuation");
-  }
+  const JsonPtr message(
+      json_pack("{s:[s]}", "remove", EvacuationKey().c_str()));
+  ControlStore(DumpJson(*message));
 }
 
 void Stage::Calm() {
--- a/soak/stage.h
+++ b/soak/stage.h
@@ -113,7 +113,10 @@
   void StartLayout();
   void DrainOldTargets();
   void WriteConfig();
-  [[nodiscard]] bool ControlStore(const std::string& message);
+  //! Throws if the store does not take it.
+  void ControlStore(const std::string& message);
+  void PutInStore(const std::string& key, const std::string& value);
+  [[nodiscard]] bool IsEvacuated() const;
   [[nodiscard]] Entry& EntryOf(const Action& action);
   [[nodiscard]] Target& TargetOf(const Action& action);
   [[nodiscard]] LoopbackProxy& LinkOf(const Action& action);
