Log what the store says at a whole reading, with its era

The logs of the incident could not show what the store itself said: the revision of a reading, what of it was dropped as out of date, and the header Store-Era, which nothing read. The new line store_read tells a store that came back from a copy (era risen, reading below the known revision) from one that dropped its history (same era). Nothing decides by it yet.

--- a/src/jacinthdeck/discovery/fwd.h
+++ b/src/jacinthdeck/discovery/fwd.h
@@ -19,6 +19,7 @@
 struct MemberWrite;
 struct StoreChange;
 struct StorePage;
+struct StoreReading;
 struct StoreWrite;
 struct TargetReading;
 struct WatchBatch;
--- a/src/jacinthdeck/discovery/knowledge_observer.h
+++ b/src/jacinthdeck/discovery/knowledge_observer.h
@@ -24,6 +24,9 @@
                          std::uint64_t revision,
                          bool whole) = 0;
 
+  /*! \brief All keys were read from the store. */
+  virtual void OnStoreRead(const StoreReading& reading) = 0;
+
   /*! \brief A call to the store failed after one that went well. */
   virtual void OnStoreLost(StoreStatus status, const std::string& problem) = 0;
 
--- a/src/jacinthdeck/discovery/store_session.cc
+++ b/src/jacinthdeck/discovery/store_session.cc
@@ -160,6 +160,7 @@
     return;
   }
   OnWell();
+  TellReading(page.era);
   m_loaded = true;
   m_must_read = false;
   Take(m_pages, m_pages_revision, true);
@@ -167,6 +168,18 @@
   WatchAfter(kGather);
 }
 
+void StoreSession::TellReading(StoreEra era) {
+  const auto outdated =
+      std::ranges::count_if(m_pages, [&](const StoreChange& item) {
+        return item.revision < m_content.RevisionOf(item.key);
+      });
+  m_observer.OnStoreRead({.era = era,
+                          .revision = m_pages_revision,
+                          .known_revision = m_revision,
+                          .items = m_pages.size(),
+                          .outdated = static_cast<std::size_t>(outdated)});
+}
+
 void StoreSession::Watch() {
   ++m_counters.watches;
   m_reads.Call(
--- a/src/jacinthdeck/discovery/store_session.h
+++ b/src/jacinthdeck/discovery/store_session.h
@@ -122,6 +122,7 @@
   void ReadAll();
   void ReadPage();
   void OnPage(const StorePage& page);
+  void TellReading(StoreEra era);
   void Watch();
   void OnBatch(const WatchBatch& batch);
   void WatchAfter(Duration pause);
--- a/src/jacinthdeck/discovery/store_types.h
+++ b/src/jacinthdeck/discovery/store_types.h
@@ -34,6 +34,14 @@
 inline constexpr NameTable<StoreStatus, 7> kStoreStatusNames{
     {"ok", "busy", "compacted", "no_lease", "conflict", "no_reply", "corrupt"}};
 
+/**
+ * \brief One uninterrupted history of the store; higher is newer.
+ *
+ * A store that comes back from a copy begins a new one, in which it gives out
+ * revisions of the one before again. 0: it names none.
+ */
+enum class StoreEra : std::uint64_t {};
+
 /*! \brief A key with its value, or its removal. */
 struct StoreChange {
   std::string key;
@@ -51,6 +59,19 @@
   bool has_more = false;
   //! The store's revision at the reading.
   std::uint64_t revision = 0;
+  StoreEra era{};
+};
+
+/*! \brief A whole reading, as the store gave it. */
+struct StoreReading {
+  StoreEra era{};
+  //! The store's revision when the reading began.
+  std::uint64_t revision = 0;
+  //! Up to which this host knew the content before.
+  std::uint64_t known_revision = 0;
+  std::size_t items = 0;
+  //! Items that are older than what this host knows of their keys.
+  std::size_t outdated = 0;
 };
 
 /*! \brief What a watch returned. */
--- a/src/jacinthdeck/entry/entry_node.h
+++ b/src/jacinthdeck/entry/entry_node.h
@@ -79,6 +79,7 @@
                  bool whole) override;
   void OnFeedOpened(const Endpoint& feeder) override;
   void OnFeedEnded(const std::string& problem) override;
+  void OnStoreRead(const StoreReading& reading) override;
   void OnStoreLost(StoreStatus status, const std::string& problem) override;
   void OnStoreRegained() override;
   void OnRegistration(StoreStatus status) override;
--- a/src/jacinthdeck/entry/entry_node_knowledge.cc
+++ b/src/jacinthdeck/entry/entry_node_knowledge.cc
@@ -205,6 +205,16 @@
   }
 }
 
+void EntryNode::OnStoreRead(const StoreReading& reading) {
+  LogLine line = m_log.Begin(LogEvent::kStoreRead);
+  line.Count("store_era", std::uint64_t(reading.era))
+      .Count("store_revision", reading.revision)
+      .Count("known_revision", reading.known_revision)
+      .Count("items", reading.items)
+      .Count("outdated", reading.outdated);
+  m_log.Add(std::move(line));
+}
+
 void EntryNode::OnStoreLost(StoreStatus status, const std::string& problem) {
   LogLine line = m_log.Begin(LogEvent::kStoreLost);
   line.Text("status", kStoreStatusNames.Name(status))
--- a/src/jacinthdeck/http/client_session.cc
+++ b/src/jacinthdeck/http/client_session.cc
@@ -1,8 +1,10 @@
 // One call at a time over Boost.Beast.
 #include "jacinthdeck/http/client_session.h"
 
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
+#include <boost/beast/core/string.hpp>
 #include <boost/beast/http/read.hpp>
 #include <utility>
 
@@ -19,6 +21,13 @@
 
 }  // namespace
 
+const std::string* ClientReply::FindHeader(std::string_view name) const {
+  const auto found = std::ranges::find_if(headers, [&](const Header& header) {
+    return boost::beast::iequals(header.name, name);
+  });
+  return found == headers.end() ? nullptr : &found->value;
+}
+
 ClientSession::ClientSession(asio::io_context& loop,
                              const std::string& address,
                              std::uint16_t port)
@@ -111,25 +120,30 @@
 void ClientSession::Read() {
   m_parser = std::make_unique<Parser>();
   m_parser->body_limit(kMostBodyBytes);
-  http::async_read(m_socket, m_buffer, *m_parser,
-                   [this, alive = m_alive, call = m_call](
-                       const SystemError& ended, std::size_t) {
-                     if (!*alive || call != m_call || !m_callback) {
-                       return;
-                     }
-                     if (ended) {
-                       FailWith("no reply: " + ended.message(), false);
-                       return;
-                     }
-                     auto message = m_parser->release();
-                     if (!message.keep_alive()) {
-                       CloseSocket();
-                     }
-                     ClientReply reply;
-                     reply.status = static_cast<int>(message.result_int());
-                     reply.body = std::move(message.body());
-                     Finish(reply);
-                   });
+  http::async_read(
+      m_socket, m_buffer, *m_parser,
+      [this, alive = m_alive, call = m_call](const SystemError& ended,
+                                             std::size_t) {
+        if (!*alive || call != m_call || !m_callback) {
+          return;
+        }
+        if (ended) {
+          FailWith("no reply: " + ended.message(), false);
+          return;
+        }
+        auto message = m_parser->release();
+        if (!message.keep_alive()) {
+          CloseSocket();
+        }
+        ClientReply reply;
+        reply.status = static_cast<int>(message.result_int());
+        for (const auto& field : message.base()) {
+          reply.headers.push_back(
+              {std::string(field.name_string()), std::string(field.value())});
+        }
+        reply.body = std::move(message.body());
+        Finish(reply);
+      });
 }
 
 void ClientSession::Finish(const ClientReply& reply) {
--- a/src/jacinthdeck/http/client_session.h
+++ b/src/jacinthdeck/http/client_session.h
@@ -10,6 +10,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "jacinthdeck/core/error.h"
@@ -38,8 +39,13 @@
   std::string error;
   //! No byte of the call left this host.
   bool not_sent = false;
+  std::vector<Header> headers = {};
 
   [[nodiscard]] bool answered() const noexcept { return status != 0; }
+
+  /*! \brief Finds a header's first value, whatever the case of its name; null
+   * if there is none. */
+  [[nodiscard]] const std::string* FindHeader(std::string_view name) const;
 };
 
 /**
--- a/test/jacinthdeck/discovery/store_session_test.cc
+++ b/test/jacinthdeck/discovery/store_session_test.cc
@@ -2,6 +2,7 @@
 // short waits: what is asserted never depends on how fast something was.
 #include "jacinthdeck/discovery/store_session.h"
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <chrono>
 #include <functional>
@@ -49,6 +50,7 @@
   int lost = 0;
   int regained = 0;
   std::vector<HandedOn> handed_on;
+  std::vector<StoreReading> readings;
 
   void OnKnowledge(const KnowledgeChange& /*change*/,
                    std::uint64_t /*revision*/) override {}
@@ -57,6 +59,9 @@
                  bool whole) override {
     handed_on.push_back({changes, revision, whole});
   }
+  void OnStoreRead(const StoreReading& reading) override {
+    readings.push_back(reading);
+  }
   void OnStoreLost(StoreStatus /*status*/,
                    const std::string& /*problem*/) override {
     ++lost;
