Show in a test that a restored store's configuration is not handed on

The stand-in store learns to keep a copy and to come back from it: changes and leases since are gone, revisions are given out again, a watch from one that is not there gets 410, and Store-Era rises.

--- a/standins/store/kv_store.cc
+++ b/standins/store/kv_store.cc
@@ -114,7 +114,7 @@
   while (true) {
     DropLapsed();
     result.revision = m_revision;
-    result.compacted = after < m_compacted;
+    result.compacted = after < m_compacted || after > m_revision;
     for (const KeyValue& change : m_history) {
       if (change.revision > after && change.key.starts_with(prefix)) {
         result.events.push_back(change);
@@ -129,6 +129,38 @@
   }
 }
 
+void KvStore::KeepCopy() {
+  const std::scoped_lock lock(m_mutex);
+  DropLapsed();
+  m_copy = Copy{m_entries, m_leases, m_revision};
+}
+
+bool KvStore::Restore() {
+  const std::scoped_lock lock(m_mutex);
+  if (!m_copy) {
+    return false;
+  }
+  m_entries = m_copy->entries;
+  m_leases = m_copy->leases;
+  for (auto& [id, lease] : m_leases) {
+    lease.expires = m_clock.Now() + lease.ttl;
+  }
+  m_revision = m_copy->revision;
+  m_compacted = std::min(m_compacted, m_revision);
+  std::erase_if(m_history, [&](const KeyValue& change) {
+    return change.revision > m_revision;
+  });
+  ++m_era;
+  ++m_interrupts;
+  m_changed.notify_all();
+  return true;
+}
+
+std::uint64_t KvStore::era() {
+  const std::scoped_lock lock(m_mutex);
+  return m_era;
+}
+
 void KvStore::Compact() {
   const std::scoped_lock lock(m_mutex);
   m_history.clear();
--- a/standins/store/kv_store.h
+++ b/standins/store/kv_store.h
@@ -107,6 +107,20 @@
                                   std::uint64_t after,
                                   Duration wait);
 
+  /*! \brief Keeps a copy of what is there now, in place of the one before. */
+  void KeepCopy();
+
+  /**
+   * \brief Comes back from the copy: all changes since are gone, leases too,
+   * and their revisions are given out again. Begins a new era and ends the
+   * watches that wait now.
+   * \return False if no copy was kept.
+   */
+  bool Restore();
+
+  /*! \brief Counts the histories, from 1 on. */
+  [[nodiscard]] std::uint64_t era();
+
   /*! \brief Forgets all history, and ends the watches that wait now. */
   void Compact();
 
@@ -119,6 +133,13 @@
     TimePoint expires;
   };
 
+  //! What Restore() goes back to.
+  struct Copy {
+    std::map<std::string, KeyValue> entries;
+    std::map<std::uint64_t, Lease> leases;
+    std::uint64_t revision = 0;
+  };
+
   void DropLapsed();
   void RemoveOrphans();
   void Record(const KeyValue& change);
@@ -136,6 +157,8 @@
   std::uint64_t m_compacted = 0;
   std::uint64_t m_revision = 0;
   std::uint64_t m_last_lease = 0;
+  std::uint64_t m_era = 1;
+  std::optional<Copy> m_copy;
   std::uint64_t m_interrupts = 0;
 };
 
--- a/standins/store/store_control.cc
+++ b/standins/store/store_control.cc
@@ -48,6 +48,12 @@
       control.removes.push_back(key);
     }
   }
+  if (message.Has("copy")) {
+    BOOST_LEAF_ASSIGN(control.keep_copy, message.Bool("copy"));
+  }
+  if (message.Has("restore")) {
+    BOOST_LEAF_ASSIGN(control.restore, message.Bool("restore"));
+  }
   if (message.Has("compact")) {
     BOOST_LEAF_ASSIGN(control.compact, message.Bool("compact"));
   }
--- a/standins/store/store_control.h
+++ b/standins/store/store_control.h
@@ -25,6 +25,10 @@
   std::optional<double> reads;
   std::optional<double> writes;
   bool compact = false;
+  //! Keep a copy of what is there before the puts and removes.
+  bool keep_copy = false;
+  //! Come back from the copy, before all else.
+  bool restore = false;
   std::vector<ControlPut> puts;
   std::vector<std::string> removes;
 };
--- a/standins/store/store_server.cc
+++ b/standins/store/store_server.cc
@@ -177,6 +177,12 @@
       m_writes.set_rate(*control.writes);
     }
   }
+  if (control.restore) {
+    (void)m_content.Restore();
+  }
+  if (control.keep_copy) {
+    m_content.KeepCopy();
+  }
   Transaction transaction;
   for (const ControlPut& put : control.puts) {
     const std::uint64_t lease =
@@ -200,6 +206,12 @@
   if (request.path == "/control") {
     return request.verb == "POST" ? Control(request) : Counts();
   }
+  HttpReply reply = Answer(request);
+  reply.headers.insert_or_assign("Store-Era", std::to_string(m_content.era()));
+  return reply;
+}
+
+HttpReply StoreServer::Answer(const HttpRequest& request) {
   const StoreFaults present = faults();
   if (present.delay > Duration::zero()) {
     std::this_thread::sleep_for(present.delay);
--- a/standins/store/store_server.h
+++ b/standins/store/store_server.h
@@ -54,6 +54,7 @@
   struct Route;
 
   [[nodiscard]] HttpReply Handle(const HttpRequest& request);
+  [[nodiscard]] HttpReply Answer(const HttpRequest& request);
   [[nodiscard]] HttpReply Dispatch(const HttpRequest& request);
   [[nodiscard]] HttpReply Get(const HttpRequest& request);
   [[nodiscard]] HttpReply Range(const HttpRequest& request);
--- a/test/jacinthdeck/discovery/store_session_test.cc
+++ b/test/jacinthdeck/discovery/store_session_test.cc
@@ -89,6 +89,31 @@
     store.Apply(control);
   }
 
+  void PutConfig(int version) {
+    standins::StoreControl control;
+    control.puts.push_back({"op/config",
+                            R"({"version":)" + std::to_string(version) +
+                                R"(,"routes":[],"services":[]})",
+                            {}});
+    store.Apply(control);
+  }
+
+  [[nodiscard]] std::uint64_t ConfigVersion() const {
+    const auto& config = session.knowledge().config();
+    return config == nullptr ? 0 : config->version();
+  }
+
+  [[nodiscard]] bool HandedOnConfig(int version) const {
+    const std::string text = "\"version\":" + std::to_string(version) + ",";
+    return std::ranges::any_of(handed_on, [&](const HandedOn& content) {
+      return std::ranges::any_of(
+          content.changes, [&](const StoreChange& change) {
+            return change.key == "op/config" && change.value &&
+                   change.value->find(text) != std::string::npos;
+          });
+    });
+  }
+
   void SetOutage(standins::Outage outage) {
     standins::StoreControl control;
     control.faults.outage = outage;
@@ -202,6 +227,27 @@
   BOOST_TEST(session.counters().reads >= reads);
 }
 
+// Guards against hosts that keep an old configuration for seconds, as the store
+// came back from a copy and their feeder dropped what it wrote since.
+BOOST_AUTO_TEST_CASE(Watch_StoreIsRestoredFromACopy_ConfigurationIsHandedOn) {
+  PutConfig(1);
+  session.SetWatching(true);
+  Until([&] { return ConfigVersion() == 1; });
+  store.content().KeepCopy();
+  for (const char* id : {"a", "b", "c"}) {
+    PutTarget(id);
+  }
+  PutConfig(2);
+  Until([&] { return ConfigVersion() == 2; });
+  SetOutage(standins::Outage::kDrop);
+  Until([&] { return lost == 1; });
+  BOOST_TEST(store.content().Restore());
+  SetOutage(standins::Outage::kNone);
+  PutConfig(3);
+  Until([&] { return ConfigVersion() == 3; });
+  BOOST_TEST(HandedOnConfig(3));
+}
+
 BOOST_AUTO_TEST_CASE(Register_LeaseIsEndedByTheStore_IsWrittenAgain) {
   const HostRecord host = MakeRecord("h");
   session.SetWatching(true);
--- a/test/standins/kv_store_test.cc
+++ b/test/standins/kv_store_test.cc
@@ -74,6 +74,25 @@
   BOOST_TEST(first.items.size() + second.items.size() == 700U);
 }
 
+// A drill comes back from a copy: what was written since is gone, and a watch
+// from a revision that is not there again must not wait for it.
+BOOST_AUTO_TEST_CASE(Restore_AfterChanges_GivesRevisionsOutAgain) {
+  (void)Put("a", "1");
+  const std::uint64_t copied = revision;
+  store.KeepCopy();
+  (void)Put("a", "2");
+  (void)Put("b", "1");
+  const std::uint64_t before = revision;
+  BOOST_TEST(store.Restore());
+  BOOST_TEST(store.era() == 2U);
+  BOOST_TEST(store.Get("a")->value.value() == "1");
+  BOOST_TEST(!store.Get("b").has_value());
+  BOOST_TEST(store.Watch("", before, milliseconds(0)).compacted);
+  (void)Put("c", "1");
+  BOOST_TEST(revision == copied + 1);
+  BOOST_TEST(store.Watch("", copied, milliseconds(0)).events.size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace jacinthdeck::standins
