--- a/src/daemons/ctl/evacuation_command.cc
+++ b/src/daemons/ctl/evacuation_command.cc
@@ -40,7 +40,7 @@
   json_array_append_new(
       to.items.get(),
       json_pack("{s:s, s:I}", "failure_domain", domain.c_str(), "revision",
-                static_cast<json_int_t>(item.revision)));
+                static_cast<json_int_t>(item.position.revision)));
 }
 
 //! Evacuated domains that a host applies.
--- a/src/daemons/ctl/session.cc
+++ b/src/daemons/ctl/session.cc
@@ -54,8 +54,10 @@
   std::vector<StoreChange> items;
   while (true) {
     const std::string after = items.empty() ? "" : items.back().key;
-    const StorePage page = m_codec.ReadPage(CallAndWait(
-        m_arguments.store, m_codec.RangeCall(after), m_arguments.timeout));
+    const StorePage page = m_codec.ReadPage(
+        CallAndWait(m_arguments.store, m_codec.RangeCall(after),
+                    m_arguments.timeout),
+        {});
     if (page.status != StoreStatus::kOk) {
       return jacinthdeck::Fail(ErrorCode::kUnavailable,
                                m_arguments.store.ToString(), page.problem);
@@ -69,12 +71,14 @@
 
 StoreAck Session::Swap(const std::string& key,
                        const std::string& value,
-                       std::uint64_t revision) const {
-  const StoreWrite write{.conditions = {{key, revision}},
+                       const StorePosition& position) const {
+  const StoreWrite write{.conditions = {{key, position.revision}},
                          .puts = {{key, value, 0}},
                          .removals = {}};
-  return m_codec.ReadWrite(CallAndWait(
-      m_arguments.store, m_codec.WriteCall(write), m_arguments.timeout));
+  return m_codec.ReadWrite(
+      CallAndWait(m_arguments.store, m_codec.WriteCall(write),
+                  m_arguments.timeout),
+      position.era);
 }
 
 void Session::Print(const json_t& value) {
--- a/src/daemons/ctl/session.h
+++ b/src/daemons/ctl/session.h
@@ -56,11 +56,12 @@
 
   /**
    * \brief Writes a key of the store if it is as it was read.
-   * \param revision Revision that was read; 0 if the key was not there.
+   * \param position Position that was read; revision 0 if the key was not
+   * there.
    */
   [[nodiscard]] StoreAck Swap(const std::string& key,
                               const std::string& value,
-                              std::uint64_t revision) const;
+                              const StorePosition& position) const;
 
   /*! \brief Prints a reply: as one line with --json, else for people. */
   void Print(const json_t& value);
--- a/src/daemons/ctl/store_key.cc
+++ b/src/daemons/ctl/store_key.cc
@@ -14,7 +14,7 @@
                                           const std::string& key) {
   BOOST_LEAF_AUTO(items, session.ReadStore());
   const auto found = std::ranges::find(items, key, &StoreChange::key);
-  return found == items.end() ? StoreChange{key, 0, std::nullopt} : *found;
+  return found == items.end() ? StoreChange{key, {}, std::nullopt} : *found;
 }
 
 }  // namespace
@@ -26,7 +26,7 @@
   if (const auto* error = std::get_if<Error>(&before)) {
     return session.Fail(*error);
   }
-  const StoreAck ack = session.Swap(key, value, std::get<0>(before).revision);
+  const StoreAck ack = session.Swap(key, value, std::get<0>(before).position);
   if (ack.status == StoreStatus::kOk) {
     session.out() << "written: hosts take it within seconds\n";
     return ExitCode::kDone;
--- a/src/jacinthdeck/discovery/evacuation.h
+++ b/src/jacinthdeck/discovery/evacuation.h
@@ -2,10 +2,9 @@
 #ifndef JACINTHDECK_DISCOVERY_EVACUATION_H_
 #define JACINTHDECK_DISCOVERY_EVACUATION_H_
 
-#include <cstdint>
-
 #include "jacinthdeck/core/ids.h"
 #include "jacinthdeck/core/time.h"
+#include "jacinthdeck/discovery/store_types.h"
 
 namespace jacinthdeck {
 
@@ -13,7 +12,7 @@
 struct Evacuation {
   FailureDomain domain;
   //! Of the store, at its last write.
-  std::uint64_t revision = 0;
+  StorePosition position;
   //! When this host learned of it.
   TimePoint since;
 };
--- a/src/jacinthdeck/discovery/fwd.h
+++ b/src/jacinthdeck/discovery/fwd.h
@@ -11,6 +11,7 @@
 class PlatformCodec;
 class RecordWriterChoice;
 class RemovalHold;
+class RestoreDoubt;
 class StoreContent;
 class StoreSession;
 struct Evacuation;
--- a/src/jacinthdeck/discovery/held_entries.h
+++ b/src/jacinthdeck/discovery/held_entries.h
@@ -2,7 +2,6 @@
 #ifndef JACINTHDECK_DISCOVERY_HELD_ENTRIES_H_
 #define JACINTHDECK_DISCOVERY_HELD_ENTRIES_H_
 
-#include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
@@ -11,6 +10,7 @@
 #include <vector>
 
 #include "jacinthdeck/core/time.h"
+#include "jacinthdeck/discovery/store_types.h"
 
 namespace jacinthdeck {
 
@@ -39,15 +39,25 @@
     return found == m_held.end() ? nullptr : &found->second.entry;
   }
 
-  /*! \brief Finds an entry as of a revision; null if another one is known. */
+  /*! \brief Finds an entry as of a position; null if another one is known. */
   [[nodiscard]] const Entry* FindAt(const std::string& key,
-                                    std::uint64_t revision) const {
+                                    const StorePosition& position) const {
     const auto found = m_held.find(key);
     const bool is_of_it =
-        found != m_held.end() && found->second.revision == revision;
+        found != m_held.end() && found->second.position == position;
     return is_of_it ? &found->second.entry : nullptr;
   }
 
+  /*! \brief Finds an entry that an era before this one wrote; null if there is
+   * none. */
+  [[nodiscard]] const Entry* FindBefore(const std::string& key,
+                                        StoreEra era) const {
+    const auto found = m_held.find(key);
+    const bool is_before =
+        found != m_held.end() && found->second.position.era < era;
+    return is_before ? &found->second.entry : nullptr;
+  }
+
   /*! \brief Earliest moment at which Expire() removes something. */
   [[nodiscard]] std::optional<TimePoint> NextExpiry() const {
     std::optional<TimePoint> next;
@@ -61,14 +71,14 @@
 
   /**
    * \brief Takes a written entry; it ends a removal that is held.
-   * \return False if a later revision is known.
+   * \return False if a later position is known.
    */
-  bool Put(const std::string& key, std::uint64_t revision, Entry entry) {
+  bool Put(const std::string& key, StorePosition position, Entry entry) {
     const auto found = m_held.find(key);
-    if (found != m_held.end() && found->second.revision > revision) {
+    if (found != m_held.end() && found->second.position > position) {
       return false;
     }
-    m_held.insert_or_assign(key, Held{std::move(entry), revision, {}, false});
+    m_held.insert_or_assign(key, Held{std::move(entry), position, {}, false});
     return true;
   }
 
@@ -77,13 +87,13 @@
    * \param counts_at When it counts; nothing while that is not known.
    */
   void Remove(const std::string& key,
-              std::uint64_t revision,
+              StorePosition position,
               std::optional<TimePoint> counts_at) {
     const auto found = m_held.find(key);
-    if (found == m_held.end() || found->second.revision > revision) {
+    if (found == m_held.end() || found->second.position > position) {
       return;
     }
-    found->second.revision = revision;
+    found->second.position = position;
     found->second.removed = true;
     found->second.gone_at = counts_at;
   }
@@ -94,21 +104,32 @@
   /**
    * \brief Takes a full reading: what it does not name is removed.
    * \param named Keys of the reading.
-   * \param revision The store's revision at its beginning; entries written
+   * \param position The store's position at its beginning; entries written
    * later stay.
    * \param counts_at As for Remove().
    */
   void RemoveOthers(const std::set<std::string>& named,
-                    std::uint64_t revision,
+                    StorePosition position,
                     std::optional<TimePoint> counts_at) {
     for (auto& [key, held] : m_held) {
-      if (!named.contains(key) && !held.removed && held.revision <= revision) {
+      if (!named.contains(key) && !held.removed && held.position <= position) {
         held.removed = true;
         held.gone_at = counts_at;
       }
     }
   }
 
+  /*! \brief Keys whose removal does not count yet. */
+  [[nodiscard]] std::vector<std::string> RemovedKeys() const {
+    std::vector<std::string> keys;
+    for (const auto& [key, held] : m_held) {
+      if (held.removed) {
+        keys.push_back(key);
+      }
+    }
+    return keys;
+  }
+
   /*! \brief Sets the moment for removals that had none. */
   void SetExpiry(TimePoint counts_at) {
     for (auto& [key, held] : m_held) {
@@ -139,7 +160,7 @@
   struct Held {
     Entry entry;
     //! Of its last write or removal.
-    std::uint64_t revision = 0;
+    StorePosition position;
     //! When its removal counts.
     std::optional<TimePoint> gone_at;
     bool removed = false;
--- a/src/jacinthdeck/discovery/knowledge.cc
+++ b/src/jacinthdeck/discovery/knowledge.cc
@@ -7,6 +7,26 @@
 
 namespace jacinthdeck {
 
+namespace {
+
+using std::chrono::milliseconds;
+
+//! Entries of the copy that nobody renews are dropped by then.
+constexpr Duration kCopyLife = milliseconds(4600);
+//! Operators have repeated by then what they wrote in the lost seconds.
+constexpr Duration kOperatorReturn = milliseconds(8000);
+
+//! The earlier of two moments that may be missing.
+[[nodiscard]] std::optional<TimePoint> Earlier(std::optional<TimePoint> left,
+                                               std::optional<TimePoint> right) {
+  if (!left || !right) {
+    return left ? left : right;
+  }
+  return std::min(*left, *right);
+}
+
+}  // namespace
+
 std::vector<TargetEntry> Knowledge::Targets() const {
   std::vector<TargetEntry> targets = m_targets.Entries();
   std::set<FailureDomain> evacuated;
@@ -20,12 +40,14 @@
 }
 
 std::optional<TimePoint> Knowledge::NextTimer() const {
-  const auto targets = m_targets.NextExpiry();
-  const auto hosts = m_hosts.NextExpiry();
-  if (!targets || !hosts) {
-    return targets ? targets : hosts;
-  }
-  return std::min(*targets, *hosts);
+  const auto entries = Earlier(m_targets.NextExpiry(), m_hosts.NextExpiry());
+  return Earlier(Earlier(entries, m_evacuations.NextExpiry()), m_doubt.Next());
+}
+
+std::optional<StoreChange> Knowledge::CarriedConfig() const {
+  const bool is_carried =
+      m_config != nullptr && m_config_entry.position.era < m_era;
+  return is_carried ? std::optional(m_config_entry) : std::nullopt;
 }
 
 KnowledgeChange Knowledge::OnChanges(std::span<const StoreChange> changes,
@@ -39,31 +61,83 @@
 }
 
 KnowledgeChange Knowledge::OnReading(std::span<const StoreChange> items,
-                                     std::uint64_t revision,
+                                     const StorePosition& position,
                                      TimePoint now) {
+  const bool restored = m_era != StoreEra{} && position.era > m_era;
+  if (restored) {
+    BeginEra(position, now);
+  }
+  m_era = std::max(m_era, position.era);
   KnowledgeChange changed = OnChanges(items, now);
   std::set<std::string> named;
   for (const StoreChange& item : items) {
     named.insert(item.key);
   }
+  m_doubt.KeepOnly(named);
   const auto counts_at = m_hold.CountsAt(now);
-  m_targets.RemoveOthers(named, revision, counts_at);
-  m_hosts.RemoveOthers(named, revision, counts_at);
-  m_evacuations.RemoveOthers(named, revision, now);
-  changed.AddEvacuations(!m_evacuations.Expire(now).empty());
-  const KnowledgeChange expired = OnTimer(now);
-  changed.targets |= expired.targets;
-  changed.hosts |= expired.hosts;
+  m_targets.RemoveOthers(named, position, counts_at);
+  m_hosts.RemoveOthers(named, position, counts_at);
+  m_evacuations.RemoveOthers(named, position,
+                             restored ? now + kOperatorReturn : now);
+  CountRemovals(now, changed);
+  return changed;
+}
+
+KnowledgeChange Knowledge::OnCarried(std::span<const StoreChange> changes) {
+  KnowledgeChange changed;
+  for (const StoreChange& change : changes) {
+    if (m_codec.ReadKey(change.key).kind == KeyKind::kConfig) {
+      TakeConfig(change, changed);
+    }
+  }
   return changed;
 }
 
 KnowledgeChange Knowledge::OnTimer(TimePoint now) {
   KnowledgeChange changed;
-  changed.targets = !m_targets.Expire(now).empty();
-  changed.hosts = !m_hosts.Expire(now).empty();
+  for (const StoreChange& entry : m_doubt.TakeDue(now)) {
+    Take(entry, now, changed);
+  }
+  CountRemovals(now, changed);
   return changed;
 }
 
+void Knowledge::CountRemovals(TimePoint now, KnowledgeChange& changed) {
+  changed.AddEvacuations(Expire(m_evacuations, kOperatorReturn, now));
+  changed.targets |= Expire(m_targets, kCopyLife, now);
+  changed.hosts |= Expire(m_hosts, kCopyLife, now);
+}
+
+template <typename Entry>
+bool Knowledge::Expire(HeldEntries<Entry>& entries,
+                       Duration doubt,
+                       TimePoint now) {
+  const std::vector<std::string> expired = entries.Expire(now);
+  for (const std::string& key : expired) {
+    m_doubt.OnRemoved(key, doubt, now);
+  }
+  return !expired.empty();
+}
+
+void Knowledge::BeginEra(const StorePosition& position, TimePoint now) {
+  m_hold.OnRestored(now);
+  m_targets.SetExpiry(*m_hold.CountsAt(now));
+  m_hosts.SetExpiry(*m_hold.CountsAt(now));
+  m_doubt.OnRestored(position, now);
+  for (const std::string& key : m_targets.RemovedKeys()) {
+    m_doubt.Add(key, now + kCopyLife);
+  }
+  for (const std::string& key : m_hosts.RemovedKeys()) {
+    m_doubt.Add(key, now + kCopyLife);
+  }
+  if (!m_schema.empty()) {
+    m_doubt.Add(m_codec.SchemaKey(), now + kOperatorReturn);
+  }
+  for (const auto& [service, text] : m_indexes) {
+    m_doubt.Add(m_codec.IndexKey(service.raw()), now + kOperatorReturn);
+  }
+}
+
 void Knowledge::OnWell(TimePoint now) {
   const bool was_away = m_hold.away();
   m_hold.OnWell(now);
@@ -76,6 +150,12 @@
 void Knowledge::Take(const StoreChange& change,
                      TimePoint now,
                      KnowledgeChange& changed) {
+  if (m_doubt.PutsOff(change, now)) {
+    return;
+  }
+  if (change.value) {
+    m_doubt.OnWritten(change.key);
+  }
   const KeyName name = m_codec.ReadKey(change.key);
   switch (name.kind) {
     case KeyKind::kConfig:
@@ -129,7 +209,15 @@
     return;
   }
   auto& config = std::get<0>(read);
-  if (m_config == nullptr || config->version() > m_config->version()) {
+  const bool is_newer =
+      m_config == nullptr || config->version() > m_config->version();
+  const bool is_repeated = !is_newer &&
+                           config->version() == m_config->version() &&
+                           change.position > m_config_entry.position;
+  if (is_newer || is_repeated) {
+    m_config_entry = change;
+  }
+  if (is_newer) {
     m_config = std::move(config);
     changed.config = true;
   }
@@ -140,8 +228,8 @@
                                TimePoint now,
                                KnowledgeChange& changed) {
   if (!change.value) {
-    m_evacuations.Remove(change.key, change.revision, now);
-    changed.AddEvacuations(!m_evacuations.Expire(now).empty());
+    m_evacuations.Remove(change.key, change.position, now);
+    changed.AddEvacuations(Expire(m_evacuations, kOperatorReturn, now));
     return;
   }
   auto read = Capture([&] { return m_codec.ReadEvacuation(id); });
@@ -153,8 +241,8 @@
   const bool news = known == nullptr;
   const TimePoint since = news ? now : known->since;
   (void)m_evacuations.Put(
-      change.key, change.revision,
-      {std::get<0>(std::move(read)), change.revision, since});
+      change.key, change.position,
+      {std::get<0>(std::move(read)), change.position, since});
   changed.AddEvacuations(news);
 }
 
@@ -166,9 +254,9 @@
     const TargetEntry* entry = m_targets.Find(change.key);
     // One that said it was leaving has left.
     const bool draining = entry != nullptr && entry->draining;
-    m_targets.Remove(change.key, change.revision,
+    m_targets.Remove(change.key, change.position,
                      draining ? now : m_hold.CountsAt(now));
-    changed.targets |= !m_targets.Expire(now).empty();
+    changed.targets |= Expire(m_targets, kCopyLife, now);
     return;
   }
   auto read = Capture([&] { return m_codec.ReadTarget(id, *change.value); });
@@ -183,21 +271,27 @@
   if (reading.problem) {
     changed.unreadable.push_back(std::move(*reading.problem));
   }
+  reading.entry.cold_until = now + reading.cold_for;
   // Read again in a whole content, the same entry would start its cold time
-  // anew.
-  const TargetEntry* same = m_targets.FindAt(change.key, change.revision);
-  reading.entry.cold_until =
-      same != nullptr ? same->cold_until : now + reading.cold_for;
+  // anew. The copy's entry may be from before the target began to leave.
+  const TargetEntry* known = m_targets.FindAt(change.key, change.position);
+  if (known == nullptr) {
+    known = m_targets.FindBefore(change.key, change.position.era);
+  }
+  if (known != nullptr) {
+    reading.entry.cold_until = known->cold_until;
+    reading.entry.draining |= known->draining;
+  }
   changed.targets |=
-      m_targets.Put(change.key, change.revision, std::move(reading.entry));
+      m_targets.Put(change.key, change.position, std::move(reading.entry));
 }
 
 void Knowledge::TakeHost(const StoreChange& change,
                          TimePoint now,
                          KnowledgeChange& changed) {
   if (!change.value) {
-    m_hosts.Remove(change.key, change.revision, m_hold.CountsAt(now));
-    changed.hosts |= !m_hosts.Expire(now).empty();
+    m_hosts.Remove(change.key, change.position, m_hold.CountsAt(now));
+    changed.hosts |= Expire(m_hosts, kCopyLife, now);
     return;
   }
   auto read = Capture([&] { return m_codec.ReadHost(*change.value); });
@@ -206,7 +300,7 @@
     return;
   }
   changed.hosts |=
-      m_hosts.Put(change.key, change.revision, std::get<0>(std::move(read)));
+      m_hosts.Put(change.key, change.position, std::get<0>(std::move(read)));
 }
 
 }  // namespace jacinthdeck
--- a/src/jacinthdeck/discovery/knowledge.h
+++ b/src/jacinthdeck/discovery/knowledge.h
@@ -19,6 +19,7 @@
 #include "jacinthdeck/discovery/host_record.h"
 #include "jacinthdeck/discovery/platform_codec.h"
 #include "jacinthdeck/discovery/removal_hold.h"
+#include "jacinthdeck/discovery/restore_doubt.h"
 #include "jacinthdeck/discovery/store_types.h"
 #include "jacinthdeck/forward/routing_config.h"
 #include "jacinthdeck/forward/target_entry.h"
@@ -49,8 +50,14 @@
 /**
  * \brief The tables that the store's entries make, without a network.
  *
- * Revisions only rise: an older word on a key never replaces a newer one, and
+ * Positions only rise: an older word on a key never replaces a newer one, and
  * the configuration's version never falls within the life of a process.
+ *
+ * A store that comes back from a copy lacks the last seconds, and operators and
+ * targets write again what they wrote in them. Until they had the time, this
+ * host keeps to what it knew: entries that the copy lacks stay, those that were
+ * removed before and are back in the copy are put off (RestoreDoubt), and a
+ * target that was leaving still is.
  */
 class Knowledge {
  public:
@@ -86,6 +93,15 @@
     return m_hosts.size();
   }
   [[nodiscard]] bool store_away() const noexcept { return m_hold.away(); }
+  /**
+   * \brief The configuration in force, if an era before wrote it and this one
+   * has none that is as new.
+   *
+   * Handed on beside the content of this era: a host that starts now would
+   * serve an older one than the others.
+   */
+  [[nodiscard]] std::optional<StoreChange> CarriedConfig() const;
+
   /*! \brief Moment at which OnTimer() is due. */
   [[nodiscard]] std::optional<TimePoint> NextTimer() const;
 
@@ -100,13 +116,17 @@
   /**
    * \brief Takes a reading of all keys.
    * \param items Every key of the store.
-   * \param revision The store's revision when the reading began.
+   * \param position The store's position when the reading began.
    */
   KnowledgeChange OnReading(std::span<const StoreChange> items,
-                            std::uint64_t revision,
+                            const StorePosition& position,
                             TimePoint now);
 
-  /*! \brief Lets removals count that are due. */
+  /*! \brief Takes what another host carries over from an era before; only a
+   * configuration counts, by its version. */
+  KnowledgeChange OnCarried(std::span<const StoreChange> changes);
+
+  /*! \brief Lets removals count that are due, and entries that were put off. */
   KnowledgeChange OnTimer(TimePoint now);
 
  private:
@@ -124,10 +144,26 @@
                 TimePoint now,
                 KnowledgeChange& changed);
   void OnWell(TimePoint now);
+  void BeginEra(const StorePosition& position, TimePoint now);
+  //! Lets removals count that are due.
+  void CountRemovals(TimePoint now, KnowledgeChange& changed);
+  /**
+   * \brief Lets removals of one kind of entries count that are due.
+   * \param doubt How long a copy's entry of a removed key is put off.
+   */
+  template <typename Entry>
+  [[nodiscard]] bool Expire(HeldEntries<Entry>& entries,
+                            Duration doubt,
+                            TimePoint now);
 
   const PlatformCodec& m_codec;
   RemovalHold m_hold;
+  //! Of the last reading.
+  StoreEra m_era{};
+  RestoreDoubt m_doubt;
   std::shared_ptr<const RoutingConfig> m_config;
+  //! What m_config was read from.
+  StoreChange m_config_entry;
   std::string m_schema;
   std::map<ServiceId, std::string> m_indexes;
   HeldEntries<TargetEntry> m_targets;
--- a/src/jacinthdeck/discovery/knowledge_observer.h
+++ b/src/jacinthdeck/discovery/knowledge_observer.h
@@ -2,7 +2,6 @@
 #ifndef JACINTHDECK_DISCOVERY_KNOWLEDGE_OBSERVER_H_
 #define JACINTHDECK_DISCOVERY_KNOWLEDGE_OBSERVER_H_
 
-#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -17,13 +16,21 @@
 
   /*! \brief Something in the tables changed. */
   virtual void OnKnowledge(const KnowledgeChange& change,
-                           std::uint64_t revision) = 0;
+                           const StorePosition& position) = 0;
 
   /*! \brief The store's content changed, as far as it is news here. */
   virtual void OnContent(const std::vector<StoreChange>& changes,
-                         std::uint64_t revision,
+                         const StorePosition& position,
                          bool whole) = 0;
 
+  /**
+   * \brief The store came back from a copy.
+   * \param known Up to where its content was known.
+   */
+  virtual void OnStoreRestored(StoreEra before,
+                               StoreEra era,
+                               const StorePosition& known) = 0;
+
   /*! \brief All keys were read from the store. */
   virtual void OnStoreRead(const StoreReading& reading) = 0;
 
--- a/src/jacinthdeck/discovery/member_records.cc
+++ b/src/jacinthdeck/discovery/member_records.cc
@@ -6,8 +6,6 @@
 #include <set>
 #include <utility>
 
-#include "jacinthdeck/discovery/store_types.h"
-
 namespace jacinthdeck {
 
 namespace {
@@ -36,12 +34,12 @@
   m_strays.clear();
   for (auto& [name, member] : m_members) {
     member.dirty = true;
-    member.revision = 0;
+    member.position = {};
   }
 }
 
 void MemberRecords::OnHosts(std::span<const HeldRecord> held,
-                            std::uint64_t revision,
+                            const StorePosition& position,
                             TimePoint now) {
   std::set<NodeId> named;
   std::map<NodeId, Stray> strays;
@@ -54,13 +52,14 @@
     }
     const auto known = m_strays.find(name);
     const bool same =
-        known != m_strays.end() && known->second.held.revision == host.revision;
+        known != m_strays.end() && known->second.held.position == host.position;
     strays[name] = same ? known->second : Stray{host, now};
   }
   m_strays = std::move(strays);
   for (auto& [name, member] : m_members) {
     // The store may drop a key while its lease seems to hold.
-    const bool known = member.revision != 0 && revision >= member.revision;
+    const bool known =
+        member.position.revision != 0 && position >= member.position;
     member.dirty = member.dirty || (known && !named.contains(name));
   }
 }
@@ -91,11 +90,11 @@
 
 void MemberRecords::OnWritten(const MemberWrite& write,
                               MemberWriteEnd end,
-                              std::uint64_t revision) {
+                              const StorePosition& position) {
   for (const HostRecord& put : write.puts) {
     const auto found = m_members.find(put.name);
     if (found != m_members.end()) {
-      found->second.revision = revision;
+      found->second.position = position;
       found->second.dirty = found->second.record != put;
     }
   }
--- a/src/jacinthdeck/discovery/member_records.h
+++ b/src/jacinthdeck/discovery/member_records.h
@@ -3,7 +3,6 @@
 #define JACINTHDECK_DISCOVERY_MEMBER_RECORDS_H_
 
 #include <cstddef>
-#include <cstdint>
 #include <map>
 #include <span>
 #include <utility>
@@ -12,6 +11,7 @@
 #include "jacinthdeck/core/ids.h"
 #include "jacinthdeck/core/time.h"
 #include "jacinthdeck/discovery/host_record.h"
+#include "jacinthdeck/discovery/store_types.h"
 
 namespace jacinthdeck {
 
@@ -19,7 +19,7 @@
 struct HeldRecord {
   HostRecord record;
   //! Of its last write.
-  std::uint64_t revision = 0;
+  StorePosition position;
 };
 
 /*! \brief What is to be written for members at once. */
@@ -77,10 +77,10 @@
   /**
    * \brief Compares what was written with what the store holds.
    * \param held Records of all hosts.
-   * \param revision Revision up to which they are known.
+   * \param position Position up to which they are known.
    */
   void OnHosts(std::span<const HeldRecord> held,
-               std::uint64_t revision,
+               const StorePosition& position,
                TimePoint now);
 
   /*! \brief Gives the write that is due; an empty one if none is. */
@@ -89,11 +89,11 @@
   /**
    * \brief Takes the end of a write that NextWrite() gave; one that was not
    * done, or of which nothing is known, stays due.
-   * \param revision The store's revision after it, where it was done.
+   * \param position The store's after it, where it was done.
    */
   void OnWritten(const MemberWrite& write,
                  MemberWriteEnd end,
-                 std::uint64_t revision);
+                 const StorePosition& position);
 
  private:
   struct Member {
@@ -101,7 +101,7 @@
     //! The store does not hold the record.
     bool dirty = true;
     //! Of the last write.
-    std::uint64_t revision = 0;
+    StorePosition position;
   };
   struct Stray {
     HeldRecord held;
--- a/src/jacinthdeck/discovery/platform_codec.h
+++ b/src/jacinthdeck/discovery/platform_codec.h
@@ -90,20 +90,27 @@
   /*! \brief Reads keys after one; an empty key begins at the first. */
   [[nodiscard]] virtual ClientRequest RangeCall(
       const std::string& after) const = 0;
-  [[nodiscard]] virtual StorePage ReadPage(const ClientReply& reply) const = 0;
+  /**
+   * \brief Reads a page.
+   * \param current Era of a reply that names none; ReadBatch() and ReadWrite()
+   * take it too.
+   */
+  [[nodiscard]] virtual StorePage ReadPage(const ClientReply& reply,
+                                           StoreEra current) const = 0;
 
   /*! \brief Waits for changes after a revision. */
   [[nodiscard]] virtual ClientRequest WatchCall(std::uint64_t after,
                                                 Duration wait) const = 0;
-  [[nodiscard]] virtual WatchBatch ReadBatch(
-      const ClientReply& reply) const = 0;
+  [[nodiscard]] virtual WatchBatch ReadBatch(const ClientReply& reply,
+                                             StoreEra current) const = 0;
 
   [[nodiscard]] virtual ClientRequest GrantCall(Duration lifetime) const = 0;
   [[nodiscard]] virtual ClientRequest RenewCall(std::uint64_t lease) const = 0;
   [[nodiscard]] virtual ClientRequest EndCall(std::uint64_t lease) const = 0;
   [[nodiscard]] virtual ClientRequest WriteCall(
       const StoreWrite& write) const = 0;
-  [[nodiscard]] virtual StoreAck ReadWrite(const ClientReply& reply) const = 0;
+  [[nodiscard]] virtual StoreAck ReadWrite(const ClientReply& reply,
+                                           StoreEra current) const = 0;
 };
 
 }  // namespace jacinthdeck
--- a/src/jacinthdeck/discovery/removal_hold.h
+++ b/src/jacinthdeck/discovery/removal_hold.h
@@ -33,6 +33,13 @@
     }
   }
 
+  /*! \brief Takes that the store came back from a copy, which may lack holders
+   * that live. */
+  void OnRestored(TimePoint now) noexcept {
+    m_away = false;
+    m_back = now;
+  }
+
   /*! \brief Tells when a removal seen now counts; nothing while the store is
    * away. */
   [[nodiscard]] std::optional<TimePoint> CountsAt(
@@ -50,7 +57,7 @@
 
  private:
   bool m_away = false;
-  //! End of the last outage.
+  //! End of the last outage, or moment of the last restore.
   std::optional<TimePoint> m_back;
 };
 
--- a/src/jacinthdeck/discovery/store_content.cc
+++ b/src/jacinthdeck/discovery/store_content.cc
@@ -1,4 +1,4 @@
-// Compares revisions key by key.
+// Compares positions key by key.
 #include "jacinthdeck/discovery/store_content.h"
 
 #include <algorithm>
@@ -16,28 +16,28 @@
 }
 
 std::optional<std::vector<StoreChange>> StoreContent::Since(
-    std::uint64_t revision) const {
-  if (!m_removals_from || revision < *m_removals_from) {
+    const StorePosition& position) const {
+  if (!m_removals_from || position < *m_removals_from) {
     return std::nullopt;
   }
   std::vector<StoreChange> changes;
   for (const auto& [key, item] : m_items) {
-    if (item.revision > revision) {
+    if (item.position > position) {
       changes.push_back(item);
     }
   }
   for (const auto& [key, removed] : m_removed) {
-    if (removed > revision) {
+    if (removed > position) {
       changes.push_back({key, removed, std::nullopt});
     }
   }
-  std::ranges::sort(changes, {}, &StoreChange::revision);
+  std::ranges::sort(changes, {}, &StoreChange::position);
   return changes;
 }
 
-std::uint64_t StoreContent::RevisionOf(const std::string& key) const {
+StorePosition StoreContent::PositionOf(const std::string& key) const {
   const auto found = m_items.find(key);
-  return found == m_items.end() ? 0 : found->second.revision;
+  return found == m_items.end() ? StorePosition() : found->second.position;
 }
 
 std::vector<StoreChange> StoreContent::Apply(
@@ -54,7 +54,7 @@
       m_removed.erase(change.key);
     } else {
       m_items.erase(change.key);
-      Remember(change.key, change.revision);
+      Remember(change.key, change.position);
     }
   }
   return news;
@@ -62,16 +62,20 @@
 
 std::vector<StoreChange> StoreContent::Replace(
     std::span<const StoreChange> items,
-    std::uint64_t revision) {
+    const StorePosition& position) {
+  if (m_removals_from && position.era > m_era) {
+    Clear();
+  }
+  m_era = std::max(m_era, position.era);
   std::set<std::string> named;
   for (const StoreChange& item : items) {
     named.insert(item.key);
   }
   for (auto at = m_items.begin(); at != m_items.end();) {
     const bool gone =
-        !named.contains(at->first) && at->second.revision <= revision;
+        !named.contains(at->first) && at->second.position <= position;
     if (gone) {
-      Remember(at->first, revision);
+      Remember(at->first, position);
       ++m_changes;
     }
     at = gone ? m_items.erase(at) : std::next(at);
@@ -79,7 +83,7 @@
   (void)Apply(items);
   // Keys that went between two readings are remembered as removed at the
   // second, so that the first one's revision holds on.
-  m_removals_from = m_removals_from.value_or(revision);
+  m_removals_from = m_removals_from.value_or(position);
   std::vector<StoreChange> valid;
   std::ranges::copy_if(
       items, std::back_inserter(valid),
@@ -88,19 +92,30 @@
 }
 
 bool StoreContent::IsNews(const StoreChange& change) const {
+  if (change.position.era < m_era) {
+    return false;
+  }
   const auto item = m_items.find(change.key);
   if (item != m_items.end()) {
-    return change.revision > item->second.revision;
+    return change.position > item->second.position;
   }
   const auto removed = m_removed.find(change.key);
   if (removed != m_removed.end()) {
-    return change.revision > removed->second;
+    return change.position > removed->second;
   }
   return change.value.has_value();
 }
 
-void StoreContent::Remember(const std::string& key, std::uint64_t revision) {
-  m_removed[key] = revision;
+void StoreContent::Clear() {
+  ++m_changes;
+  m_items.clear();
+  m_removed.clear();
+  m_removals_from.reset();
+}
+
+void StoreContent::Remember(const std::string& key,
+                            const StorePosition& position) {
+  m_removed[key] = position;
   if (m_removed.size() <= kMostRemovals) {
     return;
   }
--- a/src/jacinthdeck/discovery/store_content.h
+++ b/src/jacinthdeck/discovery/store_content.h
@@ -14,11 +14,13 @@
 namespace jacinthdeck {
 
 /**
- * \brief Keys and values by revision.
+ * \brief Keys and values by position, all of one era.
  *
  * Content reaches a host from the store and from other hosts, in any order. A
  * word that is older than what is known of its key is dropped here, also where
  * the key was removed meanwhile: an entry that left would come back otherwise.
+ * A whole content of a newer era takes the place of all that there is; words of
+ * an older one are dropped.
  */
 class StoreContent {
  public:
@@ -29,15 +31,15 @@
   [[nodiscard]] std::vector<StoreChange> Items() const;
 
   /**
-   * \brief Gives what was changed after a revision.
-   * \return Changes in the order of their revisions; nothing if some of the
-   * removals since then are not known here.
+   * \brief Gives what was changed after a position.
+   * \return Changes in the order of their positions; nothing if some of the
+   * removals since then are not known here, or it is of another era.
    */
   [[nodiscard]] std::optional<std::vector<StoreChange>> Since(
-      std::uint64_t revision) const;
+      const StorePosition& position) const;
 
-  /*! \brief Revision of a key's last write; 0 if the key is not there. */
-  [[nodiscard]] std::uint64_t RevisionOf(const std::string& key) const;
+  /*! \brief Position of a key's last write; revision 0 if it is not there. */
+  [[nodiscard]] StorePosition PositionOf(const std::string& key) const;
 
   /*! \brief Counts what was ever changed; equal counts mean equal content. */
   [[nodiscard]] std::uint64_t changes() const noexcept { return m_changes; }
@@ -49,23 +51,26 @@
   std::vector<StoreChange> Apply(std::span<const StoreChange> changes);
 
   /**
-   * \brief Takes the whole content at a revision.
+   * \brief Takes the whole content at a position.
    * \return Its items without those that are known to be out of date.
    */
   std::vector<StoreChange> Replace(std::span<const StoreChange> items,
-                                   std::uint64_t revision);
+                                   const StorePosition& position);
 
  private:
   [[nodiscard]] bool IsNews(const StoreChange& change) const;
-  void Remember(const std::string& key, std::uint64_t revision);
+  void Remember(const std::string& key, const StorePosition& position);
+  void Clear();
 
   std::map<std::string, StoreChange> m_items;
   //! Removed keys and when; disjoint from m_items.
-  std::map<std::string, std::uint64_t> m_removed;
+  std::map<std::string, StorePosition> m_removed;
   std::uint64_t m_changes = 0;
-  //! Revision from which on all removals are in m_removed; nothing before the
+  //! Of the last whole content.
+  StoreEra m_era{};
+  //! Position from which on all removals are in m_removed; nothing before the
   //! first whole content.
-  std::optional<std::uint64_t> m_removals_from;
+  std::optional<StorePosition> m_removals_from;
 };
 
 }  // namespace jacinthdeck
--- a/src/jacinthdeck/discovery/store_session.cc
+++ b/src/jacinthdeck/discovery/store_session.cc
@@ -26,6 +26,10 @@
 //! Another host that heard the store so lately proves that it is not away for
 //! all. Below the time in which an own call shows that the store went silent.
 constexpr Duration kHeardLately = milliseconds(800);
+//! Hosts that write again what a restored store lacks do so one by one.
+constexpr Duration kRewriteSpread = milliseconds(400);
+//! Feeders hear of a new era with their next renewal or watch, and hand it on.
+constexpr Duration kEraPatience = milliseconds(1500);
 //! Bounds of the pause after a failed call.
 constexpr Duration kFirstPause = milliseconds(100);
 constexpr Duration kLongestPause = milliseconds(800);
@@ -66,13 +70,82 @@
 }
 
 void StoreSession::TakeContent(const std::vector<StoreChange>& changes,
-                               std::uint64_t revision,
+                               const StorePosition& position,
                                bool whole) {
-  if (!m_loaded && !whole) {
+  // Changes alone are of no use to a host that knows nothing of their era, and
+  // a feeder that lags tells of one that has ended.
+  const bool applies = m_loaded && position.era == m_position.era;
+  const bool begins = whole && (!m_loaded || position.era > m_position.era);
+  (void)TakeEra(position.era);
+  if (!applies && !begins) {
     return;
   }
+  std::vector<StoreChange> content = changes;
+  const auto carried =
+      std::ranges::stable_partition(content, [&](const StoreChange& change) {
+        return change.position.era == position.era;
+      });
+  const std::vector<StoreChange> of_eras_before(carried.begin(), carried.end());
+  content.erase(carried.begin(), carried.end());
+  const bool restored = m_loaded && begins;
   m_loaded = true;
-  Take(changes, revision, whole);
+  Take(content, position, whole);
+  TakeCarried(of_eras_before);
+  if (restored) {
+    m_must_read = false;
+    RestartReading();
+  }
+}
+
+void StoreSession::TakeCarried(const std::vector<StoreChange>& changes) {
+  const KnowledgeChange change = m_knowledge.OnCarried(changes);
+  if (change.config) {
+    m_observer.OnContent(changes, m_position, false);
+  }
+  Tell(change);
+}
+
+StoreHandover StoreSession::HandoverSince(const StorePosition& position) const {
+  StoreHandover handover{m_position, true, {}};
+  auto since = position.revision > 0 ? m_content.Since(position) : std::nullopt;
+  handover.whole = !since.has_value();
+  handover.changes = since ? std::move(*since) : m_content.Items();
+  if (auto config = m_knowledge.CarriedConfig()) {
+    handover.changes.push_back(std::move(*config));
+  }
+  return handover;
+}
+
+bool StoreSession::IsLeftBehind() const {
+  return m_behind_since && m_clock.Now() - *m_behind_since >= kEraPatience;
+}
+
+StoreSession::EraOrder StoreSession::TakeEra(StoreEra era) {
+  if (era <= m_era) {
+    return era == m_era ? EraOrder::kCurrent : EraOrder::kEnded;
+  }
+  const StoreEra before = std::exchange(m_era, era);
+  if (before == StoreEra{} && !m_loaded) {
+    return EraOrder::kCurrent;
+  }
+  m_behind_since = m_clock.Now();
+  m_observer.OnStoreRestored(before, era, m_position);
+  // The lease may be gone, or its number another host's by now.
+  m_lease = 0;
+  m_written = false;
+  m_members.OnLeaseLost();
+  const auto bound = static_cast<std::uint64_t>(kRewriteSpread.count());
+  StepAfter(Duration(static_cast<Duration::rep>(m_random.Below(bound))));
+  return EraOrder::kNew;
+}
+
+void StoreSession::RestartReading() {
+  if (!m_watching) {
+    return;
+  }
+  m_read_timer.cancel();
+  m_reads.Abort();
+  Resume();
 }
 
 void StoreSession::TakeAge(std::optional<Duration> age, bool store_away) {
@@ -91,7 +164,7 @@
 }
 
 void StoreSession::Resume() {
-  if (m_loaded && !m_must_read) {
+  if (m_loaded && !m_must_read && !IsBehind()) {
     Watch();
   } else {
     ReadAll();
@@ -99,24 +172,29 @@
 }
 
 void StoreSession::Take(const std::vector<StoreChange>& changes,
-                        std::uint64_t revision,
+                        const StorePosition& position,
                         bool whole) {
   const TimePoint now = m_clock.Now();
   const std::uint64_t changes_before = m_content.changes();
   const std::vector<StoreChange> news =
-      whole ? m_content.Replace(changes, revision) : m_content.Apply(changes);
-  m_revision = std::max(m_revision, revision);
+      whole ? m_content.Replace(changes, position) : m_content.Apply(changes);
+  m_position = std::max(m_position, position);
+  if (!IsBehind()) {
+    m_behind_since.reset();
+  } else if (!m_behind_since) {
+    m_behind_since = now;
+  }
   const KnowledgeChange change =
-      whole ? m_knowledge.OnReading(news, revision, now)
+      whole ? m_knowledge.OnReading(news, position, now)
             : m_knowledge.OnChanges(news, now);
   if (m_content.changes() == changes_before) {
     // Hosts that follow each other would hand one reading on for ever.
   } else if (whole) {
     // A reading may be older than what this host knows. Handed on as it came,
-    // under the newer revision, it made followers drop live targets for good.
-    m_observer.OnContent(m_content.Items(), m_revision, true);
+    // under the newer position, it made followers drop live targets for good.
+    m_observer.OnContent(HandoverSince({}).changes, m_position, true);
   } else {
-    m_observer.OnContent(news, m_revision, false);
+    m_observer.OnContent(news, m_position, false);
   }
   Tell(change);
 }
@@ -132,27 +210,37 @@
 
 void StoreSession::ReadAll() {
   m_pages.clear();
-  m_pages_revision = 0;
+  m_pages_position.reset();
   ReadPage();
 }
 
 void StoreSession::ReadPage() {
   ++m_counters.reads;
   const std::string after = m_pages.empty() ? "" : m_pages.back().key;
-  m_reads.Call(
-      m_codec.RangeCall(after), kCallTimeout,
-      [this](const ClientReply& reply) { OnPage(m_codec.ReadPage(reply)); });
+  m_reads.Call(m_codec.RangeCall(after), kCallTimeout,
+               [this](const ClientReply& reply) {
+                 OnPage(m_codec.ReadPage(reply, m_era));
+               });
 }
 
 void StoreSession::OnPage(const StorePage& page) {
+  const EraOrder order = TakeEra(page.position.era);
   if (page.status != StoreStatus::kOk) {
     OnFailure(page.status, page.problem);
     return;
   }
+  if (order == EraOrder::kEnded) {
+    OnFailure(StoreStatus::kOutdated, "page of an ended era");
+    return;
+  }
+  if (m_pages_position && m_pages_position->era != page.position.era) {
+    ReadAll();
+    return;
+  }
   // Pages are no snapshot: the watch goes on from the first one, and takes a
   // change twice rather than not at all.
-  if (m_pages_revision == 0) {
-    m_pages_revision = page.revision;
+  if (!m_pages_position) {
+    m_pages_position = page.position;
   }
   m_pages.insert(m_pages.end(), page.items.begin(), page.items.end());
   if (page.has_more && !page.items.empty()) {
@@ -160,34 +248,47 @@
     return;
   }
   OnWell();
-  TellReading(page.era);
+  TellReading();
   m_loaded = true;
   m_must_read = false;
-  Take(m_pages, m_pages_revision, true);
+  Take(m_pages, *m_pages_position, true);
   m_pages.clear();
   WatchAfter(kGather);
 }
 
-void StoreSession::TellReading(StoreEra era) {
+void StoreSession::TellReading() {
   const auto outdated =
       std::ranges::count_if(m_pages, [&](const StoreChange& item) {
-        return item.revision < m_content.RevisionOf(item.key);
+        return item.position < m_content.PositionOf(item.key);
       });
-  m_observer.OnStoreRead({.era = era,
-                          .revision = m_pages_revision,
-                          .known_revision = m_revision,
+  m_observer.OnStoreRead({.position = *m_pages_position,
+                          .known = m_position,
                           .items = m_pages.size(),
                           .outdated = static_cast<std::size_t>(outdated)});
 }
 
 void StoreSession::Watch() {
   ++m_counters.watches;
-  m_reads.Call(
-      m_codec.WatchCall(m_revision, kWatchWait), kWatchWait + kWatchSlack,
-      [this](const ClientReply& reply) { OnBatch(m_codec.ReadBatch(reply)); });
+  m_reads.Call(m_codec.WatchCall(m_position.revision, kWatchWait),
+               kWatchWait + kWatchSlack, [this](const ClientReply& reply) {
+                 OnBatch(m_codec.ReadBatch(reply, m_era));
+               });
 }
 
 void StoreSession::OnBatch(const WatchBatch& batch) {
+  const EraOrder order = TakeEra(batch.position.era);
+  const bool answered = batch.status == StoreStatus::kOk ||
+                        batch.status == StoreStatus::kCompacted;
+  if (answered && order == EraOrder::kEnded) {
+    OnFailure(StoreStatus::kOutdated, "watch of an ended era");
+    return;
+  }
+  if (answered && IsBehind()) {
+    // What it brings comes after a revision of the era before, which the
+    // present one has given out again: changes before that would be missing.
+    ReadAll();
+    return;
+  }
   if (batch.status == StoreStatus::kCompacted) {
     // What is known stays valid, and so do changes that another host hands on:
     // a host that stopped watching in the middle of the reading and took none
@@ -201,7 +302,7 @@
     return;
   }
   OnWell();
-  Take(batch.changes, batch.revision, false);
+  Take(batch.changes, batch.position, false);
   WatchAfter(batch.changes.empty() ? Duration::zero() : kGather);
 }
 
@@ -257,7 +358,7 @@
                     change.targets || change.hosts ||
                     !change.convictions.empty() || !change.unreadable.empty();
   if (news) {
-    m_observer.OnKnowledge(change, m_revision);
+    m_observer.OnKnowledge(change, m_position);
   }
 }
 
--- a/src/jacinthdeck/discovery/store_session.h
+++ b/src/jacinthdeck/discovery/store_session.h
@@ -60,7 +60,15 @@
   [[nodiscard]] const StoreCounters& counters() const noexcept {
     return m_counters;
   }
-  [[nodiscard]] std::uint64_t revision() const noexcept { return m_revision; }
+  /*! \brief Up to where the content is known. */
+  [[nodiscard]] const StorePosition& position() const noexcept {
+    return m_position;
+  }
+  /*! \brief Newest era of the store that was heard of. */
+  [[nodiscard]] StoreEra era() const noexcept { return m_era; }
+  /*! \brief Tells whether the content has been of an ended era for longer than
+   * another host takes to hand on that of the present one. */
+  [[nodiscard]] bool IsLeftBehind() const;
   /*! \brief Tells whether the whole content was taken once. */
   [[nodiscard]] bool loaded() const noexcept { return m_loaded; }
   /*! \brief Moment of the last call that went well; nothing before the first.
@@ -69,18 +77,21 @@
     return m_last_well;
   }
 
-  [[nodiscard]] const StoreContent& content() const noexcept {
-    return m_content;
-  }
-
   /*! \brief Begins to watch the store, or ends it; what is known stays. */
   void SetWatching(bool watching);
 
   /*! \brief Takes content that another host handed on. */
   void TakeContent(const std::vector<StoreChange>& changes,
-                   std::uint64_t revision,
+                   const StorePosition& position,
                    bool whole);
 
+  /**
+   * \brief Gives what another host lacks.
+   * \param position Up to which it knows all; revision 0 if it knows nothing.
+   */
+  [[nodiscard]] StoreHandover HandoverSince(
+      const StorePosition& position) const;
+
   /*! \brief Takes another host's word on how old that content is; nothing: it
    * never heard the store. */
   void TakeAge(std::optional<Duration> age, bool store_away);
@@ -118,20 +129,32 @@
   void CheckTimes();
 
  private:
+  //! How the era of a reply stands to the newest one that was heard of.
+  enum class EraOrder { kCurrent, kNew, kEnded };
+
   // Reading, in store_session.cc.
   void ReadAll();
   void ReadPage();
   void OnPage(const StorePage& page);
-  void TellReading(StoreEra era);
+  void TellReading();
   void Watch();
   void OnBatch(const WatchBatch& batch);
   void WatchAfter(Duration pause);
   void OnWell();
   void OnFailure(StoreStatus status, const std::string& problem);
   void Resume();
+  //! Begins the reading or watch under way anew.
+  void RestartReading();
+  [[nodiscard]] bool IsBehind() const noexcept {
+    return m_position.era < m_era;
+  }
+  //! Hears of an era; one that is new ends this host's lease.
+  [[nodiscard]] EraOrder TakeEra(StoreEra era);
   void Take(const std::vector<StoreChange>& changes,
-            std::uint64_t revision,
+            const StorePosition& position,
             bool whole);
+  //! Takes what another host carries over from an era before.
+  void TakeCarried(const std::vector<StoreChange>& changes);
   void Tell(const KnowledgeChange& change);
 
   // Writing, in store_session_writes.cc.
@@ -168,18 +191,22 @@
   Backoff m_read_backoff;
   //! Everything was read once, here or by a host that handed it on.
   bool m_loaded = false;
-  //! The store forgot the history after m_revision: a watch cannot go on there.
+  //! The store forgot the history after m_position: a watch cannot go on there.
   bool m_must_read = false;
   bool m_watching = false;
   bool m_lost = false;
+  StoreEra m_era{};
+  //! Since when the content is of an ended era; nothing while it is not.
+  std::optional<TimePoint> m_behind_since;
   //! Where the next watch goes on.
-  std::uint64_t m_revision = 0;
+  StorePosition m_position;
   std::optional<TimePoint> m_last_well;
   //! When a host that is followed last heard the store.
   std::optional<TimePoint> m_others_heard;
   //! The reading under way.
   std::vector<StoreChange> m_pages;
-  std::uint64_t m_pages_revision = 0;
+  //! Of its first page.
+  std::optional<StorePosition> m_pages_position;
 
   ClientSession m_writes;
   asio::steady_timer m_write_timer;
@@ -197,9 +224,8 @@
   //! 0 while there is no lease.
   std::uint64_t m_lease = 0;
   bool m_written = false;
-  //! Revision of the record's last write: content that is older cannot miss
-  //! it.
-  std::uint64_t m_written_revision = 0;
+  //! Of the record's last write: content that is older cannot miss it.
+  StorePosition m_written_position;
   TimePoint m_renew_at;
   std::vector<Fingerprint> m_convictions;
 };
--- a/src/jacinthdeck/discovery/store_session_writes.cc
+++ b/src/jacinthdeck/discovery/store_session_writes.cc
@@ -106,7 +106,17 @@
   m_writes.Call(
       request, kWriteTimeout,
       [this, accepted, done = std::move(done)](const ClientReply& reply) {
-        const StoreAck ack = m_codec.ReadWrite(reply);
+        const StoreAck ack = m_codec.ReadWrite(reply, m_era);
+        const EraOrder order = TakeEra(ack.position.era);
+        if (order == EraOrder::kNew) {
+          // The next step begins with a lease of this era.
+          RestartReading();
+          return;
+        }
+        if (order == EraOrder::kEnded) {
+          OnWriteFailed(StoreStatus::kOutdated);
+          return;
+        }
         if (ack.status != StoreStatus::kOk && ack.status != accepted) {
           OnWriteFailed(ack.status);
           return;
@@ -124,6 +134,7 @@
     }
     m_lease = ack.lease;
     m_written = false;
+    m_members.OnLeaseLost();
     m_renew_at = m_clock.Now() + RenewPause();
     Step();
   });
@@ -137,7 +148,7 @@
       {m_codec.HostKey(m_name), m_codec.WriteHost(*m_record), m_lease});
   Send(m_codec.WriteCall(write), {}, [this](const StoreAck& ack) {
     m_written = true;
-    m_written_revision = ack.revision;
+    m_written_position = ack.position;
     m_write_backoff.OnSuccess();
     m_observer.OnRegistration(StoreStatus::kOk);
     Step();
@@ -149,7 +160,7 @@
   Send(m_codec.RenewCall(m_lease), {}, [this](const StoreAck&) {
     m_write_backoff.OnSuccess();
     m_renew_at = m_clock.Now() + RenewPause();
-    StepAfter(RenewPause());
+    StepAfter(m_lease == 0 ? Duration::zero() : RenewPause());
   });
 }
 
@@ -184,7 +195,7 @@
   }
   for (const HeldRecord& removal : due.removals) {
     const std::string key = m_codec.HostKey(removal.record.name);
-    write.conditions.push_back({key, removal.revision});
+    write.conditions.push_back({key, removal.position.revision});
     write.removals.push_back(key);
   }
   ++m_counters.writes;
@@ -194,7 +205,7 @@
                              ack.status == StoreStatus::kOk
                                  ? MemberWriteEnd::kDone
                                  : MemberWriteEnd::kConflict,
-                             ack.revision);
+                             ack.position);
          m_write_backoff.OnSuccess();
          Step();
        });
@@ -238,7 +249,7 @@
 }
 
 void StoreSession::CheckOwnRecord() {
-  if (!m_record || !m_written || m_revision < m_written_revision) {
+  if (!m_record || !m_written || m_position < m_written_position) {
     return;
   }
   const HostRecord* held = m_knowledge.FindHost(m_name);
@@ -265,16 +276,17 @@
   }
   std::vector<HeldRecord> held;
   for (HostRecord& host : m_knowledge.Hosts()) {
-    const std::uint64_t revision =
-        m_content.RevisionOf(m_codec.HostKey(host.name));
-    held.push_back({std::move(host), revision});
+    const StorePosition position =
+        m_content.PositionOf(m_codec.HostKey(host.name));
+    held.push_back({std::move(host), position});
   }
-  m_members.OnHosts(held, m_revision, m_clock.Now());
+  m_members.OnHosts(held, m_position, m_clock.Now());
 }
 
 void StoreSession::CheckMembers() {
+  // Conditions on revisions of an ended era could hold for other writes.
   const bool can_write =
-      m_record && m_written && m_lease != 0 && !m_writes.busy();
+      m_record && m_written && m_lease != 0 && !IsBehind() && !m_writes.busy();
   if (!can_write || m_clock.Now() < m_members_at) {
     return;
   }
--- a/src/jacinthdeck/discovery/store_types.h
+++ b/src/jacinthdeck/discovery/store_types.h
@@ -2,6 +2,7 @@
 #ifndef JACINTHDECK_DISCOVERY_STORE_TYPES_H_
 #define JACINTHDECK_DISCOVERY_STORE_TYPES_H_
 
+#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -28,11 +29,14 @@
   kNoReply,
   //! A reply that cannot be read.
   kCorrupt,
+  //! A reply of an era that has ended.
+  kOutdated,
 };
 
 //! Names of the statuses, for logs and metrics.
-inline constexpr NameTable<StoreStatus, 7> kStoreStatusNames{
-    {"ok", "busy", "compacted", "no_lease", "conflict", "no_reply", "corrupt"}};
+inline constexpr NameTable<StoreStatus, 8> kStoreStatusNames{
+    {"ok", "busy", "compacted", "no_lease", "conflict", "no_reply", "corrupt",
+     "outdated"}};
 
 /**
  * \brief One uninterrupted history of the store; higher is newer.
@@ -42,10 +46,29 @@
  */
 enum class StoreEra : std::uint64_t {};
 
+/*! \brief An era's number, for logs, metrics and messages. */
+[[nodiscard]] constexpr std::uint64_t EraNumber(StoreEra era) noexcept {
+  return static_cast<std::uint64_t>(era);
+}
+
+/**
+ * \brief A point in the store's history, in order over all eras.
+ *
+ * A bare revision orders nothing: a store that comes back from a copy gives the
+ * same one to two changes.
+ */
+struct StorePosition {
+  StoreEra era{};
+  //! 0: before the first change.
+  std::uint64_t revision = 0;
+
+  [[nodiscard]] auto operator<=>(const StorePosition&) const = default;
+};
+
 /*! \brief A key with its value, or its removal. */
 struct StoreChange {
   std::string key;
-  std::uint64_t revision = 0;
+  StorePosition position;
   //! Nothing where the key was removed.
   std::optional<std::string> value;
 };
@@ -57,18 +80,25 @@
   std::string problem;
   std::vector<StoreChange> items;
   bool has_more = false;
-  //! The store's revision at the reading.
-  std::uint64_t revision = 0;
-  StoreEra era{};
+  //! The store's at the reading; of a failed call the era alone.
+  StorePosition position;
+};
+
+/*! \brief Content that one host hands on to another. */
+struct StoreHandover {
+  StorePosition position;
+  //! What is not named is gone.
+  bool whole = false;
+  //! Those of an era before are no content; they are carried over.
+  std::vector<StoreChange> changes;
 };
 
 /*! \brief A whole reading, as the store gave it. */
 struct StoreReading {
-  StoreEra era{};
-  //! The store's revision when the reading began.
-  std::uint64_t revision = 0;
+  //! The store's when the reading began.
+  StorePosition position;
   //! Up to which this host knew the content before.
-  std::uint64_t known_revision = 0;
+  StorePosition known;
   std::size_t items = 0;
   //! Items that are older than what this host knows of their keys.
   std::size_t outdated = 0;
@@ -79,8 +109,8 @@
   StoreStatus status = StoreStatus::kNoReply;
   std::string problem;
   std::vector<StoreChange> changes;
-  //! Where the next watch goes on.
-  std::uint64_t revision = 0;
+  //! Where the next watch goes on; of a failed call the era alone.
+  StorePosition position;
 };
 
 /*! \brief What a call on a lease, or a write, returned. */
@@ -89,8 +119,8 @@
   std::string problem;
   //! Of a new lease.
   std::uint64_t lease = 0;
-  //! The store's revision after a write.
-  std::uint64_t revision = 0;
+  //! The store's after a write; of other calls the era alone.
+  StorePosition position;
 };
 
 /*! \brief A condition of a write: the key's last change is this one. */
--- a/src/jacinthdeck/entry/decision_log.cc
+++ b/src/jacinthdeck/entry/decision_log.cc
@@ -131,35 +131,39 @@
 
 void DecisionLog::OnKnowledge(const KnowledgeChange& change,
                               const Knowledge& knowledge,
-                              std::uint64_t revision,
+                              const StorePosition& position,
                               Duration since_start,
                               TimePoint now) {
   if (change.config) {
     LogLine line = m_log.Begin(LogEvent::kConfigApplied);
     line.Count("config_version", knowledge.config()->version())
         .Count("routes", knowledge.config()->routes().size())
-        .Count("store_revision", revision)
+        .Count("store_era", EraNumber(position.era))
+        .Count("store_revision", position.revision)
         .Milliseconds("since_start_ms", since_start);
     m_log.Add(std::move(line));
   }
   if (change.targets) {
     LogLine line = m_log.Begin(LogEvent::kTargetsChanged);
     line.Count("targets", knowledge.target_count())
-        .Count("store_revision", revision)
+        .Count("store_era", EraNumber(position.era))
+        .Count("store_revision", position.revision)
         .Flag("store_away", knowledge.store_away());
     m_log.Add(std::move(line));
   }
   if (change.evacuations) {
     LogLine line = m_log.Begin(LogEvent::kEvacuationsChanged);
     line.Raw("evacuated", EvacuationsText(knowledge.Evacuations(), now))
-        .Count("store_revision", revision)
+        .Count("store_era", EraNumber(position.era))
+        .Count("store_revision", position.revision)
         .Flag("store_away", knowledge.store_away());
     m_log.Add(std::move(line));
   }
   if (change.hosts) {
     LogLine line = m_log.Begin(LogEvent::kHostsChanged);
     line.Count("hosts", knowledge.Hosts().size())
-        .Count("store_revision", revision)
+        .Count("store_era", EraNumber(position.era))
+        .Count("store_revision", position.revision)
         .Flag("store_away", knowledge.store_away());
     m_log.Add(std::move(line));
   }
@@ -168,7 +172,8 @@
     LogLine line = m_log.Begin(LogEvent::kEntryUnreadable);
     line.Text("entry", change.unreadable[i].subject)
         .Text("problem", change.unreadable[i].message)
-        .Count("store_revision", revision);
+        .Count("store_era", EraNumber(position.era))
+        .Count("store_revision", position.revision);
     m_log.Add(std::move(line));
   }
 }
--- a/src/jacinthdeck/entry/decision_log.h
+++ b/src/jacinthdeck/entry/decision_log.h
@@ -59,7 +59,7 @@
   /*! \brief Writes what the store taught. */
   void OnKnowledge(const KnowledgeChange& change,
                    const Knowledge& knowledge,
-                   std::uint64_t revision,
+                   const StorePosition& position,
                    Duration since_start,
                    TimePoint now);
 
--- a/src/jacinthdeck/entry/entry_node.h
+++ b/src/jacinthdeck/entry/entry_node.h
@@ -73,10 +73,13 @@
   void ShareConviction(Fingerprint fingerprint) override;
   void OnAttemptEnd(AttemptEnd& end) override;
   void OnKnowledge(const KnowledgeChange& change,
-                   std::uint64_t revision) override;
+                   const StorePosition& position) override;
   void OnContent(const std::vector<StoreChange>& changes,
-                 std::uint64_t revision,
+                 const StorePosition& position,
                  bool whole) override;
+  void OnStoreRestored(StoreEra before,
+                       StoreEra era,
+                       const StorePosition& known) override;
   void OnFeedOpened(const Endpoint& feeder) override;
   void OnFeedEnded(const std::string& problem) override;
   void OnStoreRead(const StoreReading& reading) override;
--- a/src/jacinthdeck/entry/entry_node_answers.cc
+++ b/src/jacinthdeck/entry/entry_node_answers.cc
@@ -72,7 +72,9 @@
       .Flag("stopping", m_stopping)
       .Flag("store_away", knowledge.store_away())
       .Milliseconds("knowledge_age_ms", KnowledgeAge())
-      .Count("store_revision", m_store.revision())
+      .Count("store_era", EraNumber(m_store.position().era))
+      .Count("newest_era", EraNumber(m_store.era()))
+      .Count("store_revision", m_store.position().revision)
       .Count("config_version",
              knowledge.config() == nullptr ? 0 : knowledge.config()->version())
       .Count("targets", knowledge.target_count())
--- a/src/jacinthdeck/entry/entry_node_knowledge.cc
+++ b/src/jacinthdeck/entry/entry_node_knowledge.cc
@@ -61,7 +61,7 @@
 }  // namespace
 
 void EntryNode::OnKnowledge(const KnowledgeChange& change,
-                            std::uint64_t revision) {
+                            const StorePosition& position) {
   const TimePoint now = m_clock.Now();
   const Knowledge& knowledge = m_store.knowledge();
   if (change.config && m_forwarder.SetConfig(knowledge.config())) {
@@ -80,15 +80,25 @@
   }
   KeepRecord(now);
   TakeTyped(change, now);
-  m_decisions.OnKnowledge(change, knowledge, revision, now - m_started, now);
+  m_decisions.OnKnowledge(change, knowledge, position, now - m_started, now);
   TellReadiness();
   ArmDecisions();
 }
 
 void EntryNode::OnContent(const std::vector<StoreChange>& changes,
-                          std::uint64_t revision,
+                          const StorePosition& position,
                           bool whole) {
-  m_feed.OnContent(changes, revision, whole);
+  m_feed.OnContent(changes, position, whole);
+}
+
+void EntryNode::OnStoreRestored(StoreEra before,
+                                StoreEra era,
+                                const StorePosition& known) {
+  LogLine line = m_log.Begin(LogEvent::kStoreRestored);
+  line.Count("store_era", EraNumber(era))
+      .Count("era_before", EraNumber(before))
+      .Count("known_revision", known.revision);
+  m_log.Add(std::move(line));
 }
 
 void EntryNode::OnFeedOpened(const Endpoint& feeder) {
@@ -100,7 +110,7 @@
 void EntryNode::OnFeedEnded(const std::string& problem) {
   LogLine line = m_log.Begin(LogEvent::kFeedEnded);
   line.Text("problem", problem)
-      .Count("store_revision", m_store.revision())
+      .Count("store_revision", m_store.position().revision)
       .Milliseconds("knowledge_age_ms", KnowledgeAge());
   m_log.Add(std::move(line));
 }
@@ -138,7 +148,7 @@
     return;
   }
   const FleetPart part{
-      .knows_hosts = m_store.revision() > 0,
+      .knows_hosts = m_store.position().revision > 0,
       .hosts = m_store.knowledge().host_count(),
       .is_front = m_is_front,
       .feeds_others = m_feed.is_watcher() || m_feed.followers() > 0,
@@ -207,9 +217,10 @@
 
 void EntryNode::OnStoreRead(const StoreReading& reading) {
   LogLine line = m_log.Begin(LogEvent::kStoreRead);
-  line.Count("store_era", std::uint64_t(reading.era))
-      .Count("store_revision", reading.revision)
-      .Count("known_revision", reading.known_revision)
+  line.Count("store_era", EraNumber(reading.position.era))
+      .Count("store_revision", reading.position.revision)
+      .Count("known_era", EraNumber(reading.known.era))
+      .Count("known_revision", reading.known.revision)
       .Count("items", reading.items)
       .Count("outdated", reading.outdated);
   m_log.Add(std::move(line));
@@ -219,13 +230,13 @@
   LogLine line = m_log.Begin(LogEvent::kStoreLost);
   line.Text("status", kStoreStatusNames.Name(status))
       .Text("problem", problem)
-      .Count("store_revision", m_store.revision());
+      .Count("store_revision", m_store.position().revision);
   m_log.Add(std::move(line));
 }
 
 void EntryNode::OnStoreRegained() {
   LogLine line = m_log.Begin(LogEvent::kStoreRegained);
-  line.Count("store_revision", m_store.revision());
+  line.Count("store_revision", m_store.position().revision);
   m_log.Add(std::move(line));
 }
 
--- a/src/jacinthdeck/entry/evacuation_text.cc
+++ b/src/jacinthdeck/entry/evacuation_text.cc
@@ -13,7 +13,7 @@
   for (const Evacuation& evacuation : evacuations) {
     LogLine item;
     item.Text("failure_domain", evacuation.domain.raw())
-        .Count("revision", evacuation.revision)
+        .Count("revision", evacuation.position.revision)
         .Milliseconds("for_ms", now - evacuation.since);
     text += text.size() > 1 ? "," : "";
     text += std::move(item).Finish();
--- a/src/jacinthdeck/entry/feed_hub.cc
+++ b/src/jacinthdeck/entry/feed_hub.cc
@@ -38,9 +38,9 @@
 }
 
 void FeedHub::OnContent(const std::vector<StoreChange>& changes,
-                        std::uint64_t revision,
+                        const StorePosition& position,
                         bool whole) {
-  m_server.Publish({revision, whole, changes});
+  m_server.Publish({position, whole, changes});
 }
 
 void FeedHub::CountReceived() {
@@ -63,13 +63,14 @@
   if (step.open) {
     m_observer.OnFeedOpened(*step.open);
     m_told.clear();
-    m_link.Open(*step.open, {m_name, m_store.revision(), m_told});
+    m_link.Open(*step.open, {m_name, m_store.position(), m_told});
   }
   TellRecord();
   // Whoever feeds, a host that knows nothing must not go on knowing nothing.
   const bool knows_nothing =
       !m_store.loaded() && m_choice.IsLinkSteady(m_clock.Now());
-  m_store.SetWatching(step.watch_store || knows_nothing);
+  m_store.SetWatching(step.watch_store || knows_nothing ||
+                      m_store.IsLeftBehind());
 }
 
 void FeedHub::SetRecord(std::string value) {
@@ -84,7 +85,7 @@
     return;
   }
   m_told = m_record;
-  m_link.Say({m_name, m_store.revision(), m_record});
+  m_link.Say({m_name, m_store.position(), m_record});
 }
 
 void FeedHub::OnFollower(const FeedHello& hello) {
@@ -99,20 +100,14 @@
   m_store.DropMember(host);
 }
 
-FeedChanges FeedHub::ContentSince(std::uint64_t revision) const {
-  const StoreContent& content = m_store.content();
-  if (revision > 0) {
-    if (auto changes = content.Since(revision)) {
-      return {m_store.revision(), false, std::move(*changes)};
-    }
-  }
-  return {m_store.revision(), true, content.Items()};
+FeedChanges FeedHub::ContentSince(const StorePosition& position) const {
+  return m_store.HandoverSince(position);
 }
 
 FeedBeat FeedHub::Beat() const {
   const auto heard = m_store.last_well();
   FeedBeat beat;
-  beat.revision = m_store.revision();
+  beat.position = m_store.position();
   beat.store_away = m_store.knowledge().store_away();
   if (heard) {
     beat.age = m_clock.Now() - *heard;
@@ -122,12 +117,17 @@
 
 void FeedHub::OnFeedChanges(const FeedChanges& changes) {
   m_choice.OnChanges(m_clock.Now());
-  m_store.TakeContent(changes.changes, changes.revision, changes.whole);
+  m_store.TakeContent(changes.changes, changes.position, changes.whole);
 }
 
 void FeedHub::OnFeedBeat(const FeedBeat& beat) {
-  m_choice.OnBeat(beat, m_clock.Now());
-  m_store.TakeAge(beat.age, beat.store_away);
+  FeedBeat taken = beat;
+  if (beat.position.era < m_store.position().era) {
+    // Whenever it heard the store, it was before the store came back.
+    taken.age.reset();
+  }
+  m_choice.OnBeat(taken, m_clock.Now());
+  m_store.TakeAge(taken.age, taken.store_away);
   Tick();
 }
 
--- a/src/jacinthdeck/entry/feed_hub.h
+++ b/src/jacinthdeck/entry/feed_hub.h
@@ -81,14 +81,15 @@
 
   /*! \brief Hands changes of the store's content on. */
   void OnContent(const std::vector<StoreChange>& changes,
-                 std::uint64_t revision,
+                 const StorePosition& position,
                  bool whole);
 
   /*! \brief Acts on time that has passed; called some times a second. */
   void Tick();
 
  private:
-  [[nodiscard]] FeedChanges ContentSince(std::uint64_t revision) const override;
+  [[nodiscard]] FeedChanges ContentSince(
+      const StorePosition& position) const override;
   [[nodiscard]] FeedBeat Beat() const override;
   void OnFeedChanges(const FeedChanges& changes) override;
   void OnFeedBeat(const FeedBeat& beat) override;
--- a/src/jacinthdeck/entry/node_metrics.cc
+++ b/src/jacinthdeck/entry/node_metrics.cc
@@ -93,7 +93,9 @@
   Line(out, "store_failures_total", static_cast<double>(store.failures));
   const Knowledge& knowledge = source.store.knowledge();
   Line(out, "store_away", knowledge.store_away() ? 1 : 0);
-  Line(out, "store_revision", static_cast<double>(source.store.revision()));
+  const StorePosition& position = source.store.position();
+  Line(out, "store_era", static_cast<double>(EraNumber(position.era)));
+  Line(out, "store_revision", static_cast<double>(position.revision));
   Line(out, "knowledge_age_ms", ToMilliseconds(source.knowledge_age));
   Line(out, "config_version",
        knowledge.config() == nullptr
--- a/src/jacinthdeck/peer/feed_choice.cc
+++ b/src/jacinthdeck/peer/feed_choice.cc
@@ -270,7 +270,7 @@
 }
 
 bool FeedChoice::IsStale(TimePoint now) const {
-  return m_beat.store_away || m_beat.revision == 0 || !m_beat.age ||
+  return m_beat.store_away || m_beat.position.revision == 0 || !m_beat.age ||
          *m_beat.age + (now - m_beat_at) > kMostAge;
 }
 
--- a/src/jacinthdeck/peer/feed_message.cc
+++ b/src/jacinthdeck/peer/feed_message.cc
@@ -21,11 +21,23 @@
   return text == nullptr ? std::string() : text->str();
 }
 
+[[nodiscard]] std::uint64_t EraField(const StorePosition& position) {
+  return EraNumber(position.era);
+}
+
+//! The position that a table's two fields give.
+template <typename Table>
+[[nodiscard]] StorePosition PositionOf(const Table& table) {
+  return {StoreEra(table.era()), table.revision()};
+}
+
 [[nodiscard]] Offset<void> Build(FlatBufferBuilder& builder,
                                  const FeedHello& hello) {
   const auto host = builder.CreateString(hello.host.raw());
   const auto record = builder.CreateString(hello.record);
-  return wire::CreateHello(builder, host, hello.revision, record).Union();
+  return wire::CreateHello(builder, host, hello.position.revision, record,
+                           EraField(hello.position))
+      .Union();
 }
 
 [[nodiscard]] Offset<void> Build(FlatBufferBuilder& builder,
@@ -38,11 +50,13 @@
         change.value ? std::string_view(*change.value) : std::string_view();
     const auto bytes = builder.CreateVector(
         reinterpret_cast<const std::uint8_t*>(value.data()), value.size());
-    built.push_back(wire::CreateChange(builder, key, change.revision,
-                                       !change.value, bytes));
+    built.push_back(wire::CreateChange(builder, key, change.position.revision,
+                                       !change.value, bytes,
+                                       EraField(change.position)));
   }
   const auto list = builder.CreateVector(built);
-  return wire::CreateChanges(builder, changes.revision, changes.whole, list)
+  return wire::CreateChanges(builder, changes.position.revision, changes.whole,
+                             list, EraField(changes.position))
       .Union();
 }
 
@@ -68,8 +82,8 @@
 
 [[nodiscard]] Offset<void> Build(FlatBufferBuilder& builder,
                                  const FeedBeat& beat) {
-  return wire::CreateBeat(builder, beat.revision, AgeField(beat.age),
-                          beat.store_away)
+  return wire::CreateBeat(builder, beat.position.revision, AgeField(beat.age),
+                          beat.store_away, EraField(beat.position))
       .Union();
 }
 
@@ -81,7 +95,7 @@
 
 [[nodiscard]] FeedChanges Read(const wire::Changes& wired) {
   FeedChanges changes;
-  changes.revision = wired.revision();
+  changes.position = PositionOf(wired);
   changes.whole = wired.whole();
   if (wired.changes() == nullptr) {
     return changes;
@@ -89,7 +103,7 @@
   for (const wire::Change* change : *wired.changes()) {
     StoreChange read;
     read.key = TextOf(change->key());
-    read.revision = change->revision();
+    read.position = PositionOf(*change);
     if (!change->removed()) {
       const auto* value = change->value();
       read.value = value == nullptr ? std::string()
@@ -124,13 +138,13 @@
   const wire::Message* message = wire::GetMessage(bytes);
   if (const auto* hello = message->body_as_Hello()) {
     return FeedMessage(FeedHello{NodeId(TextOf(hello->host())),
-                                 hello->revision(), TextOf(hello->record())});
+                                 PositionOf(*hello), TextOf(hello->record())});
   }
   if (const auto* changes = message->body_as_Changes()) {
     return FeedMessage(Read(*changes));
   }
   if (const auto* beat = message->body_as_Beat()) {
-    return FeedMessage(FeedBeat{beat->revision(), ReadAge(beat->age_ms()),
+    return FeedMessage(FeedBeat{PositionOf(*beat), ReadAge(beat->age_ms()),
                                 beat->store_away()});
   }
   return Fail(ErrorCode::kCorrupt, "feed", "has a body of no known kind");
--- a/src/jacinthdeck/peer/feed_message.h
+++ b/src/jacinthdeck/peer/feed_message.h
@@ -2,7 +2,6 @@
 #ifndef JACINTHDECK_PEER_FEED_MESSAGE_H_
 #define JACINTHDECK_PEER_FEED_MESSAGE_H_
 
-#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -19,24 +18,20 @@
 /*! \brief A follower presents itself. */
 struct FeedHello {
   NodeId host;
-  //! 0 if it knows nothing.
-  std::uint64_t revision = 0;
+  //! Up to which it knows all; revision 0 if it knows nothing.
+  StorePosition position;
   //! Its record in the store's format, which the feeder is to keep there; empty
   //! if the feeder is not to.
   std::string record;
 };
 
 /*! \brief Changes of the store's content. */
-struct FeedChanges {
-  std::uint64_t revision = 0;
-  //! What is not named is gone.
-  bool whole = false;
-  std::vector<StoreChange> changes;
-};
+using FeedChanges = StoreHandover;
 
 /*! \brief A sign of life. */
 struct FeedBeat {
-  std::uint64_t revision = 0;
+  //! Of the sender's content.
+  StorePosition position;
   //! Since the store was last heard, by whoever heard it; nothing: never.
   std::optional<Duration> age;
   bool store_away = false;
--- a/src/jacinthdeck/peer/feed_server.cc
+++ b/src/jacinthdeck/peer/feed_server.cc
@@ -70,7 +70,7 @@
   }
   for (const auto& follower : Greeted()) {
     if (!follower->has_content) {
-      SendContent(follower, 0);
+      SendContent(follower, {});
     }
   }
   SendAll(changes);
@@ -140,8 +140,8 @@
   // Followers that look for a fresh feeder mostly know nearly all of what this
   // one has. The whole content to each of dozens of followers a second would
   // fill the links of both.
-  follower->has_content = hello->revision > 0;
-  SendContent(follower, hello->revision);
+  follower->has_content = hello->position.revision > 0;
+  SendContent(follower, hello->position);
   Send(follower,
        std::make_shared<const std::string>(EncodeFeed(m_source.Beat())));
 }
@@ -150,9 +150,9 @@
 // tell it nothing: it would look fresh by the beats, and know no configuration
 // for as long as it lives. So its first changes are the whole content.
 void FeedServer::SendContent(const std::shared_ptr<Follower>& follower,
-                             std::uint64_t revision) {
-  const FeedChanges content = m_source.ContentSince(revision);
-  if (content.revision > revision) {
+                             const StorePosition& position) {
+  const FeedChanges content = m_source.ContentSince(position);
+  if (content.position > position) {
     follower->has_content = true;
     Send(follower, std::make_shared<const std::string>(EncodeFeed(content)));
   }
--- a/src/jacinthdeck/peer/feed_server.h
+++ b/src/jacinthdeck/peer/feed_server.h
@@ -62,9 +62,9 @@
   void Send(const std::shared_ptr<Follower>& follower,
             const std::shared_ptr<const std::string>& frame);
   void Write(const std::shared_ptr<Follower>& follower);
-  //! Sends what a follower lacks that knows all up to a revision.
+  //! Sends what a follower lacks that knows all up to a position.
   void SendContent(const std::shared_ptr<Follower>& follower,
-                   std::uint64_t revision);
+                   const StorePosition& position);
   //! Followers that have said hello; sending may drop one.
   [[nodiscard]] std::vector<std::shared_ptr<Follower>> Greeted() const;
   void SendAll(const FeedMessage& message);
--- a/src/jacinthdeck/peer/feed_source.h
+++ b/src/jacinthdeck/peer/feed_source.h
@@ -12,15 +12,16 @@
   virtual ~FeedSource() = default;
 
   /**
-   * \brief What a follower lacks; revision 0 if nothing is known yet.
-   * \param revision Up to which it knows all; 0 if it knows nothing.
+   * \brief What a follower lacks; its position has revision 0 if nothing is
+   * known yet.
+   * \param position Up to which it knows all; revision 0 if it knows nothing.
    * \return The changes since then, or the whole content where they are not
    * known.
    */
   [[nodiscard]] virtual FeedChanges ContentSince(
-      std::uint64_t revision) const = 0;
+      const StorePosition& position) const = 0;
 
-  /*! \brief Revision and age of the content. */
+  /*! \brief Position and age of the content. */
   [[nodiscard]] virtual FeedBeat Beat() const = 0;
 };
 
--- a/src/jacinthdeck/peer/fwd.h
+++ b/src/jacinthdeck/peer/fwd.h
@@ -13,7 +13,6 @@
 class FeedSource;
 class FollowerObserver;
 struct FeedBeat;
-struct FeedChanges;
 struct FeedHello;
 
 }  // namespace jacinthdeck
--- a/standins/store/kv_store.cc
+++ b/standins/store/kv_store.cc
@@ -132,7 +132,7 @@
 void KvStore::KeepCopy() {
   const std::scoped_lock lock(m_mutex);
   DropLapsed();
-  m_copy = Copy{m_entries, m_leases, m_revision};
+  m_copy = Copy{m_entries, m_leases, m_revision, m_last_lease};
 }
 
 bool KvStore::Restore() {
@@ -146,6 +146,7 @@
     lease.expires = m_clock.Now() + lease.ttl;
   }
   m_revision = m_copy->revision;
+  m_last_lease = m_copy->last_lease;
   m_compacted = std::min(m_compacted, m_revision);
   std::erase_if(m_history, [&](const KeyValue& change) {
     return change.revision > m_revision;
--- a/standins/store/kv_store.h
+++ b/standins/store/kv_store.h
@@ -138,6 +138,7 @@
     std::map<std::string, KeyValue> entries;
     std::map<std::uint64_t, Lease> leases;
     std::uint64_t revision = 0;
+    std::uint64_t last_lease = 0;
   };
 
   void DropLapsed();
--- a/test/jacinthdeck/discovery/knowledge_test.cc
+++ b/test/jacinthdeck/discovery/knowledge_test.cc
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "platform/store_codec.h"
+#include "support/positions.h"
 #include "support/printers.h"
 
 namespace jacinthdeck {
@@ -36,10 +37,21 @@
 
   KnowledgeChange Change(const std::string& key,
                          std::optional<std::string> value) {
-    const StoreChange change{key, ++revision, std::move(value)};
+    const StoreChange change{key, At(++revision), std::move(value)};
     return knowledge.OnChanges({&change, 1}, now);
   }
 
+  KnowledgeChange Read(const std::vector<StoreChange>& items,
+                       const StorePosition& position) {
+    return knowledge.OnReading(items, position, now);
+  }
+
+  //! Takes a reading of an era without evacuations, and an evacuation.
+  void EvacuateAfterTheCopy() {
+    (void)Read({{"servers/a", At(5), Server("ready")}}, At(10));
+    (void)Change("op/evacuate/z", "{}");
+  }
+
   //! Number of targets that may get work.
   [[nodiscard]] std::size_t InUse() const {
     const std::vector<TargetEntry> all = knowledge.Targets();
@@ -110,8 +122,8 @@
 BOOST_AUTO_TEST_CASE(Reading_NamesATargetNoMore_TargetIsGone) {
   (void)Change("servers/a", Server("ready"));
   (void)Change("servers/b", Server("ready"));
-  const std::vector<StoreChange> items{{"servers/b", 12, Server("ready")}};
-  BOOST_TEST(knowledge.OnReading(items, 40, now).targets);
+  const std::vector<StoreChange> items{{"servers/b", At(12), Server("ready")}};
+  BOOST_TEST(knowledge.OnReading(items, At(40), now).targets);
   BOOST_REQUIRE_EQUAL(targets(), 1U);
   BOOST_TEST(knowledge.Targets().front().id == TargetId("b"));
 }
@@ -120,7 +132,7 @@
 BOOST_AUTO_TEST_CASE(Reading_IsOlderThanAKnownChange_ChangeStays) {
   revision = 50;
   (void)Change("servers/a", Server("ready"));
-  (void)knowledge.OnReading({}, 40, now);
+  (void)knowledge.OnReading({}, At(40), now);
   BOOST_TEST(targets() == 1U);
 }
 
@@ -190,10 +202,10 @@
   revision = 50;
   (void)Change("servers/a", Server("ready"));
   (void)Change("op/evacuate/z", "{}");
-  (void)knowledge.OnReading({}, 40, now);
+  (void)knowledge.OnReading({}, At(40), now);
   BOOST_TEST(InUse() == 0U);
-  const std::vector<StoreChange> items{{"servers/a", 51, Server("ready")}};
-  BOOST_TEST(knowledge.OnReading(items, 60, now).evacuations);
+  const std::vector<StoreChange> items{{"servers/a", At(51), Server("ready")}};
+  BOOST_TEST(knowledge.OnReading(items, At(60), now).evacuations);
   BOOST_TEST(InUse() == 1U);
 }
 
@@ -229,16 +241,16 @@
 BOOST_AUTO_TEST_CASE(Target_IsReadAgainWhileCold_ColdTimeGoesOn) {
   const std::string cold = Server("ready", R"(,"coldRemainingMs":1500)");
   (void)Change("servers/a", cold);
-  const std::vector<StoreChange> items{{"servers/a", revision, cold}};
+  const std::vector<StoreChange> items{{"servers/a", At(revision), cold}};
   const TimePoint warm = now + milliseconds(1500);
   now += milliseconds(1000);
-  (void)knowledge.OnReading(items, revision, now);
+  (void)knowledge.OnReading(items, At(revision), now);
   BOOST_TEST((knowledge.Targets().front().cold_until == warm));
 }
 
 // Guards against a crash by an entry with the revision of no write.
 BOOST_AUTO_TEST_CASE(Target_RevisionIsZero_IsTaken) {
-  const StoreChange change{"servers/a", 0, Server("ready")};
+  const StoreChange change{"servers/a", At(0), Server("ready")};
   (void)knowledge.OnChanges({&change, 1}, now);
   BOOST_TEST(targets() == 1U);
 }
@@ -257,6 +269,142 @@
   }
 }
 
+// Guards against a confirmed configuration that is taken back by an older copy
+// of the store, here and at hosts that start now.
+BOOST_AUTO_TEST_CASE(Restore_CopyHasAnOlderConfiguration_NewestStaysInForce) {
+  (void)Read({{"op/config", At(5), Config(4)}}, At(10));
+  (void)Change("op/config", Config(7));
+  BOOST_TEST(!Read({{"op/config", At(5, 2), Config(4)}}, At(8, 2)).config);
+  BOOST_TEST(knowledge.config()->version() == 7U);
+  const auto carried = knowledge.CarriedConfig();
+  BOOST_REQUIRE(carried.has_value());
+  Knowledge starting(codec);
+  (void)starting.OnReading(
+      std::vector<StoreChange>{{"op/config", At(5, 2), Config(4)}}, At(8, 2),
+      now);
+  BOOST_TEST(starting.OnCarried({&*carried, 1}).config);
+  BOOST_TEST(starting.config()->version() == 7U);
+  BOOST_TEST(starting.CarriedConfig().has_value());
+  const StoreChange again{"op/config", At(9, 2), Config(7)};
+  (void)knowledge.OnChanges({&again, 1}, now);
+  BOOST_TEST(!knowledge.CarriedConfig().has_value());
+}
+
+// Guards against refusals for want of targets that live: they registered after
+// the copy was made.
+BOOST_AUTO_TEST_CASE(Restore_TargetIsNotInTheCopy_StaysUntilItCouldReturn) {
+  (void)Read({{"servers/a", At(5), Server("ready")}}, At(10));
+  (void)Change("servers/b", Server("ready"));
+  (void)Read({{"servers/a", At(5, 2), Server("ready")}}, At(8, 2));
+  BOOST_TEST(targets() == 2U);
+  now += RemovalHold::kReturnTime;
+  (void)knowledge.OnTimer(now);
+  BOOST_TEST(targets() == 1U);
+}
+
+// Guards against requests to an address that has a new owner: its target left
+// after the copy was made.
+BOOST_AUTO_TEST_CASE(Restore_TargetThatLeftIsInTheCopy_IsNotUsed) {
+  (void)Read({{"servers/a", At(5), Server("ready")}}, At(10));
+  (void)Change("servers/a", std::nullopt);
+  BOOST_TEST(targets() == 0U);
+  (void)Read({{"servers/a", At(5, 2), Server("ready")}}, At(8, 2));
+  BOOST_TEST(targets() == 0U);
+  now += seconds(2);
+  const StoreChange gone{"servers/a", At(9, 2), std::nullopt};
+  (void)knowledge.OnChanges({&gone, 1}, now);
+  now += seconds(60);
+  (void)knowledge.OnTimer(now);
+  BOOST_TEST(targets() == 0U);
+}
+
+// Guards against a live target that is never used again, as a copy was doubted.
+BOOST_AUTO_TEST_CASE(Restore_TargetThatLeftStaysInTheStore_IsUsedInTheEnd) {
+  (void)Read({{"servers/a", At(5), Server("ready")}}, At(10));
+  (void)Change("servers/a", std::nullopt);
+  (void)Read({{"servers/a", At(5, 2), Server("ready")}}, At(8, 2));
+  now += seconds(5);
+  BOOST_TEST((knowledge.NextTimer() <= now));
+  BOOST_TEST(knowledge.OnTimer(now).targets);
+  BOOST_TEST(targets() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(Restore_TargetThatLeftIsWrittenAgain_IsUsedAtOnce) {
+  (void)Read({{"servers/a", At(5), Server("ready")}}, At(10));
+  (void)Change("servers/a", std::nullopt);
+  (void)Read({{"servers/a", At(5, 2), Server("ready")}}, At(8, 2));
+  const StoreChange back{"servers/a", At(9, 2), Server("ready")};
+  (void)knowledge.OnChanges({&back, 1}, now);
+  BOOST_TEST(targets() == 1U);
+}
+
+// Guards against requests to a leaving target that the copy gives as ready.
+BOOST_AUTO_TEST_CASE(Restore_TargetWasLeaving_StillIs) {
+  (void)Read({{"servers/a", At(5), Server("ready")}}, At(10));
+  (void)Change("servers/a", Server("draining"));
+  (void)Read({{"servers/a", At(5, 2), Server("ready")}}, At(8, 2));
+  BOOST_TEST(InUse() == 0U);
+  (void)Read({{"servers/a", At(5, 2), Server("ready")}}, At(9, 2));
+  BOOST_TEST(InUse() == 0U);
+}
+
+// Guards against requests to an evacuated domain whose order the copy lacks.
+BOOST_AUTO_TEST_CASE(Restore_EvacuationIsNotInTheCopy_StaysForSomeSeconds) {
+  EvacuateAfterTheCopy();
+  BOOST_TEST(InUse() == 0U);
+  (void)Read({{"servers/a", At(5, 2), Server("ready")}}, At(8, 2));
+  BOOST_TEST(InUse() == 0U);
+  now += seconds(5);
+  (void)knowledge.OnTimer(now);
+  BOOST_TEST(InUse() == 0U);
+  now += seconds(5);
+  BOOST_TEST(knowledge.OnTimer(now).evacuations);
+  BOOST_TEST(InUse() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(Restore_EvacuationIsWrittenAgain_Stays) {
+  EvacuateAfterTheCopy();
+  (void)Read({{"servers/a", At(5, 2), Server("ready")}}, At(8, 2));
+  const StoreChange again{"op/evacuate/z", At(9, 2), "{}"};
+  (void)knowledge.OnChanges({&again, 1}, now);
+  now += seconds(20);
+  (void)knowledge.OnTimer(now);
+  BOOST_TEST(InUse() == 0U);
+}
+
+// Guards against a domain that stays without work after its evacuation ended.
+BOOST_AUTO_TEST_CASE(Restore_EvacuationThatEndedIsInTheCopy_IsPutOff) {
+  const StoreChange target{"servers/a", At(5), Server("ready")};
+  (void)Read({target, {"op/evacuate/z", At(6), "{}"}}, At(10));
+  (void)Change("op/evacuate/z", std::nullopt);
+  BOOST_TEST(InUse() == 1U);
+  (void)Read({{"servers/a", At(5, 2), Server("ready")},
+              {"op/evacuate/z", At(6, 2), "{}"}},
+             At(8, 2));
+  BOOST_TEST(InUse() == 1U);
+}
+
+// Guards against a typed schema that goes back to the copy's at once.
+BOOST_AUTO_TEST_CASE(Restore_CopyHasAnOlderSchema_IsPutOff) {
+  (void)Read({{"jacinthdeck/schema", At(5), "old"}}, At(10));
+  (void)Change("jacinthdeck/schema", "new");
+  (void)Read({{"jacinthdeck/schema", At(5, 2), "old"}}, At(8, 2));
+  BOOST_TEST(knowledge.schema() == "new");
+  now += seconds(9);
+  (void)knowledge.OnTimer(now);
+  BOOST_TEST(knowledge.schema() == "old");
+}
+
+// Guards against what the first copy left in doubt after a second restore.
+BOOST_AUTO_TEST_CASE(Restore_TwiceWithinSeconds_TargetThatLeftIsNotUsed) {
+  (void)Read({{"servers/a", At(5), Server("ready")}}, At(10));
+  (void)Change("servers/a", std::nullopt);
+  (void)Read({{"servers/a", At(5, 2), Server("ready")}}, At(8, 2));
+  now += seconds(1);
+  (void)Read({{"servers/a", At(5, 3), Server("ready")}}, At(6, 3));
+  BOOST_TEST(targets() == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace jacinthdeck
--- a/test/jacinthdeck/discovery/member_records_test.cc
+++ b/test/jacinthdeck/discovery/member_records_test.cc
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "jacinthdeck/discovery/store_types.h"
+#include "support/positions.h"
 #include "support/printers.h"
 
 namespace jacinthdeck {
@@ -25,7 +26,7 @@
 [[nodiscard]] HeldRecord Held(const std::string& name,
                               const std::string& writer,
                               std::uint64_t revision) {
-  HeldRecord held{MakeHost(name), revision};
+  HeldRecord held{MakeHost(name), At(revision)};
   held.record.writer = NodeId(writer);
   return held;
 }
@@ -37,7 +38,7 @@
   //! Writes all that is due.
   void Write(std::uint64_t revision) {
     const MemberWrite write = members.NextWrite(now);
-    members.OnWritten(write, MemberWriteEnd::kDone, revision);
+    members.OnWritten(write, MemberWriteEnd::kDone, At(revision));
   }
 
   [[nodiscard]] std::vector<std::string> DuePuts() const {
@@ -85,7 +86,7 @@
   HostRecord changed = MakeHost("a");
   changed.busy = true;
   members.OnMember(changed);
-  members.OnWritten(write, MemberWriteEnd::kDone, 10);
+  members.OnWritten(write, MemberWriteEnd::kDone, At(10));
   BOOST_TEST(DuePuts().size() == 1U);
 }
 
@@ -101,9 +102,9 @@
 BOOST_AUTO_TEST_CASE(Record_IsDroppedByTheStore_IsWrittenAgain) {
   members.OnMember(MakeHost("a"));
   Write(10);
-  members.OnHosts({}, 9, now);
+  members.OnHosts({}, At(9), now);
   BOOST_TEST(DuePuts().empty());
-  members.OnHosts({}, 10, now);
+  members.OnHosts({}, At(10), now);
   BOOST_TEST(DuePuts().size() == 1U);
   Write(11);
   members.OnLeaseLost();
@@ -117,18 +118,18 @@
   Write(10);
   members.OnMemberLeft(NodeId("a"));
   const std::vector<HeldRecord> held{Held("a", "feeder", 10)};
-  members.OnHosts(held, 10, now);
+  members.OnHosts(held, At(10), now);
   BOOST_TEST(DueRemovals() == 0U);
   now += seconds(4);
   BOOST_TEST(DueRemovals() == 1U);
-  BOOST_TEST(members.NextWrite(now).removals.front().revision == 10U);
+  BOOST_TEST(members.NextWrite(now).removals.front().position.revision == 10U);
 }
 
 BOOST_AUTO_TEST_CASE(Member_LeavesAndComesBack_RecordStays) {
   members.OnMember(MakeHost("a"));
   Write(10);
   members.OnMemberLeft(NodeId("a"));
-  members.OnHosts({{Held("a", "feeder", 10)}}, 10, now);
+  members.OnHosts({{Held("a", "feeder", 10)}}, At(10), now);
   members.OnMember(MakeHost("a"));
   now += seconds(4);
   BOOST_TEST(DueRemovals() == 0U);
@@ -141,26 +142,27 @@
   members.OnMember(MakeHost("a"));
   (void)members.NextWrite(now);
   members.OnMemberLeft(NodeId("a"));
-  members.OnHosts({{Held("a", "feeder", 20)}}, 20, now);
+  members.OnHosts({{Held("a", "feeder", 20)}}, At(20), now);
   now += seconds(4);
   BOOST_TEST(DueRemovals() == 1U);
-  members.OnHosts({{Held("a", "other", 21)}}, 21, now);
+  members.OnHosts({{Held("a", "other", 21)}}, At(21), now);
   BOOST_TEST(DueRemovals() == 0U);
 }
 
 // One of several strays was written by its new feeder a moment ago. The others
 // are still taken back, each in a write of its own.
 BOOST_AUTO_TEST_CASE(Removal_MeetsALaterWrite_OthersGoAlone) {
-  members.OnHosts({{Held("a", "feeder", 5), Held("b", "feeder", 6)}}, 6, now);
+  members.OnHosts({{Held("a", "feeder", 5), Held("b", "feeder", 6)}}, At(6),
+                  now);
   now += seconds(4);
   const MemberWrite both = members.NextWrite(now);
   BOOST_TEST(both.removals.size() == 2U);
-  members.OnWritten(both, MemberWriteEnd::kConflict, 0);
+  members.OnWritten(both, MemberWriteEnd::kConflict, At(0));
   const MemberWrite first = members.NextWrite(now);
   BOOST_TEST(first.removals.size() == 1U);
-  members.OnWritten(first, MemberWriteEnd::kConflict, 0);
+  members.OnWritten(first, MemberWriteEnd::kConflict, At(0));
   BOOST_TEST(DueRemovals() == 1U);
-  members.OnWritten(members.NextWrite(now), MemberWriteEnd::kDone, 9);
+  members.OnWritten(members.NextWrite(now), MemberWriteEnd::kDone, At(9));
   BOOST_TEST(members.empty());
 }
 
--- a/test/jacinthdeck/discovery/store_content_test.cc
+++ b/test/jacinthdeck/discovery/store_content_test.cc
@@ -3,6 +3,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include "support/positions.h"
+
 namespace jacinthdeck {
 
 BOOST_AUTO_TEST_SUITE(StoreContentTest)
@@ -11,20 +13,21 @@
 // back, or requests go to an address that may have a new owner.
 BOOST_AUTO_TEST_CASE(Apply_OldWordAfterARemoval_IsNoNews) {
   StoreContent content;
-  (void)content.Apply(std::vector<StoreChange>{{"a", 5, "1"}});
-  (void)content.Apply(std::vector<StoreChange>{{"a", 9, std::nullopt}});
-  BOOST_TEST(content.Apply(std::vector<StoreChange>{{"a", 7, "2"}}).empty());
+  (void)content.Apply(std::vector<StoreChange>{{"a", At(5), "1"}});
+  (void)content.Apply(std::vector<StoreChange>{{"a", At(9), std::nullopt}});
+  BOOST_TEST(
+      content.Apply(std::vector<StoreChange>{{"a", At(7), "2"}}).empty());
   BOOST_TEST(content.Items().empty());
-  BOOST_TEST(content.Apply(std::vector<StoreChange>{{"a", 10, "3"}}).size() ==
-             1U);
+  BOOST_TEST(
+      content.Apply(std::vector<StoreChange>{{"a", At(10), "3"}}).size() == 1U);
 }
 
 BOOST_AUTO_TEST_CASE(Replace_OlderThanWhatIsKnown_NewerKeysStay) {
   StoreContent content;
-  (void)content.Apply(
-      std::vector<StoreChange>{{"a", 5, "1"}, {"b", 20, "1"}, {"c", 6, "1"}});
+  (void)content.Apply(std::vector<StoreChange>{
+      {"a", At(5), "1"}, {"b", At(20), "1"}, {"c", At(6), "1"}});
   const auto valid =
-      content.Replace(std::vector<StoreChange>{{"a", 4, "0"}}, 10);
+      content.Replace(std::vector<StoreChange>{{"a", At(4), "0"}}, At(10));
   BOOST_TEST(valid.size() == 1U);
   const auto items = content.Items();
   BOOST_REQUIRE_EQUAL(items.size(), 2U);
@@ -34,10 +37,10 @@
 
 BOOST_AUTO_TEST_CASE(Replace_NamesWhatWasRemovedLater_IsLeftOut) {
   StoreContent content;
-  (void)content.Apply(std::vector<StoreChange>{{"a", 5, "1"}});
-  (void)content.Apply(std::vector<StoreChange>{{"a", 9, std::nullopt}});
-  BOOST_TEST(
-      content.Replace(std::vector<StoreChange>{{"a", 5, "1"}}, 8).empty());
+  (void)content.Apply(std::vector<StoreChange>{{"a", At(5), "1"}});
+  (void)content.Apply(std::vector<StoreChange>{{"a", At(9), std::nullopt}});
+  BOOST_TEST(content.Replace(std::vector<StoreChange>{{"a", At(5), "1"}}, At(8))
+                 .empty());
 }
 
 // A follower goes over to another feeder and says up to which revision it knows
@@ -45,36 +48,37 @@
 BOOST_AUTO_TEST_CASE(Since_AfterAReading_GivesWritesAndRemovals) {
   StoreContent content;
   (void)content.Replace(
-      std::vector<StoreChange>{{"a", 3, "0"}, {"b", 4, "0"}, {"c", 5, "0"}},
-      10);
-  (void)content.Apply(
-      std::vector<StoreChange>{{"b", 11, std::nullopt}, {"c", 12, "1"}});
-  const auto changes = content.Since(10);
+      std::vector<StoreChange>{
+          {"a", At(3), "0"}, {"b", At(4), "0"}, {"c", At(5), "0"}},
+      At(10));
+  (void)content.Apply(std::vector<StoreChange>{{"b", At(11), std::nullopt},
+                                               {"c", At(12), "1"}});
+  const auto changes = content.Since(At(10));
   BOOST_REQUIRE(changes.has_value());
   BOOST_REQUIRE_EQUAL(changes->size(), 2U);
   BOOST_TEST(changes->at(0).key == "b");
   BOOST_TEST(!changes->at(0).value.has_value());
   BOOST_TEST(changes->at(1).key == "c");
-  BOOST_TEST(content.Since(12)->empty());
+  BOOST_TEST(content.Since(At(12))->empty());
 }
 
 // What was removed before this host's first reading it cannot know; a follower
 // that is older than that needs the whole content.
 BOOST_AUTO_TEST_CASE(Since_BeforeTheFirstReading_GivesNothing) {
   StoreContent content;
-  BOOST_TEST(!content.Since(0).has_value());
-  (void)content.Replace(std::vector<StoreChange>{{"a", 3, "0"}}, 10);
-  BOOST_TEST(!content.Since(9).has_value());
+  BOOST_TEST(!content.Since(At(0)).has_value());
+  (void)content.Replace(std::vector<StoreChange>{{"a", At(3), "0"}}, At(10));
+  BOOST_TEST(!content.Since(At(9)).has_value());
 }
 
 // The store forgot its history and was read anew. A key that went in between is
 // told as removed to those that know only the first reading.
 BOOST_AUTO_TEST_CASE(Since_OverASecondReading_TellsWhatWentBetween) {
   StoreContent content;
-  (void)content.Replace(std::vector<StoreChange>{{"a", 3, "0"}, {"b", 4, "0"}},
-                        10);
-  (void)content.Replace(std::vector<StoreChange>{{"a", 3, "0"}}, 20);
-  const auto changes = content.Since(10);
+  (void)content.Replace(
+      std::vector<StoreChange>{{"a", At(3), "0"}, {"b", At(4), "0"}}, At(10));
+  (void)content.Replace(std::vector<StoreChange>{{"a", At(3), "0"}}, At(20));
+  const auto changes = content.Since(At(10));
   BOOST_REQUIRE(changes.has_value());
   BOOST_REQUIRE_EQUAL(changes->size(), 1U);
   BOOST_TEST(changes->front().key == "b");
@@ -83,16 +87,49 @@
 
 BOOST_AUTO_TEST_CASE(Since_TooManyRemovals_OldestAreNoLongerKnown) {
   StoreContent content;
-  (void)content.Replace({}, 1);
+  (void)content.Replace({}, At(1));
   std::uint64_t revision = 1;
   for (std::size_t i = 0; i <= StoreContent::kMostRemovals; ++i) {
     const std::string key = "k" + std::to_string(i);
-    (void)content.Apply(std::vector<StoreChange>{{key, ++revision, "0"}});
+    (void)content.Apply(std::vector<StoreChange>{{key, At(++revision), "0"}});
     (void)content.Apply(
-        std::vector<StoreChange>{{key, ++revision, std::nullopt}});
+        std::vector<StoreChange>{{key, At(++revision), std::nullopt}});
   }
-  BOOST_TEST(!content.Since(1).has_value());
-  BOOST_TEST(content.Since(3).has_value());
+  BOOST_TEST(!content.Since(At(1)).has_value());
+  BOOST_TEST(content.Since(At(3)).has_value());
+}
+
+// Guards against news that is dropped, as a restored store gave its revision
+// out before.
+BOOST_AUTO_TEST_CASE(Replace_NewerEraAtALowerRevision_TakesThePlaceOfAll) {
+  StoreContent content;
+  (void)content.Replace(
+      std::vector<StoreChange>{{"a", At(80), "1"}, {"b", At(81), "1"}}, At(83));
+  const auto valid = content.Replace(
+      std::vector<StoreChange>{{"a", At(75, 2), "2"}}, At(76, 2));
+  BOOST_TEST(valid.size() == 1U);
+  const auto items = content.Items();
+  BOOST_REQUIRE_EQUAL(items.size(), 1U);
+  BOOST_TEST(items[0].value.value() == "2");
+}
+
+// Guards against contents of two eras that are mixed key by key.
+BOOST_AUTO_TEST_CASE(Apply_WordOfAnEndedEra_IsNoNews) {
+  StoreContent content;
+  (void)content.Replace(std::vector<StoreChange>{{"a", At(3, 2), "2"}},
+                        At(4, 2));
+  const std::vector<StoreChange> late{{"a", At(90), "1"}, {"b", At(91), "1"}};
+  BOOST_TEST(content.Apply(late).empty());
+  BOOST_TEST(content.Items().size() == 1U);
+}
+
+// Guards against a follower that gets changes after a revision of another era.
+BOOST_AUTO_TEST_CASE(Since_PositionOfAnotherEra_IsNothing) {
+  StoreContent content;
+  (void)content.Replace(std::vector<StoreChange>{{"a", At(3, 2), "2"}},
+                        At(4, 2));
+  BOOST_TEST(!content.Since(At(83, 1)).has_value());
+  BOOST_TEST(content.Since(At(4, 2)).has_value());
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/jacinthdeck/discovery/store_session_test.cc
+++ b/test/jacinthdeck/discovery/store_session_test.cc
@@ -12,6 +12,7 @@
 #include "jacinthdeck/core/steady_clock.h"
 #include "platform/store_codec.h"
 #include "store/store_server.h"
+#include "support/positions.h"
 
 namespace jacinthdeck {
 
@@ -21,13 +22,13 @@
 
 struct HandedOn {
   std::vector<StoreChange> changes;
-  std::uint64_t revision = 0;
+  StorePosition position;
   bool whole = false;
 };
 
 [[nodiscard]] StoreChange Target(const std::string& id,
                                  std::uint64_t revision) {
-  return {"servers/" + id, revision,
+  return {"servers/" + id, At(revision),
           R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":1,)"
           R"("state":"ready"})"};
 }
@@ -49,15 +50,21 @@
       loop, clock, codec, *this, NodeId("h"), {"127.0.0.1", store.port()}, 1};
   int lost = 0;
   int regained = 0;
+  int restored = 0;
   std::vector<HandedOn> handed_on;
   std::vector<StoreReading> readings;
 
   void OnKnowledge(const KnowledgeChange& /*change*/,
-                   std::uint64_t /*revision*/) override {}
+                   const StorePosition& /*position*/) override {}
   void OnContent(const std::vector<StoreChange>& changes,
-                 std::uint64_t revision,
+                 const StorePosition& position,
                  bool whole) override {
-    handed_on.push_back({changes, revision, whole});
+    handed_on.push_back({changes, position, whole});
+  }
+  void OnStoreRestored(StoreEra /*before*/,
+                       StoreEra /*era*/,
+                       const StorePosition& /*known*/) override {
+    ++restored;
   }
   void OnStoreRead(const StoreReading& reading) override {
     readings.push_back(reading);
@@ -134,12 +141,12 @@
 // on under its own newer revision; whoever learned from it took the targets in
 // between for removed, and later words on them for old.
 BOOST_AUTO_TEST_CASE(Content_OfAnOlderReading_IsHandedOnWithAllThatIsKnown) {
-  session.TakeContent({Target("a", 5)}, 5, true);
-  session.TakeContent({Target("b", 6)}, 6, false);
-  session.TakeContent({Target("a", 5), Target("c", 3)}, 5, true);
+  session.TakeContent({Target("a", 5)}, At(5), true);
+  session.TakeContent({Target("b", 6)}, At(6), false);
+  session.TakeContent({Target("a", 5), Target("c", 3)}, At(5), true);
   const HandedOn& last = handed_on.back();
   BOOST_TEST(last.whole);
-  BOOST_TEST(last.revision == 6U);
+  BOOST_TEST(last.position == At(6));
   BOOST_TEST(last.changes.size() == 3U);
 }
 
@@ -160,17 +167,17 @@
   Until([&] { return session.counters().reads > reads; });
   session.SetWatching(false);
   const std::size_t before = targets();
-  session.TakeContent({Target("z", 1000)}, 1000, false);
+  session.TakeContent({Target("z", 1000)}, At(1000), false);
   BOOST_TEST(targets() == before + 1);
 }
 
 // Two hosts follow each other. A reading that tells nothing new must end at the
 // one that has it: handed on, it would go to and fro for ever.
 BOOST_AUTO_TEST_CASE(Content_ReadingWithoutNews_IsNotHandedOn) {
-  session.TakeContent({Target("a", 5)}, 5, true);
+  session.TakeContent({Target("a", 5)}, At(5), true);
   BOOST_TEST(handed_on.size() == 1U);
-  session.TakeContent({Target("a", 5)}, 5, true);
-  session.TakeContent({Target("a", 5)}, 6, false);
+  session.TakeContent({Target("a", 5)}, At(5), true);
+  session.TakeContent({Target("a", 5)}, At(6), false);
   BOOST_TEST(handed_on.size() == 1U);
 }
 
@@ -208,7 +215,7 @@
   });
   session.TakeAge(Duration::zero(), false);
   BOOST_TEST(!session.knowledge().store_away());
-  session.TakeContent({{"servers/a", 1000, std::nullopt}}, 1000, false);
+  session.TakeContent({{"servers/a", At(1000), std::nullopt}}, At(1000), false);
   BOOST_TEST(targets() == 0U);
 }
 
@@ -248,6 +255,112 @@
   BOOST_TEST(HandedOnConfig(3));
 }
 
+// Guards against changes that are missed, as the restored store has passed the
+// revision after which the host watches.
+BOOST_AUTO_TEST_CASE(Watch_RestoredStorePassedTheKnownRevision_MissesNothing) {
+  PutTarget("a");
+  session.SetWatching(true);
+  Until([&] { return targets() == 1; });
+  store.content().KeepCopy();
+  PutTarget("b");
+  Until([&] { return targets() == 2; });
+  SetOutage(standins::Outage::kDrop);
+  Until([&] { return lost == 1; });
+  BOOST_TEST(store.content().Restore());
+  for (const char* id : {"c", "d", "e", "f"}) {
+    PutTarget(id);
+  }
+  SetOutage(standins::Outage::kNone);
+  Until([&] { return targets() == 6; });
+  BOOST_TEST(restored == 1);
+  BOOST_TEST((session.position().era == StoreEra(2)));
+}
+
+// Guards against a feeder whose store has not come back yet, for this host, and
+// that hands on words of the era before.
+BOOST_AUTO_TEST_CASE(Content_OfAnEndedEra_IsDropped) {
+  session.TakeContent({Target("a", 5)}, At(5), true);
+  StoreChange newer = Target("b", 3);
+  newer.position = At(3, 2);
+  session.TakeContent({newer}, At(3, 2), true);
+  BOOST_TEST(handed_on.back().position == At(3, 2));
+  const std::size_t before = handed_on.size();
+  session.TakeContent({Target("c", 90)}, At(90), true);
+  session.TakeContent({Target("d", 91)}, At(91), false);
+  BOOST_TEST(handed_on.size() == before);
+  BOOST_TEST(session.position() == At(3, 2));
+}
+
+// Guards against a host that takes single changes of an era whose content it
+// does not know.
+BOOST_AUTO_TEST_CASE(Content_ChangesOfANewEraWithoutItsContent_AreNotTaken) {
+  session.TakeContent({Target("a", 5)}, At(5), true);
+  StoreChange newer = Target("b", 7);
+  newer.position = At(7, 2);
+  session.TakeContent({newer}, At(7, 2), false);
+  BOOST_TEST(targets() == 1U);
+  BOOST_TEST(!session.IsLeftBehind());
+  Until([&] { return session.IsLeftBehind(); });
+}
+
+// Guards against a host that starts now and serves an older configuration than
+// the others, whose store came back without the newest.
+BOOST_AUTO_TEST_CASE(Content_ConfigurationIsNotInTheCopy_IsHandedOn) {
+  PutConfig(1);
+  session.SetWatching(true);
+  Until([&] { return ConfigVersion() == 1; });
+  store.content().KeepCopy();
+  PutConfig(2);
+  Until([&] { return ConfigVersion() == 2; });
+  BOOST_TEST(store.content().Restore());
+  Until([&] { return session.position().era == StoreEra(2); });
+  BOOST_TEST(ConfigVersion() == 2U);
+  handed_on.push_back({session.HandoverSince({}).changes, {}, true});
+  BOOST_TEST(HandedOnConfig(2));
+  // Also to a host that has read the copy itself.
+  const StoreHandover rest = session.HandoverSince(session.position());
+  BOOST_TEST(!rest.whole);
+  BOOST_REQUIRE_EQUAL(rest.changes.size(), 1U);
+  BOOST_TEST(rest.changes[0].key == "op/config");
+  PutConfig(3);
+  Until([&] { return ConfigVersion() == 3; });
+}
+
+// Guards against a host that read the copy itself and does not believe a newer
+// configuration of the era before, which the others serve.
+BOOST_AUTO_TEST_CASE(Content_ConfigurationOfTheEraBefore_IsTakenByItsVersion) {
+  const auto config = [](int version, const StorePosition& position) {
+    return StoreChange{"op/config", position,
+                       R"({"version":)" + std::to_string(version) +
+                           R"(,"routes":[],"services":[]})"};
+  };
+  session.TakeContent({config(4, At(5, 2))}, At(8, 2), true);
+  session.TakeContent({config(7, At(83))}, At(8, 2), false);
+  BOOST_TEST(ConfigVersion() == 7U);
+  BOOST_TEST(HandedOnConfig(7));
+  const std::size_t before = handed_on.size();
+  session.TakeContent({config(7, At(83))}, At(8, 2), false);
+  BOOST_TEST(handed_on.size() == before);
+}
+
+// Guards against a host that nobody is sent to: its record is not in the copy,
+// and its lease's number is another host's.
+BOOST_AUTO_TEST_CASE(
+    Register_StoreIsRestored_RecordIsWrittenWithALeaseOfItsOwn) {
+  store.content().KeepCopy();
+  session.Register(MakeRecord("h"));
+  const std::string key = codec.HostKey(NodeId("h"));
+  Until([&] { return store.content().Get(key).has_value(); });
+  const std::uint64_t first = store.content().Get(key)->lease;
+  BOOST_TEST(store.content().Restore());
+  std::uint64_t other = 0;
+  while (other < first) {
+    other = store.content().Grant(seconds(600));
+  }
+  Until([&] { return store.content().Get(key).has_value(); });
+  BOOST_TEST(store.content().Get(key)->lease > first);
+}
+
 BOOST_AUTO_TEST_CASE(Register_LeaseIsEndedByTheStore_IsWrittenAgain) {
   const HostRecord host = MakeRecord("h");
   session.SetWatching(true);
--- a/test/jacinthdeck/peer/feed_choice_test.cc
+++ b/test/jacinthdeck/peer/feed_choice_test.cc
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "support/positions.h"
 #include "support/printers.h"
 
 namespace jacinthdeck {
@@ -49,7 +50,7 @@
   }
 
   void Beat(Duration age = milliseconds(100), bool away = false) {
-    choice.OnBeat({5, age, away}, now);
+    choice.OnBeat({At(5), age, away}, now);
   }
 };
 
@@ -81,7 +82,7 @@
   again.OnLost(now);
   now += milliseconds(200);
   BOOST_TEST(again.Step(now).open.has_value());
-  again.OnBeat({5, milliseconds(100), false}, now);
+  again.OnBeat({At(5), milliseconds(100), false}, now);
   BOOST_TEST(!again.Step(now + milliseconds(1200)).watch_store);
 }
 
--- a/test/jacinthdeck/peer/feed_message_test.cc
+++ b/test/jacinthdeck/peer/feed_message_test.cc
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "jacinthdeck/peer/feed_frames.h"
+#include "support/positions.h"
 #include "support/printers.h"
 
 namespace jacinthdeck {
@@ -29,29 +30,30 @@
 
 BOOST_AUTO_TEST_CASE(Changes_ValuesAndRemovals_RoundTrip) {
   const std::string bytes("\x00\xff value", 8);
-  const FeedChanges sent{
-      77,
-      true,
-      {{"op/config", 70, bytes}, {"gone", 76, std::nullopt}, {"", 1, ""}}};
+  const FeedChanges sent{At(77, 3),
+                         true,
+                         {{"op/config", At(70, 2), bytes},
+                          {"gone", At(76, 3), std::nullopt},
+                          {"", At(1, 3), ""}}};
   const auto got = std::get<FeedChanges>(RoundTrip(sent));
-  BOOST_TEST(got.revision == 77U);
+  BOOST_TEST(got.position == At(77, 3));
   BOOST_TEST(got.whole);
   BOOST_REQUIRE_EQUAL(got.changes.size(), 3U);
   BOOST_TEST(got.changes[0].value.value() == bytes);
-  BOOST_TEST(got.changes[0].revision == 70U);
+  BOOST_TEST(got.changes[0].position == At(70, 2));
   BOOST_TEST(!got.changes[1].value.has_value());
   BOOST_TEST(got.changes[2].value.value().empty());
 }
 
 BOOST_AUTO_TEST_CASE(HelloAndBeat_RoundTrip) {
-  const auto hello =
-      std::get<FeedHello>(RoundTrip(FeedHello{NodeId("host-1"), 5, "record"}));
+  const auto hello = std::get<FeedHello>(
+      RoundTrip(FeedHello{NodeId("host-1"), At(5, 2), "record"}));
   BOOST_TEST(hello.host == NodeId("host-1"));
-  BOOST_TEST(hello.revision == 5U);
+  BOOST_TEST(hello.position == At(5, 2));
   BOOST_TEST(hello.record == "record");
   const auto beat = std::get<FeedBeat>(
-      RoundTrip(FeedBeat{9, std::chrono::milliseconds(1234), true}));
-  BOOST_TEST(beat.revision == 9U);
+      RoundTrip(FeedBeat{At(9, 4), std::chrono::milliseconds(1234), true}));
+  BOOST_TEST(beat.position == At(9, 4));
   BOOST_TEST((beat.age == std::chrono::milliseconds(1234)));
   BOOST_TEST(beat.store_away);
 }
@@ -59,7 +61,7 @@
 // A damaged frame must not be read as knowledge: a host would serve by it.
 BOOST_AUTO_TEST_CASE(Decode_DamagedFrames_AreRefusedOrDecodeWhole) {
   FeedFrames frames;
-  frames.Add(EncodeFeed(FeedChanges{7, true, {{"key", 1, "value"}}}));
+  frames.Add(EncodeFeed(FeedChanges{At(7), true, {{"key", At(1), "value"}}}));
   const std::string whole = *frames.Next();
   for (std::size_t length = 0; length < whole.size(); ++length) {
     const std::string cut = whole.substr(0, length);
@@ -75,8 +77,8 @@
 }
 
 BOOST_AUTO_TEST_CASE(Frames_ComeInPieces_AreCutWhereTheyEnd) {
-  const std::string two = EncodeFeed(FeedHello{NodeId("a"), 1, ""}) +
-                          EncodeFeed(FeedHello{NodeId("b"), 2, ""});
+  const std::string two = EncodeFeed(FeedHello{NodeId("a"), At(1), ""}) +
+                          EncodeFeed(FeedHello{NodeId("b"), At(2), ""});
   FeedFrames frames;
   int whole = 0;
   for (const char byte : two) {
@@ -97,7 +99,7 @@
 // Its feeder had never heard the store and told an hour in place of that, so
 // whoever read the log looked for an outage that was none.
 BOOST_AUTO_TEST_CASE(Beat_StoreWasNeverHeard_HasNoAge) {
-  const auto beat = std::get<FeedBeat>(RoundTrip(FeedBeat{9, {}, false}));
+  const auto beat = std::get<FeedBeat>(RoundTrip(FeedBeat{At(9), {}, false}));
   BOOST_TEST(!beat.age.has_value());
 }
 
--- a/test/jacinthdeck/peer/feed_server_test.cc
+++ b/test/jacinthdeck/peer/feed_server_test.cc
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "jacinthdeck/peer/feed_link.h"
+#include "support/positions.h"
 #include "support/printers.h"
 
 namespace jacinthdeck {
@@ -20,11 +21,11 @@
   std::uint64_t known = 7;
 
   [[nodiscard]] FeedChanges ContentSince(
-      std::uint64_t /*revision*/) const override {
-    return {known, true, {{"servers/a", known, "{}"}}};
+      const StorePosition& /*position*/) const override {
+    return {At(known), true, {{"servers/a", At(known), "{}"}}};
   }
   [[nodiscard]] FeedBeat Beat() const override {
-    return {7, milliseconds(10), false};
+    return {At(7), milliseconds(10), false};
   }
 };
 
@@ -63,7 +64,7 @@
   void Follow(std::uint64_t known_revision) {
     BOOST_REQUIRE(static_cast<bool>(server.Listen("127.0.0.1", 0)));
     link.Open({"127.0.0.1", server.port()},
-              {NodeId("h1"), known_revision, "first"});
+              {NodeId("h1"), At(known_revision), "first"});
     while (beats == 0) {
       loop.run_one();
     }
@@ -97,7 +98,7 @@
   Follow(0);
   BOOST_TEST(contents == 0);
   source.known = 8;
-  server.Publish({8, false, {{"op/config", 8, "{}"}}});
+  server.Publish({At(8), false, {{"op/config", At(8), "{}"}}});
   while (contents < 2) {
     loop.run_one();
   }
@@ -109,7 +110,7 @@
 BOOST_AUTO_TEST_CASE(Follower_SaysAnotherRecord_IsTakenWithoutTheContent) {
   Follow(6);
   BOOST_TEST(followers.at(NodeId("h1")) == "first");
-  link.Say({NodeId("h1"), 7, "second"});
+  link.Say({NodeId("h1"), At(7), "second"});
   while (followers.at(NodeId("h1")) != "second") {
     loop.run_one();
   }
@@ -121,7 +122,7 @@
 BOOST_AUTO_TEST_CASE(Follower_HasTwoLinks_LeavesWithTheLast) {
   Follow(6);
   FeedLink second(loop, *this);
-  second.Open({"127.0.0.1", server.port()}, {NodeId("h1"), 7, "second"});
+  second.Open({"127.0.0.1", server.port()}, {NodeId("h1"), At(7), "second"});
   while (server.followers() < 2 || beats < 2) {
     loop.run_one();
   }
@@ -150,7 +151,7 @@
   }
   BOOST_TEST(followers.empty());
   loop.restart();
-  link.Open(address, {NodeId("h1"), 7, "first"});
+  link.Open(address, {NodeId("h1"), At(7), "first"});
   while (lost == 1) {
     loop.run_one();
   }
--- a/test/platform/codecs_test.cc
+++ b/test/platform/codecs_test.cc
@@ -117,26 +117,52 @@
       {200,
        R"({"events":[{"key":"a","value":"eA==","revision":4,"created":4,)"
        R"("leaseId":0},{"key":"b","revision":5,"deleted":true}],"readRev":5})",
-       "", false});
+       "", false},
+      StoreEra{});
   BOOST_REQUIRE((batch.status == StoreStatus::kOk));
   BOOST_REQUIRE_EQUAL(batch.changes.size(), 2U);
   BOOST_TEST(batch.changes[0].value.value() == "x");
   BOOST_TEST(!batch.changes[1].value.has_value());
-  BOOST_TEST(batch.revision == 5U);
+  BOOST_TEST(batch.position.revision == 5U);
 }
 
 BOOST_AUTO_TEST_CASE(Statuses_OfTheStore_AreToldApart) {
   const StoreCodec codec;
   const auto status = [&](int code) {
-    return codec.ReadBatch({code, "", "", false}).status;
+    return codec.ReadBatch({code, "", "", false}, StoreEra{}).status;
   };
   BOOST_TEST((status(0) == StoreStatus::kNoReply));
   BOOST_TEST((status(410) == StoreStatus::kCompacted));
   BOOST_TEST((status(429) == StoreStatus::kBusy));
   BOOST_TEST((status(503) == StoreStatus::kBusy));
   BOOST_TEST((status(500) == StoreStatus::kCorrupt));
-  BOOST_TEST(
-      (codec.ReadBatch({200, "{", "", false}).status == StoreStatus::kCorrupt));
+  BOOST_TEST((codec.ReadBatch({200, "{", "", false}, StoreEra{}).status ==
+              StoreStatus::kCorrupt));
+}
+
+// Guards against a reply of a restored store that is taken for one of the
+// history before: errors name the era too.
+BOOST_AUTO_TEST_CASE(Era_InAnyReply_IsRead) {
+  const StoreCodec codec;
+  const auto reply = [](int status, const std::string& era) {
+    ClientReply made{status, R"({"events":[],"readRev":5})", "", false};
+    made.headers.push_back({"store-era", era});
+    return made;
+  };
+  const auto era = [&](int status, const std::string& text) {
+    return codec.ReadBatch(reply(status, text), StoreEra(2)).position.era;
+  };
+  for (const int status : {200, 404, 410, 412, 429, 503}) {
+    BOOST_TEST((era(status, "7") == StoreEra(7)));
+  }
+  for (const char* text : {"", "x", "7x", "-1", "0", "99999999999999999999"}) {
+    const WatchBatch batch = codec.ReadBatch(reply(200, text), StoreEra(2));
+    BOOST_TEST((batch.status == StoreStatus::kCorrupt));
+    BOOST_TEST((batch.position.era == StoreEra(2)));
+  }
+  const ClientReply unnamed{200, R"({"events":[],"readRev":5})", "", false};
+  BOOST_TEST((codec.ReadBatch(unnamed, StoreEra(2)).position ==
+              StorePosition{StoreEra(2), 5}));
 }
 
 BOOST_AUTO_TEST_CASE(Directory_CallAndAnswer_AreInThePlatformsForm) {
--- a/test/scenario/world.cc
+++ b/test/scenario/world.cc
@@ -30,15 +30,15 @@
 }
 
 void World::PutConfig(const std::string& json) {
-  Take({"op/config", ++m_revision, json});
+  Take({"op/config", {StoreEra{}, ++m_revision}, json});
 }
 
 void World::PutTarget(const std::string& id, const std::string& json) {
-  Take({"servers/" + id, ++m_revision, json});
+  Take({"servers/" + id, {StoreEra{}, ++m_revision}, json});
 }
 
 void World::RemoveTarget(const std::string& id) {
-  Take({"servers/" + id, ++m_revision, std::nullopt});
+  Take({"servers/" + id, {StoreEra{}, ++m_revision}, std::nullopt});
 }
 
 void World::StoreBack() {
