--- a/soak/main.cc
+++ b/soak/main.cc
@@ -135,6 +135,9 @@
       "evacuations",
       po::value(&soak.plan.evacuations)->default_value(soak.plan.evacuations),
       "times that one of two failure domains is evacuated")(
+      "restores",
+      po::value(&soak.plan.restores)->default_value(soak.plan.restores),
+      "times that the store comes back from an older copy")(
       "entries",
       po::value(&soak.stage.entries)->default_value(soak.stage.entries),
       "entry processes")(
--- a/soak/plan.cc
+++ b/soak/plan.cc
@@ -18,6 +18,11 @@
 //! Beyond the bound on an evacuation.
 constexpr std::uint64_t kShortestEvacuationMs = 2000;
 constexpr std::uint64_t kLongestEvacuationMs = 9000;
+//! Age of the copy that a store comes back from.
+constexpr std::uint64_t kYoungestCopyMs = 500;
+constexpr std::uint64_t kOldestCopyMs = 5000;
+//! The store is back by then, and its operators have repeated their writes.
+constexpr Duration kAfterRestore = milliseconds(2000);
 //! Targets that a plan tells apart.
 constexpr std::size_t kTargets = 64;
 
@@ -97,6 +102,23 @@
   }
 }
 
+//! Each is followed by a reshard: what is written then must reach all entries.
+//! A second copy may be made before the store comes back from the first: then
+//! it comes back from the second.
+void AddRestores(const PlanOptions& options, std::vector<Action>& plan) {
+  constexpr std::uint64_t kOtherDraws = 0xd1b54a32d192ed03U;
+  Random random(options.seed ^ kOtherDraws);
+  for (std::size_t index = 0; index < options.restores; ++index) {
+    PlanOptions earlier = options;
+    earlier.length -= std::min(options.length, kAfterRestore);
+    const Span span = DrawSpan(earlier, kYoungestCopyMs, kOldestCopyMs, random);
+    plan.push_back({span.at, ActionKind::kCopyStore});
+    plan.push_back({span.at + span.lasts, ActionKind::kRestoreStore});
+    plan.push_back(
+        {span.at + span.lasts + kAfterRestore, ActionKind::kReshard});
+  }
+}
+
 }  // namespace
 
 std::vector<Action> MakePlan(const PlanOptions& options) {
@@ -121,6 +143,7 @@
     }
   }
   AddEvacuations(options, plan);
+  AddRestores(options, plan);
   std::ranges::stable_sort(plan, {}, &Action::at);
   return plan;
 }
--- a/soak/plan.h
+++ b/soak/plan.h
@@ -35,14 +35,20 @@
   //! Nothing may be sent to the targets of one failure domain.
   kEvacuate,
   kGiveBack,
+  //! The store keeps a copy of what it holds.
+  kCopyStore,
+  //! The store is away for a moment and comes back from that copy.
+  kRestoreStore,
 };
 
 //! Names of the actions in reports.
-inline constexpr NameTable<ActionKind, 19> kActionNames{
-    {"stop_entry", "continue_entry", "kill_entry", "drain_entry", "start_entry",
-     "stop_target", "continue_target", "kill_target", "drain_target",
-     "lose_answers", "answer_all", "reshard", "store_fault", "store_forgets",
-     "store_well", "link_fault", "link_well", "evacuate", "give_back"}};
+inline constexpr NameTable<ActionKind, 21> kActionNames{
+    {"stop_entry",   "continue_entry", "kill_entry",      "drain_entry",
+     "start_entry",  "stop_target",    "continue_target", "kill_target",
+     "drain_target", "lose_answers",   "answer_all",      "reshard",
+     "store_fault",  "store_forgets",  "store_well",      "link_fault",
+     "link_well",    "evacuate",       "give_back",       "copy_store",
+     "restore_store"}};
 
 /*! \brief How the store fails. */
 enum class StoreFault { kBusy, kDrop, kSilent, kSlow, kLosesReplies };
@@ -86,6 +92,8 @@
   std::size_t entries = 4;
   //! Evacuations beside the faults; 0 leaves the plan of a seed as it is.
   std::size_t evacuations = 0;
+  //! Restores of the store beside the faults, as the evacuations.
+  std::size_t restores = 0;
 };
 
 /*! \brief The same options give the same plan, in the order of time. */
--- a/soak/stage.cc
+++ b/soak/stage.cc
@@ -46,6 +46,14 @@
 //! requests go there; it is the one that is evacuated.
 constexpr const char* kDomain = "a";
 constexpr const char* kOtherDomain = "b";
+//! A store that comes back from a copy is away for so long before.
+constexpr Duration kBeforeRestore = milliseconds(700);
+//! Writes of the configuration that a restore loses. Without them the new
+//! history passes the one before within a moment, and entries that confuse the
+//! two recover.
+constexpr int kLostWrites = 60;
+//! Operators see that their last writes are lost, and repeat them.
+constexpr Duration kBeforeWritingAgain = milliseconds(1200);
 //! Messages to the store's control port in the order of StoreFault.
 constexpr std::array kStoreMessages{
     R"({"outage":"busy"})", R"({"outage":"drop"})", R"({"outage":"silent"})",
@@ -114,7 +122,7 @@
       &Stage::LoseAnswers,    &Stage::AnswerAll,     &Stage::Reshard,
       &Stage::HarmStore,      &Stage::ForgetInStore, &Stage::HealStore,
       &Stage::HarmLink,       &Stage::HealLink,      &Stage::Evacuate,
-      &Stage::GiveBack};
+      &Stage::GiveBack,       &Stage::CopyStore,     &Stage::RestoreStore};
   const Step step = kSteps[static_cast<std::size_t>(action.kind)];
   (this->*step)(action);
 }
@@ -377,10 +385,19 @@
   ControlStore(DumpJson(*message));
 }
 
-void Stage::HarmStore(const Action& action) {
+void Stage::RemoveFromStore(const std::string& key) {
+  const JsonPtr message(json_pack("{s:[s]}", "remove", key.c_str()));
+  ControlStore(DumpJson(*message));
+}
+
+void Stage::BeginStoreHarm() {
   if (!m_open.contains("store")) {
     Begin("store", LivesOf(m_entries), Harm::kKnowledge);
   }
+}
+
+void Stage::HarmStore(const Action& action) {
+  BeginStoreHarm();
   const auto fault = static_cast<std::size_t>(action.store);
   ControlStore(kStoreMessages[fault]);
 }
@@ -443,9 +460,41 @@
   }
   // Noted first: requests go there as soon as the store has taken it.
   m_evacuations.back().ended = Now();
-  const JsonPtr message(
-      json_pack("{s:[s]}", "remove", EvacuationKey().c_str()));
-  ControlStore(DumpJson(*message));
+  RemoveFromStore(EvacuationKey());
+}
+
+void Stage::CopyStore(const Action& /*action*/) {
+  ControlStore(R"({"copy":true})");
+  for (int write = 0; write < kLostWrites; ++write) {
+    PutInStore(std::string(platform::wire::kConfigKey),
+               ConfigText(m_layouts.back().layout));
+  }
+}
+
+void Stage::RestoreStore(const Action& /*action*/) {
+  if (std::exchange(m_is_restoring, true)) {
+    return;
+  }
+  BeginStoreHarm();
+  ControlStore(R"({"outage":"silent"})");
+  Later(kBeforeRestore, [this] {
+    // Other ends of its outage may have come before.
+    BeginStoreHarm();
+    ControlStore(R"({"restore":true})");
+    HealStore({});
+    Later(kBeforeWritingAgain, [this] { WriteAgain(); });
+  });
+}
+
+void Stage::WriteAgain() {
+  PutInStore(std::string(platform::wire::kConfigKey),
+             ConfigText(m_layouts.back().layout));
+  if (IsEvacuated()) {
+    PutInStore(EvacuationKey(), "{}");
+  } else {
+    RemoveFromStore(EvacuationKey());
+  }
+  m_is_restoring = false;
 }
 
 void Stage::Calm() {
--- a/soak/stage.h
+++ b/soak/stage.h
@@ -102,6 +102,8 @@
   void HealLink(const Action& action);
   void Evacuate(const Action& action);
   void GiveBack(const Action& action);
+  void CopyStore(const Action& action);
+  void RestoreStore(const Action& action);
 
   void StartStore();
   void StartEntry(Entry& entry);
@@ -116,6 +118,9 @@
   //! Throws if the store does not take it.
   void ControlStore(const std::string& message);
   void PutInStore(const std::string& key, const std::string& value);
+  void RemoveFromStore(const std::string& key);
+  //! As operators do whose last writes are lost.
+  void WriteAgain();
   [[nodiscard]] bool IsEvacuated() const;
   [[nodiscard]] Entry& EntryOf(const Action& action);
   [[nodiscard]] Target& TargetOf(const Action& action);
@@ -127,6 +132,7 @@
              Harm harm,
              Duration after = {});
   void End(const std::string& cause, Duration after = {});
+  void BeginStoreHarm();
   void ReadLog(History& history) const;
   [[nodiscard]] std::string PathOf(const std::string& program) const;
   [[nodiscard]] std::string FileOf(const std::string& name) const;
@@ -143,6 +149,7 @@
   std::size_t m_target_lives = 0;
   std::uint32_t m_layout = 0;
   bool m_is_resharding = false;
+  bool m_is_restoring = false;
   std::multimap<TimePoint, std::function<void()>> m_later;
   std::vector<Trouble> m_troubles;
   //! Indices into m_troubles of the causes that still last.
--- a/soak/target_main.cc
+++ b/soak/target_main.cc
@@ -135,12 +135,11 @@
     m_next_beat = now + kBeatPeriod;
     const std::string address =
         "127.0.0.1:" + std::to_string(m_options.advertised);
-    const JsonPtr entry(
-        json_pack("{s:s, s:s, s:s, s:s, s:i, s:s, s:i, s:I}", "service",
-                  m_options.service.c_str(), "address", address.c_str(), "zone",
-                  m_options.domain.c_str(), "version", "v1", "slots", kSlots,
-                  "state", m_leaving ? "draining" : "ready", "coldRemainingMs",
-                  0, "seq", static_cast<json_int_t>(++m_beats)));
+    const JsonPtr entry(json_pack(
+        "{s:s, s:s, s:s, s:s, s:i, s:s, s:i}", "service",
+        m_options.service.c_str(), "address", address.c_str(), "zone",
+        m_options.domain.c_str(), "version", "v1", "slots", kSlots, "state",
+        m_leaving ? "draining" : "ready", "coldRemainingMs", 0));
     const std::string key = std::string(wire::kTargetKeys) + m_options.id;
     const JsonPtr message(
         json_pack("{s:[{s:s, s:s, s:i}]}", "put", "key", key.c_str(), "value",
@@ -155,7 +154,6 @@
   SteadyClock m_clock;
   const int m_log;
   TimePoint m_next_beat;
-  std::uint64_t m_beats = 0;
   std::atomic<bool> m_leaving = false;
   std::atomic<bool> m_told = false;
   //! Last: it calls the members above from its first moment on.
--- a/standins/store/kv_store.cc
+++ b/standins/store/kv_store.cc
@@ -94,6 +94,12 @@
   return found->second.ttl;
 }
 
+bool KvStore::Touch(const std::string& key, const std::string& value) {
+  const auto held = Get(key);
+  return held && held->value == value && held->lease != 0 &&
+         Renew(held->lease).has_value();
+}
+
 bool KvStore::End(std::uint64_t lease) {
   const std::scoped_lock lock(m_mutex);
   DropLapsed();
--- a/standins/store/kv_store.h
+++ b/standins/store/kv_store.h
@@ -96,6 +96,10 @@
   /*! \brief Prolongs a lease; nothing once it has lapsed. */
   [[nodiscard]] std::optional<Duration> Renew(std::uint64_t lease);
 
+  /*! \brief Prolongs the lease of a key that has this value; false, with
+   * nothing done, if it has another one or no lease. */
+  [[nodiscard]] bool Touch(const std::string& key, const std::string& value);
+
   /*! \brief Ends a lease with its keys; false if there is none. */
   [[nodiscard]] bool End(std::uint64_t lease);
 
--- a/standins/store/store_server.cc
+++ b/standins/store/store_server.cc
@@ -185,6 +185,9 @@
   }
   Transaction transaction;
   for (const ControlPut& put : control.puts) {
+    if (put.ttl > Duration::zero() && m_content.Touch(put.key, put.value)) {
+      continue;
+    }
     const std::uint64_t lease =
         put.ttl > Duration::zero() ? m_content.Grant(put.ttl) : 0;
     transaction.puts.push_back({put.key, put.value, lease});
--- a/test/soak/plan_test.cc
+++ b/test/soak/plan_test.cc
@@ -42,8 +42,24 @@
   BOOST_TEST((plan == faults));
 }
 
+BOOST_AUTO_TEST_CASE(Plan_HoldsRestores_EachFollowsACopyOfItsOwn) {
+  options.faults = 0;
+  options.restores = 3;
+  for (options.seed = 1; options.seed <= 20; ++options.seed) {
+    int copies = 0;
+    int restores = 0;
+    for (const Action& action : MakePlan(options)) {
+      copies += action.kind == ActionKind::kCopyStore ? 1 : 0;
+      restores += action.kind == ActionKind::kRestoreStore ? 1 : 0;
+      BOOST_TEST(restores <= copies);
+    }
+    BOOST_TEST(restores == 3);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(Plans_OfFiftySeeds_HoldEveryAction) {
   options.evacuations = 1;
+  options.restores = 1;
   std::set<ActionKind> seen;
   for (options.seed = 1; options.seed <= 50; ++options.seed) {
     for (const Action& action : MakePlan(options)) {
--- a/test/standins/kv_store_test.cc
+++ b/test/standins/kv_store_test.cc
@@ -93,6 +93,18 @@
   BOOST_TEST(store.Watch("", copied, milliseconds(0)).events.size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(Touch_SameValue_ProlongsTheLeaseWithoutAChange) {
+  const std::uint64_t lease = store.Grant(seconds(1));
+  BOOST_TEST((Put("a", "1", lease) == ChangeEnd::kDone));
+  clock.Advance(milliseconds(600));
+  BOOST_TEST(store.Touch("a", "1"));
+  BOOST_TEST(!store.Touch("a", "2"));
+  BOOST_TEST(!store.Touch("b", "1"));
+  clock.Advance(milliseconds(600));
+  BOOST_TEST(store.revision() == revision);
+  BOOST_TEST(store.Get("a").has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace jacinthdeck::standins
