--- a/src/daemons/ctl/command.cc
+++ b/src/daemons/ctl/command.cc
@@ -5,6 +5,7 @@
 #include <array>
 #include <limits>
 
+#include "ctl/era_command.h"
 #include "ctl/evacuation_command.h"
 #include "ctl/explain_command.h"
 #include "ctl/host_commands.h"
@@ -17,7 +18,7 @@
 
 constexpr std::size_t kAny = std::numeric_limits<std::size_t>::max();
 
-constexpr std::array<Command, 10> kCommands{{
+constexpr std::array<Command, 11> kCommands{{
     {"schema", "check", "FILE", "check a schema file without sending it", 1, 1,
      &SchemaCheck},
     {"schema", "apply", "FILE", "put a schema file in force", 1, 1,
@@ -31,6 +32,10 @@
      "print evacuated failure domains, and the hosts (metrics IP:PORT) that do "
      "not apply them",
      0, kAny, &ShowEvacuations},
+    {"era", "", "[HOST...]",
+     "print the era of the store, and the hosts (metrics IP:PORT) that serve "
+     "by another one",
+     0, kAny, &ShowEra},
     {"entries", "", "", "print the addresses for typed calls", 0, 0,
      &ShowEntries},
     {"query", "", "SERVICE/METHOD JSON", "ask one request", 2, 2, &Query},
--- /dev/null
+++ b/src/daemons/ctl/era_command.cc
@@ -0,0 +1,83 @@
+// Compares the store's era with what hosts say in their status.
+#include "ctl/era_command.h"
+
+#include <jansson.h>
+
+#include <limits>
+#include <variant>
+
+#include "jacinthdeck/core/json_reader.h"
+
+namespace jacinthdeck::ctl {
+
+namespace {
+
+constexpr std::uint64_t kMostNumber = std::numeric_limits<std::int64_t>::max();
+
+struct HostEra {
+  std::uint64_t era = 0;
+  std::uint64_t revision = 0;
+  std::uint64_t config = 0;
+  double for_ms = 0;
+};
+
+[[nodiscard]] Result<HostEra> AskHost(const Session& session,
+                                      const std::string& address) {
+  BOOST_LEAF_AUTO(endpoint, Endpoint::Parse(address));
+  BOOST_LEAF_AUTO(reply, session.Call(endpoint, {"GET", "/status", ""}));
+  const JsonReader status(reply.body.get(), address);
+  HostEra host;
+  BOOST_LEAF_ASSIGN(host.era, status.Unsigned("store_era", kMostNumber));
+  BOOST_LEAF_ASSIGN(host.revision,
+                    status.Unsigned("store_revision", kMostNumber));
+  BOOST_LEAF_ASSIGN(host.config,
+                    status.Unsigned("config_version", kMostNumber));
+  BOOST_LEAF_ASSIGN(host.for_ms, status.Number("store_era_for_ms"));
+  return host;
+}
+
+//! One host as JSON.
+[[nodiscard]] JsonPtr Describe(const std::string& address,
+                               const HostEra& host) {
+  return JsonPtr(
+      json_pack("{s:s, s:I, s:I, s:I, s:f}", "host", address.c_str(), "era",
+                static_cast<json_int_t>(host.era), "revision",
+                static_cast<json_int_t>(host.revision), "config_version",
+                static_cast<json_int_t>(host.config), "for_ms", host.for_ms));
+}
+
+}  // namespace
+
+ExitCode ShowEra(Session& session, const std::vector<std::string>& hosts) {
+  const auto read = Capture([&] { return session.ReadPosition(); });
+  if (const auto* error = std::get_if<Error>(&read)) {
+    return session.Fail(*error);
+  }
+  const StorePosition& store = std::get<0>(read);
+  const JsonPtr current(json_array());
+  const JsonPtr others(json_array());
+  for (const std::string& address : hosts) {
+    const auto asked = Capture([&] { return AskHost(session, address); });
+    if (const auto* error = std::get_if<Error>(&asked)) {
+      json_array_append_new(others.get(),
+                            json_pack("{s:s, s:s}", "host", address.c_str(),
+                                      "problem", error->message.c_str()));
+      continue;
+    }
+    const HostEra& host = std::get<0>(asked);
+    const JsonPtr described = Describe(address, host);
+    const bool is_current = host.era == EraNumber(store.era);
+    json_array_append(is_current ? current.get() : others.get(),
+                      described.get());
+  }
+  const JsonPtr printed(
+      json_pack("{s:I, s:I, s:O, s:O}", "era",
+                static_cast<json_int_t>(EraNumber(store.era)), "revision",
+                static_cast<json_int_t>(store.revision), "current",
+                current.get(), "not_current", others.get()));
+  session.Print(*printed);
+  return json_array_size(others.get()) == 0 ? ExitCode::kDone
+                                            : ExitCode::kPartial;
+}
+
+}  // namespace jacinthdeck::ctl
--- a/src/daemons/ctl/session.cc
+++ b/src/daemons/ctl/session.cc
@@ -50,18 +50,28 @@
   return reply;
 }
 
+Result<StorePage> Session::ReadPage(const std::string& after) const {
+  StorePage page =
+      m_codec.ReadPage(CallAndWait(m_arguments.store, m_codec.RangeCall(after),
+                                   m_arguments.timeout),
+                       {});
+  if (page.status != StoreStatus::kOk) {
+    return jacinthdeck::Fail(ErrorCode::kUnavailable,
+                             m_arguments.store.ToString(), page.problem);
+  }
+  return page;
+}
+
+Result<StorePosition> Session::ReadPosition() const {
+  BOOST_LEAF_AUTO(page, ReadPage(""));
+  return page.position;
+}
+
 Result<std::vector<StoreChange>> Session::ReadStore() const {
   std::vector<StoreChange> items;
   while (true) {
     const std::string after = items.empty() ? "" : items.back().key;
-    const StorePage page = m_codec.ReadPage(
-        CallAndWait(m_arguments.store, m_codec.RangeCall(after),
-                    m_arguments.timeout),
-        {});
-    if (page.status != StoreStatus::kOk) {
-      return jacinthdeck::Fail(ErrorCode::kUnavailable,
-                               m_arguments.store.ToString(), page.problem);
-    }
+    BOOST_LEAF_AUTO(page, ReadPage(after));
     items.insert(items.end(), page.items.begin(), page.items.end());
     if (!page.has_more || page.items.empty()) {
       return items;
--- a/src/daemons/ctl/session.h
+++ b/src/daemons/ctl/session.h
@@ -51,6 +51,9 @@
   [[nodiscard]] Result<HostReply> Call(const Endpoint& endpoint,
                                        const ClientRequest& request) const;
 
+  /*! \brief Reads where the store is. */
+  [[nodiscard]] Result<StorePosition> ReadPosition() const;
+
   /*! \brief Reads all keys of the store. */
   [[nodiscard]] Result<std::vector<StoreChange>> ReadStore() const;
 
@@ -81,6 +84,8 @@
   ExitCode FailReply(const HostReply& reply);
 
  private:
+  [[nodiscard]] Result<StorePage> ReadPage(const std::string& after) const;
+
   Arguments m_arguments;
   const PlatformCodec& m_codec;
   std::ostream& m_out;
--- a/src/jacinthdeck/discovery/store_session.cc
+++ b/src/jacinthdeck/discovery/store_session.cc
@@ -2,6 +2,7 @@
 #include "jacinthdeck/discovery/store_session.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace jacinthdeck {
@@ -80,17 +81,17 @@
   if (!applies && !begins) {
     return;
   }
-  std::vector<StoreChange> content = changes;
-  const auto carried =
-      std::ranges::stable_partition(content, [&](const StoreChange& change) {
+  std::vector<StoreChange> content;
+  std::vector<StoreChange> carried;
+  std::ranges::partition_copy(
+      changes, std::back_inserter(content), std::back_inserter(carried),
+      [&](const StoreChange& change) {
         return change.position.era == position.era;
       });
-  const std::vector<StoreChange> of_eras_before(carried.begin(), carried.end());
-  content.erase(carried.begin(), carried.end());
   const bool restored = m_loaded && begins;
   m_loaded = true;
   Take(content, position, whole);
-  TakeCarried(of_eras_before);
+  TakeCarried(carried);
   if (restored) {
     m_must_read = false;
     RestartReading();
@@ -178,6 +179,9 @@
   const std::uint64_t changes_before = m_content.changes();
   const std::vector<StoreChange> news =
       whole ? m_content.Replace(changes, position) : m_content.Apply(changes);
+  if (!m_era_since || position.era > m_position.era) {
+    m_era_since = now;
+  }
   m_position = std::max(m_position, position);
   if (!IsBehind()) {
     m_behind_since.reset();
--- a/src/jacinthdeck/discovery/store_session.h
+++ b/src/jacinthdeck/discovery/store_session.h
@@ -64,6 +64,10 @@
   [[nodiscard]] const StorePosition& position() const noexcept {
     return m_position;
   }
+  /*! \brief Moment at which content of the present era was first taken. */
+  [[nodiscard]] std::optional<TimePoint> era_since() const noexcept {
+    return m_era_since;
+  }
   /*! \brief Newest era of the store that was heard of. */
   [[nodiscard]] StoreEra era() const noexcept { return m_era; }
   /*! \brief Tells whether the content has been of an ended era for longer than
@@ -196,6 +200,8 @@
   bool m_watching = false;
   bool m_lost = false;
   StoreEra m_era{};
+  //! Since when the content is of its era.
+  std::optional<TimePoint> m_era_since;
   //! Since when the content is of an ended era; nothing while it is not.
   std::optional<TimePoint> m_behind_since;
   //! Where the next watch goes on.
--- a/src/jacinthdeck/entry/entry_node_answers.cc
+++ b/src/jacinthdeck/entry/entry_node_answers.cc
@@ -73,6 +73,8 @@
       .Flag("store_away", knowledge.store_away())
       .Milliseconds("knowledge_age_ms", KnowledgeAge())
       .Count("store_era", EraNumber(m_store.position().era))
+      .Milliseconds("store_era_for_ms",
+                    m_clock.Now() - m_store.era_since().value_or(m_clock.Now()))
       .Count("newest_era", EraNumber(m_store.era()))
       .Count("store_revision", m_store.position().revision)
       .Count("config_version",
--- a/test/daemons/ctl_test.cc
+++ b/test/daemons/ctl_test.cc
@@ -143,6 +143,34 @@
   BOOST_TEST(printed.find("127.0.0.1:1", lacking) != printed.npos);
 }
 
+// Guards against an operator who takes a drill for done while a host serves by
+// the history before.
+BOOST_AUTO_TEST_CASE(Era_OneHostIsBehindAndOneIsDown_BothAreNamed) {
+  store.content().KeepCopy();
+  BOOST_TEST(store.content().Restore());
+  const auto answer = [](const std::string& era) {
+    return [era](const standins::HttpRequest&) {
+      return standins::HttpReply{
+          200,
+          R"({"store_era":)" + era +
+              R"(,"store_revision":5,"config_version":7,)"
+              R"("store_era_for_ms":12.5})",
+          false};
+    };
+  };
+  standins::HttpServer current{{}, answer("2")};
+  standins::HttpServer behind{{}, answer("1")};
+  const std::string up = Endpoint{"127.0.0.1", current.port()}.ToString();
+  const std::string old = Endpoint{"127.0.0.1", behind.port()}.ToString();
+  BOOST_TEST((Run({"era", up}) == ExitCode::kDone), err.str());
+  BOOST_TEST((Run({"era", up, old, "127.0.0.1:1"}) == ExitCode::kPartial));
+  const std::string printed = out.str();
+  const std::size_t others = printed.rfind("not_current");
+  BOOST_TEST(printed.find(old, others) != printed.npos);
+  BOOST_TEST(printed.find("127.0.0.1:1", others) != printed.npos);
+  BOOST_TEST(printed.find(up, others) == printed.npos);
+}
+
 // Guards against one odd key that hides the evacuations in force.
 BOOST_AUTO_TEST_CASE(Evacuations_AKeyNamesNoDomain_OthersAreToldBesideIt) {
   standins::StoreControl control;
--- a/test/platform/codecs_test.cc
+++ b/test/platform/codecs_test.cc
@@ -2,6 +2,7 @@
 #include <boost/test/unit_test.hpp>
 #include <string>
 
+#include "jacinthdeck/core/random.h"
 #include "platform/base64.h"
 #include "platform/config_codec.h"
 #include "platform/directory_codec.h"
@@ -165,6 +166,29 @@
               StorePosition{StoreEra(2), 5}));
 }
 
+// Guards against a crash, or an era out of nothing, by a header of any bytes.
+BOOST_AUTO_TEST_CASE(Era_AnyBytes_GiveTheirNumberOrTheCurrentEra) {
+  const StoreCodec codec;
+  Random random(1);
+  for (int round = 0; round < 20000; ++round) {
+    std::string text(random.Below(24), ' ');
+    for (char& byte : text) {
+      byte = static_cast<char>(random.Below(2) == 0
+                                   ? static_cast<std::uint64_t>('0') +
+                                         random.Below(10)
+                                   : random.Below(256));
+    }
+    ClientReply reply{200, R"({"events":[],"readRev":5})", "", false};
+    reply.headers.push_back({"Store-Era", text});
+    const WatchBatch batch = codec.ReadBatch(reply, StoreEra(2));
+    const bool read = batch.status == StoreStatus::kOk;
+    const bool digits = !text.empty() && text.find_first_not_of("0123456789") ==
+                                             std::string::npos;
+    BOOST_TEST((!read || digits));
+    BOOST_TEST((read || batch.position.era == StoreEra(2)));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(Directory_CallAndAnswer_AreInThePlatformsForm) {
   BOOST_TEST(ReadDirectoryCall("/-/resolve?name=x&region=r&zone=z-a").raw() ==
              "z-a");
