--- a/soak/stage.cc
+++ b/soak/stage.cc
@@ -1,8 +1,6 @@
 // One member function an action.
 #include "soak/stage.h"
 
-#include <jansson.h>
-
 #include <algorithm>
 #include <array>
 #include <boost/asio/executor_work_guard.hpp>
@@ -13,10 +11,6 @@
 #include <stdexcept>
 #include <utility>
 
-#include "jacinthdeck/core/json.h"
-#include "jacinthdeck/http/blocking_client.h"
-#include "jacinthdeck/http/status.h"
-#include "platform/wire_names.h"
 #include "process/process.h"
 #include "soak/layout.h"
 
@@ -27,8 +21,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr Duration kStartPatience = seconds(20);
-constexpr Duration kControlTimeout = seconds(5);
 //! As the entries' settings say; the end of a drain may cut what is left.
 constexpr int kGraceMs = 2500;
 //! New targets are up for so long before a configuration names them.
@@ -42,37 +34,7 @@
 //! Callers' patience, so that each call under way has an end.
 constexpr Duration kLastCalls = milliseconds(3200);
 constexpr std::uint32_t kReplicas = 2;
-//! Of the entries and of the first target of each service, so that most
-//! requests go there; it is the one that is evacuated.
-constexpr const char* kDomain = "a";
 constexpr const char* kOtherDomain = "b";
-//! A store that comes back from a copy is away for so long before.
-constexpr Duration kBeforeRestore = milliseconds(700);
-//! Writes of the configuration that a restore loses. Without them the new
-//! history passes the one before within a moment, and entries that confuse the
-//! two recover.
-constexpr int kLostWrites = 60;
-//! Operators see that their last writes are lost, and repeat them.
-constexpr Duration kBeforeWritingAgain = milliseconds(1200);
-//! Messages to the store's control port in the order of StoreFault.
-constexpr std::array kStoreMessages{
-    R"({"outage":"busy"})", R"({"outage":"drop"})", R"({"outage":"silent"})",
-    R"({"delay_ms":800})", R"({"lose_reply_share":0.5})"};
-constexpr const char* kStoreWell =
-    R"({"outage":"none","delay_ms":0,"lose_reply_share":0})";
-
-[[nodiscard]] std::vector<std::size_t> LivesOf(const auto& entries) {
-  std::vector<std::size_t> lives;
-  lives.reserve(entries.size());
-  for (const auto& entry : entries) {
-    lives.push_back(entry.life);
-  }
-  return lives;
-}
-
-[[nodiscard]] std::string EvacuationKey() {
-  return std::string(platform::wire::kEvacuationKeys) + kDomain;
-}
 
 [[nodiscard]] std::string Cause(const char* what, std::size_t life) {
   return std::string(what) + " " + std::to_string(life);
@@ -356,61 +318,6 @@
   m_is_resharding = false;
 }
 
-void Stage::WriteConfig() {
-  PutInStore(std::string(platform::wire::kConfigKey), ConfigText(m_layout));
-  m_layouts.push_back({m_layout, Now()});
-}
-
-void Stage::StartStore() {
-  m_store = std::make_unique<Child>(
-      std::vector<std::string>{PathOf("standins/standin_store")},
-      FileOf("store.log"));
-  const std::string port =
-      m_store->WaitFor(R"(listening 127\.0\.0\.1:(\d+))", kStartPatience);
-  m_store_port = static_cast<std::uint16_t>(std::stoi(port));
-}
-
-void Stage::ControlStore(const std::string& message) {
-  const ClientReply reply =
-      CallAndWait({"127.0.0.1", m_store_port}, {"POST", "/control", message},
-                  kControlTimeout);
-  if (reply.status != http_status::kOk) {
-    throw std::runtime_error("the store did not take " + message);
-  }
-}
-
-void Stage::PutInStore(const std::string& key, const std::string& value) {
-  const JsonPtr message(json_pack("{s:[{s:s, s:s}]}", "put", "key", key.c_str(),
-                                  "value", value.c_str()));
-  ControlStore(DumpJson(*message));
-}
-
-void Stage::RemoveFromStore(const std::string& key) {
-  const JsonPtr message(json_pack("{s:[s]}", "remove", key.c_str()));
-  ControlStore(DumpJson(*message));
-}
-
-void Stage::BeginStoreHarm() {
-  if (!m_open.contains("store")) {
-    Begin("store", LivesOf(m_entries), Harm::kKnowledge);
-  }
-}
-
-void Stage::HarmStore(const Action& action) {
-  BeginStoreHarm();
-  const auto fault = static_cast<std::size_t>(action.store);
-  ControlStore(kStoreMessages[fault]);
-}
-
-void Stage::ForgetInStore(const Action& /*action*/) {
-  ControlStore(R"({"compact":true})");
-}
-
-void Stage::HealStore(const Action& /*action*/) {
-  ControlStore(kStoreWell);
-  End("store");
-}
-
 LoopbackProxy& Stage::LinkOf(const Action& action) {
   if (action.link == Link::kTarget) {
     return *TargetOf(action).proxy;
@@ -442,61 +349,6 @@
       action.link == Link::kStore ? Duration::zero() : kThaw);
 }
 
-bool Stage::IsEvacuated() const {
-  return !m_evacuations.empty() &&
-         m_evacuations.back().ended == TimePoint::max();
-}
-
-void Stage::Evacuate(const Action& /*action*/) {
-  if (!IsEvacuated()) {
-    PutInStore(EvacuationKey(), "{}");
-    m_evacuations.push_back({kDomain, Now()});
-  }
-}
-
-void Stage::GiveBack(const Action& /*action*/) {
-  if (!IsEvacuated()) {
-    return;
-  }
-  // Noted first: requests go there as soon as the store has taken it.
-  m_evacuations.back().ended = Now();
-  RemoveFromStore(EvacuationKey());
-}
-
-void Stage::CopyStore(const Action& /*action*/) {
-  ControlStore(R"({"copy":true})");
-  for (int write = 0; write < kLostWrites; ++write) {
-    PutInStore(std::string(platform::wire::kConfigKey),
-               ConfigText(m_layouts.back().layout));
-  }
-}
-
-void Stage::RestoreStore(const Action& /*action*/) {
-  if (std::exchange(m_is_restoring, true)) {
-    return;
-  }
-  BeginStoreHarm();
-  ControlStore(R"({"outage":"silent"})");
-  Later(kBeforeRestore, [this] {
-    // Other ends of its outage may have come before.
-    BeginStoreHarm();
-    ControlStore(R"({"restore":true})");
-    HealStore({});
-    Later(kBeforeWritingAgain, [this] { WriteAgain(); });
-  });
-}
-
-void Stage::WriteAgain() {
-  PutInStore(std::string(platform::wire::kConfigKey),
-             ConfigText(m_layouts.back().layout));
-  if (IsEvacuated()) {
-    PutInStore(EvacuationKey(), "{}");
-  } else {
-    RemoveFromStore(EvacuationKey());
-  }
-  m_is_restoring = false;
-}
-
 void Stage::Calm() {
   GiveBack({});
   HealStore({});
--- a/soak/stage.h
+++ b/soak/stage.h
@@ -2,6 +2,7 @@
 #ifndef SOAK_STAGE_H_
 #define SOAK_STAGE_H_
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <filesystem>
@@ -22,6 +23,12 @@
 
 namespace jacinthdeck::soak {
 
+//! Of the entries and of the first target of each service, so that most
+//! requests go there; it is the one that is evacuated.
+inline constexpr const char* kDomain = "a";
+//! For a process to say that it is ready.
+inline constexpr Duration kStartPatience = std::chrono::seconds(20);
+
 /*! \brief Where the programs are, and how many of them run. */
 struct StageOptions {
   //! Build directory.
@@ -133,6 +140,7 @@
              Duration after = {});
   void End(const std::string& cause, Duration after = {});
   void BeginStoreHarm();
+  [[nodiscard]] std::vector<std::size_t> EntryLives() const;
   void ReadLog(History& history) const;
   [[nodiscard]] std::string PathOf(const std::string& program) const;
   [[nodiscard]] std::string FileOf(const std::string& name) const;
--- /dev/null
+++ b/soak/stage_store.cc
@@ -0,0 +1,167 @@
+// What is done to the store, and what operators write there.
+#include <jansson.h>
+
+#include <array>
+#include <chrono>
+#include <memory>
+#include <stdexcept>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "jacinthdeck/core/json.h"
+#include "jacinthdeck/http/blocking_client.h"
+#include "jacinthdeck/http/status.h"
+#include "platform/wire_names.h"
+#include "soak/layout.h"
+#include "soak/stage.h"
+
+namespace jacinthdeck::soak {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Duration kControlTimeout = seconds(5);
+//! A store that comes back from a copy is away for so long before.
+constexpr Duration kBeforeRestore = milliseconds(700);
+//! Writes of the configuration that a restore loses. Without them the new
+//! history passes the one before within a moment, and entries that confuse the
+//! two recover.
+constexpr int kLostWrites = 60;
+//! Operators see that their last writes are lost, and repeat them.
+constexpr Duration kBeforeWritingAgain = milliseconds(1200);
+//! Messages to the store's control port in the order of StoreFault.
+constexpr std::array kStoreMessages{
+    R"({"outage":"busy"})", R"({"outage":"drop"})", R"({"outage":"silent"})",
+    R"({"delay_ms":800})", R"({"lose_reply_share":0.5})"};
+constexpr const char* kStoreWell =
+    R"({"outage":"none","delay_ms":0,"lose_reply_share":0})";
+
+[[nodiscard]] std::string EvacuationKey() {
+  return std::string(platform::wire::kEvacuationKeys) + kDomain;
+}
+
+}  // namespace
+
+void Stage::StartStore() {
+  m_store = std::make_unique<Child>(
+      std::vector<std::string>{PathOf("standins/standin_store")},
+      FileOf("store.log"));
+  const std::string port =
+      m_store->WaitFor(R"(listening 127\.0\.0\.1:(\d+))", kStartPatience);
+  m_store_port = static_cast<std::uint16_t>(std::stoi(port));
+}
+
+void Stage::ControlStore(const std::string& message) {
+  const ClientReply reply =
+      CallAndWait({"127.0.0.1", m_store_port}, {"POST", "/control", message},
+                  kControlTimeout);
+  if (reply.status != http_status::kOk) {
+    throw std::runtime_error("the store did not take " + message);
+  }
+}
+
+void Stage::PutInStore(const std::string& key, const std::string& value) {
+  const JsonPtr message(json_pack("{s:[{s:s, s:s}]}", "put", "key", key.c_str(),
+                                  "value", value.c_str()));
+  ControlStore(DumpJson(*message));
+}
+
+void Stage::RemoveFromStore(const std::string& key) {
+  const JsonPtr message(json_pack("{s:[s]}", "remove", key.c_str()));
+  ControlStore(DumpJson(*message));
+}
+
+void Stage::BeginStoreHarm() {
+  if (!m_open.contains("store")) {
+    Begin("store", EntryLives(), Harm::kKnowledge);
+  }
+}
+
+std::vector<std::size_t> Stage::EntryLives() const {
+  std::vector<std::size_t> lives;
+  lives.reserve(m_entries.size());
+  for (const Entry& entry : m_entries) {
+    lives.push_back(entry.life);
+  }
+  return lives;
+}
+
+void Stage::HarmStore(const Action& action) {
+  BeginStoreHarm();
+  const auto fault = static_cast<std::size_t>(action.store);
+  ControlStore(kStoreMessages[fault]);
+}
+
+void Stage::ForgetInStore(const Action& /*action*/) {
+  ControlStore(R"({"compact":true})");
+}
+
+void Stage::HealStore(const Action& /*action*/) {
+  ControlStore(kStoreWell);
+  End("store");
+}
+
+bool Stage::IsEvacuated() const {
+  return !m_evacuations.empty() &&
+         m_evacuations.back().ended == TimePoint::max();
+}
+
+void Stage::Evacuate(const Action& /*action*/) {
+  if (!IsEvacuated()) {
+    PutInStore(EvacuationKey(), "{}");
+    m_evacuations.push_back({kDomain, Now()});
+  }
+}
+
+void Stage::GiveBack(const Action& /*action*/) {
+  if (!IsEvacuated()) {
+    return;
+  }
+  // Noted first: requests go there as soon as the store has taken it.
+  m_evacuations.back().ended = Now();
+  RemoveFromStore(EvacuationKey());
+}
+
+void Stage::CopyStore(const Action& /*action*/) {
+  ControlStore(R"({"copy":true})");
+  for (int write = 0; write < kLostWrites; ++write) {
+    PutInStore(std::string(platform::wire::kConfigKey),
+               ConfigText(m_layouts.back().layout));
+  }
+}
+
+void Stage::RestoreStore(const Action& /*action*/) {
+  if (std::exchange(m_is_restoring, true)) {
+    return;
+  }
+  BeginStoreHarm();
+  ControlStore(R"({"outage":"silent"})");
+  Later(kBeforeRestore, [this] {
+    // Other ends of its outage may have come before.
+    BeginStoreHarm();
+    ControlStore(R"({"restore":true})");
+    HealStore({});
+    Later(kBeforeWritingAgain, [this] { WriteAgain(); });
+  });
+}
+
+void Stage::WriteAgain() {
+  PutInStore(std::string(platform::wire::kConfigKey),
+             ConfigText(m_layouts.back().layout));
+  if (IsEvacuated()) {
+    PutInStore(EvacuationKey(), "{}");
+  } else {
+    RemoveFromStore(EvacuationKey());
+  }
+  m_is_restoring = false;
+}
+
+void Stage::WriteConfig() {
+  PutInStore(std::string(platform::wire::kConfigKey), ConfigText(m_layout));
+  m_layouts.push_back({m_layout, Now()});
+}
+
+}  // namespace jacinthdeck::soak
