--- a/src/jacinthdeck/discovery/store_session.cc
+++ b/src/jacinthdeck/discovery/store_session.cc
@@ -83,11 +83,11 @@
   }
   std::vector<StoreChange> content;
   std::vector<StoreChange> carried;
-  std::ranges::partition_copy(
-      changes, std::back_inserter(content), std::back_inserter(carried),
-      [&](const StoreChange& change) {
-        return change.position.era == position.era;
-      });
+  std::ranges::partition_copy(changes, std::back_inserter(content),
+                              std::back_inserter(carried),
+                              [&](const StoreChange& change) {
+                                return change.position.era == position.era;
+                              });
   const bool restored = m_loaded && begins;
   m_loaded = true;
   Take(content, position, whole);
