--- a/src/daemons/ctl/era_command.cc
+++ b/src/daemons/ctl/era_command.cc
@@ -21,8 +21,8 @@
   double for_ms = 0;
 };
 
-[[nodiscard]] Result<HostEra> AskHost(const Session& session,
-                                      const std::string& address) {
+[[nodiscard]] Result<HostEra> AskEra(const Session& session,
+                                     const std::string& address) {
   BOOST_LEAF_AUTO(endpoint, Endpoint::Parse(address));
   BOOST_LEAF_AUTO(reply, session.Call(endpoint, {"GET", "/status", ""}));
   const JsonReader status(reply.body.get(), address);
@@ -57,7 +57,7 @@
   const JsonPtr current(json_array());
   const JsonPtr others(json_array());
   for (const std::string& address : hosts) {
-    const auto asked = Capture([&] { return AskHost(session, address); });
+    const auto asked = Capture([&] { return AskEra(session, address); });
     if (const auto* error = std::get_if<Error>(&asked)) {
       json_array_append_new(others.get(),
                             json_pack("{s:s, s:s}", "host", address.c_str(),
