Take the first era that a store names for a restore

KnowledgeTest/Restore_EraBeforeWasNotNamed_IsARestoreAllTheSame failed before (a target that left in use, the evacuation gone) and passes now.

--- a/src/jacinthdeck/discovery/knowledge.cc
+++ b/src/jacinthdeck/discovery/knowledge.cc
@@ -46,7 +46,7 @@
 
 std::optional<StoreChange> Knowledge::CarriedConfig() const {
   const bool is_carried =
-      m_config != nullptr && m_config_entry.position.era < m_era;
+      m_config != nullptr && m_era && m_config_entry.position.era < *m_era;
   return is_carried ? std::optional(m_config_entry) : std::nullopt;
 }
 
@@ -63,11 +63,12 @@
 KnowledgeChange Knowledge::OnReading(std::span<const StoreChange> items,
                                      const StorePosition& position,
                                      TimePoint now) {
-  const bool restored = m_era != StoreEra{} && position.era > m_era;
+  // A store may name its era only once it has come back from a copy.
+  const bool restored = m_era && position.era > *m_era;
   if (restored) {
     BeginEra(position, now);
   }
-  m_era = std::max(m_era, position.era);
+  m_era = std::max(m_era.value_or(position.era), position.era);
   KnowledgeChange changed = OnChanges(items, now);
   std::set<std::string> named;
   for (const StoreChange& item : items) {
--- a/src/jacinthdeck/discovery/knowledge.h
+++ b/src/jacinthdeck/discovery/knowledge.h
@@ -158,8 +158,8 @@
 
   const PlatformCodec& m_codec;
   RemovalHold m_hold;
-  //! Of the last reading.
-  StoreEra m_era{};
+  //! Of the last reading; nothing before the first.
+  std::optional<StoreEra> m_era;
   RestoreDoubt m_doubt;
   std::shared_ptr<const RoutingConfig> m_config;
   //! What m_config was read from.
--- a/test/jacinthdeck/discovery/knowledge_test.cc
+++ b/test/jacinthdeck/discovery/knowledge_test.cc
@@ -395,6 +395,18 @@
   BOOST_TEST(knowledge.schema() == "old");
 }
 
+// Guards against a store that names its era only from its first restore on.
+BOOST_AUTO_TEST_CASE(Restore_EraBeforeWasNotNamed_IsARestoreAllTheSame) {
+  (void)Read({{"servers/a", At(5, 0), Server("ready")}}, At(10, 0));
+  const StoreChange gone{"servers/a", At(11, 0), std::nullopt};
+  (void)knowledge.OnChanges({&gone, 1}, now);
+  const StoreChange order{"op/evacuate/z", At(12, 0), "{}"};
+  (void)knowledge.OnChanges({&order, 1}, now);
+  (void)Read({{"servers/a", At(5), Server("ready")}}, At(8));
+  BOOST_TEST(targets() == 0U);
+  BOOST_TEST(knowledge.Evacuations().size() == 1U);
+}
+
 // Guards against what the first copy left in doubt after a second restore.
 BOOST_AUTO_TEST_CASE(Restore_TwiceWithinSeconds_TargetThatLeftIsNotUsed) {
   (void)Read({{"servers/a", At(5), Server("ready")}}, At(10));
