--- a/src/daemons/ctl/era_command.cc
+++ b/src/daemons/ctl/era_command.cc
@@ -23,8 +23,7 @@
 
 [[nodiscard]] Result<HostEra> AskEra(const Session& session,
                                      const std::string& address) {
-  BOOST_LEAF_AUTO(endpoint, Endpoint::Parse(address));
-  BOOST_LEAF_AUTO(reply, session.Call(endpoint, {"GET", "/status", ""}));
+  BOOST_LEAF_AUTO(reply, session.ReadStatus(address));
   const JsonReader status(reply.body.get(), address);
   HostEra host;
   BOOST_LEAF_ASSIGN(host.era, status.Unsigned("store_era", kMostNumber));
--- a/src/daemons/ctl/evacuation_command.cc
+++ b/src/daemons/ctl/evacuation_command.cc
@@ -46,8 +46,7 @@
 //! Evacuated domains that a host applies.
 [[nodiscard]] Result<Domains> AskHost(const Session& session,
                                       const std::string& address) {
-  BOOST_LEAF_AUTO(endpoint, Endpoint::Parse(address));
-  BOOST_LEAF_AUTO(reply, session.Call(endpoint, {"GET", "/status", ""}));
+  BOOST_LEAF_AUTO(reply, session.ReadStatus(address));
   const JsonReader status(reply.body.get(), address);
   BOOST_LEAF_AUTO(items, status.Array("evacuated"));
   Domains domains;
--- a/src/daemons/ctl/session.cc
+++ b/src/daemons/ctl/session.cc
@@ -50,6 +50,11 @@
   return reply;
 }
 
+Result<HostReply> Session::ReadStatus(const std::string& address) const {
+  BOOST_LEAF_AUTO(endpoint, Endpoint::Parse(address));
+  return Call(endpoint, {"GET", "/status", ""});
+}
+
 Result<StorePage> Session::ReadPage(const std::string& after) const {
   StorePage page =
       m_codec.ReadPage(CallAndWait(m_arguments.store, m_codec.RangeCall(after),
--- a/src/daemons/ctl/session.h
+++ b/src/daemons/ctl/session.h
@@ -51,6 +51,9 @@
   [[nodiscard]] Result<HostReply> Call(const Endpoint& endpoint,
                                        const ClientRequest& request) const;
 
+  /*! \brief Reads the status of the host with this metrics port (IP:PORT). */
+  [[nodiscard]] Result<HostReply> ReadStatus(const std::string& address) const;
+
   /*! \brief Reads where the store is. */
   [[nodiscard]] Result<StorePosition> ReadPosition() const;
 
--- a/src/jacinthdeck/peer/feed_message.cc
+++ b/src/jacinthdeck/peer/feed_message.cc
@@ -21,10 +21,6 @@
   return text == nullptr ? std::string() : text->str();
 }
 
-[[nodiscard]] std::uint64_t EraField(const StorePosition& position) {
-  return EraNumber(position.era);
-}
-
 //! The position that a table's two fields give.
 template <typename Table>
 [[nodiscard]] StorePosition PositionOf(const Table& table) {
@@ -36,7 +32,7 @@
   const auto host = builder.CreateString(hello.host.raw());
   const auto record = builder.CreateString(hello.record);
   return wire::CreateHello(builder, host, hello.position.revision, record,
-                           EraField(hello.position))
+                           EraNumber(hello.position.era))
       .Union();
 }
 
@@ -52,11 +48,11 @@
         reinterpret_cast<const std::uint8_t*>(value.data()), value.size());
     built.push_back(wire::CreateChange(builder, key, change.position.revision,
                                        !change.value, bytes,
-                                       EraField(change.position)));
+                                       EraNumber(change.position.era)));
   }
   const auto list = builder.CreateVector(built);
   return wire::CreateChanges(builder, changes.position.revision, changes.whole,
-                             list, EraField(changes.position))
+                             list, EraNumber(changes.position.era))
       .Union();
 }
 
@@ -83,7 +79,7 @@
 [[nodiscard]] Offset<void> Build(FlatBufferBuilder& builder,
                                  const FeedBeat& beat) {
   return wire::CreateBeat(builder, beat.position.revision, AgeField(beat.age),
-                          beat.store_away, EraField(beat.position))
+                          beat.store_away, EraNumber(beat.position.era))
       .Union();
 }
 
--- a/test/jacinthdeck/discovery/store_session_test.cc
+++ b/test/jacinthdeck/discovery/store_session_test.cc
@@ -417,6 +417,23 @@
   });
 }
 
+// Guards against hosts that nobody is sent to: their feeder wrote their records
+// after the copy was made, with a lease that is gone.
+BOOST_AUTO_TEST_CASE(Members_StoreIsRestored_AreWrittenAgain) {
+  const std::string key = codec.HostKey(NodeId("a"));
+  store.content().KeepCopy();
+  session.SetWatching(true);
+  session.Register(MakeRecord("h"));
+  session.TakeMember(codec.WriteHost(MakeRecord("a")));
+  Until([&] { return store.content().Get(key).has_value(); });
+  BOOST_TEST(store.content().Restore());
+  BOOST_TEST(!store.content().Get(key).has_value());
+  Until([&] { return store.content().Get(key).has_value(); });
+  const std::string own = codec.HostKey(NodeId("h"));
+  BOOST_TEST(store.content().Get(key)->lease ==
+             store.content().Get(own)->lease);
+}
+
 // A host writes its own record, and a late write of its former feeder takes its
 // place before the host has seen its own. The feeder takes the record back some
 // seconds later, and callers would never be sent to the host again.
