Appoint hosts to cold targets without hashing all of them

Cause: ColdShare::MaySend hashed the name of every host at every call.

Now it asks first whether enough time has passed for an appointed host, which needs no hash, and stops counting once enough hosts come before it. The answers are the same; no test changed.

--- a/src/jacinthdeck/forward/cold_share.cc
+++ b/src/jacinthdeck/forward/cold_share.cc
@@ -32,26 +32,38 @@
 }
 
 double ColdShare::RateOf(const TargetId& target, double bound) const {
-  if (!m_has_share) {
-    return 0;
-  }
-  const double hosts = static_cast<double>(m_others.size() + 1);
-  const double appointed =
-      std::clamp(std::floor(bound / kLeastRate), 1.0, hosts);
-  const std::uint64_t own = HashOf(target.raw(), m_self);
-  const auto before = std::ranges::count_if(m_others, [&](std::uint64_t host) {
-    return HashOf(target.raw(), host) > own;
-  });
-  return static_cast<double>(before) < appointed ? bound / appointed : 0;
+  return IsAppointed(target, bound) ? RateIfAppointed(bound) : 0;
 }
 
 bool ColdShare::MaySend(const TargetId& target,
                         double bound,
                         TimePoint last,
                         TimePoint now) const {
-  const double rate = RateOf(target, bound);
   const auto elapsed = std::chrono::duration<double>(now - last).count();
-  return rate > 0 && elapsed * rate >= 1;
+  return elapsed * RateIfAppointed(bound) >= 1 && IsAppointed(target, bound);
+}
+
+double ColdShare::Appointed(double bound) const noexcept {
+  const double hosts = static_cast<double>(m_others.size() + 1);
+  return std::clamp(std::floor(bound / kLeastRate), 1.0, hosts);
+}
+
+double ColdShare::RateIfAppointed(double bound) const noexcept {
+  return bound / Appointed(bound);
+}
+
+bool ColdShare::IsAppointed(const TargetId& target, double bound) const {
+  if (!m_has_share) {
+    return false;
+  }
+  const std::uint64_t own = HashOf(target.raw(), m_self);
+  auto places = static_cast<std::size_t>(Appointed(bound));
+  for (const std::uint64_t host : m_others) {
+    if (HashOf(target.raw(), host) > own && --places == 0) {
+      return false;
+    }
+  }
+  return true;
 }
 
 }  // namespace jacinthdeck
--- a/src/jacinthdeck/forward/cold_share.h
+++ b/src/jacinthdeck/forward/cold_share.h
@@ -52,6 +52,11 @@
                              TimePoint now) const;
 
  private:
+  //! Number of hosts that share the bound; whole, 1 at least.
+  [[nodiscard]] double Appointed(double bound) const noexcept;
+  [[nodiscard]] double RateIfAppointed(double bound) const noexcept;
+  [[nodiscard]] bool IsAppointed(const TargetId& target, double bound) const;
+
   std::uint64_t m_self = 0;
   bool m_has_share = false;
   //! Hashes of the other hosts' names.
