Let the soak's callers leave an entry that refuses them

Most callers had connected to the entries that started first, one of 21 refused above its share of the targets' connections, and nobody ever left it. The platform's protocol page says otherwise: clients retry on a new connection each time, to an address drawn from those that have not failed them.

Callers do so now. New test, red without the change (three checks): Call_IsRefused_NextGoesToAnotherEntry.

--- a/soak/callers.cc
+++ b/soak/callers.cc
@@ -3,7 +3,7 @@
 
 #include <array>
 #include <chrono>
-#include <iterator>
+#include <optional>
 #include <string_view>
 #include <utility>
 
@@ -36,6 +36,11 @@
   return reply.error == "timed out" ? CallEnd::kTimedOut : CallEnd::kClosed;
 }
 
+[[nodiscard]] bool IsRefusal(const ClientReply& reply) {
+  return reply.status == http_status::kUnavailable ||
+         reply.status == http_status::kTooManyRequests;
+}
+
 }  // namespace
 
 struct Callers::Caller {
@@ -46,6 +51,8 @@
   //! Empty: the next call goes to an entry that is drawn.
   std::unique_ptr<ClientSession> session;
   bool gives_up_connection = false;
+  //! Refused the last call; not drawn while there is another.
+  std::optional<std::size_t> refused_by;
 };
 
 Callers::Callers(asio::io_context& loop, std::size_t count, std::uint64_t seed)
@@ -86,12 +93,15 @@
   if (m_entries.empty()) {
     return false;
   }
-  const auto drawn =
-      std::next(m_entries.begin(),
-                static_cast<std::ptrdiff_t>(m_random.Below(m_entries.size())));
-  caller.entry = drawn->first;
-  caller.session =
-      std::make_unique<ClientSession>(m_loop, "127.0.0.1", drawn->second);
+  std::vector<std::size_t> drawn_from;
+  for (const auto& [entry, port] : m_entries) {
+    if (entry != caller.refused_by || m_entries.size() == 1) {
+      drawn_from.push_back(entry);
+    }
+  }
+  caller.entry = drawn_from[m_random.Below(drawn_from.size())];
+  caller.session = std::make_unique<ClientSession>(m_loop, "127.0.0.1",
+                                                   m_entries.at(caller.entry));
   return true;
 }
 
@@ -124,7 +134,12 @@
   if (reply.status == http_status::kOk) {
     call.records = DecodeRecords(reply.body).value_or(std::vector<Record>{});
   }
-  caller.gives_up_connection = call.end != CallEnd::kAnswered;
+  caller.refused_by.reset();
+  if (IsRefusal(reply)) {
+    caller.refused_by = caller.entry;
+  }
+  caller.gives_up_connection =
+      call.end != CallEnd::kAnswered || caller.refused_by;
   m_calls.push_back(std::move(call));
   Pause(caller);
 }
--- a/soak/callers.h
+++ b/soak/callers.h
@@ -19,7 +19,8 @@
 
 /**
  * \brief Some callers on one loop: each makes one call at a time, on its kept
- * connection, until that ends; then it goes to another entry.
+ * connection, until that ends or a call is refused; then it goes to another
+ * entry, as the platform's clients do.
  *
  * All members but the constructor run on the loop.
  */
