Rehearse a restored store from the command line of the stand-in

Cause: a restore could only be ordered through the stand-in store's control port, so an operator who rehearses it needs a second program and a clock.

The drill changes nothing but the outage, so that faults set through the control port stay. Two new tests: the store is back with the copy, and a drill that is ended before does nothing.

--- /dev/null
+++ b/standins/store/restore_drill.cc
@@ -0,0 +1,60 @@
+// Three steps, each at its time of the machine's clock.
+#include "store/restore_drill.h"
+
+#include <algorithm>
+#include <chrono>
+#include <condition_variable>
+#include <mutex>
+#include <stop_token>
+
+namespace jacinthdeck::standins {
+
+namespace {
+
+using Moment = std::chrono::steady_clock::time_point;
+
+//! False if the drill is stopped before.
+[[nodiscard]] bool WaitUntil(Moment moment, const std::stop_token& stop) {
+  std::mutex mutex;
+  std::unique_lock lock(mutex);
+  std::condition_variable_any stopped;
+  stopped.wait_until(lock, stop, moment, [] { return false; });
+  return !stop.stop_requested();
+}
+
+void Play(StoreServer& server,
+          const RestoreTimes& times,
+          const std::stop_token& stop) {
+  const Moment begin = std::chrono::steady_clock::now();
+  if (!WaitUntil(begin + times.copy, stop)) {
+    return;
+  }
+  StoreControl copy;
+  copy.faults = server.faults();
+  copy.keep_copy = true;
+  server.Apply(copy);
+  if (!WaitUntil(begin + std::min(times.silent, times.restore), stop)) {
+    return;
+  }
+  StoreControl silence;
+  silence.faults = server.faults();
+  silence.faults.outage = Outage::kSilent;
+  server.Apply(silence);
+  if (!WaitUntil(begin + times.restore, stop)) {
+    return;
+  }
+  StoreControl restore;
+  restore.faults = server.faults();
+  restore.faults.outage = Outage::kNone;
+  restore.restore = true;
+  server.Apply(restore);
+}
+
+}  // namespace
+
+RestoreDrill::RestoreDrill(StoreServer& server, const RestoreTimes& times)
+    : m_thread([&server, times](const std::stop_token& stop) {
+        Play(server, times, stop);
+      }) {}
+
+}  // namespace jacinthdeck::standins
--- a/standins/store/store_server.h
+++ b/standins/store/store_server.h
@@ -45,6 +45,7 @@
   [[nodiscard]] KvStore& content() noexcept { return m_content; }
 
   [[nodiscard]] StoreCounts counts() const;
+  [[nodiscard]] StoreFaults faults() const;
 
   /*! \brief Does what a control message asks for. */
   void Apply(const StoreControl& control);
@@ -67,7 +68,6 @@
   [[nodiscard]] HttpReply Counts() const;
   [[nodiscard]] bool Admit(const Route& route);
   [[nodiscard]] bool LoseReply();
-  [[nodiscard]] StoreFaults faults() const;
 
   const Clock& m_clock;
   KvStore m_content;
--- a/standins/store_main.cc
+++ b/standins/store_main.cc
@@ -1,20 +1,37 @@
 // Stand-in for the platform's key-value store.
+#include <chrono>
+#include <cstdint>
+#include <optional>
 #include "jacinthdeck/core/steady_clock.h"
+
 #include "process/process.h"
+#include "store/restore_drill.h"
 #include "store/store_server.h"
 
 namespace jacinthdeck::standins {
 
 namespace {
 
+using std::chrono::milliseconds;
+
 struct StoreOptions {
   StoreRates rates;
   std::uint64_t seed = 1;
+  std::uint64_t copy_after_ms = 0;
+  std::uint64_t silent_after_ms = 0;
+  //! 0: no restore.
+  std::uint64_t restore_after_ms = 0;
 };
 
 int Serve(std::uint16_t port, const StoreOptions& options) {
   const SteadyClock clock;
-  const StoreServer server(port, clock, options.rates, options.seed);
+  StoreServer server(port, clock, options.rates, options.seed);
+  std::optional<RestoreDrill> drill;
+  if (options.restore_after_ms > 0) {
+    drill.emplace(server, RestoreTimes{milliseconds(options.copy_after_ms),
+                                       milliseconds(options.silent_after_ms),
+                                       milliseconds(options.restore_after_ms)});
+  }
   ServeUntilSignal(server.port());
   return 0;
 }
@@ -36,7 +53,13 @@
       po::value(&store.rates.writes)->default_value(store.rates.writes),
       "writes and lease calls above are answered 429")(
       "seed", po::value(&store.seed)->default_value(store.seed),
-      "seed of the random faults");
+      "seed of the random faults")(
+      "copy-after-ms", po::value(&store.copy_after_ms)->default_value(0),
+      "time from the start until a copy is kept")(
+      "silent-after-ms", po::value(&store.silent_after_ms)->default_value(0),
+      "time from the start until the store answers nobody")(
+      "restore-after-ms", po::value(&store.restore_after_ms)->default_value(0),
+      "time from the start until it comes back from the copy; 0: never");
   return jacinthdeck::standins::RunServer(
       argc, argv, options, [&](std::uint16_t port) {
         return jacinthdeck::standins::Serve(port, store);
--- /dev/null
+++ b/test/standins/restore_drill_test.cc
@@ -0,0 +1,55 @@
+// Tests of a restore of the stand-in store at set times.
+#include "store/restore_drill.h"
+
+#include <boost/test/unit_test.hpp>
+#include <chrono>
+
+#include "jacinthdeck/core/steady_clock.h"
+#include "store/store_server.h"
+
+namespace jacinthdeck::standins {
+
+namespace {
+
+using std::chrono::hours;
+using std::chrono::milliseconds;
+
+struct DrillFixture {
+  SteadyClock clock;
+  StoreServer server{0, clock, {}, 1};
+
+  void Put(const std::string& key) {
+    StoreControl control;
+    control.faults = server.faults();
+    control.puts.push_back({key, "1", {}});
+    server.Apply(control);
+  }
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(RestoreDrillTest, DrillFixture)
+
+BOOST_AUTO_TEST_CASE(Drill_IsOver_StoreIsBackWithTheCopy) {
+  Put("before");
+  RestoreDrill drill(server, {{}, {}, milliseconds(200)});
+  while (server.faults().outage != Outage::kSilent) {
+  }
+  Put("after");
+  drill.Join();
+  BOOST_TEST((server.faults().outage == Outage::kNone));
+  BOOST_TEST(server.content().era() == 2U);
+  BOOST_TEST(server.content().Get("before").has_value());
+  BOOST_TEST(!server.content().Get("after").has_value());
+}
+
+BOOST_AUTO_TEST_CASE(Drill_IsEndedBefore_NothingIsRestored) {
+  Put("before");
+  { const RestoreDrill drill(server, {hours(1), hours(1), hours(1)}); }
+  BOOST_TEST(server.content().era() == 1U);
+  BOOST_TEST(server.content().Get("before").has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace jacinthdeck::standins
