--- a/soak/main.cc
+++ b/soak/main.cc
@@ -138,6 +138,11 @@
       "restores",
       po::value(&soak.plan.restores)->default_value(soak.plan.restores),
       "times that the store comes back from an older copy")(
+      "rewritten-after-ms",
+      po::value<std::uint64_t>()->notifier([&soak](std::uint64_t after) {
+        soak.plan.rewritten_after = std::chrono::milliseconds(after);
+      }),
+      "time from there until operators write again; drawn if it is not given")(
       "entries",
       po::value(&soak.stage.entries)->default_value(soak.stage.entries),
       "entry processes")(
--- a/soak/plan.cc
+++ b/soak/plan.cc
@@ -21,8 +21,11 @@
 //! Age of the copy that a store comes back from.
 constexpr std::uint64_t kYoungestCopyMs = 500;
 constexpr std::uint64_t kOldestCopyMs = 5000;
-//! The store is back by then, and its operators have repeated their writes.
+//! The store is back by then; its operators have repeated their writes or not.
 constexpr Duration kAfterRestore = milliseconds(2000);
+//! Operators see that their last writes are lost, and repeat them.
+constexpr std::uint64_t kSoonestRewriteMs = 200;
+constexpr std::uint64_t kLatestRewriteMs = 3000;
 //! Targets that a plan tells apart.
 constexpr std::size_t kTargets = 64;
 
@@ -107,13 +110,19 @@
 //! it comes back from the second.
 void AddRestores(const PlanOptions& options, std::vector<Action>& plan) {
   constexpr std::uint64_t kOtherDraws = 0xd1b54a32d192ed03U;
+  constexpr std::uint64_t kRewriteDraws = 0x8cb92ba72f3d8dd7U;
   Random random(options.seed ^ kOtherDraws);
+  Random rewrites(options.seed ^ kRewriteDraws);
   for (std::size_t index = 0; index < options.restores; ++index) {
     PlanOptions earlier = options;
     earlier.length -= std::min(options.length, kAfterRestore);
     const Span span = DrawSpan(earlier, kYoungestCopyMs, kOldestCopyMs, random);
     plan.push_back({span.at, ActionKind::kCopyStore});
-    plan.push_back({span.at + span.lasts, ActionKind::kRestoreStore});
+    Action restore{span.at + span.lasts, ActionKind::kRestoreStore};
+    restore.rewritten_after = options.rewritten_after.value_or(
+        milliseconds(kSoonestRewriteMs +
+                     rewrites.Below(kLatestRewriteMs - kSoonestRewriteMs)));
+    plan.push_back(restore);
     plan.push_back(
         {span.at + span.lasts + kAfterRestore, ActionKind::kReshard});
   }
@@ -160,6 +169,10 @@
     text += " " + std::string(kLinkNames.Name(action.link)) + " " +
             std::string(kLinkModeNames.Name(action.mode));
   }
+  if (action.kind == ActionKind::kRestoreStore) {
+    text += " rewritten after " +
+            std::to_string(action.rewritten_after.count() / 1000) + " ms";
+  }
   return text;
 }
 
--- a/soak/plan.h
+++ b/soak/plan.h
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -79,6 +80,8 @@
   StoreFault store = StoreFault::kBusy;
   Link link = Link::kCallers;
   LinkMode mode = LinkMode::kPass;
+  //! Of a restore: from the store's return until its operators write again.
+  Duration rewritten_after{};
 
   [[nodiscard]] bool operator==(const Action&) const = default;
 };
@@ -94,6 +97,8 @@
   std::size_t evacuations = 0;
   //! Restores of the store beside the faults, as the evacuations.
   std::size_t restores = 0;
+  //! Time from a restore until operators write again; nothing: drawn for each.
+  std::optional<Duration> rewritten_after;
 };
 
 /*! \brief The same options give the same plan, in the order of time. */
--- a/soak/stage_store.cc
+++ b/soak/stage_store.cc
@@ -30,8 +30,6 @@
 //! history passes the one before within a moment, and entries that confuse the
 //! two recover.
 constexpr int kLostWrites = 60;
-//! Operators see that their last writes are lost, and repeat them.
-constexpr Duration kBeforeWritingAgain = milliseconds(1200);
 //! Messages to the store's control port in the order of StoreFault.
 constexpr std::array kStoreMessages{
     R"({"outage":"busy"})", R"({"outage":"drop"})", R"({"outage":"silent"})",
@@ -133,18 +131,18 @@
   }
 }
 
-void Stage::RestoreStore(const Action& /*action*/) {
+void Stage::RestoreStore(const Action& action) {
   if (std::exchange(m_is_restoring, true)) {
     return;
   }
   BeginStoreHarm();
   ControlStore(R"({"outage":"silent"})");
-  Later(kBeforeRestore, [this] {
+  Later(kBeforeRestore, [this, rewritten_after = action.rewritten_after] {
     // Other ends of its outage may have come before.
     BeginStoreHarm();
     ControlStore(R"({"restore":true})");
     HealStore({});
-    Later(kBeforeWritingAgain, [this] { WriteAgain(); });
+    Later(rewritten_after, [this] { WriteAgain(); });
   });
 }
 
--- a/test/soak/plan_test.cc
+++ b/test/soak/plan_test.cc
@@ -57,6 +57,25 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(Plan_HoldsRestores_OperatorsWriteAgainAtDrawnTimes) {
+  options.faults = 0;
+  options.restores = 3;
+  std::set<Duration> times;
+  for (options.seed = 1; options.seed <= 20; ++options.seed) {
+    for (const Action& action : MakePlan(options)) {
+      if (action.kind == ActionKind::kRestoreStore) {
+        times.insert(action.rewritten_after);
+      }
+    }
+  }
+  BOOST_TEST(times.size() > 50U);
+  options.rewritten_after = std::chrono::milliseconds(1200);
+  for (const Action& action : MakePlan(options)) {
+    BOOST_TEST((action.kind != ActionKind::kRestoreStore ||
+                action.rewritten_after == *options.rewritten_after));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(Plans_OfFiftySeeds_HoldEveryAction) {
   options.evacuations = 1;
   options.restores = 1;
