Test what a restored store asks of writers, feeders and late hosts

Three lines of the table in docs/design/restored-store.md had no test of their own.

- Members_RevisionIsGivenOutAgain_RecordOfItIsLeftAlone: a writer that waits to take out a record holds a condition on its revision, and the restored store gives that revision to another writer's record.
Two safeguards stand against it, and each is enough: strays of an ended era are forgotten, and nothing is removed while the content of an era is not known.
Red with both left out, green with either.
- Beat_IsOfAnEraBefore_StoreIsAsked: red when a feeder's age is believed across eras.
- Start_StoreWasRestoredMeanwhile_RepeatedWritesAreTaken: all hosts were lost too; one that starts serves by the copy, and takes the repeated writes.

No code of the product changed.

--- a/test/jacinthdeck/discovery/store_session_test.cc
+++ b/test/jacinthdeck/discovery/store_session_test.cc
@@ -343,6 +343,37 @@
   BOOST_TEST(handed_on.size() == before);
 }
 
+// Guards against a fleet that stays without the lost writes: all hosts were
+// lost as well, and none that starts knows more than the copy.
+BOOST_AUTO_TEST_CASE(Start_StoreWasRestoredMeanwhile_RepeatedWritesAreTaken) {
+  PutConfig(1);
+  PutTarget("left");
+  store.content().KeepCopy();
+  PutConfig(2);
+  standins::StoreControl leaves;
+  leaves.removes.emplace_back("servers/left");
+  store.Apply(leaves);
+  PutTarget("new");
+  BOOST_TEST(store.content().Restore());
+  session.SetWatching(true);
+  session.Register(MakeRecord("h"));
+  Until([&] { return session.loaded(); });
+  BOOST_TEST((session.position().era == StoreEra(2)));
+  BOOST_TEST(ConfigVersion() == 1U);
+  BOOST_TEST(restored == 0);
+  PutConfig(2);
+  store.Apply(leaves);
+  PutTarget("new");
+  Until([&] { return ConfigVersion() == 2; });
+  Until([&] {
+    const std::vector<TargetEntry> known = session.knowledge().Targets();
+    return known.size() == 1 && known[0].id == TargetId("new");
+  });
+  Until([&] {
+    return store.content().Get(codec.HostKey(NodeId("h"))).has_value();
+  });
+}
+
 // Guards against a host that nobody is sent to: its record is not in the copy,
 // and its lease's number is another host's.
 BOOST_AUTO_TEST_CASE(
@@ -434,6 +465,38 @@
              store.content().Get(own)->lease);
 }
 
+// Guards against a host that removes another one's record: the former writer
+// waits to take out what it wrote, and the store comes back and gives the
+// revision of that out again.
+BOOST_AUTO_TEST_CASE(Members_RevisionIsGivenOutAgain_RecordOfItIsLeftAlone) {
+  const std::string key = codec.HostKey(NodeId("a"));
+  const auto put = [&](const std::string& writer) {
+    HostRecord record = MakeRecord("a");
+    record.writer = NodeId(writer);
+    standins::StoreControl control;
+    control.puts.push_back({key, codec.WriteHost(record), {}});
+    store.Apply(control);
+  };
+  store.content().KeepCopy();
+  session.SetWatching(true);
+  session.Register(MakeRecord("h"));
+  Until([&] { return session.knowledge().FindHost(NodeId("h")) != nullptr; });
+  put("h");
+  Until([&] { return session.knowledge().FindHost(NodeId("a")) != nullptr; });
+  session.SetWatching(false);
+  const std::uint64_t revision = store.content().Get(key)->revision;
+  BOOST_TEST(store.content().Restore());
+  while (store.content().revision() + 1 < revision) {
+    PutTarget("t");
+  }
+  put("g");
+  BOOST_REQUIRE_EQUAL(store.content().Get(key)->revision, revision);
+  Until([&] { return restored == 1; });
+  const TimePoint long_after = clock.Now() + seconds(4);
+  Until([&] { return clock.Now() >= long_after; });
+  BOOST_TEST(store.content().Get(key).has_value());
+}
+
 // A host writes its own record, and a late write of its former feeder takes its
 // place before the host has seen its own. The feeder takes the record back some
 // seconds later, and callers would never be sent to the host again.
--- /dev/null
+++ b/test/jacinthdeck/entry/feed_hub_test.cc
@@ -0,0 +1,131 @@
+// Tests of where a host's knowledge comes from, over loopback sockets.
+#include "jacinthdeck/entry/feed_hub.h"
+
+#include <boost/test/unit_test.hpp>
+#include <chrono>
+#include <functional>
+#include <memory>
+
+#include "jacinthdeck/core/steady_clock.h"
+#include "jacinthdeck/peer/feed_server.h"
+#include "platform/store_codec.h"
+#include "store/store_server.h"
+#include "support/positions.h"
+
+namespace jacinthdeck {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+//! A feeder that heard the store a moment ago, as it says.
+struct FreshSource final : FeedSource {
+  StorePosition position = At(1);
+
+  [[nodiscard]] FeedChanges ContentSince(
+      const StorePosition& /*position*/) const override {
+    return {position, true, {}};
+  }
+  [[nodiscard]] FeedBeat Beat() const override {
+    return {position, milliseconds(1), false};
+  }
+};
+
+struct HubFixture : KnowledgeObserver, FeedHubObserver, FollowerObserver {
+  SteadyClock clock;
+  standins::StoreServer store{0, clock, {}, 1};
+  platform::StoreCodec codec;
+  asio::io_context loop;
+  FreshSource source;
+  FeedServer feeder{loop, source, *this};
+  StoreSession session{
+      loop, clock, codec, *this, NodeId("h"), {"127.0.0.1", store.port()}, 1};
+  std::unique_ptr<FeedHub> hub;
+  TimePoint next_tick;
+
+  void OnKnowledge(const KnowledgeChange& /*change*/,
+                   const StorePosition& /*position*/) override {}
+  void OnContent(const std::vector<StoreChange>& /*changes*/,
+                 const StorePosition& /*position*/,
+                 bool /*whole*/) override {}
+  void OnStoreRestored(StoreEra /*before*/,
+                       StoreEra /*era*/,
+                       const StorePosition& /*known*/) override {}
+  void OnStoreRead(const StoreReading& /*reading*/) override {}
+  void OnStoreLost(StoreStatus /*status*/,
+                   const std::string& /*problem*/) override {}
+  void OnStoreRegained() override {}
+  void OnRegistration(StoreStatus /*status*/) override {}
+  void OnFeedOpened(const Endpoint& /*feeder*/) override {}
+  void OnFeedEnded(const std::string& /*problem*/) override {}
+  void OnFollower(const FeedHello& /*hello*/) override {}
+  void OnFollowerLeft(const NodeId& /*host*/) override {}
+
+  //! Begins with the feeder as the only host that is known.
+  void Begin() {
+    BOOST_REQUIRE(static_cast<bool>(feeder.Listen("127.0.0.1", 0)));
+    HostRecord self;
+    self.name = NodeId("h");
+    self.domain = FailureDomain("z");
+    hub = std::make_unique<FeedHub>(
+        loop, clock, session, *this, self,
+        std::vector<Endpoint>{{"127.0.0.1", feeder.port()}}, false, 1);
+    BOOST_REQUIRE(static_cast<bool>(hub->Listen({"127.0.0.1", 0})));
+  }
+
+  void RunFor(Duration time) {
+    const TimePoint end = clock.Now() + time;
+    while (clock.Now() < end) {
+      loop.restart();
+      loop.run_one_for(milliseconds(20));
+      if (clock.Now() >= next_tick) {
+        next_tick = clock.Now() + milliseconds(100);
+        session.CheckTimes();
+        feeder.Beat();
+        hub->Tick();
+      }
+    }
+  }
+
+  //! Calls to the store in a while, once all is settled.
+  [[nodiscard]] std::uint64_t CallsWhenSettled() {
+    RunFor(seconds(3));
+    const std::uint64_t before = Calls();
+    for (int change = 0; change < 5; ++change) {
+      standins::StoreControl control;
+      control.puts.push_back({"op/other", std::to_string(change), {}});
+      store.Apply(control);
+      RunFor(milliseconds(200));
+    }
+    return Calls() - before;
+  }
+
+  [[nodiscard]] std::uint64_t Calls() const {
+    const standins::StoreCounts counts = store.counts();
+    return counts.reads + counts.watches;
+  }
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(FeedHubTest, HubFixture)
+
+BOOST_AUTO_TEST_CASE(Beat_IsFresh_StoreIsLeftInPeace) {
+  Begin();
+  BOOST_TEST(CallsWhenSettled() == 0U);
+}
+
+// Guards against a host that relies on a feeder which has not heard of a
+// restored store, and learns nothing of the new era.
+BOOST_AUTO_TEST_CASE(Beat_IsOfAnEraBefore_StoreIsAsked) {
+  Begin();
+  session.TakeContent({}, At(1, 2), true);
+  store.content().KeepCopy();
+  BOOST_REQUIRE(store.content().Restore());
+  BOOST_TEST(CallsWhenSettled() > 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace jacinthdeck
