Pack what hosts hand on to one another

Cause: after an outage of the store the records of a domain's strong hosts have lapsed with their leases, so that a weak host feeds the domain until they are back. Its link of 20 Mbit/s, and 200 at a strong one, carries the whole configuration (870 routes, some 250 kB) to 60 hosts, once for each version that was written meanwhile. Beats wait behind it, followers take the feeder for silent, go to another one and have all sent again.

Messages of 1 kB and more are compressed by Zstandard, once for all followers of a feeder. A follower says that it reads them, so that hosts of the version before are fed as they were while a fleet is updated. The size that a packed message names is checked against the bound of a frame before it is believed.

--- a/cmake/Dependencies.cmake
+++ b/cmake/Dependencies.cmake
@@ -6,6 +6,7 @@
 find_library(FLATBUFFERS_LIBRARY flatbuffers REQUIRED)
 find_library(XXHASH_LIBRARY xxhash REQUIRED)
 find_path(XXHASH_INCLUDE xxhash.h REQUIRED)
+pkg_check_modules(ZSTD REQUIRED IMPORTED_TARGET libzstd)
 find_path(TOMLPP_INCLUDE toml++/toml.h REQUIRED)
 if(NOT JACINTHDECK_ENTRY_ONLY)
   # For tests, stand-ins and the scenario language.
--- a/src/jacinthdeck/peer/feed_message.cc
+++ b/src/jacinthdeck/peer/feed_message.cc
@@ -2,6 +2,7 @@
 #include "jacinthdeck/peer/feed_message.h"
 
 #include <feed_generated.h>
+#include <zstd.h>
 
 #include <algorithm>
 #include <chrono>
@@ -32,7 +33,7 @@
   const auto host = builder.CreateString(hello.host.raw());
   const auto record = builder.CreateString(hello.record);
   return wire::CreateHello(builder, host, hello.position.revision, record,
-                           EraNumber(hello.position.era))
+                           EraNumber(hello.position.era), hello.reads_packed)
       .Union();
 }
 
@@ -110,40 +111,102 @@
   return changes;
 }
 
-}  // namespace
+//! Messages below gain nothing by it.
+constexpr std::size_t kLeastPacked = 1024;
+//! The fastest: a feeder packs each change while callers wait.
+constexpr int kPackLevel = 1;
 
-std::string EncodeFeed(const FeedMessage& message) {
-  FlatBufferBuilder builder;
-  const Offset<void> body = std::visit(
-      [&](const auto& which) { return Build(builder, which); }, message);
-  builder.Finish(wire::CreateMessage(builder, KindOf(message), body));
-  // Not the library's own prefix: it shifts the alignment that the verifier of
-  // the frame without its prefix checks.
-  std::string frame = FrameLength(builder.GetSize());
-  frame.append(reinterpret_cast<const char*>(builder.GetBufferPointer()),
-               builder.GetSize());
-  return frame;
+[[nodiscard]] std::string_view BytesOf(const FlatBufferBuilder& builder) {
+  return {reinterpret_cast<const char*>(builder.GetBufferPointer()),
+          builder.GetSize()};
 }
 
-Result<FeedMessage> DecodeFeed(std::string_view frame) {
+//! Replaces the message by one that holds it packed; it stays as it is if that
+//! fails.
+void Pack(FlatBufferBuilder& builder) {
+  std::string packed(ZSTD_compressBound(builder.GetSize()), '\0');
+  const std::size_t size =
+      ZSTD_compress(packed.data(), packed.size(), builder.GetBufferPointer(),
+                    builder.GetSize(), kPackLevel);
+  if (ZSTD_isError(size) != 0) {
+    return;
+  }
+  const std::uint32_t plain = builder.GetSize();
+  builder.Clear();
+  const auto bytes = builder.CreateVector(
+      reinterpret_cast<const std::uint8_t*>(packed.data()), size);
+  builder.Finish(
+      wire::CreateMessage(builder, wire::Body::Packed,
+                          wire::CreatePacked(builder, plain, bytes).Union()));
+}
+
+[[nodiscard]] Result<std::string> Unpack(const wire::Packed& packed) {
+  // The size is the sender's word, and what it costs to believe it is bounded.
+  if (packed.size() > FeedFrames::kMostBytes || packed.bytes() == nullptr) {
+    return Fail(ErrorCode::kCorrupt, "feed", "is packed from too many bytes");
+  }
+  std::string plain(packed.size(), '\0');
+  const std::size_t size =
+      ZSTD_decompress(plain.data(), plain.size(), packed.bytes()->data(),
+                      packed.bytes()->size());
+  if (ZSTD_isError(size) != 0 || size != plain.size()) {
+    return Fail(ErrorCode::kCorrupt, "feed", "cannot be unpacked");
+  }
+  return plain;
+}
+
+[[nodiscard]] Result<const wire::Message*> Verify(std::string_view frame) {
   const auto* bytes = reinterpret_cast<const std::uint8_t*>(frame.data());
   flatbuffers::Verifier verifier(bytes, frame.size());
   if (!wire::VerifyMessageBuffer(verifier)) {
     return Fail(ErrorCode::kCorrupt, "feed", "is no message");
   }
-  const wire::Message* message = wire::GetMessage(bytes);
-  if (const auto* hello = message->body_as_Hello()) {
+  return wire::GetMessage(bytes);
+}
+
+[[nodiscard]] Result<FeedMessage> ReadPlain(const wire::Message& message) {
+  if (const auto* hello = message.body_as_Hello()) {
     return FeedMessage(FeedHello{NodeId(TextOf(hello->host())),
-                                 PositionOf(*hello), TextOf(hello->record())});
+                                 PositionOf(*hello), TextOf(hello->record()),
+                                 hello->reads_packed()});
   }
-  if (const auto* changes = message->body_as_Changes()) {
+  if (const auto* changes = message.body_as_Changes()) {
     return FeedMessage(Read(*changes));
   }
-  if (const auto* beat = message->body_as_Beat()) {
+  if (const auto* beat = message.body_as_Beat()) {
     return FeedMessage(FeedBeat{PositionOf(*beat), ReadAge(beat->age_ms()),
                                 beat->store_away()});
   }
   return Fail(ErrorCode::kCorrupt, "feed", "has a body of no known kind");
 }
 
+}  // namespace
+
+std::string EncodeFeed(const FeedMessage& message, FeedPacking packing) {
+  FlatBufferBuilder builder;
+  const Offset<void> body = std::visit(
+      [&](const auto& which) { return Build(builder, which); }, message);
+  builder.Finish(wire::CreateMessage(builder, KindOf(message), body));
+  if (packing == FeedPacking::kPacked && builder.GetSize() >= kLeastPacked) {
+    Pack(builder);
+  }
+  // Not the library's own prefix: it shifts the alignment that the verifier of
+  // the frame without its prefix checks.
+  std::string frame = FrameLength(builder.GetSize());
+  frame += BytesOf(builder);
+  return frame;
+}
+
+Result<FeedMessage> DecodeFeed(std::string_view frame) {
+  BOOST_LEAF_AUTO(message, Verify(frame));
+  const auto* packed = message->body_as_Packed();
+  if (packed == nullptr) {
+    return ReadPlain(*message);
+  }
+  BOOST_LEAF_AUTO(plain, Unpack(*packed));
+  // Packed once: a frame that unpacks to another has no known body.
+  BOOST_LEAF_AUTO(inner, Verify(plain));
+  return ReadPlain(*inner);
+}
+
 }  // namespace jacinthdeck
--- a/src/jacinthdeck/peer/feed_message.h
+++ b/src/jacinthdeck/peer/feed_message.h
@@ -23,6 +23,8 @@
   //! Its record in the store's format, which the feeder is to keep there; empty
   //! if the feeder is not to.
   std::string record;
+  //! It reads packed frames; hosts of an earlier version do not.
+  bool reads_packed = true;
 };
 
 /*! \brief Changes of the store's content. */
@@ -40,8 +42,15 @@
 /*! \brief Any message. */
 using FeedMessage = std::variant<FeedHello, FeedChanges, FeedBeat>;
 
-/*! \brief Encodes a message as one frame, its length first. */
-[[nodiscard]] std::string EncodeFeed(const FeedMessage& message);
+/*! \brief Whether the bytes of a frame are compressed. */
+enum class FeedPacking { kPlain, kPacked };
+
+/**
+ * \brief Encodes a message as one frame, its length first.
+ * \param packing Small messages stay plain.
+ */
+[[nodiscard]] std::string EncodeFeed(const FeedMessage& message,
+                                     FeedPacking packing = FeedPacking::kPlain);
 
 /*! \brief Decodes a frame without its length; kCorrupt for what is no message.
  */
--- a/src/jacinthdeck/peer/feed_server.cc
+++ b/src/jacinthdeck/peer/feed_server.cc
@@ -22,6 +22,26 @@
 
 }  // namespace
 
+//! A message in the frames that followers read, each encoded once.
+class FeedServer::Encoding {
+ public:
+  explicit Encoding(const FeedMessage& message) : m_message(message) {}
+
+  [[nodiscard]] const std::shared_ptr<const std::string>& For(
+      FeedPacking packing) {
+    auto& frame = m_frames[static_cast<std::size_t>(packing)];
+    if (frame == nullptr) {
+      frame =
+          std::make_shared<const std::string>(EncodeFeed(m_message, packing));
+    }
+    return frame;
+  }
+
+ private:
+  const FeedMessage& m_message;
+  std::array<std::shared_ptr<const std::string>, 2> m_frames;
+};
+
 struct FeedServer::Follower {
   explicit Follower(tcp::socket taken) : socket(std::move(taken)) {}
 
@@ -32,6 +52,7 @@
   std::size_t waiting_bytes = 0;
   //! It has said hello and gets the changes.
   bool greeted = false;
+  FeedPacking packing = FeedPacking::kPlain;
   //! Known once it is greeted.
   NodeId host;
   //! It knows all up to some revision, so that changes are of use to it.
@@ -132,6 +153,8 @@
   }
   const bool again = follower->greeted;
   follower->greeted = true;
+  follower->packing =
+      hello->reads_packed ? FeedPacking::kPacked : FeedPacking::kPlain;
   follower->host = hello->host;
   m_observer.OnFollower(*hello);
   if (again) {
@@ -154,7 +177,8 @@
   const FeedChanges content = m_source.ContentSince(position);
   if (content.position > position) {
     follower->has_content = true;
-    Send(follower, std::make_shared<const std::string>(EncodeFeed(content)));
+    Send(follower, std::make_shared<const std::string>(
+                       EncodeFeed(content, follower->packing)));
   }
 }
 
@@ -166,9 +190,9 @@
 }
 
 void FeedServer::SendAll(const FeedMessage& message) {
-  const auto frame = std::make_shared<const std::string>(EncodeFeed(message));
+  Encoding encoding(message);
   for (const auto& follower : Greeted()) {
-    Send(follower, frame);
+    Send(follower, encoding.For(follower->packing));
   }
 }
 
--- a/src/jacinthdeck/peer/feed_server.h
+++ b/src/jacinthdeck/peer/feed_server.h
@@ -53,6 +53,7 @@
   void Beat();
 
  private:
+  class Encoding;
   struct Follower;
 
   void Accept();
--- a/test/jacinthdeck/peer/feed_message_test.cc
+++ b/test/jacinthdeck/peer/feed_message_test.cc
@@ -14,9 +14,10 @@
 namespace {
 
 //! Through frames and back, as over a link.
-[[nodiscard]] FeedMessage RoundTrip(const FeedMessage& message) {
+[[nodiscard]] FeedMessage RoundTrip(const FeedMessage& message,
+                                    FeedPacking packing = FeedPacking::kPlain) {
   FeedFrames frames;
-  frames.Add(EncodeFeed(message));
+  frames.Add(EncodeFeed(message, packing));
   const auto frame = frames.Next();
   BOOST_REQUIRE(frame.has_value());
   auto decoded = Capture([&] { return DecodeFeed(*frame); });
@@ -45,6 +46,59 @@
   BOOST_TEST(got.changes[2].value.value().empty());
 }
 
+BOOST_AUTO_TEST_CASE(Packed_LargeAndSmall_RoundTrip) {
+  for (const std::size_t size : {0U, 10U, 1000U, 3000000U}) {
+    const std::string value(size, 'v');
+    const FeedChanges sent{At(7), true, {{"key", At(7), value}}};
+    const auto got =
+        std::get<FeedChanges>(RoundTrip(sent, FeedPacking::kPacked));
+    BOOST_TEST(got.position == At(7));
+    BOOST_REQUIRE_EQUAL(got.changes.size(), 1U);
+    BOOST_TEST((got.changes[0].value.value() == value));
+  }
+}
+
+// Guards against a host that a damaged or forged frame stops or fills.
+BOOST_AUTO_TEST_CASE(Packed_DamagedFrames_AreRefusedOrDecodeWhole) {
+  FeedFrames frames;
+  frames.Add(EncodeFeed(
+      FeedChanges{At(7), true, {{"key", At(1), std::string(5000, 'v')}}},
+      FeedPacking::kPacked));
+  const std::string whole = *frames.Next();
+  BOOST_TEST(whole.size() < 1000U);
+  for (std::size_t length = 0; length < whole.size(); ++length) {
+    const std::string cut = whole.substr(0, length);
+    (void)Capture([&] { return DecodeFeed(cut); });
+  }
+  for (std::size_t at = 0; at < whole.size(); ++at) {
+    for (const int mask : {0xff, 0x01, 0x80}) {
+      std::string flipped = whole;
+      flipped[at] = static_cast<char>(flipped[at] ^ mask);
+      (void)Capture([&] { return DecodeFeed(flipped); });
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(Packed_SizeIsAbsurdOrWrong_IsRefused) {
+  const FeedChanges sent{At(7), true, {{"key", At(1), std::string(5000, 'v')}}};
+  FeedFrames plain;
+  plain.Add(EncodeFeed(sent));
+  const std::size_t size = plain.Next()->size();
+  FeedFrames packed;
+  packed.Add(EncodeFeed(sent, FeedPacking::kPacked));
+  const std::string whole = *packed.Next();
+  // A length stands before each frame as it does in the message.
+  const std::size_t at = whole.find(FrameLength(size));
+  BOOST_REQUIRE(at != std::string::npos);
+  for (const std::size_t forged_size :
+       {std::size_t{0}, size - 1, size + 1, FeedFrames::kMostBytes,
+        std::size_t{0xffffffff}}) {
+    std::string forged = whole;
+    forged.replace(at, FrameLength(size).size(), FrameLength(forged_size));
+    BOOST_TEST(Capture([&] { return DecodeFeed(forged); }).index() == 1U);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(HelloAndBeat_RoundTrip) {
   const auto hello = std::get<FeedHello>(
       RoundTrip(FeedHello{NodeId("host-1"), At(5, 2), "record"}));
--- a/test/jacinthdeck/peer/feed_server_test.cc
+++ b/test/jacinthdeck/peer/feed_server_test.cc
@@ -6,6 +6,7 @@
 #include <map>
 #include <string>
 
+#include "jacinthdeck/core/random.h"
 #include "jacinthdeck/peer/feed_link.h"
 #include "support/positions.h"
 #include "support/printers.h"
@@ -20,21 +21,42 @@
   //! 0: nothing was read yet.
   std::uint64_t known = 7;
 
+  std::string value = "{}";
+
   [[nodiscard]] FeedChanges ContentSince(
       const StorePosition& /*position*/) const override {
-    return {At(known), true, {{"servers/a", At(known), "{}"}}};
+    return {At(known), true, {{"servers/a", At(known), value}}};
   }
   [[nodiscard]] FeedBeat Beat() const override {
     return {At(7), milliseconds(10), false};
   }
 };
 
+//! A configuration of many routes, whose names differ.
+[[nodiscard]] std::string LargeConfig(std::size_t routes) {
+  Random random(1);
+  std::string text = R"({"version":7,"routes":[)";
+  for (std::size_t i = 0; i < routes; ++i) {
+    text += R"({"id":"r-)" + std::to_string(random.Below(1U << 30U)) +
+            R"(","host":"h)" + std::to_string(random.Below(1U << 20U)) +
+            R"(.example","prefix":"/p)" +
+            std::to_string(random.Below(1U << 30U)) +
+            R"(/","service":"counter-desk","timeoutMs":2000,"shards":54},)";
+  }
+  text.back() = ']';
+  return text + "}";
+}
+
 struct ServerFixture : FeedLinkSink, FollowerObserver {
   asio::io_context loop;
   FixedSource source;
   FeedServer server{loop, source, *this};
   FeedLink link{loop, *this};
+  //! Whether the follower is of the present version.
+  bool reads_packed = true;
   int contents = 0;
+  //! Of the last change.
+  std::string value;
   //! Those of them that were the whole content.
   int wholes = 0;
   int beats = 0;
@@ -50,6 +72,7 @@
   void OnFollowerLeft(const NodeId& host) override { followers.erase(host); }
   void OnFeedChanges(const FeedChanges& changes) override {
     ++contents;
+    value = changes.changes.back().value.value_or("");
     wholes += changes.whole ? 1 : 0;
   }
   void OnFeedBeat(const FeedBeat& /*beat*/) override { ++beats; }
@@ -64,7 +87,7 @@
   void Follow(std::uint64_t known_revision) {
     BOOST_REQUIRE(static_cast<bool>(server.Listen("127.0.0.1", 0)));
     link.Open({"127.0.0.1", server.port()},
-              {NodeId("h1"), At(known_revision), "first"});
+              {NodeId("h1"), At(known_revision), "first", reads_packed});
     while (beats == 0) {
       loop.run_one();
     }
@@ -80,6 +103,26 @@
   BOOST_TEST(contents == 1);
 }
 
+// Guards against a configuration that is late: a hundred followers of one host
+// hear of it through its link.
+BOOST_AUTO_TEST_CASE(Content_IsALargeConfiguration_TakesAFifthOfItsBytes) {
+  source.value = LargeConfig(900);
+  Follow(6);
+  BOOST_TEST(contents == 1);
+  BOOST_TEST(value == source.value);
+  BOOST_TEST(link.received() * 5 < source.value.size());
+}
+
+// Guards against hosts of the version before that learn nothing while the fleet
+// is updated one by one.
+BOOST_AUTO_TEST_CASE(Content_FollowerReadsNoPackedOnes_IsPlain) {
+  source.value = LargeConfig(900);
+  reads_packed = false;
+  Follow(6);
+  BOOST_TEST(value == source.value);
+  BOOST_TEST(link.received() > source.value.size());
+}
+
 // While the store is away, dozens of followers ask one feeder after the other
 // for something newer. The content is not sent each time: it would fill the
 // feeder's link and hold up its callers.
