Let the test of the feed hub advance its own clock

Found on the last reading: the two cases ran on the machine's clock, so that a process that stands still for longer than a feeder's silence could have changed what they see.

Assertions are the same; Beat_IsOfAnEraBefore_StoreIsAsked is red as before when a feeder's age is believed across eras.

--- a/test/jacinthdeck/entry/feed_hub_test.cc
+++ b/test/jacinthdeck/entry/feed_hub_test.cc
@@ -1,11 +1,12 @@
-// Tests of where a host's knowledge comes from, over loopback sockets.
+// Tests of where a host's knowledge comes from, over loopback sockets. Times of
+// the host are those of a clock that the test advances.
 #include "jacinthdeck/entry/feed_hub.h"
 
 #include <boost/test/unit_test.hpp>
 #include <chrono>
-#include <functional>
 #include <memory>
 
+#include "jacinthdeck/core/manual_clock.h"
 #include "jacinthdeck/core/steady_clock.h"
 #include "jacinthdeck/peer/feed_server.h"
 #include "platform/store_codec.h"
@@ -33,8 +34,9 @@
 };
 
 struct HubFixture : KnowledgeObserver, FeedHubObserver, FollowerObserver {
-  SteadyClock clock;
-  standins::StoreServer store{0, clock, {}, 1};
+  ManualClock clock;
+  SteadyClock store_clock;
+  standins::StoreServer store{0, store_clock, {}, 1};
   platform::StoreCodec codec;
   asio::io_context loop;
   FreshSource source;
@@ -42,7 +44,6 @@
   StoreSession session{
       loop, clock, codec, *this, NodeId("h"), {"127.0.0.1", store.port()}, 1};
   std::unique_ptr<FeedHub> hub;
-  TimePoint next_tick;
 
   void OnKnowledge(const KnowledgeChange& /*change*/,
                    const StorePosition& /*position*/) override {}
@@ -75,16 +76,15 @@
   }
 
   void RunFor(Duration time) {
+    constexpr Duration kStep = milliseconds(100);
     const TimePoint end = clock.Now() + time;
     while (clock.Now() < end) {
+      clock.Advance(kStep);
+      feeder.Beat();
       loop.restart();
-      loop.run_one_for(milliseconds(20));
-      if (clock.Now() >= next_tick) {
-        next_tick = clock.Now() + milliseconds(100);
-        session.CheckTimes();
-        feeder.Beat();
-        hub->Tick();
-      }
+      loop.run_for(milliseconds(10));
+      session.CheckTimes();
+      hub->Tick();
     }
   }
 
