--- a/bench/support/forward_model.cc
+++ b/bench/support/forward_model.cc
@@ -83,6 +83,7 @@
   void Deliver(CallId call, ForwardAnswer answer, const CallTrace&) override {
     m_model.Deliver(call, answer);
   }
+  void OnAttemptLost(const LostAttempt&) override {}
   void ShareQuarantine(Fingerprint) override {}
 
   ForwardModel& m_model;
--- a/src/jacinthdeck/entry/decision_log.cc
+++ b/src/jacinthdeck/entry/decision_log.cc
@@ -133,6 +133,21 @@
   m_log.Add(std::move(line));
 }
 
+void DecisionLog::OnAttemptLost(const LostAttempt& lost) {
+  if (!m_log.HasRoom()) {
+    m_log.Drop();
+    return;
+  }
+  LogLine line = m_log.Begin(LogEvent::kAttemptLost);
+  line.Hash("fingerprint", lost.fingerprint.raw())
+      .Count("attempt", lost.attempt.raw())
+      .Text("target", lost.target.raw())
+      .Text("service", lost.service.raw())
+      .Milliseconds("took_ms", lost.took)
+      .Flag("after_call", lost.after_call);
+  m_log.Add(std::move(line));
+}
+
 void DecisionLog::OnDiscoveryChange(const DiscoveryChange& change,
                                     const DiscoveryState& discovery_state,
                                     const StorePosition& position,
--- a/src/jacinthdeck/entry/decision_log.h
+++ b/src/jacinthdeck/entry/decision_log.h
@@ -14,6 +14,7 @@
 #include "jacinthdeck/forward/call_trace.h"
 #include "jacinthdeck/forward/forward_answer.h"
 #include "jacinthdeck/forward/forward_counters.h"
+#include "jacinthdeck/forward/lost_attempt.h"
 
 namespace jacinthdeck {
 
@@ -60,6 +61,10 @@
    * got an answer. */
   void OnAbandoned(const std::string& request_id, Duration after);
 
+  /*! \brief Logs an attempt whose connection ended while its target had the
+   * request. */
+  void OnAttemptLost(const LostAttempt& lost);
+
   /*! \brief Logs what changed in the discovery state, one line for each kind of
    * change. */
   void OnDiscoveryChange(const DiscoveryChange& change,
--- a/src/jacinthdeck/entry/entry_node.cc
+++ b/src/jacinthdeck/entry/entry_node.cc
@@ -209,6 +209,10 @@
       EncodeAnswer(m_protocol.targets, std::move(answer)));
 }
 
+void EntryNode::OnAttemptLost(const LostAttempt& lost) {
+  m_decisions.OnAttemptLost(lost);
+}
+
 void EntryNode::ShareQuarantine(Fingerprint fingerprint) {
   LogLine line = m_log.Begin(LogEvent::kQuarantined);
   line.Hash("fingerprint", fingerprint.raw());
--- a/src/jacinthdeck/entry/entry_node.h
+++ b/src/jacinthdeck/entry/entry_node.h
@@ -73,6 +73,7 @@
   void Deliver(CallId call,
                ForwardAnswer answer,
                const CallTrace& trace) override;
+  void OnAttemptLost(const LostAttempt& lost) override;
   void ShareQuarantine(Fingerprint fingerprint) override;
   void OnAttemptEnd(AttemptEnd& end) override;
   void OnDiscoveryChange(const DiscoveryChange& change,
--- a/src/jacinthdeck/entry/log_event.h
+++ b/src/jacinthdeck/entry/log_event.h
@@ -30,6 +30,7 @@
   kFrontsChanged,
   kSchemaApplied,
   kEntryUnreadable,
+  kAttemptLost,
   kQuarantined,
   kCallRefused,
   kCallFailed,
@@ -44,7 +45,7 @@
 
 //! Names of the events as written to the log, in the order of LogEvent;
 //! kQuarantined is written as "convicted".
-inline constexpr NameTable<LogEvent, 31> kLogEventNames{{"started",
+inline constexpr NameTable<LogEvent, 32> kLogEventNames{{"started",
                                                          "stopping",
                                                          "stopped",
                                                          "reloaded",
@@ -65,6 +66,7 @@
                                                          "fronts_changed",
                                                          "schema_applied",
                                                          "entry_unreadable",
+                                                         "attempt_lost",
                                                          "convicted",
                                                          "call_refused",
                                                          "call_failed",
--- a/src/jacinthdeck/entry/node_metrics.cc
+++ b/src/jacinthdeck/entry/node_metrics.cc
@@ -70,6 +70,10 @@
               static_cast<double>(calls.cancelled));
   WriteMetric(out, "budget_refusals_total",
               static_cast<double>(calls.budget_refusals));
+  WriteMetric(out, "attempts_lost_during_call_total",
+              static_cast<double>(calls.lost_during_call));
+  WriteMetric(out, "attempts_lost_after_call_total",
+              static_cast<double>(calls.lost_after_call));
   WriteMetric(out, "convictions_total", static_cast<double>(calls.quarantines));
   const PoolCounters& pool = source.pool.counters();
   WriteMetric(out, "target_connections",
--- a/src/jacinthdeck/forward/forward_counters.h
+++ b/src/jacinthdeck/forward/forward_counters.h
@@ -23,6 +23,10 @@
   std::uint64_t cancelled = 0;
   //! Extra attempts that were not sent because a budget was exhausted.
   std::uint64_t budget_refusals = 0;
+  //! Attempts whose connection ended while a target had the request: before
+  //! and after the end of their call.
+  std::uint64_t lost_during_call = 0;
+  std::uint64_t lost_after_call = 0;
   //! Requests that this host quarantined because they crash targets.
   std::uint64_t quarantines = 0;
 };
--- a/src/jacinthdeck/forward/forward_port.h
+++ b/src/jacinthdeck/forward/forward_port.h
@@ -6,6 +6,7 @@
 #include "jacinthdeck/forward/attempt_end.h"
 #include "jacinthdeck/forward/call_trace.h"
 #include "jacinthdeck/forward/forward_answer.h"
+#include "jacinthdeck/forward/lost_attempt.h"
 
 namespace jacinthdeck {
 
@@ -30,6 +31,10 @@
                        ForwardAnswer answer,
                        const CallTrace& trace) = 0;
 
+  /*! \brief Records an attempt whose connection ended while its target had the
+   * request. */
+  virtual void OnAttemptLost(const LostAttempt& lost) = 0;
+
   /*! \brief Tells the other hosts that a request crashes its targets. */
   virtual void ShareQuarantine(Fingerprint fingerprint) = 0;
 };
--- a/src/jacinthdeck/forward/forwarder.h
+++ b/src/jacinthdeck/forward/forwarder.h
@@ -176,6 +176,10 @@
   void RetryOrGiveUp(PendingCall& pending, std::size_t part, TimePoint now);
 
   // Ends of attempts, in forwarder_replies.cc.
+  void RecordLostAttempt(AttemptId id,
+                         const PendingAttempt& attempt,
+                         bool after_call,
+                         TimePoint now);
   void UpdateTarget(const PendingAttempt& attempt,
                     const AttemptEnd& end,
                     TimePoint now);
--- a/src/jacinthdeck/forward/forwarder_replies.cc
+++ b/src/jacinthdeck/forward/forwarder_replies.cc
@@ -24,11 +24,28 @@
   ++m_counters.outcomes[static_cast<std::size_t>(end.outcome)];
   UpdateTarget(attempt, end, now);
   const auto pending = m_calls.find(attempt.call);
+  if (end.connection_lost) {
+    RecordLostAttempt(end.id, attempt, pending == m_calls.end(), now);
+  }
   if (pending != m_calls.end()) {
     HandleAttemptEnd(pending->second, attempt, end, now);
   }
 }
 
+void Forwarder::RecordLostAttempt(AttemptId id,
+                                  const PendingAttempt& attempt,
+                                  bool after_call,
+                                  TimePoint now) {
+  ++(after_call ? m_counters.lost_after_call : m_counters.lost_during_call);
+  const TargetEntry& target = attempt.target->entry();
+  m_port.OnAttemptLost({.attempt = id,
+                        .fingerprint = attempt.fingerprint,
+                        .target = target.id,
+                        .service = target.service,
+                        .took = now - attempt.sent,
+                        .after_call = after_call});
+}
+
 void Forwarder::UpdateTarget(const PendingAttempt& attempt,
                              const AttemptEnd& end,
                              TimePoint now) {
--- /dev/null
+++ b/src/jacinthdeck/forward/lost_attempt.h
@@ -0,0 +1,25 @@
+// Attempts that ended without a complete response, as they are reported.
+#ifndef JACINTHDECK_FORWARD_LOST_ATTEMPT_H_
+#define JACINTHDECK_FORWARD_LOST_ATTEMPT_H_
+
+#include "jacinthdeck/core/ids.h"
+#include "jacinthdeck/core/time.h"
+
+namespace jacinthdeck {
+
+/*! \brief An attempt whose connection ended while the target had the request.
+ */
+struct LostAttempt {
+  AttemptId attempt;
+  Fingerprint fingerprint;
+  TargetId target;
+  ServiceId service;
+  //! From the sending of the attempt to its end.
+  Duration took{};
+  //! Whether the call of the attempt had ended before.
+  bool after_call = false;
+};
+
+}  // namespace jacinthdeck
+
+#endif  // JACINTHDECK_FORWARD_LOST_ATTEMPT_H_
--- a/test/jacinthdeck/forward/forwarder_fan_out_test.cc
+++ b/test/jacinthdeck/forward/forwarder_fan_out_test.cc
@@ -134,6 +134,25 @@
   BOOST_TEST(port.quarantines.empty());
 }
 
+// Guards against lost connections that leave no trace. The call fails because
+// two shards fail, and the targets of the others lose their connections after.
+BOOST_AUTO_TEST_CASE(Attempt_ConnectionLostAfterCallEnded_IsReported) {
+  (void)Submit("/fan/1");
+  const std::vector<OutgoingAttempt> first(port.sent);
+  End(first[0], AttemptOutcome::kBroken, true);
+  Fail(first[1], 500);
+  Fail(port.sent[4], 500);
+  Fail(port.sent[5], 500);
+  BOOST_REQUIRE_EQUAL(port.delivered.size(), 1U);
+  End(first[2], AttemptOutcome::kBroken, true);
+  BOOST_REQUIRE_EQUAL(port.lost.size(), 2U);
+  BOOST_TEST(!port.lost[0].after_call);
+  BOOST_TEST(port.lost[1].after_call);
+  BOOST_TEST(port.lost[1].target == first[2].target.id);
+  BOOST_TEST(forwarder.counters().lost_during_call == 1U);
+  BOOST_TEST(forwarder.counters().lost_after_call == 1U);
+}
+
 // Guards against a caller that waits until its deadline although two shards
 // have failed finally and no answer is possible.
 BOOST_AUTO_TEST_CASE(FanOut_TooManyShardsFailed_FailsImmediately) {
--- a/test/jacinthdeck/forward/forwarder_fixture.h
+++ b/test/jacinthdeck/forward/forwarder_fixture.h
@@ -32,6 +32,7 @@
   std::vector<OutgoingAttempt> sent;
   std::vector<AttemptId> cancelled;
   std::vector<Delivered> delivered;
+  std::vector<LostAttempt> lost;
   std::vector<Fingerprint> quarantines;
 
   void Send(const OutgoingAttempt& attempt) override {
@@ -43,6 +44,9 @@
                const CallTrace& trace) override {
     delivered.push_back({call, std::move(answer), trace});
   }
+  void OnAttemptLost(const LostAttempt& attempt) override {
+    lost.push_back(attempt);
+  }
   void ShareQuarantine(Fingerprint fingerprint) override {
     quarantines.push_back(fingerprint);
   }
--- a/test/scenario/simulation.h
+++ b/test/scenario/simulation.h
@@ -101,6 +101,7 @@
   void Deliver(CallId call,
                ForwardAnswer answer,
                const CallTrace& trace) override;
+  void OnAttemptLost(const LostAttempt& /*lost*/) override {}
   void ShareQuarantine(Fingerprint /*fingerprint*/) override {}
 
   void ApplyStoreChange(const StoreChange& change);
