--- a/bench/support/forward_model.cc
+++ b/bench/support/forward_model.cc
@@ -84,7 +84,9 @@
     m_model.Deliver(call, answer);
   }
   void OnAttemptLost(const LostAttempt&) override {}
-  void ShareQuarantine(Fingerprint) override {}
+  void ShareSuspect(const CrashEvidence&) override {}
+  void ShareQuarantine(const CrashEvidence&) override {}
+  void CheckTarget(const TargetEntry&, std::uint32_t, bool) override {}
 
   ForwardModel& m_model;
   std::size_t m_index;
--- a/src/jacinthdeck/entry/decision_log.cc
+++ b/src/jacinthdeck/entry/decision_log.cc
@@ -148,6 +148,14 @@
   m_log.Add(std::move(line));
 }
 
+void DecisionLog::OnCrash(LogEvent event, const CrashEvidence& evidence) {
+  LogLine line = m_log.Begin(event);
+  line.Hash("fingerprint", evidence.fingerprint.raw())
+      .Text("service", evidence.service.raw())
+      .Text("target", evidence.target.raw());
+  m_log.Add(std::move(line));
+}
+
 void DecisionLog::OnDiscoveryChange(const DiscoveryChange& change,
                                     const DiscoveryState& discovery_state,
                                     const StorePosition& position,
--- a/src/jacinthdeck/entry/decision_log.h
+++ b/src/jacinthdeck/entry/decision_log.h
@@ -12,6 +12,7 @@
 #include "jacinthdeck/discovery/store_session.h"
 #include "jacinthdeck/entry/event_log.h"
 #include "jacinthdeck/forward/call_trace.h"
+#include "jacinthdeck/forward/crash_guard.h"
 #include "jacinthdeck/forward/forward_answer.h"
 #include "jacinthdeck/forward/forward_counters.h"
 #include "jacinthdeck/forward/lost_attempt.h"
@@ -65,6 +66,10 @@
    * request. */
   void OnAttemptLost(const LostAttempt& lost);
 
+  /*! \brief Logs that a request became suspect or was quarantined, with the
+   * target that ended under it. */
+  void OnCrash(LogEvent event, const CrashEvidence& evidence);
+
   /*! \brief Logs what changed in the discovery state, one line for each kind of
    * change. */
   void OnDiscoveryChange(const DiscoveryChange& change,
--- a/src/jacinthdeck/entry/entry_node.cc
+++ b/src/jacinthdeck/entry/entry_node.cc
@@ -213,11 +213,24 @@
   m_decisions.OnAttemptLost(lost);
 }
 
-void EntryNode::ShareQuarantine(Fingerprint fingerprint) {
-  LogLine line = m_log.Begin(LogEvent::kQuarantined);
-  line.Hash("fingerprint", fingerprint.raw());
-  m_log.Add(std::move(line));
-  m_store.ShareQuarantine(fingerprint);
+void EntryNode::ShareSuspect(const CrashEvidence& evidence) {
+  m_decisions.OnCrash(LogEvent::kSuspected, evidence);
+}
+
+void EntryNode::ShareQuarantine(const CrashEvidence& evidence) {
+  m_decisions.OnCrash(LogEvent::kQuarantined, evidence);
+  m_store.ShareQuarantine(evidence.fingerprint);
+}
+
+void EntryNode::CheckTarget(const TargetEntry& target,
+                            std::uint32_t connection_limit,
+                            bool keep) {
+  m_pool.CheckTarget(target, connection_limit, keep);
+}
+
+void EntryNode::OnTargetChecked(const TargetId& target, TargetCheck result) {
+  m_forwarder.OnTargetChecked(target, result, m_clock.Now());
+  ArmDecisionTimer();
 }
 
 void EntryNode::OnAttemptEnd(AttemptEnd& end) {
--- a/src/jacinthdeck/entry/entry_node.h
+++ b/src/jacinthdeck/entry/entry_node.h
@@ -74,8 +74,13 @@
                ForwardAnswer answer,
                const CallTrace& trace) override;
   void OnAttemptLost(const LostAttempt& lost) override;
-  void ShareQuarantine(Fingerprint fingerprint) override;
+  void ShareSuspect(const CrashEvidence& evidence) override;
+  void ShareQuarantine(const CrashEvidence& evidence) override;
+  void CheckTarget(const TargetEntry& target,
+                   std::uint32_t connection_limit,
+                   bool keep) override;
   void OnAttemptEnd(AttemptEnd& end) override;
+  void OnTargetChecked(const TargetId& target, TargetCheck result) override;
   void OnDiscoveryChange(const DiscoveryChange& change,
                          const StorePosition& position) override;
   void OnContent(const std::vector<StoreChange>& changes,
--- a/src/jacinthdeck/entry/log_event.h
+++ b/src/jacinthdeck/entry/log_event.h
@@ -31,6 +31,7 @@
   kSchemaApplied,
   kEntryUnreadable,
   kAttemptLost,
+  kSuspected,
   kQuarantined,
   kCallRefused,
   kCallFailed,
@@ -45,7 +46,7 @@
 
 //! Names of the events as written to the log, in the order of LogEvent;
 //! kQuarantined is written as "convicted".
-inline constexpr NameTable<LogEvent, 32> kLogEventNames{{"started",
+inline constexpr NameTable<LogEvent, 33> kLogEventNames{{"started",
                                                          "stopping",
                                                          "stopped",
                                                          "reloaded",
@@ -67,6 +68,7 @@
                                                          "schema_applied",
                                                          "entry_unreadable",
                                                          "attempt_lost",
+                                                         "suspected",
                                                          "convicted",
                                                          "call_refused",
                                                          "call_failed",
--- a/src/jacinthdeck/entry/node_metrics.cc
+++ b/src/jacinthdeck/entry/node_metrics.cc
@@ -74,6 +74,7 @@
               static_cast<double>(calls.lost_during_call));
   WriteMetric(out, "attempts_lost_after_call_total",
               static_cast<double>(calls.lost_after_call));
+  WriteMetric(out, "suspects_total", static_cast<double>(calls.suspects));
   WriteMetric(out, "convictions_total", static_cast<double>(calls.quarantines));
   const PoolCounters& pool = source.pool.counters();
   WriteMetric(out, "target_connections",
--- a/src/jacinthdeck/forward/attempt_end.h
+++ b/src/jacinthdeck/forward/attempt_end.h
@@ -71,6 +71,9 @@
   //! Valid with kResponse.
   TargetResponse response;
   std::optional<LoadReport> load;
+  //! No connection could be opened, as when the target has ended. Valid with
+  //! kNotSent.
+  bool unreachable = false;
   //! The connection ended by itself while the target had the request, as it
   //! does when the target crashes.
   bool connection_lost = false;
--- a/src/jacinthdeck/forward/crash_guard.cc
+++ b/src/jacinthdeck/forward/crash_guard.cc
@@ -1,12 +1,24 @@
-// Records failed calls by fingerprint and forgets them after kRetention.
+// Evidence of crashes, and the states that follow from it.
 #include "jacinthdeck/forward/crash_guard.h"
 
 #include <xxhash.h>
 
-#include <algorithm>
+#include <string>
 
 namespace jacinthdeck {
 
+namespace {
+
+//! The quarantine tells shards apart by key ranges; each service stands for a
+//! range of its own.
+[[nodiscard]] KeyRange RangeOf(const ServiceId& service) {
+  const std::uint64_t point =
+      XXH3_64bits(service.raw().data(), service.raw().size()) % kKeySpaceEnd;
+  return {point, point + 1};
+}
+
+}  // namespace
+
 Fingerprint FingerprintOf(const OpaqueRequest& request) {
   std::string text;
   text.reserve(request.method.size() + request.host.size() +
@@ -21,62 +33,102 @@
   return Fingerprint(XXH3_64bits(text.data(), text.size()));
 }
 
-bool CrashGuard::IsQuarantined(Fingerprint fingerprint, TimePoint now) const {
-  const auto found = m_records.find(fingerprint);
-  return found != m_records.end() &&
-         found->second.calls >= kQuarantineThreshold &&
-         now - found->second.last < kRetention;
+bool CrashGuard::CrashedService(Fingerprint fingerprint,
+                                const ServiceId& service) const {
+  return m_quarantine.CrashedInRange(fingerprint, RangeOf(service));
 }
 
-bool CrashGuard::IsSuspect(Fingerprint fingerprint, TimePoint now) const {
-  const auto found = m_records.find(fingerprint);
-  return found != m_records.end() && now - found->second.last < kRetention;
+void CrashGuard::OnSent(const GuardedAttempt& attempt) {
+  if (attempt.probe) {
+    m_probes.Begin(attempt.fingerprint, attempt.target);
+  }
 }
 
-bool CrashGuard::OnCallLost(Fingerprint fingerprint, TimePoint now) {
-  EvictIfFull(now);
-  Record& record = m_records[fingerprint];
-  const bool is_repeated =
-      now - record.last < kRetention && !WasAnswered(fingerprint, now);
-  record.calls = is_repeated ? record.calls + 1 : 1;
-  record.last = now;
-  return record.calls == kQuarantineThreshold;
+void CrashGuard::OnNotRun(const GuardedAttempt& attempt) {
+  if (attempt.probe) {
+    (void)m_probes.End(attempt.fingerprint, attempt.target);
+  }
 }
 
-void CrashGuard::OnAnswered(Fingerprint fingerprint, TimePoint now) {
-  SlotOf(fingerprint) = {fingerprint, now};
-  m_records.erase(fingerprint);
+void CrashGuard::OnAnswered(const GuardedAttempt& attempt, TimePoint now) {
+  OnNotRun(attempt);
+  (void)m_quarantine.RecordCompletion(attempt.fingerprint,
+                                      RangeOf(attempt.service), now);
+  if (m_unresolved.size() > 0) {
+    EndProbes(m_unresolved.OnAnswered(attempt.target, attempt.sent));
+  }
 }
 
-void CrashGuard::QuarantineRequest(Fingerprint fingerprint, TimePoint now) {
-  if (WasAnswered(fingerprint, now)) {
-    return;
+void CrashGuard::OnUnanswered(const GuardedAttempt& attempt,
+                              bool closed_by_target,
+                              TimePoint due,
+                              TimePoint now) {
+  if (!m_unresolved.Add({.fingerprint = attempt.fingerprint,
+                         .service = attempt.service,
+                         .target = attempt.target,
+                         .target_started_ms = attempt.target_started_ms,
+                         .probe = attempt.probe,
+                         .closed_by_target = closed_by_target,
+                         .due = due},
+                        now)) {
+    OnNotRun(attempt);
   }
-  EvictIfFull(now);
-  m_records[fingerprint] = {kQuarantineThreshold, now};
 }
 
-CrashGuard::Answer& CrashGuard::SlotOf(Fingerprint fingerprint) {
-  return m_answers[fingerprint.raw() % kAnsweredSlots];
+CrashGuardChanges CrashGuard::OnTargetEnded(const TargetId& target,
+                                            TimePoint now) {
+  CrashGuardChanges changes;
+  for (const UnresolvedAttempt& attempt : m_unresolved.OnTargetGone(target)) {
+    if (attempt.probe) {
+      (void)m_probes.End(attempt.fingerprint, attempt.target);
+    }
+    const CrashEvidence evidence{attempt.fingerprint, attempt.service, target};
+    switch (m_quarantine.RecordCrash(
+        attempt.fingerprint, RangeOf(attempt.service), attempt.probe, now)) {
+      case QuarantineState::kNone:
+        break;
+      case QuarantineState::kSuspect:
+        changes.suspects.push_back(evidence);
+        break;
+      case QuarantineState::kQuarantined:
+        changes.quarantined.push_back(evidence);
+        break;
+    }
+  }
+  return changes;
 }
 
-bool CrashGuard::WasAnswered(Fingerprint fingerprint, TimePoint now) {
-  const Answer& answer = SlotOf(fingerprint);
-  return answer.request == fingerprint && answer.at &&
-         now - *answer.at < kRetention;
+void CrashGuard::OnTargetDraining(const TargetId& target) {
+  EndProbes(m_unresolved.OnTargetGone(target));
 }
 
-void CrashGuard::EvictIfFull(TimePoint now) {
-  if (m_records.size() < kMaxRecords) {
-    return;
+CrashGuardChanges CrashGuard::OnTargetChecked(const TargetId& target,
+                                              TargetCheck result,
+                                              TimePoint now) {
+  if (result == TargetCheck::kUnreachable) {
+    return OnTargetEnded(target, now);
   }
-  std::erase_if(m_records, [&](const auto& item) {
-    return now - item.second.last >= kRetention;
-  });
-  if (m_records.size() >= kMaxRecords) {
-    // The table is full of recent failures: half of the targets are failing,
-    // and no single request is the cause.
-    m_records.clear();
+  EndProbes(m_unresolved.OnChecked(target, result, now));
+  return {};
+}
+
+std::vector<TargetId> CrashGuard::TakeDueChecks(TimePoint now) {
+  UnresolvedAttempts::Due due = m_unresolved.TakeDue(now);
+  EndProbes(due.expired);
+  return std::move(due.to_check);
+}
+
+void CrashGuard::AddPeerSuspect(Fingerprint fingerprint,
+                                const ServiceId& service,
+                                TimePoint now) {
+  m_quarantine.AddPeerSuspect(fingerprint, now, RangeOf(service));
+}
+
+void CrashGuard::EndProbes(const UnresolvedAttempts::Attempts& survived) {
+  for (const UnresolvedAttempt& attempt : survived) {
+    if (attempt.probe) {
+      (void)m_probes.End(attempt.fingerprint, attempt.target);
+    }
   }
 }
 
--- a/src/jacinthdeck/forward/crash_guard.h
+++ b/src/jacinthdeck/forward/crash_guard.h
@@ -1,16 +1,16 @@
-// Detects requests that crash the targets that execute them.
+// Quarantine of requests of the platform that crash the targets that run them.
 #ifndef JACINTHDECK_FORWARD_CRASH_GUARD_H_
 #define JACINTHDECK_FORWARD_CRASH_GUARD_H_
 
-#include <array>
-#include <cstddef>
-#include <cstdint>
 #include <optional>
-#include <unordered_map>
+#include <vector>
 
 #include "jacinthdeck/core/ids.h"
 #include "jacinthdeck/core/time.h"
 #include "jacinthdeck/forward/opaque_request.h"
+#include "jacinthdeck/forward/unresolved_attempts.h"
+#include "jacinthdeck/query/probe_gate.h"
+#include "jacinthdeck/query/quarantine.h"
 
 namespace jacinthdeck {
 
@@ -18,74 +18,121 @@
  * equal fingerprints. */
 [[nodiscard]] Fingerprint FingerprintOf(const OpaqueRequest& request);
 
+/*! \brief A target that ended under a request. */
+struct CrashEvidence {
+  Fingerprint fingerprint;
+  ServiceId service;
+  TargetId target;
+};
+
+/*! \brief Requests whose state changed, with the end that changed it. */
+struct CrashGuardChanges {
+  std::vector<CrashEvidence> suspects;
+  std::vector<CrashEvidence> quarantined;
+};
+
+/*! \brief An attempt as the crash guard knows it. */
+struct GuardedAttempt {
+  Fingerprint fingerprint;
+  ServiceId service;
+  TargetId target;
+  std::uint64_t target_started_ms = 0;
+  TimePoint sent;
+  //! Whether the request was suspect when the attempt was sent.
+  bool probe = false;
+};
+
 /**
- * \brief Quarantines requests that crash their targets.
+ * \brief Decides which requests may be sent, by the ends of their attempts.
  *
- * Counts by request fingerprint the calls in which connections to targets were
- * lost and no target answered. A caller repeats a request that got no answer.
- * If the request itself crashes its targets, the repeats crash one target after
- * another until none is left. A request with one such call is suspect: its next
- * call is not sent to a second target before one has answered. If that call
- * fails too, the request is quarantined, which means refused for kRetention.
- * Connections that are lost for other reasons rarely affect all targets of two
- * calls with the same request; an answer clears the request.
- *
- * A request that crashes its targets gets no answers. One that was answered
- * within kRetention is therefore never quarantined: without this rule, all
- * hosts refused a popular request for a minute after targets had lost two
- * answers in a row.
+ * A request under which a target ended is suspect: it runs as one attempt at a
+ * time, a probe, on a service whose target ended under it. A target that
+ * answers the probe clears it; one that ends quarantines it. The ends of
+ * attempts count whether or not their calls are still open, since a call may
+ * end long before its targets do.
  */
 class CrashGuard {
  public:
-  //! Number of failed calls after which a request is quarantined.
-  static constexpr std::uint32_t kQuarantineThreshold = 2;
-  //! How long failed calls, quarantines and answers are remembered.
-  static constexpr Duration kRetention = std::chrono::seconds(60);
-  //! Maximum number of fingerprints of failed requests held at once.
-  static constexpr std::size_t kMaxRecords = 4096;
-  //! Number of slots for answered requests. A popular request whose slot
-  //! another one took gets it back with its next answer.
-  static constexpr std::size_t kAnsweredSlots = 1024;
-
-  /*! \brief Returns whether a request is refused. */
-  [[nodiscard]] bool IsQuarantined(Fingerprint fingerprint,
-                                   TimePoint now) const;
-
-  /*! \brief Returns whether a call with this request failed by lost
-   * connections. */
-  [[nodiscard]] bool IsSuspect(Fingerprint fingerprint, TimePoint now) const;
+  /*! \brief Returns the state of a request. */
+  [[nodiscard]] QuarantineState StateOf(Fingerprint fingerprint,
+                                        TimePoint now) const {
+    return m_quarantine.StateOf(fingerprint, now);
+  }
+  /*! \brief Returns when a request may be sent again; empty if it is not
+   * quarantined. */
+  [[nodiscard]] std::optional<TimePoint> QuarantinedUntil(
+      Fingerprint fingerprint,
+      TimePoint now) const {
+    return m_quarantine.QuarantinedUntil(fingerprint, now);
+  }
+  /*! \brief Returns whether a target of a service ended under a request. */
+  [[nodiscard]] bool CrashedService(Fingerprint fingerprint,
+                                    const ServiceId& service) const;
+  /*! \brief Returns whether a probe of a request has no result yet. */
+  [[nodiscard]] bool IsProbing(Fingerprint fingerprint) const {
+    return m_probes.IsProbing(fingerprint);
+  }
+  /*! \brief Returns whether a target runs a probe. If two suspects ran there,
+   * its end would count against both. */
+  [[nodiscard]] bool RunsProbe(const TargetId& target) const {
+    return m_probes.targets().contains(target);
+  }
+  [[nodiscard]] const UnresolvedAttempts& unresolved() const noexcept {
+    return m_unresolved;
+  }
+
+  /*! \brief Records that an attempt is sent. */
+  void OnSent(const GuardedAttempt& attempt);
+
+  /*! \brief Records that an attempt did not run. */
+  void OnNotRun(const GuardedAttempt& attempt);
+
+  /*! \brief Records a complete response: its target survived the request, and
+   * what it got before. */
+  void OnAnswered(const GuardedAttempt& attempt, TimePoint now);
 
   /**
-   * \brief Records a call that failed by lost connections, without an answer.
-   * \return True if this call newly quarantines its request.
+   * \brief Records an attempt that ended without a complete response.
+   * \param closed_by_target Whether the target closed the connection.
+   * \param due Time from which a sign of life shows that the target survived.
    */
-  [[nodiscard]] bool OnCallLost(Fingerprint fingerprint, TimePoint now);
+  void OnUnanswered(const GuardedAttempt& attempt,
+                    bool closed_by_target,
+                    TimePoint due,
+                    TimePoint now);
+
+  /*! \brief Records that a target ended. */
+  [[nodiscard]] CrashGuardChanges OnTargetEnded(const TargetId& target,
+                                                TimePoint now);
+
+  /*! \brief Drops the unresolved attempts at a target that shuts down. */
+  void OnTargetDraining(const TargetId& target);
 
-  /*! \brief Records an answer to a request, which clears its failed calls. */
-  void OnAnswered(Fingerprint fingerprint, TimePoint now);
+  /*! \brief Processes the result of a check. */
+  [[nodiscard]] CrashGuardChanges OnTargetChecked(const TargetId& target,
+                                                  TargetCheck result,
+                                                  TimePoint now);
 
-  /*! \brief Applies the quarantine of a request by another host, unless this
-   * host got an answer to the request within kRetention. */
-  void QuarantineRequest(Fingerprint fingerprint, TimePoint now);
+  /*! \brief Returns the targets to be checked now. */
+  [[nodiscard]] std::vector<TargetId> TakeDueChecks(TimePoint now);
+
+  /*! \brief Makes a request suspect, as another host found a target of a
+   * service to end under it. */
+  void AddPeerSuspect(Fingerprint fingerprint,
+                      const ServiceId& service,
+                      TimePoint now);
+
+  /*! \brief Quarantines a request that another host quarantined. */
+  void AddPeerQuarantine(Fingerprint fingerprint, TimePoint now) {
+    m_quarantine.AddPeerQuarantine(fingerprint, now);
+  }
 
  private:
-  struct Record {
-    std::uint32_t calls = 0;
-    TimePoint last;
-  };
-
-  struct Answer {
-    Fingerprint request;
-    std::optional<TimePoint> at;
-  };
-
-  [[nodiscard]] Answer& SlotOf(Fingerprint fingerprint);
-  [[nodiscard]] bool WasAnswered(Fingerprint fingerprint, TimePoint now);
-  void EvictIfFull(TimePoint now);
-
-  std::unordered_map<Fingerprint, Record> m_records;
-  //! Last answered request of each slot.
-  std::array<Answer, kAnsweredSlots> m_answers{};
+  void EndProbes(const UnresolvedAttempts::Attempts& survived);
+
+  Quarantine m_quarantine{QuarantineOptions()};
+  ProbeGate m_probes;
+  UnresolvedAttempts m_unresolved;
 };
 
 }  // namespace jacinthdeck
--- a/src/jacinthdeck/forward/forward_counters.h
+++ b/src/jacinthdeck/forward/forward_counters.h
@@ -27,6 +27,8 @@
   //! and after the end of their call.
   std::uint64_t lost_during_call = 0;
   std::uint64_t lost_after_call = 0;
+  //! Requests that became suspect, as a target ended under them.
+  std::uint64_t suspects = 0;
   //! Requests that this host quarantined because they crash targets.
   std::uint64_t quarantines = 0;
 };
--- a/src/jacinthdeck/forward/forward_port.h
+++ b/src/jacinthdeck/forward/forward_port.h
@@ -2,11 +2,15 @@
 #ifndef JACINTHDECK_FORWARD_FORWARD_PORT_H_
 #define JACINTHDECK_FORWARD_FORWARD_PORT_H_
 
+#include <cstdint>
+
 #include "jacinthdeck/core/ids.h"
 #include "jacinthdeck/forward/attempt_end.h"
 #include "jacinthdeck/forward/call_trace.h"
+#include "jacinthdeck/forward/crash_guard.h"
 #include "jacinthdeck/forward/forward_answer.h"
 #include "jacinthdeck/forward/lost_attempt.h"
+#include "jacinthdeck/forward/target_entry.h"
 
 namespace jacinthdeck {
 
@@ -35,8 +39,22 @@
    * request. */
   virtual void OnAttemptLost(const LostAttempt& lost) = 0;
 
+  /*! \brief Tells the other hosts that a target ended under a request. */
+  virtual void ShareSuspect(const CrashEvidence& evidence) = 0;
+
   /*! \brief Tells the other hosts that a request crashes its targets. */
-  virtual void ShareQuarantine(Fingerprint fingerprint) = 0;
+  virtual void ShareQuarantine(const CrashEvidence& evidence) = 0;
+
+  /**
+   * \brief Checks whether a target accepts connections. The result is reported
+   * through Forwarder::OnTargetChecked().
+   * \param connection_limit Maximum number of connections to the target that
+   * this host may hold.
+   * \param keep Whether the connection may be kept for later attempts.
+   */
+  virtual void CheckTarget(const TargetEntry& target,
+                           std::uint32_t connection_limit,
+                           bool keep) = 0;
 };
 
 }  // namespace jacinthdeck
--- a/src/jacinthdeck/forward/forwarder.cc
+++ b/src/jacinthdeck/forward/forwarder.cc
@@ -17,12 +17,14 @@
       m_share_since(now) {}
 
 std::optional<TimePoint> Forwarder::NextTimer() const {
-  const auto calls = m_timers.Next();
-  const auto stale = m_stale_attempts.Next();
-  if (!calls || !stale) {
-    return calls ? calls : stale;
+  std::optional<TimePoint> earliest;
+  for (const auto& due : {m_timers.Next(), m_stale_attempts.Next(),
+                          m_crash_guard.unresolved().NextDue()}) {
+    if (due) {
+      earliest = std::min(earliest.value_or(*due), *due);
+    }
   }
-  return std::min(*calls, *stale);
+  return earliest;
 }
 
 bool Forwarder::SetConfig(std::shared_ptr<const RoutingConfig> config) {
@@ -37,6 +39,7 @@
 void Forwarder::SetTargets(std::span<const TargetEntry> entries,
                            TimePoint now) {
   m_targets.Replace(entries, now);
+  ResolveReplacedTargets(now);
 }
 
 void Forwarder::SetHosts(std::uint32_t hosts, bool self, TimePoint now) {
@@ -57,17 +60,14 @@
   budget.SetShare(m_has_share ? 1.0 / m_hosts : 0, m_share_since);
 }
 
-void Forwarder::QuarantineRequest(Fingerprint fingerprint, TimePoint now) {
-  m_crash_guard.QuarantineRequest(fingerprint, now);
-}
-
 void Forwarder::OnTimer(TimePoint now) {
   while (const auto due = m_timers.TakeDue(now)) {
     OnCallTimer(m_calls.at(*due), now);
   }
   while (const auto due = m_stale_attempts.TakeDue(now)) {
-    CancelAttempt(*due, now);
+    CancelAttempt(*due, now, now);
   }
+  CheckDueTargets(now);
 }
 
 void Forwarder::OnCallTimer(PendingCall& pending, TimePoint now) {
--- a/src/jacinthdeck/forward/forwarder.h
+++ b/src/jacinthdeck/forward/forwarder.h
@@ -90,6 +90,12 @@
     m_targets.SetHosts(m_options.host, hosts);
   }
 
+  /*! \brief Makes a request suspect, as another host found a target of a
+   * service to end under it. */
+  void AddSuspect(Fingerprint fingerprint,
+                  const ServiceId& service,
+                  TimePoint now);
+
   /*! \brief Applies the quarantine of a request that another host found to
    * crash its targets. */
   void QuarantineRequest(Fingerprint fingerprint, TimePoint now);
@@ -104,6 +110,11 @@
   /*! \brief Processes the end of an attempt. */
   void OnAttemptEnd(AttemptEnd& end, TimePoint now);
 
+  /*! \brief Processes the result of ForwardPort::CheckTarget(). */
+  void OnTargetChecked(const TargetId& target,
+                       TargetCheck result,
+                       TimePoint now);
+
   /*! \brief Processes all timers that are due. */
   void OnTimer(TimePoint now);
 
@@ -142,7 +153,8 @@
                                            const TargetShare& share) const;
   [[nodiscard]] Duration ExpectedDelay(PendingCall& pending, TimePoint now);
   [[nodiscard]] Duration RetryAfterFor(ForwardReason reason,
-                                       const PendingCall& pending);
+                                       const PendingCall& pending,
+                                       TimePoint now);
   [[nodiscard]] LatencyProfile& ProfileOf(const Route& route);
   void UpdateBudgetShare(AttemptBudget& budget) const;
   [[nodiscard]] AttemptBudget& BudgetOf(const ServiceId& service);
@@ -166,7 +178,7 @@
                                     TimePoint now) const;
   [[nodiscard]] TargetShare ShareOf(const PendingCall& pending,
                                     const ServiceId& service) const;
-  [[nodiscard]] std::uint32_t ConnectionLimit(const PendingCall& pending,
+  [[nodiscard]] std::uint32_t ConnectionLimit(const RoutingConfig& config,
                                               const ServiceId& service) const;
   [[nodiscard]] bool MaySendAgain(const PendingCall& pending,
                                   const CallPart& part,
@@ -194,7 +206,9 @@
                       TimePoint now);
   //! Makes the hedges of the last unanswered shards of a call due immediately.
   static void HedgeLastShards(PendingCall& pending, TimePoint now);
-  void CancelAttempt(AttemptId attempt, TimePoint now);
+  //! \param resolve_at Time from which a sign of life shows that the target
+  //! survived the attempt.
+  void CancelAttempt(AttemptId attempt, TimePoint resolve_at, TimePoint now);
 
   // Ends of calls, in forwarder_finish.cc.
   void GiveUp(PendingCall& pending, CallPart& part, ForwardReason reason);
@@ -207,8 +221,34 @@
   [[nodiscard]] ForwardAnswer MakeFailureAnswer(PendingCall& pending,
                                                 TimePoint now);
   void RemoveCall(PendingCall& pending, TimePoint now);
-  //! Reports a call that lost connections and got no answer to the crash guard.
-  void RecordLostCall(const PendingCall& pending, TimePoint now);
+
+  // Requests that may crash targets, in forwarder_quarantine.cc.
+  [[nodiscard]] static GuardedAttempt GuardedOf(const PendingAttempt& attempt);
+  [[nodiscard]] bool IsSuspect(const PendingCall& pending, TimePoint now) const;
+  //! Returns whether an attempt may be sent for a part; otherwise holds the
+  //! part, or gives it up.
+  [[nodiscard]] bool PassesCrashGuard(PendingCall& pending,
+                                      CallPart& part,
+                                      TimePoint now);
+  //! Returns whether a part of a suspect request may be sent as its probe.
+  [[nodiscard]] bool MayProbe(const PendingCall& pending,
+                              const CallPart& part) const;
+  void HoldSuspect(PendingCall& pending, CallPart& part, TimePoint now);
+  void UpdateCrashGuard(const PendingAttempt& attempt,
+                        const AttemptEnd& end,
+                        TimePoint now);
+  //! Records an attempt that ended without a complete response.
+  void RecordUnanswered(const PendingAttempt& attempt,
+                        bool closed_by_target,
+                        TimePoint resolve_at,
+                        TimePoint now);
+  void OnTargetEnded(const TargetId& target, TimePoint now);
+  void ApplyGuardChanges(const CrashGuardChanges& changes);
+  //! Checks the targets under which attempts have ended without a response.
+  void CheckDueTargets(TimePoint now);
+  //! Looks for targets that the registry no longer lists, or lists as another
+  //! process.
+  void ResolveReplacedTargets(TimePoint now);
 
   // Timers, in forwarder.cc.
   void OnCallTimer(PendingCall& pending, TimePoint now);
--- a/src/jacinthdeck/forward/forwarder_admission.cc
+++ b/src/jacinthdeck/forward/forwarder_admission.cc
@@ -18,9 +18,8 @@
 constexpr Duration kNoConfigRetryAfter = milliseconds(500);
 //! Restarting targets or resharding usually takes about this long.
 constexpr Duration kNoTargetRetryAfter = milliseconds(600);
-//! A request that crashes its targets does so again, and is refused for as long
-//! as the crash guard remembers it.
-constexpr Duration kCrashRetryAfter = std::chrono::seconds(60);
+//! A suspect request has usually been tried on a target within this time.
+constexpr Duration kSuspectRetryAfter = milliseconds(600);
 //! Bounds of the time after which an overload is expected to be over.
 constexpr Duration kMinRetryAfter = milliseconds(150);
 constexpr Duration kMaxRetryAfter = milliseconds(2000);
@@ -84,7 +83,7 @@
   }
   if (const auto reason = ReasonToRefuse(pending, now)) {
     Refuse(pending.call, AnswerKind::kNotRun, *reason,
-           RetryAfterFor(*reason, pending), pending.trace);
+           RetryAfterFor(*reason, pending, now), pending.trace);
     return;
   }
   const CallId id = pending.call.id;
@@ -169,7 +168,8 @@
 
 std::optional<ForwardReason> Forwarder::ReasonToRefuse(PendingCall& pending,
                                                        TimePoint now) {
-  if (m_crash_guard.IsQuarantined(pending.fingerprint, now)) {
+  if (m_crash_guard.StateOf(pending.fingerprint, now) ==
+      QuarantineState::kQuarantined) {
     return ForwardReason::kCrashesTargets;
   }
   if (CountLiveShards(pending) < pending.route->min_shards()) {
@@ -265,12 +265,15 @@
 }
 
 Duration Forwarder::RetryAfterFor(ForwardReason reason,
-                                  const PendingCall& pending) {
+                                  const PendingCall& pending,
+                                  TimePoint now) {
   switch (reason) {
     case ForwardReason::kNoTarget:
       return kNoTargetRetryAfter;
     case ForwardReason::kCrashesTargets:
-      return kCrashRetryAfter;
+      return m_crash_guard.QuarantinedUntil(pending.fingerprint, now)
+                 .value_or(now + kSuspectRetryAfter) -
+             now;
     default:
       break;
   }
--- a/src/jacinthdeck/forward/forwarder_attempts.cc
+++ b/src/jacinthdeck/forward/forwarder_attempts.cc
@@ -77,16 +77,17 @@
 
 TargetShare Forwarder::ShareOf(const PendingCall& pending,
                                const ServiceId& service) const {
-  return {.connections = ConnectionLimit(pending, service), .hosts = m_hosts};
+  return {.connections = ConnectionLimit(*pending.config, service),
+          .hosts = m_hosts};
 }
 
-std::uint32_t Forwarder::ConnectionLimit(const PendingCall& pending,
+std::uint32_t Forwarder::ConnectionLimit(const RoutingConfig& config,
                                          const ServiceId& service) const {
   if (!m_has_share) {
     return 1;
   }
   const std::uint32_t holders = m_hosts + kUncountedHosts;
-  return std::max(pending.config->TargetConnections(service) / holders, 1U);
+  return std::max(config.TargetConnections(service) / holders, 1U);
 }
 
 void Forwarder::TrySendAttempt(PendingCall& pending,
@@ -94,6 +95,9 @@
                                AttemptReason reason,
                                TimePoint now) {
   CallPart& part = pending.parts[part_index];
+  if (!PassesCrashGuard(pending, part, now)) {
+    return;
+  }
   const bool extra = part.attempts_arrived > 0;
   AttemptBudget& budget = BudgetOf(part.service);
   if (extra && !budget.CanSpend(now)) {
@@ -115,6 +119,11 @@
     OnNoTarget(pending, part, now);
     return;
   }
+  if (IsSuspect(pending, now) &&
+      m_crash_guard.RunsProbe(choice.target->entry().id)) {
+    HoldSuspect(pending, part, now);
+    return;
+  }
   const bool paid = extra && budget.TrySpend(now);
   SendAttempt(pending, part_index, criteria, *choice.target, paid, now);
 }
@@ -152,9 +161,14 @@
   CallPart& part = pending.parts[part_index];
   const AttemptReason reason = criteria.reason;
   const AttemptId id(m_next_attempt++);
-  m_attempts.emplace(
-      id, PendingAttempt{pending.call.id, part_index, &target, pending.profile,
-                         now, reason, paid, pending.fingerprint});
+  const PendingAttempt& attempt =
+      m_attempts
+          .emplace(id,
+                   PendingAttempt{pending.call.id, part_index, &target,
+                                  pending.profile, now, reason, paid,
+                                  pending.fingerprint, IsSuspect(pending, now)})
+          .first->second;
+  m_crash_guard.OnSent(GuardedOf(attempt));
   target.OnSend(id, pending.profile->silence_timeout(), criteria.required, now);
   part.tried.push_back(target.entry().id);
   part.in_flight.push_back(id);
@@ -177,7 +191,7 @@
                    .sent = now - pending.call.arrived});
   m_port.Send(OutgoingAttempt{
       id, target.entry(), pending.call.request, pending.call.deadline,
-      ConnectionLimit(pending, part.service),
+      ConnectionLimit(*pending.config, part.service),
       pending.route->repeat == RepeatRule::kAtMostOnce, !m_has_share});
 }
 
@@ -186,14 +200,10 @@
                              TimePoint now) const {
   const bool may_repeat =
       pending.route->repeat == RepeatRule::kIdempotent || part.runs == 0;
-  const bool endangers_targets =
-      pending.lost_connections > 0 && pending.answered == 0 &&
-      m_crash_guard.IsSuspect(pending.fingerprint, now);
   return may_repeat && part.runs < pending.route->max_attempts &&
          part.attempts_sent <
              pending.route->max_attempts + kMaxUnexecutedAttempts &&
-         now + pending.profile->min_useful_time() < pending.final_at &&
-         !endangers_targets;
+         now + pending.profile->min_useful_time() < pending.final_at;
 }
 
 void Forwarder::RetryOrGiveUp(PendingCall& pending,
--- a/src/jacinthdeck/forward/forwarder_finish.cc
+++ b/src/jacinthdeck/forward/forwarder_finish.cc
@@ -49,19 +49,10 @@
       pending.trace.missing.push_back(static_cast<std::uint32_t>(part));
     }
   }
-  RecordLostCall(pending, now);
   m_port.Deliver(pending.call.id, std::move(answer), pending.trace);
   RemoveCall(pending, now);
 }
 
-void Forwarder::RecordLostCall(const PendingCall& pending, TimePoint now) {
-  if (pending.lost_connections > 0 && pending.answered == 0 &&
-      m_crash_guard.OnCallLost(pending.fingerprint, now)) {
-    ++m_counters.quarantines;
-    m_port.ShareQuarantine(pending.fingerprint);
-  }
-}
-
 ForwardAnswer Forwarder::MakeAnswer(PendingCall& pending, TimePoint now) {
   if (pending.answered < pending.route->min_shards()) {
     return MakeFailureAnswer(pending, now);
@@ -107,7 +98,7 @@
                       : failed->reason;
   if (!may_have_run) {
     answer.kind = AnswerKind::kNotRun;
-    answer.retry_after = RetryAfterFor(answer.reason, pending);
+    answer.retry_after = RetryAfterFor(answer.reason, pending, now);
     return answer;
   }
   CallPart& first = pending.parts.front();
@@ -126,10 +117,13 @@
     return;
   }
   ++m_counters.abandoned;
-  RecordLostCall(found->second, now);
   for (const CallPart& part : found->second.parts) {
     for (const AttemptId attempt : std::vector<AttemptId>(part.in_flight)) {
-      CancelAttempt(attempt, now);
+      if (m_attempts.at(attempt).probe) {
+        m_stale_attempts.Set(attempt, now + kRemainingAttemptGrace);
+      } else {
+        CancelAttempt(attempt, now + kRemainingAttemptGrace, now);
+      }
     }
   }
   m_timers.Remove(id);
--- /dev/null
+++ b/src/jacinthdeck/forward/forwarder_quarantine.cc
@@ -0,0 +1,177 @@
+// Holds back requests that may crash targets, and collects the evidence.
+#include <algorithm>
+
+#include "jacinthdeck/forward/forwarder.h"
+
+namespace jacinthdeck {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+//! Pause before a suspect request that is held looks again whether its probe
+//! has a result.
+constexpr Duration kProbePollInterval = milliseconds(4);
+
+}  // namespace
+
+GuardedAttempt Forwarder::GuardedOf(const PendingAttempt& attempt) {
+  const TargetEntry& target = attempt.target->entry();
+  return {.fingerprint = attempt.fingerprint,
+          .service = target.service,
+          .target = target.id,
+          .target_started_ms = target.started_ms,
+          .sent = attempt.sent,
+          .probe = attempt.probe};
+}
+
+bool Forwarder::IsSuspect(const PendingCall& pending, TimePoint now) const {
+  return m_crash_guard.StateOf(pending.fingerprint, now) ==
+         QuarantineState::kSuspect;
+}
+
+bool Forwarder::PassesCrashGuard(PendingCall& pending,
+                                 CallPart& part,
+                                 TimePoint now) {
+  switch (m_crash_guard.StateOf(pending.fingerprint, now)) {
+    case QuarantineState::kNone:
+      return true;
+    case QuarantineState::kQuarantined:
+      if (part.in_flight.empty()) {
+        GiveUp(pending, part, ForwardReason::kCrashesTargets);
+      }
+      return false;
+    case QuarantineState::kSuspect:
+      break;
+  }
+  if (part.in_flight.empty() && MayProbe(pending, part)) {
+    return true;
+  }
+  HoldSuspect(pending, part, now);
+  return false;
+}
+
+bool Forwarder::MayProbe(const PendingCall& pending,
+                         const CallPart& part) const {
+  if (m_crash_guard.IsProbing(pending.fingerprint)) {
+    return false;
+  }
+  const auto crashed = [&](const CallPart& candidate) {
+    return candidate.phase == internal::PartPhase::kOpen &&
+           m_crash_guard.CrashedService(pending.fingerprint, candidate.service);
+  };
+  return crashed(part) || std::ranges::none_of(pending.parts, crashed);
+}
+
+void Forwarder::HoldSuspect(PendingCall& pending,
+                            CallPart& part,
+                            TimePoint now) {
+  if (!part.in_flight.empty()) {
+    OnNoTarget(pending, part, now);
+  } else {
+    part.retry_at = now + kProbePollInterval;
+  }
+}
+
+void Forwarder::UpdateCrashGuard(const PendingAttempt& attempt,
+                                 const AttemptEnd& end,
+                                 TimePoint now) {
+  const GuardedAttempt guarded = GuardedOf(attempt);
+  switch (end.outcome) {
+    case AttemptOutcome::kResponse:
+      m_crash_guard.OnAnswered(guarded, now);
+      break;
+    case AttemptOutcome::kNotExecuted:
+      m_crash_guard.OnNotRun(guarded);
+      break;
+    case AttemptOutcome::kWrongTarget:
+      m_crash_guard.OnNotRun(guarded);
+      OnTargetEnded(guarded.target, now);
+      break;
+    case AttemptOutcome::kNotSent:
+      m_crash_guard.OnNotRun(guarded);
+      if (end.unreachable) {
+        OnTargetEnded(guarded.target, now);
+      }
+      break;
+    case AttemptOutcome::kBroken:
+      RecordUnanswered(attempt, true, now, now);
+      CheckDueTargets(now);
+      break;
+  }
+}
+
+void Forwarder::RecordUnanswered(const PendingAttempt& attempt,
+                                 bool closed_by_target,
+                                 TimePoint resolve_at,
+                                 TimePoint now) {
+  const GuardedAttempt guarded = GuardedOf(attempt);
+  if (attempt.target->entry().draining) {
+    // It shuts down and soon leaves the registry; that is no crash.
+    m_crash_guard.OnNotRun(guarded);
+    return;
+  }
+  m_crash_guard.OnUnanswered(guarded, closed_by_target, resolve_at, now);
+}
+
+void Forwarder::OnTargetEnded(const TargetId& target, TimePoint now) {
+  ApplyGuardChanges(m_crash_guard.OnTargetEnded(target, now));
+}
+
+void Forwarder::OnTargetChecked(const TargetId& target,
+                                TargetCheck result,
+                                TimePoint now) {
+  ApplyGuardChanges(m_crash_guard.OnTargetChecked(target, result, now));
+}
+
+void Forwarder::ApplyGuardChanges(const CrashGuardChanges& changes) {
+  m_counters.suspects += changes.suspects.size();
+  m_counters.quarantines += changes.quarantined.size();
+  for (const CrashEvidence& evidence : changes.suspects) {
+    m_port.ShareSuspect(evidence);
+  }
+  for (const CrashEvidence& evidence : changes.quarantined) {
+    m_port.ShareQuarantine(evidence);
+  }
+}
+
+void Forwarder::CheckDueTargets(TimePoint now) {
+  for (const TargetId& id : m_crash_guard.TakeDueChecks(now)) {
+    const TrackedTarget* target = m_targets.Find(id);
+    if (target == nullptr || target->is_removed()) {
+      OnTargetEnded(id, now);
+      continue;
+    }
+    const std::uint32_t limit =
+        m_config == nullptr
+            ? 1
+            : ConnectionLimit(*m_config, target->entry().service);
+    m_port.CheckTarget(target->entry(), limit, m_has_share);
+  }
+}
+
+void Forwarder::ResolveReplacedTargets(TimePoint now) {
+  for (const TargetId& id : m_crash_guard.unresolved().Targets()) {
+    const TrackedTarget* target = m_targets.Find(id);
+    if (target == nullptr || target->is_removed() ||
+        m_crash_guard.unresolved().IsOfEarlierProcess(
+            id, target->entry().started_ms) ||
+        m_targets.IsAddressReused(*target)) {
+      OnTargetEnded(id, now);
+    } else if (target->entry().draining) {
+      m_crash_guard.OnTargetDraining(id);
+    }
+  }
+}
+
+void Forwarder::AddSuspect(Fingerprint fingerprint,
+                           const ServiceId& service,
+                           TimePoint now) {
+  m_crash_guard.AddPeerSuspect(fingerprint, service, now);
+}
+
+void Forwarder::QuarantineRequest(Fingerprint fingerprint, TimePoint now) {
+  m_crash_guard.AddPeerQuarantine(fingerprint, now);
+}
+
+}  // namespace jacinthdeck
--- a/src/jacinthdeck/forward/forwarder_replies.cc
+++ b/src/jacinthdeck/forward/forwarder_replies.cc
@@ -23,6 +23,7 @@
   m_stale_attempts.Remove(end.id);
   ++m_counters.outcomes[static_cast<std::size_t>(end.outcome)];
   UpdateTarget(attempt, end, now);
+  UpdateCrashGuard(attempt, end, now);
   const auto pending = m_calls.find(attempt.call);
   if (end.connection_lost) {
     RecordLostAttempt(end.id, attempt, pending == m_calls.end(), now);
@@ -121,7 +122,6 @@
       break;
     case AttemptOutcome::kBroken:
       part.reason = ForwardReason::kTargetsFailed;
-      pending.lost_connections += end.connection_lost ? 1 : 0;
       break;
   }
   if (part.phase == internal::PartPhase::kOpen) {
@@ -140,7 +140,6 @@
     part.phase = internal::PartPhase::kAnswered;
     ++pending.answered;
     --pending.open_parts;
-    m_crash_guard.OnAnswered(pending.fingerprint, now);
     HedgeLastShards(pending, now);
     return;
   }
@@ -172,12 +171,15 @@
   }
 }
 
-void Forwarder::CancelAttempt(AttemptId id, TimePoint now) {
+void Forwarder::CancelAttempt(AttemptId id,
+                              TimePoint resolve_at,
+                              TimePoint now) {
   const auto found = m_attempts.find(id);
   if (found == m_attempts.end()) {
     return;
   }
   found->second.target->OnCancel(id, now);
+  RecordUnanswered(found->second, false, resolve_at, now);
   m_attempts.erase(found);
   m_stale_attempts.Remove(id);
   ++m_counters.cancelled;
--- a/src/jacinthdeck/forward/fwd.h
+++ b/src/jacinthdeck/forward/fwd.h
@@ -13,9 +13,11 @@
 class RoutingConfig;
 class TargetPick;
 class TargetSet;
+class UnresolvedAttempts;
 class TrackedTarget;
 class WeightedRoundRobin;
 struct AttemptEnd;
+struct CrashEvidence;
 struct ForwardAnswer;
 struct ForwardCall;
 struct ForwardOptions;
@@ -29,6 +31,7 @@
 enum class AttemptOutcome;
 enum class ForwardReason;
 enum class RepeatRule;
+enum class TargetCheck;
 
 }  // namespace jacinthdeck
 
--- a/src/jacinthdeck/forward/learned_target.cc
+++ b/src/jacinthdeck/forward/learned_target.cc
@@ -46,6 +46,7 @@
 
 TrackedTarget::TrackedTarget(TargetEntry entry, TimePoint now)
     : m_entry(std::move(entry)),
+      m_known_since(now),
       m_last_reply(now),
       m_slowness(kSlownessMemory),
       m_served_latency(kServedLatencyMemory),
--- a/src/jacinthdeck/forward/learned_target.h
+++ b/src/jacinthdeck/forward/learned_target.h
@@ -31,6 +31,8 @@
   [[nodiscard]] std::size_t in_flight() const noexcept {
     return m_in_flight.size();
   }
+  /*! \brief When this host learned of the target. */
+  [[nodiscard]] TimePoint known_since() const noexcept { return m_known_since; }
   /*! \brief When the last attempt was sent to the target. */
   [[nodiscard]] TimePoint last_sent() const noexcept { return m_last_sent; }
   /*! \brief Number of attempts in flight whose calls cannot be answered without
@@ -137,6 +139,7 @@
   void MarkUnresponsive(TimePoint now);
 
   TargetEntry m_entry;
+  TimePoint m_known_since;
   bool m_removed = false;
   //! Attempts in flight, oldest first.
   std::vector<InFlight> m_in_flight;
--- a/src/jacinthdeck/forward/pending_call.h
+++ b/src/jacinthdeck/forward/pending_call.h
@@ -58,8 +58,6 @@
   std::vector<CallPart> parts;
   //! Number of parts in phase kAnswered.
   std::size_t answered = 0;
-  //! Number of connections lost while a target had the request.
-  std::size_t lost_connections = 0;
   //! Number of parts in phase kOpen.
   std::size_t open_parts = 0;
   //! Latest time of the final answer.
@@ -82,6 +80,8 @@
   //! Whether the attempt was spent from the budget of extra attempts.
   bool paid = false;
   Fingerprint fingerprint;
+  //! Whether the request was suspect when the attempt was sent.
+  bool probe = false;
 };
 
 }  // namespace jacinthdeck::internal
--- a/src/jacinthdeck/forward/target_set.cc
+++ b/src/jacinthdeck/forward/target_set.cc
@@ -85,6 +85,15 @@
   return found == m_targets.end() ? nullptr : found->second.get();
 }
 
+bool TargetSet::IsAddressReused(const TrackedTarget& target) const {
+  return std::ranges::any_of(m_targets, [&](const auto& item) {
+    const TrackedTarget& other = *item.second;
+    return !other.is_removed() && other.known_since() > target.known_since() &&
+           other.entry().port == target.entry().port &&
+           other.entry().address == target.entry().address;
+  });
+}
+
 TargetChoice TargetSet::Pick(const TargetCriteria& criteria, TimePoint now) {
   const auto found = m_by_service.find(criteria.service);
   if (found == m_by_service.end()) {
--- a/src/jacinthdeck/forward/target_set.h
+++ b/src/jacinthdeck/forward/target_set.h
@@ -77,6 +77,10 @@
   /*! \brief Finds a target by its id; null if it is unknown. */
   [[nodiscard]] TrackedTarget* Find(const TargetId& id);
 
+  /*! \brief Returns whether a target that was registered later has the address
+   * of this one, whose process has then ended. */
+  [[nodiscard]] bool IsAddressReused(const TrackedTarget& target) const;
+
   /*! \brief Number of targets of all services that accept requests. */
   [[nodiscard]] std::size_t size() const noexcept { return m_available; }
 
--- a/src/jacinthdeck/http/target_connection.cc
+++ b/src/jacinthdeck/http/target_connection.cc
@@ -40,6 +40,15 @@
 //! would close the connection before the full timeout has passed.
 constexpr int kIdleTimeoutPercent = 60;
 
+//! Returns whether an error tells that nothing listens at the address, rather
+//! than that this host could not try.
+[[nodiscard]] bool IsUnreachable(const SystemError& error) {
+  return error == asio::error::connection_refused ||
+         error == asio::error::connection_reset ||
+         error == asio::error::host_unreachable ||
+         error == asio::error::timed_out;
+}
+
 }  // namespace
 
 TargetConnection::TargetConnection(TargetPool& pool, const TargetEntry& target)
@@ -51,6 +60,15 @@
 
 void TargetConnection::Open(const OutgoingAttempt& attempt) {
   m_attempt = attempt;
+  Connect();
+}
+
+void TargetConnection::OpenForCheck(bool keep) {
+  m_keep_after_check = keep;
+  Connect();
+}
+
+void TargetConnection::Connect() {
   SystemError error;
   const auto address = asio::ip::make_address_v4(m_target.address, error);
   if (!error) {
@@ -73,8 +91,11 @@
     return;
   }
   if (error) {
-    ++m_pool.m_counters.open_failures;
-    FailAttempt(AttemptOutcome::kNotSent, false);
+    FailToOpen(error);
+    return;
+  }
+  if (!m_attempt) {
+    OnChecked(error);
     return;
   }
   m_phase = Phase::kBusy;
@@ -82,6 +103,21 @@
   WriteRequest(*m_attempt);
 }
 
+void TargetConnection::OnChecked(const SystemError& error) {
+  const auto self = shared_from_this();
+  if (!error && m_keep_after_check) {
+    m_phase = Phase::kIdle;
+    m_phase_started_at = m_pool.m_clock.Now();
+    Read();
+  } else {
+    Close();
+  }
+  const TargetCheck failure =
+      IsUnreachable(error) ? TargetCheck::kUnreachable : TargetCheck::kUnknown;
+  m_pool.m_sink.OnTargetChecked(m_target.id,
+                                error ? failure : TargetCheck::kReachable);
+}
+
 void TargetConnection::Send(const OutgoingAttempt& attempt) {
   m_attempt = attempt;
   m_phase = Phase::kBusy;
@@ -318,11 +354,27 @@
 
 void TargetConnection::FailAttempt(AttemptOutcome outcome,
                                    bool connection_lost) {
-  const auto self = shared_from_this();
   AttemptEnd end;
-  end.id = m_attempt->id;
   end.outcome = outcome;
   end.connection_lost = connection_lost;
+  CloseAndReport(end);
+}
+
+void TargetConnection::FailToOpen(const SystemError& error) {
+  ++m_pool.m_counters.open_failures;
+  if (!m_attempt) {
+    OnChecked(error);
+    return;
+  }
+  AttemptEnd end;
+  end.outcome = AttemptOutcome::kNotSent;
+  end.unreachable = IsUnreachable(error);
+  CloseAndReport(end);
+}
+
+void TargetConnection::CloseAndReport(AttemptEnd& end) {
+  const auto self = shared_from_this();
+  end.id = m_attempt->id;
   m_pool.m_attempts.erase(end.id);
   Close();
   m_pool.m_sink.OnAttemptEnd(end);
@@ -348,8 +400,7 @@
 void TargetConnection::ApplyTimeout(TimePoint now) {
   if (m_phase == Phase::kOpening &&
       now - m_phase_started_at > kConnectTimeout) {
-    ++m_pool.m_counters.open_failures;
-    FailAttempt(AttemptOutcome::kNotSent, false);
+    FailToOpen(asio::error::timed_out);
   } else if (m_phase == Phase::kIdle && now >= usable_until()) {
     Close();
   }
--- a/src/jacinthdeck/http/target_connection.h
+++ b/src/jacinthdeck/http/target_connection.h
@@ -46,6 +46,9 @@
   /*! \brief Connects to the target and then sends the attempt. */
   void Open(const OutgoingAttempt& attempt);
 
+  /*! \brief Connects to the target and reports whether it accepted. */
+  void OpenForCheck(bool keep);
+
   /*! \brief Sends an attempt on an idle connection. */
   void Send(const OutgoingAttempt& attempt);
 
@@ -63,6 +66,8 @@
 
   enum class Phase { kOpening, kIdle, kBusy, kClosed };
 
+  void Connect();
+  void OnChecked(const SystemError& error);
   void OnOpened(const SystemError& error);
   void WriteRequest(const OutgoingAttempt& attempt);
   void OnWritten(const SystemError& error);
@@ -77,6 +82,10 @@
   //! Closes the connection and reports that its attempt ended without a
   //! response.
   void FailAttempt(AttemptOutcome outcome, bool connection_lost);
+  //! Closes the connection and reports that it could not be opened.
+  void FailToOpen(const SystemError& error);
+  //! Closes the connection and reports the end of its attempt.
+  void CloseAndReport(AttemptEnd& end);
   void ReportEnd(AttemptEnd& end);
 
   TargetPool& m_pool;
@@ -89,8 +98,11 @@
   Duration m_idle_timeout;
   boost::beast::flat_buffer m_read_buffer;
   std::optional<Parser> m_parser;
-  //! Current attempt; has a value exactly in the phases kOpening and kBusy.
+  //! Current attempt; has a value exactly in the phases kOpening and kBusy,
+  //! unless the connection is opened for a check.
   std::optional<OutgoingAttempt> m_attempt;
+  //! Whether a connection that was opened for a check is kept.
+  bool m_keep_after_check = false;
   std::string m_write_buffer;
   bool m_writing = false;
 };
--- a/src/jacinthdeck/http/target_pool.cc
+++ b/src/jacinthdeck/http/target_pool.cc
@@ -34,20 +34,42 @@
     idle->Send(attempt);
     return;
   }
-  Connections& connections = m_connections[attempt.target.id];
-  if (connections.size() >= attempt.connection_limit) {
+  if (CountConnections(attempt.target.id) >= attempt.connection_limit) {
     ++m_counters.limit_refusals;
     ReportNotSent(attempt.id);
     return;
   }
-  auto opened = std::make_shared<TargetConnection>(*this, attempt.target);
-  connections.push_back(opened);
-  ++m_connection_count;
-  ++m_counters.opened;
+  const auto opened = AddConnection(attempt.target);
   m_attempts.emplace(attempt.id, opened);
   opened->Open(attempt);
 }
 
+std::size_t TargetPool::CountConnections(const TargetId& target) const {
+  const auto found = m_connections.find(target);
+  return found == m_connections.end() ? 0 : found->second.size();
+}
+
+std::shared_ptr<TargetConnection> TargetPool::AddConnection(
+    const TargetEntry& target) {
+  auto added = std::make_shared<TargetConnection>(*this, target);
+  m_connections[target.id].push_back(added);
+  ++m_connection_count;
+  ++m_counters.opened;
+  return added;
+}
+
+void TargetPool::CheckTarget(const TargetEntry& target,
+                             std::uint32_t connection_limit,
+                             bool keep) {
+  if (CountConnections(target.id) >= connection_limit) {
+    asio::post(m_loop, [this, id = target.id] {
+      m_sink.OnTargetChecked(id, TargetCheck::kUnknown);
+    });
+    return;
+  }
+  AddConnection(target)->OpenForCheck(keep);
+}
+
 void TargetPool::Cancel(AttemptId attempt) {
   const auto found = m_attempts.find(attempt);
   if (found == m_attempts.end()) {
--- a/src/jacinthdeck/http/target_pool.h
+++ b/src/jacinthdeck/http/target_pool.h
@@ -72,6 +72,16 @@
    * connection, since a target stops its work only if the connection closes. */
   void Cancel(AttemptId attempt);
 
+  /**
+   * \brief Opens a connection to learn whether the target accepts any; the
+   * result is reported to the sink later, never from within this call.
+   * \param connection_limit Maximum number of connections to the target.
+   * \param keep Whether the connection is kept for later attempts.
+   */
+  void CheckTarget(const TargetEntry& target,
+                   std::uint32_t connection_limit,
+                   bool keep);
+
   /*! \brief Closes the idle connections to all targets other than the given
    * ones. */
   void Retain(std::span<const TargetEntry> targets);
@@ -87,6 +97,10 @@
 
   [[nodiscard]] std::shared_ptr<TargetConnection> FindIdleConnection(
       const OutgoingAttempt& attempt);
+  [[nodiscard]] std::size_t CountConnections(const TargetId& target) const;
+  //! Adds a connection to a target that is not open yet.
+  [[nodiscard]] std::shared_ptr<TargetConnection> AddConnection(
+      const TargetEntry& target);
   void ReportNotSent(AttemptId attempt);
   void CountBytes(const TargetEntry& target, std::size_t bytes) {
     m_counters.bytes.Add(bytes, target.domain == m_domain);
--- a/src/jacinthdeck/http/target_pool_sink.h
+++ b/src/jacinthdeck/http/target_pool_sink.h
@@ -2,7 +2,9 @@
 #ifndef JACINTHDECK_HTTP_TARGET_POOL_SINK_H_
 #define JACINTHDECK_HTTP_TARGET_POOL_SINK_H_
 
+#include "jacinthdeck/core/ids.h"
 #include "jacinthdeck/forward/attempt_end.h"
+#include "jacinthdeck/forward/unresolved_attempts.h"
 
 namespace jacinthdeck {
 
@@ -15,6 +17,9 @@
   /*! \brief Handles the end of an attempt.
    * \param end End of the attempt; its response may be moved from. */
   virtual void OnAttemptEnd(AttemptEnd& end) = 0;
+
+  /*! \brief Handles the result of TargetPool::CheckTarget(). */
+  virtual void OnTargetChecked(const TargetId& target, TargetCheck result) = 0;
 };
 
 }  // namespace jacinthdeck
--- a/src/jacinthdeck/query/quarantine.cc
+++ b/src/jacinthdeck/query/quarantine.cc
@@ -111,12 +111,17 @@
   return true;
 }
 
-void Quarantine::AddPeerSuspect(Fingerprint fingerprint, TimePoint now) {
+void Quarantine::AddPeerSuspect(Fingerprint fingerprint,
+                                TimePoint now,
+                                std::optional<KeyRange> range) {
   if (StateOf(fingerprint, now) != QuarantineState::kNone) {
     return;
   }
   if (Entry* entry = FindOrAdd(fingerprint, now)) {
     entry->expires_at = now + m_options.suspect_ttl;
+    if (range) {
+      entry->ranges.push_back(*range);
+    }
   }
 }
 
--- a/src/jacinthdeck/query/quarantine.h
+++ b/src/jacinthdeck/query/quarantine.h
@@ -105,8 +105,11 @@
                         const KeyRange& range,
                         TimePoint now);
 
-  /*! \brief Makes a fingerprint a suspect on a peer's report. */
-  void AddPeerSuspect(Fingerprint fingerprint, TimePoint now);
+  /*! \brief Makes a fingerprint a suspect on a peer's report, which may name
+   * the range that the peer's attempt asked for. */
+  void AddPeerSuspect(Fingerprint fingerprint,
+                      TimePoint now,
+                      std::optional<KeyRange> range = std::nullopt);
 
   /*! \brief Quarantines a fingerprint on a peer's report. */
   void AddPeerQuarantine(Fingerprint fingerprint, TimePoint now);
--- a/test/jacinthdeck/forward/crash_guard_test.cc
+++ b/test/jacinthdeck/forward/crash_guard_test.cc
@@ -4,62 +4,189 @@
 #include <boost/test/unit_test.hpp>
 #include <chrono>
 #include <cstdint>
+#include <string>
 
 #include "jacinthdeck/core/manual_clock.h"
 
 namespace jacinthdeck {
 
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
 struct CrashGuardFixture {
   CrashGuard guard;
   ManualClock clock;
   const Fingerprint request{7};
 
-  [[nodiscard]] bool RecordLostCalls(int calls) {
-    bool quarantined = false;
-    for (int call = 0; call < calls; ++call) {
-      quarantined |= guard.OnCallLost(request, clock.Now());
-    }
-    return quarantined;
+  [[nodiscard]] GuardedAttempt Attempt(const std::string& target,
+                                       Fingerprint fingerprint) const {
+    return {.fingerprint = fingerprint,
+            .service = ServiceId(target.substr(0, target.find('/'))),
+            .target = TargetId(target),
+            .sent = clock.Now(),
+            .probe = guard.StateOf(fingerprint, clock.Now()) ==
+                     QuarantineState::kSuspect};
+  }
+
+  //! Sends an attempt whose connection the target closes without an answer.
+  GuardedAttempt LoseAnswer(const std::string& target) {
+    GuardedAttempt attempt = Attempt(target, request);
+    guard.OnSent(attempt);
+    guard.OnUnanswered(attempt, true, clock.Now(), clock.Now());
+    return attempt;
+  }
+
+  //! Sends an attempt under which the target ends.
+  [[nodiscard]] CrashGuardChanges Crash(const std::string& target) {
+    return guard.OnTargetEnded(LoseAnswer(target).target, clock.Now());
+  }
+
+  void Answer(const std::string& target, Fingerprint fingerprint) {
+    const GuardedAttempt attempt = Attempt(target, fingerprint);
+    guard.OnSent(attempt);
+    guard.OnAnswered(attempt, clock.Now());
+  }
+
+  [[nodiscard]] QuarantineState State() const {
+    return guard.StateOf(request, clock.Now());
   }
 };
 
 BOOST_FIXTURE_TEST_SUITE(CrashGuardTest, CrashGuardFixture)
 
-BOOST_AUTO_TEST_CASE(Request_LostTwiceWithoutAnswer_IsQuarantinedOnce) {
-  BOOST_TEST(!RecordLostCalls(1));
-  BOOST_TEST(guard.IsSuspect(request, clock.Now()));
-  BOOST_TEST(RecordLostCalls(1));
-  BOOST_TEST(guard.IsQuarantined(request, clock.Now()));
-  BOOST_TEST(!RecordLostCalls(1));
-  clock.Advance(CrashGuard::kRetention);
-  BOOST_TEST(!guard.IsQuarantined(request, clock.Now()));
+BOOST_AUTO_TEST_CASE(Request_ProbeCrashesTarget_IsQuarantinedOnce) {
+  const CrashGuardChanges first = Crash("s/1");
+  BOOST_TEST((State() == QuarantineState::kSuspect));
+  BOOST_TEST(first.suspects.size() == 1U);
+  BOOST_TEST(first.quarantined.empty());
+  BOOST_TEST(Crash("s/2").quarantined.size() == 1U);
+  BOOST_TEST((State() == QuarantineState::kQuarantined));
+  BOOST_TEST(Crash("s/3").quarantined.empty());
+  clock.Advance(QuarantineOptions().quarantine_ttl);
+  BOOST_TEST((State() != QuarantineState::kQuarantined));
+}
+
+// Guards against the quarantine of a popular request whose answers are lost by
+// targets that go on running: its callers would all be refused.
+BOOST_AUTO_TEST_CASE(Request_AnswersLostByRunningTargets_IsNotSuspect) {
+  for (int lost = 0; lost < 4; ++lost) {
+    const GuardedAttempt attempt = LoseAnswer("s/1");
+    const auto checks = guard.TakeDueChecks(clock.Now());
+    BOOST_REQUIRE_EQUAL(checks.size(), 1U);
+    const auto changes = guard.OnTargetChecked(
+        attempt.target, TargetCheck::kReachable, clock.Now());
+    BOOST_TEST(changes.suspects.empty());
+    BOOST_TEST((State() == QuarantineState::kNone));
+  }
+  BOOST_TEST(guard.unresolved().size() == 0U);
 }
 
-// Guards against a quarantine of a popular request, whose callers would all be
-// refused for a minute. Targets answer it all the time; then some of them lose
-// answers for a second, and two calls in a row get none. Without the record of
-// answers it would be taken for a request that crashes its targets, and the
-// other hosts would be told so.
-BOOST_AUTO_TEST_CASE(Request_AnsweredRecently_IsNotQuarantined) {
-  guard.OnAnswered(request, clock.Now());
-  clock.Advance(std::chrono::seconds(5));
-  BOOST_TEST(!RecordLostCalls(4));
-  BOOST_TEST(!guard.IsQuarantined(request, clock.Now()));
-  guard.QuarantineRequest(request, clock.Now());
-  BOOST_TEST(!guard.IsQuarantined(request, clock.Now()));
+// A later answer of the target shows the same without a check.
+BOOST_AUTO_TEST_CASE(Request_TargetAnswersLaterAttempt_TargetSurvivedIt) {
+  (void)LoseAnswer("s/1");
+  clock.Advance(milliseconds(1));
+  Answer("s/1", Fingerprint(8));
+  BOOST_TEST(guard.unresolved().size() == 0U);
+  BOOST_TEST(
+      guard.OnTargetEnded(TargetId("s/1"), clock.Now()).suspects.empty());
 }
 
-BOOST_AUTO_TEST_CASE(Request_AnswerExpired_IsQuarantined) {
-  guard.OnAnswered(request, clock.Now());
-  clock.Advance(CrashGuard::kRetention);
-  BOOST_TEST(RecordLostCalls(2));
+// Guards against evidence that is dropped by the answer to an attempt that ran
+// beside the one that ended the target.
+BOOST_AUTO_TEST_CASE(Request_TargetAnswersEarlierAttempt_StaysUnresolved) {
+  const GuardedAttempt earlier = Attempt("s/1", Fingerprint(8));
+  clock.Advance(milliseconds(1));
+  (void)LoseAnswer("s/1");
+  guard.OnAnswered(earlier, clock.Now());
+  BOOST_TEST(guard.unresolved().size() == 1U);
+}
+
+// Guards against earlier answers that protect a request from its quarantine.
+BOOST_AUTO_TEST_CASE(Request_AnsweredEarlier_IsQuarantined) {
+  Answer("s/1", request);
+  (void)Crash("s/1");
+  BOOST_TEST(Crash("s/2").quarantined.size() == 1U);
 }
 
 BOOST_AUTO_TEST_CASE(Request_OtherRequestsAnswered_IsQuarantined) {
+  (void)Crash("s/1");
   for (std::uint64_t other = 100; other < 5000; ++other) {
-    guard.OnAnswered(Fingerprint(other), clock.Now());
+    Answer("s/2", Fingerprint(other));
+  }
+  BOOST_TEST(Crash("s/2").quarantined.size() == 1U);
+}
+
+// Guards against an answer of another shard that clears a request.
+BOOST_AUTO_TEST_CASE(Suspect_OtherServiceAnswers_StaysSuspect) {
+  (void)Crash("s/1");
+  Answer("t/1", request);
+  BOOST_TEST((State() == QuarantineState::kSuspect));
+  Answer("s/2", request);
+  BOOST_TEST((State() == QuarantineState::kNone));
+}
+
+// Guards against the same at a host that another one told of the request.
+BOOST_AUTO_TEST_CASE(PeerSuspect_OtherServiceAnswers_StaysSuspect) {
+  guard.AddPeerSuspect(request, ServiceId("s"), clock.Now());
+  Answer("t/1", request);
+  BOOST_TEST((State() == QuarantineState::kSuspect));
+  BOOST_TEST(Crash("s/1").quarantined.size() == 1U);
+}
+
+// Guards against a second probe while the target of the first may have ended.
+BOOST_AUTO_TEST_CASE(Probe_TargetIsNotResolved_IsProbing) {
+  (void)Crash("s/1");
+  (void)LoseAnswer("s/2");
+  BOOST_TEST(guard.IsProbing(request));
+  BOOST_TEST(guard.RunsProbe(TargetId("s/2")));
+  (void)guard.TakeDueChecks(clock.Now());
+  (void)guard.OnTargetChecked(TargetId("s/2"), TargetCheck::kReachable,
+                              clock.Now());
+  BOOST_TEST(!guard.IsProbing(request));
+  BOOST_TEST((State() == QuarantineState::kSuspect));
+}
+
+// Guards against a restarted process at the address of a silent target: that
+// it accepts connections says nothing of the target.
+BOOST_AUTO_TEST_CASE(Request_CancelledAndAddressReachable_StaysUnresolved) {
+  const GuardedAttempt attempt = Attempt("s/1", request);
+  guard.OnUnanswered(attempt, false, clock.Now(), clock.Now());
+  clock.Advance(UnresolvedAttempts::kCheckDelay);
+  BOOST_REQUIRE_EQUAL(guard.TakeDueChecks(clock.Now()).size(), 1U);
+  (void)guard.OnTargetChecked(attempt.target, TargetCheck::kReachable,
+                              clock.Now());
+  BOOST_TEST(guard.unresolved().size() == 1U);
+  BOOST_TEST(guard.OnTargetEnded(attempt.target, clock.Now()).suspects.size() ==
+             1U);
+}
+
+BOOST_AUTO_TEST_CASE(Probe_TargetFateStaysUnknown_EndsAfterRetention) {
+  (void)Crash("s/1");
+  (void)LoseAnswer("s/2");
+  BOOST_REQUIRE_EQUAL(guard.TakeDueChecks(clock.Now()).size(), 1U);
+  clock.Advance(UnresolvedAttempts::kRetention);
+  BOOST_TEST(guard.TakeDueChecks(clock.Now()).empty());
+  BOOST_TEST(!guard.IsProbing(request));
+  BOOST_TEST(!guard.unresolved().NextDue().has_value());
+}
+
+BOOST_AUTO_TEST_CASE(Check_TargetCouldNotBeTried_IsRepeatedAfterPause) {
+  (void)LoseAnswer("s/1");
+  BOOST_REQUIRE_EQUAL(guard.TakeDueChecks(clock.Now()).size(), 1U);
+  (void)guard.OnTargetChecked(TargetId("s/1"), TargetCheck::kUnknown,
+                              clock.Now());
+  BOOST_TEST(guard.TakeDueChecks(clock.Now()).empty());
+  clock.Advance(UnresolvedAttempts::kCheckPause);
+  BOOST_TEST(guard.TakeDueChecks(clock.Now()).size() == 1U);
+}
+
+// Guards against an unbounded table while callers disconnect in masses.
+BOOST_AUTO_TEST_CASE(Unresolved_TableIsFull_FurtherAttemptsAreDropped) {
+  for (std::size_t at = 0; at < UnresolvedAttempts::kMaxAttempts + 10; ++at) {
+    guard.OnUnanswered(Attempt("s/" + std::to_string(at % 50), request), false,
+                       clock.Now(), clock.Now());
   }
-  BOOST_TEST(RecordLostCalls(2));
+  BOOST_TEST(guard.unresolved().size() == UnresolvedAttempts::kMaxAttempts);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/jacinthdeck/forward/crashing_fleet.cc
+++ b/test/jacinthdeck/forward/crashing_fleet.cc
@@ -2,6 +2,7 @@
 #include "jacinthdeck/forward/crashing_fleet.h"
 
 #include <algorithm>
+#include <string_view>
 #include <utility>
 
 namespace jacinthdeck {
@@ -16,11 +17,13 @@
 constexpr Duration kMaxWork = milliseconds(12);
 constexpr Duration kOtherInterval = milliseconds(5);
 constexpr Duration kWarmUp = seconds(3);
+//! Time after which a connection to a host without power fails.
+constexpr Duration kConnectTimeout = milliseconds(300);
 //! Time until the other hosts know what a host wrote to the store.
 constexpr Duration kStoreDelay = milliseconds(20);
 constexpr Duration kRouteTimeout = milliseconds(1500);
 constexpr std::uint32_t kMaxAttempts = 2;
-const std::string kCrashingPath = "/search/crashing";
+constexpr std::string_view kCrashingPath = "/search/crashing";
 
 [[nodiscard]] ServiceId ShardName(std::size_t shard) {
   return ServiceId("shard-" + std::to_string(shard));
@@ -70,11 +73,15 @@
     }
   }
   void OnAttemptLost(const LostAttempt&) override {}
-  void ShareQuarantine(Fingerprint fingerprint) override {
-    ToOthers([fingerprint](Forwarder& other, TimePoint now) {
-      other.QuarantineRequest(fingerprint, now);
+  void ShareSuspect(const CrashEvidence&) override {}
+  void ShareQuarantine(const CrashEvidence& evidence) override {
+    ToOthers([evidence](Forwarder& other, TimePoint now) {
+      other.QuarantineRequest(evidence.fingerprint, now);
     });
   }
+  void CheckTarget(const TargetEntry& target, std::uint32_t, bool) override {
+    m_fleet.Check(m_index, target);
+  }
 
   template <typename Action>
   void ToOthers(Action action) {
@@ -192,7 +199,7 @@
   At(m_now + kRequestInterval, [this] { SubmitCrashing(); });
   ++m_result.calls;
   const std::size_t host = m_random.Below(m_hosts.size());
-  const CallId call = Submit(host, kCrashingPath, true);
+  const CallId call = Submit(host, std::string(kCrashingPath), true);
   if (m_options.caller_patience) {
     At(m_now + *m_options.caller_patience,
        [this, host, call] { m_hosts[host]->forwarder.Abandon(call, m_now); });
@@ -235,15 +242,47 @@
   }
 }
 
+const CrashingFleet::Process* CrashingFleet::ProcessAt(
+    const TargetEntry& target) const {
+  for (const auto& [id, process] : m_processes) {
+    if (process.running && process.entry.port == target.port &&
+        process.shard >= m_options.unreachable_shards) {
+      return &process;
+    }
+  }
+  return nullptr;
+}
+
+Duration CrashingFleet::RefusalTime(const TargetEntry& target) const {
+  const bool silent = m_options.crash == CrashKind::kSilent &&
+                      m_processes.contains(target.id.raw());
+  return silent ? kConnectTimeout : kNetworkDelay;
+}
+
+void CrashingFleet::Check(std::size_t host, const TargetEntry& target) {
+  const bool reachable = ProcessAt(target) != nullptr;
+  At(m_now + (reachable ? 2 * kNetworkDelay : RefusalTime(target)),
+     [this, host, id = target.id, reachable] {
+       m_hosts[host]->forwarder.OnTargetChecked(
+           id, reachable ? TargetCheck::kReachable : TargetCheck::kUnreachable,
+           m_now);
+     });
+}
+
 void CrashingFleet::Arrive(std::uint64_t id) {
   const auto found = m_flights.find(id);
-  const Process& process =
-      m_processes.at(found->second.attempt.target.id.raw());
-  if (!process.running || process.shard < m_options.unreachable_shards) {
-    At(m_now + kNetworkDelay,
+  const TargetEntry& target = found->second.attempt.target;
+  const Process* process = ProcessAt(target);
+  if (process == nullptr) {
+    At(m_now + RefusalTime(target),
        [this, id] { End(id, AttemptOutcome::kNotSent, false); });
     return;
   }
+  if (process->entry.id != target.id) {
+    At(m_now + kNetworkDelay,
+       [this, id] { End(id, AttemptOutcome::kWrongTarget, false); });
+    return;
+  }
   found->second.running = true;
   const std::string& request_id = found->second.attempt.request->request_id;
   const bool crashing = m_options.crash != CrashKind::kNone &&
@@ -288,6 +327,7 @@
   end.id = flight.attempt.id;
   end.outcome = outcome;
   end.connection_lost = lost;
+  end.unreachable = outcome == AttemptOutcome::kNotSent;
   if (outcome == AttemptOutcome::kResponse) {
     end.response.status = 200;
     end.response.stamp = "stamp-of-" + flight.attempt.target.id.raw();
--- a/test/jacinthdeck/forward/crashing_fleet.h
+++ b/test/jacinthdeck/forward/crashing_fleet.h
@@ -105,6 +105,11 @@
   CallId Submit(std::size_t host, const std::string& path, bool crashing);
   void Send(std::size_t host, const OutgoingAttempt& attempt);
   void Cancel(std::size_t host, AttemptId attempt);
+  //! Returns the process that listens at the address of a target.
+  [[nodiscard]] const Process* ProcessAt(const TargetEntry& target) const;
+  //! Returns how long a connection to an address without process takes to fail.
+  [[nodiscard]] Duration RefusalTime(const TargetEntry& target) const;
+  void Check(std::size_t host, const TargetEntry& target);
   void Arrive(std::uint64_t flight);
   void Run(std::uint64_t flight, bool crashing);
   void End(std::uint64_t flight, AttemptOutcome outcome, bool lost);
--- a/test/jacinthdeck/forward/forwarder_fixture.h
+++ b/test/jacinthdeck/forward/forwarder_fixture.h
@@ -33,7 +33,9 @@
   std::vector<AttemptId> cancelled;
   std::vector<Delivered> delivered;
   std::vector<LostAttempt> lost;
+  std::vector<Fingerprint> suspects;
   std::vector<Fingerprint> quarantines;
+  std::vector<TargetId> checked;
 
   void Send(const OutgoingAttempt& attempt) override {
     sent.push_back(attempt);
@@ -47,8 +49,14 @@
   void OnAttemptLost(const LostAttempt& attempt) override {
     lost.push_back(attempt);
   }
-  void ShareQuarantine(Fingerprint fingerprint) override {
-    quarantines.push_back(fingerprint);
+  void ShareSuspect(const CrashEvidence& evidence) override {
+    suspects.push_back(evidence.fingerprint);
+  }
+  void ShareQuarantine(const CrashEvidence& evidence) override {
+    quarantines.push_back(evidence.fingerprint);
+  }
+  void CheckTarget(const TargetEntry& target, std::uint32_t, bool) override {
+    checked.push_back(target.id);
   }
 };
 
@@ -197,6 +205,17 @@
     forwarder.OnAttemptEnd(end, clock.Now());
   }
 
+  //! Ends the target of an attempt: its connection is lost, and further ones
+  //! are refused.
+  void Crash(const OutgoingAttempt& attempt) {
+    const OutgoingAttempt crashed = attempt;
+    End(crashed, AttemptOutcome::kBroken, true);
+    BOOST_REQUIRE(!port.checked.empty());
+    BOOST_REQUIRE(port.checked.back() == crashed.target.id);
+    forwarder.OnTargetChecked(crashed.target.id, TargetCheck::kUnreachable,
+                              clock.Now());
+  }
+
   //! Submits calls that are answered after a given time, so that latencies are
   //! measured.
   void WarmUp(const std::string& path, Duration latency, int calls = 64) {
--- a/test/jacinthdeck/forward/forwarder_test.cc
+++ b/test/jacinthdeck/forward/forwarder_test.cc
@@ -190,7 +190,7 @@
     const std::size_t before = port.sent.size();
     (void)Submit("/read/poison");
     for (std::size_t at = before; at < port.sent.size(); ++at) {
-      End(port.sent[at], AttemptOutcome::kBroken, true);
+      Crash(port.sent[at]);
     }
   }
   BOOST_TEST(port.quarantines.size() == 1U);
--- a/test/jacinthdeck/http/target_pool_test.cc
+++ b/test/jacinthdeck/http/target_pool_test.cc
@@ -19,6 +19,7 @@
                          tcp::endpoint(asio::ip::address_v4::loopback(), 0)};
   TargetPool pool{loop, clock, MakeProtocol(), FailureDomain("z"), *this};
   std::vector<AttemptEnd> ends;
+  std::vector<TargetCheck> checks;
   std::uint64_t next_attempt_id = 1;
 
   [[nodiscard]] static TargetProtocol MakeProtocol() {
@@ -33,6 +34,17 @@
   }
 
   void OnAttemptEnd(AttemptEnd& end) override { ends.push_back(end); }
+  void OnTargetChecked(const TargetId& target, TargetCheck result) override {
+    BOOST_TEST(target == TargetId("t1"));
+    checks.push_back(result);
+  }
+
+  TargetCheck WaitForCheck() {
+    RunUntil([&] { return !checks.empty(); });
+    const TargetCheck check = checks.front();
+    checks.erase(checks.begin());
+    return check;
+  }
 
   OutgoingAttempt MakeAttempt(const std::string& request_id = "r1") {
     auto request = std::make_shared<OpaqueRequest>();
@@ -105,6 +117,50 @@
   BOOST_TEST(pool.counters().opened == 1U);
 }
 
+// Guards against a connection that is opened twice: the check after a lost one
+// leaves its connection to the next attempt.
+BOOST_AUTO_TEST_CASE(CheckTarget_TargetAccepts_ConnectionIsUsedNext) {
+  pool.CheckTarget(MakeAttempt().target, 2, true);
+  BOOST_TEST(checks.empty());
+  tcp::socket target = Accept();
+  BOOST_TEST((WaitForCheck() == TargetCheck::kReachable));
+  pool.Send(MakeAttempt());
+  (void)ReadUntil(target, "\r\n\r\n");
+  BOOST_TEST(pool.counters().opened == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(CheckTarget_ConnectionIsNotKept_IsClosed) {
+  pool.CheckTarget(MakeAttempt().target, 1, false);
+  BOOST_TEST((WaitForCheck() == TargetCheck::kReachable));
+  BOOST_TEST(pool.connections() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(CheckTarget_NothingListens_IsUnreachable) {
+  const TargetEntry target = MakeAttempt().target;
+  acceptor.close();
+  pool.CheckTarget(target, 2, true);
+  BOOST_TEST((WaitForCheck() == TargetCheck::kUnreachable));
+  BOOST_TEST(pool.connections() == 0U);
+}
+
+// Guards against a target that is taken for ended because this host may open no
+// more connections to it.
+BOOST_AUTO_TEST_CASE(CheckTarget_ConnectionLimitIsReached_IsUnknown) {
+  pool.Send(MakeAttempt());
+  pool.CheckTarget(MakeAttempt().target, 1, true);
+  BOOST_TEST((WaitForCheck() == TargetCheck::kUnknown));
+  BOOST_TEST(pool.counters().opened == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(Send_NothingListens_TargetIsUnreachable) {
+  const OutgoingAttempt attempt = MakeAttempt();
+  acceptor.close();
+  pool.Send(attempt);
+  const AttemptEnd end = WaitForEnd();
+  BOOST_TEST((end.outcome == AttemptOutcome::kNotSent));
+  BOOST_TEST(end.unreachable);
+}
+
 // A standby host has no share of a target's connections. If all standby hosts
 // kept idle connections, the target would exceed its limit and reset those of
 // hosts that have a share. Such a connection is therefore closed with its
--- a/test/scenario/simulation.h
+++ b/test/scenario/simulation.h
@@ -102,7 +102,11 @@
                ForwardAnswer answer,
                const CallTrace& trace) override;
   void OnAttemptLost(const LostAttempt& /*lost*/) override {}
-  void ShareQuarantine(Fingerprint /*fingerprint*/) override {}
+  void ShareSuspect(const CrashEvidence& /*evidence*/) override {}
+  void ShareQuarantine(const CrashEvidence& /*evidence*/) override {}
+  void CheckTarget(const TargetEntry& /*target*/,
+                   std::uint32_t /*connection_limit*/,
+                   bool /*keep*/) override {}
 
   void ApplyStoreChange(const StoreChange& change);
   void ApplyDiscoveryChange(const DiscoveryChange& change);
