--- a/src/jacinthdeck/discovery/store_session.h
+++ b/src/jacinthdeck/discovery/store_session.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <optional>
 #include <set>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -184,7 +185,7 @@
   void EndLease();
   void RemoveRecord();
   void WriteMembers();
-  void WriteQuarantine();
+  void WriteQuarantines();
   void OnWriteFailed(StoreStatus status);
   void CheckOwnRecord();
   void CompareMembers();
@@ -245,7 +246,7 @@
   StorePosition m_record_position;
   TimePoint m_renew_at;
   //! Fingerprints that are still to be written for ShareQuarantine().
-  std::vector<Fingerprint> m_quarantines;
+  std::set<Fingerprint> m_quarantines;
 };
 
 }  // namespace jacinthdeck
--- a/src/jacinthdeck/discovery/store_session_writes.cc
+++ b/src/jacinthdeck/discovery/store_session_writes.cc
@@ -21,7 +21,8 @@
 //! Lease of the key that reports a crashing request. The other hosts learn of
 //! the request long before it expires.
 constexpr Duration kQuarantineLeaseDuration = seconds(60);
-//! Limit of crashing requests that wait to be written.
+//! Limit of crashing requests that wait to be written; all of them are written
+//! with one call.
 constexpr std::size_t kMaxPendingQuarantines = 16;
 
 }  // namespace
@@ -62,7 +63,7 @@
 
 void StoreSession::ShareQuarantine(Fingerprint fingerprint) {
   if (m_quarantines.size() < kMaxPendingQuarantines) {
-    m_quarantines.push_back(fingerprint);
+    m_quarantines.insert(fingerprint);
   }
   if (!m_writes.busy()) {
     ScheduleWriteStep(Duration::zero());
@@ -87,14 +88,14 @@
     }
   } else if (!m_record) {
     if (!m_quarantines.empty()) {
-      WriteQuarantine();
+      WriteQuarantines();
     }
   } else if (m_lease == 0) {
     GrantLease();
   } else if (!m_record_written) {
     PutRecord();
   } else if (!m_quarantines.empty()) {
-    WriteQuarantine();
+    WriteQuarantines();
   } else if (m_clock.Now() >= m_renew_at) {
     RenewLease();
   } else {
@@ -214,24 +215,24 @@
        });
 }
 
-void StoreSession::WriteQuarantine() {
+void StoreSession::WriteQuarantines() {
   ++m_counters.writes;
   Send(m_codec.GrantCall(kQuarantineLeaseDuration), {},
        [this](const StoreAck& lease) {
-         if (m_quarantines.empty()) {
-           OnWriteFailed(lease.status);
-           return;
-         }
          ++m_counters.writes;
          StoreWrite write;
-         write.puts.push_back(
-             {m_codec.QuarantineKey(m_quarantines.back()), "1", lease.lease});
-         Send(m_codec.WriteCall(write), {}, [this](const StoreAck&) {
-           if (!m_quarantines.empty()) {
-             m_quarantines.pop_back();
-           }
-           RunWriteStep();
-         });
+         for (const Fingerprint fingerprint : m_quarantines) {
+           write.puts.push_back(
+               {m_codec.QuarantineKey(fingerprint), "1", lease.lease});
+         }
+         // Those that are shared while this call runs wait for the next one.
+         Send(m_codec.WriteCall(write), {},
+              [this, written = m_quarantines](const StoreAck&) {
+                for (const Fingerprint fingerprint : written) {
+                  m_quarantines.erase(fingerprint);
+                }
+                RunWriteStep();
+              });
        });
 }
 
--- a/test/jacinthdeck/discovery/store_session_test.cc
+++ b/test/jacinthdeck/discovery/store_session_test.cc
@@ -122,6 +122,14 @@
         });
   }
 
+  [[nodiscard]] bool IsPublished(const std::string& key) const {
+    return std::ranges::any_of(
+        content_events, [&](const ContentEvent& content) {
+          return std::ranges::find(content.changes, key, &StoreChange::key) !=
+                 content.changes.end();
+        });
+  }
+
   void SetOutage(standins::Outage outage) {
     standins::StoreControl control;
     control.faults.outage = outage;
@@ -137,6 +145,19 @@
 
 BOOST_FIXTURE_TEST_SUITE(StoreSessionTest, SessionFixture)
 
+// Guards against a quarantine that no other host learns of, since it was shared
+// while the store was writing another one.
+BOOST_AUTO_TEST_CASE(ShareQuarantine_AnotherIsBeingWritten_BothAreStored) {
+  session.SetWatching(true);
+  session.ShareQuarantine(Fingerprint(1));
+  RunUntil([&] { return session.counters().writes == 2; });
+  session.ShareQuarantine(Fingerprint(2));
+  RunUntil([&] {
+    return IsPublished(codec.QuarantineKey(Fingerprint(1))) &&
+           IsPublished(codec.QuarantineKey(Fingerprint(2)));
+  });
+}
+
 // Guards against refused callers on a host that knew a third of the targets:
 // the host that it followed had followed a current feeder, then a lagging one,
 // and sent the old content under its own newer position. Its followers took the
