--- a/src/jacinthdeck/discovery/knowledge.cc
+++ b/src/jacinthdeck/discovery/knowledge.cc
@@ -16,6 +16,18 @@
 //! Time within which operators have repeated the writes that a restore lost.
 constexpr Duration kOperatorRewriteTime = milliseconds(8000);
 
+//! Reads a fingerprint from the hexadecimal id of a key.
+[[nodiscard]] std::optional<Fingerprint> ReadFingerprint(
+    const std::string& id) {
+  constexpr int kHex = 16;
+  std::uint64_t raw = 0;
+  const char* end = id.data() + id.size();
+  if (std::from_chars(id.data(), end, raw, kHex).ec != std::errc()) {
+    return std::nullopt;
+  }
+  return Fingerprint(raw);
+}
+
 //! Returns the earlier of two optional moments.
 [[nodiscard]] std::optional<TimePoint> Earlier(std::optional<TimePoint> left,
                                                std::optional<TimePoint> right) {
@@ -175,16 +187,18 @@
     case KeyKind::kHost:
       ApplyHost(change, now, changed);
       break;
-    case KeyKind::kQuarantine: {
-      std::uint64_t raw = 0;
-      constexpr int kHex = 16;
-      const char* end = name.id.data() + name.id.size();
-      if (change.value &&
-          std::from_chars(name.id.data(), end, raw, kHex).ec == std::errc()) {
-        changed.quarantines.emplace_back(raw);
+    case KeyKind::kQuarantine:
+      if (const auto fingerprint = ReadFingerprint(name.id);
+          fingerprint && change.value) {
+        changed.quarantines.push_back(*fingerprint);
+      }
+      break;
+    case KeyKind::kSuspect:
+      if (const auto fingerprint = ReadFingerprint(name.id);
+          fingerprint && change.value) {
+        changed.suspects.push_back({*fingerprint, ServiceId(*change.value)});
       }
       break;
-    }
     case KeyKind::kSchema:
       if (change.value && *change.value != m_schema) {
         m_schema = *change.value;
--- a/src/jacinthdeck/discovery/knowledge.h
+++ b/src/jacinthdeck/discovery/knowledge.h
@@ -25,6 +25,13 @@
 
 namespace jacinthdeck {
 
+/*! \brief A request that another host found a target to end under. */
+struct SharedSuspect {
+  Fingerprint fingerprint;
+  //! Service of the target.
+  ServiceId service;
+};
+
 /*! \brief What changed with one update of the discovery state. */
 struct DiscoveryChange {
   bool config = false;
@@ -36,6 +43,7 @@
   std::vector<ServiceId> indexes;
   //! Fingerprints of requests that another host found to crash targets.
   std::vector<Fingerprint> quarantines;
+  std::vector<SharedSuspect> suspects;
   //! Errors of entries that could not be decoded.
   std::vector<Error> unreadable;
 
--- a/src/jacinthdeck/discovery/platform_codec.h
+++ b/src/jacinthdeck/discovery/platform_codec.h
@@ -28,15 +28,18 @@
   kHost,
   //! Fingerprint of a request that crashes its targets.
   kQuarantine,
+  //! Fingerprint of a request that a target ended under; the value names the
+  //! service of the target.
+  kSuspect,
   kSchema,
   kIndex,
   kOther,
 };
 
 //! Names of the kinds, for logs; kQuarantine is written as "conviction".
-inline constexpr NameTable<KeyKind, 8> kKeyKindNames{
-    {"config", "evacuation", "target", "host", "conviction", "schema", "index",
-     "other"}};
+inline constexpr NameTable<KeyKind, 9> kKeyKindNames{
+    {"config", "evacuation", "target", "host", "conviction", "suspect",
+     "schema", "index", "other"}};
 
 /*! \brief A parsed key. */
 struct ParsedKey {
@@ -67,6 +70,8 @@
   [[nodiscard]] virtual std::string HostKey(const HostId& host) const = 0;
   [[nodiscard]] virtual std::string QuarantineKey(
       Fingerprint fingerprint) const = 0;
+  [[nodiscard]] virtual std::string SuspectKey(
+      Fingerprint fingerprint) const = 0;
   [[nodiscard]] virtual std::string SchemaKey() const = 0;
   [[nodiscard]] virtual std::string IndexKey(
       const std::string& service) const = 0;
--- a/src/jacinthdeck/discovery/store_session.cc
+++ b/src/jacinthdeck/discovery/store_session.cc
@@ -370,10 +370,10 @@
     CheckOwnRecord();
     CompareMembers();
   }
-  const bool has_changes = change.schema || !change.indexes.empty() ||
-                           change.config || change.targets || change.hosts ||
-                           !change.quarantines.empty() ||
-                           !change.unreadable.empty();
+  const bool has_changes =
+      change.schema || !change.indexes.empty() || change.config ||
+      change.targets || change.hosts || !change.suspects.empty() ||
+      !change.quarantines.empty() || !change.unreadable.empty();
   if (has_changes) {
     m_observer.OnDiscoveryChange(change, m_position);
   }
--- a/src/jacinthdeck/discovery/store_session.h
+++ b/src/jacinthdeck/discovery/store_session.h
@@ -5,9 +5,9 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <optional>
 #include <set>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -132,6 +132,10 @@
     return m_codec.WriteHost(record);
   }
 
+  /*! \brief Informs the other hosts, through the store, that a target of a
+   * service ended under a request. */
+  void ShareSuspect(Fingerprint fingerprint, const ServiceId& service);
+
   /*! \brief Informs the other hosts, through the store, that a request crashes
    * its targets. */
   void ShareQuarantine(Fingerprint fingerprint);
@@ -141,6 +145,9 @@
   void ProcessTimers();
 
  private:
+  //! Keys of crashing requests and their values.
+  using Marks = std::map<std::string, std::string>;
+
   //! The era of a reply compared with the newest one that was observed before.
   enum class EraOrder { kCurrent, kNew, kEnded };
 
@@ -185,7 +192,9 @@
   void EndLease();
   void RemoveRecord();
   void WriteMembers();
-  void WriteQuarantines();
+  //! Writes the crashing requests that wait; returns false if there are none.
+  [[nodiscard]] bool WriteDueMarks();
+  void WriteMarks(Marks& marks, Duration lease_duration);
   void OnWriteFailed(StoreStatus status);
   void CheckOwnRecord();
   void CompareMembers();
@@ -245,8 +254,10 @@
   //! nothing.
   StorePosition m_record_position;
   TimePoint m_renew_at;
-  //! Fingerprints that are still to be written for ShareQuarantine().
-  std::set<Fingerprint> m_quarantines;
+  //! Keys that are still to be written for ShareSuspect() and
+  //! ShareQuarantine().
+  Marks m_suspects;
+  Marks m_quarantines;
 };
 
 }  // namespace jacinthdeck
--- a/src/jacinthdeck/discovery/store_session_writes.cc
+++ b/src/jacinthdeck/discovery/store_session_writes.cc
@@ -18,12 +18,14 @@
 //! Minimum time between two writes for members: members arrive in bursts, and
 //! each write costs a call.
 constexpr Duration kMemberWriteInterval = milliseconds(300);
-//! Lease of the key that reports a crashing request. The other hosts learn of
-//! the request long before it expires.
-constexpr Duration kQuarantineLeaseDuration = seconds(60);
-//! Limit of crashing requests that wait to be written; all of them are written
-//! with one call.
-constexpr std::size_t kMaxPendingQuarantines = 16;
+//! Lease of the key that reports a crashing request. A host that starts before
+//! it expires refuses the request as well.
+constexpr Duration kQuarantineLeaseDuration = std::chrono::minutes(10);
+//! The same for a request that is suspect.
+constexpr Duration kSuspectLeaseDuration = seconds(60);
+//! Limit of crashing requests of a kind that wait to be written; all of them
+//! are written with one call.
+constexpr std::size_t kMaxPendingMarks = 16;
 
 }  // namespace
 
@@ -61,9 +63,19 @@
   m_members.OnMemberLeft(name);
 }
 
+void StoreSession::ShareSuspect(Fingerprint fingerprint,
+                                const ServiceId& service) {
+  if (m_suspects.size() < kMaxPendingMarks) {
+    m_suspects.emplace(m_codec.SuspectKey(fingerprint), service.raw());
+  }
+  if (!m_writes.busy()) {
+    ScheduleWriteStep(Duration::zero());
+  }
+}
+
 void StoreSession::ShareQuarantine(Fingerprint fingerprint) {
-  if (m_quarantines.size() < kMaxPendingQuarantines) {
-    m_quarantines.insert(fingerprint);
+  if (m_quarantines.size() < kMaxPendingMarks) {
+    m_quarantines.emplace(m_codec.QuarantineKey(fingerprint), "1");
   }
   if (!m_writes.busy()) {
     ScheduleWriteStep(Duration::zero());
@@ -87,15 +99,13 @@
       RemoveRecord();
     }
   } else if (!m_record) {
-    if (!m_quarantines.empty()) {
-      WriteQuarantines();
-    }
+    (void)WriteDueMarks();
   } else if (m_lease == 0) {
     GrantLease();
   } else if (!m_record_written) {
     PutRecord();
-  } else if (!m_quarantines.empty()) {
-    WriteQuarantines();
+  } else if (WriteDueMarks()) {
+    return;
   } else if (m_clock.Now() >= m_renew_at) {
     RenewLease();
   } else {
@@ -215,21 +225,32 @@
        });
 }
 
-void StoreSession::WriteQuarantines() {
+bool StoreSession::WriteDueMarks() {
+  if (!m_quarantines.empty()) {
+    WriteMarks(m_quarantines, kQuarantineLeaseDuration);
+    return true;
+  }
+  if (!m_suspects.empty()) {
+    WriteMarks(m_suspects, kSuspectLeaseDuration);
+    return true;
+  }
+  return false;
+}
+
+void StoreSession::WriteMarks(Marks& marks, Duration lease_duration) {
   ++m_counters.writes;
-  Send(m_codec.GrantCall(kQuarantineLeaseDuration), {},
-       [this](const StoreAck& lease) {
+  Send(m_codec.GrantCall(lease_duration), {},
+       [this, &marks](const StoreAck& lease) {
          ++m_counters.writes;
          StoreWrite write;
-         for (const Fingerprint fingerprint : m_quarantines) {
-           write.puts.push_back(
-               {m_codec.QuarantineKey(fingerprint), "1", lease.lease});
+         for (const auto& [key, value] : marks) {
+           write.puts.push_back({key, value, lease.lease});
          }
          // Those that are shared while this call runs wait for the next one.
          Send(m_codec.WriteCall(write), {},
-              [this, written = m_quarantines](const StoreAck&) {
-                for (const Fingerprint fingerprint : written) {
-                  m_quarantines.erase(fingerprint);
+              [this, &marks, written = marks](const StoreAck&) {
+                for (const auto& [key, value] : written) {
+                  marks.erase(key);
                 }
                 RunWriteStep();
               });
--- a/src/jacinthdeck/entry/entry_node.cc
+++ b/src/jacinthdeck/entry/entry_node.cc
@@ -215,6 +215,7 @@
 
 void EntryNode::ShareSuspect(const CrashEvidence& evidence) {
   m_decisions.OnCrash(LogEvent::kSuspected, evidence);
+  m_store.ShareSuspect(evidence.fingerprint, evidence.service);
 }
 
 void EntryNode::ShareQuarantine(const CrashEvidence& evidence) {
--- a/src/jacinthdeck/entry/entry_node_discovery.cc
+++ b/src/jacinthdeck/entry/entry_node_discovery.cc
@@ -81,6 +81,9 @@
   if (change.hosts || change.config) {
     UpdateHosts(now);
   }
+  for (const SharedSuspect& suspect : change.suspects) {
+    m_forwarder.AddSuspect(suspect.fingerprint, suspect.service, now);
+  }
   for (const Fingerprint fingerprint : change.quarantines) {
     m_forwarder.QuarantineRequest(fingerprint, now);
   }
--- a/test/jacinthdeck/discovery/knowledge_test.cc
+++ b/test/jacinthdeck/discovery/knowledge_test.cc
@@ -176,6 +176,17 @@
   BOOST_TEST(change.quarantines.front() == fingerprint);
 }
 
+BOOST_AUTO_TEST_CASE(Suspect_OfAnotherHost_IsReportedWithItsService) {
+  const Fingerprint fingerprint(0xabcdef0123456789U);
+  const DiscoveryChange change =
+      Change(codec.SuspectKey(fingerprint), std::string("s"));
+  BOOST_REQUIRE_EQUAL(change.suspects.size(), 1U);
+  BOOST_TEST(change.suspects.front().fingerprint == fingerprint);
+  BOOST_TEST(change.suspects.front().service == ServiceId("s"));
+  BOOST_TEST(
+      Change(codec.SuspectKey(fingerprint), std::nullopt).suspects.empty());
+}
+
 // Guards against requests to the targets of an evacuated domain.
 BOOST_AUTO_TEST_CASE(Evacuation_IsWritten_TargetsOfThatDomainAreMarked) {
   (void)Change("servers/a", TargetValue("ready"));
--- a/test/jacinthdeck/discovery/store_session_test.cc
+++ b/test/jacinthdeck/discovery/store_session_test.cc
@@ -6,6 +6,7 @@
 #include <boost/test/unit_test.hpp>
 #include <chrono>
 #include <functional>
+#include <iterator>
 #include <string>
 #include <vector>
 
@@ -13,6 +14,7 @@
 #include "platform/store_codec.h"
 #include "store/store_server.h"
 #include "support/positions.h"
+#include "support/printers.h"
 
 namespace jacinthdeck {
 
@@ -53,9 +55,12 @@
   int restored = 0;
   std::vector<ContentEvent> content_events;
   std::vector<FullRead> full_reads;
+  std::vector<SharedSuspect> suspects;
 
-  void OnDiscoveryChange(const DiscoveryChange& /*change*/,
-                         const StorePosition& /*position*/) override {}
+  void OnDiscoveryChange(const DiscoveryChange& change,
+                         const StorePosition& /*position*/) override {
+    std::ranges::copy(change.suspects, std::back_inserter(suspects));
+  }
   void OnContent(const std::vector<StoreChange>& changes,
                  const StorePosition& position,
                  bool whole) override {
@@ -158,6 +163,14 @@
   });
 }
 
+BOOST_AUTO_TEST_CASE(ShareSuspect_OtherHostReadsStore_ServiceIsNamed) {
+  session.SetWatching(true);
+  session.ShareSuspect(Fingerprint(3), ServiceId("s"));
+  RunUntil([&] { return !suspects.empty(); });
+  BOOST_TEST(suspects.front().fingerprint == Fingerprint(3));
+  BOOST_TEST(suspects.front().service == ServiceId("s"));
+}
+
 // Guards against refused callers on a host that knew a third of the targets:
 // the host that it followed had followed a current feeder, then a lagging one,
 // and sent the old content under its own newer position. Its followers took the
--- a/test/jacinthdeck/forward/crashing_fleet.cc
+++ b/test/jacinthdeck/forward/crashing_fleet.cc
@@ -19,8 +19,6 @@
 constexpr Duration kWarmUp = seconds(3);
 //! Time after which a connection to a host without power fails.
 constexpr Duration kConnectTimeout = milliseconds(300);
-//! Time until the other hosts know what a host wrote to the store.
-constexpr Duration kStoreDelay = milliseconds(20);
 constexpr Duration kRouteTimeout = milliseconds(1500);
 constexpr std::uint32_t kMaxAttempts = 2;
 constexpr std::string_view kCrashingPath = "/search/crashing";
@@ -73,7 +71,11 @@
     }
   }
   void OnAttemptLost(const LostAttempt&) override {}
-  void ShareSuspect(const CrashEvidence&) override {}
+  void ShareSuspect(const CrashEvidence& evidence) override {
+    ToOthers([evidence](Forwarder& other, TimePoint now) {
+      other.AddSuspect(evidence.fingerprint, evidence.service, now);
+    });
+  }
   void ShareQuarantine(const CrashEvidence& evidence) override {
     ToOthers([evidence](Forwarder& other, TimePoint now) {
       other.QuarantineRequest(evidence.fingerprint, now);
@@ -88,7 +90,7 @@
     if (!m_fleet.m_options.store_available) {
       return;
     }
-    m_fleet.At(m_fleet.m_now + kStoreDelay, [this, action] {
+    m_fleet.At(m_fleet.m_now + m_fleet.m_options.store_delay, [this, action] {
       for (const auto& other : m_fleet.m_hosts) {
         if (other.get() != this) {
           action(other->forwarder, m_fleet.m_now);
--- a/test/jacinthdeck/forward/crashing_fleet.h
+++ b/test/jacinthdeck/forward/crashing_fleet.h
@@ -48,6 +48,9 @@
   double lost_answers = 0;
   //! Targets that end by themselves each second.
   double crashes_per_second = 0;
+  //! Time until the other hosts know what a host wrote to the store. Their next
+  //! watch begins up to 200 ms after the last change.
+  Duration store_delay = std::chrono::milliseconds(220);
   //! Whether changes are shared among the hosts through the store.
   bool store_available = true;
   std::uint64_t seed = 1;
--- a/test/jacinthdeck/forward/crashing_request_test.cc
+++ b/test/jacinthdeck/forward/crashing_request_test.cc
@@ -67,9 +67,11 @@
 
 // Guards against hosts that each learn of the request by their own targets, and
 // against a suspect request that is sent to all shards at once. The first call
-// may end the targets of its attempts, and each host one more.
+// may end the targets of its attempts, and each host one more, if each is told
+// before the request reaches it.
 BOOST_AUTO_TEST_CASE(Request_AnyHostIsAsked_EachHostRisksOneMoreTarget) {
   constexpr std::size_t kMaxAttemptsPerShard = 2;
+  options.store_delay = milliseconds(20);
   RunSeeds([&](const CrashingFleetResult& result) {
     BOOST_TEST(result.ended <=
                options.shards * kMaxAttemptsPerShard + options.hosts);
