--- a/src/jacinthdeck/entry/entry_node.cc
+++ b/src/jacinthdeck/entry/entry_node.cc
@@ -107,6 +107,13 @@
           m_pool,
           m_metrics,
           [this] { return m_store.discovery_state().Hosts(); },
+          [this](Fingerprint fingerprint, QuarantineState state) {
+            if (state == QuarantineState::kQuarantined) {
+              ShareQuarantine({fingerprint, {}, {}});
+            } else {
+              ShareSuspect({fingerprint, {}, {}});
+            }
+          },
           std::random_device{}()),
       m_queries_server(m_loop, m_clock, m_typed_service),
       m_front_count(kHostWindow, kMinHosts),
--- a/src/jacinthdeck/entry/entry_node_discovery.cc
+++ b/src/jacinthdeck/entry/entry_node_discovery.cc
@@ -83,9 +83,11 @@
   }
   for (const SharedSuspect& suspect : change.suspects) {
     m_forwarder.AddSuspect(suspect.fingerprint, suspect.service, now);
+    m_typed_service.calls().AddPeerSuspect(suspect.fingerprint, now);
   }
   for (const Fingerprint fingerprint : change.quarantines) {
     m_forwarder.QuarantineRequest(fingerprint, now);
+    m_typed_service.calls().AddPeerQuarantine(fingerprint, now);
   }
   UpdateRecordWriter(now);
   UpdateTypedCalls(change, now);
--- a/src/jacinthdeck/entry/typed_service.cc
+++ b/src/jacinthdeck/entry/typed_service.cc
@@ -73,11 +73,13 @@
                            TargetPool& pool,
                            CallMetrics& metrics,
                            HostsFunction hosts,
+                           ShareFunction share,
                            std::uint64_t seed)
     : m_clock(clock),
       m_pool(pool),
       m_metrics(metrics),
       m_hosts(std::move(hosts)),
+      m_share(std::move(share)),
       m_calls(seed, *this) {}
 
 void TypedService::OnRequest(const std::shared_ptr<EdgeConnection>& connection,
@@ -172,6 +174,14 @@
   m_pool.Cancel(attempt);
 }
 
+void TypedService::ShareTypedSuspect(Fingerprint fingerprint) {
+  m_share(fingerprint, QuarantineState::kSuspect);
+}
+
+void TypedService::ShareTypedQuarantine(Fingerprint fingerprint) {
+  m_share(fingerprint, QuarantineState::kQuarantined);
+}
+
 void TypedService::DeliverTyped(CallId call, Answer answer) {
   const auto found = m_waiting.find(call);
   if (found == m_waiting.end()) {
--- a/src/jacinthdeck/entry/typed_service.h
+++ b/src/jacinthdeck/entry/typed_service.h
@@ -32,12 +32,15 @@
  public:
   //! Returns the hosts that are known now.
   using HostsFunction = std::function<std::vector<HostRecord>()>;
+  //! Tells the other hosts that a request is suspect or quarantined.
+  using ShareFunction = std::function<void(Fingerprint, QuarantineState)>;
 
   /*! \brief Makes the service; all referenced objects must outlive it. */
   TypedService(const Clock& clock,
                TargetPool& pool,
                CallMetrics& metrics,
                HostsFunction hosts,
+               ShareFunction share,
                std::uint64_t seed);
 
   /*! \brief Returns the number of calls whose caller waits for an answer. */
@@ -74,6 +77,8 @@
                  std::uint32_t connection_limit) override;
   void CancelTyped(AttemptId attempt) override;
   void DeliverTyped(CallId call, Answer answer) override;
+  void ShareTypedSuspect(Fingerprint fingerprint) override;
+  void ShareTypedQuarantine(Fingerprint fingerprint) override;
   [[nodiscard]] EdgeResponse EntriesResponse() const;
   void Begin(const std::shared_ptr<EdgeConnection>& connection,
              const EdgeRequest& request,
@@ -83,6 +88,7 @@
   TargetPool& m_pool;
   CallMetrics& m_metrics;
   HostsFunction m_hosts;
+  ShareFunction m_share;
   TypedCallRunner m_calls;
   std::uint64_t m_next_call = 1;
   std::unordered_map<CallId, WaitingCaller> m_waiting;
--- a/src/jacinthdeck/typed/typed_call_runner.cc
+++ b/src/jacinthdeck/typed/typed_call_runner.cc
@@ -50,6 +50,17 @@
   ApplyEffects(effects, now);
 }
 
+void TypedCallRunner::AddPeerSuspect(Fingerprint fingerprint, TimePoint now) {
+  m_engine.AddPeerSuspect(fingerprint, now);
+}
+
+void TypedCallRunner::AddPeerQuarantine(Fingerprint fingerprint,
+                                        TimePoint now) {
+  Effects effects;
+  m_engine.AddPeerQuarantine(fingerprint, now, effects);
+  ApplyEffects(effects, now);
+}
+
 void TypedCallRunner::OnTimer(TimePoint now) {
   Effects effects;
   m_engine.OnTimer(now, effects);
@@ -76,6 +87,12 @@
     reply.status = AttemptStatus::kCancelled;
     OnReply(reply, now);
   }
+  for (const Fingerprint fingerprint : effects.suspects) {
+    m_port.ShareTypedSuspect(fingerprint);
+  }
+  for (const Fingerprint fingerprint : effects.quarantined) {
+    m_port.ShareTypedQuarantine(fingerprint);
+  }
   for (DeliverAnswer& delivery : effects.answers) {
     m_port.DeliverTyped(delivery.call, std::move(delivery.answer));
   }
--- a/src/jacinthdeck/typed/typed_call_runner.h
+++ b/src/jacinthdeck/typed/typed_call_runner.h
@@ -70,6 +70,13 @@
   /*! \brief Processes the end of an attempt. */
   void OnReply(const AttemptReply& reply, TimePoint now);
 
+  /*! \brief Applies the report of another host that a target crashed under a
+   * request. */
+  void AddPeerSuspect(Fingerprint fingerprint, TimePoint now);
+
+  /*! \brief Applies the quarantine of a request by another host. */
+  void AddPeerQuarantine(Fingerprint fingerprint, TimePoint now);
+
   /*! \brief Processes all timers that are due. */
   void OnTimer(TimePoint now);
 
--- a/src/jacinthdeck/typed/typed_port.h
+++ b/src/jacinthdeck/typed/typed_port.h
@@ -30,6 +30,12 @@
 
   /*! \brief Sends a caller its final answer. */
   virtual void DeliverTyped(CallId call, Answer answer) = 0;
+
+  /*! \brief Tells the other hosts that a target crashed under a request. */
+  virtual void ShareTypedSuspect(Fingerprint fingerprint) = 0;
+
+  /*! \brief Tells the other hosts that a request crashes its targets. */
+  virtual void ShareTypedQuarantine(Fingerprint fingerprint) = 0;
 };
 
 }  // namespace jacinthdeck
