--- a/src/jacinthdeck/discovery/store_session.h
+++ b/src/jacinthdeck/discovery/store_session.h
@@ -257,6 +257,8 @@
   //! Keys that are still to be written for ShareSuspect() and
   //! ShareQuarantine().
   Marks m_suspects;
+  //! Earliest moment of the next write of suspects.
+  TimePoint m_next_suspect_write;
   Marks m_quarantines;
 };
 
--- a/src/jacinthdeck/discovery/store_session_writes.cc
+++ b/src/jacinthdeck/discovery/store_session_writes.cc
@@ -23,6 +23,9 @@
 constexpr Duration kQuarantineLeaseDuration = std::chrono::minutes(10);
 //! The same for a request that is suspect.
 constexpr Duration kSuspectLeaseDuration = seconds(60);
+//! Minimum time between two writes of suspect requests. Targets that end, or
+//! lose answers, make many requests suspect, and each write costs two calls.
+constexpr Duration kSuspectWriteInterval = milliseconds(300);
 //! Limit of crashing requests of a kind that wait to be written; all of them
 //! are written with one call.
 constexpr std::size_t kMaxPendingMarks = 16;
@@ -99,7 +102,9 @@
       RemoveRecord();
     }
   } else if (!m_record) {
-    (void)WriteDueMarks();
+    if (!WriteDueMarks() && !m_suspects.empty()) {
+      ScheduleWriteStep(m_next_suspect_write - m_clock.Now());
+    }
   } else if (m_lease == 0) {
     GrantLease();
   } else if (!m_record_written) {
@@ -109,7 +114,10 @@
   } else if (m_clock.Now() >= m_renew_at) {
     RenewLease();
   } else {
-    ScheduleWriteStep(m_renew_at - m_clock.Now());
+    const TimePoint next = m_suspects.empty()
+                               ? m_renew_at
+                               : std::min(m_renew_at, m_next_suspect_write);
+    ScheduleWriteStep(next - m_clock.Now());
   }
 }
 
@@ -230,11 +238,13 @@
     WriteMarks(m_quarantines, kQuarantineLeaseDuration);
     return true;
   }
-  if (!m_suspects.empty()) {
-    WriteMarks(m_suspects, kSuspectLeaseDuration);
-    return true;
+  const TimePoint now = m_clock.Now();
+  if (m_suspects.empty() || now < m_next_suspect_write) {
+    return false;
   }
-  return false;
+  m_next_suspect_write = now + kSuspectWriteInterval;
+  WriteMarks(m_suspects, kSuspectLeaseDuration);
+  return true;
 }
 
 void StoreSession::WriteMarks(Marks& marks, Duration lease_duration) {
--- a/test/jacinthdeck/discovery/store_session_test.cc
+++ b/test/jacinthdeck/discovery/store_session_test.cc
@@ -171,6 +171,26 @@
   BOOST_TEST(suspects.front().service == ServiceId("s"));
 }
 
+// Guards against a store that is flooded with writes while targets end and make
+// many requests suspect.
+BOOST_AUTO_TEST_CASE(ShareSuspect_ManyInARow_AreWrittenTogether) {
+  constexpr std::uint64_t kSuspects = 12;
+  constexpr Duration kWriteInterval = std::chrono::milliseconds(300);
+  constexpr std::uint64_t kCallsPerWrite = 2;
+  session.SetWatching(true);
+  const TimePoint start = clock.Now();
+  for (std::uint64_t at = 1; at <= kSuspects; ++at) {
+    session.ShareSuspect(Fingerprint(at), ServiceId("s"));
+    RunUntil([&, calls = session.counters().writes] {
+      return session.counters().writes > calls || at > 1;
+    });
+  }
+  RunUntil([&] { return suspects.size() >= kSuspects; });
+  const auto intervals =
+      static_cast<std::uint64_t>((clock.Now() - start) / kWriteInterval);
+  BOOST_TEST(session.counters().writes <= kCallsPerWrite * (intervals + 1));
+}
+
 // Guards against refused callers on a host that knew a third of the targets:
 // the host that it followed had followed a current feeder, then a lagging one,
 // and sent the old content under its own newer position. Its followers took the
