--- a/src/jacinthdeck/discovery/store_session.h
+++ b/src/jacinthdeck/discovery/store_session.h
@@ -137,8 +137,8 @@
   void ShareSuspect(Fingerprint fingerprint, const ServiceId& service);
 
   /*! \brief Informs the other hosts, through the store, that a request crashes
-   * its targets. */
-  void ShareQuarantine(Fingerprint fingerprint);
+   * its targets; those that start later as well, for a given time. */
+  void ShareQuarantine(Fingerprint fingerprint, Duration lifetime);
 
   /*! \brief Applies due removals and writes due member records; called a few
    * times a second. */
@@ -260,6 +260,8 @@
   //! Earliest moment of the next write of suspects.
   TimePoint m_next_suspect_write;
   Marks m_quarantines;
+  //! Longest lifetime of those in m_quarantines.
+  Duration m_quarantine_lease{};
 };
 
 }  // namespace jacinthdeck
--- a/src/jacinthdeck/discovery/store_session_writes.cc
+++ b/src/jacinthdeck/discovery/store_session_writes.cc
@@ -18,10 +18,7 @@
 //! Minimum time between two writes for members: members arrive in bursts, and
 //! each write costs a call.
 constexpr Duration kMemberWriteInterval = milliseconds(300);
-//! Lease of the key that reports a crashing request. A host that starts before
-//! it expires refuses the request as well.
-constexpr Duration kQuarantineLeaseDuration = std::chrono::minutes(10);
-//! The same for a request that is suspect.
+//! Lease of the key that reports a suspect request.
 constexpr Duration kSuspectLeaseDuration = seconds(60);
 //! Minimum time between two writes of suspect requests. Targets that end, or
 //! lose answers, make many requests suspect, and each write costs two calls.
@@ -76,8 +73,11 @@
   }
 }
 
-void StoreSession::ShareQuarantine(Fingerprint fingerprint) {
+void StoreSession::ShareQuarantine(Fingerprint fingerprint, Duration lifetime) {
   if (m_quarantines.size() < kMaxPendingMarks) {
+    m_quarantine_lease = m_quarantines.empty()
+                             ? lifetime
+                             : std::max(m_quarantine_lease, lifetime);
     m_quarantines.emplace(m_codec.QuarantineKey(fingerprint), "1");
   }
   if (!m_writes.busy()) {
@@ -235,7 +235,7 @@
 
 bool StoreSession::WriteDueMarks() {
   if (!m_quarantines.empty()) {
-    WriteMarks(m_quarantines, kQuarantineLeaseDuration);
+    WriteMarks(m_quarantines, m_quarantine_lease);
     return true;
   }
   const TimePoint now = m_clock.Now();
--- a/src/jacinthdeck/entry/decision_log.cc
+++ b/src/jacinthdeck/entry/decision_log.cc
@@ -152,7 +152,8 @@
   LogLine line = m_log.Begin(event);
   line.Hash("fingerprint", evidence.fingerprint.raw())
       .Text("service", evidence.service.raw())
-      .Text("target", evidence.target.raw());
+      .Text("target", evidence.target.raw())
+      .Milliseconds("quarantined_ms", evidence.quarantined_for);
   m_log.Add(std::move(line));
 }
 
--- a/src/jacinthdeck/entry/entry_node.cc
+++ b/src/jacinthdeck/entry/entry_node.cc
@@ -109,9 +109,14 @@
           [this] { return m_store.discovery_state().Hosts(); },
           [this](Fingerprint fingerprint, QuarantineState state) {
             if (state == QuarantineState::kQuarantined) {
-              ShareQuarantine({fingerprint, {}, {}});
+              ShareQuarantine(
+                  {.fingerprint = fingerprint,
+                   .service = {},
+                   .target = {},
+                   .quarantined_for = QuarantineOptions().quarantine_ttl});
             } else {
-              ShareSuspect({fingerprint, {}, {}});
+              ShareSuspect(
+                  {.fingerprint = fingerprint, .service = {}, .target = {}});
             }
           },
           std::random_device{}()),
@@ -227,7 +232,7 @@
 
 void EntryNode::ShareQuarantine(const CrashEvidence& evidence) {
   m_decisions.OnCrash(LogEvent::kQuarantined, evidence);
-  m_store.ShareQuarantine(evidence.fingerprint);
+  m_store.ShareQuarantine(evidence.fingerprint, evidence.quarantined_for);
 }
 
 void EntryNode::CheckTarget(const TargetEntry& target,
--- a/src/jacinthdeck/forward/crash_guard.cc
+++ b/src/jacinthdeck/forward/crash_guard.cc
@@ -82,7 +82,7 @@
     if (attempt.probe) {
       (void)m_probes.End(attempt.fingerprint, attempt.target);
     }
-    const CrashEvidence evidence{attempt.fingerprint, attempt.service, target};
+    CrashEvidence evidence{attempt.fingerprint, attempt.service, target};
     switch (m_quarantine.RecordCrash(
         attempt.fingerprint, RangeOf(attempt.service), attempt.probe, now)) {
       case QuarantineState::kNone:
@@ -91,6 +91,10 @@
         changes.suspects.push_back(evidence);
         break;
       case QuarantineState::kQuarantined:
+        evidence.quarantined_for =
+            m_quarantine.QuarantinedUntil(attempt.fingerprint, now)
+                .value_or(now) -
+            now;
         changes.quarantined.push_back(evidence);
         break;
     }
--- a/src/jacinthdeck/forward/crash_guard.h
+++ b/src/jacinthdeck/forward/crash_guard.h
@@ -2,6 +2,7 @@
 #ifndef JACINTHDECK_FORWARD_CRASH_GUARD_H_
 #define JACINTHDECK_FORWARD_CRASH_GUARD_H_
 
+#include <chrono>
 #include <optional>
 #include <vector>
 
@@ -23,6 +24,8 @@
   Fingerprint fingerprint;
   ServiceId service;
   TargetId target;
+  //! How long the request is quarantined for it; zero while it is suspect.
+  Duration quarantined_for{};
 };
 
 /*! \brief Requests whose state changed, with the end that changed it. */
@@ -53,6 +56,11 @@
  */
 class CrashGuard {
  public:
+  //! How long a request is quarantined the first time, and then each time that
+  //! a probe after it ends a target.
+  static constexpr Duration kFirstQuarantine = std::chrono::minutes(1);
+  static constexpr Duration kLaterQuarantine = std::chrono::minutes(10);
+
   /*! \brief Returns the state of a request. */
   [[nodiscard]] QuarantineState StateOf(Fingerprint fingerprint,
                                         TimePoint now) const {
@@ -130,7 +138,9 @@
  private:
   void EndProbes(const UnresolvedAttempts::Attempts& survived);
 
-  Quarantine m_quarantine{QuarantineOptions()};
+  Quarantine m_quarantine{
+      QuarantineOptions{.first_quarantine_ttl = kFirstQuarantine,
+                        .quarantine_ttl = kLaterQuarantine}};
   ProbeGate m_probes;
   UnresolvedAttempts m_unresolved;
 };
--- a/src/jacinthdeck/query/quarantine.cc
+++ b/src/jacinthdeck/query/quarantine.cc
@@ -92,8 +92,7 @@
   if (!probe || ++entry->crash_rounds < m_options.crash_rounds_to_quarantine) {
     return QuarantineState::kNone;
   }
-  entry->state = QuarantineState::kQuarantined;
-  entry->expires_at = now + m_options.quarantine_ttl;
+  SetQuarantined(*entry, now);
   return QuarantineState::kQuarantined;
 }
 
@@ -130,13 +129,19 @@
     return;
   }
   if (Entry* entry = FindOrAdd(fingerprint, now)) {
-    entry->state = QuarantineState::kQuarantined;
     entry->crash_rounds =
         std::max(entry->crash_rounds, m_options.crash_rounds_to_quarantine);
-    entry->expires_at = now + m_options.quarantine_ttl;
+    SetQuarantined(*entry, now);
   }
 }
 
+void Quarantine::SetQuarantined(Entry& entry, TimePoint now) const {
+  entry.state = QuarantineState::kQuarantined;
+  entry.expires_at =
+      now + (entry.was_quarantined ? m_options.quarantine_ttl
+                                   : m_options.first_quarantine_ttl);
+}
+
 bool Quarantine::Release(Fingerprint fingerprint) {
   return m_entries.erase(fingerprint) > 0;
 }
@@ -151,6 +156,7 @@
       entry = Entry{};
     } else if (state != entry.state) {
       entry.state = state;
+      entry.was_quarantined = true;
       entry.crash_rounds = m_options.crash_rounds_to_quarantine - 1;
     }
     return &entry;
--- a/src/jacinthdeck/query/quarantine.h
+++ b/src/jacinthdeck/query/quarantine.h
@@ -38,8 +38,11 @@
   std::uint32_t crash_rounds_to_quarantine = 2;
   //! How long a request stays a suspect without another crash.
   Duration suspect_ttl = std::chrono::minutes(1);
-  //! How long a request stays quarantined. It then becomes a suspect that one
-  //! more round quarantines again.
+  //! How long a request stays quarantined the first time, when the target of
+  //! its probe may have ended for another reason.
+  Duration first_quarantine_ttl = std::chrono::minutes(10);
+  //! How long a request stays quarantined from the second time on. It then
+  //! becomes a suspect that one more round quarantines again.
   Duration quarantine_ttl = std::chrono::minutes(10);
   //! Maximum number of fingerprints tracked at once.
   std::size_t limit = 4096;
@@ -126,6 +129,8 @@
     //! At least 1.
     std::uint32_t crash_rounds = 1;
     TimePoint expires_at;
+    //! Whether the fingerprint was quarantined and its quarantine expired.
+    bool was_quarantined = false;
     //! Key ranges whose attempts crashed a target, at most kMaxCrashRanges;
     //! empty if the crashes are known from peers only.
     std::vector<KeyRange> ranges;
@@ -138,6 +143,8 @@
   //! Returns the entry, added if absent; null if the table is full of
   //! quarantined entries.
   [[nodiscard]] Entry* FindOrAdd(Fingerprint fingerprint, TimePoint now);
+  //! Quarantines an entry; longer than before if it was quarantined already.
+  void SetQuarantined(Entry& entry, TimePoint now) const;
   void MakeRoom(TimePoint now);
 
   QuarantineOptions m_options;
