--- a/src/jacinthdeck/entry/decision_log.cc
+++ b/src/jacinthdeck/entry/decision_log.cc
@@ -143,8 +143,7 @@
       .Count("attempt", lost.attempt.raw())
       .Text("target", lost.target.raw())
       .Text("service", lost.service.raw())
-      .Milliseconds("took_ms", lost.took)
-      .Flag("after_call", lost.after_call);
+      .Milliseconds("took_ms", lost.took);
   m_log.Add(std::move(line));
 }
 
--- a/src/jacinthdeck/entry/decision_log.h
+++ b/src/jacinthdeck/entry/decision_log.h
@@ -62,8 +62,8 @@
    * got an answer. */
   void OnAbandoned(const std::string& request_id, Duration after);
 
-  /*! \brief Logs an attempt whose connection ended while its target had the
-   * request. */
+  /*! \brief Logs an attempt whose connection ended after its call had; others
+   * stand in the line of their call. */
   void OnAttemptLost(const LostAttempt& lost);
 
   /*! \brief Logs that a request became suspect or was quarantined, with the
--- a/src/jacinthdeck/forward/forward_port.h
+++ b/src/jacinthdeck/forward/forward_port.h
@@ -35,8 +35,8 @@
                        ForwardAnswer answer,
                        const CallTrace& trace) = 0;
 
-  /*! \brief Records an attempt whose connection ended while its target had the
-   * request. */
+  /*! \brief Records an attempt whose connection ended after its call had, while
+   * its target had the request. */
   virtual void OnAttemptLost(const LostAttempt& lost) = 0;
 
   /*! \brief Tells the other hosts that a target ended under a request. */
--- a/src/jacinthdeck/forward/forwarder.h
+++ b/src/jacinthdeck/forward/forwarder.h
@@ -220,6 +220,8 @@
   [[nodiscard]] ForwardAnswer MakeMergedAnswer(PendingCall& pending) const;
   [[nodiscard]] ForwardAnswer MakeFailureAnswer(PendingCall& pending,
                                                 TimePoint now);
+  //! Cancels an attempt whose caller has left, unless it is a probe.
+  void AbandonAttempt(AttemptId attempt, TimePoint now);
   void RemoveCall(PendingCall& pending, TimePoint now);
 
   // Requests that may crash targets, in forwarder_quarantine.cc.
--- a/src/jacinthdeck/forward/forwarder_finish.cc
+++ b/src/jacinthdeck/forward/forwarder_finish.cc
@@ -119,17 +119,23 @@
   ++m_counters.abandoned;
   for (const CallPart& part : found->second.parts) {
     for (const AttemptId attempt : std::vector<AttemptId>(part.in_flight)) {
-      if (m_attempts.at(attempt).probe) {
-        m_stale_attempts.Set(attempt, now + kRemainingAttemptGrace);
-      } else {
-        CancelAttempt(attempt, now + kRemainingAttemptGrace, now);
-      }
+      AbandonAttempt(attempt, now);
     }
   }
   m_timers.Remove(id);
   m_calls.erase(found);
 }
 
+void Forwarder::AbandonAttempt(AttemptId id, TimePoint now) {
+  const auto found = m_attempts.find(id);
+  if (found != m_attempts.end() && found->second.probe) {
+    // The end of a probe decides whether the request is quarantined.
+    m_stale_attempts.Set(id, now + kRemainingAttemptGrace);
+    return;
+  }
+  CancelAttempt(id, now + kRemainingAttemptGrace, now);
+}
+
 void Forwarder::RemoveCall(PendingCall& pending, TimePoint now) {
   const CallId id = pending.call.id;
   for (const CallPart& part : pending.parts) {
--- a/src/jacinthdeck/forward/forwarder_replies.cc
+++ b/src/jacinthdeck/forward/forwarder_replies.cc
@@ -37,14 +37,17 @@
                                   const PendingAttempt& attempt,
                                   bool after_call,
                                   TimePoint now) {
-  ++(after_call ? m_counters.lost_after_call : m_counters.lost_during_call);
+  if (!after_call) {
+    ++m_counters.lost_during_call;
+    return;
+  }
+  ++m_counters.lost_after_call;
   const TargetEntry& target = attempt.target->entry();
   m_port.OnAttemptLost({.attempt = id,
                         .fingerprint = attempt.fingerprint,
                         .target = target.id,
                         .service = target.service,
-                        .took = now - attempt.sent,
-                        .after_call = after_call});
+                        .took = now - attempt.sent});
 }
 
 void Forwarder::UpdateTarget(const PendingAttempt& attempt,
--- a/src/jacinthdeck/forward/lost_attempt.h
+++ b/src/jacinthdeck/forward/lost_attempt.h
@@ -1,4 +1,4 @@
-// Attempts that ended without a complete response, as they are reported.
+// Lost connections that the trace of no call contains.
 #ifndef JACINTHDECK_FORWARD_LOST_ATTEMPT_H_
 #define JACINTHDECK_FORWARD_LOST_ATTEMPT_H_
 
@@ -7,8 +7,8 @@
 
 namespace jacinthdeck {
 
-/*! \brief An attempt whose connection ended while the target had the request.
- */
+/*! \brief An attempt whose connection ended after its call had, while the
+ * target had the request. */
 struct LostAttempt {
   AttemptId attempt;
   Fingerprint fingerprint;
@@ -16,8 +16,6 @@
   ServiceId service;
   //! From the sending of the attempt to its end.
   Duration took{};
-  //! Whether the call of the attempt had ended before.
-  bool after_call = false;
 };
 
 }  // namespace jacinthdeck
