--- a/src/jacinthdeck/forward/attempt_end.h
+++ b/src/jacinthdeck/forward/attempt_end.h
@@ -71,7 +71,7 @@
   //! Valid with kResponse.
   TargetResponse response;
   std::optional<LoadReport> load;
-  //! No connection could be opened, as when the target has ended. Valid with
+  //! The connection was refused, as when the target has ended. Valid with
   //! kNotSent.
   bool unreachable = false;
   //! The connection ended by itself while the target had the request, as it
--- a/src/jacinthdeck/forward/forwarder.h
+++ b/src/jacinthdeck/forward/forwarder.h
@@ -245,6 +245,9 @@
                         TimePoint resolve_at,
                         TimePoint now);
   void OnTargetEnded(const TargetId& target, TimePoint now);
+  //! Returns whether a target of the same failure domain has answered since the
+  //! check of this one began.
+  [[nodiscard]] bool IsOnlyTargetSilent(const TargetId& target);
   void ApplyGuardChanges(const CrashGuardChanges& changes);
   //! Checks the targets under which attempts have ended without a response.
   void CheckDueTargets(TimePoint now);
@@ -268,6 +271,9 @@
   //! When this host got its share.
   TimePoint m_share_since;
   CrashGuard m_crash_guard;
+  //! Last response of a target in each failure domain, recorded while attempts
+  //! are unresolved.
+  std::map<FailureDomain, TimePoint> m_domain_answers;
   std::uint64_t m_next_attempt = 1;
   //! Profiles by route name, kept when the configuration changes. References
   //! stay valid.
--- a/src/jacinthdeck/forward/forwarder_quarantine.cc
+++ b/src/jacinthdeck/forward/forwarder_quarantine.cc
@@ -80,6 +80,9 @@
   switch (end.outcome) {
     case AttemptOutcome::kResponse:
       m_crash_guard.OnAnswered(guarded, now);
+      if (m_crash_guard.unresolved().size() > 0) {
+        m_domain_answers[attempt.target->entry().domain] = now;
+      }
       break;
     case AttemptOutcome::kNotExecuted:
       m_crash_guard.OnNotRun(guarded);
@@ -121,7 +124,23 @@
 void Forwarder::OnTargetChecked(const TargetId& target,
                                 TargetCheck result,
                                 TimePoint now) {
+  if (result == TargetCheck::kTimedOut && IsOnlyTargetSilent(target)) {
+    result = TargetCheck::kUnreachable;
+  }
   ApplyGuardChanges(m_crash_guard.OnTargetChecked(target, result, now));
+  CheckDueTargets(now);
+}
+
+// A host that is cut off from a failure domain, or from all, finds its targets
+// silent as well. It would quarantine harmless requests for all hosts.
+bool Forwarder::IsOnlyTargetSilent(const TargetId& id) {
+  const TrackedTarget* target = m_targets.Find(id);
+  const auto since = m_crash_guard.unresolved().CheckingSince(id);
+  if (target == nullptr || !since) {
+    return false;
+  }
+  const auto answer = m_domain_answers.find(target->entry().domain);
+  return answer != m_domain_answers.end() && answer->second >= *since;
 }
 
 void Forwarder::ApplyGuardChanges(const CrashGuardChanges& changes) {
--- a/src/jacinthdeck/forward/unresolved_attempts.cc
+++ b/src/jacinthdeck/forward/unresolved_attempts.cc
@@ -25,6 +25,12 @@
          });
 }
 
+std::optional<TimePoint> UnresolvedAttempts::CheckingSince(
+    const TargetId& target) const {
+  const auto found = m_targets.find(target);
+  return found == m_targets.end() ? std::nullopt : found->second.checking_since;
+}
+
 bool UnresolvedAttempts::Add(const UnresolvedAttempt& attempt, TimePoint now) {
   if (m_size >= kMaxAttempts) {
     return false;
@@ -80,7 +86,7 @@
   }
   const TimePoint since = *std::exchange(found->second.checking_since, {});
   for (Held& held : found->second.attempts) {
-    if (result == TargetCheck::kUnknown && !held.check_at) {
+    if (result != TargetCheck::kReachable && !held.check_at) {
       held.check_at = now + kCheckPause;
     }
   }
@@ -101,15 +107,16 @@
     if (found == m_targets.end()) {
       continue;
     }
-    bool check = false;
-    for (Held& held : found->second.attempts) {
-      if (held.check_at && *held.check_at <= now) {
+    Target& target = found->second;
+    for (Held& held : target.attempts) {
+      // A check that began before the attempt ended says nothing of it.
+      if (held.check_at && *held.check_at <= now &&
+          target.checking_since.value_or(now) == now) {
         held.check_at.reset();
-        check = true;
+        target.checking_since = now;
       }
     }
-    if (check && !found->second.checking_since) {
-      found->second.checking_since = now;
+    if (target.checking_since == now) {
       due.to_check.push_back(*id);
     }
     Rearm(*id);
@@ -126,10 +133,11 @@
     m_timers.Remove(id);
     return;
   }
+  const bool checking = found->second.checking_since.has_value();
   TimePoint next = TimePoint::max();
   for (const Held& held : found->second.attempts) {
-    next =
-        std::min(next, held.check_at.value_or(held.attempt.due + kRetention));
+    const TimePoint expiry = held.attempt.due + kRetention;
+    next = std::min(next, checking ? expiry : held.check_at.value_or(expiry));
   }
   m_timers.Set(id, next);
 }
--- a/src/jacinthdeck/forward/unresolved_attempts.h
+++ b/src/jacinthdeck/forward/unresolved_attempts.h
@@ -18,7 +18,10 @@
 /*! \brief Result of a check whether a target accepts connections. */
 enum class TargetCheck {
   kReachable,
+  //! The connection was refused: nothing listens at the address.
   kUnreachable,
+  //! Nothing answered: the target has ended, or cannot be reached from here.
+  kTimedOut,
   //! No connection could be tried.
   kUnknown,
 };
@@ -68,6 +71,10 @@
    * target than the one that started at \p started_ms. */
   [[nodiscard]] bool IsOfEarlierProcess(const TargetId& target,
                                         std::uint64_t started_ms) const;
+  /*! \brief Returns when the check of a target in progress began; empty if
+   * there is none. */
+  [[nodiscard]] std::optional<TimePoint> CheckingSince(
+      const TargetId& target) const;
   /*! \brief Returns when TakeDue() has something to do. */
   [[nodiscard]] std::optional<TimePoint> NextDue() const {
     return m_timers.Next();
@@ -89,7 +96,8 @@
    *
    * A reachable target survived the attempts whose connection it had closed. It
    * says nothing of the others: another process may listen at its address by
-   * now. For an unreachable one call OnTargetGone().
+   * now. For an unreachable one call OnTargetGone(); one that timed out is
+   * checked again.
    * \return The attempts that the target survived, which are removed.
    */
   [[nodiscard]] Attempts OnChecked(const TargetId& target,
--- a/src/jacinthdeck/http/target_connection.cc
+++ b/src/jacinthdeck/http/target_connection.cc
@@ -40,13 +40,19 @@
 //! would close the connection before the full timeout has passed.
 constexpr int kIdleTimeoutPercent = 60;
 
-//! Returns whether an error tells that nothing listens at the address, rather
-//! than that this host could not try.
-[[nodiscard]] bool IsUnreachable(const SystemError& error) {
-  return error == asio::error::connection_refused ||
-         error == asio::error::connection_reset ||
-         error == asio::error::host_unreachable ||
-         error == asio::error::timed_out;
+//! Returns what the result of opening a connection says of the target.
+[[nodiscard]] TargetCheck CheckOf(const SystemError& error) {
+  if (!error) {
+    return TargetCheck::kReachable;
+  }
+  if (error == asio::error::connection_refused ||
+      error == asio::error::connection_reset) {
+    return TargetCheck::kUnreachable;
+  }
+  return error == asio::error::timed_out ||
+                 error == asio::error::host_unreachable
+             ? TargetCheck::kTimedOut
+             : TargetCheck::kUnknown;
 }
 
 }  // namespace
@@ -112,10 +118,7 @@
   } else {
     Close();
   }
-  const TargetCheck failure =
-      IsUnreachable(error) ? TargetCheck::kUnreachable : TargetCheck::kUnknown;
-  m_pool.m_sink.OnTargetChecked(m_target.id,
-                                error ? failure : TargetCheck::kReachable);
+  m_pool.m_sink.OnTargetChecked(m_target.id, CheckOf(error));
 }
 
 void TargetConnection::Send(const OutgoingAttempt& attempt) {
@@ -368,7 +371,7 @@
   }
   AttemptEnd end;
   end.outcome = AttemptOutcome::kNotSent;
-  end.unreachable = IsUnreachable(error);
+  end.unreachable = CheckOf(error) == TargetCheck::kUnreachable;
   CloseAndReport(end);
 }
 
--- a/test/jacinthdeck/forward/crash_guard_test.cc
+++ b/test/jacinthdeck/forward/crash_guard_test.cc
@@ -205,6 +205,19 @@
   BOOST_TEST(guard.TakeDueChecks(clock.Now()).size() == 1U);
 }
 
+// Guards against the result of a check that began before the attempt ended.
+BOOST_AUTO_TEST_CASE(Check_BeganBeforeAttemptEnded_TargetIsCheckedAgain) {
+  (void)LoseAnswer("s/1");
+  BOOST_REQUIRE_EQUAL(guard.TakeDueChecks(clock.Now()).size(), 1U);
+  clock.Advance(milliseconds(1));
+  (void)LoseAnswer("s/1");
+  BOOST_TEST(guard.TakeDueChecks(clock.Now()).empty());
+  (void)guard.OnTargetChecked(TargetId("s/1"), TargetCheck::kReachable,
+                              clock.Now());
+  BOOST_TEST(guard.unresolved().size() == 1U);
+  BOOST_TEST(guard.TakeDueChecks(clock.Now()).size() == 1U);
+}
+
 // Guards against an unbounded table while callers disconnect in masses.
 BOOST_AUTO_TEST_CASE(Unresolved_TableIsFull_FurtherAttemptsAreDropped) {
   for (std::size_t at = 0; at < UnresolvedAttempts::kMaxAttempts + 10; ++at) {
--- a/test/jacinthdeck/forward/forwarder_test.cc
+++ b/test/jacinthdeck/forward/forwarder_test.cc
@@ -199,6 +199,36 @@
       (port.delivered.back().answer.reason == ForwardReason::kCrashesTargets));
 }
 
+// Guards against a host that is cut off from a failure domain, takes all its
+// targets for ended and has their requests quarantined by all hosts.
+BOOST_AUTO_TEST_CASE(Check_TimesOutAndDomainIsSilent_RequestIsNotSuspect) {
+  (void)Submit("/read/1");
+  const OutgoingAttempt first = port.sent.front();
+  End(first, AttemptOutcome::kBroken, true);
+  forwarder.OnTargetChecked(first.target.id, TargetCheck::kTimedOut,
+                            clock.Now());
+  BOOST_TEST(port.suspects.empty());
+}
+
+// The same where another target of the domain answers during the check.
+BOOST_AUTO_TEST_CASE(Check_TimesOutAndDomainAnswers_RequestIsSuspect) {
+  (void)Submit("/read/1");
+  const OutgoingAttempt first = port.sent.front();
+  (void)Submit("/fan/1");
+  End(first, AttemptOutcome::kBroken, true);
+  clock.Advance(milliseconds(1));
+  const std::vector<OutgoingAttempt> sent(port.sent);
+  for (const OutgoingAttempt& attempt : sent) {
+    if (attempt.id != first.id &&
+        attempt.target.domain == first.target.domain) {
+      Answer(attempt, std::string(16, 'a'));
+    }
+  }
+  forwarder.OnTargetChecked(first.target.id, TargetCheck::kTimedOut,
+                            clock.Now());
+  BOOST_TEST(port.suspects.size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(Forwarder_QuarantinedByOtherHost_RequestIsRefused) {
   OpaqueRequest poison;
   poison.method = "GET";
