--- a/src/jacinthdeck/discovery/knowledge.cc
+++ b/src/jacinthdeck/discovery/knowledge.cc
@@ -190,7 +190,7 @@
     case KeyKind::kQuarantine:
       if (const auto fingerprint = ReadFingerprint(name.id);
           fingerprint && change.value) {
-        changed.quarantines.push_back(*fingerprint);
+        changed.quarantines.push_back({*fingerprint, ServiceId(*change.value)});
       }
       break;
     case KeyKind::kSuspect:
--- a/src/jacinthdeck/discovery/knowledge.h
+++ b/src/jacinthdeck/discovery/knowledge.h
@@ -26,7 +26,7 @@
 namespace jacinthdeck {
 
 /*! \brief A request that another host found a target to end under. */
-struct SharedSuspect {
+struct SharedCrash {
   Fingerprint fingerprint;
   //! Service of the target.
   ServiceId service;
@@ -41,9 +41,10 @@
   bool schema = false;
   //! Services whose partition maps were written.
   std::vector<ServiceId> indexes;
-  //! Fingerprints of requests that another host found to crash targets.
-  std::vector<Fingerprint> quarantines;
-  std::vector<SharedSuspect> suspects;
+  //! Requests that another host quarantined.
+  std::vector<SharedCrash> quarantines;
+  //! Requests that are suspect at another host.
+  std::vector<SharedCrash> suspects;
   //! Errors of entries that could not be decoded.
   std::vector<Error> unreadable;
 
--- a/src/jacinthdeck/discovery/platform_codec.h
+++ b/src/jacinthdeck/discovery/platform_codec.h
@@ -26,7 +26,8 @@
   kEvacuation,
   kTarget,
   kHost,
-  //! Fingerprint of a request that crashes its targets.
+  //! Fingerprint of a request that crashes its targets; the value names the
+  //! service of the target under its probe.
   kQuarantine,
   //! Fingerprint of a request that a target ended under; the value names the
   //! service of the target.
--- a/src/jacinthdeck/discovery/store_session.h
+++ b/src/jacinthdeck/discovery/store_session.h
@@ -138,7 +138,9 @@
 
   /*! \brief Informs the other hosts, through the store, that a request crashes
    * its targets; those that start later as well, for a given time. */
-  void ShareQuarantine(Fingerprint fingerprint, Duration lifetime);
+  void ShareQuarantine(Fingerprint fingerprint,
+                       const ServiceId& service,
+                       Duration lifetime);
 
   /*! \brief Applies due removals and writes due member records; called a few
    * times a second. */
--- a/src/jacinthdeck/discovery/store_session_writes.cc
+++ b/src/jacinthdeck/discovery/store_session_writes.cc
@@ -73,12 +73,14 @@
   }
 }
 
-void StoreSession::ShareQuarantine(Fingerprint fingerprint, Duration lifetime) {
+void StoreSession::ShareQuarantine(Fingerprint fingerprint,
+                                   const ServiceId& service,
+                                   Duration lifetime) {
   if (m_quarantines.size() < kMaxPendingMarks) {
     m_quarantine_lease = m_quarantines.empty()
                              ? lifetime
                              : std::max(m_quarantine_lease, lifetime);
-    m_quarantines.emplace(m_codec.QuarantineKey(fingerprint), "1");
+    m_quarantines.emplace(m_codec.QuarantineKey(fingerprint), service.raw());
   }
   if (!m_writes.busy()) {
     ScheduleWriteStep(Duration::zero());
--- a/src/jacinthdeck/entry/entry_node.cc
+++ b/src/jacinthdeck/entry/entry_node.cc
@@ -232,7 +232,8 @@
 
 void EntryNode::ShareQuarantine(const CrashEvidence& evidence) {
   m_decisions.OnCrash(LogEvent::kQuarantined, evidence);
-  m_store.ShareQuarantine(evidence.fingerprint, evidence.quarantined_for);
+  m_store.ShareQuarantine(evidence.fingerprint, evidence.service,
+                          evidence.quarantined_for);
 }
 
 void EntryNode::CheckTarget(const TargetEntry& target,
--- a/src/jacinthdeck/entry/entry_node_discovery.cc
+++ b/src/jacinthdeck/entry/entry_node_discovery.cc
@@ -81,13 +81,13 @@
   if (change.hosts || change.config) {
     UpdateHosts(now);
   }
-  for (const SharedSuspect& suspect : change.suspects) {
+  for (const SharedCrash& suspect : change.suspects) {
     m_forwarder.AddSuspect(suspect.fingerprint, suspect.service, now);
     m_typed_service.calls().AddPeerSuspect(suspect.fingerprint, now);
   }
-  for (const Fingerprint fingerprint : change.quarantines) {
-    m_forwarder.QuarantineRequest(fingerprint, now);
-    m_typed_service.calls().AddPeerQuarantine(fingerprint, now);
+  for (const SharedCrash& crash : change.quarantines) {
+    m_forwarder.QuarantineRequest(crash.fingerprint, crash.service, now);
+    m_typed_service.calls().AddPeerQuarantine(crash.fingerprint, now);
   }
   UpdateRecordWriter(now);
   UpdateTypedCalls(change, now);
--- a/src/jacinthdeck/forward/crash_guard.cc
+++ b/src/jacinthdeck/forward/crash_guard.cc
@@ -52,6 +52,8 @@
 
 void CrashGuard::OnAnswered(const GuardedAttempt& attempt, TimePoint now) {
   OnNotRun(attempt);
+  const std::uint64_t key = AnswerKey(attempt.fingerprint, attempt.service);
+  m_answers[key % kAnswerSlots] = {key, now};
   (void)m_quarantine.RecordCompletion(attempt.fingerprint,
                                       RangeOf(attempt.service), now);
   if (m_unresolved.size() > 0) {
@@ -78,9 +80,11 @@
 CrashGuardChanges CrashGuard::OnTargetEnded(const TargetId& target,
                                             TimePoint now) {
   CrashGuardChanges changes;
-  for (const UnresolvedAttempt& attempt : m_unresolved.OnTargetGone(target)) {
-    if (attempt.probe) {
-      (void)m_probes.End(attempt.fingerprint, attempt.target);
+  const UnresolvedAttempts::Attempts ended = m_unresolved.OnTargetGone(target);
+  EndProbes(ended);
+  for (const UnresolvedAttempt& attempt : ended) {
+    if (WasAnswered(attempt.fingerprint, attempt.service, now)) {
+      continue;
     }
     CrashEvidence evidence{attempt.fingerprint, attempt.service, target};
     switch (m_quarantine.RecordCrash(
@@ -125,11 +129,35 @@
 void CrashGuard::AddPeerSuspect(Fingerprint fingerprint,
                                 const ServiceId& service,
                                 TimePoint now) {
-  m_quarantine.AddPeerSuspect(fingerprint, now, RangeOf(service));
+  if (!WasAnswered(fingerprint, service, now)) {
+    m_quarantine.AddPeerSuspect(fingerprint, now, RangeOf(service));
+  }
+}
+
+void CrashGuard::AddPeerQuarantine(Fingerprint fingerprint,
+                                   const ServiceId& service,
+                                   TimePoint now) {
+  if (!WasAnswered(fingerprint, service, now)) {
+    m_quarantine.AddPeerQuarantine(fingerprint, now);
+  }
+}
+
+std::uint64_t CrashGuard::AnswerKey(Fingerprint fingerprint,
+                                    const ServiceId& service) {
+  return XXH3_64bits_withSeed(service.raw().data(), service.raw().size(),
+                              fingerprint.raw());
+}
+
+bool CrashGuard::WasAnswered(Fingerprint fingerprint,
+                             const ServiceId& service,
+                             TimePoint now) const {
+  const std::uint64_t key = AnswerKey(fingerprint, service);
+  const Answer& answer = m_answers[key % kAnswerSlots];
+  return answer.key == key && answer.at && now - *answer.at < kAnswerRetention;
 }
 
-void CrashGuard::EndProbes(const UnresolvedAttempts::Attempts& survived) {
-  for (const UnresolvedAttempt& attempt : survived) {
+void CrashGuard::EndProbes(const UnresolvedAttempts::Attempts& resolved) {
+  for (const UnresolvedAttempt& attempt : resolved) {
     if (attempt.probe) {
       (void)m_probes.End(attempt.fingerprint, attempt.target);
     }
--- a/src/jacinthdeck/forward/crash_guard.h
+++ b/src/jacinthdeck/forward/crash_guard.h
@@ -2,7 +2,10 @@
 #ifndef JACINTHDECK_FORWARD_CRASH_GUARD_H_
 #define JACINTHDECK_FORWARD_CRASH_GUARD_H_
 
+#include <array>
 #include <chrono>
+#include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <vector>
 
@@ -53,6 +56,10 @@
  * answers the probe clears it; one that ends quarantines it. The ends of
  * attempts count whether or not their calls are still open, since a call may
  * end long before its targets do.
+ *
+ * A service that answers a request does not end under it. One that answered it
+ * within kAnswerRetention is therefore no evidence against it: a popular
+ * request always runs somewhere when other requests or faults end targets.
  */
 class CrashGuard {
  public:
@@ -60,6 +67,11 @@
   //! a probe after it ends a target.
   static constexpr Duration kFirstQuarantine = std::chrono::minutes(1);
   static constexpr Duration kLaterQuarantine = std::chrono::minutes(10);
+  //! How long an answer of a service speaks for a request.
+  static constexpr Duration kAnswerRetention = std::chrono::minutes(1);
+  //! Number of slots for answers. A popular request whose slot another one took
+  //! gets it back with its next answer.
+  static constexpr std::size_t kAnswerSlots = 4096;
 
   /*! \brief Returns the state of a request. */
   [[nodiscard]] QuarantineState StateOf(Fingerprint fingerprint,
@@ -130,19 +142,33 @@
                       const ServiceId& service,
                       TimePoint now);
 
-  /*! \brief Quarantines a request that another host quarantined. */
-  void AddPeerQuarantine(Fingerprint fingerprint, TimePoint now) {
-    m_quarantine.AddPeerQuarantine(fingerprint, now);
-  }
+  /*! \brief Quarantines a request that another host quarantined, as a target
+   * of a service ended under its probe. */
+  void AddPeerQuarantine(Fingerprint fingerprint,
+                         const ServiceId& service,
+                         TimePoint now);
 
  private:
-  void EndProbes(const UnresolvedAttempts::Attempts& survived);
+  struct Answer {
+    //! Hash of the request and the service.
+    std::uint64_t key = 0;
+    std::optional<TimePoint> at;
+  };
+
+  [[nodiscard]] static std::uint64_t AnswerKey(Fingerprint fingerprint,
+                                               const ServiceId& service);
+  [[nodiscard]] bool WasAnswered(Fingerprint fingerprint,
+                                 const ServiceId& service,
+                                 TimePoint now) const;
+  void EndProbes(const UnresolvedAttempts::Attempts& resolved);
 
   Quarantine m_quarantine{
       QuarantineOptions{.first_quarantine_ttl = kFirstQuarantine,
                         .quarantine_ttl = kLaterQuarantine}};
   ProbeGate m_probes;
   UnresolvedAttempts m_unresolved;
+  //! Last answer of each slot.
+  std::array<Answer, kAnswerSlots> m_answers{};
 };
 
 }  // namespace jacinthdeck
--- a/src/jacinthdeck/forward/forwarder.h
+++ b/src/jacinthdeck/forward/forwarder.h
@@ -98,7 +98,9 @@
 
   /*! \brief Applies the quarantine of a request that another host found to
    * crash its targets. */
-  void QuarantineRequest(Fingerprint fingerprint, TimePoint now);
+  void QuarantineRequest(Fingerprint fingerprint,
+                         const ServiceId& service,
+                         TimePoint now);
 
   /*! \brief Starts a call, or refuses it immediately. */
   void Submit(ForwardCall call, TimePoint now);
--- a/src/jacinthdeck/forward/forwarder_quarantine.cc
+++ b/src/jacinthdeck/forward/forwarder_quarantine.cc
@@ -189,8 +189,10 @@
   m_crash_guard.AddPeerSuspect(fingerprint, service, now);
 }
 
-void Forwarder::QuarantineRequest(Fingerprint fingerprint, TimePoint now) {
-  m_crash_guard.AddPeerQuarantine(fingerprint, now);
+void Forwarder::QuarantineRequest(Fingerprint fingerprint,
+                                  const ServiceId& service,
+                                  TimePoint now) {
+  m_crash_guard.AddPeerQuarantine(fingerprint, service, now);
 }
 
 }  // namespace jacinthdeck
--- a/test/jacinthdeck/forward/crashing_fleet.h
+++ b/test/jacinthdeck/forward/crashing_fleet.h
@@ -51,6 +51,9 @@
   //! Time until the other hosts know what a host wrote to the store. Their next
   //! watch begins up to 200 ms after the last change.
   Duration store_delay = std::chrono::milliseconds(220);
+  //! Share of the other requests that are one and the same, as a popular
+  //! search.
+  double popular_share = 0;
   //! Whether changes are shared among the hosts through the store.
   bool store_available = true;
   std::uint64_t seed = 1;
--- a/test/jacinthdeck/forward/crashing_request_test.cc
+++ b/test/jacinthdeck/forward/crashing_request_test.cc
@@ -92,6 +92,15 @@
   });
 }
 
+// Guards against the refusal of a popular request that runs beside a crashing
+// one: it is suspect, and a target that the other request ends runs its probe.
+BOOST_AUTO_TEST_CASE(PopularRequest_BesideCrashingOne_IsNotRefused) {
+  options.popular_share = 0.3;
+  RunSeeds([](const CrashingFleetResult& result) {
+    BOOST_TEST(result.others_refused == 0U);
+  });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace jacinthdeck
