--- /dev/null
+++ b/src/jacinthdeck/tenancy/fwd.h
@@ -0,0 +1,19 @@
+// Forward declarations of the tenancy module: client accounts, their keys and
+// their rate limits.
+#ifndef JACINTHDECK_TENANCY_FWD_H_
+#define JACINTHDECK_TENANCY_FWD_H_
+
+namespace jacinthdeck {
+
+class RateLimiter;
+class RateLimiterPort;
+class TenantTable;
+struct RateLimiterOptions;
+struct RateRequest;
+struct RateVerdict;
+struct Tenant;
+enum class RateDecision;
+
+}  // namespace jacinthdeck
+
+#endif  // JACINTHDECK_TENANCY_FWD_H_
