--- a/src/jacinthdeck/entry/answer_encoder.cc
+++ b/src/jacinthdeck/entry/answer_encoder.cc
@@ -59,9 +59,10 @@
   return response;
 }
 
-[[nodiscard]] EdgeResponse EncodeNotRun(const TargetProtocol& /*protocol*/,
-                                        ForwardAnswer& answer) {
-  EdgeResponse response = ReasonResponse(http_status::kUnavailable, answer);
+//! Makes a response that tells the caller when to send the request again.
+[[nodiscard]] EdgeResponse RetryResponse(int status,
+                                         const ForwardAnswer& answer) {
+  EdgeResponse response = ReasonResponse(status, answer);
   if (answer.retry_after) {
     response.headers.push_back(
         {"Retry-After", FormatSeconds(*answer.retry_after)});
@@ -69,6 +70,22 @@
   return response;
 }
 
+[[nodiscard]] EdgeResponse EncodeNotRun(const TargetProtocol& /*protocol*/,
+                                        ForwardAnswer& answer) {
+  return RetryResponse(http_status::kUnavailable, answer);
+}
+
+[[nodiscard]] EdgeResponse EncodeUnauthorized(
+    const TargetProtocol& /*protocol*/,
+    ForwardAnswer& answer) {
+  return ReasonResponse(http_status::kUnauthorized, answer);
+}
+
+[[nodiscard]] EdgeResponse EncodeOverLimit(const TargetProtocol& /*protocol*/,
+                                           ForwardAnswer& answer) {
+  return RetryResponse(http_status::kTooManyRequests, answer);
+}
+
 [[nodiscard]] EdgeResponse EncodeFailed(const TargetProtocol& /*protocol*/,
                                         ForwardAnswer& answer) {
   return ReasonResponse(http_status::kBadGateway, answer);
@@ -85,9 +102,9 @@
 }
 
 //! Encoders in the order of the enumerators of AnswerKind.
-constexpr std::array<Encoder, 6> kEncoders{&EncodeResponse, &EncodeMerged,
-                                           &EncodeNotRun,   &EncodeFailed,
-                                           &EncodeTimedOut, &EncodeNoRoute};
+constexpr std::array<Encoder, 8> kEncoders{
+    &EncodeResponse, &EncodeMerged,  &EncodeNotRun,       &EncodeFailed,
+    &EncodeTimedOut, &EncodeNoRoute, &EncodeUnauthorized, &EncodeOverLimit};
 
 }  // namespace
 
--- a/src/jacinthdeck/entry/answer_encoder.h
+++ b/src/jacinthdeck/entry/answer_encoder.h
@@ -11,9 +11,9 @@
 /**
  * \brief Encodes an answer as an HTTP response.
  *
- * Status 503 guarantees that the request has not run and never will, so only
- * AnswerKind::kNotRun is encoded as 503. Status 502 and 504 leave open whether
- * the request ran.
+ * Status 503 and 429 guarantee that the request has not run and never will, so
+ * only AnswerKind::kNotRun is encoded as 503, and kOverLimit as 429. Status 502
+ * and 504 leave open whether the request ran.
  */
 [[nodiscard]] EdgeResponse EncodeAnswer(const TargetProtocol& protocol,
                                         ForwardAnswer&& answer);
--- a/src/jacinthdeck/entry/decision_log.cc
+++ b/src/jacinthdeck/entry/decision_log.cc
@@ -237,6 +237,8 @@
   switch (call.answer.kind) {
     case AnswerKind::kNotRun:
     case AnswerKind::kNoRoute:
+    case AnswerKind::kUnauthorized:
+    case AnswerKind::kOverLimit:
       return LogEvent::kCallRefused;
     case AnswerKind::kFailed:
     case AnswerKind::kTimedOut:
--- a/src/jacinthdeck/entry/node_metrics.cc
+++ b/src/jacinthdeck/entry/node_metrics.cc
@@ -32,6 +32,8 @@
       return answer.missing_parts == 0 ? Outcome::kWhole : Outcome::kPartial;
     case AnswerKind::kNotRun:
     case AnswerKind::kNoRoute:
+    case AnswerKind::kUnauthorized:
+    case AnswerKind::kOverLimit:
       return Outcome::kNotRun;
     case AnswerKind::kFailed:
     case AnswerKind::kTimedOut:
--- a/src/jacinthdeck/forward/forward_answer.h
+++ b/src/jacinthdeck/forward/forward_answer.h
@@ -27,11 +27,17 @@
   kTimedOut,
   //! No route matches the request.
   kNoRoute,
+  //! The request carries no key of a client account.
+  kUnauthorized,
+  //! The client account is above its limit; the request has not run and never
+  //! will.
+  kOverLimit,
 };
 
 //! Names of the kinds, for logs and metrics.
-inline constexpr NameTable<AnswerKind, 6> kAnswerKindNames{
-    {"response", "merged", "not_run", "failed", "timed_out", "no_route"}};
+inline constexpr NameTable<AnswerKind, 8> kAnswerKindNames{
+    {"response", "merged", "not_run", "failed", "timed_out", "no_route",
+     "unauthorized", "over_limit"}};
 
 /*! \brief Why an answer is not a success of all shards. */
 enum class ForwardReason {
@@ -45,12 +51,20 @@
   kCrashesTargets,
   //! Shards were left out so that the answer was in time.
   kLeftOut,
+  kUnknownKey,
+  //! Keys may have been removed since this host last heard of the store.
+  kStaleKeys,
+  kRateLimit,
+  //! Whether the client account is above its limit could not be found out in
+  //! time.
+  kLimitUnknown,
 };
 
 //! Names of the reasons, for logs and metrics.
-inline constexpr NameTable<ForwardReason, 9> kForwardReasonNames{
+inline constexpr NameTable<ForwardReason, 13> kForwardReasonNames{
     {"none", "no_config", "no_route", "no_target", "overload", "deadline",
-     "targets_failed", "crashes_targets", "left_out"}};
+     "targets_failed", "crashes_targets", "left_out", "unknown_key",
+     "stale_keys", "rate_limit", "limit_unknown"}};
 
 /*! \brief Final answer to a forwarded call. */
 struct ForwardAnswer {
@@ -64,7 +78,8 @@
   std::uint32_t missing_parts = 0;
   //! With kMerged: the merged records.
   std::string records;
-  //! With kNotRun: time after which the caller may send the request again.
+  //! With kNotRun and kOverLimit: time after which the caller may send the
+  //! request again.
   std::optional<Duration> retry_after;
 };
 
--- a/src/jacinthdeck/forward/opaque_request.h
+++ b/src/jacinthdeck/forward/opaque_request.h
@@ -29,6 +29,8 @@
   bool has_body = false;
   //! Id that the caller gave this attempt; empty if it sent none.
   std::string request_id;
+  //! Client account that the target is told; empty for none.
+  std::string tenant;
 };
 
 /*! \brief Response of a target. */
--- a/src/jacinthdeck/forward/route.h
+++ b/src/jacinthdeck/forward/route.h
@@ -46,6 +46,8 @@
   //! Maximum number of targets that may execute one request, or one shard of
   //! it.
   std::uint32_t max_attempts = 1;
+  //! Whether callers need no key.
+  bool is_public = false;
   //! Services among which whole requests are split; empty for a fan-out.
   std::vector<WeightedService> services;
   //! Services that all get the request, at one target each; empty unless the
--- a/src/jacinthdeck/forward/routing_config.cc
+++ b/src/jacinthdeck/forward/routing_config.cc
@@ -25,8 +25,13 @@
 RoutingConfig::RoutingConfig(std::uint64_t version,
                              std::vector<Route> routes,
                              const std::vector<ServiceConfig>& services,
-                             CallerLimits limits)
-    : m_version(version), m_routes(std::move(routes)), m_limits(limits) {
+                             CallerLimits limits,
+                             std::shared_ptr<const TenantTable> tenants)
+    : m_version(version),
+      m_routes(std::move(routes)),
+      m_limits(limits),
+      m_tenants(tenants == nullptr ? std::make_shared<const TenantTable>()
+                                   : std::move(tenants)) {
   for (const Route& route : m_routes) {
     m_by_host[HostWithoutPort(route.host)].push_back(&route);
   }
--- a/src/jacinthdeck/forward/routing_config.h
+++ b/src/jacinthdeck/forward/routing_config.h
@@ -3,6 +3,7 @@
 #define JACINTHDECK_FORWARD_ROUTING_CONFIG_H_
 
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -11,6 +12,7 @@
 #include "jacinthdeck/core/ids.h"
 #include "jacinthdeck/core/time.h"
 #include "jacinthdeck/forward/route.h"
+#include "jacinthdeck/tenancy/tenant_table.h"
 
 namespace jacinthdeck {
 
@@ -48,12 +50,18 @@
   RoutingConfig(std::uint64_t version,
                 std::vector<Route> routes,
                 const std::vector<ServiceConfig>& services,
-                CallerLimits limits);
+                CallerLimits limits,
+                std::shared_ptr<const TenantTable> tenants = nullptr);
   RoutingConfig(const RoutingConfig&) = delete;
   RoutingConfig& operator=(const RoutingConfig&) = delete;
 
   [[nodiscard]] std::uint64_t version() const noexcept { return m_version; }
   [[nodiscard]] const CallerLimits& limits() const noexcept { return m_limits; }
+  //! Client accounts; never null, empty if keys are not checked.
+  [[nodiscard]] const std::shared_ptr<const TenantTable>& tenants()
+      const noexcept {
+    return m_tenants;
+  }
   [[nodiscard]] const std::vector<Route>& routes() const noexcept {
     return m_routes;
   }
@@ -92,6 +100,7 @@
   std::unordered_map<ServiceId, double> m_cold_rates;
   std::uint32_t m_min_target_connections = 0;
   CallerLimits m_limits;
+  std::shared_ptr<const TenantTable> m_tenants;
 };
 
 }  // namespace jacinthdeck
--- a/src/jacinthdeck/http/status.h
+++ b/src/jacinthdeck/http/status.h
@@ -9,6 +9,7 @@
 inline constexpr int kNoContent = 204;
 inline constexpr int kNotModified = 304;
 inline constexpr int kBadRequest = 400;
+inline constexpr int kUnauthorized = 401;
 inline constexpr int kForbidden = 403;
 inline constexpr int kNotFound = 404;
 inline constexpr int kRequestTimeout = 408;
--- a/src/jacinthdeck/http/target_connection.cc
+++ b/src/jacinthdeck/http/target_connection.cc
@@ -151,6 +151,9 @@
   if (!request.request_id.empty()) {
     AppendHeader(m_write_buffer, protocol.request_id, request.request_id);
   }
+  if (!request.tenant.empty()) {
+    AppendHeader(m_write_buffer, protocol.tenant, request.tenant);
+  }
   AppendHeader(m_write_buffer, protocol.time_left_ms,
                std::to_string(time_left.count()));
   AppendHeader(m_write_buffer, protocol.expected_target, m_target.id.raw());
--- a/src/jacinthdeck/http/target_protocol.h
+++ b/src/jacinthdeck/http/target_protocol.h
@@ -20,6 +20,10 @@
   std::string time_left_ms;
   //! Id of the target that must run the request; any other target refuses it.
   std::string expected_target;
+  //! Key of a client account, from callers; never sent to a target.
+  std::string key;
+  //! Name of the client account of a request.
+  std::string tenant;
   //! Value by which a target proves that a response is its own.
   std::string stamp;
   //! Present in a response if the target did not run the request.
