Send callers to failure domains that hold targets of the shards

Cause: in a failure domain with callers and no targets of the fan-out services, each part of an answer comes from another domain: 36 parts a call in place of one merged answer. The directory went by the caller's domain alone. The log line fronts_changed names the domains.

--- a/src/jacinthdeck/discovery/directory_choice.cc
+++ b/src/jacinthdeck/discovery/directory_choice.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <set>
 
 namespace jacinthdeck {
 
@@ -38,6 +39,19 @@
   chosen.resize(std::min(chosen.size(), kept));
 }
 
+//! Drops the hosts of domains without targets if enough others remain: from
+//! such a host each part of an answer comes from another domain.
+void PreferDomainsWithTargets(std::vector<const HostRecord*>& chosen,
+                              const std::set<FailureDomain>& target_domains) {
+  const auto lacks_targets = [&](const HostRecord* host) {
+    return !target_domains.contains(host->domain);
+  };
+  const auto others = std::ranges::count_if(chosen, lacks_targets);
+  if (chosen.size() - static_cast<std::size_t>(others) >= kMinAddresses) {
+    std::erase_if(chosen, lacks_targets);
+  }
+}
+
 }  // namespace
 
 std::vector<std::string> ChooseCallerAddresses(
@@ -52,6 +66,7 @@
   if (request.self_accepts_callers) {
     chosen.push_back(&request.self);
   }
+  PreferDomainsWithTargets(chosen, request.target_domains);
   const auto others = std::stable_partition(
       chosen.begin(), chosen.end(), [&](const HostRecord* host) {
         return host->domain == request.caller_domain;
--- a/src/jacinthdeck/discovery/directory_choice.h
+++ b/src/jacinthdeck/discovery/directory_choice.h
@@ -3,6 +3,7 @@
 #define JACINTHDECK_DISCOVERY_DIRECTORY_CHOICE_H_
 
 #include <cstddef>
+#include <set>
 #include <span>
 #include <string>
 #include <vector>
@@ -18,6 +19,8 @@
   //! This host's record; left out if it accepts no callers.
   HostRecord self;
   bool self_accepts_callers = false;
+  //! Domains that hold targets of the shards; empty if that is unknown.
+  std::set<FailureDomain> target_domains;
   //! Maximum number of addresses to return.
   std::size_t max_addresses = 64;
 };
@@ -26,7 +29,8 @@
  * \brief Chooses the addresses of live hosts for a caller.
  * \param hosts Hosts registered in the store; may hold an old record of self.
  * \return Distinct addresses, those of the caller's failure domain first. Only
- * hosts of that domain if it has enough of them; empty if no host is known.
+ * hosts of that domain if it has targets and enough hosts; otherwise only hosts
+ * of domains with targets if these have enough. Empty if no host is known.
  */
 [[nodiscard]] std::vector<std::string> ChooseCallerAddresses(
     const DirectoryRequest& request,
--- a/src/jacinthdeck/discovery/fleet.cc
+++ b/src/jacinthdeck/discovery/fleet.cc
@@ -40,6 +40,21 @@
   return ranked;
 }
 
+//! Removes the domains without targets, unless fewer than two domains with
+//! hosts would remain: the loss of one must leave fronts.
+void KeepDomainsWithTargets(Ranked& ranked,
+                            const std::set<FailureDomain>& target_domains) {
+  constexpr std::ptrdiff_t kMinDomains = 2;
+  const auto lacks_targets = [&](const auto& item) {
+    return !target_domains.contains(item.first);
+  };
+  if (std::ranges::count_if(ranked, [&](const auto& item) {
+        return !lacks_targets(item);
+      }) >= kMinDomains) {
+    std::erase_if(ranked, lacks_targets);
+  }
+}
+
 //! Returns how many hosts of a domain have at least kMinCapacityShare of the
 //! highest capacity.
 [[nodiscard]] std::size_t CountStrong(
@@ -93,12 +108,15 @@
   return watchers;
 }
 
-std::vector<HostRecord> ChooseFronts(std::span<const HostRecord> hosts,
-                                     std::uint32_t target_connections) {
+std::vector<HostRecord> ChooseFronts(
+    std::span<const HostRecord> hosts,
+    std::uint32_t target_connections,
+    const std::set<FailureDomain>& target_domains) {
   if (hosts.size() <= kSmallFleetSize) {
     return {hosts.begin(), hosts.end()};
   }
-  const Ranked ranked = RankByDomain(hosts);
+  Ranked ranked = RankByDomain(hosts);
+  KeepDomainsWithTargets(ranked, target_domains);
   std::uint32_t strongest = 0;
   for (const HostRecord& host : hosts) {
     strongest = std::max(strongest, host.cpu_millicores);
--- a/src/jacinthdeck/discovery/fleet.h
+++ b/src/jacinthdeck/discovery/fleet.h
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <set>
 #include <span>
 #include <vector>
 
@@ -43,12 +44,16 @@
  * \param hosts Live hosts.
  * \param target_connections Smallest number of connections that a target of
  * any service accepts from all hosts; 0 if unknown.
+ * \param target_domains Failure domains that hold targets of the shards. Hosts
+ * elsewhere are no fronts while these have enough of them; empty for no
+ * preference.
  * \return Records, by descending capacity in each domain; all hosts if the
  * fleet is small.
  */
 [[nodiscard]] std::vector<HostRecord> ChooseFronts(
     std::span<const HostRecord> hosts,
-    std::uint32_t target_connections);
+    std::uint32_t target_connections,
+    const std::set<FailureDomain>& target_domains = {});
 
 }  // namespace jacinthdeck
 
--- a/src/jacinthdeck/entry/decision_log.cc
+++ b/src/jacinthdeck/entry/decision_log.cc
@@ -3,6 +3,7 @@
 
 #include <array>
 #include <map>
+#include <set>
 #include <utility>
 
 #include "jacinthdeck/entry/evacuation_text.h"
@@ -38,6 +39,16 @@
   return std::move(line).Finish();
 }
 
+//! Formats failure domains as a JSON array.
+[[nodiscard]] std::string DomainsText(const std::set<FailureDomain>& domains) {
+  std::string text = "[";
+  for (const FailureDomain& domain : domains) {
+    text += text.size() > 1 ? "," : "";
+    AppendQuoted(text, domain.raw());
+  }
+  return text + "]";
+}
+
 //! Formats counts by reason of an attempt as a JSON object.
 [[nodiscard]] std::string CountsText(
     const std::array<std::uint64_t, 3>& by_reason) {
@@ -222,14 +233,16 @@
   m_log.Add(std::move(line));
 }
 
-void DecisionLog::OnFronts(const std::vector<HostRecord>& fronts) {
+void DecisionLog::OnFronts(const std::vector<HostRecord>& fronts,
+                           const std::set<FailureDomain>& target_domains) {
   std::map<FailureDomain, std::size_t> by_domain;
   for (const HostRecord& front : fronts) {
     ++by_domain[front.domain];
   }
   LogLine line = m_log.Begin(LogEvent::kFrontsChanged);
   line.Count("fronts", fronts.size())
-      .Raw("fronts_by_domain", CountsText(by_domain));
+      .Raw("fronts_by_domain", CountsText(by_domain))
+      .Raw("target_domains", DomainsText(target_domains));
   m_log.Add(std::move(line));
 }
 
--- a/src/jacinthdeck/entry/decision_log.h
+++ b/src/jacinthdeck/entry/decision_log.h
@@ -3,6 +3,7 @@
 #define JACINTHDECK_ENTRY_DECISION_LOG_H_
 
 #include <cstdint>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -82,8 +83,10 @@
   void OnTraffic(const HostTraffic& traffic);
 
   /*! \brief Logs that the set of fronts changed: the hosts that callers are
-   * sent to. */
-  void OnFronts(const std::vector<HostRecord>& fronts);
+   * sent to.
+   * \param target_domains Failure domains that hold targets of the shards. */
+  void OnFronts(const std::vector<HostRecord>& fronts,
+                const std::set<FailureDomain>& target_domains);
 
  private:
   [[nodiscard]] LogEvent EventOf(const EndedCall& call) const;
--- a/src/jacinthdeck/entry/entry_node.h
+++ b/src/jacinthdeck/entry/entry_node.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -97,6 +98,8 @@
   void OnRegistration(StoreStatus status) override;
 
   void UpdateHosts(TimePoint now);
+  //! Returns whether the domains that hold targets of the shards changed.
+  bool UpdateTargetDomains();
   //! Chooses which host writes this host's record to the store, and publishes
   //! the record if that choice changed.
   void UpdateRecordWriter(TimePoint now);
@@ -157,6 +160,8 @@
   EdgeServer m_queries_server;
   //! Hosts that the directory sends callers to.
   std::vector<HostRecord> m_fronts;
+  //! Failure domains that hold targets of the shards.
+  std::set<FailureDomain> m_target_domains;
   //! Highest number of hosts that served callers within a time window.
   HostCountWindow m_front_count;
   LoopLag m_loop_lag;
--- a/src/jacinthdeck/entry/entry_node_answers.cc
+++ b/src/jacinthdeck/entry/entry_node_answers.cc
@@ -46,6 +46,7 @@
   // the answer would otherwise be empty.
   directory_request.self_accepts_callers =
       IsReady() && (m_is_front || m_fronts.empty());
+  directory_request.target_domains = m_target_domains;
   directory_request.max_addresses = kMaxDirectoryAddresses;
   const std::vector<std::string> addresses =
       ChooseCallerAddresses(directory_request, m_fronts);
--- a/src/jacinthdeck/entry/entry_node_discovery.cc
+++ b/src/jacinthdeck/entry/entry_node_discovery.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "jacinthdeck/discovery/fleet.h"
+#include "jacinthdeck/discovery/target_domains.h"
 
 namespace jacinthdeck {
 
@@ -78,7 +79,9 @@
     m_forwarder.SetTargets(targets, now);
     m_pool.Retain(targets);
   }
-  if (change.hosts || change.config) {
+  const bool domains_changed =
+      (change.targets || change.config) && UpdateTargetDomains();
+  if (change.hosts || change.config || domains_changed) {
     UpdateHosts(now);
   }
   for (const SharedCrash& suspect : change.suspects) {
@@ -127,18 +130,33 @@
   m_log.Add(std::move(line));
 }
 
+bool EntryNode::UpdateTargetDomains() {
+  const DiscoveryState& discovery_state = m_store.discovery_state();
+  if (discovery_state.config() == nullptr) {
+    return false;
+  }
+  std::set<FailureDomain> domains =
+      DomainsWithTargets(*discovery_state.config(), discovery_state.Targets());
+  if (domains == m_target_domains) {
+    return false;
+  }
+  m_target_domains = std::move(domains);
+  return true;
+}
+
 void EntryNode::UpdateHosts(TimePoint now) {
   const std::vector<HostRecord> hosts = m_store.discovery_state().Hosts();
   m_feed_hub.OnHosts(hosts);
   const std::shared_ptr<const RoutingConfig>& config =
       m_store.discovery_state().config();
   std::vector<HostRecord> fronts = ChooseFronts(
-      hosts, config == nullptr ? 0 : config->MinTargetConnections());
+      hosts, config == nullptr ? 0 : config->MinTargetConnections(),
+      m_target_domains);
   const bool same_fronts = std::ranges::equal(
       fronts, m_fronts, {}, &HostRecord::name, &HostRecord::name);
   m_fronts = std::move(fronts);
   if (!same_fronts) {
-    m_decisions.OnFronts(m_fronts);
+    m_decisions.OnFronts(m_fronts, m_target_domains);
     std::vector<HostId> names;
     std::ranges::transform(m_fronts, std::back_inserter(names),
                            &HostRecord::name);
--- a/test/jacinthdeck/discovery/directory_choice_test.cc
+++ b/test/jacinthdeck/discovery/directory_choice_test.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -23,6 +24,8 @@
                                 MakeHost(3, "a"), MakeHost(4, "b"),
                                 MakeHost(5, "c"), MakeHost(6, "c")};
 
+  std::set<FailureDomain> target_domains;
+
   [[nodiscard]] std::vector<std::string> AddressesFor(
       const std::string& domain,
       bool self_accepts_callers = true) const {
@@ -30,6 +33,7 @@
     request.caller_domain = FailureDomain(domain);
     request.self = hosts[3];
     request.self_accepts_callers = self_accepts_callers;
+    request.target_domains = target_domains;
     return ChooseCallerAddresses(request, hosts);
   }
 };
@@ -57,6 +61,23 @@
   BOOST_TEST(AddressesFor("elsewhere").size() == 6U);
 }
 
+// Load: callers of a failure domain whose hosts get each part of an answer from
+// another domain.
+BOOST_AUTO_TEST_CASE(Domain_HasNoTargets_CallersGoToDomainsThatHaveThem) {
+  target_domains = {FailureDomain("b"), FailureDomain("c")};
+  const auto addresses = AddressesFor("a");
+  BOOST_TEST(addresses.size() == 3U);
+  BOOST_TEST((std::ranges::find(addresses, "10.0.0.1:80") == addresses.end()));
+}
+
+// With too few hosts beside the targets, the loss of these would leave the
+// callers without an address.
+BOOST_AUTO_TEST_CASE(DomainsWithTargets_HaveTwoHosts_OthersStayListed) {
+  target_domains = {FailureDomain("c")};
+  BOOST_TEST(AddressesFor("a").size() == 3U);
+  BOOST_TEST(AddressesFor("a").front() == "10.0.0.1:80");
+}
+
 BOOST_AUTO_TEST_CASE(Self_IsStopping_IsNotReturned) {
   const auto addresses = AddressesFor("b", false);
   BOOST_TEST(addresses.size() == 5U);
--- a/test/jacinthdeck/discovery/fleet_test.cc
+++ b/test/jacinthdeck/discovery/fleet_test.cc
@@ -97,6 +97,23 @@
   BOOST_TEST(most.size() <= 25U);
 }
 
+// A front without targets in its domain gets each part from elsewhere, and
+// takes a share of the connections from the fronts beside the targets.
+BOOST_AUTO_TEST_CASE(Fronts_DomainHasNoTargets_AreInTheOthers) {
+  const auto fronts = ChooseFronts(
+      MakeFleet(4, 2, 17), 70,
+      {FailureDomain("d0"), FailureDomain("d1"), FailureDomain("d2")});
+  BOOST_TEST(fronts.size() == 6U);
+  BOOST_TEST(CountDomains(fronts) == 3U);
+}
+
+// The loss of the only domain with targets must leave fronts.
+BOOST_AUTO_TEST_CASE(Fronts_OneDomainHasTargets_AreInAllDomains) {
+  const auto fronts =
+      ChooseFronts(MakeFleet(4, 2, 17), 70, {FailureDomain("d0")});
+  BOOST_TEST(CountDomains(fronts) == 4U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace jacinthdeck
