--- a/src/jacinthdeck/discovery/fleet.cc
+++ b/src/jacinthdeck/discovery/fleet.cc
@@ -14,8 +14,10 @@
 constexpr std::size_t kMinFrontsPerDomain = 2;
 //! Connections to a target that one front needs to use the target's slots.
 constexpr std::uint32_t kConnectionsPerFront = 3;
-//! A host becomes a front if it has this share of the highest capacity.
-constexpr double kMinCapacityShare = 0.5;
+//! A host becomes a front at once if it has this share of the highest capacity.
+//! Each front learns of slow and failing targets from its own calls alone, so
+//! more fronts than the load needs make each of them learn later.
+constexpr double kMinCapacityShare = 0.7;
 //! Hosts are added while more than this share of the fronts is busy. Each step
 //! doubles the fronts; once only the former half is busy, no more are added.
 constexpr double kMaxBusyShare = 0.5;
@@ -40,6 +42,21 @@
   return ranked;
 }
 
+//! Removes the domains without targets, unless fewer than two domains with
+//! hosts would remain: the loss of one must leave fronts.
+void KeepDomainsWithTargets(Ranked& ranked,
+                            const std::set<FailureDomain>& target_domains) {
+  constexpr std::ptrdiff_t kMinDomains = 2;
+  const auto lacks_targets = [&](const auto& item) {
+    return !target_domains.contains(item.first);
+  };
+  if (std::ranges::count_if(ranked, [&](const auto& item) {
+        return !lacks_targets(item);
+      }) >= kMinDomains) {
+    std::erase_if(ranked, lacks_targets);
+  }
+}
+
 //! Returns how many hosts of a domain have at least kMinCapacityShare of the
 //! highest capacity.
 [[nodiscard]] std::size_t CountStrong(
@@ -93,12 +110,15 @@
   return watchers;
 }
 
-std::vector<HostRecord> ChooseFronts(std::span<const HostRecord> hosts,
-                                     std::uint32_t target_connections) {
+std::vector<HostRecord> ChooseFronts(
+    std::span<const HostRecord> hosts,
+    std::uint32_t target_connections,
+    const std::set<FailureDomain>& target_domains) {
   if (hosts.size() <= kSmallFleetSize) {
     return {hosts.begin(), hosts.end()};
   }
-  const Ranked ranked = RankByDomain(hosts);
+  Ranked ranked = RankByDomain(hosts);
+  KeepDomainsWithTargets(ranked, target_domains);
   std::uint32_t strongest = 0;
   for (const HostRecord& host : hosts) {
     strongest = std::max(strongest, host.cpu_millicores);
--- a/test/jacinthdeck/discovery/fleet_test.cc
+++ b/test/jacinthdeck/discovery/fleet_test.cc
@@ -97,6 +97,37 @@
   BOOST_TEST(most.size() <= 25U);
 }
 
+// A front without targets in its domain gets each part from elsewhere, and
+// takes a share of the connections from the fronts beside the targets.
+BOOST_AUTO_TEST_CASE(Fronts_DomainHasNoTargets_AreInTheOthers) {
+  const auto fronts = ChooseFronts(
+      MakeFleet(4, 2, 17), 70,
+      {FailureDomain("d0"), FailureDomain("d1"), FailureDomain("d2")});
+  BOOST_TEST(fronts.size() == 6U);
+  BOOST_TEST(CountDomains(fronts) == 3U);
+}
+
+// The loss of the only domain with targets must leave fronts.
+BOOST_AUTO_TEST_CASE(Fronts_OneDomainHasTargets_AreInAllDomains) {
+  const auto fronts =
+      ChooseFronts(MakeFleet(4, 2, 17), 70, {FailureDomain("d0")});
+  BOOST_TEST(CountDomains(fronts) == 4U);
+}
+
+// Load: calls that one front alone could take. Spread over many fronts, each
+// sees a failing target too rarely to avoid it before the failure is over.
+BOOST_AUTO_TEST_CASE(Fronts_WeakerHostsAreNotNeeded_AreTheStrongestOnly) {
+  std::vector<HostRecord> hosts = MakeFleet(4, 2, 4);
+  for (HostRecord& host : hosts) {
+    host.cpu_millicores = host.cpu_millicores == 120 ? 320 : 500;
+  }
+  BOOST_TEST(ChooseFronts(hosts, 61).size() == 8U);
+  for (HostRecord& host : hosts) {
+    host.busy = true;
+  }
+  BOOST_TEST(ChooseFronts(hosts, 61).size() > 8U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace jacinthdeck
