--- a/cmake/Dependencies.cmake
+++ b/cmake/Dependencies.cmake
@@ -8,6 +8,8 @@
 find_path(XXHASH_INCLUDE xxhash.h REQUIRED)
 find_library(ZSTD_LIBRARY zstd REQUIRED)
 find_path(ZSTD_INCLUDE zstd.h REQUIRED)
+find_library(SODIUM_LIBRARY sodium REQUIRED)
+find_path(SODIUM_INCLUDE sodium.h REQUIRED)
 find_path(TOMLPP_INCLUDE toml++/toml.h REQUIRED)
 if(NOT JACINTHDECK_ENTRY_ONLY)
   # Libraries of the tests, the stand-ins and the scenario scripts.
--- a/src/jacinthdeck/tenancy/fwd.h
+++ b/src/jacinthdeck/tenancy/fwd.h
@@ -8,6 +8,7 @@
 class RateLimiter;
 class RateLimiterPort;
 class TenantTable;
+struct KeyDigest;
 struct RateLimiterOptions;
 struct RateRequest;
 struct RateVerdict;
