--- a/src/jacinthdeck/discovery/platform_codec.h
+++ b/src/jacinthdeck/discovery/platform_codec.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "jacinthdeck/core/ids.h"
 #include "jacinthdeck/core/result.h"
@@ -79,6 +80,10 @@
 
   [[nodiscard]] virtual Result<std::shared_ptr<const RoutingConfig>> ReadConfig(
       const std::string& value) const = 0;
+  /*! \brief Returns the errors of a configuration; empty if ReadConfig()
+   * accepts it. */
+  [[nodiscard]] virtual std::vector<Error> CheckConfig(
+      const std::string& value) const = 0;
   /**
    * \brief Parses the failure domain of an evacuation from its key.
    *
