Take the account of a typed call from its key, and add the settings of keys

Cause: with accounts in force, typed calls named their account themselves.

A typed call without a valid key is answered 401 when the configuration has accounts; the header that names an account is ignored then. Without accounts nothing changes.

--- a/src/daemons/ctl/command.cc
+++ b/src/daemons/ctl/command.cc
@@ -5,6 +5,7 @@
 #include <array>
 #include <limits>
 
+#include "ctl/account_command.h"
 #include "ctl/era_command.h"
 #include "ctl/evacuation_command.h"
 #include "ctl/explain_command.h"
@@ -18,7 +19,7 @@
 
 constexpr std::size_t kUnlimited = std::numeric_limits<std::size_t>::max();
 
-constexpr std::array<Command, 11> kCommands{{
+constexpr std::array<Command, 12> kCommands{{
     {"schema", "check", "FILE", "check a schema file without sending it", 1, 1,
      &SchemaCheck},
     {"schema", "apply", "FILE", "check a schema file and write it to the store",
@@ -26,6 +27,9 @@
     {"schema", "show", "", "print the schema in the store", 0, 0, &SchemaShow},
     {"index", "apply", "FILE",
      "check partition maps and write them to the store", 1, 1, &IndexApply},
+    {"accounts", "check", "FILE",
+     "check a configuration and print its accounts without their keys", 1, 1,
+     &AccountsCheck},
     {"status", "", "", "print the status of a host", 0, 0, &ShowStatus},
     {"hosts", "", "", "print the hosts registered in the store", 0, 0,
      &ShowHosts},
--- a/src/jacinthdeck/core/error.h
+++ b/src/jacinthdeck/core/error.h
@@ -20,12 +20,14 @@
   kOutcomeUnknown,
   kCorrupt,
   kInternal,
+  kUnauthorized,
 };
 
 //! Names of the error codes in replies and logs.
-inline constexpr NameTable<ErrorCode, 10> kErrorCodeNames{
+inline constexpr NameTable<ErrorCode, 11> kErrorCodeNames{
     {"invalid_argument", "not_found", "conflict", "too_large", "unavailable",
-     "timeout", "rate_limited", "outcome_unknown", "corrupt", "internal"}};
+     "timeout", "rate_limited", "outcome_unknown", "corrupt", "internal",
+     "unauthorized"}};
 
 /*! \brief Error code with the object concerned and a message. */
 struct Error {
--- a/src/jacinthdeck/entry/entry_node.cc
+++ b/src/jacinthdeck/entry/entry_node.cc
@@ -9,6 +9,7 @@
 #include <random>
 #include <utility>
 
+#include "jacinthdeck/entry/account_headers.h"
 #include "jacinthdeck/entry/answer_encoder.h"
 #include "jacinthdeck/entry/node_metrics.h"
 
@@ -107,6 +108,12 @@
           m_pool,
           m_metrics,
           [this] { return m_store.discovery_state().Hosts(); },
+          [this](const EdgeRequest& request) {
+            const auto& config = m_store.discovery_state().config();
+            return TypedAccountOf(
+                request.headers, m_protocol.targets,
+                config == nullptr ? nullptr : config->tenants().get());
+          },
           [this](Fingerprint fingerprint, QuarantineState state) {
             if (state == QuarantineState::kQuarantined) {
               ShareQuarantine(
--- a/src/jacinthdeck/entry/entry_settings.cc
+++ b/src/jacinthdeck/entry/entry_settings.cc
@@ -13,6 +13,7 @@
 constexpr SettingRange kExtraWindowMs{1000, 600'000};
 constexpr SettingRange kDirectoryTtlMs{100, 3'600'000};
 constexpr SettingRange kGraceMs{500, 600'000};
+constexpr SettingRange kRevokeMs{100, 3'600'000};
 constexpr SettingRange kLogBytesPerSecond{1024, 67'108'864};
 constexpr SettingRange kLogSample{1, 1'000'000};
 
@@ -65,6 +66,13 @@
       table.Milliseconds("shutdown.grace_ms", kGraceMs, settings.grace);
 }
 
+void ReadKeys(SettingsTable& table, EntrySettings& settings) {
+  settings.strict_revoke =
+      table.Flag("keys.strict_revoke", settings.strict_revoke);
+  settings.revoke_after =
+      table.Milliseconds("keys.revoke_ms", kRevokeMs, settings.revoke_after);
+}
+
 void ReadLog(SettingsTable& table, EntrySettings& settings) {
   settings.log_level =
       table.OneOf("log.level", {"trace", "debug", "info", "warning", "error"},
@@ -86,6 +94,7 @@
   ReadHost(table, settings);
   ReadListen(table, settings);
   ReadLimits(table, settings);
+  ReadKeys(table, settings);
   ReadLog(table, settings);
   std::vector<SettingsError> errors = table.TakeErrors();
   if (!errors.empty()) {
--- a/src/jacinthdeck/entry/entry_settings.h
+++ b/src/jacinthdeck/entry/entry_settings.h
@@ -52,6 +52,10 @@
   Duration directory_ttl = std::chrono::seconds(1);
   //! Maximum time from the request to stop to the end of the process.
   Duration grace = std::chrono::seconds(6);
+  //! Whether a host without news of the store refuses requests with keys.
+  bool strict_revoke = false;
+  //! Time without news of the store after which it refuses them.
+  Duration revoke_after = std::chrono::seconds(5);
   std::string log_level = "info";
   //! Maximum number of bytes logged per second.
   std::uint32_t log_bytes_per_second = 65536;
--- a/src/jacinthdeck/entry/typed_service.cc
+++ b/src/jacinthdeck/entry/typed_service.cc
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <utility>
 
+#include "jacinthdeck/http/status.h"
 #include "jacinthdeck/typed/answer_json.h"
 #include "jacinthdeck/typed/target_codec.h"
 #include "jacinthdeck/typed/typed_request.h"
@@ -24,6 +25,8 @@
       return 404;
     case ErrorCode::kTooLarge:
       return 413;
+    case ErrorCode::kUnauthorized:
+      return http_status::kUnauthorized;
     case ErrorCode::kUnavailable:
       return 503;
     default:
@@ -73,12 +76,14 @@
                            TargetPool& pool,
                            CallMetrics& metrics,
                            HostsFunction hosts,
+                           AccountFunction account,
                            ShareFunction share,
                            std::uint64_t seed)
     : m_clock(clock),
       m_pool(pool),
       m_metrics(metrics),
       m_hosts(std::move(hosts)),
+      m_account(std::move(account)),
       m_share(std::move(share)),
       m_calls(seed, *this) {}
 
@@ -107,11 +112,16 @@
   const std::string_view path =
       std::string_view(request.target).substr(kCallPrefix.size());
   const std::size_t slash = path.find('/');
-  const TypedRequest typed{path.substr(0, slash), path.substr(slash + 1),
-                           request.Find("X-Tenant"),
-                           request.Find("X-Deadline-Ms"), request.body};
-  auto checked = Capture(
-      [&] { return CheckTypedRequest(m_calls.schema(), typed, arrived); });
+  auto checked = Capture([&]() -> Result<Call> {
+    BOOST_LEAF_AUTO(account, m_account(request));
+    const TypedRequest typed{path.substr(0, slash),
+                             path.substr(slash + 1),
+                             std::move(account),
+                             request.Find("X-Tenant"),
+                             request.Find("X-Deadline-Ms"),
+                             request.body};
+    return CheckTypedRequest(m_calls.schema(), typed, arrived);
+  });
   if (const auto* error = std::get_if<Error>(&checked)) {
     connection->Respond(ErrorResponse(*error));
     return;
--- a/src/jacinthdeck/entry/typed_service.h
+++ b/src/jacinthdeck/entry/typed_service.h
@@ -5,12 +5,14 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
 #include "jacinthdeck/core/clock.h"
 #include "jacinthdeck/core/ids.h"
+#include "jacinthdeck/core/result.h"
 #include "jacinthdeck/core/time.h"
 #include "jacinthdeck/discovery/host_record.h"
 #include "jacinthdeck/entry/call_metrics.h"
@@ -32,6 +34,10 @@
  public:
   //! Returns the hosts that are known now.
   using HostsFunction = std::function<std::vector<HostRecord>()>;
+  //! Returns the client account whose key a request has; empty if keys are not
+  //! checked, kUnauthorized without a valid key.
+  using AccountFunction =
+      std::function<Result<std::optional<TenantId>>(const EdgeRequest&)>;
   //! Tells the other hosts that a request is suspect or quarantined.
   using ShareFunction = std::function<void(Fingerprint, QuarantineState)>;
 
@@ -40,6 +46,7 @@
                TargetPool& pool,
                CallMetrics& metrics,
                HostsFunction hosts,
+               AccountFunction account,
                ShareFunction share,
                std::uint64_t seed);
 
@@ -88,6 +95,7 @@
   TargetPool& m_pool;
   CallMetrics& m_metrics;
   HostsFunction m_hosts;
+  AccountFunction m_account;
   ShareFunction m_share;
   TypedCallRunner m_calls;
   std::uint64_t m_next_call = 1;
--- a/src/jacinthdeck/typed/typed_request.cc
+++ b/src/jacinthdeck/typed/typed_request.cc
@@ -31,7 +31,11 @@
   return Duration(std::chrono::milliseconds(milliseconds));
 }
 
-[[nodiscard]] Result<TenantId> ReadTenant(std::string_view text) {
+[[nodiscard]] Result<TenantId> ReadTenant(const TypedRequest& request) {
+  if (request.account) {
+    return *request.account;
+  }
+  const std::string_view text = request.tenant;
   if (text.size() > kMaxTenantLength) {
     return Fail(
         ErrorCode::kInvalidArgument, "X-Tenant",
@@ -57,7 +61,7 @@
         std::string(request.service) + "." + std::string(request.method),
         "is not declared in the schema");
   }
-  BOOST_LEAF_ASSIGN(call.tenant, ReadTenant(request.tenant));
+  BOOST_LEAF_ASSIGN(call.tenant, ReadTenant(request));
   BOOST_LEAF_AUTO(deadline,
                   ReadDeadline(request.deadline_ms, call.method->deadline));
   BOOST_LEAF_AUTO(checked, schema->Check(*call.method, request.body));
--- a/src/jacinthdeck/typed/typed_request.h
+++ b/src/jacinthdeck/typed/typed_request.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <string_view>
 
+#include "jacinthdeck/core/ids.h"
 #include "jacinthdeck/core/result.h"
 #include "jacinthdeck/core/time.h"
 #include "jacinthdeck/query/call.h"
@@ -18,7 +19,10 @@
 struct TypedRequest {
   std::string_view service;
   std::string_view method;
-  //! Header X-Tenant; empty for the default client account.
+  //! Client account of the caller's key; empty if keys are not checked.
+  std::optional<TenantId> account;
+  //! Header X-Tenant; empty for the default client account. Ignored if there is
+  //! an account.
   std::string_view tenant;
   //! Header X-Deadline-Ms; empty for the method's own deadline.
   std::string_view deadline_ms;
--- a/test/daemons/ctl_test.cc
+++ b/test/daemons/ctl_test.cc
@@ -114,6 +114,31 @@
   BOOST_TEST((Run({"index", "apply", file}) == ExitCode::kDone), err.str());
 }
 
+// Guards against keys on the terminal of whoever checks a configuration.
+BOOST_AUTO_TEST_CASE(AccountsCheck_ValidFile_PrintsAccountsWithoutKeys) {
+  const std::string file = MakeFile(
+      R"({"version":4,"services":[],"routes":[],"tenants":[{"name":"shop",)"
+      R"("apiKeys":["SECRET-1","SECRET-2"],"ratePerS":5,"burst":2}]})");
+  BOOST_TEST((Run({"accounts", "check", file}) == ExitCode::kDone), err.str());
+  BOOST_TEST(out.str().find("shop") != std::string::npos);
+  BOOST_TEST(out.str().find("keys 2") != std::string::npos, out.str());
+  BOOST_TEST(out.str().find("SECRET") == std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(AccountsCheck_InvalidFile_IsRefusedAndEachErrorPrinted) {
+  const std::string file = MakeFile(
+      R"({"version":4,"services":[],"routes":[],"tenants":[)"
+      R"({"name":"","apiKeys":["SECRET"]},{"name":"a","apiKeys":[]}]})");
+  BOOST_TEST((Run({"accounts", "check", file}) == ExitCode::kRefused));
+  BOOST_TEST(err.str().find("config.tenants[0].name: is empty") !=
+             std::string::npos);
+  BOOST_TEST(err.str().find("config.tenants[1].apiKeys: is empty") !=
+             std::string::npos);
+  BOOST_TEST(err.str().find("SECRET") == std::string::npos);
+  BOOST_TEST(out.str().empty());
+  BOOST_TEST((Run({"accounts", "check", "absent"}) == ExitCode::kUsage));
+}
+
 BOOST_AUTO_TEST_CASE(Hosts_StoreIsUnavailable_IsUnreachable) {
   standins::StoreControl control;
   control.faults.outage = standins::Outage::kBusy;
