--- a/src/jacinthdeck/tenancy/fwd.h
+++ b/src/jacinthdeck/tenancy/fwd.h
@@ -8,7 +8,10 @@
 class RateLimiter;
 class RateLimiterPort;
 class TenantTable;
+struct RateAccountStatus;
 struct RateLimiterOptions;
+struct RateLimiterStatus;
+struct RateMessageCounts;
 struct RateRequest;
 struct RateVerdict;
 struct Tenant;
--- a/src/jacinthdeck/tenancy/rate_limiter.h
+++ b/src/jacinthdeck/tenancy/rate_limiter.h
@@ -11,6 +11,7 @@
 #include "jacinthdeck/core/ids.h"
 #include "jacinthdeck/core/time.h"
 #include "jacinthdeck/tenancy/rate_limiter_port.h"
+#include "jacinthdeck/tenancy/rate_limiter_status.h"
 #include "jacinthdeck/tenancy/rate_message.h"
 #include "jacinthdeck/tenancy/rate_verdict.h"
 #include "jacinthdeck/tenancy/tenant_table.h"
@@ -80,9 +81,7 @@
   void Refund(const TenantId& tenant, TimePoint now);
 
   /*! \brief Processes a message of another host. */
-  void OnMessage(const HostId& from,
-                 const RateMessage& message,
-                 TimePoint now);
+  void OnMessage(const HostId& from, const RateMessage& message, TimePoint now);
 
   /*! \brief Returns when OnTimer() is due next; empty if no timer is set. */
   [[nodiscard]] std::optional<TimePoint> NextTimer() const;
@@ -90,6 +89,17 @@
   /*! \brief Processes all timers that are due. */
   void OnTimer(TimePoint now);
 
+  /*! \brief Returns the state for status pages, logs and metrics. */
+  [[nodiscard]] RateLimiterStatus Snapshot(TimePoint now) const;
+
+  /*! \brief Returns the state of one account; empty if it is not in use. */
+  [[nodiscard]] std::optional<RateAccountStatus> StatusOf(
+      const TenantId& tenant,
+      TimePoint now) const;
+
+  /*! \brief Returns the messages since the start. */
+  [[nodiscard]] const RateMessageCounts& messages() const noexcept;
+
  private:
   struct State;
 
--- /dev/null
+++ b/src/jacinthdeck/tenancy/rate_plan.cc
@@ -0,0 +1,58 @@
+// Divides the tolerance: late grants, whole tokens, late reports, reserves.
+#include "jacinthdeck/tenancy/rate_plan.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace jacinthdeck {
+
+namespace {
+
+//! Tokens that a bucket holds beyond the burst, in seconds of the rate. The
+//! requests admitted from a reserve are deducted up to this much later, and a
+//! full bucket gains nothing meanwhile.
+constexpr double kReportDelay = 0.1;
+//! Part of the reserve that is not used: fronts may differ for a short time on
+//! how many they are, and clocks run at slightly different speeds.
+constexpr double kViewMargin = 0.1;
+//! The host with more than half of the shares gains at most this part of a
+//! token.
+constexpr double kWholeToken = 0.5;
+//! Bounds the memory that a reserve takes.
+constexpr double kMaxReserve = 100000;
+
+[[nodiscard]] double Seconds(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+}  // namespace
+
+RatePlan PlanRate(double rate, double burst, const RateTolerance& tolerance) {
+  const double window = Seconds(tolerance.window);
+  const double bound =
+      (rate * window + burst) * (1 + tolerance.overshoot) + tolerance.slack;
+  if (rate <= 0 || bound < 1) {
+    return {};
+  }
+  const double span = window + Seconds(kGrantLifetime);
+  RatePlan plan;
+  plan.burst = std::clamp(bound - rate * span, 1.0, std::max(burst, 1.0));
+  plan.rate = std::min(rate, (bound - plan.burst) / span);
+  double rest = std::max(bound - plan.rate * span - plan.burst, 0.0);
+  plan.whole_token = rest >= kWholeToken;
+  rest -= plan.whole_token ? kWholeToken : 0;
+  const double lead = std::min(rest, plan.rate * kReportDelay);
+  plan.burst += lead;
+  rest = std::min((rest - lead) * (1 - kViewMargin) / 2, kMaxReserve);
+  plan.reserve = static_cast<std::uint32_t>(std::floor(rest));
+  return plan;
+}
+
+std::uint32_t ReserveOf(const RatePlan& plan,
+                        std::uint32_t sharers,
+                        std::uint32_t rank) noexcept {
+  const std::uint32_t fronts = std::max(sharers, 1U);
+  return plan.reserve / fronts + (rank < plan.reserve % fronts ? 1 : 0);
+}
+
+}  // namespace jacinthdeck
