--- a/src/jacinthdeck/peer/fwd.h
+++ b/src/jacinthdeck/peer/fwd.h
@@ -12,8 +12,13 @@
 class FeedSource;
 class FeederSelector;
 class FollowerObserver;
+class RateLimitSocket;
+class RateLimitSocketSink;
+class RateMessageAssembler;
 struct FeedHeartbeat;
 struct FeedHello;
+struct RateDatagram;
+struct RateLimitSocketCounters;
 
 }  // namespace jacinthdeck
 
