--- a/src/jacinthdeck/forward/forwarder.h
+++ b/src/jacinthdeck/forward/forwarder.h
@@ -106,8 +106,10 @@
   void Submit(ForwardCall call, TimePoint now);
 
   /*! \brief Drops a call whose caller disconnected, and cancels all its
-   * attempts. */
-  void Abandon(CallId call, TimePoint now);
+   * attempts.
+   * \return Whether a target may have executed the request; false for an
+   * unknown call. */
+  bool Abandon(CallId call, TimePoint now);
 
   /*! \brief Processes the end of an attempt. */
   void OnAttemptEnd(AttemptEnd& end, TimePoint now);
--- a/src/jacinthdeck/forward/forwarder_admission.cc
+++ b/src/jacinthdeck/forward/forwarder_admission.cc
@@ -63,13 +63,14 @@
 }
 
 //! Returns the maximum expected delay at which a call is worth its work.
-[[nodiscard]] Duration DelayLimit(const Route& route, const CallTrace& trace) {
+[[nodiscard]] Duration DelayLimit(const internal::PendingCall& pending) {
   const double base_factor =
-      IsLocalOverload(trace) ? kLocalDelayLimit : kDelayLimit;
+      IsLocalOverload(pending.trace) ? kLocalDelayLimit : kDelayLimit;
   const double factor =
-      std::max(base_factor - kDelayLimitStep * route.priority, kMinDelayLimit);
+      std::max(base_factor - kDelayLimitStep * internal::PriorityOf(pending),
+               kMinDelayLimit);
   return Duration(static_cast<Duration::rep>(
-      factor * static_cast<double>(ObjectiveOf(route).count())));
+      factor * static_cast<double>(ObjectiveOf(*pending.route).count())));
 }
 
 }  // namespace
@@ -179,7 +180,7 @@
     return ForwardReason::kDeadline;
   }
   pending.trace.expected = ExpectedDelay(pending, now);
-  if (pending.trace.expected > DelayLimit(*pending.route, pending.trace)) {
+  if (pending.trace.expected > DelayLimit(pending)) {
     return ForwardReason::kOverload;
   }
   return std::nullopt;
--- a/src/jacinthdeck/forward/forwarder_finish.cc
+++ b/src/jacinthdeck/forward/forwarder_finish.cc
@@ -87,8 +87,7 @@
 ForwardAnswer Forwarder::MakeFailureAnswer(PendingCall& pending,
                                            TimePoint now) {
   ForwardAnswer answer;
-  const bool may_have_run = std::ranges::any_of(
-      pending.parts, [](const CallPart& part) { return part.runs > 0; });
+  const bool may_have_run = internal::MayHaveRun(pending);
   const auto failed = std::ranges::find_if(
       pending.parts,
       [](const CallPart& part) { return part.reason != ForwardReason::kNone; });
@@ -111,12 +110,13 @@
   return answer;
 }
 
-void Forwarder::Abandon(CallId id, TimePoint now) {
+bool Forwarder::Abandon(CallId id, TimePoint now) {
   const auto found = m_calls.find(id);
   if (found == m_calls.end()) {
-    return;
+    return false;
   }
   ++m_counters.abandoned;
+  const bool may_have_run = internal::MayHaveRun(found->second);
   for (const CallPart& part : found->second.parts) {
     for (const AttemptId attempt : std::vector<AttemptId>(part.in_flight)) {
       AbandonAttempt(attempt, now);
@@ -124,6 +124,7 @@
   }
   m_timers.Remove(id);
   m_calls.erase(found);
+  return may_have_run;
 }
 
 void Forwarder::AbandonAttempt(AttemptId id, TimePoint now) {
--- a/src/jacinthdeck/forward/pending_call.h
+++ b/src/jacinthdeck/forward/pending_call.h
@@ -2,6 +2,7 @@
 #ifndef JACINTHDECK_FORWARD_PENDING_CALL_H_
 #define JACINTHDECK_FORWARD_PENDING_CALL_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -68,6 +69,19 @@
   CallTrace trace;
 };
 
+/*! \brief Returns the priority of a call: that of its account, or else of its
+ * route. */
+[[nodiscard]] inline std::uint32_t PriorityOf(const PendingCall& pending) {
+  return pending.call.priority.value_or(pending.route->priority);
+}
+
+/*! \brief Returns whether a target executed a part of the call, or may have
+ * done so. */
+[[nodiscard]] inline bool MayHaveRun(const PendingCall& pending) {
+  return std::ranges::any_of(
+      pending.parts, [](const CallPart& part) { return part.runs > 0; });
+}
+
 /*! \brief An attempt that has not ended; it may outlive its call. */
 struct PendingAttempt {
   CallId call;
--- a/src/jacinthdeck/http/edge_connection.cc
+++ b/src/jacinthdeck/http/edge_connection.cc
@@ -59,6 +59,17 @@
       m_id(id),
       m_phase_started_at(server.m_clock.Now()) {}
 
+const std::string& EdgeConnection::peer_address() {
+  if (m_peer_address.empty()) {
+    SystemError error;
+    const tcp::endpoint peer = m_socket.remote_endpoint(error);
+    if (!error) {
+      m_peer_address = peer.address().to_string();
+    }
+  }
+  return m_peer_address;
+}
+
 void EdgeConnection::Start() {
   Read();
 }
--- a/src/jacinthdeck/http/edge_connection.h
+++ b/src/jacinthdeck/http/edge_connection.h
@@ -33,6 +33,10 @@
 
   [[nodiscard]] std::uint64_t id() const noexcept { return m_id; }
 
+  /*! \brief Returns the IP address of the peer; empty if the peer had left
+   * before it was first read. */
+  [[nodiscard]] const std::string& peer_address();
+
   /*! \brief Starts reading requests. */
   void Start();
 
@@ -98,6 +102,8 @@
   bool m_is_head_request = false;
   bool m_close_after_write = false;
   std::string m_write_buffer;
+  //! Read at the first request, since it costs a system call; empty before.
+  std::string m_peer_address;
 };
 
 }  // namespace jacinthdeck
