Refuse settings that are not numbers, and write empty objects whole

Cause: `slack = nan` passed the check of ranges, since every comparison with it is false. A log line without fields was written as "}", so that a fronts_changed line without fronts could not be parsed.

Change: the range is checked the other way round; an empty line is "{}". LogLine writes numbers with decimals, which the state of limits needs.

--- a/src/jacinthdeck/core/settings_table.cc
+++ b/src/jacinthdeck/core/settings_table.cc
@@ -133,7 +133,8 @@
     m_impl->AddError(*node, key, "has the wrong type" + expected);
     return fallback;
   }
-  if (*value < range.low || *value > range.high) {
+  // Also true for a value that is not a number.
+  if (!(*value >= range.low && *value <= range.high)) {
     m_impl->AddError(*node, key, "is " + FormatNumber(*value) + expected);
     return fallback;
   }
--- a/src/jacinthdeck/entry/log_line.cc
+++ b/src/jacinthdeck/entry/log_line.cc
@@ -4,6 +4,7 @@
 
 #include <array>
 #include <charconv>
+#include <cmath>
 #include <utility>
 
 namespace jacinthdeck {
@@ -50,6 +51,20 @@
   return *this;
 }
 
+LogLine& LogLine::Number(std::string_view name, double value) {
+  if (!std::isfinite(value)) {
+    return Raw(name, "null");
+  }
+  constexpr int kDecimals = 3;
+  // The longest number has 309 digits before its decimals.
+  std::array<char, 320> digits{};
+  const auto end = std::to_chars(digits.data(), digits.data() + digits.size(),
+                                 value, std::chars_format::fixed, kDecimals);
+  Begin(name);
+  m_text.append(digits.data(), end.ptr);
+  return *this;
+}
+
 LogLine& LogLine::Flag(std::string_view name, bool value) {
   Begin(name);
   m_text += value ? "true" : "false";
@@ -63,7 +78,7 @@
 }
 
 std::string LogLine::Finish() && {
-  m_text += '}';
+  m_text += m_text.empty() ? "{}" : "}";
   return std::move(m_text);
 }
 
--- a/src/jacinthdeck/entry/log_line.h
+++ b/src/jacinthdeck/entry/log_line.h
@@ -25,6 +25,9 @@
     return *this;
   }
 
+  /*! \brief Adds a number with three decimals; null if it is not finite. */
+  LogLine& Number(std::string_view name, double value);
+
   /*! \brief Adds 64 bits as a hexadecimal string, since JSON parsers reject or
    * round integers of that size. */
   LogLine& Hash(std::string_view name, std::uint64_t value);
--- a/test/jacinthdeck/entry/event_log_test.cc
+++ b/test/jacinthdeck/entry/event_log_test.cc
@@ -8,6 +8,7 @@
 #include <boost/test/unit_test.hpp>
 #include <fstream>
 #include <iterator>
+#include <limits>
 #include <set>
 #include <sstream>
 #include <string>
@@ -131,6 +132,15 @@
   BOOST_TEST(named == logged, boost::test_tools::per_element());
 }
 
+// Guards against lines that hold an object without members, such as the fronts
+// by domain when there is none, and cannot be parsed.
+BOOST_AUTO_TEST_CASE(LogLine_WithoutFields_IsEmptyObject) {
+  BOOST_TEST(LogLine().Finish() == "{}");
+  LogLine line;
+  line.Number("a", 0.25).Number("b", std::numeric_limits<double>::infinity());
+  BOOST_TEST(std::move(line).Finish() == R"({"a":0.250,"b":null})");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace jacinthdeck
