Connect the gate and the rate limiters of the hosts

Change: RateLimitHub owns the limiter and its socket, and resolves hosts to addresses by their records, which gain `rate_limits` (written only if set). Settings [rate_limits] with checked ranges; without `listen` no port opens, and a host admits its share alone (logged once). Metrics, log lines (at most one a second for each account), /status and `jacinthdeckctl accounts list | show` tell admitted and refused requests with the inputs of decisions. None of them holds a key.

--- a/src/daemons/ctl/command.cc
+++ b/src/daemons/ctl/command.cc
@@ -6,6 +6,7 @@
 #include <limits>
 
 #include "ctl/account_command.h"
+#include "ctl/account_usage_command.h"
 #include "ctl/era_command.h"
 #include "ctl/evacuation_command.h"
 #include "ctl/explain_command.h"
@@ -19,7 +20,7 @@
 
 constexpr std::size_t kUnlimited = std::numeric_limits<std::size_t>::max();
 
-constexpr std::array<Command, 12> kCommands{{
+constexpr std::array<Command, 14> kCommands{{
     {"schema", "check", "FILE", "check a schema file without sending it", 1, 1,
      &SchemaCheck},
     {"schema", "apply", "FILE", "check a schema file and write it to the store",
@@ -30,6 +31,12 @@
     {"accounts", "check", "FILE",
      "check a configuration and print its accounts without their keys", 1, 1,
      &AccountsCheck},
+    {"accounts", "list", "[HOST...]",
+     "print the client accounts, and their requests at hosts (metrics IP:PORT)",
+     0, kUnlimited, &AccountsList},
+    {"accounts", "show", "NAME [HOST...]",
+     "print a client account as each host sees it: limit, level, allocator", 1,
+     kUnlimited, &AccountsShow},
     {"status", "", "", "print the status of a host", 0, 0, &ShowStatus},
     {"hosts", "", "", "print the hosts registered in the store", 0, 0,
      &ShowHosts},
--- a/src/jacinthdeck/discovery/host_record.h
+++ b/src/jacinthdeck/discovery/host_record.h
@@ -27,6 +27,9 @@
   std::uint64_t started_ms = 0;
   //! Host that wrote this record; the record is removed with its lease.
   HostId writer;
+  //! `address:port` for the messages between rate limiters; empty if it takes
+  //! part in none, as hosts of earlier versions.
+  std::string rate_limits;
 
   [[nodiscard]] bool operator==(const HostRecord&) const = default;
 };
--- a/src/jacinthdeck/entry/call_metrics.cc
+++ b/src/jacinthdeck/entry/call_metrics.cc
@@ -4,6 +4,8 @@
 #include <sstream>
 #include <utility>
 
+#include "jacinthdeck/entry/metric_label.h"
+
 namespace jacinthdeck {
 
 namespace {
@@ -13,18 +15,6 @@
 constexpr double kLowestMs = 0.25;
 constexpr double kHighestMs = 16384;
 
-//! Escapes a label value, since it may contain any text that a caller sent.
-[[nodiscard]] std::string EscapeLabelValue(const std::string& text) {
-  std::string out;
-  for (const char c : text) {
-    if (c == '\\' || c == '"') {
-      out += '\\';
-    }
-    out += c == '\n' ? ' ' : c;
-  }
-  return out;
-}
-
 [[nodiscard]] std::string LabelText(const CallLabels& labels) {
   return "tenant=\"" + EscapeLabelValue(labels.tenant.raw()) + "\",service=\"" +
          EscapeLabelValue(labels.service.raw()) + "\",outcome=\"" +
--- a/src/jacinthdeck/entry/caller_handler.cc
+++ b/src/jacinthdeck/entry/caller_handler.cc
@@ -38,15 +38,18 @@
 void CallerHandler::OnRequest(const std::shared_ptr<EdgeConnection>& connection,
                               EdgeRequest request,
                               TimePoint arrived) {
-  ForwardCall call;
+  ReceivedCall received;
+  ForwardCall& call = received.call;
   call.id = CallId(m_next_call++);
   call.arrived = arrived;
   call.deadline = DeadlineOf(request.Find(m_protocol.time_left_ms), arrived);
-  call.request = Convert(std::move(request));
+  received.request = Convert(std::move(request));
+  call.request = received.request;
+  call.flow = connection->peer_address();
   m_waiting.emplace(
       call.id, WaitingCaller{connection, call.request->request_id, arrived});
   m_call_by_connection.emplace(connection.get(), call.id);
-  m_sink.OnCall(std::move(call));
+  m_sink.OnCall(std::move(received));
 }
 
 void CallerHandler::OnDisconnect(EdgeConnection& connection) {
--- a/src/jacinthdeck/entry/caller_handler.h
+++ b/src/jacinthdeck/entry/caller_handler.h
@@ -11,6 +11,7 @@
 #include "jacinthdeck/core/clock.h"
 #include "jacinthdeck/core/ids.h"
 #include "jacinthdeck/core/time.h"
+#include "jacinthdeck/entry/received_call.h"
 #include "jacinthdeck/forward/call_trace.h"
 #include "jacinthdeck/forward/forward_answer.h"
 #include "jacinthdeck/forward/forward_call.h"
@@ -27,7 +28,7 @@
   virtual ~CallerSink() = default;
 
   /*! \brief Called for each request that was received. */
-  virtual void OnCall(ForwardCall call) = 0;
+  virtual void OnCall(ReceivedCall received) = 0;
 
   /*! \brief Called when a caller disconnects before its answer.
    * \param after Time since the request arrived. */
--- a/src/jacinthdeck/entry/entry_node.cc
+++ b/src/jacinthdeck/entry/entry_node.cc
@@ -59,6 +59,22 @@
   return options;
 }
 
+[[nodiscard]] TenantGateOptions GateOptionsOf(const EntrySettings& settings) {
+  return {settings.strict_revoke, settings.revoke_after};
+}
+
+[[nodiscard]] RateLimiterOptions RateLimiterOptionsOf(
+    const EntrySettings& settings,
+    std::uint64_t started_ms) {
+  RateLimiterOptions options;
+  options.host = settings.name;
+  options.started_ms = started_ms;
+  options.window = settings.rate_limits.window;
+  options.overshoot = settings.rate_limits.overshoot;
+  options.slack = settings.rate_limits.slack;
+  return options;
+}
+
 }  // namespace
 
 EntryNode::EntryNode(EntrySettings settings, EntryProtocol protocol)
@@ -71,6 +87,7 @@
             m_clock,
             m_log_writer),
       m_decisions(m_log, m_settings.log_sample),
+      m_account_log(m_log),
       m_loop(1),
       m_caller_handler(m_clock, m_protocol.targets, *this),
       m_ready_handler([this](const EdgeRequest& r) { return AnswerReady(r); }),
@@ -87,6 +104,15 @@
                   *this,
                   std::random_device{}(),
                   m_started),
+      m_rate_limits(m_loop,
+                    m_clock,
+                    RateLimiterOptionsOf(m_settings, m_started_ms),
+                    *this,
+                    std::random_device{}()),
+      m_gate(GateOptionsOf(m_settings),
+             m_protocol.targets,
+             m_rate_limits,
+             *this),
       m_store(m_loop,
               m_clock,
               *m_protocol.codec,
@@ -163,6 +189,9 @@
   if (!m_settings.peers.address.empty()) {
     BOOST_LEAF_CHECK(m_feed_hub.Listen(m_settings.peers));
   }
+  if (!m_settings.rate_limits.listen.address.empty()) {
+    BOOST_LEAF_CHECK(m_rate_limits.Listen(m_settings.rate_limits.listen));
+  }
   LogLine line = m_log.Begin(LogEvent::kStarted);
   line.Text("failure_domain", m_settings.domain.raw())
       .Text("address", m_settings.callers.address)
@@ -193,18 +222,43 @@
   m_log.Add(std::move(line));
 }
 
-void EntryNode::OnCall(ForwardCall call) {
-  m_forwarder.Submit(std::move(call), m_clock.Now());
+void EntryNode::OnCall(ReceivedCall received) {
+  m_gate.OnCall(std::move(received), m_clock.Now());
   ArmDecisionTimer();
 }
 
 void EntryNode::OnCallerLeft(CallId call,
                              const std::string& request_id,
                              Duration after) {
-  m_forwarder.Abandon(call, m_clock.Now());
+  const TimePoint now = m_clock.Now();
+  if (!m_gate.OnCallerLeft(call, now)) {
+    m_gate.OnCallEnd(call, m_forwarder.Abandon(call, now), now);
+  }
   m_decisions.OnAbandoned(request_id, after);
 }
 
+void EntryNode::OnRateVerdict(CallId call, const RateVerdict& verdict) {
+  m_gate.OnVerdict(call, verdict);
+}
+
+void EntryNode::OnRateMessage() {
+  m_gate.ProcessVerdicts(m_clock.Now());
+  ArmDecisionTimer();
+}
+
+void EntryNode::SubmitCall(ForwardCall call) {
+  m_forwarder.Submit(std::move(call), m_clock.Now());
+}
+
+void EntryNode::RefuseCall(GateRefusal refusal) {
+  const TimePoint now = m_clock.Now();
+  if (m_account_log.IsDue(refusal, now)) {
+    m_account_log.OnRefused(refusal,
+                            m_rate_limits.StatusOf(refusal.tenant, now));
+  }
+  Answer(refusal.call, std::move(refusal.answer), refusal.trace);
+}
+
 void EntryNode::Send(const OutgoingAttempt& attempt) {
   m_pool.Send(attempt);
 }
@@ -216,6 +270,13 @@
 void EntryNode::Deliver(CallId call,
                         ForwardAnswer answer,
                         const CallTrace& trace) {
+  m_gate.OnCallEnd(call, answer.kind != AnswerKind::kNotRun, m_clock.Now());
+  Answer(call, std::move(answer), trace);
+}
+
+void EntryNode::Answer(CallId call,
+                       ForwardAnswer answer,
+                       const CallTrace& trace) {
   const WaitingCaller caller = m_caller_handler.Take(call);
   if (caller.connection == nullptr) {
     return;
@@ -270,6 +331,13 @@
   if (next_typed && (!next || *next_typed < *next)) {
     next = next_typed;
   }
+  const auto next_limit = m_rate_limits.NextTimer();
+  if (next_limit && (!next || *next_limit < *next)) {
+    next = next_limit;
+  }
+  if (m_gate.has_verdicts()) {
+    next = m_clock.Now();
+  }
   if (!next || *next >= m_decision_due) {
     return;
   }
@@ -285,6 +353,8 @@
 
 void EntryNode::OnDecisionTimer() {
   m_decision_due = TimePoint::max();
+  m_rate_limits.OnTimer(m_clock.Now());
+  m_gate.ProcessVerdicts(m_clock.Now());
   m_forwarder.OnTimer(m_clock.Now());
   m_typed_service.calls().OnTimer(m_clock.Now());
   ArmDecisionTimer();
@@ -311,10 +381,11 @@
   m_queries_server.ApplyTimeouts();
   ArmDecisionTimer();
   m_store.ProcessTimers();
-  m_forwarder.SetHosts(m_front_count.Highest(now), m_is_front, now);
+  UpdateSharers(now);
   m_feed_hub.Tick();
   UpdateRecordWriter(now);
   LogTraffic(now);
+  LogLimits(now);
   m_log.Flush();
   const bool lacks_config =
       m_forwarder.config() == nullptr && now - m_started < kStartPeriod;
@@ -335,6 +406,19 @@
                          m_pool.counters().bytes, m_forwarder.counters()});
 }
 
+void EntryNode::LogLimits(TimePoint now) {
+  constexpr Duration kLimitsLogInterval = seconds(1);
+  if (now < m_next_limits_log || !HasAccounts()) {
+    return;
+  }
+  m_next_limits_log = now + kLimitsLogInterval;
+  const RateLimiterStatus limits = m_rate_limits.Snapshot(now);
+  if (limits.active && !m_rate_limits.is_open()) {
+    m_account_log.OnLimitsWithoutPeers();
+  }
+  m_account_log.OnLimits(limits);
+}
+
 void EntryNode::LogReadiness() {
   if (IsReady() == m_logged_ready) {
     return;
--- a/src/jacinthdeck/entry/entry_node.h
+++ b/src/jacinthdeck/entry/entry_node.h
@@ -13,6 +13,7 @@
 #include "jacinthdeck/discovery/fleet.h"
 #include "jacinthdeck/discovery/record_writer.h"
 #include "jacinthdeck/discovery/store_session.h"
+#include "jacinthdeck/entry/account_log.h"
 #include "jacinthdeck/entry/call_metrics.h"
 #include "jacinthdeck/entry/caller_handler.h"
 #include "jacinthdeck/entry/decision_log.h"
@@ -22,7 +23,10 @@
 #include "jacinthdeck/entry/feed_hub.h"
 #include "jacinthdeck/entry/log_writer.h"
 #include "jacinthdeck/entry/loop_lag.h"
+#include "jacinthdeck/entry/rate_limit_hub.h"
 #include "jacinthdeck/entry/simple_handler.h"
+#include "jacinthdeck/entry/tenant_gate.h"
+#include "jacinthdeck/entry/tenant_gate_sink.h"
 #include "jacinthdeck/entry/typed_service.h"
 #include "jacinthdeck/forward/forwarder.h"
 #include "jacinthdeck/http/edge_server.h"
@@ -41,10 +45,12 @@
  * dozens of messages of one query.
  */
 class EntryNode final : private CallerSink,
+                        private TenantGateSink,
                         private ForwardPort,
                         private TargetPoolSink,
                         private DiscoveryObserver,
-                        private FeedHubObserver {
+                        private FeedHubObserver,
+                        private RateLimitObserver {
  public:
   EntryNode(EntrySettings settings, EntryProtocol protocol);
 
@@ -64,10 +70,15 @@
  private:
   // Callbacks from the components, defined in entry_node.cc and
   // entry_node_discovery.cc.
-  void OnCall(ForwardCall call) override;
+  void OnCall(ReceivedCall received) override;
   void OnCallerLeft(CallId call,
                     const std::string& request_id,
                     Duration after) override;
+  void SubmitCall(ForwardCall call) override;
+  void RefuseCall(GateRefusal refusal) override;
+  [[nodiscard]] Duration KeyAge() const override { return DiscoveryAge(); }
+  void OnRateVerdict(CallId call, const RateVerdict& verdict) override;
+  void OnRateMessage() override;
   void Send(const OutgoingAttempt& attempt) override;
   void Cancel(AttemptId attempt) override;
   void Deliver(CallId call,
@@ -101,6 +112,8 @@
   //! the record if that choice changed.
   void UpdateRecordWriter(TimePoint now);
   void PublishRecord();
+  //! Sets the number of hosts that share budgets and limits.
+  void UpdateSharers(TimePoint now);
   void UpdateTypedCalls(const DiscoveryChange& change, TimePoint now);
 
   // Defined in entry_node_answers.cc.
@@ -108,14 +121,20 @@
   [[nodiscard]] EdgeResponse AnswerDirectory(const EdgeRequest& request) const;
   [[nodiscard]] EdgeResponse AnswerMetrics(const EdgeRequest& request) const;
   [[nodiscard]] std::string AnswerStatus() const;
+  //! Returns whether the configuration has client accounts.
+  [[nodiscard]] bool HasAccounts() const;
   [[nodiscard]] bool IsReady() const;
 
   // Defined in entry_node.cc.
+  //! Logs and counts the end of a call and answers its caller.
+  void Answer(CallId call, ForwardAnswer answer, const CallTrace& trace);
   void ArmDecisionTimer();
   void OnDecisionTimer();
   void Tick();
   void LogReadiness();
   void LogTraffic(TimePoint now);
+  //! Logs the state of the limits, if the configuration has any.
+  void LogLimits(TimePoint now);
   // Defined in entry_node_stop.cc.
   void AsyncWaitForSignal();
   void OnSignal(int signal);
@@ -138,6 +157,7 @@
   LogWriter m_log_writer;
   EventLog m_log;
   DecisionLog m_decisions;
+  AccountLog m_account_log;
   CallMetrics m_metrics;
   asio::io_context m_loop;
   CallerHandler m_caller_handler;
@@ -150,6 +170,8 @@
   EdgeServer m_metrics_server;
   TargetPool m_pool;
   Forwarder m_forwarder;
+  RateLimitHub m_rate_limits;
+  TenantGate m_gate;
   StoreSession m_store;
   FeedHub m_feed_hub;
   RecordWriterChoice m_record_writer;
@@ -165,6 +187,8 @@
   TimePoint m_decision_due = TimePoint::max();
   asio::steady_timer m_tick_timer;
   TimePoint m_last_tick;
+  //! When the state of the limits is looked at next.
+  TimePoint m_next_limits_log;
   //! Time of the next log line on traffic.
   TimePoint m_next_traffic_log;
   asio::steady_timer m_stop_timer;
--- a/src/jacinthdeck/entry/entry_node_answers.cc
+++ b/src/jacinthdeck/entry/entry_node_answers.cc
@@ -5,6 +5,7 @@
 #include <string_view>
 
 #include "jacinthdeck/discovery/directory_choice.h"
+#include "jacinthdeck/entry/account_report.h"
 #include "jacinthdeck/entry/evacuation_text.h"
 #include "jacinthdeck/entry/node_metrics.h"
 #include "jacinthdeck/http/status.h"
@@ -67,6 +68,12 @@
       m_metrics.Render() +
       RenderNodeMetrics({m_forwarder, m_pool, m_callers_server, m_store, m_log,
                          IsReady(), DiscoveryAge()});
+  if (HasAccounts()) {
+    const RateLimiterStatus limits = m_rate_limits.Snapshot(m_clock.Now());
+    response.body += RenderAccountMetrics({m_gate.counters(), limits,
+                                           m_rate_limits.counters(),
+                                           m_rate_limits.traffic()});
+  }
   return response;
 }
 
@@ -94,9 +101,20 @@
       .Count("open_calls", m_forwarder.open_calls())
       .Count("caller_connections", m_callers_server.connections())
       .Count("target_connections", m_pool.connections());
+  if (HasAccounts()) {
+    const RateLimiterStatus limits = m_rate_limits.Snapshot(m_clock.Now());
+    status.Raw("accounts", AccountsText({m_gate.counters(), limits,
+                                         m_rate_limits.counters(),
+                                         m_rate_limits.traffic()}));
+  }
   return std::move(status).Finish();
 }
 
+bool EntryNode::HasAccounts() const {
+  return m_forwarder.config() != nullptr &&
+         !m_forwarder.config()->tenants()->empty();
+}
+
 bool EntryNode::IsReady() const {
   return !m_stopping && m_forwarder.config() != nullptr &&
          m_forwarder.targets().size() > 0;
--- a/src/jacinthdeck/entry/entry_node_discovery.cc
+++ b/src/jacinthdeck/entry/entry_node_discovery.cc
@@ -69,7 +69,9 @@
                                   const StorePosition& position) {
   const TimePoint now = m_clock.Now();
   const DiscoveryState& discovery_state = m_store.discovery_state();
-  if (change.config && m_forwarder.SetConfig(discovery_state.config())) {
+  const bool new_config =
+      change.config && m_forwarder.SetConfig(discovery_state.config());
+  if (new_config) {
     m_callers_server.SetLimits(
         EdgeLimitsOf(discovery_state.config()->limits()));
   }
@@ -81,6 +83,10 @@
   if (change.hosts || change.config) {
     UpdateHosts(now);
   }
+  if (new_config) {
+    // After the targets, since calls that wait may be submitted.
+    m_gate.SetConfig(discovery_state.config(), now);
+  }
   for (const SharedCrash& suspect : change.suspects) {
     m_forwarder.AddSuspect(suspect.fingerprint, suspect.service, now);
     m_typed_service.calls().AddPeerSuspect(suspect.fingerprint, now);
@@ -147,7 +153,8 @@
   m_front_count.Add(static_cast<std::uint32_t>(m_fronts.size()), now);
   m_is_front = std::ranges::find(m_fronts, m_settings.name,
                                  &HostRecord::name) != m_fronts.end();
-  m_forwarder.SetHosts(m_front_count.Highest(now), m_is_front, now);
+  m_rate_limits.SetAddresses(hosts, now);
+  UpdateSharers(now);
   // A host that serves callers gets a short lease, so that the directory stops
   // listing it soon after it dies. For the other hosts only the number of calls
   // to the store matters.
@@ -157,6 +164,12 @@
   m_feed_hub.SetServesCallers(m_is_front || small_fleet);
 }
 
+void EntryNode::UpdateSharers(TimePoint now) {
+  const std::uint32_t sharers = m_front_count.Highest(now);
+  m_forwarder.SetHosts(sharers, m_is_front, now);
+  m_rate_limits.SetHosts(m_fronts, sharers, m_is_front, now);
+}
+
 void EntryNode::UpdateRecordWriter(TimePoint now) {
   if (m_stopping) {
     return;
@@ -272,6 +285,8 @@
   record.callers = address(m_settings.callers, m_callers_server.port());
   record.queries = address(m_settings.queries, m_queries_server.port());
   record.peers = address(m_settings.peers, m_feed_hub.port());
+  record.rate_limits =
+      address(m_settings.rate_limits.listen, m_rate_limits.port());
   record.busy = m_loop_lag.busy();
   return record;
 }
--- a/src/jacinthdeck/entry/entry_settings.cc
+++ b/src/jacinthdeck/entry/entry_settings.cc
@@ -14,6 +14,9 @@
 constexpr SettingRange kDirectoryTtlMs{100, 3'600'000};
 constexpr SettingRange kGraceMs{500, 600'000};
 constexpr SettingRange kRevokeMs{100, 3'600'000};
+constexpr SettingRange kWindowMs{100, 600'000};
+constexpr SettingRange kOvershoot{0, 10};
+constexpr SettingRange kSlack{0, 1'000'000};
 constexpr SettingRange kLogBytesPerSecond{1024, 67'108'864};
 constexpr SettingRange kLogSample{1, 1'000'000};
 
@@ -73,6 +76,17 @@
       table.Milliseconds("keys.revoke_ms", kRevokeMs, settings.revoke_after);
 }
 
+void ReadRateLimits(SettingsTable& table, RateLimitSettings& limits) {
+  limits.listen =
+      table.Address("rate_limits.listen", SettingPresence::kOptional);
+  limits.window =
+      table.Milliseconds("rate_limits.window_ms", kWindowMs, limits.window);
+  limits.overshoot = table.Number("rate_limits.overshoot", kOvershoot,
+                                  SettingPresence::kOptional, limits.overshoot);
+  limits.slack = table.Number("rate_limits.slack", kSlack,
+                              SettingPresence::kOptional, limits.slack);
+}
+
 void ReadLog(SettingsTable& table, EntrySettings& settings) {
   settings.log_level =
       table.OneOf("log.level", {"trace", "debug", "info", "warning", "error"},
@@ -95,6 +109,7 @@
   ReadListen(table, settings);
   ReadLimits(table, settings);
   ReadKeys(table, settings);
+  ReadRateLimits(table, settings.rate_limits);
   ReadLog(table, settings);
   std::vector<SettingsError> errors = table.TakeErrors();
   if (!errors.empty()) {
--- a/src/jacinthdeck/entry/entry_settings.h
+++ b/src/jacinthdeck/entry/entry_settings.h
@@ -14,6 +14,18 @@
 
 namespace jacinthdeck {
 
+/*! \brief Settings of the limits that all hosts hold together. */
+struct RateLimitSettings {
+  //! Address for the messages of other hosts; empty if this host takes part in
+  //! none.
+  Endpoint listen;
+  //! Over any span of this length, an account's admitted requests stay within
+  //! (rate * window + burst) * (1 + overshoot) + slack.
+  Duration window = std::chrono::seconds(5);
+  double overshoot = 0;
+  double slack = 0;
+};
+
 /*! \brief Settings after validation; docs/operate/settings.md explains each
  * key. */
 struct EntrySettings {
@@ -48,6 +60,7 @@
   //! hosts.
   double extra_constant = 20;
   Duration extra_window = std::chrono::seconds(10);
+  RateLimitSettings rate_limits;
   //! Maximum time that callers may cache an answer of the directory.
   Duration directory_ttl = std::chrono::seconds(1);
   //! Maximum time from the request to stop to the end of the process.
--- a/src/jacinthdeck/entry/fwd.h
+++ b/src/jacinthdeck/entry/fwd.h
@@ -5,6 +5,7 @@
 
 namespace jacinthdeck {
 
+class AccountCounters;
 class CallMetrics;
 class CallerHandler;
 class DecisionLog;
@@ -12,10 +13,17 @@
 class EventLog;
 class LogLine;
 class LogWriter;
+class RateLimitHub;
+class RateLimitObserver;
+class RequestLimiter;
 class SimpleHandler;
+class TenantGate;
+class TenantGateSink;
 struct EntryProtocol;
 struct EntrySettings;
+struct GateRefusal;
 struct HostTraffic;
+struct ReceivedCall;
 enum class LogEvent;
 
 }  // namespace jacinthdeck
--- a/test/daemons/ctl_test.cc
+++ b/test/daemons/ctl_test.cc
@@ -139,6 +139,33 @@
   BOOST_TEST((Run({"accounts", "check", "absent"}) == ExitCode::kUsage));
 }
 
+BOOST_AUTO_TEST_CASE(Accounts_TwoHosts_UsageIsSummedAndKeysAreNotPrinted) {
+  standins::StoreControl control;
+  control.puts.push_back(
+      {"op/config",
+       R"({"version":4,"services":[],"routes":[],"tenants":[{"name":"shop",)"
+       R"("apiKeys":["SECRET"],"ratePerS":5,"burst":2}]})",
+       {}});
+  store.Apply(control);
+  standins::HttpServer host{
+      {}, [](const standins::HttpRequest&) {
+        return standins::HttpReply{
+            200,
+            R"({"accounts":{"unauthorized":3,"in_use":[{"account":"shop",)"
+            R"("admitted":10,"limited":4,"unknown":0,"stale_keys":0,)"
+            R"("refunded":1,"allocator":"h7"}]}})",
+            false};
+      }};
+  const std::string up = Endpoint{"127.0.0.1", host.port()}.ToString();
+  BOOST_TEST((Run({"accounts", "list", up, up}) == ExitCode::kDone), err.str());
+  BOOST_TEST(out.str().find("20") != std::string::npos, out.str());
+  BOOST_TEST((Run({"accounts", "show", "shop", up, "127.0.0.1:1"}) ==
+              ExitCode::kPartial));
+  BOOST_TEST(out.str().find("h7") != std::string::npos, out.str());
+  BOOST_TEST((Run({"accounts", "show", "none"}) == ExitCode::kRefused));
+  BOOST_TEST((out.str() + err.str()).find("SECRET") == std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(Hosts_StoreIsUnavailable_IsUnreachable) {
   standins::StoreControl control;
   control.faults.outage = standins::Outage::kBusy;
--- a/test/jacinthdeck/entry/entry_node_test.cc
+++ b/test/jacinthdeck/entry/entry_node_test.cc
@@ -10,6 +10,8 @@
 #include <boost/test/unit_test.hpp>
 #include <chrono>
 #include <functional>
+#include <map>
+#include <mutex>
 #include <regex>
 #include <sstream>
 #include <string>
@@ -34,9 +36,14 @@
 struct NodeFixture {
   BoottimeClock clock;
   standins::StoreServer store{0, clock, {}, 1};
+  std::mutex mutex;
+  //! Headers of the last request at the target.
+  std::map<std::string, std::string> target_headers;
   standins::HttpServer target{
       {},
-      [](const standins::HttpRequest& request) {
+      [this](const standins::HttpRequest& request) {
+        const std::scoped_lock lock(mutex);
+        target_headers = request.headers;
         return standins::HttpReply{200, "from " + request.path, false};
       }};
   platform::StoreCodec codec;
@@ -48,8 +55,9 @@
   std::unique_ptr<EntryNode> node;
   std::thread runner;
 
-  NodeFixture() {
+  explicit NodeFixture(const RateLimitSettings& rate_limits = {}) {
     EntrySettings settings;
+    settings.rate_limits = rate_limits;
     settings.name = HostId("h1");
     settings.domain = FailureDomain("z");
     settings.callers = {"127.0.0.1", callers};
@@ -90,8 +98,10 @@
   }
 
   [[nodiscard]] static ClientReply Get(std::uint16_t port,
-                                       const std::string& path) {
-    return CallAndWait({"127.0.0.1", port}, {"GET", path, ""}, seconds(5));
+                                       const std::string& path,
+                                       std::vector<Header> headers = {}) {
+    return CallAndWait({"127.0.0.1", port},
+                       {"GET", path, "", std::move(headers)}, seconds(5));
   }
 
   static bool WaitUntil(const std::function<bool()>& done) {
@@ -105,13 +115,15 @@
     return true;
   }
 
-  void PutConfigAndTarget() {
+  //! \param tenants JSON of the client accounts, with a comma before it.
+  void PutConfigAndTarget(const std::string& tenants = "") {
     standins::StoreControl control;
     control.puts.push_back(
         {"op/config",
          R"({"version":3,"services":[{"name":"s","maxConnections":9}],)"
          R"("routes":[{"name":"r","host":"127.0.0.1","prefix":"/a/",)"
-         R"("routeType":"idempotent","service":"s"}]})",
+         R"("routeType":"idempotent","service":"s"}])" +
+             tenants + "}",
          {}});
     control.puts.push_back({"servers/t1",
                             R"({"service":"s","address":"127.0.0.1:)" +
@@ -122,6 +134,20 @@
   }
 };
 
+//! A host that holds limits together with others.
+struct LimitedNodeFixture : NodeFixture {
+  LimitedNodeFixture() : NodeFixture({{"127.0.0.1", 0}, seconds(5), 0.1, 20}) {}
+
+  [[nodiscard]] ClientReply GetKeyed(const std::string& key) const {
+    return Get(callers, "/a/1",
+               {{"x-jacinthdeck-key", key}, {"X-Jacinthdeck-Tenant", "other"}});
+  }
+};
+
+constexpr const char* kAccounts =
+    R"(,"tenants":[{"name":"acme","apiKeys":["secret-one"]},)"
+    R"({"name":"small","apiKeys":["secret-two"],"ratePerS":2,"burst":1}])";
+
 }  // namespace
 
 BOOST_FIXTURE_TEST_SUITE(EntryNodeTest, NodeFixture)
@@ -148,6 +174,9 @@
       [&] { return Endpoint::Parse(std::get<HostRecord>(record).peers); });
   BOOST_REQUIRE_EQUAL(peers.index(), 0U);
   BOOST_TEST(std::get<Endpoint>(peers).port != 0);
+  // Without the settings of limits the record is as before.
+  BOOST_TEST(store.content().Get(key)->value->find("rate_limits") ==
+             std::string::npos);
 }
 
 BOOST_AUTO_TEST_CASE(Host_ReadsConfigFromStore_ServesAndIsInDirectory) {
@@ -215,6 +244,62 @@
              std::string::npos);
 }
 
+// Guards against a key that reaches a target, a log or the metrics, and against
+// a caller that names its own account.
+BOOST_FIXTURE_TEST_CASE(Host_ConfigHasAccounts_ChecksKeyAndNamesAccount,
+                        LimitedNodeFixture) {
+  PutConfigAndTarget(kAccounts);
+  BOOST_TEST(WaitUntil([&] { return GetKeyed("secret-one").status == 502; }));
+  {
+    const std::scoped_lock lock(mutex);
+    BOOST_TEST(target_headers["x-jacinthdeck-tenant"] == "acme");
+    BOOST_TEST(target_headers.count("x-jacinthdeck-key") == 0U);
+  }
+  const ClientReply refused = Get(callers, "/a/1");
+  BOOST_TEST(refused.status == 401);
+  BOOST_TEST(refused.FindHeader("Retry-After") == nullptr);
+  BOOST_TEST(GetKeyed("secret-none").status == 401);
+  BOOST_TEST(GetKeyed(std::string(8192, 'k')).status == 401);
+  const std::string text = Get(metrics, "/metrics").body;
+  BOOST_TEST(text.find("account_requests_total{account=\"acme\"") !=
+             std::string::npos);
+  BOOST_TEST(text.find("jacinthdeck_unauthorized_total 3") !=
+             std::string::npos);
+  BOOST_TEST((text + Get(metrics, "/status").body).find("secret") ==
+             std::string::npos);
+}
+
+BOOST_FIXTURE_TEST_CASE(Host_AccountAboveLimit_RefusesWithRetryAfter,
+                        LimitedNodeFixture) {
+  PutConfigAndTarget(kAccounts);
+  BOOST_TEST(WaitUntil([&] { return GetKeyed("secret-two").status == 502; }));
+  ClientReply limited;
+  BOOST_TEST(WaitUntil([&] {
+    limited = GetKeyed("secret-two");
+    return limited.status == 429;
+  }));
+  BOOST_REQUIRE(limited.FindHeader("Retry-After") != nullptr);
+  BOOST_TEST(std::stod(*limited.FindHeader("Retry-After")) > 0);
+  BOOST_TEST(limited.body == "rate_limit\n");
+  // The other account is not affected.
+  BOOST_TEST(GetKeyed("secret-one").status == 502);
+  BOOST_TEST(Get(metrics, "/status").body.find("\"allocator\":\"h1\"") !=
+             std::string::npos);
+}
+
+BOOST_FIXTURE_TEST_CASE(Host_HasRateLimits_RecordHoldsChosenPort,
+                        LimitedNodeFixture) {
+  const std::string key = std::string(platform::wire::kHostPrefix) + "h1";
+  BOOST_TEST(WaitUntil([&] { return store.content().Get(key).has_value(); }));
+  const auto record =
+      Capture([&] { return codec.ReadHost(*store.content().Get(key)->value); });
+  const auto address = Capture([&] {
+    return Endpoint::Parse(std::get<HostRecord>(record).rate_limits);
+  });
+  BOOST_REQUIRE_EQUAL(address.index(), 0U);
+  BOOST_TEST(std::get<Endpoint>(address).port != 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace jacinthdeck
--- a/test/jacinthdeck/entry/entry_settings_test.cc
+++ b/test/jacinthdeck/entry/entry_settings_test.cc
@@ -64,6 +64,22 @@
              "info, warning, error");
 }
 
+BOOST_AUTO_TEST_CASE(Settings_RateLimits_AreReadWithinTheirRanges) {
+  const auto read = ReadEntrySettings(
+      WithExtraLines("[rate_limits]\nlisten = \"127.0.0.1:82\"\n"
+                     "window_ms = 3000\novershoot = 0.1\nslack = 20\n"));
+  const auto* settings = std::get_if<EntrySettings>(&read);
+  BOOST_REQUIRE(settings != nullptr);
+  BOOST_TEST(settings->rate_limits.listen.port == 82);
+  BOOST_TEST((settings->rate_limits.window == std::chrono::seconds(3)));
+  BOOST_TEST(settings->rate_limits.overshoot == 0.1);
+  BOOST_TEST(settings->rate_limits.slack == 20);
+  const auto errors =
+      ErrorsOf(WithExtraLines("[rate_limits]\nlisten = \"x\"\nwindow_ms = 99\n"
+                              "overshoot = -1\nslack = nan\n"));
+  BOOST_TEST(errors.size() == 4U);
+}
+
 BOOST_AUTO_TEST_CASE(Settings_KeyIsUnknown_ErrorNamesKey) {
   const auto errors = ErrorsOf(WithExtraLines("[listen2]\nx = 1\n"));
   BOOST_REQUIRE_EQUAL(errors.size(), 1U);
