--- a/src/jacinthdeck/entry/typed_service.cc
+++ b/src/jacinthdeck/entry/typed_service.cc
@@ -116,10 +116,10 @@
     BOOST_LEAF_AUTO(account, m_account(request));
     const TypedRequest typed{path.substr(0, slash),
                              path.substr(slash + 1),
-                             std::move(account),
                              request.Find("X-Tenant"),
                              request.Find("X-Deadline-Ms"),
-                             request.body};
+                             request.body,
+                             std::move(account)};
     return CheckTypedRequest(m_calls.schema(), typed, arrived);
   });
   if (const auto* error = std::get_if<Error>(&checked)) {
--- a/src/jacinthdeck/typed/typed_request.h
+++ b/src/jacinthdeck/typed/typed_request.h
@@ -19,8 +19,6 @@
 struct TypedRequest {
   std::string_view service;
   std::string_view method;
-  //! Client account of the caller's key; empty if keys are not checked.
-  std::optional<TenantId> account;
   //! Header X-Tenant; empty for the default client account. Ignored if there is
   //! an account.
   std::string_view tenant;
@@ -28,6 +26,8 @@
   std::string_view deadline_ms;
   //! JSON of the request.
   const std::string& body;
+  //! Client account of the caller's key; empty if keys are not checked.
+  std::optional<TenantId> account = std::nullopt;
 };
 
 /**
--- a/test/jacinthdeck/entry/entry_settings_test.cc
+++ b/test/jacinthdeck/entry/entry_settings_test.cc
@@ -64,6 +64,25 @@
              "info, warning, error");
 }
 
+// Guards against a host that refuses keyed requests although nobody asked for
+// it, and against a stricter setting that is not read.
+BOOST_AUTO_TEST_CASE(Settings_KeysAreAbsentOrSet_DefaultOrValueIsRead) {
+  const auto absent = ReadEntrySettings(WithExtraLines("[keys]\n"));
+  const auto* defaults = std::get_if<EntrySettings>(&absent);
+  BOOST_REQUIRE(defaults != nullptr);
+  BOOST_TEST(!defaults->strict_revoke);
+  BOOST_TEST((defaults->revoke_after == std::chrono::seconds(5)));
+  const auto set = ReadEntrySettings(
+      WithExtraLines("[keys]\nstrict_revoke = true\nrevoke_ms = 1500\n"));
+  const auto* strict = std::get_if<EntrySettings>(&set);
+  BOOST_REQUIRE(strict != nullptr);
+  BOOST_TEST(strict->strict_revoke);
+  BOOST_TEST((strict->revoke_after == std::chrono::milliseconds(1500)));
+  BOOST_TEST(ErrorsOf(WithExtraLines("[keys]\nstrict_revoke = 1\n"
+                                     "revoke_ms = -1\n"))
+                 .size() == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(Settings_KeyIsUnknown_ErrorNamesKey) {
   const auto errors = ErrorsOf(WithExtraLines("[listen2]\nx = 1\n"));
   BOOST_REQUIRE_EQUAL(errors.size(), 1U);
