--- a/bench/support/rate_fleet.cc
+++ b/bench/support/rate_fleet.cc
@@ -4,6 +4,8 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <cstdio>
+#include <cstdlib>
 #include <deque>
 #include <string>
 #include <utility>
@@ -432,8 +434,9 @@
   m_within += counts ? 1 : 0;
   Send(up[m_random.Below(up.size())], index, m_random.DrawSeed(),
        kPatience[m_random.Below(kPatience.size())],
-       [this, counts](const RateVerdict& verdict) {
+       [this, counts, index](const RateVerdict& verdict) {
          if (counts) {
+           if (std::getenv("TRACE") && verdict.decision != RateDecision::kAdmitted) std::fprintf(stderr, "%.3f %u %d %.3f\n", SecondsOf(m_now - m_begin), index, int(verdict.decision), SecondsOf(verdict.retry_after));
            m_limited += verdict.decision == RateDecision::kLimited ? 1 : 0;
            m_unknown += verdict.decision == RateDecision::kUnknown ? 1 : 0;
          }
--- a/src/jacinthdeck/tenancy/account_tokens.cc
+++ b/src/jacinthdeck/tenancy/account_tokens.cc
@@ -12,6 +12,9 @@
 //! A caller comes back a round trip after its token is due.
 constexpr Duration kMaxClaimTime = std::chrono::milliseconds(500);
 constexpr Duration kMinClaimTime = std::chrono::milliseconds(50);
+//! Tokens that are kept for requests that may come, rather than used to pay for
+//! reserves.
+constexpr double kMostKept = 4;
 //! Bounds the time that a caller is told.
 constexpr double kMaxWaitSeconds = 3600;
 
@@ -82,8 +85,9 @@
   if (m_reservations.size() > 0) {
     return 0;
   }
-  const double paid = m_bucket.TakeUpTo(
-      std::min(std::floor(m_bucket.level()), static_cast<double>(spent)));
+  const double payable = std::max(std::floor(Payable()), 0.0);
+  const double paid =
+      m_bucket.TakeUpTo(std::min(payable, static_cast<double>(spent)));
   return static_cast<std::uint32_t>(paid);
 }
 
@@ -144,11 +148,19 @@
   if (m_reservations.size() > 0) {
     return;
   }
-  while (m_reserve.unpaid() > 0 && m_bucket.level() > 0) {
-    m_reserve.AddPart(m_bucket.TakeUpTo(m_reserve.MissingPart()));
+  while (m_reserve.unpaid() > 0 && Payable() > 0) {
+    const double part = std::min(m_reserve.MissingPart(), Payable());
+    m_reserve.AddPart(m_bucket.TakeUpTo(part));
   }
 }
 
+double AccountTokens::Payable() const {
+  // Requests that wait come before reserves, so that the tokens are where they
+  // are asked for.
+  const double size = SharedBucket::SizeOf(m_plan, m_share);
+  return m_bucket.level() - std::clamp((size - 2) / 2, 0.0, kMostKept);
+}
+
 Duration AccountTokens::ClaimTime() const {
   if (m_plan.rate <= 0) {
     return kMinClaimTime;
--- a/src/jacinthdeck/tenancy/account_tokens.h
+++ b/src/jacinthdeck/tenancy/account_tokens.h
@@ -75,6 +75,8 @@
                                              TimePoint now);
   [[nodiscard]] TokenDecision Refuse(std::uint64_t hash, TimePoint now);
   void PayOwnReserve();
+  //! Tokens that may pay for reserves.
+  [[nodiscard]] double Payable() const;
   [[nodiscard]] Duration ClaimTime() const;
 
   RatePlan m_plan;
--- a/src/jacinthdeck/tenancy/pending_request.h
+++ b/src/jacinthdeck/tenancy/pending_request.h
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 
 #include "jacinthdeck/core/ids.h"
 #include "jacinthdeck/core/time.h"
@@ -17,6 +18,13 @@
   TimePoint decide_by;
   //! Number of hosts in a row that answered without a decision.
   std::size_t undecided = 0;
+  //! Token requests for it that may still be answered.
+  std::uint32_t asks = 0;
+  //! When the token is due that an allocator reserved for it. Other fronts are
+  //! asked for a request of their reserves before the request is refused.
+  std::optional<TimePoint> due;
+  //! How many of them were asked.
+  std::uint32_t reserves_asked = 0;
 };
 
 }  // namespace jacinthdeck
--- a/src/jacinthdeck/tenancy/rate_account.h
+++ b/src/jacinthdeck/tenancy/rate_account.h
@@ -25,6 +25,9 @@
   std::uint32_t reported = 0;
   //! When the next report is due.
   TimePoint report_at;
+  //! Until then other fronts are not asked for requests of their reserves,
+  //! because one had none left.
+  TimePoint reserves_spent_until;
   std::uint64_t admitted = 0;
   std::uint64_t limited = 0;
   std::uint64_t unknown = 0;
--- a/src/jacinthdeck/tenancy/rate_limiter_messages.cc
+++ b/src/jacinthdeck/tenancy/rate_limiter_messages.cc
@@ -17,6 +17,8 @@
 constexpr std::uint32_t kMostSends = 3;
 //! Pause before requests that no bucket could pay for are reported again.
 constexpr Duration kReportPause = std::chrono::milliseconds(250);
+//! Pause before fronts are asked again after one had no reserve left.
+constexpr Duration kReservePause = std::chrono::milliseconds(500);
 //! Told if another request of the same message was granted from the last of a
 //! reserve.
 constexpr Duration kShortRetry = std::chrono::milliseconds(20);
@@ -59,6 +61,13 @@
   m_timers.Set({Kind::kRepeat, number}, now + kRepeatInterval);
   m_port.SendRateMessage(ask.to, ask.request);
   ++m_counts.token_requests_repeated;
+  if (ask.times_sent == 2) {
+    // Copied, because a further request changes m_asks.
+    const std::vector<CallId> calls = ask.calls;
+    for (const CallId call : calls) {
+      AskBeside(call, now);
+    }
+  }
 }
 
 void RateLimiter::State::GiveUp(std::uint64_t number,
@@ -74,7 +83,24 @@
     OnReport(demand, nullptr, now);
   }
   for (const CallId call : ask.calls) {
-    Ask(call, now);
+    const auto pending = m_pending.find(call);
+    if (pending != m_pending.end() && --pending->second.asks == 0) {
+      Ask(call, now);
+    }
+  }
+}
+
+void RateLimiter::State::AskBeside(CallId call, TimePoint now) {
+  const auto found = m_pending.find(call);
+  if (found == m_pending.end() || found->second.asks > 1) {
+    return;
+  }
+  const std::size_t partition =
+      AllocatorChoice::PartitionOf(found->second.tenant);
+  const std::vector<HostId> order = m_shares.Order(partition, now);
+  const std::size_t next = found->second.undecided + 1;
+  if (next < order.size() && order[next] != m_options.host) {
+    AskHost(call, order[next], now);
   }
 }
 
@@ -226,16 +252,34 @@
     const bool is_decided = award != grant.awards.end();
     OnReport(demand, is_decided ? &*award : nullptr, now);
     for (std::uint32_t i = 0; i < demand.waiting.size(); ++i, ++call) {
+      const auto pending = m_pending.find(*call);
+      if (pending != m_pending.end()) {
+        --pending->second.asks;
+      }
       if (is_decided) {
         OnDecision(*call, demand.tenant, *award, i, now);
-      } else if (m_pending.contains(*call)) {
-        ++m_pending.at(*call).undecided;
-        Ask(*call, now);
+      } else if (pending != m_pending.end()) {
+        OnUndecided(*call, now);
       }
     }
   }
 }
 
+void RateLimiter::State::OnUndecided(CallId call, TimePoint now) {
+  PendingRequest& request = m_pending.at(call);
+  if (request.due) {
+    RateAccount* account = Use(request.tenant, now);
+    if (account != nullptr) {
+      account->reserves_spent_until = now + kReservePause;
+    }
+  } else {
+    ++request.undecided;
+  }
+  if (request.asks == 0) {
+    Ask(call, now);
+  }
+}
+
 void RateLimiter::State::OnReport(const TokenDemand& demand,
                                   const TokenAward* award,
                                   TimePoint now) {
@@ -267,7 +311,9 @@
                                          &TokenAward::Limited::position);
   const bool is_pending = m_pending.contains(call);
   if (limited != award.limited.end()) {
-    if (is_pending) {
+    if (is_pending && m_pending.at(call).due) {
+      OnUndecided(call, now);
+    } else if (is_pending) {
       OnLimited(call, limited->retry_after, now);
     }
     return;
--- a/src/jacinthdeck/tenancy/rate_limiter_state.cc
+++ b/src/jacinthdeck/tenancy/rate_limiter_state.cc
@@ -14,7 +14,7 @@
 using Kind = RateTimer::Kind;
 
 //! Several requests fall into the lifetime of a lease.
-constexpr Duration kShareInterval = std::chrono::milliseconds(300);
+constexpr Duration kShareInterval = std::chrono::milliseconds(150);
 //! A host that starts has no share to lease before others have answered it.
 constexpr std::array<Duration, 3> kStartIntervals{
     std::chrono::milliseconds(10), std::chrono::milliseconds(30),
@@ -28,6 +28,8 @@
 constexpr Duration kMinRetry = std::chrono::milliseconds(20);
 //! Bounds the memory of reservations, about 150 bytes each.
 constexpr std::size_t kMostReservations = 65536;
+//! Other fronts that are asked for a request of their reserves.
+constexpr std::uint32_t kMostReservesAsked = 4;
 
 }  // namespace
 
@@ -38,6 +40,7 @@
     : m_options(options),
       m_port(port),
       m_random(seed),
+      m_started(now),
       m_shares(options.host, options.started_ms, now) {}
 
 void RateLimiter::State::SetTenants(std::shared_ptr<const TenantTable> tenants,
@@ -84,8 +87,10 @@
     return *verdict;
   }
   ++account->pending;
-  m_pending[request.call] = {request.tenant, request.request_hash,
-                             request.decide_by, 0};
+  m_pending[request.call] = {.tenant = request.tenant,
+                             .request_hash = request.request_hash,
+                             .decide_by = request.decide_by,
+                             .due = std::nullopt};
   m_timers.Set({Kind::kDecide, request.call.raw()}, request.decide_by);
   // The port must not get the verdict before this function returns, so the
   // request is asked for by a timer if the host itself may decide on it.
@@ -177,6 +182,7 @@
                       .rate = entry->rate,
                       .burst = entry->burst,
                       .report_at = now,
+                      .reserves_spent_until = now,
                       .answered = std::nullopt};
   if (m_accounts.empty()) {
     m_timers.Set({Kind::kForget, 0}, now + kForgetInterval);
@@ -191,8 +197,8 @@
   AccountTokens& tokens = account.tokens;
   const std::size_t before = tokens.reservations();
   const auto rank = m_shares.ReserveRank(account.partition);
-  tokens.SetReserve(rank ? ReserveOf(tokens.plan(), m_shares.sharers(), *rank)
-                         : 0);
+  const std::uint32_t total = ReserveTotal(account, now);
+  tokens.SetReserve(rank ? ReserveOf(total, m_shares.sharers(), *rank) : 0);
   tokens.Advance(m_shares.history(account.partition), now);
   tokens.SetMayReserve(m_reservations < kMostReservations);
   m_reservations -= before - tokens.reservations();
@@ -201,6 +207,13 @@
   account.unreported = std::min(account.unreported, unpaid - account.reported);
 }
 
+std::uint32_t RateLimiter::State::ReserveTotal(const RateAccount& account,
+                                               TimePoint now) const {
+  const RatePlan& plan = account.tokens.plan();
+  const bool is_start = now <= m_started + m_options.window;
+  return is_start ? plan.start_reserve : plan.reserve;
+}
+
 void RateLimiter::State::ApplyTenants(TimePoint now) {
   std::vector<TenantId> gone;
   for (auto& [tenant, account] : m_accounts) {
@@ -294,6 +307,10 @@
     Finish(call, {});
     return;
   }
+  if (request.due) {
+    AskReserves(call, now);
+    return;
+  }
   const std::vector<HostId> order = m_shares.Order(account->partition, now);
   if (request.undecided >= order.size()) {
     request.undecided = 0;
@@ -330,8 +347,9 @@
 void RateLimiter::State::AskHost(CallId call,
                                  const HostId& host,
                                  TimePoint now) {
-  const PendingRequest& request = m_pending.at(call);
+  PendingRequest& request = m_pending.at(call);
   RateAccount& account = m_accounts.at(request.tenant);
+  ++request.asks;
   TokenAsk ask;
   ask.to = host;
   ask.calls = {call};
@@ -350,11 +368,47 @@
                                    TimePoint now) {
   PendingRequest& request = m_pending.at(call);
   request.undecided = 0;
-  if (now + retry_after < request.decide_by && !m_shares.is_alone()) {
+  if (now + retry_after < request.decide_by) {
     AskLater(call, now + retry_after);
     return;
   }
-  Finish(call, {RateDecision::kLimited, std::max(retry_after, kMinRetry)});
+  request.due = now + retry_after;
+  AskReserves(call, now);
+}
+
+void RateLimiter::State::AskReserves(CallId call, TimePoint now) {
+  PendingRequest& request = m_pending.at(call);
+  RateAccount& account = *Use(request.tenant, now);
+  if (request.asks > 0) {
+    return;
+  }
+  const bool may_ask = request.reserves_asked < kMostReservesAsked &&
+                       account.reserves_spent_until <= now;
+  const std::vector<HostId> holders =
+      may_ask ? ReserveHolders(account, now) : std::vector<HostId>();
+  if (!holders.empty()) {
+    ++request.reserves_asked;
+    AskHost(call, holders[m_random.Below(holders.size())], now);
+    return;
+  }
+  const Duration retry = std::max(*request.due - now, kMinRetry);
+  Finish(call, {RateDecision::kLimited, retry});
+}
+
+std::vector<HostId> RateLimiter::State::ReserveHolders(
+    const RateAccount& account,
+    TimePoint now) const {
+  const std::vector<HostId> order = m_shares.Order(account.partition, now);
+  const auto count =
+      std::min<std::size_t>(order.size(), ReserveTotal(account, now));
+  std::vector<HostId> holders;
+  // The first one is the allocator, which has refused the request.
+  for (std::size_t i = 1; i < count; ++i) {
+    if (order[i] != m_options.host && !m_shares.IsSilent(order[i], now)) {
+      holders.push_back(order[i]);
+    }
+  }
+  return holders;
 }
 
 void RateLimiter::State::DecideFinally(CallId call, TimePoint now) {
@@ -379,7 +433,10 @@
                     std::max(decision.retry_after, kMinRetry)});
       break;
     case TokenDecision::Outcome::kNoShare:
-      Finish(call, UnknownVerdict(*account, now));
+      Finish(call, request.due
+                       ? RateVerdict{RateDecision::kLimited,
+                                     std::max(*request.due - now, kMinRetry)}
+                       : UnknownVerdict(*account, now));
       break;
   }
 }
--- a/src/jacinthdeck/tenancy/rate_limiter_state.h
+++ b/src/jacinthdeck/tenancy/rate_limiter_state.h
@@ -66,6 +66,9 @@
   //! has no limit.
   [[nodiscard]] RateAccount* Use(const TenantId& tenant, TimePoint now);
   void Update(RateAccount& account, TimePoint now);
+  //! Returns how many requests all fronts have in reserve for an account.
+  [[nodiscard]] std::uint32_t ReserveTotal(const RateAccount& account,
+                                           TimePoint now) const;
   void ApplyTenants(TimePoint now);
   void StartMessages(TimePoint now);
 
@@ -85,6 +88,11 @@
   void AskHost(CallId call, const HostId& host, TimePoint now);
   void AskLater(CallId call, TimePoint at);
   void OnLimited(CallId call, Duration retry_after, TimePoint now);
+  //! Asks another front for a request of its reserve before a request is
+  //! refused.
+  void AskReserves(CallId call, TimePoint now);
+  [[nodiscard]] std::vector<HostId> ReserveHolders(const RateAccount& account,
+                                                   TimePoint now) const;
   //! Decides on a request whose time is up.
   void DecideFinally(CallId call, TimePoint now);
   [[nodiscard]] RateVerdict UnknownVerdict(const RateAccount& account,
@@ -94,6 +102,10 @@
 
   void Send(TokenAsk ask, TimePoint now);
   void Repeat(std::uint64_t number, TimePoint now);
+  //! Asks the next host for a token while another one has not answered.
+  void AskBeside(CallId call, TimePoint now);
+  //! Goes on after an answer without a decision.
+  void OnUndecided(CallId call, TimePoint now);
   //! Ends a request that was not answered.
   void GiveUp(std::uint64_t number, bool is_silent, TimePoint now);
   void Report(TimePoint now);
@@ -127,6 +139,7 @@
   RateLimiterOptions m_options;
   RateLimiterPort& m_port;
   Random m_random;
+  TimePoint m_started;
   std::shared_ptr<const TenantTable> m_tenants;
   //! Whether any account has a limit. If none has, there are no timers.
   bool m_is_active = false;
--- a/src/jacinthdeck/tenancy/rate_plan.cc
+++ b/src/jacinthdeck/tenancy/rate_plan.cc
@@ -11,13 +11,19 @@
 //! Tokens that a bucket holds beyond the burst, in seconds of the rate. The
 //! requests admitted from a reserve are deducted up to this much later, and a
 //! full bucket gains nothing meanwhile.
-constexpr double kReportDelay = 0.1;
+constexpr double kReportDelay = 0.05;
 //! Part of the reserve that is not used: fronts may differ for a short time on
 //! how many they are, and clocks run at slightly different speeds.
 constexpr double kViewMargin = 0.1;
 //! The host with more than half of the shares gains at most this part of a
 //! token.
 constexpr double kWholeToken = 0.5;
+//! One part in so many is for processes that have just started. Shares are
+//! leased within some round trips after a start, so that less is needed then.
+constexpr std::uint32_t kStartPart = 3;
+//! With the buckets of all hosts empty and demand at the usual rate, the
+//! requests that wait for tokens exceed this number in 1 of 1,000 cases.
+constexpr std::uint32_t kMostAtStart = 9;
 //! Bounds the memory that a reserve takes.
 constexpr double kMaxReserve = 100000;
 
@@ -43,16 +49,18 @@
   rest -= plan.whole_token ? kWholeToken : 0;
   const double lead = std::min(rest, plan.rate * kReportDelay);
   plan.burst += lead;
-  rest = std::min((rest - lead) * (1 - kViewMargin) / 2, kMaxReserve);
-  plan.reserve = static_cast<std::uint32_t>(std::floor(rest));
+  rest = std::min((rest - lead) * (1 - kViewMargin), kMaxReserve);
+  const auto whole = static_cast<std::uint32_t>(std::floor(rest));
+  plan.start_reserve = std::min(whole / kStartPart, kMostAtStart);
+  plan.reserve = whole - plan.start_reserve;
   return plan;
 }
 
-std::uint32_t ReserveOf(const RatePlan& plan,
+std::uint32_t ReserveOf(std::uint32_t reserve,
                         std::uint32_t sharers,
                         std::uint32_t rank) noexcept {
   const std::uint32_t fronts = std::max(sharers, 1U);
-  return plan.reserve / fronts + (rank < plan.reserve % fronts ? 1 : 0);
+  return reserve / fronts + (rank < reserve % fronts ? 1 : 0);
 }
 
 }  // namespace jacinthdeck
--- a/src/jacinthdeck/tenancy/rate_plan.h
+++ b/src/jacinthdeck/tenancy/rate_plan.h
@@ -29,16 +29,19 @@
   //! if its part of the burst is less. At most one host has that much.
   bool whole_token = false;
   //! Requests that all fronts together may admit from their reserves within a
-  //! window. The bound holds twice as many, because a front that restarts
-  //! begins with a full reserve.
+  //! window.
   std::uint32_t reserve = 0;
+  //! The same for processes within a window after their start. The bound holds
+  //! the sum of both, because the previous process of a host may have spent its
+  //! reserve just before it ended.
+  std::uint32_t start_reserve = 0;
 
   [[nodiscard]] bool operator==(const RatePlan&) const = default;
 };
 
 /*! \brief Longest time from a token's deduction to the admission of its
  * request. Answers that are older are ignored. */
-inline constexpr Duration kGrantLifetime = std::chrono::milliseconds(150);
+inline constexpr Duration kGrantLifetime = std::chrono::milliseconds(60);
 
 /*! \brief Divides the bound of an account with this limit. */
 [[nodiscard]] RatePlan PlanRate(double rate,
@@ -46,15 +49,16 @@
                                 const RateTolerance& tolerance);
 
 /**
- * \brief Returns the part of the reserve that one front holds.
+ * \brief Returns the part of a reserve that one front holds.
  *
  * What is left after an equal division goes to the first fronts in the order in
  * which they become allocators, so that the allocator has a reserve even if
  * there are more fronts than requests in reserve.
+ * \param reserve Requests in reserve at all fronts.
  * \param sharers Number of fronts that divide the reserve.
  * \param rank Position of the front in that order, from 0.
  */
-[[nodiscard]] std::uint32_t ReserveOf(const RatePlan& plan,
+[[nodiscard]] std::uint32_t ReserveOf(std::uint32_t reserve,
                                       std::uint32_t sharers,
                                       std::uint32_t rank) noexcept;
 
--- a/src/jacinthdeck/tenancy/share_exchange.h
+++ b/src/jacinthdeck/tenancy/share_exchange.h
@@ -72,6 +72,9 @@
   /*! \brief Returns the allocator of a partition; empty without fronts. */
   [[nodiscard]] HostId Allocator(std::size_t partition, TimePoint now) const;
 
+  /*! \brief Returns whether a front has not been heard of lately. */
+  [[nodiscard]] bool IsSilent(const HostId& host, TimePoint now) const;
+
   /*! \brief Returns the shares that this host may use in a partition. */
   [[nodiscard]] const ShareHistory& history(std::size_t partition) const {
     return m_histories[partition];
@@ -106,7 +109,6 @@
     TimePoint suspected_until = TimePoint::min();
   };
 
-  [[nodiscard]] bool IsSilent(const HostId& host, TimePoint now) const;
   void UpdateRanks();
   void UpdatePeers(TimePoint now);
   void UpdateShare(TimePoint now);
