--- a/bench/support/rate_fleet.h
+++ b/bench/support/rate_fleet.h
@@ -114,6 +114,9 @@
             Duration patience,
             std::function<void(const RateVerdict&)> done);
 
+  //! Leaves the requests so far out of the counts, but not out of the bound.
+  void ForgetCounts();
+
   [[nodiscard]] RateFleetResult Result() const;
   [[nodiscard]] std::vector<RateFleetAccount>& accounts() noexcept {
     return m_accounts;
--- a/src/jacinthdeck/tenancy/lease_table.cc
+++ b/src/jacinthdeck/tenancy/lease_table.cc
@@ -28,8 +28,11 @@
       request->sent + kLeaseLifetime <= now) {
     return std::nullopt;
   }
+  const double share = std::clamp(lease.share, 0.0, 1.0);
+  m_is_changed = m_is_changed || entry.until <= now || entry.share != share ||
+                 entry.partitions != lease.partitions;
   entry.answered = lease.nonce;
-  entry.share = std::clamp(lease.share, 0.0, 1.0);
+  entry.share = share;
   entry.partitions = lease.partitions;
   entry.until = request->sent + kLeaseLifetime;
   return request->sent;
--- a/src/jacinthdeck/tenancy/lease_table.h
+++ b/src/jacinthdeck/tenancy/lease_table.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <utility>
 
 #include "jacinthdeck/core/ids.h"
 #include "jacinthdeck/core/time.h"
@@ -38,6 +39,11 @@
                                    const ShareLease& lease,
                                    TimePoint now);
 
+  /*! \brief Returns whether an answer changed the sums since the last call. */
+  [[nodiscard]] bool TakeChanged() noexcept {
+    return std::exchange(m_is_changed, false);
+  }
+
   /*! \brief Drops the leases that have expired. */
   void Expire(TimePoint now);
 
@@ -70,6 +76,7 @@
                                            std::uint64_t nonce);
 
   std::map<HostId, Entry> m_entries;
+  bool m_is_changed = false;
 };
 
 }  // namespace jacinthdeck
--- a/src/jacinthdeck/tenancy/share_exchange.cc
+++ b/src/jacinthdeck/tenancy/share_exchange.cc
@@ -82,8 +82,15 @@
       wanted |= std::uint64_t{1} << partition;
     }
   }
+  bool was_free = false;
+  for (std::size_t partition = 0; partition < kRatePartitions; ++partition) {
+    was_free = was_free || ((wanted >> partition & 1U) != 0 &&
+                            m_ledger.IsFree(partition, now));
+  }
   const std::uint64_t leased = m_ledger.Lease(from, wanted, now);
-  Recompute(now);
+  if (was_free) {
+    Recompute(now);
+  }
   return {request.nonce, m_share, leased};
 }
 
@@ -101,7 +108,9 @@
   }
   m_census.OnAnswer(from, *sent);
   UpdateShare(now);
-  Recompute(now);
+  if (m_leases.TakeChanged()) {
+    Recompute(now);
+  }
   return true;
 }
 
