--- a/src/jacinthdeck/entry/tenant_gate.cc
+++ b/src/jacinthdeck/entry/tenant_gate.cc
@@ -155,14 +155,15 @@
   const Tenant* tenant = TenantOf(key);
   if (tenant == nullptr) {
     m_counters.AddUnauthorized();
-    Refuse(received, route, {},
+    // Not worth hashing a body for.
+    Refuse(received, route, {}, {},
            Refusal(AnswerKind::kUnauthorized, ForwardReason::kUnknownKey,
                    std::nullopt));
     return;
   }
   if (m_options.strict_revoke && m_sink.KeyAge() > m_options.revoke_after) {
     m_counters.Add(tenant->name, GateOutcome::kStaleKeys);
-    Refuse(received, route, tenant->name,
+    Refuse(received, route, tenant->name, {},
            Refusal(AnswerKind::kNotRun, ForwardReason::kStaleKeys,
                    kStaleKeysRetryAfter));
     return;
@@ -172,14 +173,17 @@
     Submit(std::move(received), account, false);
     return;
   }
-  CheckLimit({std::move(received), std::move(key), account, route, {}}, now);
+  const Fingerprint fingerprint = FingerprintOf(*received.request);
+  CheckLimit(
+      {std::move(received), std::move(key), account, route, fingerprint, {}},
+      now);
 }
 
 void TenantGate::CheckLimit(WaitingCall call, TimePoint now) {
   RateRequest request;
   request.call = call.received.call.id;
   request.tenant = call.account.name;
-  request.request_hash = FingerprintOf(*call.received.request).raw();
+  request.request_hash = call.fingerprint.raw();
   request.decide_by = DecideBy(call.received.call, *call.route, now);
   const RateVerdict verdict = m_limiter.Admit(request, now);
   if (verdict.decision == RateDecision::kPending) {
@@ -232,14 +236,14 @@
       break;
     case RateDecision::kLimited:
       m_counters.Add(call.account.name, GateOutcome::kLimited);
-      Refuse(call.received, call.route, call.account.name,
+      Refuse(call.received, call.route, call.account.name, call.fingerprint,
              Refusal(AnswerKind::kOverLimit, ForwardReason::kRateLimit,
                      verdict.retry_after));
       break;
     case RateDecision::kPending:
     case RateDecision::kUnknown:
       m_counters.Add(call.account.name, GateOutcome::kUnknown);
-      Refuse(call.received, call.route, call.account.name,
+      Refuse(call.received, call.route, call.account.name, call.fingerprint,
              Refusal(AnswerKind::kNotRun, ForwardReason::kLimitUnknown,
                      verdict.retry_after));
       break;
@@ -249,6 +253,7 @@
 void TenantGate::Refuse(const ReceivedCall& received,
                         const Route* route,
                         const TenantId& tenant,
+                        Fingerprint fingerprint,
                         ForwardAnswer answer) {
   GateRefusal refusal;
   refusal.call = received.call.id;
@@ -257,6 +262,7 @@
   refusal.answer = std::move(answer);
   refusal.trace.config = m_config;
   refusal.trace.route = route;
+  refusal.trace.fingerprint = fingerprint;
   m_sink.RefuseCall(std::move(refusal));
 }
 
--- a/src/jacinthdeck/entry/tenant_gate.h
+++ b/src/jacinthdeck/entry/tenant_gate.h
@@ -99,6 +99,7 @@
     CallAccount account;
     //! Points into the current configuration.
     const Route* route = nullptr;
+    Fingerprint fingerprint;
     std::optional<RateVerdict> verdict;
   };
 
@@ -120,6 +121,7 @@
   void Refuse(const ReceivedCall& received,
               const Route* route,
               const TenantId& tenant,
+              Fingerprint fingerprint,
               ForwardAnswer answer);
   [[nodiscard]] TimePoint DecideBy(const ForwardCall& call,
                                    const Route& route,
