--- a/test/jacinthdeck/forward/forwarder_test.cc
+++ b/test/jacinthdeck/forward/forwarder_test.cc
@@ -139,6 +139,20 @@
   BOOST_TEST(port.delivered.size() == 1U);
 }
 
+// Guards against a token that is not given back although no target has run the
+// request, and against one that is although a target may have.
+BOOST_AUTO_TEST_CASE(Forwarder_CallerDisconnects_TellsWhetherCallMayHaveRun) {
+  const CallId sent = Submit("/read/1");
+  BOOST_TEST(forwarder.Abandon(sent, clock.Now()));
+  BOOST_TEST(!forwarder.Abandon(sent, clock.Now()));
+  port.sent.clear();
+  const CallId refused = Submit("/read/2");
+  for (std::size_t at = 0; at < port.sent.size(); ++at) {
+    End(port.sent[at], AttemptOutcome::kNotSent);
+  }
+  BOOST_TEST(!forwarder.Abandon(refused, clock.Now()));
+}
+
 // Guards against wasted work. A caller closes its connection during its call,
 // so every attempt is cancelled immediately.
 BOOST_AUTO_TEST_CASE(Forwarder_CallerDisconnects_AttemptsAreCancelled) {
