--- a/test/jacinthdeck/entry/tenant_gate_test.cc
+++ b/test/jacinthdeck/entry/tenant_gate_test.cc
@@ -96,7 +96,7 @@
     return route;
   }
 
-  void Configure(std::vector<Tenant> tenants, bool all_public = false) {
+  void Configure(const std::vector<Tenant>& tenants, bool all_public = false) {
     gate->SetConfig(std::make_shared<const RoutingConfig>(
                         ++version,
                         std::vector<Route>{RouteAt("/a/", all_public),
@@ -393,6 +393,7 @@
 
 BOOST_AUTO_TEST_CASE(Counters_ManyAccounts_TopAndRestSumUp) {
   std::vector<Tenant> accounts;
+  accounts.reserve(30);
   for (int index = 0; index < 30; ++index) {
     accounts.push_back(
         Account("t" + std::to_string(index), "k" + std::to_string(index)));
--- a/test/jacinthdeck/peer/rate_message_codec_test.cc
+++ b/test/jacinthdeck/peer/rate_message_codec_test.cc
@@ -17,7 +17,9 @@
 
 using std::chrono::milliseconds;
 
-const HostId kFrom("host-17.example");
+[[nodiscard]] HostId Sender() {
+  return HostId("host-17.example");
+}
 
 [[nodiscard]] bool Decodes(std::string_view bytes) {
   return Capture([&] { return DecodeRateDatagram(bytes); }).index() == 0;
@@ -31,7 +33,7 @@
 
 //! Sends a message in datagrams that arrive in reverse order.
 [[nodiscard]] RateMessage RoundTrip(const RateMessage& message) {
-  std::vector<std::string> datagrams = EncodeRateMessage(kFrom, message);
+  std::vector<std::string> datagrams = EncodeRateMessage(Sender(), message);
   std::ranges::reverse(datagrams);
   RateMessageAssembler assembler;
   std::optional<RateMessage> joined;
@@ -71,7 +73,7 @@
 
 BOOST_AUTO_TEST_CASE(TokenRequest_LargerThanDatagram_IsSplitAndJoined) {
   const TokenRequest sent = LargeRequest();
-  BOOST_TEST(EncodeRateMessage(kFrom, sent).size() > 3U);
+  BOOST_TEST(EncodeRateMessage(Sender(), sent).size() > 3U);
   const auto got = std::get<TokenRequest>(RoundTrip(sent));
   BOOST_TEST(got.number == sent.number);
   BOOST_TEST(got.started_ms == sent.started_ms);
@@ -108,7 +110,7 @@
 // Guards against a limiter that sees a part of a message: it counts each number
 // once, so the rest would be lost.
 BOOST_AUTO_TEST_CASE(Parts_OneIsMissing_RepetitionCompletes) {
-  const auto datagrams = EncodeRateMessage(kFrom, LargeRequest());
+  const auto datagrams = EncodeRateMessage(Sender(), LargeRequest());
   RateMessageAssembler assembler;
   for (std::size_t index = 1; index < datagrams.size(); ++index) {
     BOOST_TEST(!assembler.Add(Decode(datagrams[index])).has_value());
@@ -122,8 +124,8 @@
 BOOST_AUTO_TEST_CASE(Parts_ManyIncompleteMessages_OldestAreDropped) {
   RateMessageAssembler assembler;
   for (std::uint64_t number = 0; number < 1000; ++number) {
-    (void)assembler.Add({kFrom, 0, 2, TokenRequest{number, 1, {}}});
-    (void)assembler.Add({kFrom, 0, 65, TokenRequest{number, 1, {}}});
+    (void)assembler.Add({Sender(), 0, 2, TokenRequest{number, 1, {}}});
+    (void)assembler.Add({Sender(), 0, 65, TokenRequest{number, 1, {}}});
   }
   BOOST_TEST(assembler.incomplete() == RateMessageAssembler::kMaxMessages);
 }
@@ -132,21 +134,22 @@
   for (const double share :
        {-0.1, 1.1, std::numeric_limits<double>::quiet_NaN(),
         std::numeric_limits<double>::infinity()}) {
-    BOOST_TEST(!Decodes(EncodeRateMessage(kFrom, ShareLease{1, share, 1})[0]));
+    BOOST_TEST(
+        !Decodes(EncodeRateMessage(Sender(), ShareLease{1, share, 1})[0]));
   }
   BOOST_TEST(!Decodes(EncodeRateMessage(HostId(), ShareRequest{1})[0]));
   BOOST_TEST(!Decodes(
-      EncodeRateMessage(kFrom, TokenRequest{1, 1, {TokenDemand{}}})[0]));
+      EncodeRateMessage(Sender(), TokenRequest{1, 1, {TokenDemand{}}})[0]));
   BOOST_TEST(!Decodes(""));
   BOOST_TEST(!Decodes("JDRL"));
-  BOOST_TEST(!Decodes(EncodeRateMessage(kFrom, ShareRequest{1})[0] +
+  BOOST_TEST(!Decodes(EncodeRateMessage(Sender(), ShareRequest{1})[0] +
                       std::string(kMaxRateDatagramBytes, 'x')));
 }
 
 // Guards against a reader that trusts lengths and offsets of a datagram; the
 // builds with sanitizers show reads beyond its end.
 BOOST_AUTO_TEST_CASE(Datagram_DamagedAtRandom_IsReadSafely) {
-  const auto datagrams = EncodeRateMessage(kFrom, LargeRequest());
+  const auto datagrams = EncodeRateMessage(Sender(), LargeRequest());
   Random random(4711);
   std::size_t errors = 0;
   for (int trial = 0; trial < 20000; ++trial) {
