--- a/test/platform/tenants_test.cc
+++ b/test/platform/tenants_test.cc
@@ -92,9 +92,10 @@
         {WithField(R"("name":)" + std::string(value)), first + ".name"});
   }
   for (const std::string name : {"ratePerS", "burst"}) {
+    std::string path = first + ".";
+    path += name;
     for (const char* value : {"-1", "-0.001", "\"5\"", "null", "true", "[]"}) {
-      cases.push_back(
-          {WithField('"' + name + "\":" + value), first + "." + name});
+      cases.push_back({WithField('"' + name + "\":" + value), path});
     }
   }
   cases.push_back({WithField(R"("ratePerS":1000000001)"), first + ".ratePerS"});
