--- a/bench/rate_limits.cc
+++ b/bench/rate_limits.cc
@@ -170,18 +170,24 @@
     sum.within += result.within;
     sum.limited_within += result.limited_within;
     sum.unknown_within += result.unknown_within;
+    sum.returned += result.returned;
+    sum.returned_refused += result.returned_refused;
     sum.messages += result.messages;
     sum.bytes += result.bytes;
     sum.duration += result.duration;
   }
   const double length = std::chrono::duration<double>(sum.duration).count();
-  std::printf("| %u (%u) | %s | %.3f | %llu + %llu of %llu | %.0f | %.1f |\n",
-              size.hosts, size.fronts, item.name, worst,
-              static_cast<unsigned long long>(sum.limited_within),
-              static_cast<unsigned long long>(sum.unknown_within),
-              static_cast<unsigned long long>(sum.within),
-              static_cast<double>(sum.messages) / length,
-              static_cast<double>(sum.bytes) / length / 1000);
+  std::printf(
+      "| %u (%u) | %s | %.3f | %llu + %llu of %llu | "
+      "%llu of %llu | %.0f | %.1f |\n",
+      size.hosts, size.fronts, item.name, worst,
+      static_cast<unsigned long long>(sum.limited_within),
+      static_cast<unsigned long long>(sum.unknown_within),
+      static_cast<unsigned long long>(sum.within),
+      static_cast<unsigned long long>(sum.returned_refused),
+      static_cast<unsigned long long>(sum.returned),
+      static_cast<double>(sum.messages) / length,
+      static_cast<double>(sum.bytes) / length / 1000);
   std::fflush(stdout);
 }
 
@@ -196,8 +202,9 @@
   const char* only = argc > 2 ? argv[2] : "";
   std::printf(
       "| hosts (fronts) | case | worst span / bound | refused within the "
-      "limit: limited + unknown | messages a second | kB a second |\n"
-      "|---|---|---|---|---|---|\n");
+      "limit: limited + unknown | refused again after Retry-After | messages a "
+      "second | kB a second |\n"
+      "|---|---|---|---|---|---|---|\n");
   for (const Size size : {Size{6, 6}, Size{76, 8}, Size{300, 60}}) {
     for (const Case& item : Cases()) {
       if (std::strstr(item.name, only) != nullptr) {
--- a/bench/support/rate_fleet.cc
+++ b/bench/support/rate_fleet.cc
@@ -17,6 +17,13 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+// Quarters of the objectives of the routes of a deployment.
+constexpr std::array<Duration, 3> kPatience{
+    milliseconds(20), microseconds(37500), milliseconds(200)};
+// Callers come back once if they are told at most a third of their time.
+constexpr std::array<Duration, 3> kLongestWait{milliseconds(266),
+                                               milliseconds(500), seconds(2)};
+
 [[nodiscard]] double SecondsOf(Duration duration) {
   return std::chrono::duration<double>(duration).count();
 }
@@ -267,6 +274,8 @@
   m_within = 0;
   m_limited = 0;
   m_unknown = 0;
+  m_returned = 0;
+  m_returned_refused = 0;
   m_messages = 0;
   m_bytes = 0;
 }
@@ -276,6 +285,8 @@
   result.within = m_within;
   result.limited_within = m_limited;
   result.unknown_within = m_unknown;
+  result.returned = m_returned;
+  result.returned_refused = m_returned_refused;
   result.messages = m_messages;
   result.bytes = m_bytes;
   result.duration = m_now - m_begin;
@@ -424,31 +435,56 @@
   if (!account.is_over && !IsWithinLimit(account)) {
     return;
   }
-  std::vector<std::uint32_t> up;
-  for (const std::uint32_t front : m_fronts) {
-    const Host& host = *m_hosts[front];
-    if (host.limiter && !host.is_paused) {
-      up.push_back(front);
-    }
-  }
-  if (up.empty()) {
+  const std::optional<std::uint32_t> front = RandomFront();
+  if (!front) {
     return;
   }
-  // Quarters of the objectives of the routes of a deployment.
-  constexpr std::array<Duration, 3> kPatience{
-      milliseconds(20), microseconds(37500), milliseconds(200)};
   const bool counts = !account.is_over;
   m_within += counts ? 1 : 0;
-  Send(up[m_random.Below(up.size())], index, m_random.DrawSeed(),
-       kPatience[m_random.Below(kPatience.size())],
-       [this, counts](const RateVerdict& verdict) {
+  const std::size_t route = m_random.Below(kPatience.size());
+  const std::uint64_t hash = m_random.DrawSeed();
+  Send(*front, index, hash, kPatience[route],
+       [this, counts, index, hash, route](const RateVerdict& verdict) {
+         if (verdict.decision == RateDecision::kAdmitted) {
+           return;
+         }
          if (counts) {
            m_limited += verdict.decision == RateDecision::kLimited ? 1 : 0;
            m_unknown += verdict.decision == RateDecision::kUnknown ? 1 : 0;
          }
+         if (verdict.retry_after <= kLongestWait[route]) {
+           At(m_now + verdict.retry_after + milliseconds(6),
+              [this, index, hash, route] {
+                Return(index, hash, kPatience[route]);
+              });
+         }
        });
 }
 
+std::optional<std::uint32_t> RateFleet::RandomFront() {
+  std::vector<std::uint32_t> up;
+  for (const std::uint32_t front : m_fronts) {
+    const Host& host = *m_hosts[front];
+    if (host.limiter && !host.is_paused) {
+      up.push_back(front);
+    }
+  }
+  return up.empty() ? std::nullopt
+                    : std::optional(up[m_random.Below(up.size())]);
+}
+
+void RateFleet::Return(std::uint32_t account,
+                       std::uint64_t hash,
+                       Duration patience) {
+  const std::optional<std::uint32_t> front = RandomFront();
+  if (front) {
+    ++m_returned;
+    Send(*front, account, hash, patience, [this](const RateVerdict& verdict) {
+      m_returned_refused += verdict.decision == RateDecision::kAdmitted ? 0 : 1;
+    });
+  }
+}
+
 bool RateFleet::IsWithinLimit(RateFleetAccount& account) const {
   const double gain = account.rate * SecondsOf(m_now - account.updated);
   account.level = std::min(account.level + gain, account.burst);
--- a/bench/support/rate_fleet.h
+++ b/bench/support/rate_fleet.h
@@ -67,6 +67,9 @@
   std::uint64_t within = 0;
   std::uint64_t limited_within = 0;
   std::uint64_t unknown_within = 0;
+  //! Requests that came back after the time that they were told.
+  std::uint64_t returned = 0;
+  std::uint64_t returned_refused = 0;
   //! Highest ratio of admitted requests to the bound, of any account and span.
   double worst_window = 0;
   TenantId worst_account;
@@ -150,6 +153,10 @@
   void Configure(Host& host);
   void CallLater(std::uint32_t account);
   void Call(std::uint32_t account);
+  //! Sends a request again that was refused.
+  void Return(std::uint32_t account, std::uint64_t hash, Duration patience);
+  //! A front that answers callers.
+  [[nodiscard]] std::optional<std::uint32_t> RandomFront();
   [[nodiscard]] bool IsWithinLimit(RateFleetAccount& account) const;
   [[nodiscard]] std::shared_ptr<const TenantTable> Table() const;
   [[nodiscard]] std::uint32_t Sharers() const;
@@ -175,6 +182,8 @@
   std::uint64_t m_within = 0;
   std::uint64_t m_limited = 0;
   std::uint64_t m_unknown = 0;
+  std::uint64_t m_returned = 0;
+  std::uint64_t m_returned_refused = 0;
   std::uint64_t m_messages = 0;
   std::uint64_t m_bytes = 0;
 };
--- a/src/jacinthdeck/tenancy/rate_limiter_state.cc
+++ b/src/jacinthdeck/tenancy/rate_limiter_state.cc
@@ -14,7 +14,7 @@
 using Kind = RateTimer::Kind;
 
 //! Several requests fall into the lifetime of a lease.
-constexpr Duration kShareInterval = std::chrono::milliseconds(150);
+constexpr Duration kShareInterval = std::chrono::milliseconds(100);
 //! A host that starts has no share to lease before others have answered it.
 constexpr std::array<Duration, 3> kStartIntervals{
     std::chrono::milliseconds(10), std::chrono::milliseconds(30),
--- a/src/jacinthdeck/tenancy/rate_plan.cc
+++ b/src/jacinthdeck/tenancy/rate_plan.cc
@@ -14,7 +14,7 @@
 constexpr double kReportDelay = 0.05;
 //! Part of the reserve that is not used: fronts may differ for a short time on
 //! how many they are, and clocks run at slightly different speeds.
-constexpr double kViewMargin = 0.1;
+constexpr double kViewMargin = 0.05;
 //! The host with more than half of the shares gains at most this part of a
 //! token.
 constexpr double kWholeToken = 0.5;
--- a/src/jacinthdeck/tenancy/share_exchange.cc
+++ b/src/jacinthdeck/tenancy/share_exchange.cc
@@ -9,7 +9,7 @@
 namespace {
 
 //! A front asks each other front for its share several times within this time.
-constexpr Duration kSilenceTime = std::chrono::milliseconds(600);
+constexpr Duration kSilenceTime = std::chrono::milliseconds(400);
 
 //! Bits of a nonce that count the requests of one process.
 constexpr unsigned kNonceCounterBits = 20;
--- a/src/jacinthdeck/tenancy/share_ledger.h
+++ b/src/jacinthdeck/tenancy/share_ledger.h
@@ -14,7 +14,7 @@
 
 /*! \brief How long an allocator counts a lease, from when it sent its request.
  */
-inline constexpr Duration kLeaseLifetime = std::chrono::milliseconds(600);
+inline constexpr Duration kLeaseLifetime = std::chrono::milliseconds(400);
 /*! \brief How much longer the host that gave the lease counts it. It covers
  * clocks that run at different speeds. */
 inline constexpr Duration kLeaseMargin = std::chrono::milliseconds(20);
