--- a/src/jacinthdeck/tenancy/rate_plan.cc
+++ b/src/jacinthdeck/tenancy/rate_plan.cc
@@ -20,10 +20,10 @@
 constexpr double kWholeToken = 0.5;
 //! One part in so many is for processes that have just started. Shares are
 //! leased within some round trips after a start, so that less is needed then.
-constexpr std::uint32_t kStartPart = 3;
+constexpr std::uint32_t kStartPart = 4;
 //! With the buckets of all hosts empty and demand at the usual rate, the
 //! requests that wait for tokens exceed this number in 1 of 1,000 cases.
-constexpr std::uint32_t kMostAtStart = 9;
+constexpr std::uint32_t kMostAtStart = 7;
 //! Bounds the memory that a reserve takes.
 constexpr double kMaxReserve = 100000;
 
@@ -51,7 +51,8 @@
   plan.burst += lead;
   rest = std::min((rest - lead) * (1 - kViewMargin), kMaxReserve);
   const auto whole = static_cast<std::uint32_t>(std::floor(rest));
-  plan.start_reserve = std::min(whole / kStartPart, kMostAtStart);
+  plan.start_reserve =
+      std::min((whole + kStartPart - 1) / kStartPart, kMostAtStart);
   plan.reserve = whole - plan.start_reserve;
   return plan;
 }
