--- a/src/jacinthdeck/entry/entry_settings.cc
+++ b/src/jacinthdeck/entry/entry_settings.cc
@@ -13,6 +13,10 @@
 constexpr SettingRange kExtraWindowMs{1000, 600'000};
 constexpr SettingRange kDirectoryTtlMs{100, 3'600'000};
 constexpr SettingRange kGraceMs{500, 600'000};
+constexpr SettingRange kRevokeMs{100, 3'600'000};
+constexpr SettingRange kWindowMs{100, 600'000};
+constexpr SettingRange kOvershoot{0, 10};
+constexpr SettingRange kSlack{0, 1'000'000};
 constexpr SettingRange kLogBytesPerSecond{1024, 67'108'864};
 constexpr SettingRange kLogSample{1, 1'000'000};
 
@@ -65,6 +69,24 @@
       table.Milliseconds("shutdown.grace_ms", kGraceMs, settings.grace);
 }
 
+void ReadKeys(SettingsTable& table, EntrySettings& settings) {
+  settings.strict_revoke =
+      table.Flag("keys.strict_revoke", settings.strict_revoke);
+  settings.revoke_after =
+      table.Milliseconds("keys.revoke_ms", kRevokeMs, settings.revoke_after);
+}
+
+void ReadRateLimits(SettingsTable& table, RateLimitSettings& limits) {
+  limits.listen =
+      table.Address("rate_limits.listen", SettingPresence::kOptional);
+  limits.window =
+      table.Milliseconds("rate_limits.window_ms", kWindowMs, limits.window);
+  limits.overshoot = table.Number("rate_limits.overshoot", kOvershoot,
+                                  SettingPresence::kOptional, limits.overshoot);
+  limits.slack = table.Number("rate_limits.slack", kSlack,
+                              SettingPresence::kOptional, limits.slack);
+}
+
 void ReadLog(SettingsTable& table, EntrySettings& settings) {
   settings.log_level =
       table.OneOf("log.level", {"trace", "debug", "info", "warning", "error"},
@@ -86,6 +108,8 @@
   ReadHost(table, settings);
   ReadListen(table, settings);
   ReadLimits(table, settings);
+  ReadKeys(table, settings);
+  ReadRateLimits(table, settings.rate_limits);
   ReadLog(table, settings);
   std::vector<SettingsError> errors = table.TakeErrors();
   if (!errors.empty()) {
