Hold retries for a canary, and leave out targets that refuse connections

Cause: a request that crashes what runs it ended one target of each shard by its first attempts and a second one by retries, or by hedges where the targets end late, all sent before it was known why the first attempts broke. Targets that refuse connections were chosen again and counted as live, so calls that no host could serve were sent out in full and ended as 502.

Change: - RetryGate: after a break, or at the first hedge of a call without an answer, one attempt of a fan-out goes ahead and the others wait for its complete response, or for as many responses as attempts broke. A canary that breaks while nothing has answered and its request is suspect counts as the probe. - UnreachableTargets: a target that refuses a connection (RST) is left out of Pick and CountLive until one opens or a later start is listed. Each host has one probe a target at a time (100 ms, doubled up to 1 s). A call that too few shards can answer is refused as no_target until the probe that may bring the last missing one back. - Metrics targets_unreachable, targets_became_unreachable_total, targets_became_reachable_total, target_probes_total, canaries_total; log events target_unreachable and target_reachable.

Changed tests: FanOut_ConnectionsLostBeforeAnswers_OtherTargetsAreTried asked for all retries at once. It now asks for one, then for the others as soon as that one is answered, and for the whole answer as before.

--- a/bench/support/forward_model.cc
+++ b/bench/support/forward_model.cc
@@ -86,6 +86,7 @@
   void OnAttemptLost(const LostAttempt&) override {}
   void ShareSuspect(const CrashEvidence&) override {}
   void ShareQuarantine(const CrashEvidence&) override {}
+  void OnReachabilityChange(const TargetEntry&, bool) override {}
   void CheckTarget(const TargetEntry&, std::uint32_t, bool) override {}
 
   ForwardModel& m_model;
--- a/src/jacinthdeck/entry/decision_log.cc
+++ b/src/jacinthdeck/entry/decision_log.cc
@@ -147,6 +147,21 @@
   m_log.Add(std::move(line));
 }
 
+void DecisionLog::OnReachabilityChange(const TargetEntry& target,
+                                       bool reachable) {
+  if (!m_log.HasRoom()) {
+    m_log.Drop();
+    return;
+  }
+  LogLine line = m_log.Begin(reachable ? LogEvent::kTargetReachable
+                                       : LogEvent::kTargetUnreachable);
+  line.Text("target", target.id.raw())
+      .Text("service", target.service.raw())
+      .Text("address", target.address)
+      .Count("port", target.port);
+  m_log.Add(std::move(line));
+}
+
 void DecisionLog::OnCrash(LogEvent event, const CrashEvidence& evidence) {
   LogLine line = m_log.Begin(event);
   line.Hash("fingerprint", evidence.fingerprint.raw())
--- a/src/jacinthdeck/entry/decision_log.h
+++ b/src/jacinthdeck/entry/decision_log.h
@@ -66,6 +66,9 @@
    * stand in the line of their call. */
   void OnAttemptLost(const LostAttempt& lost);
 
+  /*! \brief Logs that a target refuses connections, or does no longer. */
+  void OnReachabilityChange(const TargetEntry& target, bool reachable);
+
   /*! \brief Logs that a request became suspect or was quarantined, with the
    * target that ended under it. */
   void OnCrash(LogEvent event, const CrashEvidence& evidence);
--- a/src/jacinthdeck/entry/entry_node.cc
+++ b/src/jacinthdeck/entry/entry_node.cc
@@ -236,6 +236,11 @@
                           evidence.quarantined_for);
 }
 
+void EntryNode::OnReachabilityChange(const TargetEntry& target,
+                                     bool reachable) {
+  m_decisions.OnReachabilityChange(target, reachable);
+}
+
 void EntryNode::CheckTarget(const TargetEntry& target,
                             std::uint32_t connection_limit,
                             bool keep) {
--- a/src/jacinthdeck/entry/entry_node.h
+++ b/src/jacinthdeck/entry/entry_node.h
@@ -76,6 +76,7 @@
   void OnAttemptLost(const LostAttempt& lost) override;
   void ShareSuspect(const CrashEvidence& evidence) override;
   void ShareQuarantine(const CrashEvidence& evidence) override;
+  void OnReachabilityChange(const TargetEntry& target, bool reachable) override;
   void CheckTarget(const TargetEntry& target,
                    std::uint32_t connection_limit,
                    bool keep) override;
--- a/src/jacinthdeck/entry/log_event.h
+++ b/src/jacinthdeck/entry/log_event.h
@@ -31,6 +31,8 @@
   kSchemaApplied,
   kEntryUnreadable,
   kAttemptLost,
+  kTargetUnreachable,
+  kTargetReachable,
   kSuspected,
   kQuarantined,
   kCallRefused,
@@ -46,7 +48,7 @@
 
 //! Names of the events as written to the log, in the order of LogEvent;
 //! kQuarantined is written as "convicted".
-inline constexpr NameTable<LogEvent, 33> kLogEventNames{{"started",
+inline constexpr NameTable<LogEvent, 35> kLogEventNames{{"started",
                                                          "stopping",
                                                          "stopped",
                                                          "reloaded",
@@ -68,6 +70,8 @@
                                                          "schema_applied",
                                                          "entry_unreadable",
                                                          "attempt_lost",
+                                                         "target_unreachable",
+                                                         "target_reachable",
                                                          "suspected",
                                                          "convicted",
                                                          "call_refused",
--- a/src/jacinthdeck/entry/node_metrics.cc
+++ b/src/jacinthdeck/entry/node_metrics.cc
@@ -76,6 +76,15 @@
               static_cast<double>(calls.lost_during_call));
   WriteMetric(out, "attempts_lost_after_call_total",
               static_cast<double>(calls.lost_after_call));
+  WriteMetric(out, "targets_unreachable",
+              static_cast<double>(source.forwarder.unreachable_targets()));
+  WriteMetric(out, "targets_became_unreachable_total",
+              static_cast<double>(calls.became_unreachable));
+  WriteMetric(out, "targets_became_reachable_total",
+              static_cast<double>(calls.became_reachable));
+  WriteMetric(out, "target_probes_total",
+              static_cast<double>(calls.target_probes));
+  WriteMetric(out, "canaries_total", static_cast<double>(calls.canaries));
   WriteMetric(out, "suspects_total", static_cast<double>(calls.suspects));
   WriteMetric(out, "convictions_total", static_cast<double>(calls.quarantines));
   const PoolCounters& pool = source.pool.counters();
--- a/src/jacinthdeck/forward/forward_counters.h
+++ b/src/jacinthdeck/forward/forward_counters.h
@@ -27,6 +27,14 @@
   //! and after the end of their call.
   std::uint64_t lost_during_call = 0;
   std::uint64_t lost_after_call = 0;
+  //! Targets that were found to refuse connections, and those of them that
+  //! accepted one again, or had a new process in the registry.
+  std::uint64_t became_unreachable = 0;
+  std::uint64_t became_reachable = 0;
+  //! Probes of targets that refuse connections.
+  std::uint64_t target_probes = 0;
+  //! Attempts that were sent alone after others of their call had broken.
+  std::uint64_t canaries = 0;
   //! Requests that became suspect, as a target ended under them.
   std::uint64_t suspects = 0;
   //! Requests that this host quarantined because they crash targets.
--- a/src/jacinthdeck/forward/forward_port.h
+++ b/src/jacinthdeck/forward/forward_port.h
@@ -45,6 +45,10 @@
   /*! \brief Tells the other hosts that a request crashes its targets. */
   virtual void ShareQuarantine(const CrashEvidence& evidence) = 0;
 
+  /*! \brief Records that a target refuses connections, or does no longer. */
+  virtual void OnReachabilityChange(const TargetEntry& target,
+                                    bool reachable) = 0;
+
   /**
    * \brief Checks whether a target accepts connections. The result is reported
    * through Forwarder::OnTargetChecked().
--- a/src/jacinthdeck/forward/forwarder.cc
+++ b/src/jacinthdeck/forward/forwarder.cc
@@ -18,8 +18,9 @@
 
 std::optional<TimePoint> Forwarder::NextTimer() const {
   std::optional<TimePoint> earliest;
-  for (const auto& due : {m_timers.Next(), m_stale_attempts.Next(),
-                          m_crash_guard.unresolved().NextDue()}) {
+  for (const auto& due :
+       {m_timers.Next(), m_stale_attempts.Next(),
+        m_crash_guard.unresolved().NextDue(), m_unreachable.NextDue()}) {
     if (due) {
       earliest = std::min(earliest.value_or(*due), *due);
     }
@@ -39,6 +40,7 @@
 void Forwarder::SetTargets(std::span<const TargetEntry> entries,
                            TimePoint now) {
   m_targets.Replace(entries, now);
+  DropReplacedUnreachable();
   ResolveReplacedTargets(now);
 }
 
@@ -68,6 +70,7 @@
     CancelAttempt(*due, now, now);
   }
   CheckDueTargets(now);
+  ProbeUnreachableTargets(now);
 }
 
 void Forwarder::OnCallTimer(PendingCall& pending, TimePoint now) {
--- a/src/jacinthdeck/forward/forwarder.h
+++ b/src/jacinthdeck/forward/forwarder.h
@@ -26,6 +26,7 @@
 #include "jacinthdeck/forward/pending_call.h"
 #include "jacinthdeck/forward/routing_config.h"
 #include "jacinthdeck/forward/target_set.h"
+#include "jacinthdeck/forward/unreachable_targets.h"
 #include "jacinthdeck/forward/weighted_round_robin.h"
 
 namespace jacinthdeck {
@@ -63,6 +64,10 @@
     return m_counters;
   }
   [[nodiscard]] const TargetSet& targets() const noexcept { return m_targets; }
+  /*! \brief Number of targets that refuse connections. */
+  [[nodiscard]] std::size_t unreachable_targets() const noexcept {
+    return m_unreachable.size();
+  }
 
   /*! \brief Returns when OnTimer() is due next; empty if no timer is set. */
   [[nodiscard]] std::optional<TimePoint> NextTimer() const;
@@ -198,6 +203,9 @@
                     const AttemptEnd& end,
                     TimePoint now);
   void TraceEnd(PendingCall& pending, const AttemptEnd& end, TimePoint now);
+  void UpdateRetryGate(PendingCall& pending,
+                       const AttemptEnd& end,
+                       TimePoint now);
   void HandleAttemptEnd(PendingCall& pending,
                         const PendingAttempt& attempt,
                         AttemptEnd& end,
@@ -237,7 +245,15 @@
   //! Returns whether a part of a suspect request may be sent as its probe.
   [[nodiscard]] bool MayProbe(const PendingCall& pending,
                               const CallPart& part) const;
-  void HoldSuspect(PendingCall& pending, CallPart& part, TimePoint now);
+  //! Holds a part until a probe of its request, or a canary of its call, has a
+  //! result.
+  void HoldPart(PendingCall& pending, CallPart& part, TimePoint now);
+  //! Makes a canary that broke a probe if nothing speaks for its request.
+  void MakeCanaryProbe(PendingAttempt& attempt,
+                       const AttemptEnd& end,
+                       TimePoint now);
+  //! Lets the retries of a call go on that waited for its canary.
+  static void ReleaseHeldParts(PendingCall& pending, TimePoint now);
   void UpdateCrashGuard(const PendingAttempt& attempt,
                         const AttemptEnd& end,
                         TimePoint now);
@@ -253,10 +269,33 @@
   void ApplyGuardChanges(const CrashGuardChanges& changes);
   //! Checks the targets under which attempts have ended without a response.
   void CheckDueTargets(TimePoint now);
+  //! Checks whether a target accepts connections.
+  void CheckTarget(const TrackedTarget& target);
   //! Looks for targets that the registry no longer lists, or lists as another
   //! process.
   void ResolveReplacedTargets(TimePoint now);
 
+  // Targets that refuse connections, in forwarder_reachability.cc.
+  //! \param took How long the refusal took to arrive.
+  void OnConnectionRefused(TrackedTarget& target, Duration took, TimePoint now);
+  void UpdateReachability(const TargetId& target,
+                          TargetCheck result,
+                          TimePoint now);
+  void EndUnreachable(const TargetId& target);
+  //! Drops targets that left the registry or have a new process there.
+  void DropReplacedUnreachable();
+  void ProbeUnreachableTargets(TimePoint now);
+  //! Returns when the next probe of any target of a service has its result;
+  //! empty if none is to be probed.
+  [[nodiscard]] std::optional<TimePoint> NextProbeResult(
+      const ServiceId& service,
+      TimePoint now) const;
+  //! Returns when enough shards of a call may have a target again, by the
+  //! probes; empty if that is unknown.
+  [[nodiscard]] std::optional<TimePoint> ShardsBackAt(
+      const PendingCall& pending,
+      TimePoint now) const;
+
   // Timers, in forwarder.cc.
   void OnCallTimer(PendingCall& pending, TimePoint now);
   void RearmTimer(const PendingCall& pending);
@@ -273,6 +312,8 @@
   //! When this host got its share.
   TimePoint m_share_since;
   CrashGuard m_crash_guard;
+  //! The targets of m_targets with is_unreachable().
+  UnreachableTargets m_unreachable;
   //! Last response of a target in each failure domain, recorded while attempts
   //! are unresolved.
   std::map<FailureDomain, TimePoint> m_domain_answers;
--- a/src/jacinthdeck/forward/forwarder_admission.cc
+++ b/src/jacinthdeck/forward/forwarder_admission.cc
@@ -16,7 +16,8 @@
 //! A host that has just started, or was disconnected, usually has the
 //! configuration again within this time.
 constexpr Duration kNoConfigRetryAfter = milliseconds(500);
-//! Restarting targets or resharding usually takes about this long.
+//! Resharding, or the registration of the first target of a service, usually
+//! takes about this long.
 constexpr Duration kNoTargetRetryAfter = milliseconds(600);
 //! A suspect request has usually been tried on a target within this time.
 constexpr Duration kSuspectRetryAfter = milliseconds(600);
@@ -269,7 +270,8 @@
                                   TimePoint now) {
   switch (reason) {
     case ForwardReason::kNoTarget:
-      return kNoTargetRetryAfter;
+      return ShardsBackAt(pending, now).value_or(now + kNoTargetRetryAfter) -
+             now;
     case ForwardReason::kCrashesTargets:
       return m_crash_guard.QuarantinedUntil(pending.fingerprint, now)
                  .value_or(now + kSuspectRetryAfter) -
--- a/src/jacinthdeck/forward/forwarder_attempts.cc
+++ b/src/jacinthdeck/forward/forwarder_attempts.cc
@@ -98,6 +98,16 @@
   if (!PassesCrashGuard(pending, part, now)) {
     return;
   }
+  if (reason == AttemptReason::kHedge && pending.parts.size() > 1) {
+    pending.retry_gate.OnHedgeDue();
+  }
+  // A target that returned a failure survived the request.
+  if (pending.retry_gate.MustWait(now) && !part.response) {
+    HoldPart(pending, part, now);
+    part.held = true;
+    pending.held_until = now;
+    return;
+  }
   const bool extra = part.attempts_arrived > 0;
   AttemptBudget& budget = BudgetOf(part.service);
   if (extra && !budget.CanSpend(now)) {
@@ -121,7 +131,7 @@
   }
   if (IsSuspect(pending, now) &&
       m_crash_guard.RunsProbe(choice.target->entry().id)) {
-    HoldSuspect(pending, part, now);
+    HoldPart(pending, part, now);
     return;
   }
   const bool paid = extra && budget.TrySpend(now);
@@ -141,12 +151,21 @@
     }
     return;
   }
-  const bool live = m_targets.CountLive(part.service) > 0;
-  if (!live || now - pending.call.arrived > CapacityWaitLimit(pending)) {
+  const TimePoint latest = std::max(pending.call.arrived, pending.held_until) +
+                           CapacityWaitLimit(pending);
+  if (m_targets.CountLive(part.service) == 0) {
+    const auto probed_at = NextProbeResult(part.service, now);
+    if (!probed_at || *probed_at > latest) {
+      GiveUp(pending, part, ForwardReason::kNoTarget);
+      return;
+    }
+    part.retry_at = std::max(*probed_at, now + kNoCapacityPause);
+    return;
+  }
+  if (now > latest) {
     const bool failed = part.reason == ForwardReason::kTargetsFailed;
-    const ForwardReason live_reason =
-        failed ? ForwardReason::kTargetsFailed : ForwardReason::kOverload;
-    GiveUp(pending, part, live ? live_reason : ForwardReason::kNoTarget);
+    GiveUp(pending, part,
+           failed ? ForwardReason::kTargetsFailed : ForwardReason::kOverload);
     return;
   }
   part.retry_at = now + kNoCapacityPause;
@@ -161,6 +180,11 @@
   CallPart& part = pending.parts[part_index];
   const AttemptReason reason = criteria.reason;
   const AttemptId id(m_next_attempt++);
+  const bool canary = pending.retry_gate.NeedsCanary(now);
+  if (canary) {
+    ++m_counters.canaries;
+    pending.retry_gate.OnCanarySent(id, now + pending.profile->hedge_delay());
+  }
   const PendingAttempt& attempt =
       m_attempts
           .emplace(id,
@@ -179,6 +203,7 @@
   if (target.entry().domain != m_options.domain) {
     ++m_counters.attempts_other_domains[static_cast<std::size_t>(reason)];
   }
+  part.held = false;
   part.hedge_at.reset();
   if (MaySendAgain(pending, part, now)) {
     part.hedge_at = now + pending.profile->hedge_delay();
--- a/src/jacinthdeck/forward/forwarder_quarantine.cc
+++ b/src/jacinthdeck/forward/forwarder_quarantine.cc
@@ -9,7 +9,7 @@
 
 using std::chrono::milliseconds;
 
-//! Pause before a suspect request that is held looks again whether its probe
+//! Pause before a part that is held looks again whether the probe or the canary
 //! has a result.
 constexpr Duration kProbePollInterval = milliseconds(4);
 
@@ -47,7 +47,7 @@
   if (part.in_flight.empty() && MayProbe(pending, part)) {
     return true;
   }
-  HoldSuspect(pending, part, now);
+  HoldPart(pending, part, now);
   return false;
 }
 
@@ -63,9 +63,7 @@
   return crashed(part) || std::ranges::none_of(pending.parts, crashed);
 }
 
-void Forwarder::HoldSuspect(PendingCall& pending,
-                            CallPart& part,
-                            TimePoint now) {
+void Forwarder::HoldPart(PendingCall& pending, CallPart& part, TimePoint now) {
   if (!part.in_flight.empty()) {
     OnNoTarget(pending, part, now);
   } else {
@@ -73,6 +71,43 @@
   }
 }
 
+// The canary was sent before its request was suspect, but after the first
+// breaks. Without this, one more target would have to end under a probe. A
+// harmless request beside a crashing one has answers of other shards by then,
+// and does not become quarantined when its canary meets another target that
+// ends.
+void Forwarder::MakeCanaryProbe(PendingAttempt& attempt,
+                                const AttemptEnd& end,
+                                TimePoint now) {
+  const auto found = m_calls.find(attempt.call);
+  if (attempt.probe || end.outcome != AttemptOutcome::kBroken ||
+      found == m_calls.end()) {
+    return;
+  }
+  const PendingCall& pending = found->second;
+  if (pending.retry_gate.IsCanary(end.id) && pending.answered == 0 &&
+      IsSuspect(pending, now)) {
+    attempt.probe = true;
+    m_crash_guard.OnSent(GuardedOf(attempt));
+  }
+}
+
+// The parts would otherwise wait for their next look, which may be a poll
+// interval away.
+void Forwarder::ReleaseHeldParts(PendingCall& pending, TimePoint now) {
+  for (CallPart& part : pending.parts) {
+    if (part.phase != internal::PartPhase::kOpen || !part.held) {
+      continue;
+    }
+    part.held = false;
+    pending.held_until = now;
+    auto& next = part.in_flight.empty() ? part.retry_at : part.hedge_at;
+    if (next) {
+      next = now;
+    }
+  }
+}
+
 void Forwarder::UpdateCrashGuard(const PendingAttempt& attempt,
                                  const AttemptEnd& end,
                                  TimePoint now) {
@@ -124,6 +159,7 @@
 void Forwarder::OnTargetChecked(const TargetId& target,
                                 TargetCheck result,
                                 TimePoint now) {
+  UpdateReachability(target, result, now);
   if (result == TargetCheck::kTimedOut && IsOnlyTargetSilent(target)) {
     result = TargetCheck::kUnreachable;
   }
@@ -161,14 +197,17 @@
       OnTargetEnded(id, now);
       continue;
     }
-    const std::uint32_t limit =
-        m_config == nullptr
-            ? 1
-            : ConnectionLimit(*m_config, target->entry().service);
-    m_port.CheckTarget(target->entry(), limit, m_has_share);
+    CheckTarget(*target);
   }
 }
 
+void Forwarder::CheckTarget(const TrackedTarget& target) {
+  const std::uint32_t limit =
+      m_config == nullptr ? 1
+                          : ConnectionLimit(*m_config, target.entry().service);
+  m_port.CheckTarget(target.entry(), limit, m_has_share);
+}
+
 void Forwarder::ResolveReplacedTargets(TimePoint now) {
   for (const TargetId& id : m_crash_guard.unresolved().Targets()) {
     const TrackedTarget* target = m_targets.Find(id);
--- a/src/jacinthdeck/forward/forwarder_replies.cc
+++ b/src/jacinthdeck/forward/forwarder_replies.cc
@@ -18,11 +18,12 @@
   if (found == m_attempts.end()) {
     return;
   }
-  const PendingAttempt attempt = found->second;
+  PendingAttempt attempt = found->second;
   m_attempts.erase(found);
   m_stale_attempts.Remove(end.id);
   ++m_counters.outcomes[static_cast<std::size_t>(end.outcome)];
   UpdateTarget(attempt, end, now);
+  MakeCanaryProbe(attempt, end, now);
   UpdateCrashGuard(attempt, end, now);
   const auto pending = m_calls.find(attempt.call);
   if (end.connection_lost) {
@@ -74,6 +75,11 @@
       target.MarkRemoved();
       break;
     case AttemptOutcome::kNotSent:
+      target.OnLost(end.id, now);
+      if (end.unreachable) {
+        OnConnectionRefused(target, now - attempt.sent, now);
+      }
+      break;
     case AttemptOutcome::kBroken:
       target.OnLost(end.id, now);
       break;
@@ -96,6 +102,28 @@
   attempt->status = end.response.status;
 }
 
+// A canary that broke says something of its request only if no other shard has
+// answered it.
+void Forwarder::UpdateRetryGate(PendingCall& pending,
+                                const AttemptEnd& end,
+                                TimePoint now) {
+  if (pending.parts.size() == 1) {
+    return;  // No other shard could lose a target.
+  }
+  RetryGate& gate = pending.retry_gate;
+  if (end.outcome == AttemptOutcome::kBroken) {
+    gate.OnBroken();
+  }
+  if (end.outcome == AttemptOutcome::kResponse) {
+    if (gate.OnAnswered(end.id)) {
+      ReleaseHeldParts(pending, now);
+      RearmTimer(pending);
+    }
+  } else if (end.outcome != AttemptOutcome::kBroken || pending.answered > 0) {
+    gate.OnInconclusive(end.id);
+  }
+}
+
 void Forwarder::HandleAttemptEnd(PendingCall& pending,
                                  const PendingAttempt& attempt,
                                  AttemptEnd& end,
@@ -103,6 +131,7 @@
   TraceEnd(pending, end, now);
   CallPart& part = pending.parts[attempt.part];
   std::erase(part.in_flight, end.id);
+  UpdateRetryGate(pending, end, now);
   if (part.phase != internal::PartPhase::kOpen) {
     return;
   }
--- a/src/jacinthdeck/forward/learned_target.cc
+++ b/src/jacinthdeck/forward/learned_target.cc
@@ -110,6 +110,7 @@
   if (!restarted) {
     return;
   }
+  m_unreachable = false;
   m_slowness.Reset();
   m_served_latency.Reset();
   m_failure_rate = 0;
--- a/src/jacinthdeck/forward/learned_target.h
+++ b/src/jacinthdeck/forward/learned_target.h
@@ -41,9 +41,13 @@
 
   /*! \brief Returns whether the target may get new requests. */
   [[nodiscard]] bool AcceptsRequests() const noexcept {
-    return !m_removed && m_entry.AcceptsRequests();
+    return !m_removed && !m_unreachable && m_entry.AcceptsRequests();
   }
 
+  /*! \brief Returns whether the target refused the last connection that was
+   * tried. */
+  [[nodiscard]] bool is_unreachable() const noexcept { return m_unreachable; }
+
   /*! \brief Returns whether the target has not answered for longer than its
    * work explains, or has recently left attempts unanswered. */
   [[nodiscard]] bool IsUnresponsive(TimePoint now) const noexcept;
@@ -79,13 +83,18 @@
   /*! \brief Share of recent attempts that failed; it decays over time. */
   [[nodiscard]] double FailureRate(TimePoint now) const noexcept;
 
-  /*! \brief Sets a newer registry entry; if the target restarted, the latencies
-   * and failures learned so far are discarded. */
+  /*! \brief Sets a newer registry entry; if the target restarted, what was
+   * learned so far is discarded. */
   void SetEntry(const TargetEntry& entry, TimePoint now);
 
   /*! \brief Marks the target as removed from the registry. */
   void MarkRemoved() noexcept { m_removed = true; }
 
+  /*! \brief Records whether the target refuses connections. */
+  void SetUnreachable(bool unreachable) noexcept {
+    m_unreachable = unreachable;
+  }
+
   /**
    * \brief Records an attempt that is being sent.
    * \param silence_timeout Time after which silence is not explained by the
@@ -141,6 +150,7 @@
   TargetEntry m_entry;
   TimePoint m_known_since;
   bool m_removed = false;
+  bool m_unreachable = false;
   //! Attempts in flight, oldest first.
   std::vector<InFlight> m_in_flight;
   TimePoint m_last_sent;
--- a/src/jacinthdeck/forward/pending_call.h
+++ b/src/jacinthdeck/forward/pending_call.h
@@ -14,6 +14,7 @@
 #include "jacinthdeck/forward/forward_call.h"
 #include "jacinthdeck/forward/latency_profile.h"
 #include "jacinthdeck/forward/learned_target.h"
+#include "jacinthdeck/forward/retry_gate.h"
 
 namespace jacinthdeck::internal {
 
@@ -40,6 +41,8 @@
   std::optional<TimePoint> hedge_at;
   //! When a target is looked for again after none had capacity.
   std::optional<TimePoint> retry_at;
+  //! Whether its next attempt waits for the canary of the call.
+  bool held = false;
   //! Response of the target if the part is answered, otherwise the last failure
   //! that a target returned.
   std::optional<TargetResponse> response;
@@ -65,6 +68,11 @@
   //! Time from which an answer without all shards is delivered if enough have
   //! answered.
   TimePoint partial_at;
+  RetryGate retry_gate;
+  //! When a part last waited for the canary. The wait for capacity counts from
+  //! then: the part would otherwise be given up where a retry sent at once
+  //! would have found a target.
+  TimePoint held_until;
   CallTrace trace;
 };
 
@@ -80,7 +88,9 @@
   //! Whether the attempt was spent from the budget of extra attempts.
   bool paid = false;
   Fingerprint fingerprint;
-  //! Whether the request was suspect when the attempt was sent.
+  //! Whether the end of its target is the second round of crashes: the request
+  //! was suspect when the attempt was sent, or it was a canary that became a
+  //! probe.
   bool probe = false;
 };
 
--- a/src/jacinthdeck/forward/target_set.cc
+++ b/src/jacinthdeck/forward/target_set.cc
@@ -80,6 +80,20 @@
       std::ranges::count_if(found->second, &TrackedTarget::AcceptsRequests));
 }
 
+std::vector<TargetId> TargetSet::Unreachable(const ServiceId& service) const {
+  std::vector<TargetId> ids;
+  const auto found = m_by_service.find(service);
+  if (found == m_by_service.end()) {
+    return ids;
+  }
+  for (const TrackedTarget* target : found->second) {
+    if (target->is_unreachable() && target->entry().AcceptsRequests()) {
+      ids.push_back(target->entry().id);
+    }
+  }
+  return ids;
+}
+
 TrackedTarget* TargetSet::Find(const TargetId& id) {
   const auto found = m_targets.find(id);
   return found == m_targets.end() ? nullptr : found->second.get();
@@ -167,7 +181,7 @@
       continue;
     }
     m_by_service[target->entry().service].push_back(target.get());
-    m_available += target->AcceptsRequests() ? 1 : 0;
+    m_available += target->entry().AcceptsRequests() ? 1 : 0;
   }
 }
 
--- a/src/jacinthdeck/forward/target_set.h
+++ b/src/jacinthdeck/forward/target_set.h
@@ -71,9 +71,15 @@
    */
   TargetSet(FailureDomain domain, std::uint64_t seed);
 
-  /*! \brief Number of targets of a service that accept requests. */
+  /*! \brief Number of targets of a service that accept requests and refuse no
+   * connections. */
   [[nodiscard]] std::size_t CountLive(const ServiceId& service) const;
 
+  /*! \brief Targets of a service that would accept requests, but refuse
+   * connections. */
+  [[nodiscard]] std::vector<TargetId> Unreachable(
+      const ServiceId& service) const;
+
   /*! \brief Finds a target by its id; null if it is unknown. */
   [[nodiscard]] TrackedTarget* Find(const TargetId& id);
 
@@ -81,14 +87,15 @@
    * of this one, whose process has then ended. */
   [[nodiscard]] bool IsAddressReused(const TrackedTarget& target) const;
 
-  /*! \brief Number of targets of all services that accept requests. */
+  /*! \brief Number of targets of all services that accept requests by their
+   * entries. */
   [[nodiscard]] std::size_t size() const noexcept { return m_available; }
 
   /**
    * \brief Chooses a target.
-   * \return No target if none accepts requests, has capacity, is within its
-   * cold limit and suits the reason and the useful time: a hedge is sent only
-   * where a slot is likely free.
+   * \return No target if none accepts requests and connections, has capacity,
+   * is within its cold limit and suits the reason and the useful time: a hedge
+   * is sent only where a slot is likely free.
    */
   [[nodiscard]] TargetChoice Pick(const TargetCriteria& criteria,
                                   TimePoint now);
--- a/test/jacinthdeck/forward/crashing_fleet.cc
+++ b/test/jacinthdeck/forward/crashing_fleet.cc
@@ -85,6 +85,7 @@
       other.QuarantineRequest(evidence.fingerprint, evidence.service, now);
     });
   }
+  void OnReachabilityChange(const TargetEntry&, bool) override {}
   void CheckTarget(const TargetEntry& target, std::uint32_t, bool) override {
     m_fleet.Check(m_index, target);
   }
--- a/test/jacinthdeck/forward/forwarder_fan_out_test.cc
+++ b/test/jacinthdeck/forward/forwarder_fan_out_test.cc
@@ -118,7 +118,7 @@
 // Guards against quarantining a request for connections that are lost for other
 // reasons. Many targets lose their connections at the same time, before the
 // first answer; the call must continue, since other targets of the shards
-// answer.
+// answer: one retry first, and the others once it is answered.
 BOOST_AUTO_TEST_CASE(FanOut_ConnectionsLostBeforeAnswers_OtherTargetsAreTried) {
   (void)Submit("/fan/1");
   const std::vector<OutgoingAttempt> first(port.sent);
@@ -126,6 +126,9 @@
   End(first[1], AttemptOutcome::kBroken, true);
   End(first[2], AttemptOutcome::kBroken, true);
   BOOST_TEST(port.delivered.empty());
+  BOOST_REQUIRE_EQUAL(port.sent.size(), kShards + 1);
+  Answer(OutgoingAttempt(port.sent.back()));
+  Advance(Duration(1));
   BOOST_REQUIRE_EQUAL(port.sent.size(), kShards + 3);
   for (std::size_t at = 3; at < port.sent.size(); ++at) {
     Answer(port.sent[at]);
--- a/test/jacinthdeck/forward/forwarder_fixture.h
+++ b/test/jacinthdeck/forward/forwarder_fixture.h
@@ -36,6 +36,7 @@
   std::vector<Fingerprint> suspects;
   std::vector<Fingerprint> quarantines;
   std::vector<TargetId> checked;
+  std::vector<std::pair<TargetId, bool>> reachability;
 
   void Send(const OutgoingAttempt& attempt) override {
     sent.push_back(attempt);
@@ -55,6 +56,10 @@
   void ShareQuarantine(const CrashEvidence& evidence) override {
     quarantines.push_back(evidence.fingerprint);
   }
+  void OnReachabilityChange(const TargetEntry& target,
+                            bool reachable) override {
+    reachability.emplace_back(target.id, reachable);
+  }
   void CheckTarget(const TargetEntry& target, std::uint32_t, bool) override {
     checked.push_back(target.id);
   }
