--- a/src/jacinthdeck/entry/log_event.h
+++ b/src/jacinthdeck/entry/log_event.h
@@ -31,6 +31,8 @@
   kSchemaApplied,
   kEntryUnreadable,
   kAttemptLost,
+  kTargetUnreachable,
+  kTargetReachable,
   kSuspected,
   kQuarantined,
   kCallRefused,
@@ -50,7 +52,7 @@
 
 //! Names of the events as written to the log, in the order of LogEvent;
 //! kQuarantined is written as "convicted".
-inline constexpr NameTable<LogEvent, 37> kLogEventNames{
+inline constexpr NameTable<LogEvent, 39> kLogEventNames{
     {"started",
      "stopping",
      "stopped",
@@ -73,6 +75,8 @@
      "schema_applied",
      "entry_unreadable",
      "attempt_lost",
+     "target_unreachable",
+     "target_reachable",
      "suspected",
      "convicted",
      "call_refused",
--- a/test/jacinthdeck/discovery/knowledge_test.cc
+++ b/test/jacinthdeck/discovery/knowledge_test.cc
@@ -186,7 +186,7 @@
                         "10.0.0.9:80", "",
                         "10.0.0.9:81", 250,
                         true,          5,
-                        HostId("h2")};
+                        HostId("h2"),  ""};
   (void)Change(codec.HostKey(host.name), codec.WriteHost(host));
   BOOST_REQUIRE(discovery_state.FindHost(HostId("h1")) != nullptr);
   BOOST_TEST((*discovery_state.FindHost(HostId("h1")) == host));
