--- a/model/rate_shares.pml
+++ b/model/rate_shares.pml
@@ -10,10 +10,10 @@
  * A bucket is abstracted to whether its host may take tokens for the share:
  *   - the front while its lease has expired;
  *   - an allocator while it counts a lease.
- * Checked: never two of them at a time, and the tokens that can be taken for
- * the share within one burst never exceed what one bucket holds.
- * Each NO_... macro leaves one rule out; model/check says which of them must
- * make an assertion fail.
+ * Checked: never two of them at a time; the buckets together hold no more than
+ * one bucket; and no more is taken than came in since the start.
+ * Each macro NO_LIFETIME, FULL_START and NO_FRONT_RULE leaves one rule out;
+ * model/check expects that an assertion fails with each.
  */
 
 #define LIFETIME 2      /* ticks that an allocator counts a lease */
