--- a/bench/rate_limits.cc
+++ b/bench/rate_limits.cc
@@ -153,15 +153,18 @@
   return cases;
 }
 
-void Run(const Case& item, Size size, std::uint32_t most_seeds) {
+void Run(const Case& item,
+         Size size,
+         std::uint32_t most_seeds,
+         std::uint32_t first_seed) {
   RateFleetResult sum;
   double worst = 0;
   const std::uint32_t seeds = std::min(item.seeds, most_seeds);
-  for (std::uint32_t seed = 1; seed <= seeds; ++seed) {
+  for (std::uint32_t i = 0; i < seeds; ++i) {
     RateFleetOptions options;
     options.hosts = size.hosts;
     options.fronts = size.fronts;
-    options.seed = seed;
+    options.seed = first_seed + i;
     item.prepare(options);
     RateFleet fleet(options);
     item.run(fleet, options);
@@ -195,11 +198,14 @@
 
 }  // namespace jacinthdeck::bench
 
+//! Arguments: most seeds of a case, part of a case's name, first seed.
 int main(int argc, char** argv) {
   using namespace jacinthdeck::bench;
   const std::uint32_t seeds =
       argc > 1 ? static_cast<std::uint32_t>(std::atoi(argv[1])) : 10;
   const char* only = argc > 2 ? argv[2] : "";
+  const std::uint32_t first =
+      argc > 3 ? static_cast<std::uint32_t>(std::atoi(argv[3])) : 1;
   std::printf(
       "| hosts (fronts) | case | worst span / bound | refused within the "
       "limit: limited + unknown | refused again after Retry-After | messages a "
@@ -208,7 +214,7 @@
   for (const Size size : {Size{6, 6}, Size{76, 8}, Size{300, 60}}) {
     for (const Case& item : Cases()) {
       if (std::strstr(item.name, only) != nullptr) {
-        Run(item, size, size.hosts > 100 ? std::min(seeds, 2U) : seeds);
+        Run(item, size, size.hosts > 100 ? std::min(seeds, 2U) : seeds, first);
       }
     }
   }
