Make the admission queue a template that forwarded calls can use

Cause: forwarded calls are to wait in the same kind of queue as typed calls, fair between flows, and there must be no copy of it.

Change: query/admission_queue becomes routing/fair_queue, a template over the item and the flow. The weight of a flow is passed in, as it comes from the admission options for typed calls and from the accounts for forwarded ones. An item may have a rank, which goes before its deadline within its flow.

The tests of the queue moved to routing/fair_queue_test with the same checks, and one was added for ranks.

--- a/src/jacinthdeck/query/admission_options.h
+++ b/src/jacinthdeck/query/admission_options.h
@@ -24,6 +24,12 @@
   double default_weight = 1.0;
   //! Weights of tenants, each above zero; shares are proportional to them.
   std::map<TenantId, double> weights;
+
+  /*! \brief Returns the weight of a tenant. */
+  [[nodiscard]] double WeightOf(const TenantId& tenant) const {
+    const auto found = weights.find(tenant);
+    return found == weights.end() ? default_weight : found->second;
+  }
 };
 
 }  // namespace jacinthdeck
--- a/src/jacinthdeck/query/engine.h
+++ b/src/jacinthdeck/query/engine.h
@@ -271,7 +271,6 @@
   void ResumeHeld(const HeldShards& held, TimePoint now, Effects& effects);
 
   Router& m_router;
-  //! The queues of m_services hold pointers to its admission options.
   const EngineOptions m_options;
   EngineCounters m_counters;
   std::uint64_t m_next_attempt;
--- a/src/jacinthdeck/query/engine_admission.cc
+++ b/src/jacinthdeck/query/engine_admission.cc
@@ -64,11 +64,12 @@
                      TimePoint now,
                      Effects& effects) {
   AdmissionQueue& queue = service.queue;
+  const double weight = m_options.admission.WeightOf(call.tenant);
   const bool only_tenant = queue.size() == queue.CountOf(call.tenant);
   const AnswerReason reason =
       only_tenant ? AnswerReason::kOverload : AnswerReason::kTenantLimit;
   const auto wait = Duration(static_cast<Duration::rep>(
-      queue.StartsAhead(call.tenant) *
+      queue.StartsAhead(call.tenant, weight) *
       static_cast<double>(service.start_interval.value().count())));
   // The expected wait may take at most half of the time that the call can
   // spare, so that the call still starts in time if the starts slow down. A
@@ -79,7 +80,7 @@
     return Refuse(call, reason, now, effects);
   }
   if (queue.full()) {
-    if (queue.ExceedsShare(call.tenant)) {
+    if (queue.ExceedsShare(call.tenant, weight)) {
       return Refuse(call, reason, now, effects);
     }
     RefuseWaitingCall(queue.TakeExcess(), AnswerReason::kTenantLimit, now,
@@ -88,8 +89,13 @@
   const CallId id = call.id;
   const double cost =
       call.key ? 1 : static_cast<double>(m_versions.ShardCount(service.id));
-  const AdmissionQueue::Key key =
-      queue.Add(std::move(call), std::max(cost, 1.0));
+  const TenantId tenant = call.tenant;
+  const TimePoint deadline = call.deadline;
+  const AdmissionQueue::Key key = queue.Add({.flow = tenant,
+                                             .weight = weight,
+                                             .cost = std::max(cost, 1.0),
+                                             .deadline = deadline,
+                                             .item = std::move(call)});
   m_waiting_calls[id] = WaitingCall{&service, key};
   ArmWaitingTimer(service);
 }
--- a/src/jacinthdeck/query/fwd.h
+++ b/src/jacinthdeck/query/fwd.h
@@ -5,7 +5,6 @@
 
 namespace jacinthdeck {
 
-class AdmissionQueue;
 class Coverage;
 class Engine;
 class LatencyQuantile;
--- a/src/jacinthdeck/query/service_state.h
+++ b/src/jacinthdeck/query/service_state.h
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "jacinthdeck/core/ids.h"
+#include "jacinthdeck/query/admission_options.h"
 #include "jacinthdeck/query/admission_queue.h"
 #include "jacinthdeck/query/latency_quantile.h"
 #include "jacinthdeck/query/start_interval.h"
@@ -15,7 +16,7 @@
 /*! \brief Running and waiting calls of a service and its measured latencies. */
 struct ServiceState {
   ServiceState(ServiceId service_id, const AdmissionOptions& options)
-      : id(std::move(service_id)), queue(options) {}
+      : id(std::move(service_id)), queue(options.max_waiting_calls) {}
 
   ServiceId id;
   //! Number of calls that run.
--- a/src/jacinthdeck/routing/fwd.h
+++ b/src/jacinthdeck/routing/fwd.h
@@ -5,6 +5,8 @@
 namespace jacinthdeck {
 
 class DecayingAverage;
+template <typename Item, typename Flow>
+class FairQueue;
 class HedgePolicy;
 class HostCountWindow;
 class InFlightWindow;
--- a/test/jacinthdeck/query/admission_queue_test.cc
+++ b/test/jacinthdeck/routing/fair_queue_test.cc
@@ -1,43 +1,56 @@
-// Tests of the weighted fair admission queue.
-#include "jacinthdeck/query/admission_queue.h"
+// Tests of the weighted fair queue.
+#include "jacinthdeck/routing/fair_queue.h"
 
 #include <boost/test/unit_test.hpp>
 #include <string>
 
 namespace jacinthdeck {
 
-struct AdmissionQueueFixture {
-  AdmissionOptions options{.max_waiting_calls = 10,
-                           .weights = {{TenantId("heavy"), 3.0}}};
-  AdmissionQueue queue{options};
+struct FairQueueFixture {
+  struct Item {
+    std::uint64_t id = 0;
+    std::string tenant;
+  };
+
+  FairQueue<Item, std::string> queue{10};
   std::uint64_t next = 1;
 
-  CallId Add(const std::string& tenant,
-             int deadline_ms = 100,
-             double cost = 1) {
-    Call call;
-    call.id = CallId(next++);
-    call.tenant = TenantId(tenant);
-    call.deadline = TimePoint() + std::chrono::milliseconds(deadline_ms);
-    const CallId id = call.id;
-    queue.Add(std::move(call), cost);
+  static double WeightOf(const std::string& tenant) {
+    return tenant == "heavy" ? 3.0 : 1.0;
+  }
+
+  std::uint64_t Add(const std::string& tenant,
+                    int deadline_ms = 100,
+                    double cost = 1,
+                    std::uint32_t rank = 0) {
+    const std::uint64_t id = next++;
+    queue.Add({.flow = tenant,
+               .weight = WeightOf(tenant),
+               .cost = cost,
+               .deadline = TimePoint() + std::chrono::milliseconds(deadline_ms),
+               .rank = rank,
+               .item = {id, tenant}});
     return id;
   }
 
+  bool ExceedsShare(const std::string& tenant) const {
+    return queue.ExceedsShare(tenant, WeightOf(tenant));
+  }
+
   std::string TakeTenants(int count) {
     std::string taken;
     for (int i = 0; i < count; ++i) {
-      taken += queue.TakeNext().tenant.raw().front();
+      taken += queue.TakeNext().tenant.front();
     }
     return taken;
   }
 };
 
-BOOST_FIXTURE_TEST_SUITE(AdmissionQueueTest, AdmissionQueueFixture)
+BOOST_FIXTURE_TEST_SUITE(FairQueueTest, FairQueueFixture)
 
 BOOST_AUTO_TEST_CASE(TakeNext_OneTenant_EarliestDeadlineFirst) {
-  const CallId late = Add("a", 90);
-  const CallId early = Add("a", 30);
+  const std::uint64_t late = Add("a", 90);
+  const std::uint64_t early = Add("a", 30);
   BOOST_TEST((queue.TakeNext().id == early));
   BOOST_TEST((queue.TakeNext().id == late));
 }
@@ -73,7 +86,7 @@
   for (int i = 0; i < 6; ++i) {
     Add("returns");
     heavy += TakeTenants(1) == "h" ? 1 : 0;
-    while (queue.CountOf(TenantId("returns")) > 0 && heavy < 4) {
+    while (queue.CountOf("returns") > 0 && heavy < 4) {
       heavy += TakeTenants(1) == "h" ? 1 : 0;
     }
   }
@@ -86,11 +99,11 @@
   }
   Add("other", 500);
   BOOST_TEST(queue.full());
-  BOOST_TEST(queue.ExceedsShare(TenantId("flood")));
-  BOOST_TEST(!queue.ExceedsShare(TenantId("other")));
-  const Call excess = queue.TakeExcess();
-  BOOST_TEST((excess.tenant == TenantId("flood")));
-  BOOST_TEST((excess.id == CallId(9)));
+  BOOST_TEST(ExceedsShare("flood"));
+  BOOST_TEST(!ExceedsShare("other"));
+  const Item excess = queue.TakeExcess();
+  BOOST_TEST(excess.tenant == "flood");
+  BOOST_TEST(excess.id == 9U);
 }
 
 BOOST_AUTO_TEST_CASE(TakeDueBy_OneDeadlineReached_TakesOnlyThatCall) {
@@ -102,6 +115,15 @@
   BOOST_TEST(queue.size() == 1U);
 }
 
+// A flow that keeps a call with a lower rank must not gain on other flows.
+BOOST_AUTO_TEST_CASE(TakeNext_LowerRank_FirstOfItsFlowOnly) {
+  Add("a", 30, 1, 1);
+  const std::uint64_t preferred = Add("a", 90, 1, 0);
+  Add("b", 50, 1, 1);
+  BOOST_TEST(queue.Next().id == preferred);
+  BOOST_TEST(TakeTenants(3) == "aba");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace jacinthdeck
