Let forwarded calls wait until their targets have room

Cause: a call is refused when its expected delay is above 0.5 to 1.5 objectives. Its caller waits for ten objectives and has one more try, so calls are lost during short peaks.

Change: where the configuration has client accounts, such a call waits in the host's queue (waiting_calls, forwarder_waiting.cc). AdmissionPolicy decides, free of the forwarder: who may wait, when a waiting call starts, and when a refused caller returns. ForwardOptions::wait_rule selects the calls; without accounts requests are handled as before. The bench gains cases with patient callers at 1, 1.5 and 3 times the capacity, and with one account at 8 times its rate.

--- a/bench/support/event_queue.h
+++ b/bench/support/event_queue.h
@@ -16,6 +16,8 @@
 enum class EventKind {
   //! A caller submits the next call.
   kCall,
+  //! A caller whose call was refused submits it again.
+  kRetry,
   //! A timer of an entry or host is due.
   kTimer,
   //! A request arrives at its target.
--- a/bench/support/forward_case.h
+++ b/bench/support/forward_case.h
@@ -10,6 +10,7 @@
 #include "jacinthdeck/core/name_table.h"
 #include "jacinthdeck/core/time.h"
 #include "jacinthdeck/forward/attempt_budget.h"
+#include "jacinthdeck/forward/forward_options.h"
 
 namespace jacinthdeck::bench {
 
@@ -57,6 +58,14 @@
   std::optional<std::size_t> only_shard = std::nullopt;
 };
 
+/*! \brief The calls of one client account. */
+struct FlowRate {
+  //! Configured calls per second of the account.
+  double configured = 1;
+  //! Calls that it sends, relative to the other accounts.
+  double sent = 1;
+};
+
 /*! \brief A deployment, its workload and its faults. */
 struct ForwardCase {
   std::uint32_t hosts = 6;
@@ -80,6 +89,12 @@
   Duration pause_period = std::chrono::milliseconds(3600);
   AttemptBudgetOptions budget{0.2, 52, std::chrono::seconds(10)};
   std::vector<CallClass> call_classes;
+  //! Client accounts; empty for a deployment without them.
+  std::vector<FlowRate> flows;
+  //! Whether a refused caller calls once more, after the retry time or a third
+  //! of the time it has left.
+  bool callers_retry = false;
+  WaitRule wait_rule = WaitRule::kWithAccounts;
   std::vector<TargetFaultPeriod> faults;
   //! Calls that arrive in this first part are simulated but not counted, so
   //! that hosts can learn latencies first.
@@ -127,6 +142,8 @@
   double p50_ms = 0;
   //! In the order of ForwardCase::call_classes.
   std::vector<CallClassResult> call_classes;
+  //! In the order of ForwardCase::flows.
+  std::vector<CallClassResult> flows;
 
   //! Returns the share of the calls that were answered in time, each weighted
   //! by the square of the share of shards in its answer.
--- a/bench/support/forward_cases.h
+++ b/bench/support/forward_cases.h
@@ -171,6 +171,48 @@
   return VisitorDeskWorkload(900);
 }
 
+//! Calls per second at which the searches and lookups of visitor desks keep all
+//! slots of the targets busy.
+inline constexpr double kVisitorDeskCapacity = 650;
+
+/**
+ * \brief Calls of callers who wait for ten objectives and retry once, from
+ * accounts of equal size.
+ * \param load_factor Calls relative to the capacity of the targets.
+ */
+[[nodiscard]] inline ForwardCase PatientCallers(double load_factor,
+                                                std::size_t accounts = 80) {
+  constexpr int kObjectivesPerDeadline = 10;
+  ForwardCase load = VisitorDeskWorkload(load_factor * kVisitorDeskCapacity);
+  for (CallClass& call_class : load.call_classes) {
+    call_class.timeout = kObjectivesPerDeadline * call_class.objective;
+  }
+  load.callers_retry = true;
+  load.flows.resize(accounts);
+  for (FlowRate& flow : load.flows) {
+    flow.configured =
+        load_factor * kVisitorDeskCapacity / static_cast<double>(accounts);
+  }
+  return load;
+}
+
+/*! \brief One account sends eight times its calls beside 79 others, which alone
+ * use nine tenths of the capacity.
+ * \param share Calls of that account at its usual rate, relative to those of
+ * another account. */
+[[nodiscard]] inline ForwardCase FloodingAccount(double share,
+                                                 double flood_factor) {
+  constexpr double kOthersLoad = 0.9;
+  ForwardCase load = PatientCallers(kOthersLoad);
+  const auto others = static_cast<double>(load.flows.size() - 1);
+  load.flows.front().configured *= share;
+  load.flows.front().sent = share * flood_factor;
+  for (CallClass& call_class : load.call_classes) {
+    call_class.calls_per_second *= (others + share * flood_factor) / others;
+  }
+  return load;
+}
+
 /*! \brief Returns all cases, normal load first. */
 [[nodiscard]] inline std::vector<NamedForwardCase> ForwardCases() {
   return {{"calm", VisitorDeskWorkload(180)},
@@ -180,7 +222,13 @@
           {"one target left of a shard", ShardWithOneTarget()},
           {"many shards", ManyShards()},
           {"searches and checks", SearchesAndChecks()},
-          {"above capacity", AboveCapacity()}};
+          {"above capacity", AboveCapacity()},
+          {"patient callers, 1.0", PatientCallers(1.0)},
+          {"patient callers, 1.5", PatientCallers(1.5)},
+          {"patient callers, 3.0", PatientCallers(3.0)},
+          {"79 of 80 accounts", FloodingAccount(1, 0)},
+          {"one of 80 at 8 times its rate", FloodingAccount(1, 8)},
+          {"one large of 80 at 8 times its rate", FloodingAccount(8, 8)}};
 }
 
 }  // namespace jacinthdeck::bench
--- a/bench/support/forward_model.cc
+++ b/bench/support/forward_model.cc
@@ -30,6 +30,25 @@
   return FailureDomain("fd-" + std::to_string(index % kDomains));
 }
 
+[[nodiscard]] std::string FlowName(std::size_t flow) {
+  return "account-" + std::to_string(flow);
+}
+
+[[nodiscard]] std::shared_ptr<const TenantTable> MakeTenants(
+    const ForwardCase& load) {
+  std::vector<Tenant> tenants;
+  for (std::size_t flow = 0; flow < load.flows.size(); ++flow) {
+    Tenant tenant;
+    tenant.name = TenantId(FlowName(flow));
+    // Keys are checked before the forwarder; they only have to be distinct.
+    tenant.keys.emplace_back().bytes.front() = static_cast<std::uint8_t>(flow);
+    tenant.rate = load.flows[flow].configured;
+    tenant.burst = std::max(1.0, tenant.rate);
+    tenants.push_back(std::move(tenant));
+  }
+  return std::make_shared<const TenantTable>(std::move(tenants));
+}
+
 [[nodiscard]] std::shared_ptr<const RoutingConfig> MakeConfig(
     const ForwardCase& load) {
   std::vector<ServiceConfig> services;
@@ -59,8 +78,8 @@
     }
     routes.push_back(route);
   }
-  return std::make_shared<const RoutingConfig>(1, routes, services,
-                                               CallerLimits{});
+  return std::make_shared<const RoutingConfig>(
+      1, routes, services, CallerLimits{}, MakeTenants(load));
 }
 
 }  // namespace
@@ -110,7 +129,11 @@
 /*! \brief A call that has no answer yet. */
 struct ForwardModel::OpenCall {
   std::size_t call_class = 0;
+  std::size_t flow = 0;
+  //! When the call was first submitted.
   TimePoint submitted;
+  //! Whether it was refused before.
+  bool repeated = false;
   //! Whether the call arrived after the warm-up.
   bool measured = false;
 };
@@ -123,6 +146,7 @@
       m_request_times(load.shards),
       m_extra_arrivals(load.shards) {
   m_result.call_classes.resize(load.call_classes.size());
+  m_result.flows.resize(load.flows.size());
   SetUp();
 }
 
@@ -155,6 +179,7 @@
     ForwardOptions options;
     options.domain = DomainOf(index);
     options.budget = m_load.budget;
+    options.wait_rule = m_load.wait_rule;
     m_hosts.push_back(
         std::make_unique<Host>(*this, index, options, m_random.DrawSeed()));
     Forwarder& forwarder = m_hosts.back()->forwarder;
@@ -176,6 +201,11 @@
       case EventKind::kCall:
         OnCall(event.subject);
         break;
+      case EventKind::kRetry: {
+        const auto retry = m_retries.extract(event.subject);
+        Submit(retry.mapped());
+        break;
+      }
       case EventKind::kTimer: {
         Host& host = *m_hosts[event.subject];
         // Superseded by an earlier timer event. If superseded events were
@@ -221,21 +251,54 @@
 
 void ForwardModel::OnCall(std::size_t call_class) {
   ScheduleCall(call_class);
+  OpenCall open_call;
+  open_call.call_class = call_class;
+  open_call.flow = m_load.flows.empty() ? 0 : DrawFlow();
+  open_call.submitted = m_now;
+  open_call.measured = m_now >= m_start + m_load.warm_up;
+  if (open_call.measured) {
+    ++m_result.calls;
+    ++m_result.call_classes[call_class].calls;
+    if (!m_load.flows.empty()) {
+      ++m_result.flows[open_call.flow].calls;
+    }
+  }
+  Submit(open_call);
+}
+
+std::size_t ForwardModel::DrawFlow() {
+  double sum = 0;
+  for (const FlowRate& flow : m_load.flows) {
+    sum += flow.sent;
+  }
+  double drawn = m_random.Unit() * sum;
+  std::size_t flow = 0;
+  while (flow + 1 < m_load.flows.size() && drawn >= m_load.flows[flow].sent) {
+    drawn -= m_load.flows[flow].sent;
+    ++flow;
+  }
+  return flow;
+}
+
+void ForwardModel::Submit(const OpenCall& open_call) {
   const std::size_t host = m_random.Below(m_load.hosts);
+  const CallClass& call_class = m_load.call_classes[open_call.call_class];
   auto request = std::make_shared<OpaqueRequest>();
   request->host = "model";
-  request->target = RoutePrefix(call_class) + std::to_string(m_next_id);
+  request->target =
+      RoutePrefix(open_call.call_class) + std::to_string(m_next_id);
   ForwardCall call;
   call.id = CallId(m_next_id++);
   call.request = request;
   call.arrived = m_now;
-  call.deadline = m_now + m_load.call_classes[call_class].timeout;
-  const bool measured = m_now >= m_start + m_load.warm_up;
-  m_result.calls += measured ? 1 : 0;
-  m_result.call_classes[call_class].calls += measured ? 1 : 0;
-  m_open_calls[call.id] = {call_class, m_now, measured};
+  call.deadline = open_call.submitted + call_class.timeout;
+  if (!m_load.flows.empty()) {
+    call.tenant = TenantId(FlowName(open_call.flow));
+    call.flow = FlowName(open_call.flow);
+  }
+  m_open_calls[call.id] = open_call;
   for (std::size_t shard = 0; shard < m_load.shards; ++shard) {
-    if (m_load.call_classes[call_class].only_shard.value_or(shard) == shard) {
+    if (call_class.only_shard.value_or(shard) == shard) {
       m_request_times[shard].push_back(m_now);
     }
   }
@@ -243,6 +306,23 @@
   ArmTimer(host);
 }
 
+bool ForwardModel::ScheduleRetry(OpenCall open_call, Duration retry_after) {
+  constexpr int kHonouredDivisor = 3;
+  const Duration time_left = open_call.submitted +
+                             m_load.call_classes[open_call.call_class].timeout -
+                             m_now;
+  if (!m_load.callers_retry || open_call.repeated ||
+      time_left <= Duration::zero()) {
+    return false;
+  }
+  open_call.repeated = true;
+  const std::uint64_t key = m_next_id++;
+  m_retries.emplace(key, open_call);
+  m_events.Push(m_now + std::min(retry_after, time_left / kHonouredDivisor),
+                EventKind::kRetry, key);
+  return true;
+}
+
 void ForwardModel::Send(std::size_t host, const OutgoingAttempt& attempt) {
   const auto call_class =
       static_cast<std::size_t>(std::stoul(attempt.request->target.substr(1)));
@@ -380,6 +460,10 @@
   }
   const OpenCall open_call = found->second;
   m_open_calls.erase(found);
+  if (answer.kind == AnswerKind::kNotRun &&
+      ScheduleRetry(open_call, answer.retry_after.value_or(Duration::zero()))) {
+    return;
+  }
   if (!open_call.measured) {
     return;
   }
@@ -393,6 +477,9 @@
     return;
   }
   ++m_result.call_classes[open_call.call_class].served;
+  if (!m_load.flows.empty()) {
+    ++m_result.flows[open_call.flow].served;
+  }
   const Duration latency = m_now - open_call.submitted;
   m_latencies.push_back(latency);
   if (latency > m_load.call_classes[open_call.call_class].objective) {
@@ -478,6 +565,11 @@
       sum.call_classes[call_class].served +=
           run.call_classes[call_class].served;
     }
+    sum.flows.resize(run.flows.size());
+    for (std::size_t flow = 0; flow < run.flows.size(); ++flow) {
+      sum.flows[flow].calls += run.flows[flow].calls;
+      sum.flows[flow].served += run.flows[flow].served;
+    }
     sum.budget_used = std::max(sum.budget_used, run.budget_used);
     sum.p50_ms += run.p50_ms / static_cast<double>(seeds);
   }
--- a/bench/support/forward_model.h
+++ b/bench/support/forward_model.h
@@ -22,10 +22,10 @@
  * \brief Simulates one case with one seed.
  *
  * Each host has its own forwarder, which decides without messages from the
- * other hosts, as in production. Callers send each call once; retries of
- * refused calls are not simulated. Neither are connection handshakes, the
- * connections of callers, and processor time other than
- * ForwardCase::host_cpu_time.
+ * other hosts, as in production. Callers send each call once, or once more if
+ * it is refused and the case has callers that retry. Not simulated are
+ * connection handshakes, the connections of callers, and processor time other
+ * than ForwardCase::host_cpu_time.
  */
 class ForwardModel {
  public:
@@ -45,6 +45,11 @@
   void SetUp();
   void ScheduleCall(std::size_t call_class);
   void OnCall(std::size_t call_class);
+  //! Submits a call to a random host.
+  void Submit(const OpenCall& open_call);
+  //! Lets a refused caller call again; returns false if it does not.
+  [[nodiscard]] bool ScheduleRetry(OpenCall open_call, Duration retry_after);
+  [[nodiscard]] std::size_t DrawFlow();
   void OnArrive(std::uint64_t attempt);
   void OnDone(std::uint64_t attempt);
   void OnReplyArrive(std::uint64_t attempt);
@@ -75,6 +80,8 @@
   std::vector<TargetEntry> m_entries;
   std::unordered_map<std::uint64_t, InFlightAttempt> m_in_flight;
   std::unordered_map<CallId, OpenCall> m_open_calls;
+  //! Calls that are submitted again, by the subject of their event.
+  std::unordered_map<std::uint64_t, OpenCall> m_retries;
   std::uint64_t m_next_id = 1;
   //! For each shard, when the calls that query it arrived.
   std::vector<std::vector<TimePoint>> m_request_times;
--- a/src/jacinthdeck/forward/call_trace.h
+++ b/src/jacinthdeck/forward/call_trace.h
@@ -55,6 +55,12 @@
   std::uint32_t shards_without_capacity = 0;
   //! Number of targets that accept requests, of the shard that has the fewest.
   std::uint32_t fewest_targets = 0;
+  //! Time for which the call waited to start, or to be refused; zero if it did
+  //! not wait.
+  Duration waited{};
+  //! Estimated number of starts up to that of the call when it began to wait;
+  //! 0 if it did not wait.
+  std::uint32_t queue_place = 0;
   //! Latency of the route from which `expected` was computed.
   LatencyEstimate route_latency;
   //! Positions in the route of the shards that are missing from the answer.
--- a/src/jacinthdeck/forward/forward_counters.h
+++ b/src/jacinthdeck/forward/forward_counters.h
@@ -12,6 +12,11 @@
   std::uint64_t calls = 0;
   //! Calls whose callers disconnected.
   std::uint64_t abandoned = 0;
+  //! Calls that waited before they started.
+  std::uint64_t started_after_wait = 0;
+  //! Calls refused because their targets were loaded, or while they waited,
+  //! indexed by ShedReason. Only calls that may wait are counted.
+  std::array<std::uint64_t, 4> shed{};
   //! Attempts sent, indexed by AttemptReason.
   std::array<std::uint64_t, 3> attempts{};
   //! Attempts sent to targets in other failure domains, indexed by
--- a/src/jacinthdeck/forward/forward_options.h
+++ b/src/jacinthdeck/forward/forward_options.h
@@ -2,12 +2,23 @@
 #ifndef JACINTHDECK_FORWARD_FORWARD_OPTIONS_H_
 #define JACINTHDECK_FORWARD_FORWARD_OPTIONS_H_
 
+#include <cstddef>
+
 #include "jacinthdeck/core/ids.h"
 #include "jacinthdeck/core/time.h"
 #include "jacinthdeck/forward/attempt_budget.h"
 
 namespace jacinthdeck {
 
+/*! \brief Which calls wait instead of being refused when their targets are
+ * loaded. */
+enum class WaitRule {
+  kNever,
+  //! Calls whose configuration has client accounts.
+  kWithAccounts,
+  kAlways,
+};
+
 /*! \brief Settings of a forwarder. */
 struct ForwardOptions {
   //! Id of this host.
@@ -16,6 +27,9 @@
   AttemptBudgetOptions budget;
   //! Time reserved for sending an answer to its caller.
   Duration answer_margin = std::chrono::milliseconds(12);
+  WaitRule wait_rule = WaitRule::kWithAccounts;
+  //! Maximum number of calls that wait to start. Each holds its request.
+  std::size_t max_waiting_calls = 256;
 };
 
 }  // namespace jacinthdeck
--- a/src/jacinthdeck/forward/forwarder.cc
+++ b/src/jacinthdeck/forward/forwarder.cc
@@ -14,12 +14,15 @@
       m_port(port),
       m_random(seed),
       m_targets(options.domain, m_random.DrawSeed()),
-      m_share_since(now) {}
+      m_share_since(now),
+      m_admission(seed),
+      m_waiting(options.max_waiting_calls) {}
 
 std::optional<TimePoint> Forwarder::NextTimer() const {
   std::optional<TimePoint> earliest;
-  for (const auto& due : {m_timers.Next(), m_stale_attempts.Next(),
-                          m_crash_guard.unresolved().NextDue()}) {
+  for (const auto& due :
+       {m_timers.Next(), m_stale_attempts.Next(),
+        m_crash_guard.unresolved().NextDue(), NextWaitingCheck()}) {
     if (due) {
       earliest = std::min(earliest.value_or(*due), *due);
     }
@@ -68,6 +71,9 @@
     CancelAttempt(*due, now, now);
   }
   CheckDueTargets(now);
+  if (const auto due = NextWaitingCheck(); due && *due <= now) {
+    CheckWaitingCalls(now);
+  }
 }
 
 void Forwarder::OnCallTimer(PendingCall& pending, TimePoint now) {
--- a/src/jacinthdeck/forward/forwarder.h
+++ b/src/jacinthdeck/forward/forwarder.h
@@ -16,8 +16,10 @@
 #include "jacinthdeck/core/random.h"
 #include "jacinthdeck/core/time.h"
 #include "jacinthdeck/core/timer_queue.h"
+#include "jacinthdeck/forward/admission_policy.h"
 #include "jacinthdeck/forward/attempt_budget.h"
 #include "jacinthdeck/forward/crash_guard.h"
+#include "jacinthdeck/forward/flow_load.h"
 #include "jacinthdeck/forward/forward_call.h"
 #include "jacinthdeck/forward/forward_counters.h"
 #include "jacinthdeck/forward/forward_options.h"
@@ -25,7 +27,10 @@
 #include "jacinthdeck/forward/latency_profile.h"
 #include "jacinthdeck/forward/pending_call.h"
 #include "jacinthdeck/forward/routing_config.h"
+#include "jacinthdeck/forward/shed_reason.h"
 #include "jacinthdeck/forward/target_set.h"
+#include "jacinthdeck/forward/usual_time_left.h"
+#include "jacinthdeck/forward/waiting_calls.h"
 #include "jacinthdeck/forward/weighted_round_robin.h"
 
 namespace jacinthdeck {
@@ -57,7 +62,11 @@
     return m_config;
   }
   [[nodiscard]] std::size_t open_calls() const noexcept {
-    return m_calls.size();
+    return m_calls.size() + m_held.size();
+  }
+  /*! \brief Number of open calls that have not started. */
+  [[nodiscard]] std::size_t waiting_calls() const noexcept {
+    return m_held.size();
   }
   [[nodiscard]] const ForwardCounters& counters() const noexcept {
     return m_counters;
@@ -102,7 +111,8 @@
                          const ServiceId& service,
                          TimePoint now);
 
-  /*! \brief Starts a call, or refuses it immediately. */
+  /*! \brief Starts a call, refuses it immediately, or lets it wait until its
+   * targets have room. */
   void Submit(ForwardCall call, TimePoint now);
 
   /*! \brief Drops a call whose caller disconnected, and cancels all its
@@ -131,6 +141,13 @@
               ForwardReason reason,
               std::optional<Duration> retry_after,
               const CallTrace& trace);
+  void RefuseNotRun(const PendingCall& pending,
+                    ForwardReason reason,
+                    TimePoint now);
+  //! Sends the first attempts of a call.
+  void Start(PendingCall pending, TimePoint now);
+  //! Returns the maximum expected delay at which a call is worth its work.
+  [[nodiscard]] static Duration DelayLimit(const PendingCall& pending);
   //! Finds the route and the parts of a call; refuses the call and returns
   //! false if there is no configuration or no route.
   [[nodiscard]] bool PrepareCall(PendingCall& pending);
@@ -161,6 +178,35 @@
   void UpdateBudgetShare(AttemptBudget& budget) const;
   [[nodiscard]] AttemptBudget& BudgetOf(const ServiceId& service);
 
+  // Calls that wait to start, in forwarder_waiting.cc.
+  [[nodiscard]] bool MayQueue(const PendingCall& pending) const;
+  //! Describes a call to the queue, and counts it for its flow and route.
+  [[nodiscard]] WaitingCall DescribeWaiting(const PendingCall& pending,
+                                            TimePoint now);
+  //! Returns whether a call must not overtake those that wait, as its flow has
+  //! sent more than its share.
+  [[nodiscard]] bool MustQueue(const WaitingCall& call) const;
+  //! \param reason Why the call cannot start now; empty if it can.
+  void StartOrWait(PendingCall pending,
+                   std::optional<ForwardReason> reason,
+                   TimePoint now);
+  //! Adds an element of m_held to the queue, or refuses it.
+  void Hold(WaitingCall call, WaitClass wait_class, TimePoint now);
+  //! Refuses an element of m_held that is not in the queue.
+  void Shed(CallId id,
+            ShedReason shed_reason,
+            ForwardReason reason,
+            TimePoint now);
+  [[nodiscard]] std::optional<TimePoint> NextWaitingCheck() const;
+  //! Checks the waiting calls after a target may have got room.
+  void OnRoom(TimePoint now);
+  void CheckWaitingCalls(TimePoint now);
+  //! Starts or refuses the next call of a group, which must have one; returns
+  //! false if it waits on.
+  bool StartNextOf(const ServiceId& group, TimePoint now);
+  //! Returns whether the configuration no longer has the account of a call.
+  [[nodiscard]] bool IsAccountGone(const PendingCall& pending) const;
+
   // Attempts, in forwarder_attempts.cc.
   //! Chooses a target and sends an attempt, if budget and targets allow it.
   void TrySendAttempt(PendingCall& pending,
@@ -285,6 +331,15 @@
   //! References to its elements stay valid until they are erased.
   std::unordered_map<CallId, PendingCall> m_calls;
   std::unordered_map<AttemptId, PendingAttempt> m_attempts;
+  AdmissionPolicy m_admission;
+  FlowLoad m_flow_load;
+  //! By route name.
+  std::unordered_map<std::string, UsualTimeLeft> m_usual_times_left;
+  //! The calls in m_waiting, except for one that is being added or taken.
+  std::unordered_map<CallId, PendingCall> m_held;
+  WaitingCalls m_waiting;
+  //! When the waiting calls were last checked.
+  TimePoint m_waiting_checked;
   //! One timer for each element of m_calls.
   TimerQueue<CallId> m_timers;
   //! Cancellation times of attempts that outlived their calls.
--- a/src/jacinthdeck/forward/forwarder_admission.cc
+++ b/src/jacinthdeck/forward/forwarder_admission.cc
@@ -62,16 +62,6 @@
   return 2 * trace.full_shards <= trace.shards;
 }
 
-//! Returns the maximum expected delay at which a call is worth its work.
-[[nodiscard]] Duration DelayLimit(const Route& route, const CallTrace& trace) {
-  const double base_factor =
-      IsLocalOverload(trace) ? kLocalDelayLimit : kDelayLimit;
-  const double factor =
-      std::max(base_factor - kDelayLimitStep * route.priority, kMinDelayLimit);
-  return Duration(static_cast<Duration::rep>(
-      factor * static_cast<double>(ObjectiveOf(route).count())));
-}
-
 }  // namespace
 
 void Forwarder::Submit(ForwardCall call, TimePoint now) {
@@ -81,11 +71,17 @@
   if (!PrepareCall(pending)) {
     return;
   }
-  if (const auto reason = ReasonToRefuse(pending, now)) {
-    Refuse(pending.call, AnswerKind::kNotRun, *reason,
-           RetryAfterFor(*reason, pending, now), pending.trace);
-    return;
+  const auto reason = ReasonToRefuse(pending, now);
+  if (MayQueue(pending)) {
+    StartOrWait(std::move(pending), reason, now);
+  } else if (reason) {
+    RefuseNotRun(pending, *reason, now);
+  } else {
+    Start(std::move(pending), now);
   }
+}
+
+void Forwarder::Start(PendingCall pending, TimePoint now) {
   const CallId id = pending.call.id;
   PendingCall& admitted = m_calls.emplace(id, std::move(pending)).first->second;
   for (std::size_t part = 0; part < admitted.parts.size(); ++part) {
@@ -95,6 +91,15 @@
   FinishIfDone(admitted, now);
 }
 
+Duration Forwarder::DelayLimit(const PendingCall& pending) {
+  const double base_factor =
+      IsLocalOverload(pending.trace) ? kLocalDelayLimit : kDelayLimit;
+  const double factor = std::max(
+      base_factor - kDelayLimitStep * PriorityOf(pending), kMinDelayLimit);
+  return Duration(static_cast<Duration::rep>(
+      factor * static_cast<double>(ObjectiveOf(*pending.route).count())));
+}
+
 bool Forwarder::PrepareCall(PendingCall& pending) {
   pending.trace.config = m_config;
   if (m_config == nullptr) {
@@ -179,7 +184,7 @@
     return ForwardReason::kDeadline;
   }
   pending.trace.expected = ExpectedDelay(pending, now);
-  if (pending.trace.expected > DelayLimit(*pending.route, pending.trace)) {
+  if (pending.trace.expected > DelayLimit(pending)) {
     return ForwardReason::kOverload;
   }
   return std::nullopt;
@@ -234,6 +239,8 @@
 }
 
 Duration Forwarder::ExpectedDelay(PendingCall& pending, TimePoint now) {
+  pending.trace.full_shards = 0;
+  pending.trace.shards_without_capacity = 0;
   std::vector<Duration> delays;
   delays.reserve(pending.parts.size());
   for (const CallPart& part : pending.parts) {
@@ -277,6 +284,11 @@
     default:
       break;
   }
+  if (MayQueue(pending)) {
+    return m_admission.RetryAfter(pending.parts.front().service,
+                                  pending.trace.expected,
+                                  pending.final_at - now, now);
+  }
   // The queue has drained about when the work in it is done, which takes the
   // expected delay.
   const Duration drain_time =
@@ -286,6 +298,13 @@
       static_cast<double>(drain_time.count()) * jitter));
 }
 
+void Forwarder::RefuseNotRun(const PendingCall& pending,
+                             ForwardReason reason,
+                             TimePoint now) {
+  Refuse(pending.call, AnswerKind::kNotRun, reason,
+         RetryAfterFor(reason, pending, now), pending.trace);
+}
+
 void Forwarder::Refuse(const ForwardCall& call,
                        AnswerKind kind,
                        ForwardReason reason,
--- a/src/jacinthdeck/forward/forwarder_finish.cc
+++ b/src/jacinthdeck/forward/forwarder_finish.cc
@@ -36,9 +36,11 @@
                        pending.answered >= pending.route->min_shards();
   if (pending.open_parts == 0 || cannot_succeed || partial) {
     Finish(pending, now);
-    return;
+  } else {
+    RearmTimer(pending);
   }
-  RearmTimer(pending);
+  // Called after each end of an attempt of an open call, which may leave room.
+  OnRoom(now);
 }
 
 void Forwarder::Finish(PendingCall& pending, TimePoint now) {
@@ -112,6 +114,11 @@
 }
 
 void Forwarder::Abandon(CallId id, TimePoint now) {
+  if (m_waiting.Remove(id)) {
+    ++m_counters.abandoned;
+    m_held.erase(id);
+    return;
+  }
   const auto found = m_calls.find(id);
   if (found == m_calls.end()) {
     return;
--- a/src/jacinthdeck/forward/fwd.h
+++ b/src/jacinthdeck/forward/fwd.h
@@ -5,9 +5,11 @@
 
 namespace jacinthdeck {
 
+class AdmissionPolicy;
 class AttemptBudget;
 class ColdTargetLimiter;
 class CrashGuard;
+class FlowLoad;
 class Forwarder;
 class LatencyProfile;
 class RoutingConfig;
@@ -15,6 +17,7 @@
 class TargetSet;
 class UnresolvedAttempts;
 class TrackedTarget;
+class WaitingCalls;
 class WeightedRoundRobin;
 struct AttemptEnd;
 struct CrashEvidence;
@@ -28,10 +31,14 @@
 struct Route;
 struct TargetEntry;
 struct TargetResponse;
+struct WaitingCall;
 enum class AttemptOutcome;
 enum class ForwardReason;
 enum class RepeatRule;
+enum class ShedReason;
 enum class TargetCheck;
+enum class WaitClass;
+enum class WaitRule;
 
 }  // namespace jacinthdeck
 
--- a/src/jacinthdeck/forward/pending_call.h
+++ b/src/jacinthdeck/forward/pending_call.h
@@ -68,6 +68,11 @@
   CallTrace trace;
 };
 
+/*! \brief Returns the priority of a call; 0 is the most urgent. */
+[[nodiscard]] inline std::uint32_t PriorityOf(const PendingCall& pending) {
+  return pending.call.priority.value_or(pending.route->priority);
+}
+
 /*! \brief An attempt that has not ended; it may outlive its call. */
 struct PendingAttempt {
   CallId call;
