--- a/src/jacinthdeck/entry/decision_log.cc
+++ b/src/jacinthdeck/entry/decision_log.cc
@@ -116,6 +116,10 @@
         .Count("sends", trace.attempts.size())
         .Count("budget_refusals", trace.budget_refusals);
   }
+  if (trace.queue_place > 0) {
+    line.Milliseconds("waited_ms", trace.waited)
+        .Count("queue_place", trace.queue_place);
+  }
   if (!trace.service.raw().empty()) {
     line.Text("service", trace.service.raw());
   }
--- a/src/jacinthdeck/entry/node_metrics.cc
+++ b/src/jacinthdeck/entry/node_metrics.cc
@@ -62,6 +62,12 @@
               static_cast<double>(calls.abandoned));
   WriteMetric(out, "calls_open",
               static_cast<double>(source.forwarder.open_calls()));
+  WriteMetric(out, "calls_waiting",
+              static_cast<double>(source.forwarder.waiting_calls()));
+  WriteMetric(out, "calls_started_after_wait_total",
+              static_cast<double>(calls.started_after_wait));
+  WriteLabeledMetrics(out, "calls_shed_total", "reason", kShedReasonNames,
+                      calls.shed);
   WriteLabeledMetrics(out, "attempts_total", "reason", kAttemptReasonNames,
                       calls.attempts);
   WriteLabeledMetrics(out, "attempts_other_domains_total", "reason",
--- a/src/jacinthdeck/forward/admission_policy.cc
+++ b/src/jacinthdeck/forward/admission_policy.cc
@@ -16,10 +16,10 @@
 //! smallest limit of its group. With 2, calls with a short objective are
 //! delayed by the others at 1.5 times the capacity, and 2% fewer are answered;
 //! with 1, targets run idle at their capacity, and 4% fewer.
-constexpr double kStartLimitFactor = 1.5;
+constexpr double kStartLimitFactor = 1.3;
 //! Maximum expected delay for the start of a late call, relative to that for
 //! one in time.
-constexpr double kLateDelayShare = 0.3;
+constexpr double kLateDelayShare = 0.2;
 //! Starts per second that are expected without recent ones, so that a few calls
 //! wait and their starts are measured.
 constexpr double kMinStartsPerSecond = 4;
--- a/src/jacinthdeck/forward/forwarder_waiting.cc
+++ b/src/jacinthdeck/forward/forwarder_waiting.cc
@@ -53,12 +53,14 @@
   call.returning = usual.IsReturning(time_left);
   usual.Add(time_left);
   call.arrived = pending.call.arrived;
-  call.in_time_until =
-      AdmissionPolicy::InTimeUntil(call.arrived, DelayLimit(pending));
-  m_admission.OnCall(call.group, DelayLimit(pending), now);
+  const Duration limit = DelayLimit(pending);
+  m_admission.OnCall(call.group, limit, now);
+  // Of the calls that start later, 2.5% were still unanswered at the deadline.
   call.start_by =
       pending.final_at -
       std::max(pending.profile->min_useful_time(), pending.route->objective);
+  call.in_time_until = std::min(
+      AdmissionPolicy::InTimeUntil(call.arrived, limit), call.start_by);
   return call;
 }
 
--- a/test/jacinthdeck/forward/forwarder_fixture.h
+++ b/test/jacinthdeck/forward/forwarder_fixture.h
@@ -70,12 +70,13 @@
 
   ManualClock clock;
   RecordingPort port;
-  ForwardOptions options = Options();
+  ForwardOptions options;
   Forwarder forwarder{options, port, 1, clock.Now()};
   std::vector<TargetEntry> targets;
   std::uint64_t next_call = 1;
 
-  ForwarderFixture() {
+  explicit ForwarderFixture(const ForwardOptions& forward_options = Options())
+      : options(forward_options) {
     // Past the window in which a new budget share grows.
     clock.Advance(seconds(20));
     for (std::size_t shard = 0; shard < kShards; ++shard) {
--- a/test/jacinthdeck/forward/forwarder_load_test.cc
+++ b/test/jacinthdeck/forward/forwarder_load_test.cc
@@ -110,8 +110,11 @@
     auto request = std::make_shared<OpaqueRequest>();
     request->host = "desk.example";
     request->target = "/read/" + std::to_string(i);
-    ForwardCall call{CallId(1000 + i), request, clock.Now(),
-                     clock.Now() + seconds(1)};
+    ForwardCall call;
+    call.id = CallId(1000 + i);
+    call.request = request;
+    call.arrived = clock.Now();
+    call.deadline = clock.Now() + seconds(1);
     bounded.Submit(call, clock.Now());
     ++calls;
     clock.Advance(milliseconds(10));
