--- a/bench/support/tail_model.h
+++ b/bench/support/tail_model.h
@@ -123,6 +123,9 @@
         return OnArrive(event.subject);
       case EventKind::kDone:
         return OnDone(event.subject);
+      case EventKind::kRetry:
+        // Callers of this model send each request once.
+        return;
       case EventKind::kCancel:
         return OnCancel(event.subject);
       case EventKind::kReplyArrive:
--- a/src/jacinthdeck/forward/fwd.h
+++ b/src/jacinthdeck/forward/fwd.h
@@ -5,9 +5,11 @@
 
 namespace jacinthdeck {
 
+class AdmissionPolicy;
 class AttemptBudget;
 class ColdTargetLimiter;
 class CrashGuard;
+class FlowLoad;
 class Forwarder;
 class LatencyProfile;
 class RetryGate;
@@ -17,6 +19,7 @@
 class TrackedTarget;
 class UnreachableTargets;
 class UnresolvedAttempts;
+class WaitingCalls;
 class WeightedRoundRobin;
 struct AttemptEnd;
 struct CrashEvidence;
@@ -30,10 +33,14 @@
 struct Route;
 struct TargetEntry;
 struct TargetResponse;
+struct WaitingCall;
 enum class AttemptOutcome;
 enum class ForwardReason;
 enum class RepeatRule;
+enum class ShedReason;
 enum class TargetCheck;
+enum class WaitClass;
+enum class WaitRule;
 
 }  // namespace jacinthdeck
 
