--- a/src/jacinthdeck/tenancy/fwd.h
+++ b/src/jacinthdeck/tenancy/fwd.h
@@ -8,7 +8,11 @@
 class RateLimiter;
 class RateLimiterPort;
 class TenantTable;
+struct KeyDigest;
+struct RateAccountStatus;
 struct RateLimiterOptions;
+struct RateLimiterStatus;
+struct RateMessageCounts;
 struct RateRequest;
 struct RateVerdict;
 struct Tenant;
