Check client accounts in the soak

The soak knew no accounts, so nothing showed on real processes whether the limits, keys and headers of accounts hold under faults.

Targets log the account header of each request, and whether a key header came along.

Not run yet on daemons.

--- a/soak/callers.cc
+++ b/soak/callers.cc
@@ -24,8 +24,11 @@
 constexpr std::string_view kDeadlineMs = "1500";
 constexpr Duration kCallTimeout = milliseconds(3000);
 //! Request paths, indexed by CallKind.
-constexpr std::array<std::string_view, 3> kPaths{"/claim/1", "/lookup/1",
-                                                 "/query/1"};
+constexpr std::array<std::string_view, 4> kPaths{"/claim/1", "/lookup/1",
+                                                 "/query/1", "/public/1"};
+//! Kinds of calls that are drawn; the last one only with accounts.
+constexpr std::uint64_t kKinds = 3;
+constexpr std::uint64_t kKindsWithAccounts = 4;
 
 [[nodiscard]] CallEnd CallEndOf(const ClientReply& reply) {
   if (reply.answered()) {
@@ -48,6 +51,7 @@
   explicit Caller(asio::io_context& loop) : timer(loop) {}
 
   asio::steady_timer timer;
+  CallerRole role = CallerRole::kStranger;
   std::size_t entry = 0;
   //! Null if the next call connects to an entry drawn at random.
   std::unique_ptr<ClientSession> session;
@@ -56,10 +60,17 @@
   std::optional<std::size_t> refused_by;
 };
 
-Callers::Callers(asio::io_context& loop, std::size_t count, std::uint64_t seed)
-    : m_loop(loop), m_random(seed), m_seed(seed) {
+Callers::Callers(asio::io_context& loop,
+                 std::size_t count,
+                 std::uint64_t seed,
+                 bool with_accounts)
+    : m_loop(loop),
+      m_random(seed),
+      m_seed(seed),
+      m_with_accounts(with_accounts) {
   for (std::size_t index = 0; index < count; ++index) {
     m_callers.push_back(std::make_unique<Caller>(loop));
+    m_callers.back()->role = RoleOf(index);
     Pause(*m_callers.back());
   }
 }
@@ -75,7 +86,10 @@
 }
 
 void Callers::Pause(Caller& caller) {
-  caller.timer.expires_after(milliseconds(1 + m_random.Below(kMaxPauseMs)));
+  caller.timer.expires_after(
+      m_with_accounts && caller.role == CallerRole::kSmall
+          ? DrawSmallPause(m_random)
+          : milliseconds(1 + m_random.Below(kMaxPauseMs)));
   caller.timer.async_wait([this, &caller](const SystemError& error) {
     if (!error && !m_stopped) {
       StartCall(caller);
@@ -113,15 +127,26 @@
   }
   Call call;
   call.id = std::to_string(m_seed) + "-" + std::to_string(m_next_id++);
-  call.kind = static_cast<CallKind>(m_random.Below(kPaths.size()));
+  call.kind = static_cast<CallKind>(
+      m_random.Below(m_with_accounts ? kKindsWithAccounts : kKinds));
+  if (m_with_accounts) {
+    call.credentials = DrawCredentials(caller.role, m_random);
+  }
   call.entry = caller.entry;
   call.sent = m_clock.Now();
-  const ClientRequest request{
+  ClientRequest request{
       "GET",
       std::string(kPaths[static_cast<std::size_t>(call.kind)]),
       "",
       {{std::string(wire::kRequestId), call.id},
        {std::string(wire::kDeadlineMs), std::string(kDeadlineMs)}}};
+  if (!call.credentials.key.empty()) {
+    request.headers.push_back({std::string(wire::kKey), call.credentials.key});
+  }
+  if (!call.credentials.forged_account.empty()) {
+    request.headers.push_back(
+        {std::string(wire::kTenant), call.credentials.forged_account});
+  }
   caller.session->Call(request, kCallTimeout,
                        [this, &caller, call](const ClientReply& reply) {
                          FinishCall(caller, call, reply);
--- a/soak/callers.h
+++ b/soak/callers.h
@@ -29,7 +29,12 @@
  */
 class Callers {
  public:
-  Callers(asio::io_context& loop, std::size_t count, std::uint64_t seed);
+  /*! \brief Creates callers; with accounts they send keys, and also call the
+   * public route. */
+  Callers(asio::io_context& loop,
+          std::size_t count,
+          std::uint64_t seed,
+          bool with_accounts = false);
   ~Callers();
   Callers(const Callers&) = delete;
   Callers& operator=(const Callers&) = delete;
@@ -57,6 +62,7 @@
   BoottimeClock m_clock;
   Random m_random;
   const std::uint64_t m_seed;
+  const bool m_with_accounts;
   std::map<std::size_t, std::uint16_t> m_entries;
   std::vector<std::unique_ptr<Caller>> m_callers;
   std::vector<Call> m_calls;
--- a/soak/checks.cc
+++ b/soak/checks.cc
@@ -5,60 +5,17 @@
 #include <array>
 #include <map>
 #include <set>
-#include <unordered_map>
 #include <unordered_set>
 
 #include "jacinthdeck/http/status.h"
+#include "soak/account_checks.h"
+#include "soak/account_timeline.h"
+#include "soak/history_index.h"
 
 namespace jacinthdeck::soak {
 
 namespace {
 
-using Violations = std::vector<Violation>;
-using RunsByRequest = std::unordered_map<std::string, std::vector<const Run*>>;
-
-//! The history with the indexes that several checks share.
-struct HistoryIndex {
-  const History& history;
-  const Bounds& bounds;
-  RunsByRequest runs;
-  //! When the store confirmed that a target is draining, by target.
-  std::unordered_map<std::string, TimePoint> departures;
-  //! Failure domain by target.
-  std::unordered_map<std::string, std::string> domains;
-};
-
-[[nodiscard]] HistoryIndex MakeHistoryIndex(const History& history,
-                                            const Bounds& bounds) {
-  HistoryIndex index{history, bounds, {}, {}, {}};
-  for (const Run& run : history.runs) {
-    index.runs[run.request].push_back(&run);
-  }
-  for (const TargetDeparture& departure : history.departures) {
-    index.departures.emplace(departure.target, departure.confirmed);
-  }
-  for (const Placement& placement : history.placements) {
-    index.domains.emplace(placement.target, placement.domain);
-  }
-  return index;
-}
-
-//! Whether a fault with this effect may have affected a call: it lasted at some
-//! time during the call, or ended at most `contact` before the call was sent.
-[[nodiscard]] bool IsAffected(const History& history,
-                              const Call& call,
-                              FaultEffect effect,
-                              Duration contact) {
-  return std::ranges::any_of(
-      history.fault_periods, [&](const FaultPeriod& period) {
-        const bool before = period.from > call.ended;
-        const bool after =
-            period.to != TimePoint::max() && period.to + contact < call.sent;
-        return period.entry == call.entry && period.effect == effect &&
-               !before && !after;
-      });
-}
-
 [[nodiscard]] bool IsNotExecutedStatus(int status) {
   return status == http_status::kTooManyRequests ||
          status == http_status::kUnavailable ||
@@ -66,23 +23,9 @@
          status == http_status::kMisdirected;
 }
 
-[[nodiscard]] const std::vector<const Run*>& RunsOf(const HistoryIndex& index,
-                                                    const Call& call) {
-  static const std::vector<const Run*> none;
-  const auto found = index.runs.find(call.id);
-  return found == index.runs.end() ? none : found->second;
-}
-
-[[nodiscard]] std::string DescribeCall(const Call& call,
-                                       const std::string& what) {
-  return "request " + call.id + " at entry " + std::to_string(call.entry) +
-         ", sent " + std::to_string(call.sent.time_since_epoch().count()) +
-         " us: " + what;
-}
-
 void CheckRunsOnce(const HistoryIndex& index, Violations& found) {
   for (const Call& call : index.history.calls) {
-    const std::size_t runs = RunsOf(index, call).size();
+    const std::size_t runs = index.RunsOf(call).size();
     if (call.kind == CallKind::kClaim && runs > 1) {
       found.push_back(
           {Promise::kRunsOnce,
@@ -94,12 +37,12 @@
 void CheckNotRunIsTrue(const HistoryIndex& index, Violations& found) {
   for (const Call& call : index.history.calls) {
     if (call.kind == CallKind::kClaim && IsNotExecutedStatus(call.status) &&
-        !RunsOf(index, call).empty()) {
+        !index.RunsOf(call).empty()) {
       found.push_back(
           {Promise::kNotRunIsTrue,
            DescribeCall(call, "was told " + std::to_string(call.status) +
                                   " and ran at " +
-                                  RunsOf(index, call).front()->target)});
+                                  index.RunsOf(call).front()->target)});
     }
   }
 }
@@ -164,9 +107,7 @@
 
 void CheckConfigInTime(const HistoryIndex& index, Violations& found) {
   for (const Call& call : index.history.calls) {
-    if (call.records.empty() ||
-        IsAffected(index.history, call, FaultEffect::kPropagation,
-                   index.bounds.contact)) {
+    if (call.records.empty() || index.MayLackChanges(call)) {
       continue;
     }
     const std::uint32_t min_layout = MinLayout(index, call.sent);
@@ -208,11 +149,10 @@
 template <typename Visitor>
 void ForEachUnaffectedRun(const HistoryIndex& index, Visitor visit) {
   for (const Call& call : index.history.calls) {
-    if (IsAffected(index.history, call, FaultEffect::kPropagation,
-                   index.bounds.contact)) {
+    if (index.MayLackChanges(call)) {
       continue;
     }
-    for (const Run* run : RunsOf(index, call)) {
+    for (const Run* run : index.RunsOf(call)) {
       visit(call, *run);
     }
   }
@@ -257,9 +197,8 @@
 
 void CheckNoRequestIsCut(const HistoryIndex& index, Violations& found) {
   for (const Call& call : index.history.calls) {
-    if (call.end == CallEnd::kClosed && !RunsOf(index, call).empty() &&
-        !IsAffected(index.history, call, FaultEffect::kConnections,
-                    Duration::zero())) {
+    if (call.end == CallEnd::kClosed && !index.RunsOf(call).empty() &&
+        !index.IsAffected(call, FaultEffect::kConnections, Duration::zero())) {
       found.push_back({Promise::kNoRequestIsCut,
                        DescribeCall(call, "ran, and its connection ended")});
     }
@@ -281,8 +220,9 @@
 
 CalmCalls CountCalmCalls(const History& history) {
   CalmCalls calm;
+  const AccountTimeline accounts(history, Bounds{});
   for (const Call& call : history.calls) {
-    if (call.sent > history.calm_since) {
+    if (call.sent > history.calm_since && accounts.MustBeServed(call)) {
       ++calm.sent;
       calm.answered += call.status == http_status::kOk ? 1U : 0U;
     }
@@ -297,11 +237,12 @@
                                &CheckConfigInTime,   &CheckConfigNeverReverts,
                                &CheckLeftTargets,    &CheckEvacuatedDomains,
                                &CheckNoRequestIsCut, &CheckRecovery};
-  const HistoryIndex index = MakeHistoryIndex(history, bounds);
+  const HistoryIndex index(history, bounds);
   Violations found;
   for (const auto check : kChecks) {
     check(index, found);
   }
+  CheckAccounts(index, found);
   return found;
 }
 
--- a/soak/cluster.cc
+++ b/soak/cluster.cc
@@ -8,11 +8,13 @@
 #include <chrono>
 #include <csignal>
 #include <fstream>
+#include <optional>
 #include <stdexcept>
 #include <utility>
 
 #include "process/process.h"
 #include "soak/layout.h"
+#include "soak/run_line.h"
 
 namespace jacinthdeck::soak {
 
@@ -49,7 +51,8 @@
 
 Cluster::Cluster(ClusterOptions options)
     : m_options(std::move(options)),
-      m_callers(m_loop, m_options.callers, m_options.seed),
+      m_account_settings(DrawAccountSettings(m_options.seed)),
+      m_callers(m_loop, m_options.callers, m_options.seed, m_options.accounts),
       m_loop_thread([this] {
         const auto guard = asio::make_work_guard(m_loop);
         m_loop.run();
@@ -68,6 +71,9 @@
 }
 
 void Cluster::Start() {
+  if (m_options.accounts) {
+    m_accounts = InitialAccounts();
+  }
   StartStore();
   StartLayout();
   WriteConfig();
@@ -93,7 +99,8 @@
       &Cluster::ClearStoreFault,  &Cluster::InjectLinkFault,
       &Cluster::ClearLinkFault,   &Cluster::Evacuate,
       &Cluster::EndEvacuation,    &Cluster::CopyStore,
-      &Cluster::RestoreStore};
+      &Cluster::RestoreStore,     &Cluster::RemoveKey,
+      &Cluster::AddKey,           &Cluster::LowerLimit};
   const Step step = kSteps[static_cast<std::size_t>(action.kind)];
   (this->*step)(action);
 }
@@ -193,7 +200,8 @@
           "[listen]\ncallers = \"127.0.0.1:0\"\nmetrics = \"127.0.0.1:0\"\n"
           "peers = \"127.0.0.1:0\"\n[store]\naddress = \"127.0.0.1:" +
           std::to_string(entry.store->port()) + "\"\n[shutdown]\ngrace_ms = " +
-          std::to_string(kGraceMs) + "\n[log]\nsample = 1\n");
+          std::to_string(kGraceMs) + "\n[log]\nsample = 1\n" +
+          (m_options.accounts ? SettingsText(m_account_settings) : ""));
   const std::string output =
       WorkFilePath(entry.name + "." + std::to_string(entry.instance) + ".log");
   entry.child = std::make_unique<Child>(
@@ -397,6 +405,8 @@
   history.placements = m_placements;
   history.evacuations = m_evacuations;
   history.fault_periods = m_fault_periods;
+  history.account_versions = m_account_versions;
+  history.account_settings = m_account_settings;
   history.calm_since = m_calm_since;
   ReadLog(history);
   return history;
@@ -404,15 +414,16 @@
 
 void Cluster::ReadLog(History& history) const {
   std::ifstream file(WorkFilePath("runs.log"));
-  std::string event;
-  std::string target;
-  std::string request;
-  Duration::rep at = 0;
-  while (file >> event >> target >> request >> at) {
-    if (event == "run") {
-      history.runs.push_back({request, target, TimePoint(Duration(at))});
+  for (std::string text; std::getline(file, text);) {
+    const std::optional<RunLine> line = ParseRunLine(text);
+    if (!line) {
+      throw std::runtime_error("cannot parse the line of runs.log: " + text);
+    }
+    if (line->event == "run") {
+      history.runs.push_back({line->request, line->target, line->at,
+                              line->account, line->has_key});
     } else {
-      history.departures.push_back({target, TimePoint(Duration(at))});
+      history.departures.push_back({line->target, line->at});
     }
   }
 }
--- a/soak/cluster.h
+++ b/soak/cluster.h
@@ -41,6 +41,8 @@
   //! Whether the second target of each service is in another failure domain
   //! than the first, so that the domain of the first can be evacuated.
   bool two_domains = false;
+  //! Whether the configuration has client accounts and callers send keys.
+  bool accounts = false;
 };
 
 /**
@@ -114,6 +116,9 @@
   void EndEvacuation(const Action& action);
   void CopyStore(const Action& action);
   void RestoreStore(const Action& action);
+  void RemoveKey(const Action& action);
+  void AddKey(const Action& action);
+  void LowerLimit(const Action& action);
 
   void StartStore();
   void StartEntry(Entry& entry);
@@ -126,6 +131,15 @@
   void StartLayout();
   void DrainOldTargets();
   void WriteConfig();
+  //! Writes the configuration of the layout that was last written and of the
+  //! current accounts.
+  void RewriteConfig();
+  //! Writes the configuration of a layout and records the version of the
+  //! accounts.
+  void PutConfig(std::uint32_t layout);
+  //! Returns the account that a change affects: one whose callers also send
+  //! keys that are not in force.
+  [[nodiscard]] Account& ChangedAccountOf(const Action& action);
   //! Sends a message to the store's control path.
   //! \throw std::runtime_error if the store does not accept it.
   void ControlStore(const std::string& message);
@@ -174,6 +188,12 @@
   std::vector<Placement> m_placements;
   //! At most one of them, the last, has not ended.
   std::vector<EvacuationPeriod> m_evacuations;
+  AccountSettings m_account_settings;
+  //! Empty in a run without accounts.
+  std::vector<Account> m_accounts;
+  std::vector<AccountVersion> m_account_versions;
+  //! Accounts of the store's copy.
+  std::vector<Account> m_copied_accounts;
   TimePoint m_calm_since = TimePoint::max();
   Callers m_callers;
   //! Declared last, because the thread uses the members above.
--- a/soak/cluster_store.cc
+++ b/soak/cluster_store.cc
@@ -130,9 +130,9 @@
 
 void Cluster::CopyStore(const Action& /*action*/) {
   ControlStore(R"({"copy":true})");
+  m_copied_accounts = m_accounts;
   for (int write = 0; write < kLostWrites; ++write) {
-    PutInStore(std::string(platform::wire::kConfigKey),
-               ConfigText(m_layouts.back().layout));
+    RewriteConfig();
   }
 }
 
@@ -145,6 +145,10 @@
   Schedule(kRestoreOutage, [this, rewritten_after = action.rewritten_after] {
     // Another action may have ended the outage, and with it the fault period.
     BeginStoreFaultPeriod();
+    if (m_options.accounts) {
+      m_account_versions.push_back(
+          {Now(), TimePoint::max(), m_copied_accounts});
+    }
     ControlStore(R"({"restore":true})");
     ClearStoreFault({});
     Schedule(rewritten_after, [this] { RepeatLostWrites(); });
@@ -152,8 +156,7 @@
 }
 
 void Cluster::RepeatLostWrites() {
-  PutInStore(std::string(platform::wire::kConfigKey),
-             ConfigText(m_layouts.back().layout));
+  RewriteConfig();
   if (IsEvacuated()) {
     PutInStore(EvacuationKey(), "{}");
   } else {
@@ -162,8 +165,12 @@
   m_is_restoring = false;
 }
 
+void Cluster::RewriteConfig() {
+  PutConfig(m_layouts.back().layout);
+}
+
 void Cluster::WriteConfig() {
-  PutInStore(std::string(platform::wire::kConfigKey), ConfigText(m_layout));
+  PutConfig(m_layout);
   m_layouts.push_back({m_layout, Now()});
 }
 
--- a/soak/history.h
+++ b/soak/history.h
@@ -9,6 +9,9 @@
 #include <vector>
 
 #include "jacinthdeck/core/time.h"
+#include "soak/account.h"
+#include "soak/account_settings.h"
+#include "soak/credentials.h"
 #include "soak/record.h"
 
 namespace jacinthdeck::soak {
@@ -21,6 +24,9 @@
   kLookup,
   //! Fans out to all shards; may run repeatedly.
   kQuery,
+  //! Goes to one target by a public route, which needs no key; may run
+  //! repeatedly.
+  kPublic,
 };
 
 /*! \brief Outcome of a call as its caller observed it. */
@@ -30,6 +36,8 @@
 struct Call {
   std::string id;
   CallKind kind = CallKind::kLookup;
+  //! Empty in a run without accounts.
+  Credentials credentials;
   //! Number of the entry process; a restarted entry gets a new number.
   std::size_t entry = 0;
   TimePoint sent;
@@ -46,6 +54,22 @@
   std::string request;
   std::string target;
   TimePoint at;
+  //! Value of the account header that came with the request; empty if none did.
+  std::string account = {};
+  //! Whether a key header came with the request.
+  bool has_key = false;
+};
+
+/*! \brief Accounts of a configuration that operators or a restore of the store
+ * put in force. */
+struct AccountVersion {
+  //! Just before it was written to the store.
+  TimePoint written;
+  //! When the store had confirmed the next one that was written; max() for the
+  //! last. A version that a restore of the store lost stays in force at the
+  //! entries until operators write again.
+  TimePoint replaced = TimePoint::max();
+  std::vector<Account> accounts;
 };
 
 /*! \brief Records when the store confirmed the configuration of a layout. */
@@ -100,6 +124,9 @@
   std::vector<Placement> placements;
   std::vector<EvacuationPeriod> evacuations;
   std::vector<FaultPeriod> fault_periods;
+  //! In the order of time; empty in a run without accounts.
+  std::vector<AccountVersion> account_versions;
+  AccountSettings account_settings;
   //! End of the recovery period that follows the last fault.
   TimePoint calm_since = TimePoint::max();
 };
--- a/soak/layout.cc
+++ b/soak/layout.cc
@@ -41,6 +41,33 @@
                    kTargetConnections);
 }
 
+[[nodiscard]] json_t* AccountJson(const Account& account) {
+  json_t* keys = json_array();
+  for (const std::string& key : account.keys) {
+    json_array_append_new(keys, json_string(key.c_str()));
+  }
+  json_t* json =
+      json_pack("{s:s, s:o}", "name", account.name.c_str(), "apiKeys", keys);
+  if (account.rate > 0) {
+    json_object_set_new(json, "ratePerS", json_real(account.rate));
+    json_object_set_new(json, "burst", json_real(account.burst));
+  }
+  return json;
+}
+
+void AddAccounts(json_t* config,
+                 const std::string& service,
+                 const std::vector<Account>& accounts) {
+  json_t* route = RouteJson("public", "idempotent", service);
+  json_object_set_new(route, "public", json_true());
+  json_array_append_new(json_object_get(config, "routes"), route);
+  json_t* tenants = json_array();
+  for (const Account& account : accounts) {
+    json_array_append_new(tenants, AccountJson(account));
+  }
+  json_object_set_new(config, "tenants", tenants);
+}
+
 }  // namespace
 
 std::string ServiceName(std::uint32_t layout, std::uint32_t shard) {
@@ -51,7 +78,8 @@
   return std::string(kSingle) + "-" + std::to_string(layout);
 }
 
-std::string ConfigText(std::uint32_t layout) {
+std::string ConfigText(std::uint32_t layout,
+                       const std::vector<Account>& accounts) {
   json_t* query = RouteJson("query", "idempotent", "");
   json_t* shards = json_array();
   json_t* services = json_array();
@@ -69,6 +97,9 @@
       "{s:i, s:[o, o, o], s:o}", "version", static_cast<int>(layout), "routes",
       RouteJson("claim", "non_idempotent", single),
       RouteJson("lookup", "idempotent", single), query, "services", services));
+  if (!accounts.empty()) {
+    AddAccounts(config.get(), single, accounts);
+  }
   return DumpJson(*config);
 }
 
--- a/soak/layout.h
+++ b/soak/layout.h
@@ -5,6 +5,9 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
+
+#include "soak/account.h"
 
 namespace jacinthdeck::soak {
 
@@ -18,8 +21,10 @@
 /*! \brief Returns the name of the service for requests that need one target. */
 [[nodiscard]] std::string SingleServiceName(std::uint32_t layout);
 
-/*! \brief Returns the JSON configuration that routes to one layout only. */
-[[nodiscard]] std::string ConfigText(std::uint32_t layout);
+/*! \brief Returns the JSON configuration that routes to one layout only. With
+ * accounts it also has a public route. */
+[[nodiscard]] std::string ConfigText(std::uint32_t layout,
+                                     const std::vector<Account>& accounts);
 
 }  // namespace jacinthdeck::soak
 
--- a/soak/main.cc
+++ b/soak/main.cc
@@ -94,6 +94,7 @@
   }
   options.cluster.seed = seed;
   options.cluster.two_domains = options.plan.evacuations > 0;
+  options.cluster.accounts = options.plan.account_changes > 0;
   options.cluster.work = work;
   options.cluster.programs = options.programs;
   bool all_held = false;
@@ -144,6 +145,10 @@
       "restores",
       po::value(&soak.plan.restores)->default_value(soak.plan.restores),
       "number of restores of the store from an older copy")(
+      "accounts",
+      po::value(&soak.plan.account_changes)
+          ->default_value(soak.plan.account_changes),
+      "number of changes to client accounts; 0 for no accounts")(
       "rewritten-after-ms",
       po::value<std::uint64_t>()->notifier([&soak](std::uint64_t after) {
         soak.plan.rewritten_after = std::chrono::milliseconds(after);
--- a/soak/plan.cc
+++ b/soak/plan.cc
@@ -136,6 +136,23 @@
   }
 }
 
+//! Adds changes to accounts in the first half of the plan, so that their
+//! effects can be checked after the faults.
+void AddAccountChanges(const PlanOptions& options, std::vector<Action>& plan) {
+  constexpr std::uint64_t kSeedMask = 0xe7037ed1a0b428dbU;
+  constexpr std::array kChanges{ActionKind::kRemoveKey, ActionKind::kAddKey,
+                                ActionKind::kLowerLimit};
+  Random random(options.seed ^ kSeedMask);
+  for (std::size_t index = 0; index < options.account_changes; ++index) {
+    Action action;
+    action.kind = kChanges[random.Below(kChanges.size())];
+    action.subject = random.Below(kTargets);
+    action.at = Duration(
+        random.Below(static_cast<std::uint64_t>(options.length.count()) / 2));
+    plan.push_back(action);
+  }
+}
+
 }  // namespace
 
 std::vector<Action> MakePlan(const PlanOptions& options) {
@@ -162,6 +179,7 @@
   }
   AddEvacuations(options, plan);
   AddRestores(options, plan);
+  AddAccountChanges(options, plan);
   std::ranges::stable_sort(plan, {}, &Action::at);
   return plan;
 }
--- a/soak/plan.h
+++ b/soak/plan.h
@@ -42,16 +42,21 @@
   kCopyStore,
   //! The store is unreachable for a short time and returns with that copy.
   kRestoreStore,
+  //! Operators remove the first key of an account, or add its spare one.
+  kRemoveKey,
+  kAddKey,
+  //! Operators halve the limit of the account that exceeds it.
+  kLowerLimit,
 };
 
 //! Names of the actions in reports, indexed by ActionKind.
-inline constexpr NameTable<ActionKind, 21> kActionNames{
-    {"stop_entry",   "continue_entry", "kill_entry",      "drain_entry",
-     "start_entry",  "stop_target",    "continue_target", "kill_target",
-     "drain_target", "lose_answers",   "answer_all",      "reshard",
-     "store_fault",  "store_forgets",  "store_well",      "link_fault",
-     "link_well",    "evacuate",       "give_back",       "copy_store",
-     "restore_store"}};
+inline constexpr NameTable<ActionKind, 24> kActionNames{
+    {"stop_entry",    "continue_entry", "kill_entry",      "drain_entry",
+     "start_entry",   "stop_target",    "continue_target", "kill_target",
+     "drain_target",  "lose_answers",   "answer_all",      "reshard",
+     "store_fault",   "store_forgets",  "store_well",      "link_fault",
+     "link_well",     "evacuate",       "give_back",       "copy_store",
+     "restore_store", "remove_key",     "add_key",         "lower_limit"}};
 
 /*! \brief Failure mode of the store. */
 enum class StoreFault {
@@ -125,6 +130,9 @@
   std::size_t evacuations = 0;
   //! Number of restores of the store, drawn separately as well.
   std::size_t restores = 0;
+  //! Number of changes to client accounts, drawn separately as well. If it is
+  //! 0, the configuration has no accounts.
+  std::size_t account_changes = 0;
   //! Time from a restore until operators write again; if empty, each restore
   //! draws its own.
   std::optional<Duration> rewritten_after;
--- a/soak/target_main.cc
+++ b/soak/target_main.cc
@@ -20,6 +20,8 @@
 #include "platform/wire_names.h"
 #include "process/process.h"
 #include "soak/record.h"
+#include "soak/run_line.h"
+#include "target/account_headers.h"
 
 namespace jacinthdeck::soak {
 
@@ -77,7 +79,7 @@
   void RenewRegistration(const std::stop_token& stop) {
     while (!stop.stop_requested()) {
       if (Register() && m_leaving && !m_leaving_confirmed) {
-        Write("leaving", "-");
+        Write({"leaving", "", "", {}, "", false});
         m_leaving_confirmed = true;
       }
       std::this_thread::sleep_for(kRenewalPeriod / 10);
@@ -92,10 +94,10 @@
  private:
   //! Appends one line with a single write(), so that a kill leaves no partial
   //! line.
-  void Write(const char* event, const std::string& request) {
-    const std::string line =
-        std::string(event) + " " + m_options.id + " " + request + " " +
-        std::to_string(m_clock.Now().time_since_epoch().count()) + "\n";
+  void Write(RunLine event) {
+    event.target = m_options.id;
+    event.at = m_clock.Now();
+    const std::string line = Format(event);
     if (write(m_log, line.data(), line.size()) < 0) {
       std::cerr << "cannot log " << line;
     }
@@ -117,7 +119,9 @@
     if (expected != request.headers.end() && expected->second != m_options.id) {
       return NotRun(http_status::kMisdirected);
     }
-    Write("run", id->second);
+    const standins::AccountHeaders headers =
+        standins::ReadAccountHeaders(request);
+    Write({"run", "", id->second, {}, headers.account, headers.has_key});
     std::this_thread::sleep_for(
         milliseconds(HashOf(id->second) % kMaxExecutionMs));
     if (loses_answers != 0 && HashOf(id->second) % kLostOneIn == 0) {
--- a/standins/target/run_log.h
+++ b/standins/target/run_log.h
@@ -11,6 +11,8 @@
 #include <vector>
 
 #include "jacinthdeck/core/ids.h"
+#include "jacinthdeck/core/time.h"
+#include "target/account_headers.h"
 
 namespace jacinthdeck::standins {
 
@@ -19,6 +21,9 @@
   TargetId target;
   //! Value of the X-Attempt header.
   std::string attempt;
+  AccountHeaders headers = {};
+  //! When it took the slot, on the machine's boot-time clock.
+  TimePoint at = {};
 };
 
 /*! \brief All runs of one request. */
--- a/standins/target/target.cc
+++ b/standins/target/target.cc
@@ -176,7 +176,8 @@
   if (slot_outcome != WorkOutcome::kDone) {
     return ReplyShed("shed");
   }
-  m_log.Record(query.method, query.request_text, {m_info.id, query.attempt});
+  m_log.Record(query.method, query.request_text,
+               {m_info.id, query.attempt, query.headers, m_clock.Now()});
   Increment(&TargetCounts::runs);
   if (!behaviour.crash_on.empty() &&
       query.request_text.find(behaviour.crash_on) != std::string::npos) {
--- a/standins/target/target.h
+++ b/standins/target/target.h
@@ -10,6 +10,7 @@
 
 #include "http/http_message.h"
 #include "http/http_server.h"
+#include "jacinthdeck/core/boottime_clock.h"
 #include "jacinthdeck/core/random.h"
 #include "jacinthdeck/routing/target_info.h"
 #include "target/behaviour.h"
@@ -113,6 +114,7 @@
   TargetInfo m_info;
   std::shared_ptr<const Dataset> m_dataset;
   RunLog& m_log;
+  BoottimeClock m_clock;
   WorkQueue m_work;
   mutable std::mutex m_mutex;
   Behaviour m_behaviour;
--- a/standins/target/target_group.cc
+++ b/standins/target/target_group.cc
@@ -38,8 +38,12 @@
   json_t* attempts = json_array();
   for (const Run& run : request.runs) {
     json_array_append_new(
-        attempts, json_pack("{s:s,s:s}", "target", run.target.raw().c_str(),
-                            "attempt", run.attempt.c_str()));
+        attempts,
+        json_pack("{s:s,s:s,s:s,s:b,s:I}", "target", run.target.raw().c_str(),
+                  "attempt", run.attempt.c_str(), "account",
+                  run.headers.account.c_str(), "key", run.headers.has_key,
+                  "at_us",
+                  static_cast<json_int_t>(run.at.time_since_epoch().count())));
   }
   return json_pack("{s:s,s:o,s:o,s:o}", "method", request.method.c_str(),
                    "request", json_loads(request.request.c_str(), 0, nullptr),
--- a/standins/target/target_query.cc
+++ b/standins/target/target_query.cc
@@ -35,6 +35,7 @@
                 "lack X-Attempt or X-Deadline-Ms");
   }
   query.attempt = attempt->second;
+  query.headers = ReadAccountHeaders(request);
   query.deadline = std::chrono::steady_clock::now() +
                    std::chrono::milliseconds(*remaining_ms);
   BOOST_LEAF_AUTO(json, ParseJson(request.body, "query"));
--- a/standins/target/target_query.h
+++ b/standins/target/target_query.h
@@ -10,6 +10,7 @@
 #include "jacinthdeck/core/json.h"
 #include "jacinthdeck/core/result.h"
 #include "jacinthdeck/query/key_range.h"
+#include "target/account_headers.h"
 
 namespace jacinthdeck::standins {
 
@@ -24,6 +25,7 @@
   //! The request as canonical JSON.
   std::string request_text;
   std::chrono::steady_clock::time_point deadline;
+  AccountHeaders headers;
 };
 
 /**
--- a/test/soak/plan_test.cc
+++ b/test/soak/plan_test.cc
@@ -76,9 +76,28 @@
   }
 }
 
+// Guards against account changes that shift the faults of the seeds in
+// soak/seeds.txt.
+BOOST_AUTO_TEST_CASE(Plan_HoldsAccountChanges_OtherActionsAreTheSame) {
+  options.seed = 7;
+  options.evacuations = 2;
+  options.restores = 1;
+  const std::vector<Action> others = MakePlan(options);
+  options.account_changes = 4;
+  std::vector<Action> plan = MakePlan(options);
+  BOOST_TEST(plan.size() == others.size() + 4);
+  std::erase_if(plan, [](const Action& action) {
+    return action.kind == ActionKind::kRemoveKey ||
+           action.kind == ActionKind::kAddKey ||
+           action.kind == ActionKind::kLowerLimit;
+  });
+  BOOST_TEST((plan == others));
+}
+
 BOOST_AUTO_TEST_CASE(Plans_OfFiftySeeds_HoldEveryAction) {
   options.evacuations = 1;
   options.restores = 1;
+  options.account_changes = 2;
   std::set<ActionKind> seen;
   for (options.seed = 1; options.seed <= 50; ++options.seed) {
     for (const Action& action : MakePlan(options)) {
--- a/test/standins/target_test.cc
+++ b/test/standins/target_test.cc
@@ -5,6 +5,7 @@
 #include <boost/test/unit_test.hpp>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "jacinthdeck/http/blocking_client.h"
 
@@ -33,15 +34,18 @@
                 1};
   Behaviour fast;
 
+  //! Headers of queries besides those that every query has.
+  std::vector<Header> headers;
+
   //! Sends a query and returns the HTTP status, or 0 if the connection ended
   //! without a reply.
   [[nodiscard]] long Query(const std::string& request, int version = 7) {
-    const ClientRequest call{
-        "POST",
-        "/query",
-        R"({"method":"M","version":)" + std::to_string(version) +
-            R"(,"range":[0,1000],"request":)" + request + "}",
-        {{"X-Attempt", "1"}, {"X-Deadline-Ms", "5000"}}};
+    ClientRequest call{"POST",
+                       "/query",
+                       R"({"method":"M","version":)" + std::to_string(version) +
+                           R"(,"range":[0,1000],"request":)" + request + "}",
+                       {{"X-Attempt", "1"}, {"X-Deadline-Ms", "5000"}}};
+    call.headers.insert(call.headers.end(), headers.begin(), headers.end());
     return CallAndWait({"127.0.0.1", target.port()}, call,
                        std::chrono::seconds(5))
         .status;
@@ -56,6 +60,22 @@
   BOOST_TEST(log.Find("M")[0].runs.size() == 1U);
 }
 
+// Guards against a log that misses the headers by which tests prove which
+// account a request runs for, and that no target gets a key.
+BOOST_AUTO_TEST_CASE(Query_HasAccountAndKeyHeaders_AreLogged) {
+  BOOST_TEST(Query(R"({"text":"x"})") == 200);
+  headers = {{"X-Jacinthdeck-Tenant", "busy"}, {"X-Jacinthdeck-Key", "k"}};
+  BOOST_TEST(Query(R"({"text":"x"})") == 200);
+  BOOST_REQUIRE(log.Find("M").size() == 1U);
+  const std::vector<Run> runs = log.Find("M")[0].runs;
+  BOOST_REQUIRE(runs.size() == 2U);
+  BOOST_TEST(runs[0].headers.account.empty());
+  BOOST_TEST(!runs[0].headers.has_key);
+  BOOST_TEST(runs[1].headers.account == "busy");
+  BOOST_TEST(runs[1].headers.has_key);
+  BOOST_TEST((runs[0].at < runs[1].at));
+}
+
 BOOST_AUTO_TEST_CASE(Query_RangeOrVersionNotServed_IsRefusedAndNotRun) {
   BOOST_TEST(Query("{}", 8) == 409);
   BOOST_TEST(Query("{}", 6) == 410);
