--- a/bench/support/rate_fleet.cc
+++ b/bench/support/rate_fleet.cc
@@ -262,6 +262,15 @@
   Schedule(host);
 }
 
+void RateFleet::ForgetCounts() {
+  m_begin = m_now;
+  m_within = 0;
+  m_limited = 0;
+  m_unknown = 0;
+  m_messages = 0;
+  m_bytes = 0;
+}
+
 RateFleetResult RateFleet::Result() const {
   RateFleetResult result;
   result.within = m_within;
