Give each change to accounts a higher version in the soak

Entries take a configuration only if its version is higher. The version now rises with each change; without accounts it is the layout's number, as before.

--- a/soak/account_timeline.h
+++ b/soak/account_timeline.h
@@ -69,7 +69,7 @@
   [[nodiscard]] TimePoint AppliedAt(TimePoint confirmed) const;
 
   const History& m_history;
-  const Bounds& m_bounds;
+  const Bounds m_bounds;
 };
 
 }  // namespace jacinthdeck::soak
--- a/soak/cluster.h
+++ b/soak/cluster.h
@@ -134,6 +134,8 @@
   //! Writes the configuration of the layout that was last written and of the
   //! current accounts.
   void RewriteConfig();
+  //! Like RewriteConfig(), as a new version, after a change to the accounts.
+  void WriteAccounts();
   //! Writes the configuration of a layout and records the version of the
   //! accounts.
   void PutConfig(std::uint32_t layout);
@@ -178,6 +180,8 @@
   std::size_t m_next_entry_instance = 0;
   std::size_t m_next_target_number = 0;
   std::uint32_t m_layout = 0;
+  //! Rises with each layout that is written and each change to accounts.
+  std::uint32_t m_config_version = 0;
   bool m_is_resharding = false;
   bool m_is_restoring = false;
   std::multimap<TimePoint, std::function<void()>> m_scheduled;
--- a/soak/cluster_accounts.cc
+++ b/soak/cluster_accounts.cc
@@ -23,7 +23,7 @@
     m_account_versions.push_back({written, TimePoint::max(), m_accounts});
   }
   PutInStore(std::string(platform::wire::kConfigKey),
-             ConfigText(layout, m_accounts));
+             ConfigText(m_config_version, layout, m_accounts));
   if (m_options.accounts && is_new) {
     const TimePoint confirmed = Now();
     const auto last = m_account_versions.end() - 1;
@@ -33,6 +33,11 @@
   }
 }
 
+void Cluster::WriteAccounts() {
+  ++m_config_version;
+  RewriteConfig();
+}
+
 Account& Cluster::ChangedAccountOf(const Action& action) {
   constexpr std::array kChanged{kBusyAccount, kUnlimitedAccount};
   return *std::ranges::find(
@@ -44,7 +49,7 @@
   // A configuration whose account has no key is rejected.
   if (account.keys.size() > 1) {
     account.keys.erase(account.keys.begin());
-    RewriteConfig();
+    WriteAccounts();
   }
 }
 
@@ -53,7 +58,7 @@
   const std::string spare = AllKeysOf(account.name).back();
   if (std::ranges::find(account.keys, spare) == account.keys.end()) {
     account.keys.push_back(spare);
-    RewriteConfig();
+    WriteAccounts();
   }
 }
 
@@ -62,7 +67,7 @@
       *std::ranges::find(m_accounts, kBusyAccount, &Account::name);
   account.rate *= kLoweredTo;
   account.burst = std::max(1.0, account.burst * kLoweredTo);
-  RewriteConfig();
+  WriteAccounts();
 }
 
 }  // namespace jacinthdeck::soak
--- a/soak/cluster_store.cc
+++ b/soak/cluster_store.cc
@@ -170,6 +170,7 @@
 }
 
 void Cluster::WriteConfig() {
+  ++m_config_version;
   PutConfig(m_layout);
   m_layouts.push_back({m_layout, Now()});
 }
--- a/soak/layout.cc
+++ b/soak/layout.cc
@@ -78,7 +78,8 @@
   return std::string(kSingle) + "-" + std::to_string(layout);
 }
 
-std::string ConfigText(std::uint32_t layout,
+std::string ConfigText(std::uint32_t version,
+                       std::uint32_t layout,
                        const std::vector<Account>& accounts) {
   json_t* query = RouteJson("query", "idempotent", "");
   json_t* shards = json_array();
@@ -94,7 +95,7 @@
   const std::string single = SingleServiceName(layout);
   json_array_append_new(services, ServiceJson(single));
   const JsonPtr config(json_pack(
-      "{s:i, s:[o, o, o], s:o}", "version", static_cast<int>(layout), "routes",
+      "{s:i, s:[o, o, o], s:o}", "version", static_cast<int>(version), "routes",
       RouteJson("claim", "non_idempotent", single),
       RouteJson("lookup", "idempotent", single), query, "services", services));
   if (!accounts.empty()) {
--- a/soak/layout.h
+++ b/soak/layout.h
@@ -22,8 +22,10 @@
 [[nodiscard]] std::string SingleServiceName(std::uint32_t layout);
 
 /*! \brief Returns the JSON configuration that routes to one layout only. With
- * accounts it also has a public route. */
-[[nodiscard]] std::string ConfigText(std::uint32_t layout,
+ * accounts it also has a public route. Entries take it if its version is higher
+ * than that of the one they have. */
+[[nodiscard]] std::string ConfigText(std::uint32_t version,
+                                     std::uint32_t layout,
                                      const std::vector<Account>& accounts);
 
 }  // namespace jacinthdeck::soak
--- a/test/soak/account_checks_test.cc
+++ b/test/soak/account_checks_test.cc
@@ -341,6 +341,9 @@
 // served, or make a run appear not to recover.
 BOOST_AUTO_TEST_CASE(CalmPeriod_AccountsAllowRefusals_OthersMustBeServed) {
   history.calm_since = At(seconds(10));
+  for (int index = 0; index < 20; ++index) {
+    AddCall(seconds(19), kBusyKey);
+  }
   for (int index = 0; index < 20; ++index) {
     AddRefusal(seconds(20), kBusyKey, http_status::kTooManyRequests);
     AddRefusal(seconds(20), "", http_status::kUnauthorized);
