--- a/bench/rate_limits.cc
+++ b/bench/rate_limits.cc
@@ -56,7 +56,7 @@
                      fleet.SetFactor(1, 1);
                      fleet.RunFor(seconds(6));
                    }});
-  cases.push_back({"third cut off for 5 s", 10, none,
+  cases.push_back({"third cut off for 5 s", 20, none,
                    [](RateFleet& fleet, const auto& options) {
                      Warm(fleet);
                      fleet.CutOff(0, options.fronts / 3);
@@ -75,13 +75,13 @@
                      fleet.RunFor(seconds(6));
                    }});
   cases.push_back(
-      {"allocator killed", 10, none, [](RateFleet& fleet, const auto&) {
+      {"allocator killed", 20, none, [](RateFleet& fleet, const auto&) {
          Warm(fleet);
          fleet.Kill(fleet.AllocatorOf(0));
          fleet.RunFor(seconds(10));
        }});
   cases.push_back(
-      {"all restarted", 10, none, [](RateFleet& fleet, const auto& options) {
+      {"all restarted", 20, none, [](RateFleet& fleet, const auto& options) {
          Warm(fleet);
          for (std::uint32_t i = 0; i < options.hosts; ++i) {
            fleet.Kill(i);
@@ -170,18 +170,24 @@
     sum.within += result.within;
     sum.limited_within += result.limited_within;
     sum.unknown_within += result.unknown_within;
+    sum.returned += result.returned;
+    sum.returned_refused += result.returned_refused;
     sum.messages += result.messages;
     sum.bytes += result.bytes;
     sum.duration += result.duration;
   }
   const double length = std::chrono::duration<double>(sum.duration).count();
-  std::printf("| %u (%u) | %s | %.3f | %llu + %llu of %llu | %.0f | %.1f |\n",
-              size.hosts, size.fronts, item.name, worst,
-              static_cast<unsigned long long>(sum.limited_within),
-              static_cast<unsigned long long>(sum.unknown_within),
-              static_cast<unsigned long long>(sum.within),
-              static_cast<double>(sum.messages) / length,
-              static_cast<double>(sum.bytes) / length / 1000);
+  std::printf(
+      "| %u (%u) | %s | %.3f | %llu + %llu of %llu | "
+      "%llu of %llu | %.0f | %.1f |\n",
+      size.hosts, size.fronts, item.name, worst,
+      static_cast<unsigned long long>(sum.limited_within),
+      static_cast<unsigned long long>(sum.unknown_within),
+      static_cast<unsigned long long>(sum.within),
+      static_cast<unsigned long long>(sum.returned_refused),
+      static_cast<unsigned long long>(sum.returned),
+      static_cast<double>(sum.messages) / length,
+      static_cast<double>(sum.bytes) / length / 1000);
   std::fflush(stdout);
 }
 
@@ -196,8 +202,9 @@
   const char* only = argc > 2 ? argv[2] : "";
   std::printf(
       "| hosts (fronts) | case | worst span / bound | refused within the "
-      "limit: limited + unknown | messages a second | kB a second |\n"
-      "|---|---|---|---|---|---|\n");
+      "limit: limited + unknown | refused again after Retry-After | messages a "
+      "second | kB a second |\n"
+      "|---|---|---|---|---|---|---|\n");
   for (const Size size : {Size{6, 6}, Size{76, 8}, Size{300, 60}}) {
     for (const Case& item : Cases()) {
       if (std::strstr(item.name, only) != nullptr) {
