Count unknown limits as refusals in the soak, and keep the calls of a run

A 503 with the reason limit_unknown refuses as a 429 does, so it now breaks within_limit_is_served as well. calls.log in the kept folder holds each call, as the logs of the entries do not tell whose key it carried.

--- a/soak/account_checks.cc
+++ b/soak/account_checks.cc
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "jacinthdeck/forward/forward_answer.h"
 #include "jacinthdeck/http/status.h"
 #include "soak/account_timeline.h"
 
@@ -179,12 +180,15 @@
                        index.base.history.account_settings.window);
     for (const Call* call : calls[account]) {
       const bool within = limit.Add(call->sent);
-      if (within && call->status == http_status::kTooManyRequests &&
-          call->sent > index.base.history.calm_since) {
+      const bool is_refused = call->status == http_status::kTooManyRequests ||
+                              call->reason == kForwardReasonNames.Name(
+                                                  ForwardReason::kLimitUnknown);
+      if (within && is_refused && call->sent > index.base.history.calm_since) {
         found.push_back(
             {Promise::kWithinLimitIsServed,
-             DescribeCall(*call, "was told 429, and account " + account +
-                                     " is within its limit")});
+             DescribeCall(*call, "was told " + std::to_string(call->status) +
+                                     " " + call->reason + ", and account " +
+                                     account + " is within its limit")});
       }
     }
   }
--- a/soak/callers.cc
+++ b/soak/callers.cc
@@ -159,6 +159,8 @@
   call.status = reply.status;
   if (reply.status == http_status::kOk) {
     call.records = DecodeRecords(reply.body).value_or(std::vector<Record>{});
+  } else {
+    call.reason = reply.body.substr(0, reply.body.find('\n'));
   }
   caller.refused_by.reset();
   if (IsRefusal(reply)) {
--- a/soak/history.h
+++ b/soak/history.h
@@ -45,6 +45,8 @@
   CallEnd end = CallEnd::kAnswered;
   //! HTTP status; 0 if no answer arrived.
   int status = 0;
+  //! Reason that an entry gives for a refusal; empty for a successful answer.
+  std::string reason;
   //! Decoded body of a successful answer; empty for any other.
   std::vector<Record> records;
 };
--- a/soak/main.cc
+++ b/soak/main.cc
@@ -8,6 +8,7 @@
 #include <thread>
 
 #include "process/process.h"
+#include "soak/call_log.h"
 #include "soak/checks.h"
 #include "soak/cluster.h"
 #include "soak/plan.h"
@@ -103,6 +104,7 @@
     cluster.Start();
     RunPlan(cluster, plan, options.plan.length);
     const History history = cluster.Finish();
+    WriteCalls((std::filesystem::path(work) / "calls.log").string(), history);
     all_held = Report(seed, history, FindViolations(history));
   }
   if (all_held && !options.keep) {
--- a/soak/promise.h
+++ b/soak/promise.h
@@ -27,7 +27,8 @@
   kAccountIsTrue,
   //! Requests answered 401 or 429 never ran.
   kRefusedNeverRan,
-  //! A caller within its limit is not answered 429 in the calm period.
+  //! A caller within its limit is not refused because of it in the calm
+  //! period.
   kWithinLimitIsServed,
   //! Requests without a key that a configuration holds or held do not run.
   kKeyIsRequired,
--- a/test/soak/account_checks_test.cc
+++ b/test/soak/account_checks_test.cc
@@ -233,6 +233,18 @@
   BOOST_TEST(BreaksOnly(Promise::kWithinLimitIsServed));
 }
 
+// A limit that cannot be found out refuses callers as one that is exceeded.
+BOOST_AUTO_TEST_CASE(SmallAccount_LimitIsUnknownInCalm_IsReported) {
+  history.calm_since = At(seconds(10));
+  AddRefusal(seconds(9), kSmallKey, http_status::kUnavailable).reason =
+      "limit_unknown";
+  Call& call = AddRefusal(seconds(19), kSmallKey, http_status::kUnavailable);
+  call.reason = "overload";
+  BOOST_TEST(HoldsAll());
+  call.reason = "limit_unknown";
+  BOOST_TEST(BreaksOnly(Promise::kWithinLimitIsServed));
+}
+
 BOOST_AUTO_TEST_CASE(Account_IsLimitedAfterItExceededItsLimit_IsAllowed) {
   history.calm_since = At(seconds(10));
   for (int second = 0; second < 20; ++second) {
