Report the violations of each promise of the soak by count

The first ten violations of a run hid those of other promises. Up to ten of each promise are printed now, and their counts.

--- a/soak/callers.cc
+++ b/soak/callers.cc
@@ -1,7 +1,9 @@
 // Each caller has one timer for its pauses and one HTTP session.
 #include "soak/callers.h"
 
+#include <algorithm>
 #include <array>
+#include <cctype>
 #include <chrono>
 #include <optional>
 #include <string_view>
@@ -45,6 +47,13 @@
          reply.status == http_status::kTooManyRequests;
 }
 
+//! Returns the first line of a refusal, as far as it is printable text.
+[[nodiscard]] std::string ReasonOf(const ClientReply& reply) {
+  const auto end = std::ranges::find_if_not(
+      reply.body, [](unsigned char c) { return std::isprint(c) != 0; });
+  return {reply.body.begin(), end};
+}
+
 }  // namespace
 
 struct Callers::Caller {
@@ -160,7 +169,7 @@
   if (reply.status == http_status::kOk) {
     call.records = DecodeRecords(reply.body).value_or(std::vector<Record>{});
   } else {
-    call.reason = reply.body.substr(0, reply.body.find('\n'));
+    call.reason = ReasonOf(reply);
   }
   caller.refused_by.reset();
   if (IsRefusal(reply)) {
--- a/soak/main.cc
+++ b/soak/main.cc
@@ -5,6 +5,7 @@
 #include <cstdlib>
 #include <filesystem>
 #include <iostream>
+#include <map>
 #include <thread>
 
 #include "process/process.h"
@@ -26,7 +27,7 @@
 //! Time after the last fault: the recovery period, then a calm period in which
 //! calls must be answered.
 constexpr Duration kRecoveryAndCalm = std::chrono::seconds(8);
-//! Most violations printed per seed.
+//! Most violations of one promise printed per seed.
 constexpr std::size_t kMaxPrinted = 10;
 
 struct SoakOptions {
@@ -69,10 +70,16 @@
             << " layouts, " << history.departures.size() << " targets left, "
             << calm.answered << " of " << calm.sent << " answered when calm, "
             << found.size() << " promises broken" << std::endl;
-  for (std::size_t index = 0; index < found.size() && index < kMaxPrinted;
-       ++index) {
-    std::cout << "  " << kPromiseNames.Name(found[index].promise) << ": "
-              << found[index].text << "\n";
+  std::map<Promise, std::size_t> seen;
+  for (const Violation& violation : found) {
+    if (++seen[violation.promise] <= kMaxPrinted) {
+      std::cout << "  " << kPromiseNames.Name(violation.promise) << ": "
+                << violation.text << "\n";
+    }
+  }
+  for (const auto& [promise, count] : seen) {
+    std::cout << "  " << kPromiseNames.Name(promise) << " was broken " << count
+              << " times\n";
   }
   return found.empty();
 }
