--- a/soak/account_checks.cc
+++ b/soak/account_checks.cc
@@ -56,39 +56,55 @@
   return admissions;
 }
 
-//! Reports the window with the greatest excess of each account. Only requests
-//! that were admitted within the window for certain count: one that waits in a
-//! link or at a stopped target runs later than it was admitted.
-void CheckLimits(const AccountIndex& index, Violations& found) {
+//! Requests of an account that ran in one window.
+struct WindowCount {
+  TimePoint begin;
+  double ran = 0;
+  double allowed = 0;
+
+  [[nodiscard]] double excess() const noexcept { return ran - allowed; }
+};
+
+//! Returns the window with the greatest excess over what is allowed. Only
+//! requests that were admitted within the window for certain count: one that
+//! waits in a link or at a stopped target runs later than it was admitted.
+[[nodiscard]] WindowCount WorstWindow(const AccountIndex& index,
+                                      const std::string& account) {
   const Duration window = index.base.history.account_settings.window;
-  for (const std::string& account : index.accounts.LimitedAccounts()) {
-    const std::vector<Admission> admissions = AdmissionsOf(index, account);
-    double most_excess = 0;
-    std::string worst;
-    for (auto first = admissions.begin(); first != admissions.end(); ++first) {
-      const TimePoint begin = first->earliest;
-      const std::optional<double> allowed =
-          index.accounts.AllowanceFrom(account, begin);
-      if (!allowed) {
-        continue;
-      }
-      const auto last = std::ranges::lower_bound(
-          first, admissions.end(), begin + window, {}, &Admission::earliest);
-      const auto ran =
-          std::count_if(first, last, [&](const Admission& admission) {
-            return admission.latest < begin + window;
-          });
-      const double excess = static_cast<double>(ran) - *allowed;
-      if (excess > most_excess) {
-        most_excess = excess;
-        worst = std::to_string(ran) + " requests ran in the window from " +
-                std::to_string(begin.time_since_epoch().count()) +
-                " us, allowed " + std::to_string(*allowed);
-      }
+  const std::vector<Admission> admissions = AdmissionsOf(index, account);
+  WindowCount worst;
+  for (auto first = admissions.begin(); first != admissions.end(); ++first) {
+    const TimePoint begin = first->earliest;
+    const std::optional<double> allowed =
+        index.accounts.AllowanceFrom(account, begin);
+    if (!allowed) {
+      continue;
+    }
+    const auto last = std::ranges::lower_bound(
+        first, admissions.end(), begin + window, {}, &Admission::earliest);
+    const auto ran =
+        std::count_if(first, last, [&](const Admission& admission) {
+          return admission.latest < begin + window;
+        });
+    const WindowCount count{begin, static_cast<double>(ran), *allowed};
+    if (count.excess() > worst.excess()) {
+      worst = count;
     }
-    if (most_excess > 0) {
+  }
+  return worst;
+}
+
+//! Reports the worst window of each account.
+void CheckLimits(const AccountIndex& index, Violations& found) {
+  for (const std::string& account : index.accounts.LimitedAccounts()) {
+    const WindowCount worst = WorstWindow(index, account);
+    if (worst.excess() > 0) {
       found.push_back(
-          {Promise::kLimitHolds, "account " + account + ": " + worst});
+          {Promise::kLimitHolds,
+           "account " + account + ": " + std::to_string(worst.ran) +
+               " requests ran in the window from " +
+               std::to_string(worst.begin.time_since_epoch().count()) +
+               " us, allowed " + std::to_string(worst.allowed)});
     }
   }
 }
