--- a/soak/main.cc
+++ b/soak/main.cc
@@ -5,9 +5,11 @@
 #include <cstdlib>
 #include <filesystem>
 #include <iostream>
+#include <map>
 #include <thread>
 
 #include "process/process.h"
+#include "soak/call_log.h"
 #include "soak/checks.h"
 #include "soak/cluster.h"
 #include "soak/plan.h"
@@ -25,7 +27,7 @@
 //! Time after the last fault: the recovery period, then a calm period in which
 //! calls must be answered.
 constexpr Duration kRecoveryAndCalm = std::chrono::seconds(8);
-//! Most violations printed per seed.
+//! Most violations of one promise printed per seed.
 constexpr std::size_t kMaxPrinted = 10;
 
 struct SoakOptions {
@@ -68,10 +70,16 @@
             << " layouts, " << history.departures.size() << " targets left, "
             << calm.answered << " of " << calm.sent << " answered when calm, "
             << found.size() << " promises broken" << std::endl;
-  for (std::size_t index = 0; index < found.size() && index < kMaxPrinted;
-       ++index) {
-    std::cout << "  " << kPromiseNames.Name(found[index].promise) << ": "
-              << found[index].text << "\n";
+  std::map<Promise, std::size_t> seen;
+  for (const Violation& violation : found) {
+    if (++seen[violation.promise] <= kMaxPrinted) {
+      std::cout << "  " << kPromiseNames.Name(violation.promise) << ": "
+                << violation.text << "\n";
+    }
+  }
+  for (const auto& [promise, count] : seen) {
+    std::cout << "  " << kPromiseNames.Name(promise) << " was broken " << count
+              << " times\n";
   }
   return found.empty();
 }
@@ -94,6 +102,7 @@
   }
   options.cluster.seed = seed;
   options.cluster.two_domains = options.plan.evacuations > 0;
+  options.cluster.accounts = options.plan.account_changes > 0;
   options.cluster.work = work;
   options.cluster.programs = options.programs;
   bool all_held = false;
@@ -102,6 +111,7 @@
     cluster.Start();
     RunPlan(cluster, plan, options.plan.length);
     const History history = cluster.Finish();
+    WriteCalls((std::filesystem::path(work) / "calls.log").string(), history);
     all_held = Report(seed, history, FindViolations(history));
   }
   if (all_held && !options.keep) {
@@ -144,6 +154,10 @@
       "restores",
       po::value(&soak.plan.restores)->default_value(soak.plan.restores),
       "number of restores of the store from an older copy")(
+      "accounts",
+      po::value(&soak.plan.account_changes)
+          ->default_value(soak.plan.account_changes),
+      "number of changes to client accounts; 0 for no accounts")(
       "rewritten-after-ms",
       po::value<std::uint64_t>()->notifier([&soak](std::uint64_t after) {
         soak.plan.rewritten_after = std::chrono::milliseconds(after);
