--- a/src/jacinthdeck/tenancy/tenant.h
+++ b/src/jacinthdeck/tenancy/tenant.h
@@ -14,8 +14,8 @@
 /*! \brief Client account of a configuration version. */
 struct Tenant {
   TenantId name;
-  //! Digests of its keys; empty once all of them are removed, so that no request
-  //! is admitted.
+  //! Digests of its keys; empty once all of them are removed, so that no
+  //! request is admitted.
   std::vector<KeyDigest> keys;
   //! Requests a second that all hosts together admit; 0 for no limit.
   double rate = 0;
--- a/test/daemons/ctl_test.cc
+++ b/test/daemons/ctl_test.cc
@@ -126,9 +126,9 @@
 }
 
 BOOST_AUTO_TEST_CASE(AccountsCheck_InvalidFile_IsRefusedAndEachErrorPrinted) {
-  const std::string file = MakeFile(
-      R"({"version":4,"services":[],"routes":[],"tenants":[)"
-      R"({"name":"","apiKeys":["SECRET"]},{"name":"a"}]})");
+  const std::string file =
+      MakeFile(R"({"version":4,"services":[],"routes":[],"tenants":[)"
+               R"({"name":"","apiKeys":["SECRET"]},{"name":"a"}]})");
   BOOST_TEST((Run({"accounts", "check", file}) == ExitCode::kRefused));
   BOOST_TEST(err.str().find("config.tenants[0].name: is empty") !=
              std::string::npos);
--- a/test/platform/tenants_test.cc
+++ b/test/platform/tenants_test.cc
@@ -250,8 +250,9 @@
   BOOST_TEST(accepted > kRuns / 100);
 }
 
-// An operator may remove the last key of an account. Refusing that version would
-// keep the removed key in force, and hold back every later change with it.
+// An operator may remove the last key of an account. Refusing that version
+// would keep the removed key in force, and hold back every later change with
+// it.
 BOOST_AUTO_TEST_CASE(Account_LostItsLastKey_VersionIsAccepted) {
   const auto config = Read(ConfigOf(R"([{"name":"n","apiKeys":[]},)"
                                     R"({"name":"m","apiKeys":["k"]}])"));
