Follow the style checks in the merged code

Cause: the lint compiles the files of a module as one, where equal names of two files collide, and its library does not know two range algorithms. No behaviour changes.

--- a/bench/rate_limits.cc
+++ b/bench/rate_limits.cc
@@ -200,7 +200,10 @@
 
 //! Arguments: most seeds of a case, part of a case's name, first seed.
 int main(int argc, char** argv) {
-  using namespace jacinthdeck::bench;
+  using jacinthdeck::bench::Case;
+  using jacinthdeck::bench::Cases;
+  using jacinthdeck::bench::Run;
+  using jacinthdeck::bench::Size;
   const std::uint32_t seeds =
       argc > 1 ? static_cast<std::uint32_t>(std::atoi(argv[1])) : 10;
   const char* only = argc > 2 ? argv[2] : "";
--- a/src/jacinthdeck/entry/tenant_gate.cc
+++ b/src/jacinthdeck/entry/tenant_gate.cc
@@ -27,10 +27,6 @@
 //! time, and a caller who returns may reach another host.
 constexpr Duration kStaleKeysRetryAfter = milliseconds(500);
 
-[[nodiscard]] std::string_view PathOf(const OpaqueRequest& request) {
-  return std::string_view(request.target).substr(0, request.target.find('?'));
-}
-
 [[nodiscard]] ForwardAnswer Refusal(AnswerKind kind,
                                     ForwardReason reason,
                                     std::optional<Duration> retry_after) {
@@ -135,7 +131,7 @@
 }
 
 const Route* TenantGate::RouteOf(const ReceivedCall& received) const {
-  return m_config->Find(received.request->host, PathOf(*received.request));
+  return m_config->Find(received.request->host, received.request->path());
 }
 
 const Tenant* TenantGate::TenantOf(
--- a/src/jacinthdeck/forward/admission_policy.cc
+++ b/src/jacinthdeck/forward/admission_policy.cc
@@ -35,10 +35,10 @@
 //! Callers honour a retry time up to a third of the time they have left.
 constexpr int kHonouredDivisor = 3;
 //! Shortest retry time: before that the same calls are still in the queues.
-constexpr Duration kMinRetryAfter = milliseconds(150);
+constexpr Duration kMinWaitRetryAfter = milliseconds(150);
 //! Calls of one to two periods decide the smallest limit of a group.
 constexpr Duration kLimitPeriod = milliseconds(2000);
-constexpr Duration kMaxRetryAfter = milliseconds(2000);
+constexpr Duration kMaxWaitRetryAfter = milliseconds(2000);
 
 [[nodiscard]] Duration Scaled(Duration duration, double factor) {
   return Duration(static_cast<Duration::rep>(
@@ -141,9 +141,9 @@
                                      Duration time_left,
                                      TimePoint now) {
   const Duration earliest =
-      std::clamp(drain_time, kMinRetryAfter, kMaxRetryAfter);
+      std::clamp(drain_time, kMinWaitRetryAfter, kMaxWaitRetryAfter);
   const Duration latest = std::max(
-      std::min(time_left / kHonouredDivisor, kMaxRetryAfter), earliest);
+      std::min(time_left / kHonouredDivisor, kMaxWaitRetryAfter), earliest);
   Pace& pace = m_paces[group];
   const Duration gap =
       FromSeconds(1 / StartsPerSecond(group, WaitClass::kInTime, now));
--- a/src/jacinthdeck/forward/forwarder_admission.cc
+++ b/src/jacinthdeck/forward/forwarder_admission.cc
@@ -49,10 +49,6 @@
 //! multiple of the mean latency of what it answers.
 constexpr int kNoCapacityMeanFactor = 16;
 
-[[nodiscard]] std::string_view PathOf(const OpaqueRequest& request) {
-  return std::string_view(request.target).substr(0, request.target.find('?'));
-}
-
 [[nodiscard]] Duration ObjectiveOf(const Route& route) {
   return route.objective > Duration::zero() ? route.objective
                                             : kDefaultObjective;
@@ -110,7 +106,7 @@
   }
   pending.config = m_config;
   pending.route =
-      m_config->Find(pending.call.request->host, PathOf(*pending.call.request));
+      m_config->Find(pending.call.request->host, pending.call.request->path());
   pending.trace.route = pending.route;
   if (pending.route == nullptr) {
     Refuse(pending.call, AnswerKind::kNoRoute, ForwardReason::kNoRoute,
--- a/src/jacinthdeck/forward/opaque_request.h
+++ b/src/jacinthdeck/forward/opaque_request.h
@@ -4,6 +4,7 @@
 #define JACINTHDECK_FORWARD_OPAQUE_REQUEST_H_
 
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -31,6 +32,11 @@
   std::string request_id;
   //! Client account that the target is told; empty for none.
   std::string tenant;
+
+  /*! \brief Returns the path without its query. */
+  [[nodiscard]] std::string_view path() const {
+    return std::string_view(target).substr(0, target.find('?'));
+  }
 };
 
 /*! \brief Response of a target. */
--- a/src/jacinthdeck/forward/waiting_calls.cc
+++ b/src/jacinthdeck/forward/waiting_calls.cc
@@ -149,7 +149,8 @@
                      .cost = call.cost,
                      .deadline = DueOf(call, rank.wait_class),
                      .rank = RankInFlow(call),
-                     .item = std::move(call)};
+                     .item = {}};
+  entry.item = std::move(call);
   const CallId id = entry.item.id;
   Place place{.group = entry.item.group, .rank = rank, .key = {}};
   place.key = queue.calls.Add(std::move(entry));
--- a/src/jacinthdeck/tenancy/allocator_choice.cc
+++ b/src/jacinthdeck/tenancy/allocator_choice.cc
@@ -42,8 +42,7 @@
   constexpr std::size_t kMost = std::numeric_limits<std::uint16_t>::max();
   std::vector<HostId> sorted(fronts.begin(), fronts.end());
   std::ranges::sort(sorted);
-  const auto repeated = std::ranges::unique(sorted);
-  sorted.erase(repeated.begin(), repeated.end());
+  sorted.erase(std::unique(sorted.begin(), sorted.end()), sorted.end());
   sorted.resize(std::min(sorted.size(), kMost));
   if (sorted == m_fronts) {
     return;
--- a/src/jacinthdeck/tenancy/rate_plan.cc
+++ b/src/jacinthdeck/tenancy/rate_plan.cc
@@ -11,7 +11,7 @@
 //! Tokens that a bucket holds beyond the burst, in seconds of the rate. The
 //! requests admitted from a reserve are deducted up to this much later, and a
 //! full bucket gains nothing meanwhile.
-constexpr double kReportDelay = 0.05;
+constexpr double kReportDelaySeconds = 0.05;
 //! Part of the reserve that is not used: fronts may differ for a short time on
 //! how many they are, and clocks run at slightly different speeds.
 constexpr double kViewMargin = 0.05;
@@ -48,7 +48,7 @@
   double rest = std::max(bound - plan.rate * span - plan.burst, 0.0);
   plan.whole_token = rest >= kWholeToken;
   rest -= plan.whole_token ? kWholeToken : 0;
-  const double lead = std::min(rest, plan.rate * kReportDelay);
+  const double lead = std::min(rest, plan.rate * kReportDelaySeconds);
   plan.burst += lead;
   rest = std::min((rest - lead) * (1 - kViewMargin), kMaxReserve);
   const auto whole = static_cast<std::uint32_t>(std::floor(rest));
--- a/src/jacinthdeck/tenancy/rate_reserve.cc
+++ b/src/jacinthdeck/tenancy/rate_reserve.cc
@@ -5,7 +5,7 @@
 
 namespace {
 
-constexpr double kRounding = 1e-6;
+constexpr double kPartRounding = 1e-6;
 
 }  // namespace
 
@@ -42,7 +42,7 @@
 
 void RateReserve::AddPart(double part) {
   m_part += part;
-  if (m_part >= 1 - kRounding) {
+  if (m_part >= 1 - kPartRounding) {
     m_part = 0;
     Settle(1);
   }
--- a/src/jacinthdeck/tenancy/share_exchange.cc
+++ b/src/jacinthdeck/tenancy/share_exchange.cc
@@ -131,8 +131,9 @@
   for (const std::uint16_t front : m_choice.Ranked(partition)) {
     order.push_back(m_choice.fronts()[front]);
   }
-  std::ranges::stable_partition(
-      order, [&](const HostId& host) { return !IsSilent(host, now); });
+  std::stable_partition(order.begin(), order.end(), [&](const HostId& host) {
+    return !IsSilent(host, now);
+  });
   return order;
 }
 
--- a/src/jacinthdeck/tenancy/shared_bucket.cc
+++ b/src/jacinthdeck/tenancy/shared_bucket.cc
@@ -9,7 +9,7 @@
 namespace {
 
 //! Error allowed for a whole token after many additions of fractions.
-constexpr double kRounding = 1e-6;
+constexpr double kTokenRounding = 1e-6;
 
 [[nodiscard]] double SecondsBetween(TimePoint from, TimePoint to) {
   return std::chrono::duration<double>(to - from).count();
@@ -46,7 +46,7 @@
 }
 
 bool SharedBucket::TryTake() {
-  if (m_level < 1 - kRounding) {
+  if (m_level < 1 - kTokenRounding) {
     return false;
   }
   m_level = std::max(m_level - 1, 0.0);
@@ -64,7 +64,7 @@
 }
 
 bool SharedBucket::IsFull(const RatePlan& plan, double share) const {
-  return m_level >= SizeOf(plan, share) - kRounding;
+  return m_level >= SizeOf(plan, share) - kTokenRounding;
 }
 
 double SharedBucket::SizeOf(const RatePlan& plan, double share) noexcept {
--- a/test/jacinthdeck/entry/event_log_test.cc
+++ b/test/jacinthdeck/entry/event_log_test.cc
@@ -138,7 +138,8 @@
   BOOST_TEST(LogLine().Finish() == "{}");
   LogLine line;
   line.Number("a", 0.25).Number("b", std::numeric_limits<double>::infinity());
-  BOOST_TEST(std::move(line).Finish() == R"({"a":0.250,"b":null})");
+  const std::string text = std::move(line).Finish();
+  BOOST_TEST(text == R"({"a":0.250,"b":null})");
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/jacinthdeck/entry/rate_limit_hub_test.cc
+++ b/test/jacinthdeck/entry/rate_limit_hub_test.cc
@@ -19,7 +19,7 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-struct HubFixture : RateLimitObserver {
+struct RateLimitHubFixture : RateLimitObserver {
   BoottimeClock clock;
   asio::io_context loop;
   std::map<CallId, RateVerdict> verdicts;
@@ -27,7 +27,7 @@
   RateLimitHub other{loop, clock, Options("other"), *this, 2};
   std::vector<HostRecord> records;
 
-  HubFixture() {
+  RateLimitHubFixture() {
     Tenant tenant;
     tenant.name = TenantId("acme");
     tenant.keys = {DigestOf("k")};
@@ -100,7 +100,7 @@
 
 }  // namespace
 
-BOOST_FIXTURE_TEST_SUITE(RateLimitHubTest, HubFixture)
+BOOST_FIXTURE_TEST_SUITE(RateLimitHubTest, RateLimitHubFixture)
 
 BOOST_AUTO_TEST_CASE(Hub_WithoutShare_IsServedByAllocator) {
   Join(records);
--- a/test/jacinthdeck/forward/admission_policy_test.cc
+++ b/test/jacinthdeck/forward/admission_policy_test.cc
@@ -16,13 +16,13 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-const ServiceId kGroup("shard-0");
+const ServiceId test_group("shard-0");
 constexpr TimePoint kStart{seconds(100)};
 
 [[nodiscard]] WaitingCall LateCall(std::uint64_t id, bool returning) {
   WaitingCall call;
   call.id = CallId(id);
-  call.group = kGroup;
+  call.group = test_group;
   call.returning = returning;
   call.start_by = kStart + seconds(1);
   return call;
@@ -76,15 +76,15 @@
 // for those with a short one.
 BOOST_AUTO_TEST_CASE(StartLimit_ShortAndLongObjectives_NearTheShortOne) {
   AdmissionPolicy policy(1);
-  policy.OnCall(kGroup, milliseconds(100), kStart);
-  BOOST_TEST((policy.StartLimit(kGroup) == milliseconds(100)));
-  policy.OnCall(kGroup, milliseconds(20), kStart);
-  BOOST_TEST((policy.StartLimit(kGroup) <= milliseconds(40)));
+  policy.OnCall(test_group, milliseconds(100), kStart);
+  BOOST_TEST((policy.StartLimit(test_group) == milliseconds(100)));
+  policy.OnCall(test_group, milliseconds(20), kStart);
+  BOOST_TEST((policy.StartLimit(test_group) <= milliseconds(40)));
   // In a lasting overload, when most calls find no room, it is nearer.
   for (int i = 0; i < 10; ++i) {
-    policy.OnOffered(kGroup, i % 3 == 0);
+    policy.OnOffered(test_group, i % 3 == 0);
   }
-  BOOST_TEST((policy.StartLimit(kGroup) < milliseconds(30)));
+  BOOST_TEST((policy.StartLimit(test_group) < milliseconds(30)));
 }
 
 // Guards against callers that were refused together and return together.
@@ -92,8 +92,8 @@
   AdmissionPolicy policy(1);
   std::vector<int> returns_per_50_ms(12);
   for (int i = 0; i < 100; ++i) {
-    const Duration after =
-        policy.RetryAfter(kGroup, milliseconds(50), milliseconds(1500), kStart);
+    const Duration after = policy.RetryAfter(test_group, milliseconds(50),
+                                             milliseconds(1500), kStart);
     BOOST_TEST((after >= milliseconds(150)));
     BOOST_TEST((after <= milliseconds(500)));
     ++returns_per_50_ms.at(static_cast<std::size_t>(after / milliseconds(50)));
--- a/test/jacinthdeck/tenancy/rate_shares_test.cc
+++ b/test/jacinthdeck/tenancy/rate_shares_test.cc
@@ -17,9 +17,9 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-const HostId kA("a");
-const HostId kB("b");
-constexpr TimePoint kStart{seconds(100)};
+const HostId host_a("a");
+const HostId host_b("b");
+constexpr TimePoint kLeaseStart{seconds(100)};
 constexpr std::uint64_t kAll = ~std::uint64_t{0};
 
 [[nodiscard]] std::vector<HostId> Hosts(int count) {
@@ -51,98 +51,99 @@
 
 // Guards against a share that is leased to two hosts at a time.
 BOOST_AUTO_TEST_CASE(ShareLedger_LeaseInForce_NotGivenToAnotherHost) {
-  ShareLedger ledger(kStart);
-  BOOST_TEST(ledger.Lease(kA, 3, kStart) == 3U);
-  const TimePoint end = kStart + kLeaseLifetime + kLeaseMargin;
-  BOOST_TEST(ledger.Lease(kB, kAll, end - milliseconds(1)) == (kAll - 3));
+  ShareLedger ledger(kLeaseStart);
+  BOOST_TEST(ledger.Lease(host_a, 3, kLeaseStart) == 3U);
+  const TimePoint end = kLeaseStart + kLeaseLifetime + kLeaseMargin;
+  BOOST_TEST(ledger.Lease(host_b, kAll, end - milliseconds(1)) == (kAll - 3));
   BOOST_TEST(!ledger.IsFree(0, end - milliseconds(1)));
   BOOST_TEST(ledger.IsFree(0, end));
-  BOOST_TEST(ledger.Lease(kB, 3, end) == 3U);
+  BOOST_TEST(ledger.Lease(host_b, 3, end) == 3U);
 }
 
 // Guards against a restarted host that uses a share which the previous process
 // has leased.
 BOOST_AUTO_TEST_CASE(ShareLedger_ProcessStarts_ShareNotUsedForOneLease) {
-  const ShareLedger ledger(kStart);
-  BOOST_TEST(!ledger.IsFree(0, kStart + kLeaseLifetime));
-  BOOST_TEST(ledger.IsFree(0, kStart + kLeaseLifetime + kLeaseMargin));
+  const ShareLedger ledger(kLeaseStart);
+  BOOST_TEST(!ledger.IsFree(0, kLeaseStart + kLeaseLifetime));
+  BOOST_TEST(ledger.IsFree(0, kLeaseStart + kLeaseLifetime + kLeaseMargin));
 }
 
 // Guards against an answer that extends a lease because it was late.
 BOOST_AUTO_TEST_CASE(LeaseTable_LateAnswer_LeaseCountsFromItsRequest) {
   LeaseTable table;
-  table.OnRequestSent(kA, 7, kStart);
-  const TimePoint late = kStart + kLeaseLifetime - milliseconds(1);
-  BOOST_TEST(table.OnLease(kA, {7, 0.25, 1}, late).has_value());
+  table.OnRequestSent(host_a, 7, kLeaseStart);
+  const TimePoint late = kLeaseStart + kLeaseLifetime - milliseconds(1);
+  BOOST_TEST(table.OnLease(host_a, {7, 0.25, 1}, late).has_value());
   BOOST_TEST(table.SumAt(late)[0] == 0.25);
-  BOOST_TEST(table.SumAt(kStart + kLeaseLifetime)[0] == 0);
+  BOOST_TEST(table.SumAt(kLeaseStart + kLeaseLifetime)[0] == 0);
 }
 
 // Guards against answers that are repeated, overtaken, too late or foreign.
 BOOST_AUTO_TEST_CASE(LeaseTable_AnswerWithoutNewRequest_Ignored) {
   LeaseTable table;
-  table.OnRequestSent(kA, 7, kStart);
-  table.OnRequestSent(kA, 8, kStart + milliseconds(1));
-  BOOST_TEST(table.OnLease(kA, {8, 0.25, 1}, kStart).has_value());
-  BOOST_TEST(!table.OnLease(kA, {8, 0.5, 1}, kStart).has_value());
-  BOOST_TEST(!table.OnLease(kA, {7, 0.5, 1}, kStart).has_value());
-  BOOST_TEST(!table.OnLease(kA, {9, 0.5, 1}, kStart).has_value());
-  BOOST_TEST(!table.OnLease(kA, {0, 0.5, 1}, kStart).has_value());
-  BOOST_TEST(!table.OnLease(kB, {8, 0.5, 1}, kStart).has_value());
-  table.OnRequestSent(kA, 10, kStart);
-  BOOST_TEST(
-      !table.OnLease(kA, {10, 0.5, 1}, kStart + kLeaseLifetime).has_value());
-  BOOST_TEST(table.SumAt(kStart)[0] == 0.25);
+  table.OnRequestSent(host_a, 7, kLeaseStart);
+  table.OnRequestSent(host_a, 8, kLeaseStart + milliseconds(1));
+  BOOST_TEST(table.OnLease(host_a, {8, 0.25, 1}, kLeaseStart).has_value());
+  BOOST_TEST(!table.OnLease(host_a, {8, 0.5, 1}, kLeaseStart).has_value());
+  BOOST_TEST(!table.OnLease(host_a, {7, 0.5, 1}, kLeaseStart).has_value());
+  BOOST_TEST(!table.OnLease(host_a, {9, 0.5, 1}, kLeaseStart).has_value());
+  BOOST_TEST(!table.OnLease(host_a, {0, 0.5, 1}, kLeaseStart).has_value());
+  BOOST_TEST(!table.OnLease(host_b, {8, 0.5, 1}, kLeaseStart).has_value());
+  table.OnRequestSent(host_a, 10, kLeaseStart);
+  BOOST_TEST(!table.OnLease(host_a, {10, 0.5, 1}, kLeaseStart + kLeaseLifetime)
+                  .has_value());
+  BOOST_TEST(table.SumAt(kLeaseStart)[0] == 0.25);
 }
 
 // Guards against a share that is too large while a host that has left the list
 // may still use its own.
 BOOST_AUTO_TEST_CASE(SharerCensus_HostLeavesList_CountsUntilReleased) {
-  SharerCensus census(kA);
-  census.SetListed(std::vector<HostId>{kA, kB}, 2, kStart);
+  SharerCensus census(host_a);
+  census.SetListed(std::vector<HostId>{host_a, host_b}, 2, kLeaseStart);
   const HostId other("c");
-  census.SetListed(std::vector<HostId>{kA, other}, 2, kStart);
+  census.SetListed(std::vector<HostId>{host_a, other}, 2, kLeaseStart);
   BOOST_TEST(census.Count() == 3U);
-  census.OnRelease(kB);
+  census.OnRelease(host_b);
   BOOST_TEST(census.Count() == 2U);
-  census.OnSign(kB, kStart);
+  census.OnSign(host_b, kLeaseStart);
   BOOST_TEST(census.Count() == 3U);
-  census.Advance(kStart + SharerCensus::kSharerMemory + milliseconds(1));
+  census.Advance(kLeaseStart + SharerCensus::kSharerMemory + milliseconds(1));
   BOOST_TEST(census.Count() == 2U);
 }
 
 // Guards against a host that is cut off and goes on with a share that the
 // others have divided among them.
 BOOST_AUTO_TEST_CASE(SharerCensus_NoAnswers_NotInTouch) {
-  SharerCensus census(kA);
-  census.SetListed(std::vector<HostId>{kA, kB, HostId("c")}, 3, kStart);
-  BOOST_TEST(!census.InTouch(kStart));
-  census.OnAnswer(kB, kStart);
-  BOOST_TEST(census.InTouch(kStart));
-  BOOST_TEST(!census.InTouch(kStart + SharerCensus::kTouchTime));
+  SharerCensus census(host_a);
+  census.SetListed(std::vector<HostId>{host_a, host_b, HostId("c")}, 3,
+                   kLeaseStart);
+  BOOST_TEST(!census.InTouch(kLeaseStart));
+  census.OnAnswer(host_b, kLeaseStart);
+  BOOST_TEST(census.InTouch(kLeaseStart));
+  BOOST_TEST(!census.InTouch(kLeaseStart + SharerCensus::kTouchTime));
   BOOST_TEST((SharerCensus::kTouchTime + kLeaseLifetime + kLeaseMargin <
               SharerCensus::kSharerMemory));
 }
 
 // Guards against a share in use at two places: at the front and the allocator.
 BOOST_AUTO_TEST_CASE(ShareExchange_ShareLeased_InUseOnce) {
-  ShareExchange a(kA, 1, kStart);
-  ShareExchange b(kB, 1, kStart);
-  const std::vector<HostId> fronts{kA, kB};
-  a.SetHosts(fronts, 2, true, kStart);
-  b.SetHosts(fronts, 2, true, kStart);
-  TimePoint now = kStart;
+  ShareExchange a(host_a, 1, kLeaseStart);
+  ShareExchange b(host_b, 1, kLeaseStart);
+  const std::vector<HostId> fronts{host_a, host_b};
+  a.SetHosts(fronts, 2, true, kLeaseStart);
+  b.SetHosts(fronts, 2, true, kLeaseStart);
+  TimePoint now = kLeaseStart;
   for (int i = 0; i < 40; ++i, now += milliseconds(50)) {
     a.Advance(now);
     b.Advance(now);
     // Some requests and answers are lost.
     if (i % 3 != 0 || i > 30) {
-      const ShareLease lease = b.Answer(kA, a.RequestTo(kB, now), now);
-      a.OnLease(kB, lease, now);
+      const ShareLease lease = b.Answer(host_a, a.RequestTo(host_b, now), now);
+      a.OnLease(host_b, lease, now);
     }
     if (i % 4 != 0 || i > 30) {
-      const ShareLease lease = a.Answer(kB, b.RequestTo(kA, now), now);
-      b.OnLease(kA, lease, now);
+      const ShareLease lease = a.Answer(host_b, b.RequestTo(host_a, now), now);
+      b.OnLease(host_a, lease, now);
     }
     for (std::size_t p = 0; p < kRatePartitions; ++p) {
       BOOST_REQUIRE_LE(a.history(p).share() + b.history(p).share(), 1.0);
--- a/test/jacinthdeck/tenancy/rate_tokens_test.cc
+++ b/test/jacinthdeck/tenancy/rate_tokens_test.cc
@@ -18,14 +18,14 @@
 using std::chrono::seconds;
 using Outcome = TokenDecision::Outcome;
 
-constexpr TimePoint kStart{seconds(100)};
-const RatePlan kPlan{.rate = 10, .burst = 10, .whole_token = true};
+constexpr TimePoint kTokenStart{seconds(100)};
+const RatePlan plan_of_ten{.rate = 10, .burst = 10, .whole_token = true};
 
 struct RateTokensFixture {
   ShareHistory history;
-  AccountTokens tokens{kPlan, seconds(5)};
+  AccountTokens tokens{plan_of_ten, seconds(5)};
 
-  RateTokensFixture() { history.Set(1, kStart); }
+  RateTokensFixture() { history.Set(1, kTokenStart); }
 
   [[nodiscard]] TokenDecision Decide(std::uint64_t hash, TimePoint now) {
     tokens.Advance(history, now);
@@ -38,19 +38,20 @@
 // Guards against a bucket that starts full when a share moves to its host.
 BOOST_AUTO_TEST_CASE(SharedBucket_ShareStarts_BucketIsEmpty) {
   SharedBucket bucket;
-  bucket.Advance(kPlan, history, kStart);
+  bucket.Advance(plan_of_ten, history, kTokenStart);
   BOOST_TEST(bucket.level() == 0);
-  bucket.Advance(kPlan, history, kStart + milliseconds(500));
+  bucket.Advance(plan_of_ten, history, kTokenStart + milliseconds(500));
   BOOST_TEST(bucket.level() == 5, boost::test_tools::tolerance(1e-9));
 }
 
 // Guards against tokens that stay after their share has moved to another host.
 BOOST_AUTO_TEST_CASE(SharedBucket_ShareFalls_LevelIsCut) {
   SharedBucket bucket;
-  bucket.Advance(kPlan, history, kStart + seconds(5));
-  history.Set(0.25, kStart + seconds(5));
-  history.Set(1, kStart + seconds(5) + milliseconds(1));
-  bucket.Advance(kPlan, history, kStart + seconds(5) + milliseconds(1));
+  bucket.Advance(plan_of_ten, history, kTokenStart + seconds(5));
+  history.Set(0.25, kTokenStart + seconds(5));
+  history.Set(1, kTokenStart + seconds(5) + milliseconds(1));
+  bucket.Advance(plan_of_ten, history,
+                 kTokenStart + seconds(5) + milliseconds(1));
   BOOST_TEST(bucket.level() == 2.5, boost::test_tools::tolerance(1e-9));
 }
 
@@ -58,14 +59,14 @@
 BOOST_AUTO_TEST_CASE(SharedBucket_CreatedLate_SameAsUnusedOne) {
   SharedBucket early;
   Random random(1);
-  TimePoint now = kStart;
+  TimePoint now = kTokenStart;
   for (int i = 0; i < 100; ++i) {
     now += milliseconds(random.Below(400));
     history.Set(random.Unit(), now);
-    early.Advance(kPlan, history, now);
+    early.Advance(plan_of_ten, history, now);
   }
   SharedBucket late;
-  late.Advance(kPlan, history, now);
+  late.Advance(plan_of_ten, history, now);
   BOOST_TEST(late.level() == early.level(), boost::test_tools::tolerance(1e-9));
 }
 
@@ -81,12 +82,12 @@
 BOOST_AUTO_TEST_CASE(RateReserve_Unpaid_ComesBackAfterOneWindow) {
   RateReserve reserve(seconds(5));
   reserve.SetSize(1);
-  BOOST_TEST(reserve.TrySpend(kStart));
-  BOOST_TEST(!reserve.TrySpend(kStart));
-  reserve.Advance(kStart + seconds(5));
-  BOOST_TEST(!reserve.TrySpend(kStart + seconds(5)));
-  reserve.Advance(kStart + seconds(5) + Duration(1));
-  BOOST_TEST(reserve.TrySpend(kStart + seconds(5) + Duration(1)));
+  BOOST_TEST(reserve.TrySpend(kTokenStart));
+  BOOST_TEST(!reserve.TrySpend(kTokenStart));
+  reserve.Advance(kTokenStart + seconds(5));
+  BOOST_TEST(!reserve.TrySpend(kTokenStart + seconds(5)));
+  reserve.Advance(kTokenStart + seconds(5) + Duration(1));
+  BOOST_TEST(reserve.TrySpend(kTokenStart + seconds(5) + Duration(1)));
   reserve.Settle(1);
   BOOST_TEST(reserve.available() == 1U);
 }
@@ -98,7 +99,7 @@
   std::vector<std::pair<TimePoint, std::uint64_t>> returns;
   std::size_t served = 0;
   std::uint64_t hash = 0;
-  for (TimePoint now = kStart; now < kStart + seconds(6);
+  for (TimePoint now = kTokenStart; now < kTokenStart + seconds(6);
        now += Duration(12500)) {
     std::ranges::sort(returns, std::ranges::greater{});
     while (!returns.empty() && returns.back().first <= now) {
@@ -121,7 +122,7 @@
 BOOST_AUTO_TEST_CASE(AccountTokens_NobodyReturns_TokensGoToOthers) {
   std::size_t granted = 0;
   std::uint64_t hash = 0;
-  for (TimePoint now = kStart; now < kStart + seconds(10);
+  for (TimePoint now = kTokenStart; now < kTokenStart + seconds(10);
        now += Duration(12500)) {
     granted += Decide(++hash, now).outcome == Outcome::kGranted ? 1 : 0;
   }
@@ -130,24 +131,25 @@
 }
 
 BOOST_AUTO_TEST_CASE(AccountTokens_ReturnsEarly_ToldTheTimeThatIsLeft) {
-  const TokenDecision first = Decide(1, kStart);
+  const TokenDecision first = Decide(1, kTokenStart);
   BOOST_TEST(first.retry_after.count() == 100001);
-  const TokenDecision again = Decide(1, kStart + milliseconds(40));
+  const TokenDecision again = Decide(1, kTokenStart + milliseconds(40));
   BOOST_TEST(again.retry_after.count() == 60001);
 }
 
 // Guards against a host without a share that refuses instead of saying that it
 // cannot tell.
 BOOST_AUTO_TEST_CASE(AccountTokens_NoShare_CannotTell) {
-  history.Set(0, kStart + seconds(1));
-  BOOST_TEST((Decide(1, kStart + seconds(2)).outcome == Outcome::kNoShare));
+  history.Set(0, kTokenStart + seconds(1));
+  BOOST_TEST(
+      (Decide(1, kTokenStart + seconds(2)).outcome == Outcome::kNoShare));
 }
 
 // Guards against a table of reservations that grows without bound.
 BOOST_AUTO_TEST_CASE(TokenReservations_Full_ReservesNoMore) {
   TokenReservations reservations;
   for (std::uint64_t hash = 0; hash < 2 * TokenReservations::kMost; ++hash) {
-    (void)reservations.Reserve(hash, kStart);
+    (void)reservations.Reserve(hash, kTokenStart);
   }
   BOOST_TEST(reservations.size() == TokenReservations::kMost);
 }
@@ -156,16 +158,16 @@
 BOOST_AUTO_TEST_CASE(TokenAnswers_RequestRepeated_SameAnswer) {
   TokenAnswers answers;
   const TokenRequest request{4, 100, {}};
-  BOOST_TEST((answers.Check(request, kStart) == TokenAnswers::Seen::kNew));
-  answers.Add({4, 100, {{TenantId("x"), 1, 0, {}}}}, kStart);
-  BOOST_TEST((answers.Check(request, kStart + milliseconds(20)) ==
+  BOOST_TEST((answers.Check(request, kTokenStart) == TokenAnswers::Seen::kNew));
+  answers.Add({4, 100, {{TenantId("x"), 1, 0, {}}}}, kTokenStart);
+  BOOST_TEST((answers.Check(request, kTokenStart + milliseconds(20)) ==
               TokenAnswers::Seen::kAnswered));
   BOOST_TEST(answers.Find(4).awards.size() == 1U);
-  BOOST_TEST((answers.Check(request, kStart + seconds(2)) ==
+  BOOST_TEST((answers.Check(request, kTokenStart + seconds(2)) ==
               TokenAnswers::Seen::kOld));
-  BOOST_TEST((answers.Check({1, 200, {}}, kStart + seconds(2)) ==
+  BOOST_TEST((answers.Check({1, 200, {}}, kTokenStart + seconds(2)) ==
               TokenAnswers::Seen::kNew));
-  BOOST_TEST((answers.Check({5, 100, {}}, kStart + seconds(2)) ==
+  BOOST_TEST((answers.Check({5, 100, {}}, kTokenStart + seconds(2)) ==
               TokenAnswers::Seen::kOld));
 }
 
--- a/test/soak/account_checks_test.cc
+++ b/test/soak/account_checks_test.cc
@@ -16,13 +16,13 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr std::size_t kEntry = 3;
+constexpr std::size_t kAccountEntry = 3;
 constexpr const char* kBusyKey = "key-busy-a";
 constexpr const char* kSpareKey = "key-busy-c";
 constexpr const char* kSmallKey = "key-small-a";
 constexpr const char* kUnlimitedKey = "key-unlimited-a";
 
-[[nodiscard]] TimePoint At(Duration since_start) {
+[[nodiscard]] TimePoint TimeAfterStart(Duration since_start) {
   return TimePoint(seconds(100)) + since_start;
 }
 
@@ -30,9 +30,10 @@
   History history;
 
   AccountChecksFixture() {
-    history.account_versions = {{At({}), TimePoint::max(), InitialAccounts()}};
+    history.account_versions = {
+        {TimeAfterStart({}), TimePoint::max(), InitialAccounts()}};
     history.account_settings.slack = 3;
-    history.calm_since = At(seconds(1000));
+    history.calm_since = TimeAfterStart(seconds(1000));
   }
 
   [[nodiscard]] std::vector<Account>& accounts() {
@@ -41,8 +42,10 @@
 
   //! Adds a version that replaces the last one at a time, with equal accounts.
   void AddVersion(Duration at) {
-    history.account_versions.back().replaced = At(at + milliseconds(1));
-    history.account_versions.push_back({At(at), TimePoint::max(), accounts()});
+    history.account_versions.back().replaced =
+        TimeAfterStart(at + milliseconds(1));
+    history.account_versions.push_back(
+        {TimeAfterStart(at), TimePoint::max(), accounts()});
   }
 
   //! Adds a query that was answered 20 ms after it was sent.
@@ -51,9 +54,9 @@
     call.id = std::to_string(history.calls.size());
     call.kind = CallKind::kQuery;
     call.credentials.key = key;
-    call.entry = kEntry;
-    call.sent = At(sent);
-    call.ended = At(sent + milliseconds(20));
+    call.entry = kAccountEntry;
+    call.sent = TimeAfterStart(sent);
+    call.ended = TimeAfterStart(sent + milliseconds(20));
     call.status = http_status::kOk;
     call.records = {{1, 0, HashOf(call.id)}};
     history.calls.push_back(call);
@@ -85,8 +88,9 @@
 
   //! Lasts until 12 s; changes must have come 4 s after it.
   void AddFault(std::size_t entry) {
-    history.fault_periods.push_back(
-        {entry, FaultEffect::kPropagation, At(seconds(9)), At(seconds(12))});
+    history.fault_periods.push_back({entry, FaultEffect::kPropagation,
+                                     TimeAfterStart(seconds(9)),
+                                     TimeAfterStart(seconds(12))});
   }
 
   [[nodiscard]] bool BreaksOnly(Promise promise) const {
@@ -135,7 +139,7 @@
   AddRuns(60, seconds(1), milliseconds(10));
   AddRuns(60, seconds(6), milliseconds(10));
   for (Run& run : history.runs) {
-    run.at = At(seconds(7));
+    run.at = TimeAfterStart(seconds(7));
   }
   BOOST_TEST(HoldsAll());
   AddRuns(10, seconds(8), milliseconds(10));
@@ -166,7 +170,7 @@
   AddVersion(seconds(10));
   accounts().front().rate = 5;
   accounts().front().burst = 5;
-  AddFault(kEntry + 1);
+  AddFault(kAccountEntry + 1);
   AddRuns(60, milliseconds(20900), milliseconds(1));
   BOOST_TEST(HoldsAll());
   AddRuns(37, milliseconds(27000), milliseconds(10));
@@ -210,7 +214,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(Lookup_IsUnauthorizedAndRan_IsReported) {
-  AddFault(kEntry);
+  AddFault(kAccountEntry);
   AddRefusal(seconds(10), kBusyKey, http_status::kUnauthorized).kind =
       CallKind::kLookup;
   BOOST_TEST(HoldsAll());
@@ -219,7 +223,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(SmallAccount_IsLimitedWithinItsLimit_IsReported) {
-  history.calm_since = At(seconds(10));
+  history.calm_since = TimeAfterStart(seconds(10));
   for (int second = 0; second < 20; ++second) {
     AddCall(seconds(second), kSmallKey);
   }
@@ -235,7 +239,7 @@
 
 // A limit that cannot be found out refuses callers as one that is exceeded.
 BOOST_AUTO_TEST_CASE(SmallAccount_LimitIsUnknownInCalm_IsReported) {
-  history.calm_since = At(seconds(10));
+  history.calm_since = TimeAfterStart(seconds(10));
   AddRefusal(seconds(9), kSmallKey, http_status::kUnavailable).reason =
       "limit_unknown";
   Call& call = AddRefusal(seconds(19), kSmallKey, http_status::kUnavailable);
@@ -246,7 +250,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(Account_IsLimitedAfterItExceededItsLimit_IsAllowed) {
-  history.calm_since = At(seconds(10));
+  history.calm_since = TimeAfterStart(seconds(10));
   for (int second = 0; second < 20; ++second) {
     AddCall(seconds(second), kSmallKey);
   }
@@ -258,7 +262,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(Request_RunsWithoutAKey_IsReported) {
-  AddFault(kEntry);
+  AddFault(kAccountEntry);
   AddCall(seconds(10), "");
   BOOST_TEST(HoldsAll());
   AddRun("");
@@ -266,14 +270,14 @@
 }
 
 BOOST_AUTO_TEST_CASE(Request_RunsWithAnUnknownKey_IsReported) {
-  AddFault(kEntry);
+  AddFault(kAccountEntry);
   AddCall(seconds(10), "key-nobody");
   AddRun("");
   BOOST_TEST(BreaksOnly(Promise::kKeyIsRequired));
 }
 
 BOOST_AUTO_TEST_CASE(Request_RunsBeforeItsKeyIsAdded_IsReported) {
-  AddFault(kEntry);
+  AddFault(kAccountEntry);
   AddCall(milliseconds(9900), kSpareKey);
   AddRun(kBusyAccount);
   AddVersion(seconds(10));
@@ -301,7 +305,7 @@
 BOOST_AUTO_TEST_CASE(RemovedKey_AtAnEntryThatIsCutOff_IsBoundInStrictMode) {
   AddVersion(seconds(10));
   std::erase(accounts().front().keys, kBusyKey);
-  AddFault(kEntry);
+  AddFault(kAccountEntry);
   AddCall(milliseconds(14900), kBusyKey);
   AddRun(kBusyAccount);
   history.account_settings.strict_revoke = true;
@@ -318,9 +322,10 @@
   AddVersion(seconds(10));
   std::erase(accounts().front().keys, kBusyKey);
   history.account_versions.push_back(
-      {At(seconds(15)), At(seconds(17)), before});
-  history.account_versions[1].replaced = At(seconds(17));
-  history.account_versions.push_back({At(seconds(17)), TimePoint::max(),
+      {TimeAfterStart(seconds(15)), TimeAfterStart(seconds(17)), before});
+  history.account_versions[1].replaced = TimeAfterStart(seconds(17));
+  history.account_versions.push_back({TimeAfterStart(seconds(17)),
+                                      TimePoint::max(),
                                       history.account_versions[1].accounts});
   AddCall(milliseconds(14900), kUnlimitedKey);
   AddCall(milliseconds(19900), kBusyKey);
@@ -339,7 +344,7 @@
   BOOST_TEST(HoldsAll());
   AddRefusal(milliseconds(13100), kSpareKey, http_status::kUnauthorized);
   BOOST_TEST(BreaksOnly(Promise::kValidKeyIsTaken));
-  AddFault(kEntry);
+  AddFault(kAccountEntry);
   BOOST_TEST(HoldsAll());
 }
 
@@ -352,7 +357,7 @@
 // Guards against a busy account whose refusals hide whether the others are
 // served, or make a run appear not to recover.
 BOOST_AUTO_TEST_CASE(CalmPeriod_AccountsAllowRefusals_OthersMustBeServed) {
-  history.calm_since = At(seconds(10));
+  history.calm_since = TimeAfterStart(seconds(10));
   for (int index = 0; index < 20; ++index) {
     AddCall(seconds(19), kBusyKey);
   }
