--- a/src/jacinthdeck/forward/admission_policy.cc
+++ b/src/jacinthdeck/forward/admission_policy.cc
@@ -9,18 +9,17 @@
 
 using std::chrono::milliseconds;
 
-//! Part of the delay limit for which a call waits as one in time. With 0.5,
-//! 96.1% instead of 98.0% were answered at the capacity of the targets.
+//! Part of the delay limit for which a call waits as one in time. With half of
+//! the limit, fewer calls are answered at the capacity of the targets.
 constexpr double kInTimeWaitShare = 0.8;
 //! Maximum expected delay for the start of a waiting call, relative to the
 //! smallest limit of its group. With 1.5, calls with a short objective are
-//! delayed by the others in a lasting overload, and beside an account at 8
-//! times its rate the others are answered 93.9% instead of 97.0%.
+//! delayed by the others in a lasting overload, and fewer calls are answered
+//! beside an account far above its rate.
 constexpr double kStartLimitFactor = 1.2;
 //! The same while less than kPeakShare of the calls cannot start at once, as in
-//! a short peak. With a share of 0.5, 99.0% instead of 95.9% of the calls are
-//! answered at the capacity of the targets, but where callers do not retry and
-//! send 1.3 times the capacity, 64.2% instead of 67.6% are answered in time.
+//! a short peak. A larger share answers more calls at the capacity of the
+//! targets, but fewer in time where callers above it do not retry.
 constexpr double kPeakLimitFactor = 2;
 constexpr double kPeakShare = 0.25;
 //! Maximum expected delay for the start of a late call, relative to that for
--- a/src/jacinthdeck/forward/forwarder_waiting.cc
+++ b/src/jacinthdeck/forward/forwarder_waiting.cc
@@ -55,7 +55,7 @@
   call.arrived = pending.call.arrived;
   const Duration limit = DelayLimit(pending);
   m_admission.OnCall(call.group, limit, now);
-  // Of the calls that start later, 2.5% were still unanswered at the deadline.
+  // Calls that start later are often still unanswered at the deadline.
   call.start_by =
       pending.final_at -
       std::max(pending.profile->min_useful_time(), pending.route->objective);
@@ -65,8 +65,7 @@
 }
 
 // Calls of other flows start at once while there is room: if all joined the
-// queue, it would use the room for calls that have lost part of their time: at
-// 1.5 times the capacity 34% instead of 40% were answered in time.
+// queue, it would use the room for calls that have lost part of their time.
 bool Forwarder::MustQueue(const WaitingCall& call) const {
   return m_flow_load.CostOf(call.flow, call.weight) > kQueueingCost &&
          m_waiting.CountOf(call.group, WaitClass::kInTime) > 0;
--- a/src/jacinthdeck/tenancy/rate_plan.cc
+++ b/src/jacinthdeck/tenancy/rate_plan.cc
@@ -22,8 +22,8 @@
 //! leased within some round trips after a start, so that less is needed then.
 constexpr std::uint32_t kStartPart = 4;
 //! With empty buckets and demand at the usual rate, few requests wait for
-//! tokens at a time, whatever the rate. With 7 instead of 9, 2.5 of 1,000
-//! requests within the limit were refused after a restart of all hosts.
+//! tokens at a time, whatever the rate. A smaller part refuses requests within
+//! the limit after a restart of all hosts.
 constexpr std::uint32_t kMostAtStart = 9;
 //! Bounds the memory that a reserve takes.
 constexpr double kMaxReserve = 100000;
