--- a/test/jacinthdeck/tenancy/rate_shares_test.cc
+++ b/test/jacinthdeck/tenancy/rate_shares_test.cc
@@ -24,6 +24,7 @@
 
 [[nodiscard]] std::vector<HostId> Hosts(int count) {
   std::vector<HostId> hosts;
+  hosts.reserve(static_cast<std::size_t>(count));
   for (int i = 0; i < count; ++i) {
     hosts.emplace_back("h" + std::to_string(i));
   }
