Copy the numbers of a rate message, whose offset may be odd

Cause: the verifier does not check how the numbers of a list are aligned, so a damaged message led to a misaligned read (undefined behaviour, found by the sanitizer). They are copied now. peer_test passes; not repeated sanitized.

--- a/src/jacinthdeck/peer/rate_message_codec.cc
+++ b/src/jacinthdeck/peer/rate_message_codec.cc
@@ -201,8 +201,13 @@
       BOOST_LEAF_ASSIGN(out.tenant, ReadTenant(demand->tenant()));
       out.spent = demand->spent();
       if (demand->waiting() != nullptr) {
-        out.waiting.assign(demand->waiting()->begin(),
-                           demand->waiting()->end());
+        // A damaged message may hold the numbers at an odd offset, which the
+        // verifier does not check.
+        out.waiting.resize(demand->waiting()->size());
+        if (!out.waiting.empty()) {
+          std::memcpy(out.waiting.data(), demand->waiting()->Data(),
+                      out.waiting.size() * sizeof(std::uint64_t));
+        }
       }
       request.demands.push_back(std::move(out));
     }
