Skip a load report in a test only while its call waits

Cause: the fixture skipped the report of a target whenever no attempt had been sent, which would also hide a call that is refused by mistake.

--- a/test/jacinthdeck/forward/forwarder_fixture.h
+++ b/test/jacinthdeck/forward/forwarder_fixture.h
@@ -258,7 +258,9 @@
       OfferOnlyTarget(TargetId("plain/" + std::to_string(i)));
       (void)Submit("/read/" + std::to_string(i));
       if (port.sent.empty()) {
-        // The call waits for room, and its target has no attempt to answer.
+        // A call that waits for room has no attempt yet, and no other call may
+        // lack one: its target would report no load.
+        BOOST_REQUIRE(forwarder.waiting_calls() > 0);
         continue;
       }
       AttemptEnd end;
