Copy the targets once for a change of the discovery state

Cause: the forwarder and the choice of domains with targets each made a copy of all targets for the same change. No behaviour changes; entry_test passes.

--- a/src/jacinthdeck/entry/entry_node.h
+++ b/src/jacinthdeck/entry/entry_node.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <functional>
 #include <set>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -111,7 +112,7 @@
 
   void UpdateHosts(TimePoint now);
   //! Returns whether the domains that hold targets of the shards changed.
-  bool UpdateTargetDomains();
+  bool UpdateTargetDomains(std::span<const TargetEntry> targets);
   //! Chooses which host writes this host's record to the store, and publishes
   //! the record if that choice changed.
   void UpdateRecordWriter(TimePoint now);
--- a/src/jacinthdeck/entry/entry_node_discovery.cc
+++ b/src/jacinthdeck/entry/entry_node_discovery.cc
@@ -76,13 +76,16 @@
     m_callers_server.SetLimits(
         EdgeLimitsOf(discovery_state.config()->limits()));
   }
+  std::vector<TargetEntry> targets;
+  if (change.targets || change.config) {
+    targets = discovery_state.Targets();
+  }
   if (change.targets) {
-    const std::vector<TargetEntry> targets = discovery_state.Targets();
     m_forwarder.SetTargets(targets, now);
     m_pool.Retain(targets);
   }
   const bool domains_changed =
-      (change.targets || change.config) && UpdateTargetDomains();
+      (change.targets || change.config) && UpdateTargetDomains(targets);
   if (change.hosts || change.config || domains_changed) {
     UpdateHosts(now);
   }
@@ -136,13 +139,12 @@
   m_log.Add(std::move(line));
 }
 
-bool EntryNode::UpdateTargetDomains() {
-  const DiscoveryState& discovery_state = m_store.discovery_state();
-  if (discovery_state.config() == nullptr) {
+bool EntryNode::UpdateTargetDomains(std::span<const TargetEntry> targets) {
+  const auto& config = m_store.discovery_state().config();
+  if (config == nullptr) {
     return false;
   }
-  std::set<FailureDomain> domains =
-      DomainsWithTargets(*discovery_state.config(), discovery_state.Targets());
+  std::set<FailureDomain> domains = DomainsWithTargets(*config, targets);
   if (domains == m_target_domains) {
     return false;
   }
