--- a/bench/support/forward_model.cc
+++ b/bench/support/forward_model.cc
@@ -107,6 +107,8 @@
   void OnAttemptLost(const LostAttempt&) override {}
   void ShareSuspect(const CrashEvidence&) override {}
   void ShareQuarantine(const CrashEvidence&) override {}
+  void OnSuspectCleared(const ClearingAnswer&) override {}
+  void OnCrashIgnored(const IgnoredCrash&) override {}
   void OnReachabilityChange(const TargetEntry&, bool) override {}
   void CheckTarget(const TargetEntry&, std::uint32_t, bool) override {}
 
--- a/src/jacinthdeck/entry/decision_log.cc
+++ b/src/jacinthdeck/entry/decision_log.cc
@@ -186,6 +186,24 @@
   m_log.Add(std::move(line));
 }
 
+void DecisionLog::OnSuspectCleared(const ClearingAnswer& answer) {
+  LogLine line = m_log.Begin(LogEvent::kSuspectCleared);
+  line.Hash("fingerprint", answer.fingerprint.raw())
+      .Text("service", answer.service.raw())
+      .Text("target", answer.target.raw())
+      .Count("status", static_cast<std::uint64_t>(answer.status));
+  m_log.Add(std::move(line));
+}
+
+void DecisionLog::OnCrashIgnored(const IgnoredCrash& crash) {
+  LogLine line = m_log.Begin(LogEvent::kCrashIgnored);
+  line.Hash("fingerprint", crash.fingerprint.raw())
+      .Text("service", crash.service.raw())
+      .Text("target", crash.target.raw())
+      .Milliseconds("answered_ms_ago", crash.answered_ago);
+  m_log.Add(std::move(line));
+}
+
 void DecisionLog::OnDiscoveryChange(const DiscoveryChange& change,
                                     const DiscoveryState& discovery_state,
                                     const StorePosition& position,
--- a/src/jacinthdeck/entry/decision_log.h
+++ b/src/jacinthdeck/entry/decision_log.h
@@ -74,6 +74,12 @@
    * target that ended under it. */
   void OnCrash(LogEvent event, const CrashEvidence& evidence);
 
+  /*! \brief Logs the answer that cleared a suspect request. */
+  void OnSuspectCleared(const ClearingAnswer& answer);
+
+  /*! \brief Logs the end of a target that is no evidence against a request. */
+  void OnCrashIgnored(const IgnoredCrash& crash);
+
   /*! \brief Logs what changed in the discovery state, one line for each kind of
    * change. */
   void OnDiscoveryChange(const DiscoveryChange& change,
--- a/src/jacinthdeck/entry/entry_node.cc
+++ b/src/jacinthdeck/entry/entry_node.cc
@@ -304,6 +304,14 @@
                           evidence.quarantined_for);
 }
 
+void EntryNode::OnSuspectCleared(const ClearingAnswer& answer) {
+  m_decisions.OnSuspectCleared(answer);
+}
+
+void EntryNode::OnCrashIgnored(const IgnoredCrash& crash) {
+  m_decisions.OnCrashIgnored(crash);
+}
+
 void EntryNode::OnReachabilityChange(const TargetEntry& target,
                                      bool reachable) {
   m_decisions.OnReachabilityChange(target, reachable);
--- a/src/jacinthdeck/entry/entry_node.h
+++ b/src/jacinthdeck/entry/entry_node.h
@@ -89,6 +89,8 @@
   void OnAttemptLost(const LostAttempt& lost) override;
   void ShareSuspect(const CrashEvidence& evidence) override;
   void ShareQuarantine(const CrashEvidence& evidence) override;
+  void OnSuspectCleared(const ClearingAnswer& answer) override;
+  void OnCrashIgnored(const IgnoredCrash& crash) override;
   void OnReachabilityChange(const TargetEntry& target, bool reachable) override;
   void CheckTarget(const TargetEntry& target,
                    std::uint32_t connection_limit,
--- a/src/jacinthdeck/entry/log_event.h
+++ b/src/jacinthdeck/entry/log_event.h
@@ -35,6 +35,8 @@
   kTargetReachable,
   kSuspected,
   kQuarantined,
+  kSuspectCleared,
+  kCrashIgnored,
   kCallRefused,
   kCallFailed,
   kCallPartial,
@@ -52,7 +54,7 @@
 
 //! Names of the events as written to the log, in the order of LogEvent;
 //! kQuarantined is written as "convicted".
-inline constexpr NameTable<LogEvent, 39> kLogEventNames{
+inline constexpr NameTable<LogEvent, 41> kLogEventNames{
     {"started",
      "stopping",
      "stopped",
@@ -79,6 +81,8 @@
      "target_reachable",
      "suspected",
      "convicted",
+     "suspect_cleared",
+     "crash_ignored",
      "call_refused",
      "call_failed",
      "call_partial",
--- a/src/jacinthdeck/entry/node_metrics.cc
+++ b/src/jacinthdeck/entry/node_metrics.cc
@@ -92,6 +92,10 @@
               static_cast<double>(calls.target_probes));
   WriteMetric(out, "canaries_total", static_cast<double>(calls.canaries));
   WriteMetric(out, "suspects_total", static_cast<double>(calls.suspects));
+  WriteMetric(out, "suspects_cleared_total",
+              static_cast<double>(calls.suspects_cleared));
+  WriteMetric(out, "crashes_ignored_total",
+              static_cast<double>(calls.crashes_ignored));
   WriteMetric(out, "convictions_total", static_cast<double>(calls.quarantines));
   const PoolCounters& pool = source.pool.counters();
   WriteMetric(out, "target_connections",
--- a/src/jacinthdeck/forward/crash_guard.cc
+++ b/src/jacinthdeck/forward/crash_guard.cc
@@ -50,15 +50,15 @@
   }
 }
 
-void CrashGuard::OnAnswered(const GuardedAttempt& attempt, TimePoint now) {
+bool CrashGuard::OnAnswered(const GuardedAttempt& attempt, TimePoint now) {
   OnNotRun(attempt);
   const std::uint64_t key = AnswerKey(attempt.fingerprint, attempt.service);
   m_answers[key % kAnswerSlots] = {key, now};
-  (void)m_quarantine.RecordCompletion(attempt.fingerprint,
-                                      RangeOf(attempt.service), now);
   if (m_unresolved.size() > 0) {
     EndProbes(m_unresolved.OnAnswered(attempt.target, attempt.sent));
   }
+  return m_quarantine.RecordCompletion(attempt.fingerprint,
+                                       RangeOf(attempt.service), now);
 }
 
 void CrashGuard::OnUnanswered(const GuardedAttempt& attempt,
@@ -83,7 +83,10 @@
   const UnresolvedAttempts::Attempts ended = m_unresolved.OnTargetGone(target);
   EndProbes(ended);
   for (const UnresolvedAttempt& attempt : ended) {
-    if (WasAnswered(attempt.fingerprint, attempt.service, now)) {
+    if (const auto ago =
+            AnsweredAgo(attempt.fingerprint, attempt.service, now)) {
+      changes.ignored.push_back(
+          {attempt.fingerprint, attempt.service, target, *ago});
       continue;
     }
     CrashEvidence evidence{attempt.fingerprint, attempt.service, target};
@@ -126,20 +129,28 @@
   return std::move(due.to_check);
 }
 
-void CrashGuard::AddPeerSuspect(Fingerprint fingerprint,
-                                const ServiceId& service,
-                                TimePoint now) {
-  if (!WasAnswered(fingerprint, service, now)) {
-    m_quarantine.AddPeerSuspect(fingerprint, now, RangeOf(service));
+CrashGuardChanges CrashGuard::AddPeerSuspect(Fingerprint fingerprint,
+                                             const ServiceId& service,
+                                             TimePoint now) {
+  CrashGuardChanges changes;
+  if (const auto ago = AnsweredAgo(fingerprint, service, now)) {
+    changes.ignored.push_back({fingerprint, service, {}, *ago});
+    return changes;
   }
+  m_quarantine.AddPeerSuspect(fingerprint, now, RangeOf(service));
+  return changes;
 }
 
-void CrashGuard::AddPeerQuarantine(Fingerprint fingerprint,
-                                   const ServiceId& service,
-                                   TimePoint now) {
-  if (!WasAnswered(fingerprint, service, now)) {
-    m_quarantine.AddPeerQuarantine(fingerprint, now);
+CrashGuardChanges CrashGuard::AddPeerQuarantine(Fingerprint fingerprint,
+                                                const ServiceId& service,
+                                                TimePoint now) {
+  CrashGuardChanges changes;
+  if (const auto ago = AnsweredAgo(fingerprint, service, now)) {
+    changes.ignored.push_back({fingerprint, service, {}, *ago});
+    return changes;
   }
+  m_quarantine.AddPeerQuarantine(fingerprint, now);
+  return changes;
 }
 
 std::uint64_t CrashGuard::AnswerKey(Fingerprint fingerprint,
@@ -148,12 +159,15 @@
                               fingerprint.raw());
 }
 
-bool CrashGuard::WasAnswered(Fingerprint fingerprint,
-                             const ServiceId& service,
-                             TimePoint now) const {
+std::optional<Duration> CrashGuard::AnsweredAgo(Fingerprint fingerprint,
+                                                const ServiceId& service,
+                                                TimePoint now) const {
   const std::uint64_t key = AnswerKey(fingerprint, service);
   const Answer& answer = m_answers[key % kAnswerSlots];
-  return answer.key == key && answer.at && now - *answer.at < kAnswerRetention;
+  if (answer.key != key || !answer.at || now - *answer.at >= kAnswerRetention) {
+    return std::nullopt;
+  }
+  return now - *answer.at;
 }
 
 void CrashGuard::EndProbes(const UnresolvedAttempts::Attempts& resolved) {
--- a/src/jacinthdeck/forward/crash_guard.h
+++ b/src/jacinthdeck/forward/crash_guard.h
@@ -31,10 +31,30 @@
   Duration quarantined_for{};
 };
 
+/*! \brief The answer that cleared a suspect request. */
+struct ClearingAnswer {
+  Fingerprint fingerprint;
+  ServiceId service;
+  TargetId target;
+  int status = 0;
+};
+
+/*! \brief The end of a target that is no evidence, as its service answered the
+ * request. */
+struct IgnoredCrash {
+  Fingerprint fingerprint;
+  ServiceId service;
+  //! Empty if another host reported the end.
+  TargetId target;
+  //! Time since the answer.
+  Duration answered_ago{};
+};
+
 /*! \brief Requests whose state changed, with the end that changed it. */
 struct CrashGuardChanges {
   std::vector<CrashEvidence> suspects;
   std::vector<CrashEvidence> quarantined;
+  std::vector<IgnoredCrash> ignored;
 };
 
 /*! \brief An attempt as the crash guard knows it. */
@@ -108,8 +128,9 @@
   void OnNotRun(const GuardedAttempt& attempt);
 
   /*! \brief Records a complete response: its target survived the request, and
-   * what it got before. */
-  void OnAnswered(const GuardedAttempt& attempt, TimePoint now);
+   * what it got before.
+   * \return Whether the request was suspect and is no longer. */
+  bool OnAnswered(const GuardedAttempt& attempt, TimePoint now);
 
   /**
    * \brief Records an attempt that ended without a complete response.
@@ -138,15 +159,15 @@
 
   /*! \brief Makes a request suspect, as another host found a target of a
    * service to end under it. */
-  void AddPeerSuspect(Fingerprint fingerprint,
-                      const ServiceId& service,
-                      TimePoint now);
+  [[nodiscard]] CrashGuardChanges AddPeerSuspect(Fingerprint fingerprint,
+                                                 const ServiceId& service,
+                                                 TimePoint now);
 
   /*! \brief Quarantines a request that another host quarantined, as a target
    * of a service ended under its probe. */
-  void AddPeerQuarantine(Fingerprint fingerprint,
-                         const ServiceId& service,
-                         TimePoint now);
+  [[nodiscard]] CrashGuardChanges AddPeerQuarantine(Fingerprint fingerprint,
+                                                    const ServiceId& service,
+                                                    TimePoint now);
 
  private:
   struct Answer {
@@ -157,9 +178,11 @@
 
   [[nodiscard]] static std::uint64_t AnswerKey(Fingerprint fingerprint,
                                                const ServiceId& service);
-  [[nodiscard]] bool WasAnswered(Fingerprint fingerprint,
-                                 const ServiceId& service,
-                                 TimePoint now) const;
+  //! Returns the time since the last answer of a service to a request; empty
+  //! if it does not speak for the request.
+  [[nodiscard]] std::optional<Duration> AnsweredAgo(Fingerprint fingerprint,
+                                                    const ServiceId& service,
+                                                    TimePoint now) const;
   void EndProbes(const UnresolvedAttempts::Attempts& resolved);
 
   Quarantine m_quarantine{
--- a/src/jacinthdeck/forward/forward_port.h
+++ b/src/jacinthdeck/forward/forward_port.h
@@ -45,6 +45,13 @@
   /*! \brief Tells the other hosts that a request crashes its targets. */
   virtual void ShareQuarantine(const CrashEvidence& evidence) = 0;
 
+  /*! \brief Records that a request is no longer suspect. */
+  virtual void OnSuspectCleared(const ClearingAnswer& answer) = 0;
+
+  /*! \brief Records that the end of a target under a request is no evidence
+   * against it. */
+  virtual void OnCrashIgnored(const IgnoredCrash& crash) = 0;
+
   /*! \brief Records that a target refuses connections, or does no longer. */
   virtual void OnReachabilityChange(const TargetEntry& target,
                                     bool reachable) = 0;
--- a/src/jacinthdeck/forward/forwarder_quarantine.cc
+++ b/src/jacinthdeck/forward/forwarder_quarantine.cc
@@ -114,7 +114,13 @@
   const GuardedAttempt guarded = GuardedOf(attempt);
   switch (end.outcome) {
     case AttemptOutcome::kResponse:
-      m_crash_guard.OnAnswered(guarded, now);
+      if (m_crash_guard.OnAnswered(guarded, now)) {
+        ++m_counters.suspects_cleared;
+        m_port.OnSuspectCleared({.fingerprint = guarded.fingerprint,
+                                 .service = guarded.service,
+                                 .target = guarded.target,
+                                 .status = end.response.status});
+      }
       if (m_crash_guard.unresolved().size() > 0) {
         m_domain_answers[attempt.target->entry().domain] = now;
       }
@@ -188,6 +194,10 @@
   for (const CrashEvidence& evidence : changes.quarantined) {
     m_port.ShareQuarantine(evidence);
   }
+  m_counters.crashes_ignored += changes.ignored.size();
+  for (const IgnoredCrash& crash : changes.ignored) {
+    m_port.OnCrashIgnored(crash);
+  }
 }
 
 void Forwarder::CheckDueTargets(TimePoint now) {
@@ -225,13 +235,13 @@
 void Forwarder::AddSuspect(Fingerprint fingerprint,
                            const ServiceId& service,
                            TimePoint now) {
-  m_crash_guard.AddPeerSuspect(fingerprint, service, now);
+  ApplyGuardChanges(m_crash_guard.AddPeerSuspect(fingerprint, service, now));
 }
 
 void Forwarder::QuarantineRequest(Fingerprint fingerprint,
                                   const ServiceId& service,
                                   TimePoint now) {
-  m_crash_guard.AddPeerQuarantine(fingerprint, service, now);
+  ApplyGuardChanges(m_crash_guard.AddPeerQuarantine(fingerprint, service, now));
 }
 
 }  // namespace jacinthdeck
--- a/test/jacinthdeck/forward/crash_guard_test.cc
+++ b/test/jacinthdeck/forward/crash_guard_test.cc
@@ -83,10 +83,10 @@
 
 // The same at a host that learned of both quarantines from another one.
 BOOST_AUTO_TEST_CASE(PeerQuarantine_FirstExpires_NextOneIsLonger) {
-  guard.AddPeerQuarantine(request, ServiceId("s"), clock.Now());
+  (void)guard.AddPeerQuarantine(request, ServiceId("s"), clock.Now());
   clock.Advance(CrashGuard::kFirstQuarantine);
   BOOST_TEST((State() == QuarantineState::kSuspect));
-  guard.AddPeerQuarantine(request, ServiceId("s"), clock.Now());
+  (void)guard.AddPeerQuarantine(request, ServiceId("s"), clock.Now());
   clock.Advance(CrashGuard::kFirstQuarantine);
   BOOST_TEST((State() == QuarantineState::kQuarantined));
 }
@@ -135,8 +135,8 @@
     BOOST_TEST(Crash(target).suspects.empty());
   }
   BOOST_TEST((State() == QuarantineState::kNone));
-  guard.AddPeerSuspect(request, ServiceId("s"), clock.Now());
-  guard.AddPeerQuarantine(request, ServiceId("s"), clock.Now());
+  (void)guard.AddPeerSuspect(request, ServiceId("s"), clock.Now());
+  (void)guard.AddPeerQuarantine(request, ServiceId("s"), clock.Now());
   BOOST_TEST((State() == QuarantineState::kNone));
 }
 
@@ -175,7 +175,7 @@
 
 // Guards against the same at a host that another one told of the request.
 BOOST_AUTO_TEST_CASE(PeerSuspect_OtherServiceAnswers_StaysSuspect) {
-  guard.AddPeerSuspect(request, ServiceId("s"), clock.Now());
+  (void)guard.AddPeerSuspect(request, ServiceId("s"), clock.Now());
   Answer("t/1", request);
   BOOST_TEST((State() == QuarantineState::kSuspect));
   BOOST_TEST(Crash("s/1").quarantined.size() == 1U);
--- a/test/jacinthdeck/forward/crashing_fleet.cc
+++ b/test/jacinthdeck/forward/crashing_fleet.cc
@@ -85,6 +85,8 @@
       other.QuarantineRequest(evidence.fingerprint, evidence.service, now);
     });
   }
+  void OnSuspectCleared(const ClearingAnswer&) override {}
+  void OnCrashIgnored(const IgnoredCrash&) override {}
   void OnReachabilityChange(const TargetEntry&, bool) override {}
   void CheckTarget(const TargetEntry& target, std::uint32_t, bool) override {
     m_fleet.Check(m_index, target);
--- a/test/jacinthdeck/forward/forwarder_fixture.h
+++ b/test/jacinthdeck/forward/forwarder_fixture.h
@@ -35,6 +35,8 @@
   std::vector<LostAttempt> lost;
   std::vector<Fingerprint> suspects;
   std::vector<Fingerprint> quarantines;
+  std::vector<ClearingAnswer> cleared;
+  std::vector<IgnoredCrash> ignored;
   std::vector<TargetId> checked;
   std::vector<std::pair<TargetId, bool>> reachability;
 
@@ -56,6 +58,12 @@
   void ShareQuarantine(const CrashEvidence& evidence) override {
     quarantines.push_back(evidence.fingerprint);
   }
+  void OnSuspectCleared(const ClearingAnswer& answer) override {
+    cleared.push_back(answer);
+  }
+  void OnCrashIgnored(const IgnoredCrash& crash) override {
+    ignored.push_back(crash);
+  }
   void OnReachabilityChange(const TargetEntry& target,
                             bool reachable) override {
     reachability.emplace_back(target.id, reachable);
