Show in tests that errors and earlier answers protect a crashing request

The fleet fixture gets targets that fail attempts without running them, and a request that is answered until the measurement starts.

--- a/test/jacinthdeck/forward/crashing_fleet.cc
+++ b/test/jacinthdeck/forward/crashing_fleet.cc
@@ -140,6 +140,8 @@
   std::size_t host = 0;
   OutgoingAttempt attempt;
   bool running = false;
+  //! Status of a complete response.
+  int status = 200;
 };
 
 CrashingFleet::CrashingFleet(const CrashingFleetOptions& options)
@@ -202,6 +204,9 @@
 
 CrashingFleetResult CrashingFleet::Run(Duration duration) {
   SubmitOther();
+  if (m_options.answered_before) {
+    SubmitCrashing();
+  }
   if (m_options.crashes_per_second > 0) {
     CrashAnyTarget();
   }
@@ -213,7 +218,9 @@
   if (m_options.restart_interval > Duration::zero()) {
     Restart(0);
   }
-  SubmitCrashing();
+  if (!m_options.answered_before) {
+    SubmitCrashing();
+  }
   AdvanceTo(m_now + duration);
   return m_result;
 }
@@ -230,7 +237,7 @@
 
 void CrashingFleet::SubmitCrashing() {
   At(m_now + kRequestInterval, [this] { SubmitCrashing(); });
-  ++m_result.calls;
+  m_result.calls += m_measuring ? 1 : 0;
   const std::size_t host = m_random.Below(m_hosts.size());
   const CallId call = Submit(host, std::string(kCrashingPath), true);
   if (m_options.caller_patience) {
@@ -328,9 +335,17 @@
        [this, id] { End(id, AttemptOutcome::kNotExecuted, false); });
     return;
   }
+  if (m_options.failed_answers > 0 &&
+      m_random.Unit() < m_options.failed_answers) {
+    constexpr int kServerError = 500;
+    found->second.status = kServerError;
+    At(m_now + kNetworkDelay,
+       [this, id] { End(id, AttemptOutcome::kResponse, false); });
+    return;
+  }
   found->second.running = true;
   const std::string& request_id = found->second.attempt.request->request_id;
-  const bool crashing = m_options.crash != CrashKind::kNone &&
+  const bool crashing = m_measuring && m_options.crash != CrashKind::kNone &&
                         found->second.attempt.request->target == kCrashingPath;
   if (crashing && m_third_end && m_now > *m_third_end + kContactTime) {
     m_result.late_calls.insert(request_id);
@@ -379,7 +394,7 @@
   end.unreachable = outcome == AttemptOutcome::kNotSent &&
                     m_options.crash != CrashKind::kSilent;
   if (outcome == AttemptOutcome::kResponse) {
-    end.response.status = 200;
+    end.response.status = flight.status;
     end.response.stamp = "stamp-of-" + flight.attempt.target.id.raw();
     end.response.body = std::string(16, 'a');
   }
--- a/test/jacinthdeck/forward/crashing_fleet.h
+++ b/test/jacinthdeck/forward/crashing_fleet.h
@@ -44,6 +44,12 @@
   std::size_t shedding_shards = 0;
   //! Shards, from the last, whose targets answer the crashing request.
   std::size_t surviving_shards = 0;
+  //! Share of all attempts that targets answer with an error instead of running
+  //! them.
+  double failed_answers = 0;
+  //! Whether the crashing request is sent, and answered, before the measurement
+  //! starts; it crashes targets only then.
+  bool answered_before = false;
   //! Time after which the callers of the crashing request disconnect.
   std::optional<Duration> caller_patience;
   //! Share of all answers in place of which the connection is closed.
--- a/test/jacinthdeck/forward/crashing_request_test.cc
+++ b/test/jacinthdeck/forward/crashing_request_test.cc
@@ -114,6 +114,20 @@
   RunSeeds(CheckQuarantined);
 }
 
+// Guards against errors that pass for answers: targets that fail requests
+// without running them clear the request, and then speak for it.
+BOOST_AUTO_TEST_CASE(Request_TargetsFailRequests_IsQuarantined) {
+  options.failed_answers = 0.7;
+  RunSeeds(CheckQuarantined);
+}
+
+// Guards against answers that speak for a request longer than they come: it
+// crashes targets from some moment on, as after a change of the index.
+BOOST_AUTO_TEST_CASE(Request_AnsweredBefore_IsQuarantined) {
+  options.answered_before = true;
+  RunSeeds(CheckQuarantined);
+}
+
 // Guards against hosts that each learn of the request by their own targets, and
 // against a suspect request that is sent to all shards at once. The first call
 // may end the targets of its attempts, and each host one more, if each is told
