Take no error of a target for an answer to a request

What callers saw: searches that are not served, as one request ends target after target while others fail what they are sent.

Cause: CrashGuard::OnAnswered took any complete response as proof that the target ran the request. A failing target returns 500 without running it. Such an error cleared a suspect, and for a minute dropped every end of a target of that service and other hosts' reports. It ended the wait for the canary as well.

Change: only a success with stamp and whole body, or a status below 500, clears a request, speaks for it, or lets the others follow a canary. An error still shows that its target runs, and ends a probe without result.

--- a/src/jacinthdeck/forward/crash_guard.cc
+++ b/src/jacinthdeck/forward/crash_guard.cc
@@ -50,13 +50,17 @@
   }
 }
 
-bool CrashGuard::OnAnswered(const GuardedAttempt& attempt, TimePoint now) {
+void CrashGuard::OnFailed(const GuardedAttempt& attempt) {
   OnNotRun(attempt);
-  const std::uint64_t key = AnswerKey(attempt.fingerprint, attempt.service);
-  m_answers[key % kAnswerSlots] = {key, now};
   if (m_unresolved.size() > 0) {
     EndProbes(m_unresolved.OnAnswered(attempt.target, attempt.sent));
   }
+}
+
+bool CrashGuard::OnAnswered(const GuardedAttempt& attempt, TimePoint now) {
+  OnFailed(attempt);
+  const std::uint64_t key = AnswerKey(attempt.fingerprint, attempt.service);
+  m_answers[key % kAnswerSlots] = {key, now};
   return m_quarantine.RecordCompletion(attempt.fingerprint,
                                        RangeOf(attempt.service), now);
 }
--- a/src/jacinthdeck/forward/crash_guard.h
+++ b/src/jacinthdeck/forward/crash_guard.h
@@ -127,7 +127,11 @@
   /*! \brief Records that an attempt did not run. */
   void OnNotRun(const GuardedAttempt& attempt);
 
-  /*! \brief Records a complete response: its target survived the request, and
+  /*! \brief Records an error of a target: it survived what it got before, but
+   * may not have run the request. */
+  void OnFailed(const GuardedAttempt& attempt);
+
+  /*! \brief Records a complete answer: its target survived the request, and
    * what it got before.
    * \return Whether the request was suspect and is no longer. */
   bool OnAnswered(const GuardedAttempt& attempt, TimePoint now);
--- a/src/jacinthdeck/forward/forwarder_attempts.cc
+++ b/src/jacinthdeck/forward/forwarder_attempts.cc
@@ -101,7 +101,7 @@
   if (reason == AttemptReason::kHedge && pending.parts.size() > 1) {
     pending.retry_gate.OnHedgeDue();
   }
-  // A target that returned a failure survived the request.
+  // A target that returned an error did not end under the request.
   if (pending.retry_gate.MustWait(now) && !part.response) {
     HoldPart(pending, part, now);
     part.held = true;
--- a/src/jacinthdeck/forward/forwarder_quarantine.cc
+++ b/src/jacinthdeck/forward/forwarder_quarantine.cc
@@ -114,7 +114,9 @@
   const GuardedAttempt guarded = GuardedOf(attempt);
   switch (end.outcome) {
     case AttemptOutcome::kResponse:
-      if (m_crash_guard.OnAnswered(guarded, now)) {
+      if (!end.response.answers_request()) {
+        m_crash_guard.OnFailed(guarded);
+      } else if (m_crash_guard.OnAnswered(guarded, now)) {
         ++m_counters.suspects_cleared;
         m_port.OnSuspectCleared({.fingerprint = guarded.fingerprint,
                                  .service = guarded.service,
--- a/src/jacinthdeck/forward/forwarder_replies.cc
+++ b/src/jacinthdeck/forward/forwarder_replies.cc
@@ -114,7 +114,8 @@
   if (end.outcome == AttemptOutcome::kBroken) {
     gate.OnBroken();
   }
-  if (end.outcome == AttemptOutcome::kResponse) {
+  const bool is_response = end.outcome == AttemptOutcome::kResponse;
+  if (is_response && end.response.answers_request()) {
     if (gate.OnAnswered(end.id)) {
       ReleaseHeldParts(pending, now);
       RearmTimer(pending);
--- a/src/jacinthdeck/forward/opaque_request.h
+++ b/src/jacinthdeck/forward/opaque_request.h
@@ -55,6 +55,13 @@
   [[nodiscard]] bool succeeded() const noexcept {
     return status >= 200 && status < 300;
   }
+  /*! \brief Returns whether the target ran the request to its end. An error
+   * does not show it: a failing target may return one without running it. */
+  [[nodiscard]] bool answers_request() const noexcept {
+    constexpr int kFirstServerError = 500;
+    return succeeded() ? !stamp.empty() && !encoded
+                       : status < kFirstServerError;
+  }
 };
 
 }  // namespace jacinthdeck
--- a/test/jacinthdeck/forward/crash_guard_test.cc
+++ b/test/jacinthdeck/forward/crash_guard_test.cc
@@ -173,6 +173,18 @@
   BOOST_TEST((State() == QuarantineState::kNone));
 }
 
+// Guards against an error that clears a suspect and then speaks for it: the
+// target may have failed before it ran the request.
+BOOST_AUTO_TEST_CASE(Suspect_TargetReturnsError_StaysSuspect) {
+  (void)Crash("s/1");
+  const GuardedAttempt probe = Attempt("s/2", request);
+  guard.OnSent(probe);
+  guard.OnFailed(probe);
+  BOOST_TEST(!guard.IsProbing(request));
+  BOOST_TEST((State() == QuarantineState::kSuspect));
+  BOOST_TEST(Crash("s/3").quarantined.size() == 1U);
+}
+
 // Guards against the same at a host that another one told of the request.
 BOOST_AUTO_TEST_CASE(PeerSuspect_OtherServiceAnswers_StaysSuspect) {
   (void)guard.AddPeerSuspect(request, ServiceId("s"), clock.Now());
