Defer the end of a target after an answer, in place of dropping it

Cause: an answer of a service spoke for a request for a minute. Ends of its targets in that time, and other hosts' reports, were dropped, not put off. A request that is answered and then begins to crash its targets was immune on every host that had an answer: each restart of the targets ended them all again. The class of fault: evidence that is weighed by what came before it alone.

Evidence: the test that was red.

Change: such an end is held for two seconds after the answer. An answer to an attempt sent after the ended one refutes it; otherwise it counts, and is shared. Reports of other hosts are held in the same way. kAnswerRetention goes from a minute to two seconds, which keeps a request that is answered at a host more often than that out of suspicion.

The test Request_AnsweredRecently_IsNotQuarantined stated the dropped minute. It is replaced by Request_AnsweredBeforeAndAfter_IsNotQuarantined, which demands the same of a request that goes on being answered (three ends, and reports of suspicion and quarantine, on each of three targets), and by three tests of one that is not.

--- a/src/jacinthdeck/entry/decision_log.cc
+++ b/src/jacinthdeck/entry/decision_log.cc
@@ -200,7 +200,7 @@
   line.Hash("fingerprint", crash.fingerprint.raw())
       .Text("service", crash.service.raw())
       .Text("target", crash.target.raw())
-      .Milliseconds("answered_ms_ago", crash.answered_ago);
+      .Milliseconds("refuted_after_ms", crash.refuted_after);
   m_log.Add(std::move(line));
 }
 
--- a/src/jacinthdeck/forward/crash_guard.cc
+++ b/src/jacinthdeck/forward/crash_guard.cc
@@ -3,6 +3,7 @@
 
 #include <xxhash.h>
 
+#include <algorithm>
 #include <string>
 
 namespace jacinthdeck {
@@ -57,12 +58,22 @@
   }
 }
 
-bool CrashGuard::OnAnswered(const GuardedAttempt& attempt, TimePoint now) {
+AnswerChanges CrashGuard::OnAnswered(const GuardedAttempt& attempt,
+                                     TimePoint now) {
   OnFailed(attempt);
   const std::uint64_t key = AnswerKey(attempt.fingerprint, attempt.service);
   m_answers[key % kAnswerSlots] = {key, now};
-  return m_quarantine.RecordCompletion(attempt.fingerprint,
-                                       RangeOf(attempt.service), now);
+  AnswerChanges changes;
+  if (m_deferred.size() > 0) {
+    for (const DeferredCrash& crash : m_deferred.TakeRefuted(
+             attempt.fingerprint, attempt.service, attempt.sent)) {
+      changes.ignored.push_back(
+          {crash.fingerprint, crash.service, crash.target, now - crash.since});
+    }
+  }
+  changes.cleared = m_quarantine.RecordCompletion(
+      attempt.fingerprint, RangeOf(attempt.service), now);
+  return changes;
 }
 
 void CrashGuard::OnUnanswered(const GuardedAttempt& attempt,
@@ -73,6 +84,7 @@
                          .service = attempt.service,
                          .target = attempt.target,
                          .target_started_ms = attempt.target_started_ms,
+                         .sent = attempt.sent,
                          .probe = attempt.probe,
                          .closed_by_target = closed_by_target,
                          .due = due},
@@ -87,26 +99,60 @@
   const UnresolvedAttempts::Attempts ended = m_unresolved.OnTargetGone(target);
   EndProbes(ended);
   for (const UnresolvedAttempt& attempt : ended) {
-    if (const auto ago =
-            AnsweredAgo(attempt.fingerprint, attempt.service, now)) {
-      changes.ignored.push_back(
-          {attempt.fingerprint, attempt.service, target, *ago});
-      continue;
+    const DeferredCrash crash{.source = EvidenceSource::kOwnAttempt,
+                              .fingerprint = attempt.fingerprint,
+                              .service = attempt.service,
+                              .target = target,
+                              .probe = attempt.probe,
+                              .since = attempt.sent,
+                              .due = now};
+    if (!Defer(crash, now)) {
+      RecordEnd(crash, now, changes);
     }
-    CrashEvidence evidence{attempt.fingerprint, attempt.service, target};
-    switch (m_quarantine.RecordCrash(
-        attempt.fingerprint, RangeOf(attempt.service), attempt.probe, now)) {
-      case QuarantineState::kNone:
+  }
+  return changes;
+}
+
+void CrashGuard::RecordEnd(const DeferredCrash& crash,
+                           TimePoint now,
+                           CrashGuardChanges& changes) {
+  CrashEvidence evidence{crash.fingerprint, crash.service, crash.target};
+  switch (m_quarantine.RecordCrash(crash.fingerprint, RangeOf(crash.service),
+                                   crash.probe, now)) {
+    case QuarantineState::kNone:
+      break;
+    case QuarantineState::kSuspect:
+      changes.suspects.push_back(evidence);
+      break;
+    case QuarantineState::kQuarantined:
+      evidence.quarantined_for =
+          m_quarantine.QuarantinedUntil(crash.fingerprint, now).value_or(now) -
+          now;
+      changes.quarantined.push_back(evidence);
+      break;
+  }
+}
+
+std::optional<TimePoint> CrashGuard::NextDue() const {
+  const auto evidence = m_deferred.NextDue();
+  const auto check = m_unresolved.NextDue();
+  return evidence && check ? std::min(*evidence, *check)
+                           : (evidence ? evidence : check);
+}
+
+CrashGuardChanges CrashGuard::TakeDueEvidence(TimePoint now) {
+  CrashGuardChanges changes;
+  for (const DeferredCrash& crash : m_deferred.TakeDue(now)) {
+    switch (crash.source) {
+      case EvidenceSource::kOwnAttempt:
+        RecordEnd(crash, now, changes);
         break;
-      case QuarantineState::kSuspect:
-        changes.suspects.push_back(evidence);
+      case EvidenceSource::kPeerSuspect:
+        m_quarantine.AddPeerSuspect(crash.fingerprint, now,
+                                    RangeOf(crash.service));
         break;
-      case QuarantineState::kQuarantined:
-        evidence.quarantined_for =
-            m_quarantine.QuarantinedUntil(attempt.fingerprint, now)
-                .value_or(now) -
-            now;
-        changes.quarantined.push_back(evidence);
+      case EvidenceSource::kPeerQuarantine:
+        m_quarantine.AddPeerQuarantine(crash.fingerprint, now);
         break;
     }
   }
@@ -133,28 +179,32 @@
   return std::move(due.to_check);
 }
 
-CrashGuardChanges CrashGuard::AddPeerSuspect(Fingerprint fingerprint,
-                                             const ServiceId& service,
-                                             TimePoint now) {
-  CrashGuardChanges changes;
-  if (const auto ago = AnsweredAgo(fingerprint, service, now)) {
-    changes.ignored.push_back({fingerprint, service, {}, *ago});
-    return changes;
+void CrashGuard::AddPeerSuspect(Fingerprint fingerprint,
+                                const ServiceId& service,
+                                TimePoint now) {
+  if (!Defer({.source = EvidenceSource::kPeerSuspect,
+              .fingerprint = fingerprint,
+              .service = service,
+              .target = {},
+              .since = now,
+              .due = now},
+             now)) {
+    m_quarantine.AddPeerSuspect(fingerprint, now, RangeOf(service));
   }
-  m_quarantine.AddPeerSuspect(fingerprint, now, RangeOf(service));
-  return changes;
 }
 
-CrashGuardChanges CrashGuard::AddPeerQuarantine(Fingerprint fingerprint,
-                                                const ServiceId& service,
-                                                TimePoint now) {
-  CrashGuardChanges changes;
-  if (const auto ago = AnsweredAgo(fingerprint, service, now)) {
-    changes.ignored.push_back({fingerprint, service, {}, *ago});
-    return changes;
+void CrashGuard::AddPeerQuarantine(Fingerprint fingerprint,
+                                   const ServiceId& service,
+                                   TimePoint now) {
+  if (!Defer({.source = EvidenceSource::kPeerQuarantine,
+              .fingerprint = fingerprint,
+              .service = service,
+              .target = {},
+              .since = now,
+              .due = now},
+             now)) {
+    m_quarantine.AddPeerQuarantine(fingerprint, now);
   }
-  m_quarantine.AddPeerQuarantine(fingerprint, now);
-  return changes;
 }
 
 std::uint64_t CrashGuard::AnswerKey(Fingerprint fingerprint,
@@ -163,15 +213,23 @@
                               fingerprint.raw());
 }
 
-std::optional<Duration> CrashGuard::AnsweredAgo(Fingerprint fingerprint,
+std::optional<TimePoint> CrashGuard::LastAnswer(Fingerprint fingerprint,
                                                 const ServiceId& service,
                                                 TimePoint now) const {
   const std::uint64_t key = AnswerKey(fingerprint, service);
   const Answer& answer = m_answers[key % kAnswerSlots];
-  if (answer.key != key || !answer.at || now - *answer.at >= kAnswerRetention) {
-    return std::nullopt;
+  const bool speaks =
+      answer.key == key && answer.at && now - *answer.at < kAnswerRetention;
+  return speaks ? answer.at : std::nullopt;
+}
+
+bool CrashGuard::Defer(DeferredCrash crash, TimePoint now) {
+  const auto answered = LastAnswer(crash.fingerprint, crash.service, now);
+  if (!answered) {
+    return false;
   }
-  return now - *answer.at;
+  crash.due = *answered + kAnswerRetention;
+  return m_deferred.Add(crash);
 }
 
 void CrashGuard::EndProbes(const UnresolvedAttempts::Attempts& resolved) {
--- a/src/jacinthdeck/forward/crash_guard.h
+++ b/src/jacinthdeck/forward/crash_guard.h
@@ -11,6 +11,7 @@
 
 #include "jacinthdeck/core/ids.h"
 #include "jacinthdeck/core/time.h"
+#include "jacinthdeck/forward/deferred_evidence.h"
 #include "jacinthdeck/forward/opaque_request.h"
 #include "jacinthdeck/forward/unresolved_attempts.h"
 #include "jacinthdeck/query/probe_gate.h"
@@ -40,20 +41,27 @@
 };
 
 /*! \brief The end of a target that is no evidence, as its service answered the
- * request. */
+ * request afterwards. */
 struct IgnoredCrash {
   Fingerprint fingerprint;
   ServiceId service;
   //! Empty if another host reported the end.
   TargetId target;
-  //! Time since the answer.
-  Duration answered_ago{};
+  //! Time from the attempt, or the report, to the answer.
+  Duration refuted_after{};
 };
 
 /*! \brief Requests whose state changed, with the end that changed it. */
 struct CrashGuardChanges {
   std::vector<CrashEvidence> suspects;
   std::vector<CrashEvidence> quarantined;
+};
+
+/*! \brief What an answer changed. */
+struct AnswerChanges {
+  //! Whether the request was suspect and is no longer.
+  bool cleared = false;
+  //! Ends of targets that the answer refuted.
   std::vector<IgnoredCrash> ignored;
 };
 
@@ -77,9 +85,12 @@
  * attempts count whether or not their calls are still open, since a call may
  * end long before its targets do.
  *
- * A service that answers a request does not end under it. One that answered it
- * within kAnswerRetention is therefore no evidence against it: a popular
- * request always runs somewhere when other requests or faults end targets.
+ * A service that answers a request does not end under it. The end of a target
+ * whose service answered the request within kAnswerRetention is therefore
+ * deferred: a later answer refutes it, as for a popular request that runs
+ * somewhere whenever another request or a fault ends a target. Without one it
+ * counts once that time is over, as the request may have begun to crash its
+ * targets.
  */
 class CrashGuard {
  public:
@@ -87,8 +98,9 @@
   //! a probe after it ends a target.
   static constexpr Duration kFirstQuarantine = std::chrono::minutes(1);
   static constexpr Duration kLaterQuarantine = std::chrono::minutes(10);
-  //! How long an answer of a service speaks for a request.
-  static constexpr Duration kAnswerRetention = std::chrono::minutes(1);
+  //! How long after an answer of a service the ends of its targets wait for
+  //! another one.
+  static constexpr Duration kAnswerRetention = std::chrono::seconds(2);
   //! Number of slots for answers. A popular request whose slot another one took
   //! gets it back with its next answer.
   static constexpr std::size_t kAnswerSlots = 4096;
@@ -132,9 +144,8 @@
   void OnFailed(const GuardedAttempt& attempt);
 
   /*! \brief Records a complete answer: its target survived the request, and
-   * what it got before.
-   * \return Whether the request was suspect and is no longer. */
-  bool OnAnswered(const GuardedAttempt& attempt, TimePoint now);
+   * what it got before. */
+  AnswerChanges OnAnswered(const GuardedAttempt& attempt, TimePoint now);
 
   /**
    * \brief Records an attempt that ended without a complete response.
@@ -158,20 +169,28 @@
                                                   TargetCheck result,
                                                   TimePoint now);
 
+  /*! \brief Returns when TakeDueChecks() or TakeDueEvidence() has something to
+   * do. */
+  [[nodiscard]] std::optional<TimePoint> NextDue() const;
+
+  /*! \brief Takes deferred ends of targets as evidence that no answer has
+   * refuted in time. */
+  [[nodiscard]] CrashGuardChanges TakeDueEvidence(TimePoint now);
+
   /*! \brief Returns the targets to be checked now. */
   [[nodiscard]] std::vector<TargetId> TakeDueChecks(TimePoint now);
 
   /*! \brief Makes a request suspect, as another host found a target of a
    * service to end under it. */
-  [[nodiscard]] CrashGuardChanges AddPeerSuspect(Fingerprint fingerprint,
-                                                 const ServiceId& service,
-                                                 TimePoint now);
+  void AddPeerSuspect(Fingerprint fingerprint,
+                      const ServiceId& service,
+                      TimePoint now);
 
   /*! \brief Quarantines a request that another host quarantined, as a target
    * of a service ended under its probe. */
-  [[nodiscard]] CrashGuardChanges AddPeerQuarantine(Fingerprint fingerprint,
-                                                    const ServiceId& service,
-                                                    TimePoint now);
+  void AddPeerQuarantine(Fingerprint fingerprint,
+                         const ServiceId& service,
+                         TimePoint now);
 
  private:
   struct Answer {
@@ -182,11 +201,17 @@
 
   [[nodiscard]] static std::uint64_t AnswerKey(Fingerprint fingerprint,
                                                const ServiceId& service);
-  //! Returns the time since the last answer of a service to a request; empty
-  //! if it does not speak for the request.
-  [[nodiscard]] std::optional<Duration> AnsweredAgo(Fingerprint fingerprint,
+  //! Returns when a service answered a request; empty if that was longer than
+  //! kAnswerRetention ago.
+  [[nodiscard]] std::optional<TimePoint> LastAnswer(Fingerprint fingerprint,
                                                     const ServiceId& service,
                                                     TimePoint now) const;
+  //! Defers the end of a target if its service answered the request recently;
+  //! returns whether it did.
+  [[nodiscard]] bool Defer(DeferredCrash crash, TimePoint now);
+  void RecordEnd(const DeferredCrash& crash,
+                 TimePoint now,
+                 CrashGuardChanges& changes);
   void EndProbes(const UnresolvedAttempts::Attempts& resolved);
 
   Quarantine m_quarantine{
@@ -194,6 +219,7 @@
                         .quarantine_ttl = kLaterQuarantine}};
   ProbeGate m_probes;
   UnresolvedAttempts m_unresolved;
+  DeferredEvidence m_deferred;
   //! Last answer of each slot.
   std::array<Answer, kAnswerSlots> m_answers{};
 };
--- a/src/jacinthdeck/forward/forward_counters.h
+++ b/src/jacinthdeck/forward/forward_counters.h
@@ -44,8 +44,9 @@
   std::uint64_t suspects = 0;
   //! Suspect requests that an answer cleared.
   std::uint64_t suspects_cleared = 0;
-  //! Ends of targets that were no evidence, as their service had answered the
-  //! request; those that other hosts reported are counted as well.
+  //! Ends of targets that were no evidence, as their service answered the
+  //! request before and afterwards; those that other hosts reported are counted
+  //! as well.
   std::uint64_t crashes_ignored = 0;
   //! Requests that this host quarantined because they crash targets.
   std::uint64_t quarantines = 0;
--- a/src/jacinthdeck/forward/forwarder.cc
+++ b/src/jacinthdeck/forward/forwarder.cc
@@ -20,9 +20,9 @@
 
 std::optional<TimePoint> Forwarder::NextTimer() const {
   std::optional<TimePoint> earliest;
-  for (const auto& due : {m_timers.Next(), m_stale_attempts.Next(),
-                          m_crash_guard.unresolved().NextDue(),
-                          m_unreachable.NextDue(), NextWaitingCheck()}) {
+  for (const auto& due :
+       {m_timers.Next(), m_stale_attempts.Next(), m_crash_guard.NextDue(),
+        m_unreachable.NextDue(), NextWaitingCheck()}) {
     if (due) {
       earliest = std::min(earliest.value_or(*due), *due);
     }
@@ -72,6 +72,7 @@
     CancelAttempt(*due, now, now);
   }
   CheckDueTargets(now);
+  ApplyGuardChanges(m_crash_guard.TakeDueEvidence(now));
   ProbeUnreachableTargets(now);
   if (const auto due = NextWaitingCheck(); due && *due <= now) {
     CheckWaitingCalls(now);
--- a/src/jacinthdeck/forward/forwarder.h
+++ b/src/jacinthdeck/forward/forwarder.h
@@ -305,6 +305,8 @@
   void UpdateCrashGuard(const PendingAttempt& attempt,
                         const AttemptEnd& end,
                         TimePoint now);
+  //! Records an answer to an attempt, and reports what it changed.
+  void RecordAnswer(const GuardedAttempt& guarded, int status, TimePoint now);
   //! Records an attempt that ended without a complete response.
   void RecordUnanswered(const PendingAttempt& attempt,
                         bool closed_by_target,
--- a/src/jacinthdeck/forward/forwarder_quarantine.cc
+++ b/src/jacinthdeck/forward/forwarder_quarantine.cc
@@ -114,14 +114,10 @@
   const GuardedAttempt guarded = GuardedOf(attempt);
   switch (end.outcome) {
     case AttemptOutcome::kResponse:
-      if (!end.response.answers_request()) {
+      if (end.response.answers_request()) {
+        RecordAnswer(guarded, end.response.status, now);
+      } else {
         m_crash_guard.OnFailed(guarded);
-      } else if (m_crash_guard.OnAnswered(guarded, now)) {
-        ++m_counters.suspects_cleared;
-        m_port.OnSuspectCleared({.fingerprint = guarded.fingerprint,
-                                 .service = guarded.service,
-                                 .target = guarded.target,
-                                 .status = end.response.status});
       }
       if (m_crash_guard.unresolved().size() > 0) {
         m_domain_answers[attempt.target->entry().domain] = now;
@@ -147,6 +143,23 @@
   }
 }
 
+void Forwarder::RecordAnswer(const GuardedAttempt& guarded,
+                             int status,
+                             TimePoint now) {
+  const AnswerChanges changes = m_crash_guard.OnAnswered(guarded, now);
+  if (changes.cleared) {
+    ++m_counters.suspects_cleared;
+    m_port.OnSuspectCleared({.fingerprint = guarded.fingerprint,
+                             .service = guarded.service,
+                             .target = guarded.target,
+                             .status = status});
+  }
+  m_counters.crashes_ignored += changes.ignored.size();
+  for (const IgnoredCrash& crash : changes.ignored) {
+    m_port.OnCrashIgnored(crash);
+  }
+}
+
 void Forwarder::RecordUnanswered(const PendingAttempt& attempt,
                                  bool closed_by_target,
                                  TimePoint resolve_at,
@@ -196,10 +209,6 @@
   for (const CrashEvidence& evidence : changes.quarantined) {
     m_port.ShareQuarantine(evidence);
   }
-  m_counters.crashes_ignored += changes.ignored.size();
-  for (const IgnoredCrash& crash : changes.ignored) {
-    m_port.OnCrashIgnored(crash);
-  }
 }
 
 void Forwarder::CheckDueTargets(TimePoint now) {
@@ -237,13 +246,13 @@
 void Forwarder::AddSuspect(Fingerprint fingerprint,
                            const ServiceId& service,
                            TimePoint now) {
-  ApplyGuardChanges(m_crash_guard.AddPeerSuspect(fingerprint, service, now));
+  m_crash_guard.AddPeerSuspect(fingerprint, service, now);
 }
 
 void Forwarder::QuarantineRequest(Fingerprint fingerprint,
                                   const ServiceId& service,
                                   TimePoint now) {
-  ApplyGuardChanges(m_crash_guard.AddPeerQuarantine(fingerprint, service, now));
+  m_crash_guard.AddPeerQuarantine(fingerprint, service, now);
 }
 
 }  // namespace jacinthdeck
--- a/src/jacinthdeck/forward/unresolved_attempts.h
+++ b/src/jacinthdeck/forward/unresolved_attempts.h
@@ -33,6 +33,7 @@
   TargetId target;
   //! Start of the target's process, as in its entry.
   std::uint64_t target_started_ms = 0;
+  TimePoint sent;
   //! Whether the request was suspect when the attempt was sent.
   bool probe = false;
   //! The target closed the connection. Otherwise this host did, and the target
--- a/test/jacinthdeck/forward/crash_guard_test.cc
+++ b/test/jacinthdeck/forward/crash_guard_test.cc
@@ -83,10 +83,10 @@
 
 // The same at a host that learned of both quarantines from another one.
 BOOST_AUTO_TEST_CASE(PeerQuarantine_FirstExpires_NextOneIsLonger) {
-  (void)guard.AddPeerQuarantine(request, ServiceId("s"), clock.Now());
+  guard.AddPeerQuarantine(request, ServiceId("s"), clock.Now());
   clock.Advance(CrashGuard::kFirstQuarantine);
   BOOST_TEST((State() == QuarantineState::kSuspect));
-  (void)guard.AddPeerQuarantine(request, ServiceId("s"), clock.Now());
+  guard.AddPeerQuarantine(request, ServiceId("s"), clock.Now());
   clock.Advance(CrashGuard::kFirstQuarantine);
   BOOST_TEST((State() == QuarantineState::kQuarantined));
 }
@@ -128,16 +128,55 @@
 
 // Guards against a quarantine of a popular request, whose callers would all be
 // refused: it runs on some target whenever another request ends one.
-BOOST_AUTO_TEST_CASE(Request_AnsweredRecently_IsNotQuarantined) {
-  Answer("s/1", request);
-  clock.Advance(seconds(5));
+BOOST_AUTO_TEST_CASE(Request_AnsweredBeforeAndAfter_IsNotQuarantined) {
   for (const char* target : {"s/1", "s/2", "s/3"}) {
+    Answer("s/4", request);
     BOOST_TEST(Crash(target).suspects.empty());
+    guard.AddPeerSuspect(request, ServiceId("s"), clock.Now());
+    guard.AddPeerQuarantine(request, ServiceId("s"), clock.Now());
+    BOOST_TEST((State() == QuarantineState::kNone));
+    clock.Advance(CrashGuard::kAnswerRetention - milliseconds(1));
+    BOOST_TEST(guard.TakeDueEvidence(clock.Now()).suspects.empty());
   }
+  const GuardedAttempt last = Attempt("s/4", request);
+  BOOST_TEST(guard.OnAnswered(last, clock.Now()).ignored.size() == 3U);
+  clock.Advance(CrashGuard::kAnswerRetention);
+  BOOST_TEST(guard.TakeDueEvidence(clock.Now()).suspects.empty());
   BOOST_TEST((State() == QuarantineState::kNone));
-  (void)guard.AddPeerSuspect(request, ServiceId("s"), clock.Now());
-  (void)guard.AddPeerQuarantine(request, ServiceId("s"), clock.Now());
-  BOOST_TEST((State() == QuarantineState::kNone));
+}
+
+// Guards against a request that was answered and then crashes its targets: its
+// answers speak for it no longer than they come.
+BOOST_AUTO_TEST_CASE(Request_AnswersEnd_DeferredCrashMakesItSuspect) {
+  Answer("s/1", request);
+  clock.Advance(milliseconds(1));
+  BOOST_TEST(Crash("s/1").suspects.empty());
+  BOOST_REQUIRE((guard.NextDue() ==
+                 clock.Now() - milliseconds(1) + CrashGuard::kAnswerRetention));
+  clock.Advance(CrashGuard::kAnswerRetention);
+  BOOST_TEST(guard.TakeDueEvidence(clock.Now()).suspects.size() == 1U);
+  BOOST_TEST(Crash("s/2").quarantined.size() == 1U);
+}
+
+// Guards against an answer to an attempt that ran before the one that ended its
+// target.
+BOOST_AUTO_TEST_CASE(Request_EarlierAttemptAnswered_CrashStaysDeferred) {
+  Answer("s/1", request);
+  const GuardedAttempt earlier = Attempt("s/3", request);
+  clock.Advance(milliseconds(1));
+  (void)Crash("s/1");
+  BOOST_TEST(guard.OnAnswered(earlier, clock.Now()).ignored.empty());
+  clock.Advance(CrashGuard::kAnswerRetention);
+  BOOST_TEST(guard.TakeDueEvidence(clock.Now()).suspects.size() == 1U);
+}
+
+// Guards against reports of other hosts that are dropped by an earlier answer.
+BOOST_AUTO_TEST_CASE(PeerQuarantine_AnswersEnd_TakesEffect) {
+  Answer("s/1", request);
+  guard.AddPeerQuarantine(request, ServiceId("s"), clock.Now());
+  clock.Advance(CrashGuard::kAnswerRetention);
+  (void)guard.TakeDueEvidence(clock.Now());
+  BOOST_TEST((State() == QuarantineState::kQuarantined));
 }
 
 BOOST_AUTO_TEST_CASE(Request_AnswerExpired_IsQuarantined) {
@@ -187,7 +226,7 @@
 
 // Guards against the same at a host that another one told of the request.
 BOOST_AUTO_TEST_CASE(PeerSuspect_OtherServiceAnswers_StaysSuspect) {
-  (void)guard.AddPeerSuspect(request, ServiceId("s"), clock.Now());
+  guard.AddPeerSuspect(request, ServiceId("s"), clock.Now());
   Answer("t/1", request);
   BOOST_TEST((State() == QuarantineState::kSuspect));
   BOOST_TEST(Crash("s/1").quarantined.size() == 1U);
