--- a/src/jacinthdeck/query/engine_quarantine.cc
+++ b/src/jacinthdeck/query/engine_quarantine.cc
@@ -57,10 +57,9 @@
       effects.quarantined.push_back(fingerprint);
     }
   }
-  const bool completed =
-      status == AttemptStatus::kAnswered || status == AttemptStatus::kFailed;
-  const bool cleared = completed && m_quarantine.RecordCompletion(
-                                        fingerprint, attempt.range, now);
+  const bool cleared =
+      status == AttemptStatus::kAnswered &&
+      m_quarantine.RecordCompletion(fingerprint, attempt.range, now);
   if (attempt.probe) {
     return m_probes.End(fingerprint, attempt.target);
   }
--- a/src/jacinthdeck/routing/attempt.h
+++ b/src/jacinthdeck/routing/attempt.h
@@ -31,7 +31,7 @@
   kLost,
   //! No reply arrived before the attempt's timeout.
   kTimedOut,
-  //! The target executed the request and returned an error.
+  //! The target returned an error; it may have executed the request.
   kFailed,
   //! This host cancelled the attempt: another attempt answered first, or the
   //! call ended.
--- a/test/jacinthdeck/query/engine_quarantine_test.cc
+++ b/test/jacinthdeck/query/engine_quarantine_test.cc
@@ -133,6 +133,21 @@
   BOOST_TEST(effects.sends.empty());
 }
 
+// Guards against an error that clears a suspect: the target may have failed
+// before it ran the request.
+BOOST_AUTO_TEST_CASE(Engine_ProbeReturnsError_StaysSuspect) {
+  engine.AddPeerSuspect(crashing, clock.Now());
+  (void)Submit(MakeFleetCall(Lookup(), crashing));
+  const auto probe = TakeSends();
+  BOOST_REQUIRE(probe.size() == 1U);
+  End(probe[0], AttemptStatus::kFailed);
+  BOOST_TEST((State() == QuarantineState::kSuspect));
+  const auto retry = TakeSends();
+  BOOST_REQUIRE(retry.size() == 1U);
+  End(retry[0], AttemptStatus::kLost);
+  BOOST_TEST((State() == QuarantineState::kQuarantined));
+}
+
 // A failure domain fails, and with it several attempts of one request. They
 // count as one round of crashes: the request is probed on another target and
 // not quarantined.
