--- a/test/scenario/simulation.h
+++ b/test/scenario/simulation.h
@@ -104,6 +104,8 @@
   void OnAttemptLost(const LostAttempt& /*lost*/) override {}
   void ShareSuspect(const CrashEvidence& /*evidence*/) override {}
   void ShareQuarantine(const CrashEvidence& /*evidence*/) override {}
+  void OnSuspectCleared(const ClearingAnswer& /*answer*/) override {}
+  void OnCrashIgnored(const IgnoredCrash& /*crash*/) override {}
   void OnReachabilityChange(const TargetEntry& /*target*/,
                             bool /*reachable*/) override {}
   void CheckTarget(const TargetEntry& /*target*/,
