--- a/src/jacinthdeck/forward/crash_guard.h
+++ b/src/jacinthdeck/forward/crash_guard.h
@@ -206,8 +206,8 @@
   [[nodiscard]] std::optional<TimePoint> LastAnswer(Fingerprint fingerprint,
                                                     const ServiceId& service,
                                                     TimePoint now) const;
-  //! Defers the end of a target if its service answered the request recently;
-  //! returns whether it did.
+  //! Defers the end of a target if its service answered the request recently
+  //! and the table has room; returns whether it did.
   [[nodiscard]] bool Defer(DeferredCrash crash, TimePoint now);
   void RecordEnd(const DeferredCrash& crash,
                  TimePoint now,
--- a/src/jacinthdeck/forward/deferred_evidence.h
+++ b/src/jacinthdeck/forward/deferred_evidence.h
@@ -43,6 +43,7 @@
  public:
   using Crashes = std::vector<DeferredCrash>;
 
+  //! Maximum number of ends held; the caller counts further ones at once.
   static constexpr std::size_t kMaxCrashes = 1024;
 
   [[nodiscard]] std::size_t size() const noexcept { return m_crashes.size(); }
