--- a/src/jacinthdeck/forward/deferred_evidence.cc
+++ b/src/jacinthdeck/forward/deferred_evidence.cc
@@ -22,11 +22,12 @@
 
 template <typename Predicate>
 DeferredEvidence::Crashes DeferredEvidence::Take(Predicate matches) {
-  const auto taken = std::ranges::stable_partition(
-      m_crashes, [&](const DeferredCrash& crash) { return !matches(crash); });
-  Crashes result(std::make_move_iterator(taken.begin()),
-                 std::make_move_iterator(taken.end()));
-  m_crashes.erase(taken.begin(), taken.end());
+  const auto taken = std::stable_partition(
+      m_crashes.begin(), m_crashes.end(),
+      [&](const DeferredCrash& crash) { return !matches(crash); });
+  Crashes result(std::make_move_iterator(taken),
+                 std::make_move_iterator(m_crashes.end()));
+  m_crashes.erase(taken, m_crashes.end());
   return result;
 }
 
