Judge responses and crash evidence in one place each

answers_request() repeated two checks that stood in HandleResponse() and RetryOrGiveUp(); all three use is_intact() and is_server_error() now. Own ends and reports of other hosts take one path through the guard, at once or when due, in place of three copies. The long comment of the class is shorter.

--- a/src/jacinthdeck/forward/crash_guard.cc
+++ b/src/jacinthdeck/forward/crash_guard.cc
@@ -106,9 +106,7 @@
                               .probe = attempt.probe,
                               .since = attempt.sent,
                               .due = now};
-    if (!Defer(crash, now)) {
-      RecordEnd(crash, now, changes);
-    }
+    DeferOrApply(crash, now, changes);
   }
   return changes;
 }
@@ -143,22 +141,28 @@
 CrashGuardChanges CrashGuard::TakeDueEvidence(TimePoint now) {
   CrashGuardChanges changes;
   for (const DeferredCrash& crash : m_deferred.TakeDue(now)) {
-    switch (crash.source) {
-      case EvidenceSource::kOwnAttempt:
-        RecordEnd(crash, now, changes);
-        break;
-      case EvidenceSource::kPeerSuspect:
-        m_quarantine.AddPeerSuspect(crash.fingerprint, now,
-                                    RangeOf(crash.service));
-        break;
-      case EvidenceSource::kPeerQuarantine:
-        m_quarantine.AddPeerQuarantine(crash.fingerprint, now);
-        break;
-    }
+    Apply(crash, now, changes);
   }
   return changes;
 }
 
+void CrashGuard::Apply(const DeferredCrash& crash,
+                       TimePoint now,
+                       CrashGuardChanges& changes) {
+  switch (crash.source) {
+    case EvidenceSource::kOwnAttempt:
+      RecordEnd(crash, now, changes);
+      break;
+    case EvidenceSource::kPeerSuspect:
+      m_quarantine.AddPeerSuspect(crash.fingerprint, now,
+                                  RangeOf(crash.service));
+      break;
+    case EvidenceSource::kPeerQuarantine:
+      m_quarantine.AddPeerQuarantine(crash.fingerprint, now);
+      break;
+  }
+}
+
 void CrashGuard::OnTargetDraining(const TargetId& target) {
   EndProbes(m_unresolved.OnTargetGone(target));
 }
@@ -182,29 +186,27 @@
 void CrashGuard::AddPeerSuspect(Fingerprint fingerprint,
                                 const ServiceId& service,
                                 TimePoint now) {
-  if (!Defer({.source = EvidenceSource::kPeerSuspect,
-              .fingerprint = fingerprint,
-              .service = service,
-              .target = {},
-              .since = now,
-              .due = now},
-             now)) {
-    m_quarantine.AddPeerSuspect(fingerprint, now, RangeOf(service));
-  }
+  AddPeerReport(EvidenceSource::kPeerSuspect, fingerprint, service, now);
 }
 
 void CrashGuard::AddPeerQuarantine(Fingerprint fingerprint,
                                    const ServiceId& service,
                                    TimePoint now) {
-  if (!Defer({.source = EvidenceSource::kPeerQuarantine,
-              .fingerprint = fingerprint,
-              .service = service,
-              .target = {},
-              .since = now,
-              .due = now},
-             now)) {
-    m_quarantine.AddPeerQuarantine(fingerprint, now);
-  }
+  AddPeerReport(EvidenceSource::kPeerQuarantine, fingerprint, service, now);
+}
+
+void CrashGuard::AddPeerReport(EvidenceSource source,
+                               Fingerprint fingerprint,
+                               const ServiceId& service,
+                               TimePoint now) {
+  CrashGuardChanges none;  // A report changes nothing that is shared.
+  DeferOrApply({.source = source,
+                .fingerprint = fingerprint,
+                .service = service,
+                .target = {},
+                .since = now,
+                .due = now},
+               now, none);
 }
 
 std::uint64_t CrashGuard::AnswerKey(Fingerprint fingerprint,
@@ -223,13 +225,16 @@
   return speaks ? answer.at : std::nullopt;
 }
 
-bool CrashGuard::Defer(DeferredCrash crash, TimePoint now) {
-  const auto answered = LastAnswer(crash.fingerprint, crash.service, now);
-  if (!answered) {
-    return false;
+void CrashGuard::DeferOrApply(DeferredCrash crash,
+                              TimePoint now,
+                              CrashGuardChanges& changes) {
+  if (const auto answered = LastAnswer(crash.fingerprint, crash.service, now)) {
+    crash.due = *answered + kAnswerRetention;
+    if (m_deferred.Add(crash)) {
+      return;
+    }
   }
-  crash.due = *answered + kAnswerRetention;
-  return m_deferred.Add(crash);
+  Apply(crash, now, changes);
 }
 
 void CrashGuard::EndProbes(const UnresolvedAttempts::Attempts& resolved) {
--- a/src/jacinthdeck/forward/crash_guard.h
+++ b/src/jacinthdeck/forward/crash_guard.h
@@ -85,12 +85,9 @@
  * attempts count whether or not their calls are still open, since a call may
  * end long before its targets do.
  *
- * A service that answers a request does not end under it. The end of a target
- * whose service answered the request within kAnswerRetention is therefore
- * deferred: a later answer refutes it, as for a popular request that runs
- * somewhere whenever another request or a fault ends a target. Without one it
- * counts once that time is over, as the request may have begun to crash its
- * targets.
+ * The end of a target whose service answered the request within
+ * kAnswerRetention is deferred: a later answer refutes it, and without one it
+ * counts once that time is over.
  */
 class CrashGuard {
  public:
@@ -207,8 +204,17 @@
                                                     const ServiceId& service,
                                                     TimePoint now) const;
   //! Defers the end of a target if its service answered the request recently
-  //! and the table has room; returns whether it did.
-  [[nodiscard]] bool Defer(DeferredCrash crash, TimePoint now);
+  //! and the table has room; otherwise takes it as evidence.
+  void DeferOrApply(DeferredCrash crash,
+                    TimePoint now,
+                    CrashGuardChanges& changes);
+  void Apply(const DeferredCrash& crash,
+             TimePoint now,
+             CrashGuardChanges& changes);
+  void AddPeerReport(EvidenceSource source,
+                     Fingerprint fingerprint,
+                     const ServiceId& service,
+                     TimePoint now);
   void RecordEnd(const DeferredCrash& crash,
                  TimePoint now,
                  CrashGuardChanges& changes);
--- a/src/jacinthdeck/forward/forwarder_attempts.cc
+++ b/src/jacinthdeck/forward/forwarder_attempts.cc
@@ -237,9 +237,8 @@
   CallPart& part = pending.parts[part_index];
   // A status below 500 reports a fault of the request itself, which another
   // target would report too.
-  constexpr int kFirstServerError = 500;
   const bool is_client_error =
-      part.response && part.response->status < kFirstServerError;
+      part.response && !part.response->is_server_error();
   if (!is_client_error && MaySendAgain(pending, part, now)) {
     TrySendAttempt(pending, part_index,
                    part.attempts_arrived == 0 ? AttemptReason::kFirst
--- a/src/jacinthdeck/forward/forwarder_replies.cc
+++ b/src/jacinthdeck/forward/forwarder_replies.cc
@@ -167,8 +167,7 @@
                                CallPart& part,
                                AttemptEnd& end,
                                TimePoint now) {
-  const bool is_intact = !end.response.stamp.empty() && !end.response.encoded;
-  if (end.response.succeeded() && is_intact) {
+  if (end.response.succeeded() && end.response.is_intact()) {
     part.response = std::move(end.response);
     part.phase = internal::PartPhase::kAnswered;
     ++pending.answered;
--- a/src/jacinthdeck/forward/opaque_request.h
+++ b/src/jacinthdeck/forward/opaque_request.h
@@ -55,12 +55,15 @@
   [[nodiscard]] bool succeeded() const noexcept {
     return status >= 200 && status < 300;
   }
+  [[nodiscard]] bool is_server_error() const noexcept { return status >= 500; }
+  /*! \brief Returns whether the body is the one that the target sent. */
+  [[nodiscard]] bool is_intact() const noexcept {
+    return !stamp.empty() && !encoded;
+  }
   /*! \brief Returns whether the target ran the request to its end. An error
    * does not show it: a failing target may return one without running it. */
   [[nodiscard]] bool answers_request() const noexcept {
-    constexpr int kFirstServerError = 500;
-    return succeeded() ? !stamp.empty() && !encoded
-                       : status < kFirstServerError;
+    return succeeded() ? is_intact() : !is_server_error();
   }
 };
 
