--- a/review/standins/harness.cc
+++ b/review/standins/harness.cc
@@ -23,6 +23,7 @@
 
 namespace {
 
+constexpr double kHeartbeatMs = 1200;
 const Clock::time_point g_start = Clock::now();
 std::mutex g_record_mutex;
 std::FILE* g_record = nullptr;
@@ -359,15 +360,23 @@
 }
 
 std::uint16_t FreePort() {
-  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  sockaddr_in address = Loopback(0);
-  socklen_t size = sizeof(address);
-  if (bind(fd, reinterpret_cast<sockaddr*>(&address), size) != 0) {
-    CannotRun("no free port");
+  // Below the ports that the kernel gives to connections, and apart from those
+  // of a program that runs beside this one.
+  static std::atomic<int> next = 10000 + getpid() % 200 * 100;
+  while (true) {
+    const int port = next++;
+    if (port >= 32000) {
+      CannotRun("no free port");
+    }
+    const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const sockaddr_in address = Loopback(static_cast<std::uint16_t>(port));
+    const bool is_free = bind(fd, reinterpret_cast<const sockaddr*>(&address),
+                              sizeof(address)) == 0;
+    close(fd);
+    if (is_free) {
+      return static_cast<std::uint16_t>(port);
+    }
   }
-  getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size);
-  close(fd);
-  return ntohs(address.sin_port);
 }
 
 Listener::Listener(std::uint16_t port, Serve serve) : m_port(port) {
@@ -411,12 +420,31 @@
 }
 
 Store::Store() {
-  m_listener = std::make_unique<Listener>(
-      0, [this](const std::shared_ptr<Stream>& stream) { Serve(stream); });
+  m_main.listener = std::make_unique<Listener>(
+      0,
+      [this](const std::shared_ptr<Stream>& stream) { Serve(stream, m_main); });
   m_expiry = std::thread([this] { ExpireLeases(); });
   m_expiry.detach();
 }
 
+std::uint16_t Store::AddPort() {
+  m_gates.push_back(std::make_unique<Gate>());
+  Gate& gate = *m_gates.back();
+  gate.listener = std::make_unique<Listener>(
+      0, [this, &gate](const std::shared_ptr<Stream>& stream) {
+        Serve(stream, gate);
+      });
+  return gate.listener->port();
+}
+
+void Store::SetSilent(std::uint16_t port, bool silent) {
+  for (const auto& gate : m_gates) {
+    if (gate->listener->port() == port) {
+      gate->silent = silent;
+    }
+  }
+}
+
 std::uint64_t Store::Put(const std::string& key, const std::string& value) {
   const std::lock_guard lock(m_mutex);
   Item item;
@@ -486,13 +514,23 @@
   }
 }
 
-void Store::Serve(const std::shared_ptr<Stream>& stream) {
+void Store::Serve(const std::shared_ptr<Stream>& stream, const Gate& gate) {
   Message request;
   while (stream->Read(request, 600000)) {
-    if (on_call && !on_call(request)) {
+    if (gate.silent) {
+      // Nothing of the call is done, and the connection returns nothing more.
+      while (!stream->PeerClosed()) {
+        SleepMs(20);
+      }
       return;
     }
     const auto [status, body] = Handle(request);
+    if (gate.silent) {
+      while (!stream->PeerClosed()) {
+        SleepMs(20);
+      }
+      return;
+    }
     if (!stream->Write("HTTP/1.1 " + std::to_string(status) +
                        " X\r\nContent-Type: application/json\r\n"
                        "Content-Length: " +
@@ -652,14 +690,19 @@
 
 Registry::Registry(Store& store) : m_store(store) {
   m_thread = std::thread([this] {
-    while (!m_stop) {
-      for (int step = 0; step < 24 && !m_stop; ++step) {
-        SleepMs(50);
-      }
-      const std::lock_guard lock(m_mutex);
-      for (const auto& [id, entry] : m_entries) {
-        Write(entry);
+    // Each server writes at a moment of its own.
+    for (std::size_t turn = 0; !m_stop; ++turn) {
+      std::size_t count = 1;
+      {
+        const std::lock_guard lock(m_mutex);
+        count = std::max<std::size_t>(m_entries.size(), 1);
+        if (!m_entries.empty()) {
+          Write(std::next(m_entries.begin(),
+                          static_cast<std::ptrdiff_t>(turn % count))
+                    ->second);
+        }
       }
+      SleepMs(kHeartbeatMs / static_cast<double>(count));
     }
   });
 }
--- a/review/standins/harness.h
+++ b/review/standins/harness.h
@@ -95,14 +95,16 @@
 class Store {
  public:
   Store();
-  [[nodiscard]] std::uint16_t port() const { return m_listener->port(); }
+  [[nodiscard]] std::uint16_t port() const { return m_main.listener->port(); }
   /*! \brief Writes an item as an operator or a server does. */
   std::uint64_t Put(const std::string& key, const std::string& value);
   void Remove(const std::string& key);
   [[nodiscard]] std::vector<std::string> Keys(const std::string& prefix);
-  /*! \brief Called before a call is handled; it may wait. Returns false to cut
-   * the connection without an answer. */
-  std::function<bool(const Message&)> on_call;
+  /*! \brief Opens a further port to the same store, for one host. */
+  std::uint16_t AddPort();
+  /*! \brief Turns away all calls at a port that AddPort() returned: they get no
+   * response, also those that wait. */
+  void SetSilent(std::uint16_t port, bool silent);
 
  private:
   struct Item {
@@ -121,7 +123,12 @@
     Item item;
   };
 
-  void Serve(const std::shared_ptr<Stream>& stream);
+  struct Gate {
+    std::atomic<bool> silent = false;
+    std::unique_ptr<Listener> listener;
+  };
+
+  void Serve(const std::shared_ptr<Stream>& stream, const Gate& gate);
   std::pair<int, std::string> Handle(const Message& request);
   std::pair<int, std::string> Transact(const std::string& body);
   std::pair<int, std::string> Watch(const std::string& prefix,
@@ -138,7 +145,8 @@
   std::deque<Event> m_events;
   std::uint64_t m_revision = 100;
   std::uint64_t m_next_lease = 7000;
-  std::unique_ptr<Listener> m_listener;
+  Gate m_main;
+  std::vector<std::unique_ptr<Gate>> m_gates;
   std::thread m_expiry;
 };
 
