--- a/review/3/case.cc
+++ b/review/3/case.cc
@@ -15,7 +15,7 @@
 
 using review::Record;
 
-constexpr int kHosts = 8;
+constexpr int kHosts = 9;
 constexpr int kServers = 6;
 //! Servers of another service, which only write their entries.
 constexpr int kOtherServers = 8;
@@ -137,10 +137,10 @@
                   .zone = "z-b",
                   .port = review::FreePort()});
   }
-  // Hosts 1, 4 and 7 are the first of their zones.
+  // The first host of each zone watches the store for the others.
   const std::vector<std::string> names{"front-a-1", "front-a-2", "front-a-3",
                                        "front-b-1", "front-b-2", "front-b-3",
-                                       "front-c-1", "front-c-2"};
+                                       "front-c-1", "front-c-2", "front-c-3"};
   const auto is_turned_away = [](int host) { return host % 3 == 0; };
   std::vector<std::unique_ptr<review::Host>> hosts;
   std::vector<std::uint16_t> store_ports;
--- a/review/standins/harness.cc
+++ b/review/standins/harness.cc
@@ -6,6 +6,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -789,6 +790,8 @@
   const std::string log = m_settings + ".log";
   m_pid = fork();
   if (m_pid == 0) {
+    // The daemon ends with this program, however that ends.
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
     setenv("JACINTHDECK_SETTINGS", m_settings.c_str(), 1);
     if (std::freopen(log.c_str(), "a", stdout) == nullptr ||
         std::freopen(log.c_str(), "a", stderr) == nullptr) {
