Keep one signal set, so that no SIGTERM is lost

What callers saw: requests cut off at the end of the grace period. A host that got SIGHUP and SIGTERM at once acted on the SIGHUP alone, stayed ready and in the directory, and was killed with requests at its targets.

Cause: AsyncWaitForSignal() made a new signal_set for each wait. A set keeps the signals that are delivered while none waits, to be read by its own next wait. The old set was destroyed when its handler returned, and with it every signal that the loop had read in the same turn.

In the test four orders of signals that the loop reads in one turn did not stop the host (SIGHUP SIGTERM; SIGHUP SIGHUP SIGTERM; SIGHUP SIGTERM SIGHUP SIGTERM; SIGHUP SIGINT); SIGTERM SIGHUP did.

Change: one set for the life of the node, made in its constructor. It keeps what arrives between two waits, so neither the length of a handler nor the order matters. The kernel keeps one pending signal of each number, and SIGTERM is acted on once.

Test: EntryNodeSignalTest/Host_SignalsArriveInOneTurn_Stops, 4 of 5 orders failed before, none after. Its fixture no longer raises a SIGTERM for a node that has stopped: nobody read it, so it stopped the next node and hid the fault.

Looked for elsewhere: no other registration is made anew in its own handler; accepts, reads and timers stay on one object. A reload after the SIGTERM sets the grace period and the directory's time to live and undoes nothing of the drain.

--- a/src/jacinthdeck/entry/entry_node.cc
+++ b/src/jacinthdeck/entry/entry_node.cc
@@ -2,6 +2,7 @@
 // forwarder and the target pool.
 #include "jacinthdeck/entry/entry_node.h"
 
+#include <signal.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -89,6 +90,7 @@
       m_decisions(m_log, m_settings.log_sample),
       m_account_log(m_log),
       m_loop(1),
+      m_signals(m_loop, SIGTERM, SIGINT, SIGHUP),
       m_caller_handler(m_clock, m_protocol.targets, *this),
       m_ready_handler([this](const EdgeRequest& r) { return AnswerReady(r); }),
       m_directory_handler(
@@ -162,9 +164,7 @@
       m_stop_timer(m_loop) {}
 
 Result<void> EntryNode::Start() {
-  // The handlers are installed before the ports open. Without one, a SIGHUP
-  // would end the process, and a SIGTERM would cut off the first requests.
-  // Nobody can know of the process and signal it before this point.
+  // Signals that arrived since the construction are handled once the loop runs.
   AsyncWaitForSignal();
   const std::uint32_t max_connections =
       m_settings.descriptors > 2 * kReservedDescriptors
--- a/src/jacinthdeck/entry/entry_node.h
+++ b/src/jacinthdeck/entry/entry_node.h
@@ -3,6 +3,7 @@
 #ifndef JACINTHDECK_ENTRY_ENTRY_NODE_H_
 #define JACINTHDECK_ENTRY_ENTRY_NODE_H_
 
+#include <boost/asio/signal_set.hpp>
 #include <cstdint>
 #include <functional>
 #include <set>
@@ -167,6 +168,9 @@
   AccountLog m_account_log;
   CallMetrics m_metrics;
   asio::io_context m_loop;
+  //! One set for the life of the node. A set keeps the signals that arrive
+  //! between two waits, and discards them when it is destroyed.
+  asio::signal_set m_signals;
   CallerHandler m_caller_handler;
   SimpleHandler m_ready_handler;
   SimpleHandler m_directory_handler;
--- a/src/jacinthdeck/entry/entry_node_stop.cc
+++ b/src/jacinthdeck/entry/entry_node_stop.cc
@@ -4,9 +4,7 @@
 #include <signal.h>
 
 #include <algorithm>
-#include <boost/asio/signal_set.hpp>
 #include <chrono>
-#include <memory>
 
 namespace jacinthdeck {
 
@@ -22,9 +20,7 @@
 }  // namespace
 
 void EntryNode::AsyncWaitForSignal() {
-  auto signals =
-      std::make_shared<asio::signal_set>(m_loop, SIGTERM, SIGINT, SIGHUP);
-  signals->async_wait([this, signals](const SystemError& error, int signal) {
+  m_signals.async_wait([this](const SystemError& error, int signal) {
     if (!error) {
       OnSignal(signal);
       AsyncWaitForSignal();
--- a/test/jacinthdeck/entry/entry_node_test.cc
+++ b/test/jacinthdeck/entry/entry_node_test.cc
@@ -54,7 +54,10 @@
   std::uint16_t directory = FreePort();
   std::uint16_t metrics = FreePort();
   std::atomic<bool> reloaded = false;
+  //! Signals that the next reload raises on the loop's thread.
+  std::vector<int> signals_during_reload;
   std::unique_ptr<EntryNode> node;
+  std::atomic<bool> stopped = false;
   std::thread runner;
 
   explicit NodeFixture(const RateLimitSettings& rate_limits = {}) {
@@ -82,13 +85,29 @@
       return true;
     });
     BOOST_REQUIRE_EQUAL(started.index(), 0U);
-    node->OnReload([this] { reloaded = true; });
-    runner = std::thread([this] { node->Run(); });
+    node->OnReload([this] {
+      reloaded = true;
+      std::vector<int> signals;
+      {
+        const std::scoped_lock lock(mutex);
+        signals.swap(signals_during_reload);
+      }
+      for (const int signal : signals) {
+        (void)raise(signal);
+      }
+    });
+    runner = std::thread([this] {
+      node->Run();
+      stopped = true;
+    });
   }
 
   ~NodeFixture() {
-    // The node handles SIGTERM itself, so the test process continues.
-    (void)raise(SIGTERM);
+    // The node handles SIGTERM itself, so the test process continues. A signal
+    // that a stopped node does not read would stop the next one.
+    if (!stopped) {
+      (void)raise(SIGTERM);
+    }
     runner.join();
   }
 
@@ -174,6 +193,30 @@
 
 }  // namespace
 
+BOOST_AUTO_TEST_SUITE(EntryNodeSignalTest)
+
+// Guards against a SIGTERM that is lost because another signal is delivered in
+// the same turn of the loop.
+BOOST_AUTO_TEST_CASE(Host_SignalsArriveInOneTurn_Stops) {
+  const std::vector<std::vector<int>> orders = {
+      {SIGHUP, SIGTERM},
+      {SIGTERM, SIGHUP},
+      {SIGHUP, SIGHUP, SIGTERM},
+      {SIGHUP, SIGTERM, SIGHUP, SIGTERM},
+      {SIGHUP, SIGINT}};
+  for (const std::vector<int>& order : orders) {
+    NodeFixture host;
+    {
+      const std::scoped_lock lock(host.mutex);
+      host.signals_during_reload = order;
+    }
+    (void)raise(SIGHUP);
+    BOOST_TEST(NodeFixture::WaitUntil([&] { return host.stopped.load(); }));
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_FIXTURE_TEST_SUITE(EntryNodeTest, NodeFixture)
 
 // A host that has just started has no configuration yet. It answers 503, with a
