Read the store within the drain period when feeders lose it

What callers saw: 502 for requests that may run once, sent to a target after it had left.

Cause: the time until such a host reads the store itself is a sum that no place bounded: content is stale after 2.7 s, a random delay of up to 1.2 s follows, and a stale feeder is left only after 1 s, so that two stale ones hide a fresh third one for 2 s. 3.9 s at the worst, 3 s are given.

Change: DiscoveryTimes derives the wait of a watch, the largest age of content and the largest delay of a read from the bound, so that age + delay + 0.6 s for detection and the answer stays within it. The bound is a setting, which the platform fills in: the shorter one of the drain period and the time to apply a configuration. A stale feeder is left after 0.1 s, since its first heartbeat says how old its content is.

--- a/src/jacinthdeck/discovery/fwd.h
+++ b/src/jacinthdeck/discovery/fwd.h
@@ -14,6 +14,7 @@
 class RestoreGuard;
 class StoreContent;
 class StoreSession;
+struct DiscoveryTimes;
 struct Evacuation;
 struct FullRead;
 struct HostRecord;
--- a/src/jacinthdeck/discovery/store_session.cc
+++ b/src/jacinthdeck/discovery/store_session.cc
@@ -15,12 +15,6 @@
 //! Timeout of a call that the store answers at once; a slow store takes up to a
 //! few hundred milliseconds.
 constexpr Duration kCallTimeout = milliseconds(1500);
-//! How long a watch waits for a change. Each new watch costs a call, but a
-//! change must be applied within seconds even if the connection of the watch
-//! stops delivering data, which limits the wait.
-constexpr Duration kWatchWait = milliseconds(1500);
-//! Time after the end of its wait at which a watch is considered lost.
-constexpr Duration kWatchTimeoutMargin = milliseconds(900);
 //! Delay of the next watch after a change: registrations arrive in bursts, and
 //! each batch costs a call.
 constexpr Duration kBatchDelay = milliseconds(200);
@@ -46,11 +40,13 @@
                            DiscoveryObserver& observer,
                            HostId name,
                            const Endpoint& store,
-                           std::uint64_t seed)
+                           std::uint64_t seed,
+                           const DiscoveryTimes& times)
     : m_clock(clock),
       m_codec(codec),
       m_observer(observer),
       m_random(seed),
+      m_times(times),
       m_discovery_state(codec),
       m_reads(loop, store.address, store.port),
       m_read_timer(loop),
@@ -281,9 +277,8 @@
 
 void StoreSession::Watch() {
   ++m_counters.watches;
-  m_reads.Call(m_codec.WatchCall(m_position.revision, kWatchWait),
-               kWatchWait + kWatchTimeoutMargin,
-               [this](const ClientReply& reply) {
+  m_reads.Call(m_codec.WatchCall(m_position.revision, m_times.watch_wait),
+               m_times.watch_timeout(), [this](const ClientReply& reply) {
                  OnBatch(m_codec.ReadWatchReply(reply, m_era));
                });
 }
--- a/src/jacinthdeck/discovery/store_session.h
+++ b/src/jacinthdeck/discovery/store_session.h
@@ -16,6 +16,7 @@
 #include "jacinthdeck/core/endpoint.h"
 #include "jacinthdeck/core/random.h"
 #include "jacinthdeck/core/time.h"
+#include "jacinthdeck/discovery/discovery_times.h"
 #include "jacinthdeck/discovery/host_record.h"
 #include "jacinthdeck/discovery/knowledge.h"
 #include "jacinthdeck/discovery/knowledge_observer.h"
@@ -52,7 +53,9 @@
                DiscoveryObserver& observer,
                HostId name,
                const Endpoint& store,
-               std::uint64_t seed);
+               std::uint64_t seed,
+               const DiscoveryTimes& times =
+                   DiscoveryTimes::ForBound(DiscoveryTimes::kDefaultBound));
   StoreSession(const StoreSession&) = delete;
   StoreSession& operator=(const StoreSession&) = delete;
 
@@ -207,6 +210,7 @@
   const PlatformCodec& m_codec;
   DiscoveryObserver& m_observer;
   Random m_random;
+  const DiscoveryTimes m_times;
   DiscoveryState m_discovery_state;
   StoreContent m_content;
   StoreCounters m_counters;
--- a/src/jacinthdeck/entry/entry_settings.cc
+++ b/src/jacinthdeck/entry/entry_settings.cc
@@ -1,10 +1,13 @@
 // Reads each key with its range, and keeps the default of a key that is absent.
 #include "jacinthdeck/entry/entry_settings.h"
 
+#include <algorithm>
+
 namespace jacinthdeck {
 
 namespace {
 
+constexpr SettingRange kChangeDelayMs{100, 3'600'000};
 constexpr SettingRange kDescriptors{64, 1'048'576};
 constexpr SettingRange kCpuShare{0.001, 1024};
 constexpr SettingRange kCores{0.001, 1024};
@@ -54,6 +57,14 @@
   settings.store = table.Address("store.address", SettingPresence::kRequired);
 }
 
+void ReadBounds(SettingsTable& table, EntrySettings& settings) {
+  const Duration drain = table.Milliseconds(
+      "bounds.drain_ms", kChangeDelayMs, DiscoveryTimes::kDefaultBound);
+  const Duration config_apply = table.Milliseconds(
+      "bounds.config_apply_ms", kChangeDelayMs, DiscoveryTimes::kDefaultBound);
+  settings.max_change_delay = std::min(drain, config_apply);
+}
+
 void ReadLimits(SettingsTable& table, EntrySettings& settings) {
   settings.extra_ratio =
       table.Number("extra_attempts.ratio", kExtraRatio,
@@ -107,6 +118,7 @@
   EntrySettings settings;
   ReadHost(table, settings);
   ReadListen(table, settings);
+  ReadBounds(table, settings);
   ReadLimits(table, settings);
   ReadKeys(table, settings);
   ReadRateLimits(table, settings.rate_limits);
--- a/src/jacinthdeck/entry/entry_settings.h
+++ b/src/jacinthdeck/entry/entry_settings.h
@@ -11,6 +11,7 @@
 #include "jacinthdeck/core/ids.h"
 #include "jacinthdeck/core/settings_table.h"
 #include "jacinthdeck/core/time.h"
+#include "jacinthdeck/discovery/discovery_times.h"
 
 namespace jacinthdeck {
 
@@ -48,6 +49,8 @@
   //! Whether all hosts of the deployment start for the first time.
   bool fleet_starts = false;
   Endpoint store;
+  //! Time within which a change that the store confirmed must be applied.
+  Duration max_change_delay = DiscoveryTimes::kDefaultBound;
   //! Number of cores available to the host; may be a fraction.
   double cpu_share = 1;
   //! Speed of one of its cores, as a multiple of a usual core.
--- a/src/jacinthdeck/entry/feed_hub.cc
+++ b/src/jacinthdeck/entry/feed_hub.cc
@@ -22,14 +22,15 @@
                  const HostRecord& self,
                  const std::vector<Endpoint>& seeds,
                  bool fleet_starts,
-                 std::uint64_t seed)
+                 std::uint64_t seed,
+                 const DiscoveryTimes& times)
     : m_clock(clock),
       m_store(store),
       m_observer(observer),
       m_name(self.name),
       m_server(loop, *this, *this),
       m_link(loop, *this),
-      m_feeder_selector(self, seeds, fleet_starts, seed, clock.Now()) {}
+      m_feeder_selector(self, seeds, fleet_starts, seed, clock.Now(), times) {}
 
 Result<void> FeedHub::Listen(const Endpoint& endpoint) {
   return m_server.Listen(endpoint.address, endpoint.port);
--- a/src/jacinthdeck/entry/feed_hub.h
+++ b/src/jacinthdeck/entry/feed_hub.h
@@ -47,7 +47,9 @@
           const HostRecord& self,
           const std::vector<Endpoint>& seeds,
           bool fleet_starts,
-          std::uint64_t seed);
+          std::uint64_t seed,
+          const DiscoveryTimes& times =
+              DiscoveryTimes::ForBound(DiscoveryTimes::kDefaultBound));
 
   [[nodiscard]] std::uint16_t port() const { return m_server.port(); }
   [[nodiscard]] bool is_watcher() const noexcept {
--- a/src/jacinthdeck/peer/feed_choice.cc
+++ b/src/jacinthdeck/peer/feed_choice.cc
@@ -16,9 +16,6 @@
 //! A feeder that sends nothing for longer is silent. Feeders send two
 //! heartbeats a second, so two lost ones and some delay are tolerated.
 constexpr Duration kSilenceTimeout = milliseconds(1600);
-//! Content that was confirmed by the store longer ago is stale. A feeder that
-//! watches gets a reply of the store at least once per timeout of its watch.
-constexpr Duration kMaxContentAge = milliseconds(2700);
 //! Time to connect and receive the first heartbeat.
 constexpr Duration kOpenTimeout = milliseconds(600);
 //! Delay after a link could not be opened.
@@ -28,14 +25,9 @@
 constexpr Duration kReopenDelayAtStart = milliseconds(150);
 //! Time after the start of this host in which kReopenDelayAtStart applies.
 constexpr Duration kStartupPeriod = milliseconds(1500);
-//! A feeder that stays stale is left for another one after this time. Feeders
-//! answer a hello with a heartbeat, so the age of their content is known at
-//! once; at this value three feeders are tried within the time limit for
-//! learning that a target is leaving.
-constexpr Duration kStaleFeederTimeout = milliseconds(1000);
-//! A feeder that reports the store as unavailable is left after this shorter
-//! time: it knows for certain that it has lost the store.
-constexpr Duration kStoreAwayTimeout = milliseconds(300);
+//! A stale feeder is left for another one after this time. Feeders answer a
+//! hello with a heartbeat, so the age of their content is known at once.
+constexpr Duration kStaleFeederTimeout = milliseconds(100);
 //! A stale feeder is left after this longer time once all feeders that were
 //! tried proved stale.
 constexpr Duration kAllStaleTimeout = milliseconds(4000);
@@ -66,13 +58,12 @@
 //! A link counts as steady from this age on. A follower that is about to switch
 //! to the feeder of its own domain keeps a link for less.
 constexpr Duration kSteadyLinkAge = milliseconds(1000);
-//! Spreads the store reads of hosts whose feeder is stale. If the feeder lost
-//! the store, the store is likely unavailable for all hosts and calls to it
-//! fail, so this is longer than kLinkLostJitter.
-constexpr Duration kStaleFeederJitter = milliseconds(1200);
 //! While the feeders are stale, the hosts that take no callers read the store
-//! in random order, on average one host per interval.
+//! in random order, on average one host per interval: the store is likely
+//! unavailable for all hosts.
 constexpr Duration kStoreReadInterval = milliseconds(50);
+//! Least time over which the reads of these hosts are spread.
+constexpr Duration kMinStandbyReadJitter = milliseconds(1200);
 
 }  // namespace
 
@@ -80,10 +71,12 @@
                                std::vector<Endpoint> seeds,
                                bool fleet_starts,
                                std::uint64_t seed,
-                               TimePoint now)
+                               TimePoint now,
+                               const DiscoveryTimes& times)
     : m_self(std::move(self)),
       m_seeds(std::move(seeds)),
       m_started_at(now),
+      m_times(times),
       m_random(seed),
       m_return_delay(kMinReturnDelay) {
   const auto is_own_endpoint = [&](const Endpoint& endpoint) {
@@ -239,10 +232,8 @@
     return false;
   }
   const bool all_stale = m_stale_feeders_in_row >= StaleFeederLimit();
-  const Duration timeout = all_stale                     ? kAllStaleTimeout
-                           : m_last_heartbeat.store_away ? kStoreAwayTimeout
-                                                         : kStaleFeederTimeout;
-  return now - m_link_started_at > timeout;
+  return now - m_link_started_at >
+         (all_stale ? kAllStaleTimeout : kStaleFeederTimeout);
 }
 
 std::size_t FeederSelector::StaleFeederLimit() const noexcept {
@@ -302,7 +293,8 @@
 bool FeederSelector::IsStale(TimePoint now) const {
   return m_last_heartbeat.store_away ||
          m_last_heartbeat.position.revision == 0 || !m_last_heartbeat.age ||
-         *m_last_heartbeat.age + (now - m_last_heartbeat_at) > kMaxContentAge;
+         *m_last_heartbeat.age + (now - m_last_heartbeat_at) >
+             m_times.max_content_age;
 }
 
 std::optional<Endpoint> FeederSelector::NextFeeder() {
@@ -326,8 +318,8 @@
   const Duration staggered =
       (m_host_count == 0 ? kAssumedHostCount : m_host_count) *
       kStoreReadInterval;
-  ScheduleWatch(m_serves_callers ? kStaleFeederJitter
-                                 : std::max(kStaleFeederJitter, staggered),
+  ScheduleWatch(m_serves_callers ? m_times.max_read_jitter
+                                 : std::max(kMinStandbyReadJitter, staggered),
                 now);
 }
 
--- a/src/jacinthdeck/peer/feed_choice.h
+++ b/src/jacinthdeck/peer/feed_choice.h
@@ -13,6 +13,7 @@
 #include "jacinthdeck/core/ids.h"
 #include "jacinthdeck/core/random.h"
 #include "jacinthdeck/core/time.h"
+#include "jacinthdeck/discovery/discovery_times.h"
 #include "jacinthdeck/discovery/host_record.h"
 #include "jacinthdeck/peer/feed_message.h"
 
@@ -34,12 +35,12 @@
  * watches the store itself.
  *
  * Watchers are the hosts that watch the store for the others. When a feeder
- * falls silent, loses the store or lags, its follower looks for another feeder
- * and reads the store itself meanwhile, so the delay of a change is bounded by
- * the time until silence is detected. Watchers also follow one another beside
- * their own watch. Each feeder reports the age of its content: hosts that
- * follow each other in a cycle see that age grow and so detect that none of
- * them reaches the store.
+ * stops responding, loses the store or lags, its follower looks for another
+ * feeder and reads the store itself meanwhile. On a host that callers are sent
+ * to, the delay of a change is bounded by DiscoveryTimes::MaxDelay(). Watchers
+ * also follow one another beside their own watch. Each feeder reports the age
+ * of its content: hosts that follow each other in a cycle see that age grow and
+ * so detect that none of them reaches the store.
  *
  * If one feeder after the other has lost the store, the store is considered
  * unavailable for all hosts. Hundreds of hosts that go on calling the store and
@@ -61,12 +62,16 @@
    * callers must not wait behind those of all others.
    * \param seed Seed of the random delays.
    * \param now Time of the start.
+   * \param times Timeouts of the content and of the first read of the store
+   * without a fresh feeder.
    */
   FeederSelector(HostRecord self,
                  std::vector<Endpoint> seeds,
                  bool fleet_starts,
                  std::uint64_t seed,
-                 TimePoint now);
+                 TimePoint now,
+                 const DiscoveryTimes& times =
+                     DiscoveryTimes::ForBound(DiscoveryTimes::kDefaultBound));
 
   /*! \brief Tells whether this host watches the store for others. */
   [[nodiscard]] bool is_watcher() const noexcept { return m_is_watcher; }
@@ -140,6 +145,7 @@
   const HostRecord m_self;
   const std::vector<Endpoint> m_seeds;
   const TimePoint m_started_at;
+  const DiscoveryTimes m_times;
   Random m_random;
   bool m_is_watcher = false;
   bool m_serves_callers = true;
--- a/test/jacinthdeck/peer/feed_choice_test.cc
+++ b/test/jacinthdeck/peer/feed_choice_test.cc
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "jacinthdeck/core/name_table.h"
 #include "support/positions.h"
 #include "support/printers.h"
 
@@ -57,6 +58,61 @@
   }
 };
 
+//! How the feeders of a host stop telling it of changes.
+enum class FeedFailure { kStoreUnresponsive, kStoreAway, kPaused, kLinkEnds };
+
+constexpr NameTable<FeedFailure, 4> kFeedFailureNames{
+    {"store_unresponsive", "store_away", "paused", "link_ends"}};
+
+//! Host that steps every 100 ms while all its feeders lose the store at the
+//! same moment.
+struct LostFeedersFixture : FeederSelectorFixture {
+  static constexpr Duration kTick = milliseconds(100);
+  static constexpr Duration kHeartbeatInterval = milliseconds(500);
+
+  const TimePoint last_contact;
+  //! When the feeder fails, apart from the store.
+  const TimePoint failed_at;
+  const FeedFailure failure;
+  TimePoint next_heartbeat;
+
+  LostFeedersFixture(FeedFailure how, std::uint64_t seed)
+      : FeederSelectorFixture(seed),
+        last_contact(now),
+        failed_at(now + seed % 23 * kTick),
+        failure(how),
+        next_heartbeat(now) {
+    Follow();
+    now += Duration(milliseconds(seed % 100));
+  }
+
+  [[nodiscard]] bool IsLost() const {
+    return now >= failed_at && (failure == FeedFailure::kPaused ||
+                                failure == FeedFailure::kLinkEnds);
+  }
+
+  void ReceiveStaleHeartbeat() {
+    const Duration age = now - last_contact;
+    ReceiveHeartbeat(
+        age, failure == FeedFailure::kStoreAway &&
+                 age > DiscoveryTimes::ForBound(DiscoveryTimes::kDefaultBound)
+                           .watch_timeout());
+  }
+
+  //! Returns the actions of the next step.
+  FeederActions Tick() {
+    if (failure == FeedFailure::kLinkEnds && IsLost()) {
+      selector.OnLinkLost(now);
+    }
+    const FeederActions actions = StepAfter(kTick);
+    if (!IsLost() && (actions.open_link_to || now >= next_heartbeat)) {
+      ReceiveStaleHeartbeat();
+      next_heartbeat = now + kHeartbeatInterval;
+    }
+    return actions;
+  }
+};
+
 }  // namespace
 
 BOOST_FIXTURE_TEST_SUITE(FeederSelectorTest, FeederSelectorFixture)
@@ -245,6 +301,41 @@
   BOOST_TEST(store_readers <= 100);
 }
 
+// Guards against requests to a target that left: a host whose feeders lose the
+// store must read it within the time for which a leaving target serves.
+BOOST_AUTO_TEST_CASE(Feeders_LoseTheStore_HostReadsStoreWithinBound) {
+  constexpr Duration kAnswerTime = milliseconds(200);
+  constexpr Duration kLatestRead = DiscoveryTimes::kDefaultBound - kAnswerTime;
+  for (const FeedFailure failure :
+       {FeedFailure::kStoreUnresponsive, FeedFailure::kStoreAway,
+        FeedFailure::kPaused, FeedFailure::kLinkEnds}) {
+    for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+      LostFeedersFixture host(failure, seed);
+      bool reads_store = false;
+      while (!reads_store && host.now - host.last_contact < kLatestRead) {
+        reads_store = host.Tick().watch_store;
+      }
+      BOOST_TEST(reads_store, kFeedFailureNames.Name(failure)
+                                  << " with seed " << seed);
+    }
+  }
+}
+
+// Guards against requests to a target that left: a host that the store rejects
+// together with two of its feeders must reach the third one in time.
+BOOST_AUTO_TEST_CASE(Feeders_TwoLoseTheStore_ThirdIsReachedWithinBound) {
+  constexpr Duration kLatestLink =
+      DiscoveryTimes::kDefaultBound - milliseconds(200);
+  for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+    LostFeedersFixture host(FeedFailure::kStoreUnresponsive, seed);
+    int opened = 0;
+    while (opened < 2 && host.now - host.last_contact < kLatestLink) {
+      opened += host.Tick().open_link_to ? 1 : 0;
+    }
+    BOOST_TEST(opened == 2, "seed " << seed);
+  }
+}
+
 // A feeder dies. A follower without callers must try another feeder within
 // milliseconds and not read the store meanwhile.
 BOOST_AUTO_TEST_CASE(Feeder_LinkEnds_HostWithoutCallersTriesAnotherFeeder) {
