Hold back no removal where the store rejects only some hosts

Cause: a host that its feeder tells "the store is away" takes this for an outage of the store. Removals that reach it then take effect 2.3 s after it hears of the store again, since an outage may have let leases of live targets expire. There was no outage: the store rejected the feeder and served others.

Change: heartbeats say for how long the store has been available without a break, as far as the sender knows. A host that hears this from a feeder with current content holds removals back only for an outage that the feeder saw as well. A feeder's word that the store is away counts no longer where a write or renewal of the host itself succeeded within 1.3 s: an outage that is shorter lets no lease expire. A feeder of an earlier version says nothing, and the former rule holds.

--- a/src/jacinthdeck/discovery/held_entries.h
+++ b/src/jacinthdeck/discovery/held_entries.h
@@ -2,6 +2,7 @@
 #ifndef JACINTHDECK_DISCOVERY_HELD_ENTRIES_H_
 #define JACINTHDECK_DISCOVERY_HELD_ENTRIES_H_
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <set>
@@ -132,6 +133,17 @@
     return keys;
   }
 
+  /*! \brief Lets the pending removals take effect at a moment, unless they do
+   * so earlier. */
+  void AdvanceExpiry(TimePoint effective_at) {
+    for (auto& [key, slot] : m_slots) {
+      if (slot.removed) {
+        slot.erase_at =
+            std::min(slot.erase_at.value_or(effective_at), effective_at);
+      }
+    }
+  }
+
   /*! \brief Sets when the pending removals without a moment take effect. */
   void SetExpiry(TimePoint effective_at) {
     for (auto& [key, slot] : m_slots) {
--- a/src/jacinthdeck/discovery/knowledge.cc
+++ b/src/jacinthdeck/discovery/knowledge.cc
@@ -164,6 +164,17 @@
   }
 }
 
+DiscoveryChange DiscoveryState::OnStoreAvailable(TimePoint since,
+                                                 TimePoint now) {
+  DiscoveryChange changed;
+  if (m_removal_hold.OnAvailable(since)) {
+    m_targets.AdvanceExpiry(*m_removal_hold.EffectiveAt(now));
+    m_hosts.AdvanceExpiry(*m_removal_hold.EffectiveAt(now));
+    ApplyDueRemovals(now, changed);
+  }
+  return changed;
+}
+
 void DiscoveryState::Apply(const StoreChange& change,
                            TimePoint now,
                            DiscoveryChange& changed) {
--- a/src/jacinthdeck/discovery/knowledge.h
+++ b/src/jacinthdeck/discovery/knowledge.h
@@ -118,9 +118,20 @@
   /*! \brief Returns when OnTimer() is due; nothing if no timer is set. */
   [[nodiscard]] std::optional<TimePoint> NextTimer() const;
 
+  /*! \brief Returns since when the store has been available without a break,
+   * as far as this host knows; nothing before the first successful call and
+   * while the store is considered unavailable. */
+  [[nodiscard]] std::optional<TimePoint> available_since() const noexcept {
+    return m_removal_hold.available_since();
+  }
+
   /*! \brief Records that the store is unavailable. */
   void OnStoreAway() noexcept { m_removal_hold.OnCallFailed(); }
 
+  /*! \brief Records since when the store has been available without a break,
+   * as another host knows it. Removals that no outage explains take effect. */
+  DiscoveryChange OnStoreAvailable(TimePoint since, TimePoint now);
+
   /*! \brief Applies the changes of a successful call, in the order of their
    * revisions. */
   DiscoveryChange OnChanges(std::span<const StoreChange> changes,
--- a/src/jacinthdeck/discovery/removal_hold.h
+++ b/src/jacinthdeck/discovery/removal_hold.h
@@ -2,6 +2,7 @@
 #ifndef JACINTHDECK_DISCOVERY_REMOVAL_HOLD_H_
 #define JACINTHDECK_DISCOVERY_REMOVAL_HOLD_H_
 
+#include <algorithm>
 #include <optional>
 
 #include "jacinthdeck/core/time.h"
@@ -16,7 +17,7 @@
  * applied such removals at once would drop every target and refuse all
  * requests. Removals are therefore delayed until the holders had time to
  * register again. Removals that arrive while the store is available take effect
- * at once.
+ * at once, also on a host that the store rejects while it serves others.
  */
 class RemovalHold {
  public:
@@ -30,17 +31,36 @@
 
   /*! \brief Records a successful call to the store. */
   void OnCallSucceeded(TimePoint now) noexcept {
+    m_known_since = m_away ? now : m_known_since.value_or(now);
     if (m_away) {
       m_away = false;
       m_available_since = now;
     }
   }
 
+  /**
+   * \brief Records since when the store has been available without a break, as
+   * another host knows it: a store that rejects this host may serve others.
+   * \return Whether removals may take effect earlier than before.
+   */
+  bool OnAvailable(TimePoint since) noexcept {
+    const bool is_earlier =
+        m_away || (m_available_since && since < *m_available_since);
+    m_known_since =
+        m_away ? since : std::min(m_known_since.value_or(since), since);
+    if (is_earlier) {
+      m_away = false;
+      m_available_since = since;
+    }
+    return is_earlier;
+  }
+
   /*! \brief Records that the store was restored from a backup, which may lack
    * the entries of live holders. */
   void OnRestored(TimePoint now) noexcept {
     m_away = false;
     m_available_since = now;
+    m_known_since = now;
   }
 
   /*! \brief Returns when a removal that arrives now takes effect; nothing
@@ -59,11 +79,20 @@
   /*! \brief Tells whether the store is considered unavailable. */
   [[nodiscard]] bool away() const noexcept { return m_away; }
 
+  /*! \brief Returns since when the store is known to be available without a
+   * break; nothing before the first contact and while it is unavailable. */
+  [[nodiscard]] std::optional<TimePoint> available_since() const noexcept {
+    return m_away ? std::nullopt : m_known_since;
+  }
+
  private:
   bool m_away = false;
   //! End of the last outage or moment of the last restore; nothing if there was
   //! none.
   std::optional<TimePoint> m_available_since;
+  //! First contact, or the last outage's end if that is later; a start is no
+  //! outage, so that it delays no removal.
+  std::optional<TimePoint> m_known_since;
 };
 
 }  // namespace jacinthdeck
--- a/src/jacinthdeck/discovery/store_session.cc
+++ b/src/jacinthdeck/discovery/store_session.cc
@@ -22,6 +22,9 @@
 //! not unavailable for all hosts. It is shorter than the time in which a call
 //! of this host detects that the store stopped answering.
 constexpr Duration kRecentContact = milliseconds(800);
+//! A write of this host within this time proves the same. It exceeds the
+//! interval of the renewals; a shorter outage lets no lease expire.
+constexpr Duration kRecentWrite = milliseconds(1300);
 //! Maximum random delay before a host repeats the writes that a restore lost,
 //! so that the hosts do not write at once.
 constexpr Duration kMaxRewriteDelay = milliseconds(400);
@@ -152,17 +155,28 @@
   Resume();
 }
 
-void StoreSession::ApplyPeerAge(std::optional<Duration> age, bool store_away) {
+void StoreSession::ApplyPeerAge(std::optional<Duration> age,
+                                bool store_away,
+                                std::optional<Duration> available_for) {
   const TimePoint now = m_clock.Now();
   if (age) {
     const TimePoint contact_at = now - *age;
     m_last_contact = std::max(m_last_contact.value_or(contact_at), contact_at);
     m_peer_contact = contact_at;
   }
-  const bool reached_by_self = m_watching && m_loaded && !m_store_lost;
-  if (store_away && !reached_by_self) {
-    m_discovery_state.OnStoreAway();
-  } else if (!store_away && m_discovery_state.store_away()) {
+  // A store that rejects the feeder may serve this host.
+  const bool written_by_self =
+      m_last_write && now - *m_last_write < kRecentWrite;
+  const bool reached_by_self =
+      written_by_self || (m_watching && m_loaded && !m_store_lost);
+  const bool is_current = age && *age <= m_times.max_content_age;
+  if (store_away) {
+    if (!reached_by_self) {
+      m_discovery_state.OnStoreAway();
+    }
+  } else if (is_current && available_for) {
+    Notify(m_discovery_state.OnStoreAvailable(now - *available_for, now));
+  } else if (m_discovery_state.store_away()) {
     Notify(m_discovery_state.OnChanges({}, now));
   }
 }
--- a/src/jacinthdeck/discovery/store_session.h
+++ b/src/jacinthdeck/discovery/store_session.h
@@ -106,8 +106,12 @@
   /*! \brief Applies the age of another host's content.
    * \param age Time since the last successful call to the store; nothing if
    * there was none.
-   * \param store_away The other host considers the store unavailable. */
-  void ApplyPeerAge(std::optional<Duration> age, bool store_away);
+   * \param store_away The other host considers the store unavailable.
+   * \param available_for Time for which the store has been available, as far
+   * as the other host knows; nothing if it does not know. */
+  void ApplyPeerAge(std::optional<Duration> age,
+                    bool store_away,
+                    std::optional<Duration> available_for);
 
   /*! \brief Sets how long this host's record may outlive the host. */
   void SetLeaseDuration(Duration life) noexcept { m_lease_duration = life; }
@@ -233,6 +237,8 @@
   //! Position up to which the content is known and the next watch continues.
   StorePosition m_position;
   std::optional<TimePoint> m_last_contact;
+  //! When a write or a renewal of this host last succeeded.
+  std::optional<TimePoint> m_last_write;
   //! When a followed host last had a successful call to the store.
   std::optional<TimePoint> m_peer_contact;
   //! Items of the full read in progress.
--- a/src/jacinthdeck/discovery/store_session_writes.cc
+++ b/src/jacinthdeck/discovery/store_session_writes.cc
@@ -144,6 +144,7 @@
           OnWriteFailed(ack.status);
           return;
         }
+        m_last_write = m_clock.Now();
         done(ack);
       });
 }
--- a/src/jacinthdeck/entry/feed_hub.cc
+++ b/src/jacinthdeck/entry/feed_hub.cc
@@ -122,6 +122,9 @@
   if (last_contact_at) {
     heartbeat.age = m_clock.Now() - *last_contact_at;
   }
+  if (const auto since = m_store.discovery_state().available_since()) {
+    heartbeat.available_for = m_clock.Now() - *since;
+  }
   return heartbeat;
 }
 
@@ -138,7 +141,8 @@
     adjusted.age.reset();
   }
   m_feeder_selector.OnHeartbeat(adjusted, m_clock.Now());
-  m_store.ApplyPeerAge(adjusted.age, adjusted.store_away);
+  m_store.ApplyPeerAge(adjusted.age, adjusted.store_away,
+                       adjusted.available_for);
   Tick();
 }
 
--- a/src/jacinthdeck/peer/feed_message.cc
+++ b/src/jacinthdeck/peer/feed_message.cc
@@ -71,6 +71,19 @@
       std::clamp<std::int64_t>(milliseconds, 0, kNoContact - 1));
 }
 
+//! Encodes an unknown time as 0.
+[[nodiscard]] std::uint32_t EncodeAvailability(
+    std::optional<Duration> available_for) {
+  return available_for ? std::max(EncodeAge(available_for), 1U) : 0U;
+}
+
+[[nodiscard]] std::optional<Duration> DecodeAvailability(std::uint32_t field) {
+  if (field == 0) {
+    return std::nullopt;
+  }
+  return std::chrono::milliseconds(field);
+}
+
 [[nodiscard]] std::optional<Duration> DecodeAge(std::uint32_t field) {
   if (field == kNoContact) {
     return std::nullopt;
@@ -82,7 +95,8 @@
                                      const FeedHeartbeat& heartbeat) {
   return wire::CreateBeat(builder, heartbeat.position.revision,
                           EncodeAge(heartbeat.age), heartbeat.store_away,
-                          EraNumber(heartbeat.position.era))
+                          EraNumber(heartbeat.position.era),
+                          EncodeAvailability(heartbeat.available_for))
       .Union();
 }
 
@@ -180,9 +194,10 @@
     return FeedMessage(DecodeChanges(*changes));
   }
   if (const auto* heartbeat = message.body_as_Beat()) {
-    return FeedMessage(FeedHeartbeat{PositionOf(*heartbeat),
-                                     DecodeAge(heartbeat->age_ms()),
-                                     heartbeat->store_away()});
+    return FeedMessage(
+        FeedHeartbeat{PositionOf(*heartbeat), DecodeAge(heartbeat->age_ms()),
+                      heartbeat->store_away(),
+                      DecodeAvailability(heartbeat->available_ms())});
   }
   return Fail(ErrorCode::kCorrupt, "feed", "has a body of an unknown type");
 }
--- a/src/jacinthdeck/peer/feed_message.h
+++ b/src/jacinthdeck/peer/feed_message.h
@@ -43,6 +43,9 @@
   std::optional<Duration> age;
   //! Whether the sender considers the store unavailable.
   bool store_away = false;
+  //! Time for which the store has been available without a break, as far as
+  //! the sender knows; nothing if it does not know, or does not say.
+  std::optional<Duration> available_for = {};
 };
 
 /*! \brief Any message between a follower and its feeder. */
--- a/test/jacinthdeck/discovery/knowledge_test.cc
+++ b/test/jacinthdeck/discovery/knowledge_test.cc
@@ -95,6 +95,39 @@
   BOOST_TEST(targets() == 1U);
 }
 
+// Guards against requests to a target that left while the store rejected only
+// this host or its feeder: no outage explains the removal.
+BOOST_AUTO_TEST_CASE(Target_RemovedWhileOnlyThisHostIsRejected_IsRemoved) {
+  (void)Change("servers/a", TargetValue("ready"));
+  (void)Change("servers/b", TargetValue("ready"));
+  discovery_state.OnStoreAway();
+  BOOST_TEST(!discovery_state.available_since().has_value());
+  now += seconds(2);
+  (void)Change("servers/a", std::nullopt);
+  BOOST_TEST(targets() == 2U);
+  BOOST_TEST(discovery_state.OnStoreAvailable(now - seconds(10), now).targets);
+  BOOST_TEST(targets() == 1U);
+  discovery_state.OnStoreAway();
+  (void)discovery_state.OnStoreAvailable(now - seconds(10), now);
+  (void)Change("servers/b", std::nullopt);
+  BOOST_TEST(targets() == 0U);
+}
+
+// Guards against live targets that are dropped after an outage, because another
+// host reports that the store is available again.
+BOOST_AUTO_TEST_CASE(Target_LeaseExpiredDuringOutageOfAll_StaysAsLong) {
+  (void)Change("servers/a", TargetValue("ready"));
+  discovery_state.OnStoreAway();
+  now += seconds(5);
+  (void)Change("servers/a", std::nullopt);
+  const TimePoint back_at = now - milliseconds(300);
+  BOOST_TEST(!discovery_state.OnStoreAvailable(back_at, now).targets);
+  BOOST_TEST((discovery_state.available_since() == back_at));
+  now = back_at + RemovalHold::kReregistrationTime - milliseconds(1);
+  BOOST_TEST(!discovery_state.OnTimer(now).targets);
+  BOOST_TEST(discovery_state.OnTimer(now + milliseconds(1)).targets);
+}
+
 // Guards against requests to a target that announced its leaving, with
 // draining, and whose removal is delayed like that of an expired lease.
 BOOST_AUTO_TEST_CASE(Target_WasDrainingWhenLeaseExpired_IsRemovedAtOnce) {
--- a/test/jacinthdeck/discovery/store_session_test.cc
+++ b/test/jacinthdeck/discovery/store_session_test.cc
@@ -163,6 +163,20 @@
   });
 }
 
+// Guards against removals that are delayed on a host which the store serves,
+// because its feeder was rejected.
+BOOST_AUTO_TEST_CASE(PeerAge_StoreAwayButOwnWriteSucceeded_StoreIsAvailable) {
+  session.ApplyPeerAge(seconds(1), true, {});
+  BOOST_TEST(session.discovery_state().store_away());
+  session.SetWatching(true);
+  session.Register(MakeRecord("h"));
+  RunUntil([&] { return session.counters().writes == 2; });
+  session.SetWatching(false);
+  RunUntil([&] { return session.counters().renewals == 1; });
+  session.ApplyPeerAge(seconds(1), true, {});
+  BOOST_TEST(!session.discovery_state().store_away());
+}
+
 BOOST_AUTO_TEST_CASE(ShareSuspect_OtherHostReadsStore_ServiceIsNamed) {
   session.SetWatching(true);
   session.ShareSuspect(Fingerprint(3), ServiceId("s"));
@@ -267,10 +281,10 @@
   RunUntil([&] { return targets() == 1; });
   SetOutage(standins::Outage::kBusy);
   RunUntil([&] {
-    session.ApplyPeerAge(Duration::zero(), false);
+    session.ApplyPeerAge(Duration::zero(), false, {});
     return lost == 1;
   });
-  session.ApplyPeerAge(Duration::zero(), false);
+  session.ApplyPeerAge(Duration::zero(), false, {});
   BOOST_TEST(!session.discovery_state().store_away());
   session.ApplyPeerContent({{"servers/a", At(1000), std::nullopt}}, At(1000),
                            false);
--- a/test/jacinthdeck/peer/feed_message_test.cc
+++ b/test/jacinthdeck/peer/feed_message_test.cc
@@ -109,11 +109,13 @@
   BOOST_TEST(hello.host == HostId("host-1"));
   BOOST_TEST(hello.position == At(5, 2));
   BOOST_TEST(hello.record == "record");
-  const auto heartbeat = std::get<FeedHeartbeat>(RoundTrip(
-      FeedHeartbeat{At(9, 4), std::chrono::milliseconds(1234), true}));
+  const auto heartbeat = std::get<FeedHeartbeat>(
+      RoundTrip(FeedHeartbeat{At(9, 4), std::chrono::milliseconds(1234), true,
+                              std::chrono::milliseconds(5678)}));
   BOOST_TEST(heartbeat.position == At(9, 4));
   BOOST_TEST((heartbeat.age == std::chrono::milliseconds(1234)));
   BOOST_TEST(heartbeat.store_away);
+  BOOST_TEST((heartbeat.available_for == std::chrono::milliseconds(5678)));
 }
 
 // Guards against a damaged frame that is read as content, by which a host would
@@ -163,6 +165,7 @@
   const auto heartbeat =
       std::get<FeedHeartbeat>(RoundTrip(FeedHeartbeat{At(9), {}, false}));
   BOOST_TEST(!heartbeat.age.has_value());
+  BOOST_TEST(!heartbeat.available_for.has_value());
 }
 
 BOOST_AUTO_TEST_SUITE_END()
