Send a request id on a connection only once

What callers saw: requests that may run once ran twice, or were answered 503 ("not run") and ran.

Cause: the id of a response tells it apart from the responses to other requests, but an id was sent twice on one connection: after "not executed" the connection stayed in use, and the repeat of the call went out on it with the same id. A late copy of the first response was then taken for the response to the repeat while the target ran it.

Change: a connection knows the ids that it has carried (CarriedIds) and is not used for one of them again. An id is kept until the deadline of its call, and the last eight in any case, for callers that repeat an id. At the connection limit an idle connection that carried the id is replaced. So no response to an earlier attempt can carry the id of the current one, whatever came between. Hedges and shards use other targets, and an attempt that is cancelled or broken closes its connection.

Looked for elsewhere: a response without an id is still accepted, since parts of a query come without one on the platform. Typed calls send no id; on a connection of theirs a late copy can still be taken for the next reply. Listed as open.

--- a/src/jacinthdeck/http/fwd.h
+++ b/src/jacinthdeck/http/fwd.h
@@ -5,6 +5,7 @@
 
 namespace jacinthdeck {
 
+class CarriedIds;
 class ClientSession;
 class EdgeConnection;
 class EdgeHandler;
--- a/src/jacinthdeck/http/target_connection.cc
+++ b/src/jacinthdeck/http/target_connection.cc
@@ -134,6 +134,7 @@
   const auto time_left = std::chrono::duration_cast<milliseconds>(
       std::max(attempt.deadline - now, Duration(milliseconds(1))));
   m_phase_started_at = now;
+  m_carried_ids.Add(request.request_id, attempt.deadline, now);
   m_parser.emplace();
   m_parser->header_limit(kMaxHeaderBytes);
   m_parser->body_limit(kMaxResponseBytes);
@@ -284,6 +285,9 @@
 
 void TargetConnection::OnResponseComplete() {
   AttemptEnd end = MakeAttemptEnd();
+  if (end.outcome == AttemptOutcome::kResponse && end.response.succeeded()) {
+    m_carried_ids.EndLast(m_attempt->request->request_id);
+  }
   ReadIdleTimeout();
   const bool reusable = m_parser->keep_alive() && !m_parser->need_eof() &&
                         m_read_buffer.size() == 0 && !m_writing &&
--- a/src/jacinthdeck/http/target_connection.h
+++ b/src/jacinthdeck/http/target_connection.h
@@ -8,10 +8,12 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "jacinthdeck/core/time.h"
 #include "jacinthdeck/forward/attempt_end.h"
 #include "jacinthdeck/http/asio.h"
+#include "jacinthdeck/http/carried_ids.h"
 
 namespace jacinthdeck {
 
@@ -43,6 +45,12 @@
     return m_phase_started_at + m_idle_timeout;
   }
 
+  /*! \brief Tells whether a response to a request with this id may still
+   * arrive, so that an attempt with the id must use another connection. */
+  [[nodiscard]] bool HasCarried(std::string_view id) const {
+    return m_carried_ids.Contains(id);
+  }
+
   /*! \brief Connects to the target and then sends the attempt. */
   void Open(const OutgoingAttempt& attempt);
 
@@ -96,6 +104,9 @@
   TimePoint m_phase_started_at;
   //! Idle time after which the connection is no longer used.
   Duration m_idle_timeout;
+  //! Ids of the requests that were sent. Responses to them may arrive again at
+  //! any time, so the current attempt's id was not among them when it was sent.
+  CarriedIds m_carried_ids;
   boost::beast::flat_buffer m_read_buffer;
   std::optional<Parser> m_parser;
   //! Current attempt; has a value exactly in the phases kOpening and kBusy,
--- a/src/jacinthdeck/http/target_pool.cc
+++ b/src/jacinthdeck/http/target_pool.cc
@@ -119,6 +119,7 @@
   }
   const TimePoint now = m_clock.Now();
   std::shared_ptr<TargetConnection> newest;
+  std::shared_ptr<TargetConnection> carried_id;
   Connections stale;
   for (const auto& connection : target_connections->second) {
     if (!connection->idle()) {
@@ -128,6 +129,8 @@
         (attempt.at_most_once &&
          now - connection->idle_since() > kMaxAtMostOnceIdle)) {
       stale.push_back(connection);
+    } else if (connection->HasCarried(attempt.request->request_id)) {
+      carried_id = connection;
     } else if (newest == nullptr ||
                connection->idle_since() > newest->idle_since()) {
       newest = connection;
@@ -138,6 +141,10 @@
     for (const auto& connection : stale) {
       connection->Close();
     }
+    if (carried_id != nullptr &&
+        CountConnections(attempt.target.id) >= attempt.connection_limit) {
+      carried_id->Close();
+    }
   }
   return newest;
 }
