Bound what a target makes a host read for an attempt

Cause of what callers would see (slow answers, a host out of memory): a body was read up to 64 MiB on each connection; interim responses, responses to other requests and what lies between chunks were not limited at all and were read until the deadline.

Change: for each attempt 16 MiB of body, 24 MiB in all, 64 KiB for a line that has not ended, eight discarded responses; for all attempts together 32 MiB, beyond which the one with most bytes is broken off. Such an attempt ends as broken, so that a request that may run once is not repeated, and its target counts as one that failed. Counted in oversized_responses_total, unfinished_response_bytes and the "traffic" line. A response that follows an interim one on HEAD is now read without a body.

Tests: TargetPoolTest/Response_WithoutEnd_AttemptBreaksWithinBounds (12 forms; the deadline's clock stands still), Responses_WithoutEndOnManyConnections_MemoryIsBounded, IdleConnection_BytesWithoutEnd_IsClosed.

--- a/src/jacinthdeck/entry/decision_log.cc
+++ b/src/jacinthdeck/entry/decision_log.cc
@@ -264,6 +264,7 @@
       .Count("feed_bytes_other_domains", traffic.feed.other_domains)
       .Count("target_bytes_own_domain", traffic.targets.own_domain)
       .Count("target_bytes_other_domains", traffic.targets.other_domains)
+      .Count("oversized_responses", traffic.oversized_responses)
       .Raw("attempts", CountsText(traffic.calls.attempts))
       .Raw("attempts_other_domains",
            CountsText(traffic.calls.attempts_other_domains));
--- a/src/jacinthdeck/entry/decision_log.h
+++ b/src/jacinthdeck/entry/decision_log.h
@@ -27,6 +27,8 @@
   LinkBytes feed;
   //! Bytes sent to and received from targets.
   LinkBytes targets;
+  //! Responses of targets that exceeded a limit.
+  std::uint64_t oversized_responses = 0;
   ForwardCounters calls;
 };
 
--- a/src/jacinthdeck/entry/entry_node.cc
+++ b/src/jacinthdeck/entry/entry_node.cc
@@ -417,8 +417,9 @@
     return;
   }
   m_next_traffic_log = now + kTrafficLogInterval;
-  m_decisions.OnTraffic({m_store.counters(), m_feed_hub.received(),
-                         m_pool.counters().bytes, m_forwarder.counters()});
+  m_decisions.OnTraffic(
+      {m_store.counters(), m_feed_hub.received(), m_pool.counters().bytes,
+       m_pool.counters().oversized_responses, m_forwarder.counters()});
 }
 
 void EntryNode::LogLimits(TimePoint now) {
--- a/src/jacinthdeck/entry/node_metrics.cc
+++ b/src/jacinthdeck/entry/node_metrics.cc
@@ -106,6 +106,10 @@
               static_cast<double>(pool.open_failures));
   WriteMetric(out, "foreign_responses_total",
               static_cast<double>(pool.foreign_responses));
+  WriteMetric(out, "oversized_responses_total",
+              static_cast<double>(pool.oversized_responses));
+  WriteMetric(out, "unfinished_response_bytes",
+              static_cast<double>(source.pool.unfinished_bytes()));
   WriteMetric(out, "connection_limit_refusals_total",
               static_cast<double>(pool.limit_refusals));
   const EdgeCounters& edge = source.callers.counters();
--- a/src/jacinthdeck/http/target_connection.cc
+++ b/src/jacinthdeck/http/target_connection.cc
@@ -25,9 +25,16 @@
 using std::chrono::seconds;
 
 constexpr std::size_t kResponseReadBytes = 8192;
-//! Limits on the size of a target's response.
+//! Limits on a target's response. A faulty target may send bytes without end,
+//! and each form of them must meet one of these limits.
 constexpr std::uint32_t kMaxHeaderBytes = 65536;
-constexpr std::uint64_t kMaxResponseBytes = 64ULL << 20U;
+constexpr std::uint64_t kMaxBodyBytes = 16ULL << 20U;
+//! Limit on all bytes received for an attempt, such as those between chunks.
+constexpr std::size_t kMaxAttemptBytes = std::size_t{24} << 20U;
+//! Limit on the bytes of a line that has not ended yet.
+constexpr std::size_t kMaxUnparsedBytes = kMaxHeaderBytes + kResponseReadBytes;
+//! Limit on the responses that are discarded during an attempt.
+constexpr std::uint32_t kMaxDiscardedResponses = 8;
 //! Time for a connection to open: about a dozen round trips to the farthest
 //! target. TCP resends a lost SYN only after one second, which is too late to
 //! wait for.
@@ -135,10 +142,8 @@
       std::max(attempt.deadline - now, Duration(milliseconds(1))));
   m_phase_started_at = now;
   m_carried_ids.Add(request.request_id, attempt.deadline, now);
-  m_parser.emplace();
-  m_parser->header_limit(kMaxHeaderBytes);
-  m_parser->body_limit(kMaxResponseBytes);
-  m_parser->skip(request.method == "HEAD");
+  m_discarded_responses = 0;
+  ResetParser();
   m_write_buffer.clear();
   m_write_buffer.reserve(request.body.size() + request.target.size() + 512);
   m_write_buffer += request.method;
@@ -196,6 +201,13 @@
   (void)error;
 }
 
+void TargetConnection::ResetParser() {
+  m_parser.emplace();
+  m_parser->header_limit(kMaxHeaderBytes);
+  m_parser->body_limit(kMaxBodyBytes);
+  m_parser->skip(m_attempt->request->method == "HEAD");
+}
+
 void TargetConnection::Read() {
   m_socket.async_wait(tcp::socket::wait_read,
                       [self = shared_from_this()](const SystemError& error) {
@@ -228,7 +240,18 @@
     Close();
     return;
   }
-  Parse();
+  AddAttemptBytes(bytes);
+  if (m_phase == Phase::kBusy) {
+    Parse();
+  }
+}
+
+void TargetConnection::AddAttemptBytes(std::size_t bytes) {
+  m_attempt_bytes += bytes;
+  m_pool.AddUnfinishedBytes(bytes);
+  if (m_phase == Phase::kBusy && m_attempt_bytes > kMaxAttemptBytes) {
+    FailOversized();
+  }
 }
 
 void TargetConnection::Parse() {
@@ -236,6 +259,11 @@
     SystemError error;
     const std::size_t used = m_parser->put(m_read_buffer.data(), error);
     m_read_buffer.consume(used);
+    if (error == http::error::header_limit ||
+        error == http::error::body_limit) {
+      FailOversized();
+      return;
+    }
     if (error && error != http::error::need_more) {
       FailAttempt(AttemptOutcome::kBroken, false);
       return;
@@ -248,15 +276,21 @@
         return;
       }
       m_pool.m_counters.foreign_responses += informational ? 0 : 1;
-      m_parser.emplace();
-      m_parser->header_limit(kMaxHeaderBytes);
-      m_parser->body_limit(kMaxResponseBytes);
+      if (++m_discarded_responses > kMaxDiscardedResponses) {
+        FailOversized();
+        return;
+      }
+      ResetParser();
       continue;
     }
     if (error == http::error::need_more || used == 0) {
       break;
     }
   }
+  if (m_read_buffer.size() > kMaxUnparsedBytes) {
+    FailOversized();
+    return;
+  }
   Read();
 }
 
@@ -296,6 +330,7 @@
   auto message = m_parser->release();
   end.response.body = std::move(message.body());
   m_parser.reset();
+  m_pool.RemoveUnfinishedBytes(std::exchange(m_attempt_bytes, 0));
   if (reusable) {
     m_phase = Phase::kIdle;
     m_phase_started_at = m_pool.m_clock.Now();
@@ -362,6 +397,11 @@
   }
 }
 
+void TargetConnection::FailOversized() {
+  ++m_pool.m_counters.oversized_responses;
+  FailAttempt(AttemptOutcome::kBroken, false);
+}
+
 void TargetConnection::FailAttempt(AttemptOutcome outcome,
                                    bool connection_lost) {
   AttemptEnd end;
@@ -402,6 +442,7 @@
   }
   m_phase = Phase::kClosed;
   m_attempt.reset();
+  m_pool.RemoveUnfinishedBytes(std::exchange(m_attempt_bytes, 0));
   SystemError ignored;
   m_socket.close(ignored);
   m_pool.RemoveConnection(*this);
--- a/src/jacinthdeck/http/target_connection.h
+++ b/src/jacinthdeck/http/target_connection.h
@@ -72,6 +72,8 @@
   using Parser =
       boost::beast::http::response_parser<boost::beast::http::string_body>;
 
+  friend class TargetPool;
+
   enum class Phase { kOpening, kIdle, kBusy, kClosed };
 
   void Connect();
@@ -79,14 +81,21 @@
   void OnOpened(const SystemError& error);
   void WriteRequest(const OutgoingAttempt& attempt);
   void OnWritten(const SystemError& error);
+  //! Prepares the parser for the next response.
+  void ResetParser();
   void Read();
   void OnReadable(SystemError error);
+  //! Counts the bytes of the current attempt, and breaks it off if they exceed
+  //! a limit.
+  void AddAttemptBytes(std::size_t bytes);
   void Parse();
   void OnReadError(const SystemError& error);
   void OnResponseComplete();
   [[nodiscard]] bool IsForeignResponse() const;
   [[nodiscard]] AttemptEnd MakeAttemptEnd() const;
   void ReadIdleTimeout();
+  //! Breaks off an attempt whose response exceeds a limit.
+  void FailOversized();
   //! Closes the connection and reports that its attempt ended without a
   //! response.
   void FailAttempt(AttemptOutcome outcome, bool connection_lost);
@@ -109,6 +118,11 @@
   CarriedIds m_carried_ids;
   boost::beast::flat_buffer m_read_buffer;
   std::optional<Parser> m_parser;
+  //! Bytes received for the current attempt; counted by the pool as well.
+  std::size_t m_attempt_bytes = 0;
+  //! Interim responses and responses to other requests that were discarded
+  //! during the current attempt.
+  std::uint32_t m_discarded_responses = 0;
   //! Current attempt; has a value exactly in the phases kOpening and kBusy,
   //! unless the connection is opened for a check.
   std::optional<OutgoingAttempt> m_attempt;
--- a/src/jacinthdeck/http/target_pool.cc
+++ b/src/jacinthdeck/http/target_pool.cc
@@ -158,6 +158,23 @@
   });
 }
 
+void TargetPool::AddUnfinishedBytes(std::size_t bytes) {
+  m_unfinished_bytes += bytes;
+  if (m_unfinished_bytes <= kMaxUnfinishedBytes) {
+    return;
+  }
+  std::shared_ptr<TargetConnection> largest;
+  for (const auto& [id, connections] : m_connections) {
+    for (const auto& connection : connections) {
+      if (largest == nullptr ||
+          connection->m_attempt_bytes > largest->m_attempt_bytes) {
+        largest = connection;
+      }
+    }
+  }
+  largest->FailOversized();
+}
+
 void TargetPool::RemoveConnection(const TargetConnection& connection) {
   const auto found = m_connections.find(connection.target().id);
   if (found == m_connections.end()) {
--- a/src/jacinthdeck/http/target_pool.h
+++ b/src/jacinthdeck/http/target_pool.h
@@ -26,6 +26,9 @@
   std::uint64_t open_failures = 0;
   //! Responses discarded because they carried the id of another request.
   std::uint64_t foreign_responses = 0;
+  //! Attempts broken off because of a limit on the size or number of the
+  //! responses to them.
+  std::uint64_t oversized_responses = 0;
   //! Attempts not sent because all connections to their target were busy and
   //! the connection limit was reached.
   std::uint64_t limit_refusals = 0;
@@ -60,10 +63,18 @@
   [[nodiscard]] const PoolCounters& counters() const noexcept {
     return m_counters;
   }
+  /*! \brief Bytes received for attempts whose response is not complete yet. */
+  [[nodiscard]] std::uint64_t unfinished_bytes() const noexcept {
+    return m_unfinished_bytes;
+  }
   [[nodiscard]] std::size_t connections() const noexcept {
     return m_connection_count;
   }
 
+  //! Limit of unfinished_bytes(): beyond it, the attempt that received most of
+  //! them is broken off.
+  static constexpr std::uint64_t kMaxUnfinishedBytes = 32ULL << 20U;
+
   /*! \brief Sends an attempt; its end is reported to the sink later, never from
    * within this call. */
   void Send(const OutgoingAttempt& attempt);
@@ -105,6 +116,10 @@
   void CountBytes(const TargetEntry& target, std::size_t bytes) {
     m_counters.bytes.Add(bytes, target.domain == m_domain);
   }
+  //! Counts received bytes, and breaks off the attempt with most of them beyond
+  //! the limit; that may be the one that received these.
+  void AddUnfinishedBytes(std::size_t bytes);
+  void RemoveUnfinishedBytes(std::size_t bytes) { m_unfinished_bytes -= bytes; }
   void RemoveConnection(const TargetConnection& connection);
 
   asio::io_context& m_loop;
@@ -115,6 +130,8 @@
   PoolCounters m_counters;
   std::unordered_map<TargetId, Connections> m_connections;
   std::size_t m_connection_count = 0;
+  //! Sum over all connections; within kMaxUnfinishedBytes between two events.
+  std::uint64_t m_unfinished_bytes = 0;
   //! Attempts in progress and the connections they use.
   std::unordered_map<AttemptId, std::shared_ptr<TargetConnection>> m_attempts;
 };
--- a/test/jacinthdeck/http/target_pool_test.cc
+++ b/test/jacinthdeck/http/target_pool_test.cc
@@ -14,6 +14,18 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+//! A response whose second part is sent again and again.
+struct EndlessResponse {
+  std::string name;
+  std::string begin;
+  std::string repeated;
+};
+
+//! Limits of what a target may make this host read for one attempt, and hold
+//! for all; buffers of the sockets included.
+constexpr std::size_t kMaxBytesTaken = std::size_t{48} << 20U;
+constexpr std::uint64_t kMaxBytesHeld = std::uint64_t{33} << 20U;
+
 struct TargetPoolFixture : EventLoopFixture, TargetPoolSink {
   tcp::acceptor acceptor{loop,
                          tcp::endpoint(asio::ip::address_v4::loopback(), 0)};
@@ -76,6 +88,24 @@
     asio::write(socket, asio::buffer(text));
   }
 
+  //! Sends a response that never ends until the peer closes the connection;
+  //! returns the number of bytes sent.
+  std::size_t SendWithoutEnd(tcp::socket& target, const EndlessResponse& form) {
+    std::size_t sent = form.begin.size();
+    asio::write(target, asio::buffer(form.begin));
+    target.non_blocking(true);
+    std::size_t offset = 0;
+    RunUntil([&] {
+      SystemError error;
+      const std::size_t written =
+          target.write_some(asio::buffer(form.repeated) + offset, error);
+      sent += written;
+      offset = (offset + written) % form.repeated.size();
+      return error && error != asio::error::would_block;
+    });
+    return sent;
+  }
+
   AttemptEnd WaitForEnd() {
     RunUntil([&] { return !ends.empty(); });
     AttemptEnd end = ends.front();
@@ -86,6 +116,8 @@
 
 constexpr const char* kValidResponse =
     "HTTP/1.1 200 OK\r\nReq: r1\r\nStamp: s\r\nContent-Length: 2\r\n\r\nok";
+constexpr const char* kChunkedHead =
+    "HTTP/1.1 200 OK\r\nStamp: s\r\nTransfer-Encoding: chunked\r\n\r\n";
 constexpr const char* kSuccessWithoutId =
     "HTTP/1.1 200 OK\r\nStamp: s\r\nContent-Length: 2\r\n\r\nok";
 constexpr const char* kNotExecutedResponse =
@@ -263,6 +295,78 @@
   BOOST_TEST(ReadUntil(second, "\r\n\r\n").starts_with("GET /p?q=1"));
 }
 
+// Guards against an attempt that reads until its deadline, or until the memory
+// of the host is used up, from a target that sends bytes without end.
+BOOST_AUTO_TEST_CASE(Response_WithoutEnd_AttemptBreaksWithinBounds) {
+  const std::string filler(8000, 'x');
+  const std::vector<EndlessResponse> forms = {
+      {"head line", "HTTP/1.1 200 OK\r\nA: ", filler},
+      {"head lines", "HTTP/1.1 200 OK\r\n", "A: " + filler + "\r\n"},
+      {"no HTTP", "", filler},
+      {"body without length", "HTTP/1.1 200 OK\r\nStamp: s\r\n\r\n", filler},
+      {"body with length",
+       "HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n", filler},
+      {"chunks", kChunkedHead, "1f40\r\n" + filler + "\r\n"},
+      {"small chunks", kChunkedHead, "1;e=" + filler + "\r\nx\r\n"},
+      {"chunk extension", std::string(kChunkedHead) + "1;e=", filler},
+      {"chunk size", std::string(kChunkedHead), std::string(8000, '0')},
+      {"trailers", std::string(kChunkedHead) + "0\r\n",
+       "A: " + filler + "\r\n"},
+      {"interim responses", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+      {"foreign responses", "",
+       "HTTP/1.1 200 OK\r\nReq: other\r\nContent-Length: 2\r\n\r\nok"}};
+  for (const EndlessResponse& form : forms) {
+    pool.Send(MakeAttempt());
+    tcp::socket target = Accept();
+    (void)ReadUntil(target, "\r\n\r\n");
+    const std::size_t sent = SendWithoutEnd(target, form);
+    const AttemptEnd end = WaitForEnd();
+    BOOST_TEST((end.outcome == AttemptOutcome::kBroken), form.name);
+    BOOST_TEST(!end.connection_lost, form.name);
+    BOOST_TEST(sent < kMaxBytesTaken, form.name << " took " << sent);
+    BOOST_TEST(pool.connections() == 0U);
+    BOOST_TEST(pool.unfinished_bytes() == 0U);
+  }
+}
+
+// Guards against a host that runs out of memory, because many targets send
+// bytes without end at once.
+BOOST_AUTO_TEST_CASE(Responses_WithoutEndOnManyConnections_MemoryIsBounded) {
+  constexpr int kConnections = 12;
+  std::vector<tcp::socket> targets;
+  for (int i = 0; i < kConnections; ++i) {
+    OutgoingAttempt attempt = MakeAttempt("r" + std::to_string(i));
+    attempt.connection_limit = kConnections;
+    pool.Send(attempt);
+    targets.push_back(Accept());
+    (void)ReadUntil(targets.back(), "\r\n\r\n");
+    SendResponse(targets.back(), "HTTP/1.1 200 OK\r\nStamp: s\r\n\r\n");
+  }
+  const std::string filler(8000, 'x');
+  std::uint64_t most = 0;
+  RunUntil([&] {
+    for (tcp::socket& target : targets) {
+      SystemError ignored;
+      target.non_blocking(true);
+      (void)target.write_some(asio::buffer(filler), ignored);
+    }
+    most = std::max(most, pool.unfinished_bytes());
+    return ends.size() == kConnections;
+  });
+  BOOST_TEST(most <= kMaxBytesHeld);
+  BOOST_TEST(pool.unfinished_bytes() == 0U);
+}
+
+// Guards against an idle connection that reads bytes without end.
+BOOST_AUTO_TEST_CASE(IdleConnection_BytesWithoutEnd_IsClosed) {
+  pool.CheckTarget(MakeAttempt().target, 2, true);
+  tcp::socket target = Accept();
+  BOOST_TEST((WaitForCheck() == TargetCheck::kReachable));
+  const std::size_t sent = SendWithoutEnd(target, {"", "", "x"});
+  BOOST_TEST(sent < kMaxBytesTaken);
+  BOOST_TEST(pool.connections() == 0U);
+}
+
 // Bytes arrive while no request is in progress. The connection is closed, so
 // that they are never taken for the next response.
 BOOST_AUTO_TEST_CASE(IdleConnection_UnexpectedBytes_IsClosed) {
