--- a/src/jacinthdeck/entry/entry_settings.cc
+++ b/src/jacinthdeck/entry/entry_settings.cc
@@ -58,8 +58,8 @@
 }
 
 void ReadBounds(SettingsTable& table, EntrySettings& settings) {
-  const Duration drain = table.Milliseconds(
-      "bounds.drain_ms", kChangeDelayMs, DiscoveryTimes::kDefaultBound);
+  const Duration drain = table.Milliseconds("bounds.drain_ms", kChangeDelayMs,
+                                            DiscoveryTimes::kDefaultBound);
   const Duration config_apply = table.Milliseconds(
       "bounds.config_apply_ms", kChangeDelayMs, DiscoveryTimes::kDefaultBound);
   settings.max_change_delay = std::min(drain, config_apply);
--- a/src/jacinthdeck/http/target_connection.cc
+++ b/src/jacinthdeck/http/target_connection.cc
@@ -28,7 +28,7 @@
 //! Limits on a target's response. A faulty target may send bytes without end,
 //! and each form of them must meet one of these limits.
 constexpr std::uint32_t kMaxHeaderBytes = 65536;
-constexpr std::uint64_t kMaxBodyBytes = 16ULL << 20U;
+constexpr std::uint64_t kMaxResponseBodyBytes = 16ULL << 20U;
 //! Limit on all bytes received for an attempt, such as those between chunks.
 constexpr std::size_t kMaxAttemptBytes = std::size_t{24} << 20U;
 //! Limit on the bytes of a line that has not ended yet.
@@ -204,7 +204,7 @@
 void TargetConnection::ResetParser() {
   m_parser.emplace();
   m_parser->header_limit(kMaxHeaderBytes);
-  m_parser->body_limit(kMaxBodyBytes);
+  m_parser->body_limit(kMaxResponseBodyBytes);
   m_parser->skip(m_attempt->request->method == "HEAD");
 }
 
--- a/test/jacinthdeck/peer/feed_choice_test.cc
+++ b/test/jacinthdeck/peer/feed_choice_test.cc
@@ -104,7 +104,7 @@
     if (failure == FeedFailure::kLinkEnds && IsLost()) {
       selector.OnLinkLost(now);
     }
-    const FeederActions actions = StepAfter(kTick);
+    FeederActions actions = StepAfter(kTick);
     if (!IsLost() && (actions.open_link_to || now >= next_heartbeat)) {
       ReceiveStaleHeartbeat();
       next_heartbeat = now + kHeartbeatInterval;
