Send SIGHUP around each drain of the soak

The soak sent SIGTERM alone, and so missed the SIGTERM that is lost after a SIGHUP. Each drain is now a SIGHUP, a SIGTERM and 20 ms later a SIGHUP, and an entry that still runs at the end of the run breaks stop_is_heeded.

--- a/soak/checks.cc
+++ b/soak/checks.cc
@@ -216,6 +216,12 @@
   }
 }
 
+void CheckStopIsHeeded(const HistoryIndex& index, Violations& found) {
+  for (const std::string& entry : index.history.unheeded_stops) {
+    found.push_back({Promise::kStopIsHeeded, entry + " runs on after SIGTERM"});
+  }
+}
+
 }  // namespace
 
 CalmCalls CountCalmCalls(const History& history) {
@@ -232,11 +238,11 @@
 
 std::vector<Violation> FindViolations(const History& history,
                                       const Bounds& bounds) {
-  constexpr std::array kChecks{&CheckRunsOnce,       &CheckNotRunIsTrue,
-                               &CheckOnlyAskedRuns,  &CheckOneLayout,
-                               &CheckConfigInTime,   &CheckConfigNeverReverts,
-                               &CheckLeftTargets,    &CheckEvacuatedDomains,
-                               &CheckNoRequestIsCut, &CheckRecovery};
+  constexpr std::array kChecks{
+      &CheckRunsOnce,    &CheckNotRunIsTrue,     &CheckOnlyAskedRuns,
+      &CheckOneLayout,   &CheckConfigInTime,     &CheckConfigNeverReverts,
+      &CheckLeftTargets, &CheckEvacuatedDomains, &CheckNoRequestIsCut,
+      &CheckRecovery,    &CheckStopIsHeeded};
   const HistoryIndex index(history, bounds);
   Violations found;
   for (const auto check : kChecks) {
--- a/soak/cluster.cc
+++ b/soak/cluster.cc
@@ -26,6 +26,8 @@
 //! Value of shutdown.grace_ms for the entries. A drain may cut requests that
 //! still run after this time.
 constexpr int kGraceMs = 2500;
+//! Time from the SIGTERM of an entry until its settings are reloaded.
+constexpr Duration kReloadAfterStop = milliseconds(20);
 //! Time that new targets run before a configuration names them.
 constexpr Duration kNewTargetsLeadTime = milliseconds(1500);
 //! Time from writing a configuration until the old targets drain; longer than
@@ -164,7 +166,10 @@
 
 void Cluster::DrainEntry(const Action& action) {
   const Entry& entry = EntryOf(action);
+  entry.child->Signal(SIGHUP);
   entry.child->Signal(SIGTERM);
+  Schedule(kReloadAfterStop,
+           [this, action] { EntryOf(action).child->Signal(SIGHUP); });
   BeginFaultPeriods(Cause("killed", entry.instance), {entry.instance},
                     FaultEffect::kConnections, milliseconds(kGraceMs));
   asio::post(m_loop,
@@ -408,6 +413,12 @@
   history.account_versions = m_account_versions;
   history.account_settings = m_account_settings;
   history.calm_since = m_calm_since;
+  for (const Entry& entry : m_entries) {
+    if (entry.child->IsRunning() &&
+        m_open_periods.contains(Cause("killed", entry.instance))) {
+      history.unheeded_stops.push_back(entry.name);
+    }
+  }
   ReadLog(history);
   return history;
 }
--- a/soak/history.h
+++ b/soak/history.h
@@ -126,6 +126,9 @@
   std::vector<Placement> placements;
   std::vector<EvacuationPeriod> evacuations;
   std::vector<FaultPeriod> fault_periods;
+  //! Names of the entries that still ran at the end of the run although they
+  //! had got SIGTERM.
+  std::vector<std::string> unheeded_stops;
   //! In the order of time; empty in a run without accounts.
   std::vector<AccountVersion> account_versions;
   AccountSettings account_settings;
--- a/test/soak/checks_test.cc
+++ b/test/soak/checks_test.cc
@@ -57,6 +57,11 @@
 
 BOOST_FIXTURE_TEST_SUITE(ChecksTest, HistoryFixture)
 
+BOOST_AUTO_TEST_CASE(Entry_RunsOnAfterSigterm_IsReported) {
+  history.unheeded_stops = {"entry-0"};
+  BOOST_TEST(BreaksOnly(Promise::kStopIsHeeded));
+}
+
 BOOST_AUTO_TEST_CASE(Claim_RanTwice_IsReported) {
   AddCall("a", seconds(1), 1).kind = CallKind::kClaim;
   AddRun("a", "t1", seconds(1));
