--- a/test/jacinthdeck/http/target_pool_test.cc
+++ b/test/jacinthdeck/http/target_pool_test.cc
@@ -295,6 +295,24 @@
   BOOST_TEST(ReadUntil(second, "\r\n\r\n").starts_with("GET /p?q=1"));
 }
 
+// Guards against a HEAD request that waits for a body, because an interim
+// response came first.
+BOOST_AUTO_TEST_CASE(Response_ToHeadAfterInterimResponse_HasNoBody) {
+  auto request = std::make_shared<OpaqueRequest>();
+  request->method = "HEAD";
+  request->target = "/p";
+  request->request_id = "r1";
+  OutgoingAttempt attempt = MakeAttempt();
+  attempt.request = request;
+  pool.Send(attempt);
+  tcp::socket target = Accept();
+  (void)ReadUntil(target, "\r\n\r\n");
+  SendResponse(target,
+               "HTTP/1.1 100 Continue\r\n\r\n"
+               "HTTP/1.1 200 OK\r\nStamp: s\r\nContent-Length: 2\r\n\r\n");
+  BOOST_TEST((WaitForEnd().outcome == AttemptOutcome::kResponse));
+}
+
 // Guards against an attempt that reads until its deadline, or until the memory
 // of the host is used up, from a target that sends bytes without end.
 BOOST_AUTO_TEST_CASE(Response_WithoutEnd_AttemptBreaksWithinBounds) {
