Run the test of a feeder's word against own writes on a paused clock

Cause: the test waited until a renewal was counted, which is when it is sent, so that the last acknowledged write was up to 1.2 s old, and the real clock ran on. It now waits for the acknowledged registration, and the clock stands still but for two steps, one to either side of the 1.3 s.

--- a/test/jacinthdeck/discovery/store_session_test.cc
+++ b/test/jacinthdeck/discovery/store_session_test.cc
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "jacinthdeck/core/boottime_clock.h"
+#include "jacinthdeck/core/manual_clock.h"
 #include "platform/store_codec.h"
 #include "store/store_server.h"
 #include "support/positions.h"
@@ -53,6 +54,7 @@
   int lost = 0;
   int regained = 0;
   int restored = 0;
+  bool registered = false;
   std::vector<ContentEvent> content_events;
   std::vector<FullRead> full_reads;
   std::vector<SharedCrash> suspects;
@@ -79,7 +81,9 @@
     ++lost;
   }
   void OnStoreRegained() override { ++regained; }
-  void OnRegistration(StoreStatus /*status*/) override {}
+  void OnRegistration(StoreStatus status) override {
+    registered = registered || status == StoreStatus::kOk;
+  }
 
   void RunUntil(const std::function<bool()>& done) {
     const auto end = std::chrono::steady_clock::now() + seconds(30);
@@ -166,15 +170,17 @@
 // Guards against removals that are delayed on a host which the store serves,
 // because its feeder was rejected.
 BOOST_AUTO_TEST_CASE(PeerAge_StoreAwayButOwnWriteSucceeded_StoreIsAvailable) {
-  session.ApplyPeerAge(seconds(1), true, {});
-  BOOST_TEST(session.discovery_state().store_away());
-  session.SetWatching(true);
-  session.Register(MakeRecord("h"));
-  RunUntil([&] { return session.counters().writes == 2; });
-  session.SetWatching(false);
-  RunUntil([&] { return session.counters().renewals == 1; });
-  session.ApplyPeerAge(seconds(1), true, {});
-  BOOST_TEST(!session.discovery_state().store_away());
+  ManualClock paused;
+  StoreSession host{
+      loop, paused, codec, *this, HostId("h"), {"127.0.0.1", store.port()}, 1};
+  host.Register(MakeRecord("h"));
+  RunUntil([&] { return registered; });
+  paused.Advance(std::chrono::milliseconds(1200));
+  host.ApplyPeerAge(seconds(1), true, {});
+  BOOST_TEST(!host.discovery_state().store_away());
+  paused.Advance(std::chrono::milliseconds(200));
+  host.ApplyPeerAge(seconds(1), true, {});
+  BOOST_TEST(host.discovery_state().store_away());
 }
 
 BOOST_AUTO_TEST_CASE(ShareSuspect_OtherHostReadsStore_ServiceIsNamed) {
