Keep one moment and one setter for held removals, and shorten three comments

Found on reading the change: RemovalHold held two moments that were equal whenever both were set (one moment and a flag now), and SetExpiry() was AdvanceExpiry() for moments that are never earlier than the ones set before (one function now). Behaviour stays.

--- a/src/jacinthdeck/discovery/discovery_times.h
+++ b/src/jacinthdeck/discovery/discovery_times.h
@@ -10,14 +10,8 @@
 
 namespace jacinthdeck {
 
-/**
- * \brief Timeouts that together bound the delay of a change.
- *
- * A host whose feeders lose the store applies a change at the latest when its
- * own watch answers: after max_content_age, max_read_jitter and
- * kDetectionReserve. The sum stays within the bound. A host that watches the
- * store itself applies it at the latest after watch_timeout() and a new watch.
- */
+/*! \brief Timeouts that bound the delay of a change: MaxDelay() is within the
+ * bound that they are made for, and so are a lost watch and a new one. */
 struct DiscoveryTimes {
   //! Delay of a change that holds unless the settings state another one.
   static constexpr Duration kDefaultBound = std::chrono::seconds(3);
@@ -44,13 +38,8 @@
     return max_content_age + max_read_jitter + kDetectionReserve;
   }
 
-  /**
-   * \brief Returns the timeouts for a bound on the delay of a change.
-   *
-   * Long bounds get long waits, as each watch and each read by a host that is
-   * no watcher costs a call. Bounds below 2 s are not met, because a slow store
-   * needs the margin.
-   */
+  /*! \brief Returns the timeouts with the fewest calls for a bound; a bound
+   * below 2 s is not met, because a slow store needs the margin. */
   [[nodiscard]] static constexpr DiscoveryTimes ForBound(Duration bound) {
     using std::chrono::milliseconds;
     constexpr Duration kMinWait = milliseconds(300);
--- a/src/jacinthdeck/discovery/held_entries.h
+++ b/src/jacinthdeck/discovery/held_entries.h
@@ -144,15 +144,6 @@
     }
   }
 
-  /*! \brief Sets when the pending removals without a moment take effect. */
-  void SetExpiry(TimePoint effective_at) {
-    for (auto& [key, slot] : m_slots) {
-      if (slot.removed && !slot.erase_at) {
-        slot.erase_at = effective_at;
-      }
-    }
-  }
-
   /**
    * \brief Removes the entries whose removals are due.
    * \return Keys of the removed entries.
--- a/src/jacinthdeck/discovery/knowledge.cc
+++ b/src/jacinthdeck/discovery/knowledge.cc
@@ -137,8 +137,8 @@
 
 void DiscoveryState::BeginEra(const StorePosition& position, TimePoint now) {
   m_removal_hold.OnRestored(now);
-  m_targets.SetExpiry(*m_removal_hold.EffectiveAt(now));
-  m_hosts.SetExpiry(*m_removal_hold.EffectiveAt(now));
+  m_targets.AdvanceExpiry(*m_removal_hold.EffectiveAt(now));
+  m_hosts.AdvanceExpiry(*m_removal_hold.EffectiveAt(now));
   m_restore_guard.OnRestored(position, now);
   for (const std::string& key : m_targets.PendingRemovalKeys()) {
     m_restore_guard.HoldUntil(key, now + kUnrenewedEntryLifetime);
@@ -159,8 +159,8 @@
   const bool was_away = m_removal_hold.away();
   m_removal_hold.OnCallSucceeded(now);
   if (was_away) {
-    m_targets.SetExpiry(*m_removal_hold.EffectiveAt(now));
-    m_hosts.SetExpiry(*m_removal_hold.EffectiveAt(now));
+    m_targets.AdvanceExpiry(*m_removal_hold.EffectiveAt(now));
+    m_hosts.AdvanceExpiry(*m_removal_hold.EffectiveAt(now));
   }
 }
 
--- a/src/jacinthdeck/discovery/removal_hold.h
+++ b/src/jacinthdeck/discovery/removal_hold.h
@@ -31,11 +31,10 @@
 
   /*! \brief Records a successful call to the store. */
   void OnCallSucceeded(TimePoint now) noexcept {
-    m_known_since = m_away ? now : m_known_since.value_or(now);
-    if (m_away) {
-      m_away = false;
+    if (m_away || !m_available_since) {
       m_available_since = now;
     }
+    EndOutage();
   }
 
   /**
@@ -45,13 +44,10 @@
    */
   bool OnAvailable(TimePoint since) noexcept {
     const bool is_earlier =
-        m_away || (m_available_since && since < *m_available_since);
-    m_known_since =
-        m_away ? since : std::min(m_known_since.value_or(since), since);
-    if (is_earlier) {
-      m_away = false;
-      m_available_since = since;
-    }
+        m_away || (m_had_outage && since < *m_available_since);
+    m_available_since =
+        m_away ? since : std::min(m_available_since.value_or(since), since);
+    EndOutage();
     return is_earlier;
   }
 
@@ -59,8 +55,8 @@
    * the entries of live holders. */
   void OnRestored(TimePoint now) noexcept {
     m_away = false;
+    m_had_outage = true;
     m_available_since = now;
-    m_known_since = now;
   }
 
   /*! \brief Returns when a removal that arrives now takes effect; nothing
@@ -70,7 +66,7 @@
     if (m_away) {
       return std::nullopt;
     }
-    if (m_available_since && now < *m_available_since + kReregistrationTime) {
+    if (m_had_outage && now < *m_available_since + kReregistrationTime) {
       return *m_available_since + kReregistrationTime;
     }
     return now;
@@ -82,17 +78,20 @@
   /*! \brief Returns since when the store is known to be available without a
    * break; nothing before the first contact and while it is unavailable. */
   [[nodiscard]] std::optional<TimePoint> available_since() const noexcept {
-    return m_away ? std::nullopt : m_known_since;
+    return m_away ? std::nullopt : m_available_since;
   }
 
  private:
+  void EndOutage() noexcept {
+    m_had_outage = m_had_outage || m_away;
+    m_away = false;
+  }
+
   bool m_away = false;
-  //! End of the last outage or moment of the last restore; nothing if there was
-  //! none.
+  //! Whether an outage or a restore preceded m_available_since, which then has
+  //! a value; a first contact delays no removal.
+  bool m_had_outage = false;
   std::optional<TimePoint> m_available_since;
-  //! First contact, or the last outage's end if that is later; a start is no
-  //! outage, so that it delays no removal.
-  std::optional<TimePoint> m_known_since;
 };
 
 }  // namespace jacinthdeck
--- a/src/jacinthdeck/http/carried_ids.h
+++ b/src/jacinthdeck/http/carried_ids.h
@@ -14,16 +14,9 @@
 
 namespace jacinthdeck {
 
-/**
- * \brief Remembers which request ids may not be sent on a connection again.
- *
- * A target may send a response twice, and the copy may arrive at any later
- * time. The id tells it apart from the response to another request, but not
- * from the response to a second attempt with the same id.
- *
- * Ids are kept until no call can repeat them, and the last kMinKept in any
- * case. Requests without an id are not kept.
- */
+/*! \brief Remembers which request ids may not be sent on a connection again,
+ * since a late copy of a response passes for that of an attempt with the same
+ * id. Requests without an id are not kept. */
 class CarriedIds {
  public:
   //! Number of ids that are kept after their requests have ended.
