Log the calls that a stopping host leaves unanswered, and how long the stop took

A call that the end of the process cuts off now has a line (call_cut), and 'stopped' tells the typed calls, the open connections and the time since the signal: hypothesis 1 shows call_cut lines, hypothesis 2 (a lost signal) no 'stopped' line at all, hypothesis 3 (an answer that does not arrive) neither call_cut nor waiting callers. No change of behaviour.

--- a/src/jacinthdeck/entry/caller_handler.h
+++ b/src/jacinthdeck/entry/caller_handler.h
@@ -64,6 +64,11 @@
     return m_waiting.size();
   }
 
+  [[nodiscard]] const std::unordered_map<CallId, WaitingCaller>&
+  waiting_callers() const noexcept {
+    return m_waiting;
+  }
+
   /*! \brief Removes and returns the waiting caller of a call. Its connection is
    * null if the caller has left. */
   [[nodiscard]] WaitingCaller Take(CallId call);
--- a/src/jacinthdeck/entry/decision_log.cc
+++ b/src/jacinthdeck/entry/decision_log.cc
@@ -148,6 +148,12 @@
   m_log.Add(std::move(line));
 }
 
+void DecisionLog::OnCut(const std::string& request_id, Duration after) {
+  LogLine line = m_log.Begin(LogEvent::kCallCut);
+  line.Text("request", request_id).Milliseconds("after_ms", after);
+  m_log.Add(std::move(line));
+}
+
 void DecisionLog::OnAttemptLost(const LostAttempt& lost) {
   if (!m_log.HasRoom()) {
     m_log.Drop();
--- a/src/jacinthdeck/entry/decision_log.h
+++ b/src/jacinthdeck/entry/decision_log.h
@@ -65,6 +65,10 @@
    * got an answer. */
   void OnAbandoned(const std::string& request_id, Duration after);
 
+  /*! \brief Logs that the process ends \p after a request arrived, before its
+   * caller got an answer. */
+  void OnCut(const std::string& request_id, Duration after);
+
   /*! \brief Logs an attempt whose connection ended after its call had; others
    * stand in the line of their call. */
   void OnAttemptLost(const LostAttempt& lost);
--- a/src/jacinthdeck/entry/entry_node.cc
+++ b/src/jacinthdeck/entry/entry_node.cc
@@ -209,10 +209,7 @@
 
 void EntryNode::Run() {
   m_loop.run();
-  LogLine line = m_log.Begin(LogEvent::kStopped);
-  line.Count("waiting_callers", m_caller_handler.waiting());
-  m_log.Add(std::move(line));
-  m_log.Flush();
+  LogStopped();
 }
 
 void EntryNode::Apply(const EntrySettings& settings) {
--- a/src/jacinthdeck/entry/entry_node.h
+++ b/src/jacinthdeck/entry/entry_node.h
@@ -148,6 +148,8 @@
   void OnSignal(int signal);
   void BeginStop();
   void Stop();
+  //! Logs the end of the process, and the calls that it leaves unanswered.
+  void LogStopped();
   // Defined in entry_node_discovery.cc.
   [[nodiscard]] HostRecord OwnRecord() const;
   //! Returns the part of this host's record that comes from the settings. Only
@@ -206,6 +208,8 @@
   TimePoint m_next_traffic_log;
   asio::steady_timer m_stop_timer;
   std::function<void()> m_reload;
+  //! When the signal to stop was handled; the epoch before.
+  TimePoint m_stop_began;
   //! When the ports for callers were closed; the epoch while they are open.
   TimePoint m_ports_closed;
   //! Whether the directory sends callers to this host.
--- a/src/jacinthdeck/entry/entry_node_stop.cc
+++ b/src/jacinthdeck/entry/entry_node_stop.cc
@@ -42,6 +42,7 @@
 
 void EntryNode::BeginStop() {
   m_stopping = true;
+  m_stop_began = m_clock.Now();
   m_feed_hub.SetRecord({});
   m_feed_hub.Drain();
   m_store.Unregister();
@@ -93,4 +94,19 @@
   });
 }
 
+void EntryNode::LogStopped() {
+  const TimePoint now = m_clock.Now();
+  for (const auto& [call, caller] : m_caller_handler.waiting_callers()) {
+    m_decisions.OnCut(caller.request_id, now - caller.arrived);
+  }
+  LogLine line = m_log.Begin(LogEvent::kStopped);
+  line.Count("waiting_callers", m_caller_handler.waiting())
+      .Count("waiting_typed_calls", m_typed_service.waiting())
+      .Count("connections",
+             m_callers_server.connections() + m_queries_server.connections())
+      .Milliseconds("took_ms", now - m_stop_began);
+  m_log.Add(std::move(line));
+  m_log.Flush();
+}
+
 }  // namespace jacinthdeck
--- a/src/jacinthdeck/entry/log_event.h
+++ b/src/jacinthdeck/entry/log_event.h
@@ -43,6 +43,7 @@
   kCallSlow,
   kCallDone,
   kCallAbandoned,
+  kCallCut,
   kLinesDropped,
   kPaused,
   kTraffic,
@@ -54,7 +55,7 @@
 
 //! Names of the events as written to the log, in the order of LogEvent;
 //! kQuarantined is written as "convicted".
-inline constexpr NameTable<LogEvent, 41> kLogEventNames{
+inline constexpr NameTable<LogEvent, 42> kLogEventNames{
     {"started",
      "stopping",
      "stopped",
@@ -89,6 +90,7 @@
      "call_slow",
      "call_done",
      "call_abandoned",
+     "call_cut",
      "lines_dropped",
      "paused",
      "traffic",
