Show that a stopping host cuts off requests at slow targets

Both tests fail on this code: the caller's connection ends without an answer (error 'timed out' in place of status 504), and the host ends later than its grace period.

--- a/test/jacinthdeck/entry/entry_node_test.cc
+++ b/test/jacinthdeck/entry/entry_node_test.cc
@@ -35,15 +35,26 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+//! Path of a request that the target answers after kSlowTarget, which exceeds
+//! kGrace.
+constexpr const char* kSlowPath = "/a/slow";
+constexpr milliseconds kSlowTarget{1500};
+constexpr milliseconds kGrace{1000};
+
 struct NodeFixture {
   BoottimeClock clock;
   standins::StoreServer store{0, clock, {}, 1};
   std::mutex mutex;
+  std::atomic<int> slow_requests = 0;
   //! Headers of the last request at the target.
   std::map<std::string, std::string> target_headers;
   standins::HttpServer target{
       {},
       [this](const standins::HttpRequest& request) {
+        if (request.path == kSlowPath) {
+          ++slow_requests;
+          std::this_thread::sleep_for(kSlowTarget);
+        }
         const std::scoped_lock lock(mutex);
         target_headers = request.headers;
         return standins::HttpReply{200, "from " + request.path, false};
@@ -60,7 +71,8 @@
   std::atomic<bool> stopped = false;
   std::thread runner;
 
-  explicit NodeFixture(const RateLimitSettings& rate_limits = {}) {
+  explicit NodeFixture(const RateLimitSettings& rate_limits = {},
+                       milliseconds grace = milliseconds(300)) {
     EntrySettings settings;
     settings.rate_limits = rate_limits;
     settings.name = HostId("h1");
@@ -71,7 +83,7 @@
     settings.metrics = {"127.0.0.1", metrics};
     settings.peers = {"127.0.0.1", 0};
     settings.store = {"127.0.0.1", store.port()};
-    settings.grace = milliseconds(300);
+    settings.grace = grace;
     EntryProtocol protocol;
     protocol.targets = platform::MakeTargetProtocol();
     protocol.codec = &codec;
@@ -155,6 +167,15 @@
   }
 };
 
+//! A host that has targets, and a grace period shorter than their slow work.
+struct StoppedNodeFixture : NodeFixture {
+  StoppedNodeFixture() : NodeFixture({}, kGrace) {
+    PutConfigAndTarget();
+    BOOST_REQUIRE(
+        WaitUntil([&] { return Get(callers, "/a/1").status == 502; }));
+  }
+};
+
 //! A host that holds limits together with others.
 struct LimitedNodeFixture : NodeFixture {
   LimitedNodeFixture() : NodeFixture({{"127.0.0.1", 0}, seconds(5), 0.1, 20}) {}
@@ -217,6 +238,33 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_FIXTURE_TEST_SUITE(EntryNodeStopTest, StoppedNodeFixture)
+
+// Guards against a connection that closes without an answer because the host
+// stops before the target has answered.
+BOOST_AUTO_TEST_CASE(Host_StopsBeforeTargetAnswers_CallerGetsAnswer) {
+  ClientReply reply;
+  std::thread caller([&] { reply = Get(callers, kSlowPath); });
+  BOOST_TEST(WaitUntil([&] { return slow_requests > 0; }));
+  (void)raise(SIGTERM);
+  caller.join();
+  BOOST_TEST(reply.answered(), reply.error);
+  BOOST_TEST(reply.status == 504);
+}
+
+// Guards against a host that ends only when the platform kills it.
+BOOST_AUTO_TEST_CASE(Host_StopsBeforeTargetAnswers_EndsWithinGracePeriod) {
+  std::thread caller([&] { (void)Get(callers, kSlowPath); });
+  BOOST_TEST(WaitUntil([&] { return slow_requests > 0; }));
+  const TimePoint signalled = clock.Now();
+  (void)raise(SIGTERM);
+  BOOST_TEST(WaitUntil([&] { return stopped.load(); }));
+  BOOST_TEST((clock.Now() - signalled < kGrace));
+  caller.join();
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_FIXTURE_TEST_SUITE(EntryNodeTest, NodeFixture)
 
 // A host that has just started has no configuration yet. It answers 503, with a
