Answer each call before a stopping host ends

Cause: nothing told a call that its host ends. Its deadline was the caller's (up to 6 s), requests were admitted on open connections until the end, and the stop waited 0.9 s after the ports closed, to the very end of the grace period, then ended the loop whatever was open. The class: a deadline that does not hold for all of the work that it ends.

Change: ShutdownSchedule states the moments of a stop and their inequality. A call whose answer cannot be expected by then is refused at once ('stopping', 503 with Retry-After 0 and Connection: close), so that its caller goes to another host. A request that has arrived in part by then gets 503.

Why it holds: every way into a call passes SetDeadlines() or Engine::Submit(), which take the minimum with the last answer, and the answer of a call with a deadline does not depend on a target.

--- a/src/jacinthdeck/entry/entry_node.cc
+++ b/src/jacinthdeck/entry/entry_node.cc
@@ -222,6 +222,10 @@
 }
 
 void EntryNode::OnCall(ReceivedCall received) {
+  if (m_stopping) {
+    received.call.deadline =
+        std::min(received.call.deadline, m_shutdown.last_answer);
+  }
   m_gate.OnCall(std::move(received), m_clock.Now());
   ArmDecisionTimer();
 }
--- a/src/jacinthdeck/entry/entry_node.h
+++ b/src/jacinthdeck/entry/entry_node.h
@@ -27,6 +27,7 @@
 #include "jacinthdeck/entry/log_writer.h"
 #include "jacinthdeck/entry/loop_lag.h"
 #include "jacinthdeck/entry/rate_limit_hub.h"
+#include "jacinthdeck/entry/shutdown_schedule.h"
 #include "jacinthdeck/entry/simple_handler.h"
 #include "jacinthdeck/entry/tenant_gate.h"
 #include "jacinthdeck/entry/tenant_gate_sink.h"
@@ -147,6 +148,8 @@
   void AsyncWaitForSignal();
   void OnSignal(int signal);
   void BeginStop();
+  void ArmStopTimer(Duration after);
+  //! Takes the steps of the stop that are due.
   void Stop();
   //! Logs the end of the process, and the calls that it leaves unanswered.
   void LogStopped();
@@ -210,8 +213,9 @@
   std::function<void()> m_reload;
   //! When the signal to stop was handled; the epoch before.
   TimePoint m_stop_began;
-  //! When the ports for callers were closed; the epoch while they are open.
-  TimePoint m_ports_closed;
+  //! Valid once the host stops.
+  ShutdownSchedule m_shutdown;
+  bool m_ports_closed = false;
   //! Whether the directory sends callers to this host.
   bool m_is_front = false;
   bool m_stopping = false;
--- a/src/jacinthdeck/entry/entry_node_stop.cc
+++ b/src/jacinthdeck/entry/entry_node_stop.cc
@@ -6,19 +6,12 @@
 #include <algorithm>
 #include <chrono>
 
-namespace jacinthdeck {
+#include "jacinthdeck/entry/shutdown_schedule.h"
 
-namespace {
+namespace jacinthdeck {
 
 using std::chrono::milliseconds;
 
-//! Part at the end of the grace period that is reserved for the last answers.
-constexpr Duration kStopMargin = milliseconds(900);
-//! Minimum time after the ports closed, for requests that were in transit then.
-constexpr Duration kSettleTime = milliseconds(250);
-
-}  // namespace
-
 void EntryNode::AsyncWaitForSignal() {
   m_signals.async_wait([this](const SystemError& error, int signal) {
     if (!error) {
@@ -42,7 +35,9 @@
 
 void EntryNode::BeginStop() {
   m_stopping = true;
-  m_stop_began = m_clock.Now();
+  const TimePoint now = m_clock.Now();
+  m_stop_began = now;
+  m_shutdown = MakeShutdownSchedule(now, m_settings.grace);
   m_feed_hub.SetRecord({});
   m_feed_hub.Drain();
   m_store.Unregister();
@@ -54,11 +49,14 @@
       .Milliseconds("grace_ms", m_settings.grace);
   m_log.Add(std::move(line));
   LogReadiness();
-  // Callers cache a directory answer for its time to live, and some for longer.
-  // The port therefore stays open, and requests are served, until the end of
-  // the grace period.
-  m_stop_timer.expires_after(
-      std::max(m_settings.grace - kStopMargin, Duration::zero()));
+  m_forwarder.BeginStop(m_shutdown.last_answer, now);
+  m_typed_service.calls().BeginStop(m_shutdown.last_answer, now);
+  ArmDecisionTimer();
+  ArmStopTimer(m_shutdown.ports_close - now);
+}
+
+void EntryNode::ArmStopTimer(Duration after) {
+  m_stop_timer.expires_after(std::max(after, Duration::zero()));
   m_stop_timer.async_wait([this](const SystemError& ended) {
     if (!ended) {
       Stop();
@@ -71,27 +69,29 @@
 // was read. Therefore the ports close first, and requests on accepted
 // connections get time to be answered.
 void EntryNode::Stop() {
+  constexpr Duration kStopPollInterval = milliseconds(20);
   const TimePoint now = m_clock.Now();
-  if (m_ports_closed == TimePoint{}) {
-    m_ports_closed = now;
+  if (!m_ports_closed) {
+    m_ports_closed = true;
     m_callers_server.StopListening();
     m_queries_server.StopListening();
   }
-  const bool settled = now - m_ports_closed >= kSettleTime &&
-                       m_caller_handler.waiting() == 0 &&
-                       m_typed_service.waiting() == 0;
-  if (settled || now - m_ports_closed >= kStopMargin) {
+  if (now >= m_shutdown.idle_close) {
     m_callers_server.CloseIdle();
+    m_queries_server.CloseIdle();
+  }
+  if (now >= m_shutdown.last_answer) {
+    m_callers_server.RejectIncomplete();
+    m_queries_server.RejectIncomplete();
+  }
+  const bool all_left = now >= m_shutdown.idle_close &&
+                        m_callers_server.connections() == 0 &&
+                        m_queries_server.connections() == 0;
+  if (all_left || now >= m_shutdown.end) {
     m_loop.stop();
     return;
   }
-  constexpr Duration kStopPollInterval = milliseconds(20);
-  m_stop_timer.expires_after(kStopPollInterval);
-  m_stop_timer.async_wait([this](const SystemError& ended) {
-    if (!ended) {
-      Stop();
-    }
-  });
+  ArmStopTimer(std::min(kStopPollInterval, m_shutdown.end - now));
 }
 
 void EntryNode::LogStopped() {
--- a/src/jacinthdeck/forward/forward_answer.h
+++ b/src/jacinthdeck/forward/forward_answer.h
@@ -58,13 +58,15 @@
   //! Whether the client account is above its limit could not be found out in
   //! time.
   kLimitUnknown,
+  //! The host stops before an answer can be expected.
+  kStopping,
 };
 
 //! Names of the reasons, for logs and metrics.
-inline constexpr NameTable<ForwardReason, 13> kForwardReasonNames{
+inline constexpr NameTable<ForwardReason, 14> kForwardReasonNames{
     {"none", "no_config", "no_route", "no_target", "overload", "deadline",
      "targets_failed", "crashes_targets", "left_out", "unknown_key",
-     "stale_keys", "rate_limit", "limit_unknown"}};
+     "stale_keys", "rate_limit", "limit_unknown", "stopping"}};
 
 /*! \brief Final answer to a forwarded call. */
 struct ForwardAnswer {
--- a/src/jacinthdeck/forward/forwarder.h
+++ b/src/jacinthdeck/forward/forwarder.h
@@ -120,6 +120,15 @@
    * targets have room. */
   void Submit(ForwardCall call, TimePoint now);
 
+  /**
+   * \brief Prepares for the end of the host: each call, open or submitted
+   * later, gets its final answer by a given time.
+   *
+   * A call that cannot be expected to end by then is refused at once, so that
+   * its caller can go to another host.
+   */
+  void BeginStop(TimePoint last_answer, TimePoint now);
+
   /*! \brief Drops a call whose caller disconnected, and cancels all its
    * attempts.
    * \return Whether a target may have executed the request; false for an
@@ -159,6 +168,9 @@
   //! false if there is no configuration or no route.
   [[nodiscard]] bool PrepareCall(PendingCall& pending);
   void SetDeadlines(PendingCall& pending) const;
+  //! Moves the deadlines of a call to the last answer of the host if they are
+  //! later.
+  void LimitDeadlines(PendingCall& pending) const;
   [[nodiscard]] std::optional<ForwardReason> ReasonToRefuse(
       PendingCall& pending,
       TimePoint now);
@@ -167,6 +179,9 @@
   [[nodiscard]] std::size_t CountLiveShards(PendingCall& pending) const;
   //! Returns whether the remaining time of the call is known to be too short.
   [[nodiscard]] bool IsTooLate(const PendingCall& pending, TimePoint now) const;
+  //! Returns whether the host stops before the call can be expected to end.
+  [[nodiscard]] bool OutlastsHost(const PendingCall& pending,
+                                  TimePoint now) const;
   //! Returns the delay from the queue of the chosen target, or from waiting for
   //! capacity if there is none.
   [[nodiscard]] Duration QueueDelay(const PendingCall& pending,
@@ -389,6 +404,9 @@
   TimerQueue<CallId> m_timers;
   //! Cancellation times of attempts that outlived their calls.
   TimerQueue<AttemptId> m_stale_attempts;
+  //! Time by which each call has its final answer, since the host stops then;
+  //! max() while it does not stop.
+  TimePoint m_last_answer = TimePoint::max();
 };
 
 }  // namespace jacinthdeck
--- a/src/jacinthdeck/forward/forwarder_admission.cc
+++ b/src/jacinthdeck/forward/forwarder_admission.cc
@@ -154,6 +154,26 @@
         pending.final_at, pending.call.arrived + pending.route->objective -
                               m_options.answer_margin);
   }
+  LimitDeadlines(pending);
+}
+
+void Forwarder::LimitDeadlines(PendingCall& pending) const {
+  pending.call.deadline = std::min(pending.call.deadline, m_last_answer);
+  pending.final_at =
+      std::min(pending.final_at, m_last_answer - m_options.answer_margin);
+  pending.partial_at = std::min(pending.partial_at, pending.final_at);
+}
+
+void Forwarder::BeginStop(TimePoint last_answer, TimePoint now) {
+  m_last_answer = last_answer;
+  for (auto& [id, pending] : m_calls) {
+    LimitDeadlines(pending);
+    RearmTimer(pending);
+  }
+  for (auto& [id, pending] : m_held) {
+    LimitDeadlines(pending);
+  }
+  CheckWaitingCalls(now);
 }
 
 std::size_t Forwarder::CountLiveShards(PendingCall& pending) const {
@@ -181,6 +201,9 @@
     return ForwardReason::kDeadline;
   }
   pending.trace.expected = ExpectedDelay(pending, now);
+  if (OutlastsHost(pending, now)) {
+    return ForwardReason::kStopping;
+  }
   if (pending.trace.expected > DelayLimit(pending)) {
     return ForwardReason::kOverload;
   }
@@ -203,6 +226,14 @@
          });
 }
 
+bool Forwarder::OutlastsHost(const PendingCall& pending, TimePoint now) const {
+  // A call whose caller leaves before the host stops is not cut off.
+  return m_last_answer != TimePoint::max() &&
+         pending.call.deadline == m_last_answer &&
+         now + pending.trace.expected + pending.profile->slow_answer_time() >
+             pending.final_at;
+}
+
 // The delay is zero while a slot is free. Past latencies alone must not count:
 // after an overload they are high, refusals would prevent new measurements, and
 // the hosts would refuse calls forever although the targets are idle.
@@ -275,6 +306,8 @@
     case ForwardReason::kNoTarget:
       return ShardsBackAt(pending, now).value_or(now + kNoTargetRetryAfter) -
              now;
+    case ForwardReason::kStopping:
+      return Duration::zero();  // Another host serves the caller at once.
     case ForwardReason::kCrashesTargets:
       return m_crash_guard.QuarantinedUntil(pending.fingerprint, now)
                  .value_or(now + kSuspectRetryAfter) -
--- a/src/jacinthdeck/forward/latency_profile.cc
+++ b/src/jacinthdeck/forward/latency_profile.cc
@@ -24,6 +24,8 @@
 //! An attempt slower than this quantile gets a hedge: one in ten, half of the
 //! usual budget of extra attempts.
 constexpr double kHedgeQuantile = 0.9;
+//! Answers later than this quantile are not waited for.
+constexpr double kSlowAnswerQuantile = 0.99;
 //! Minimum hedge delay as a multiple of the mean, for routes whose latencies
 //! are close together.
 constexpr double kMinHedgeMeanFactor = 1.3;
@@ -53,7 +55,8 @@
       m_average(kMeanMemory),
       m_mean(m_objective / kInitialMeanDivisor),
       m_hedge_delay(Scaled(m_objective, kMaxHedgeObjectiveFraction)),
-      m_silence_timeout(Scaled(m_hedge_delay, kSilenceFactor)) {}
+      m_silence_timeout(Scaled(m_hedge_delay, kSilenceFactor)),
+      m_slow_answer_time(m_objective) {}
 
 LatencyEstimate LatencyProfile::route_latency() const noexcept {
   const std::uint64_t samples = m_histogram.samples();
@@ -90,6 +93,8 @@
       std::max(std::min(quantile, max_delay), std::min(min_delay, max_delay));
   m_silence_timeout =
       std::max(Scaled(m_hedge_delay, kSilenceFactor), kMinSilenceTimeout);
+  m_slow_answer_time =
+      m_hedge_delay + m_histogram.Quantile(kSlowAnswerQuantile);
 }
 
 }  // namespace jacinthdeck
--- a/src/jacinthdeck/forward/latency_profile.h
+++ b/src/jacinthdeck/forward/latency_profile.h
@@ -40,6 +40,12 @@
    * load. */
   [[nodiscard]] Duration hedge_delay() const noexcept { return m_hedge_delay; }
 
+  /*! \brief Time within which nearly all calls are answered, with a hedge if
+   * need be; the objective while the mean is assumed. */
+  [[nodiscard]] Duration slow_answer_time() const noexcept {
+    return m_slow_answer_time;
+  }
+
   /*! \brief Time after which a target that has not answered counts as silent.
    */
   [[nodiscard]] Duration silence_timeout() const noexcept {
@@ -59,6 +65,7 @@
   Duration m_mean{};
   Duration m_hedge_delay{};
   Duration m_silence_timeout{};
+  Duration m_slow_answer_time{};
   //! When the last answer arrived.
   TimePoint m_last_answer;
 };
--- a/src/jacinthdeck/http/edge_connection.cc
+++ b/src/jacinthdeck/http/edge_connection.cc
@@ -329,6 +329,12 @@
   }
 }
 
+void EdgeConnection::RejectIncomplete() {
+  if (m_phase == Phase::kReading) {
+    Reject(http_status::kUnavailable);
+  }
+}
+
 void EdgeConnection::ApplyTimeout(TimePoint now) {
   const EdgeLimits& limits = m_server.limits();
   const Duration time_in_phase = now - m_phase_started_at;
--- a/src/jacinthdeck/http/edge_connection.h
+++ b/src/jacinthdeck/http/edge_connection.h
@@ -52,6 +52,9 @@
    * periodically. */
   void ApplyTimeout(TimePoint now);
 
+  /*! \brief Answers 503 to a request that has not arrived as a whole. */
+  void RejectIncomplete();
+
   /*! \brief Closes the connection if no byte of a request has arrived and none
    * awaits its response. */
   void CloseIfIdle();
--- a/src/jacinthdeck/http/edge_server.cc
+++ b/src/jacinthdeck/http/edge_server.cc
@@ -45,25 +45,30 @@
   m_accept_pause.cancel();
 }
 
-void EdgeServer::CloseIdle() {
+std::vector<std::shared_ptr<EdgeConnection>> EdgeServer::Connections() const {
   std::vector<std::shared_ptr<EdgeConnection>> connections;
   connections.reserve(m_connections.size());
   for (const auto& [id, connection] : m_connections) {
     connections.push_back(connection);
   }
-  for (const auto& connection : connections) {
+  return connections;
+}
+
+void EdgeServer::CloseIdle() {
+  for (const auto& connection : Connections()) {
     connection->CloseIfIdle();
   }
 }
 
+void EdgeServer::RejectIncomplete() {
+  for (const auto& connection : Connections()) {
+    connection->RejectIncomplete();
+  }
+}
+
 void EdgeServer::ApplyTimeouts() {
   const TimePoint now = m_clock.Now();
-  std::vector<std::shared_ptr<EdgeConnection>> connections;
-  connections.reserve(m_connections.size());
-  for (const auto& [id, connection] : m_connections) {
-    connections.push_back(connection);
-  }
-  for (const auto& connection : connections) {
+  for (const auto& connection : Connections()) {
     connection->ApplyTimeout(now);
   }
 }
--- a/src/jacinthdeck/http/edge_server.h
+++ b/src/jacinthdeck/http/edge_server.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 #include "jacinthdeck/core/clock.h"
 #include "jacinthdeck/core/result.h"
@@ -76,6 +77,9 @@
   /*! \brief Closes all connections that have no request in progress. */
   void CloseIdle();
 
+  /*! \brief Answers 503 to all requests that have not arrived as a whole. */
+  void RejectIncomplete();
+
   /*! \brief Applies the timeouts of all connections; called a few times per
    * second. */
   void ApplyTimeouts();
@@ -85,6 +89,9 @@
 
   void Accept();
   void OnAccept(const SystemError& error, tcp::socket socket);
+  //! Returns a copy, since a connection may remove itself.
+  [[nodiscard]] std::vector<std::shared_ptr<EdgeConnection>> Connections()
+      const;
   void RemoveConnection(const EdgeConnection& connection);
 
   const Clock& m_clock;
--- a/src/jacinthdeck/query/engine.cc
+++ b/src/jacinthdeck/query/engine.cc
@@ -27,9 +27,21 @@
       next = due;
     }
   }
+  if (!m_waiting_calls.empty()) {
+    next = std::min(next.value_or(m_last_answer), m_last_answer);
+  }
   return next;
 }
 
+void Engine::BeginStop(TimePoint last_answer, TimePoint now, Effects& effects) {
+  m_last_answer = last_answer;
+  for (auto& [id, open] : m_calls) {
+    open.call.deadline = std::min(open.call.deadline, last_answer);
+    RearmTimer(open);
+  }
+  OnTimer(now, effects);
+}
+
 void Engine::SetVersions(const ServiceId& service,
                          std::vector<PartitionMap> maps) {
   m_counters.rejected_maps += m_versions.Set(service, std::move(maps));
@@ -76,6 +88,9 @@
   if (m_poll_at && *m_poll_at <= now) {
     SendAllWaiting(now, effects);
   }
+  if (now >= m_last_answer) {
+    RefuseWaitingCalls(now, effects);
+  }
   StartWaitingCalls(now, effects);
 }
 
--- a/src/jacinthdeck/query/engine.h
+++ b/src/jacinthdeck/query/engine.h
@@ -110,6 +110,13 @@
    * answers. */
   void Drain() noexcept { m_draining = true; }
 
+  /**
+   * \brief Prepares for the end of the host: each call, open or submitted
+   * later, gets its answer by a given time. Calls that cannot be expected to
+   * end by then are refused at once.
+   */
+  void BeginStop(TimePoint last_answer, TimePoint now, Effects& effects);
+
   /*! \brief Makes a request a suspect on a peer's report that it crashed a
    * target. */
   void AddPeerSuspect(Fingerprint fingerprint, TimePoint now);
@@ -143,6 +150,8 @@
 
   // Admission, in engine_admission.cc.
   [[nodiscard]] ServiceState& ServiceOf(const ServiceId& service);
+  //! Returns the time within which nearly all calls of a service are answered.
+  [[nodiscard]] Duration ExpectedLatency(const ServiceId& service) const;
   [[nodiscard]] AnswerReason ReasonToRefuse(const Call& call,
                                             TimePoint now) const;
   [[nodiscard]] bool MayStart(const ServiceState& service) const;
@@ -152,6 +161,7 @@
                Effects& effects);
   void Start(Call call, ServiceState& service, TimePoint now, Effects& effects);
   void StartWaitingCalls(TimePoint now, Effects& effects);
+  void RefuseWaitingCalls(TimePoint now, Effects& effects);
   void StartWaitingCalls(ServiceState& service,
                          TimePoint now,
                          Effects& effects);
@@ -293,6 +303,9 @@
   TimerQueue<ServiceId> m_waiting_timers;
   //! Time to try waiting attempts again; set only while m_waiting is not empty.
   std::optional<TimePoint> m_poll_at;
+  //! Time by which each call has its answer, since the host stops then; max()
+  //! while it does not stop.
+  TimePoint m_last_answer = TimePoint::max();
 };
 
 }  // namespace jacinthdeck
--- a/src/jacinthdeck/query/engine_admission.cc
+++ b/src/jacinthdeck/query/engine_admission.cc
@@ -16,6 +16,7 @@
 
 void Engine::Submit(Call call, TimePoint now, Effects& effects) {
   ++m_counters.calls;
+  call.deadline = std::min(call.deadline, m_last_answer);
   const AnswerReason reason = ReasonToRefuse(call, now);
   if (reason != AnswerReason::kNone) {
     return Refuse(call, reason, now, effects);
@@ -32,10 +33,20 @@
       .first->second;
 }
 
+Duration Engine::ExpectedLatency(const ServiceId& service) const {
+  const auto found = m_services.find(service);
+  return found == m_services.end() ? Duration::zero()
+                                   : found->second.p95_call_latency.value();
+}
+
 AnswerReason Engine::ReasonToRefuse(const Call& call, TimePoint now) const {
   if (m_draining) {
     return AnswerReason::kDraining;
   }
+  if (call.deadline == m_last_answer &&
+      now + ExpectedLatency(call.method->service) > m_last_answer) {
+    return AnswerReason::kDraining;
+  }
   if (call.deadline <= now) {
     return AnswerReason::kDeadline;
   }
@@ -112,6 +123,7 @@
   const CallId id = call.id;
   OpenCall& open = m_calls[id];
   open.call = std::move(call);
+  open.call.deadline = std::min(open.call.deadline, m_last_answer);
   open.service = &service;
   open.started = now;
   ++service.running_calls;
@@ -130,6 +142,16 @@
   }
 }
 
+void Engine::RefuseWaitingCalls(TimePoint now, Effects& effects) {
+  for (auto& [id, service] : m_services) {
+    while (!service.queue.empty()) {
+      RefuseWaitingCall(service.queue.TakeNext(), AnswerReason::kDraining, now,
+                        effects);
+    }
+    ArmWaitingTimer(service);
+  }
+}
+
 void Engine::StartWaitingCalls(ServiceState& service,
                                TimePoint now,
                                Effects& effects) {
--- a/src/jacinthdeck/typed/typed_call_runner.cc
+++ b/src/jacinthdeck/typed/typed_call_runner.cc
@@ -67,6 +67,12 @@
   ApplyEffects(effects, now);
 }
 
+void TypedCallRunner::BeginStop(TimePoint last_answer, TimePoint now) {
+  Effects effects;
+  m_engine.BeginStop(last_answer, now, effects);
+  ApplyEffects(effects, now);
+}
+
 void TypedCallRunner::ApplyEffects(Effects& effects, TimePoint now) {
   for (const SendAttempt& send : effects.sends) {
     const TargetInfo* target = m_router.FindTarget(send.target);
--- a/src/jacinthdeck/typed/typed_call_runner.h
+++ b/src/jacinthdeck/typed/typed_call_runner.h
@@ -80,6 +80,10 @@
   /*! \brief Processes all timers that are due. */
   void OnTimer(TimePoint now);
 
+  /*! \brief Prepares for the end of the host: each call gets its answer by a
+   * given time. */
+  void BeginStop(TimePoint last_answer, TimePoint now);
+
   /*! \brief Refuses new calls from now on; running ones go on. */
   void Drain() noexcept { m_engine.Drain(); }
 
--- a/test/jacinthdeck/forward/forwarder_waiting_test.cc
+++ b/test/jacinthdeck/forward/forwarder_waiting_test.cc
@@ -59,6 +59,16 @@
   BOOST_TEST(port.delivered.empty());
 }
 
+// Guards against a call that still waits when its host ends.
+BOOST_AUTO_TEST_CASE(HostStops_CallWaits_RefusedForAnotherHost) {
+  (void)Submit("/read/next");
+  BOOST_REQUIRE(forwarder.waiting_calls() == 1U);
+  forwarder.BeginStop(clock.Now() + milliseconds(150), clock.Now());
+  Advance(milliseconds(150));
+  BOOST_TEST((OnlyAnswer().answer.reason == ForwardReason::kStopping));
+  BOOST_TEST(port.sent.empty());
+}
+
 // Guards against a wait for a call that is known to be lost: without a target
 // it is refused at once.
 BOOST_AUTO_TEST_CASE(Submit_NoTarget_RefusedAtOnce) {
--- a/test/jacinthdeck/http/edge_server_test.cc
+++ b/test/jacinthdeck/http/edge_server_test.cc
@@ -182,6 +182,20 @@
   BOOST_TEST(IsClosed(caller));
 }
 
+// Guards against a connection that closes without an answer because the request
+// on it has not arrived as a whole when the host ends.
+BOOST_AUTO_TEST_CASE(RejectIncomplete_RequestArrivedInPart_Is503) {
+  tcp::socket caller = Connect();
+  SendText(caller, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nab");
+  RunUntil([&] { return server.connections() == 1; });
+  RunUntil([&] {
+    server.RejectIncomplete();
+    return server.counters().rejected == 1;
+  });
+  BOOST_TEST(ReadUntil(caller, "\r\n\r\n").starts_with("HTTP/1.1 503"));
+  BOOST_TEST(requests.empty());
+}
+
 BOOST_AUTO_TEST_CASE(Connections_BeyondTheLimit_AreClosed) {
   tcp::socket first = Connect();
   tcp::socket second = Connect();
