Answer a request that was read behind another one before closing on a stop

A stopping host adds Connection: close to each response and then discards what it has read.

The response closes the connection only if nothing was read behind its request; the last one of those does. New test EdgeServerTest/Drain_RequestWasReadBehindAnother_BothAreAnswered: without the change the second request never reaches the handler (the test ends at its limit of 20 s); with it both are answered, and the connection closes.

--- a/src/jacinthdeck/http/edge_connection.cc
+++ b/src/jacinthdeck/http/edge_connection.cc
@@ -230,7 +230,9 @@
   }
   m_phase = Phase::kWriting;
   m_phase_started_at = m_server.m_clock.Now();
-  const bool close = !m_keep_alive || m_server.draining();
+  // A request that was already read behind this one is answered first.
+  const bool close =
+      !m_keep_alive || (m_server.draining() && m_read_buffer.size() == 0);
   if (response.reason.empty()) {
     response.reason = ToStringView(
         http::obsolete_reason(static_cast<http::status>(response.status)));
--- a/test/jacinthdeck/http/edge_server_test.cc
+++ b/test/jacinthdeck/http/edge_server_test.cc
@@ -182,6 +182,24 @@
   BOOST_TEST(IsClosed(caller));
 }
 
+// Guards against a request that the host has read behind another one, and drops
+// with the close that announces its stop.
+BOOST_AUTO_TEST_CASE(Drain_RequestWasReadBehindAnother_BothAreAnswered) {
+  respond_immediately = false;
+  tcp::socket caller = Connect();
+  SendText(
+      caller,
+      "GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+  RunUntil([&] { return requests.size() == 1; });
+  server.Drain();
+  RespondWithBody("first");
+  RunUntil([&] { return requests.size() == 2; });
+  RespondWithBody("second");
+  const std::string reply = ReadUntil(caller, "second");
+  BOOST_TEST(reply.find("first") < reply.find("Connection: close"));
+  BOOST_TEST(IsClosed(caller));
+}
+
 // Guards against a connection that closes without an answer because the request
 // on it has not arrived as a whole when the host ends.
 BOOST_AUTO_TEST_CASE(RejectIncomplete_RequestArrivedInPart_Is503) {
