Answer what is due before the loop ends, also when it was busy until then

Both the timer of the stop and that of the decisions may be due when a loop that was busy, or a process that was paused, goes on.

Stop() now takes the due decisions itself once the last answers are due. New test Host_LoopIsBusyUntilItsEnd_CallerGetsAnswer: a reload occupies the loop until 5 ms before the end of the grace period; before, the caller's connection ended without an answer, now it gets 504.

--- a/src/jacinthdeck/entry/entry_node_stop.cc
+++ b/src/jacinthdeck/entry/entry_node_stop.cc
@@ -81,6 +81,9 @@
     m_queries_server.CloseIdle();
   }
   if (now >= m_shutdown.last_answer) {
+    // On a busy loop, or after a pause of the process, the timer of the
+    // decisions may come after this one.
+    OnDecisionTimer();
     m_callers_server.RejectIncomplete();
     m_queries_server.RejectIncomplete();
   }
--- a/test/jacinthdeck/entry/entry_node_test.cc
+++ b/test/jacinthdeck/entry/entry_node_test.cc
@@ -67,6 +67,8 @@
   std::atomic<bool> reloaded = false;
   //! Signals that the next reload raises on the loop's thread.
   std::vector<int> signals_during_reload;
+  //! Time until which the next reload occupies the loop.
+  std::atomic<TimePoint> busy_until = TimePoint{};
   std::unique_ptr<EntryNode> node;
   std::atomic<bool> stopped = false;
   std::thread runner;
@@ -107,6 +109,7 @@
       for (const int signal : signals) {
         (void)raise(signal);
       }
+      std::this_thread::sleep_for(busy_until.load() - clock.Now());
     });
     runner = std::thread([this] {
       node->Run();
@@ -252,6 +255,19 @@
   BOOST_TEST(reply.status == 504);
 }
 
+// Guards against a host that ends before it has answered what is due, because
+// its loop was busy until then.
+BOOST_AUTO_TEST_CASE(Host_LoopIsBusyUntilItsEnd_CallerGetsAnswer) {
+  ClientReply reply;
+  std::thread caller([&] { reply = Get(callers, kSlowPath); });
+  BOOST_TEST(WaitUntil([&] { return slow_requests > 0; }));
+  busy_until = clock.Now() + kGrace - milliseconds(5);
+  (void)raise(SIGTERM);
+  (void)raise(SIGHUP);
+  caller.join();
+  BOOST_TEST(reply.status == 504, reply.error);
+}
+
 // Guards against a host that ends only when the platform kills it.
 BOOST_AUTO_TEST_CASE(Host_StopsBeforeTargetAnswers_EndsWithinGracePeriod) {
   std::thread caller([&] { (void)Get(callers, kSlowPath); });
