Answer a request that has arrived when its connection is to be closed

Cause: CloseIdle(), the idle timeout and the response of a stopping host looked only at the bytes that the connection had read. Bytes in the kernel that the loop had not come to yet were not seen: closing the socket then sends a reset, and a request behind another one was discarded after Connection: close.

Change: all three use HasInput(), which counts the bytes in the kernel too. It costs one system call for a connection that is to be closed, and one for each response of a stopping host.

Evidence: three new tests in EdgeServerTest send a request and do not run the loop before the close.

What remains: bytes that arrive after the check are still answered with a reset. The host has not read them, so that the caller may send the request again.

--- a/src/jacinthdeck/http/edge_connection.cc
+++ b/src/jacinthdeck/http/edge_connection.cc
@@ -230,9 +230,8 @@
   }
   m_phase = Phase::kWriting;
   m_phase_started_at = m_server.m_clock.Now();
-  // A request that was already read behind this one is answered first.
-  const bool close =
-      !m_keep_alive || (m_server.draining() && m_read_buffer.size() == 0);
+  // A request that has arrived behind this one is answered first.
+  const bool close = !m_keep_alive || (m_server.draining() && !HasInput());
   if (response.reason.empty()) {
     response.reason = ToStringView(
         http::obsolete_reason(static_cast<http::status>(response.status)));
@@ -325,8 +324,13 @@
   m_server.RemoveConnection(*this);
 }
 
+bool EdgeConnection::HasInput() const {
+  SystemError ignored;
+  return m_read_buffer.size() > 0 || m_socket.available(ignored) > 0;
+}
+
 void EdgeConnection::CloseIfIdle() {
-  if (m_phase == Phase::kIdle && m_read_buffer.size() == 0) {
+  if (m_phase == Phase::kIdle && !HasInput()) {
     Close();
   }
 }
@@ -343,7 +347,7 @@
   switch (m_phase) {
     case Phase::kIdle:
       if (time_in_phase > limits.idle_timeout) {
-        Close();
+        CloseIfIdle();
       }
       break;
     case Phase::kReading:
--- a/src/jacinthdeck/http/edge_connection.h
+++ b/src/jacinthdeck/http/edge_connection.h
@@ -55,8 +55,8 @@
   /*! \brief Answers 503 to a request that has not arrived as a whole. */
   void RejectIncomplete();
 
-  /*! \brief Closes the connection if no byte of a request has arrived and none
-   * awaits its response. */
+  /*! \brief Closes the connection if no byte of a request has arrived, read or
+   * not, and none awaits its response. */
   void CloseIfIdle();
 
  private:
@@ -88,6 +88,9 @@
   void Write(bool close);
   void OnWritten(const SystemError& error);
   void Linger();
+  //! Returns whether bytes have arrived that are not parsed. Those in the
+  //! kernel count: closing the socket would answer them with a reset.
+  [[nodiscard]] bool HasInput() const;
 
   EdgeServer& m_server;
   tcp::socket m_socket;
--- a/test/jacinthdeck/http/edge_server_test.cc
+++ b/test/jacinthdeck/http/edge_server_test.cc
@@ -61,6 +61,8 @@
   }
 };
 
+constexpr const char* kRequest = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+
 }  // namespace
 
 BOOST_FIXTURE_TEST_SUITE(EdgeServerTest, EdgeServerFixture)
@@ -200,6 +202,47 @@
   BOOST_TEST(IsClosed(caller));
 }
 
+// Guards against a request that has reached the host and is reset because the
+// host closes idle connections before it reads.
+BOOST_AUTO_TEST_CASE(CloseIdle_RequestIsNotReadYet_IsAnswered) {
+  tcp::socket caller = Connect();
+  SendText(caller, kRequest);
+  (void)ReadUntil(caller, "done");
+  server.Drain();
+  SendText(caller, kRequest);
+  server.CloseIdle();
+  BOOST_TEST(ReadUntil(caller, "done").starts_with("HTTP/1.1 200"));
+  BOOST_TEST(IsClosed(caller));
+}
+
+// Guards against the same at the idle timeout.
+BOOST_AUTO_TEST_CASE(IdleTimeout_RequestIsNotReadYet_IsAnswered) {
+  tcp::socket caller = Connect();
+  SendText(caller, kRequest);
+  (void)ReadUntil(caller, "done");
+  clock.Advance(seconds(16));
+  SendText(caller, kRequest);
+  server.ApplyTimeouts();
+  BOOST_TEST(ReadUntil(caller, "done").starts_with("HTTP/1.1 200"));
+}
+
+// Guards against a request that has reached the host behind another one and is
+// discarded with the close that announces the stop.
+BOOST_AUTO_TEST_CASE(Drain_RequestBehindAnotherIsNotReadYet_BothAreAnswered) {
+  respond_immediately = false;
+  tcp::socket caller = Connect();
+  SendText(caller, kRequest);
+  RunUntil([&] { return requests.size() == 1; });
+  server.Drain();
+  SendText(caller, kRequest);
+  RespondWithBody("first");
+  RunUntil([&] { return requests.size() == 2; });
+  RespondWithBody("second");
+  const std::string reply = ReadUntil(caller, "second");
+  BOOST_TEST(reply.find("first") < reply.find("Connection: close"));
+  BOOST_TEST(IsClosed(caller));
+}
+
 // Guards against a connection that closes without an answer because the request
 // on it has not arrived as a whole when the host ends.
 BOOST_AUTO_TEST_CASE(RejectIncomplete_RequestArrivedInPart_Is503) {
