Discard the rest of a rejected body for as long as it arrives

Cause: the connection discarded input for one second after the response, and then closed. The kernel answers what arrives later with a reset, which discards a response that the caller has not read.

Change: the second counts from the last bytes that arrived. The whole time is bounded by the body timeout of 15 s, so that a body without an end does not keep a connection open for longer than one that is accepted.

Evidence: new test RejectedRequest_BodyStillArrives_IsReadForBoundedTime sends a piece each 0.6 s of the paused clock. Without the change the connection is closed after 1.2 s; with it, it is open for 15 s and closed after them.

--- a/src/jacinthdeck/http/edge_connection.cc
+++ b/src/jacinthdeck/http/edge_connection.cc
@@ -28,10 +28,12 @@
 constexpr std::size_t kMaxPipelinedBytes = 65536;
 //! Time within which the peer must accept a whole response.
 constexpr Duration kWriteTimeout = std::chrono::seconds(10);
-//! Time within which the peer must close after the last response.
+//! Time within which the peer must close after the last response or the last
+//! bytes that it has sent since.
 constexpr Duration kLingerTimeout = std::chrono::seconds(1);
 //! Time added to the header timeout once the header is complete: enough for a
-//! body of the maximum size over a slow link.
+//! body of the maximum size over a slow link. A body that was rejected is
+//! discarded for as long.
 constexpr Duration kBodyTimeout = std::chrono::seconds(15);
 
 constexpr std::string_view kContinueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
@@ -110,6 +112,7 @@
   m_read_buffer.commit(bytes);
   if (m_phase == Phase::kLingering) {
     m_read_buffer.consume(m_read_buffer.size());
+    m_last_discarded_at = m_server.m_clock.Now();
     Read();
     return;
   }
@@ -308,6 +311,7 @@
 
 void EdgeConnection::Linger() {
   m_phase = Phase::kLingering;
+  m_last_discarded_at = m_phase_started_at;
   m_read_buffer.consume(m_read_buffer.size());
   SystemError ignored;
   m_socket.shutdown(tcp::socket::shutdown_send, ignored);
@@ -362,7 +366,8 @@
       }
       break;
     case Phase::kLingering:
-      if (time_in_phase > kLingerTimeout) {
+      if (now - m_last_discarded_at > kLingerTimeout ||
+          time_in_phase > kBodyTimeout) {
         Close();
       }
       break;
--- a/src/jacinthdeck/http/edge_connection.h
+++ b/src/jacinthdeck/http/edge_connection.h
@@ -100,6 +100,9 @@
   Phase m_phase = Phase::kIdle;
   //! Start of the current phase, to which its timeout applies.
   TimePoint m_phase_started_at;
+  //! While kLingering: when bytes were last discarded, or the start of the
+  //! phase.
+  TimePoint m_last_discarded_at;
   bool m_header_complete = false;
   bool m_read_pending = false;
   //! The connection may be kept open after the current request.
--- a/test/jacinthdeck/http/edge_server_test.cc
+++ b/test/jacinthdeck/http/edge_server_test.cc
@@ -257,6 +257,39 @@
   BOOST_TEST(requests.empty());
 }
 
+// Guards against a reset that discards the response to a rejected request whose
+// body is still arriving, and against a body without an end that keeps its
+// connection open.
+BOOST_AUTO_TEST_CASE(RejectedRequest_BodyStillArrives_IsReadForBoundedTime) {
+  constexpr milliseconds kBetweenPieces{600};
+  constexpr milliseconds kBodyTimeout{15000};
+  tcp::socket caller = Connect();
+  caller.set_option(tcp::no_delay(true));
+  SendText(caller,
+           "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9999\r\n\r\n");
+  RunUntil([&] { return server.counters().rejected == 1; });
+  SystemError error;
+  milliseconds sent_for{0};
+  while (sent_for + kBetweenPieces <= kBodyTimeout) {
+    asio::write(caller, asio::buffer(std::string(64, 'x')), error);
+    BOOST_REQUIRE(!error);
+    loop.restart();
+    (void)loop.poll();
+    clock.Advance(kBetweenPieces);
+    sent_for += kBetweenPieces;
+    server.ApplyTimeouts();
+    BOOST_REQUIRE_MESSAGE(server.connections() == 1U,
+                          "closed after " << sent_for.count() << " ms");
+  }
+  BOOST_TEST(ReadUntil(caller, "\r\n\r\n").starts_with("HTTP/1.1 413"));
+  asio::write(caller, asio::buffer(std::string(64, 'x')), error);
+  loop.restart();
+  (void)loop.poll();
+  clock.Advance(kBetweenPieces);
+  server.ApplyTimeouts();
+  BOOST_TEST(server.connections() == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(Connections_BeyondTheLimit_AreClosed) {
   tcp::socket first = Connect();
   tcp::socket second = Connect();
