Show that a large response arrives as a whole at a caller that reads slowly

The host closes each of these connections before the caller has read all of the response, and the kernel delivers the rest.

Not covered: the process that ends, at the end of the stop, while a part of a response is still in its own memory.

--- a/test/jacinthdeck/http/edge_server_test.cc
+++ b/test/jacinthdeck/http/edge_server_test.cc
@@ -290,6 +290,46 @@
   BOOST_TEST(server.connections() == 0U);
 }
 
+// Guards against a response that is cut off for a caller that reads slowly: on
+// a kept connection that is closed as idle, at Connection: close, and while the
+// host stops.
+BOOST_AUTO_TEST_CASE(LargeResponse_CallerReadsSlowly_ArrivesAsWhole) {
+  respond_immediately = false;
+  const std::string body(1048576, 'b');
+  enum class Close { kIdle, kHeader, kStop };
+  for (const Close close : {Close::kIdle, Close::kHeader, Close::kStop}) {
+    tcp::socket caller(loop);
+    caller.open(tcp::v4());
+    caller.set_option(asio::socket_base::receive_buffer_size(4096));
+    caller.connect({asio::ip::address_v4::loopback(), server.port()});
+    requests.clear();
+    SendText(caller,
+             std::string("GET / HTTP/1.1\r\nHost: h\r\n") +
+                 (close == Close::kHeader ? "Connection: close\r\n" : "") +
+                 "\r\n");
+    RunUntil([&] { return requests.size() == 1; });
+    if (close == Close::kStop) {
+      server.Drain();
+    }
+    RespondWithBody(body);
+    std::string received;
+    std::size_t closed_at = 0;
+    bool ended = false;
+    RunUntil([&] {
+      received += ReadSome(caller, ended);
+      clock.Advance(milliseconds(30));
+      closed_at = server.connections() > 0 ? received.size() : closed_at;
+      server.ApplyTimeouts();
+      server.CloseIdle();
+      return ended;
+    });
+    BOOST_TEST((received.size() > body.size() && received.ends_with(body)),
+               "received " << received.size() << " bytes");
+    // The host had closed the connection before the caller had read all.
+    BOOST_TEST(closed_at < received.size());
+  }
+}
+
 BOOST_AUTO_TEST_CASE(Connections_BeyondTheLimit_AreClosed) {
   tcp::socket first = Connect();
   tcp::socket second = Connect();
