End the log of a stopping host before it is killed

Cause: the thread that writes the log gave up after 0.2 s in which the reader took nothing, while the host has 0.1 s between its end and its kill. A reader that takes a piece now and then never reached that limit, so that the whole ring was written at its speed.

Change: a stopping writer waits for 50 ms in total, and after that gives up as soon as the pipe is full. A pipe with room still takes everything.

Evidence: new test LogWriter_ReaderIsSlowOrStuckAtTheEnd_EndsInTime, with a bound of 100 ms on the shortest of three stops.

--- a/src/jacinthdeck/entry/log_writer.cc
+++ b/src/jacinthdeck/entry/log_writer.cc
@@ -17,9 +17,13 @@
 //! Capacity of the ring in chunks; each holds the lines of up to 0.1 s.
 constexpr std::size_t kMaxChunks = 64;
 constexpr std::chrono::seconds kMaxWait{3600};
-//! Time that the reader of the log has to make room in the pipe, in
-//! milliseconds. While the writer is stopping, the rest is given up after it.
-constexpr int kWriteTimeoutMs = 200;
+//! Longest wait for room in the pipe, in milliseconds, before the thread checks
+//! whether it has to stop.
+constexpr int kWriteTimeoutMs = 20;
+//! Time for which a writer that is stopping waits for room. After it, the rest
+//! is given up once the pipe is full. A host has 100 ms between its end and its
+//! kill.
+constexpr std::chrono::milliseconds kStopTimeout{50};
 constexpr std::size_t kMaxPieceBytes = PIPE_BUF;
 
 }  // namespace
@@ -30,6 +34,7 @@
       m_thread([this] { Run(); }) {}
 
 LogWriter::~LogWriter() {
+  m_stop_by = std::chrono::steady_clock::now() + kStopTimeout;
   m_stopping = true;
   (void)m_ring.TryPush(std::string());
   m_thread.join();
@@ -52,6 +57,10 @@
   }
 }
 
+bool LogWriter::MustEnd() const {
+  return m_stopping && std::chrono::steady_clock::now() >= m_stop_by;
+}
+
 // A blocking write would keep the process from ending while the reader of its
 // output is stuck. So the thread waits in poll with a timeout, and writes
 // pieces of at most PIPE_BUF bytes, which a pipe that polls ready takes as a
@@ -59,9 +68,10 @@
 bool LogWriter::WriteOut(const std::string& chunk) const {
   std::size_t done = 0;
   while (done < chunk.size()) {
+    const bool must_end = MustEnd();
     pollfd ready{m_descriptor, POLLOUT, 0};
-    if (poll(&ready, 1, kWriteTimeoutMs) <= 0) {
-      if (m_stopping) {
+    if (poll(&ready, 1, must_end ? 0 : kWriteTimeoutMs) <= 0) {
+      if (must_end) {
         return false;
       }
       continue;
--- a/src/jacinthdeck/entry/log_writer.h
+++ b/src/jacinthdeck/entry/log_writer.h
@@ -3,6 +3,7 @@
 #define JACINTHDECK_ENTRY_LOG_WRITER_H_
 
 #include <atomic>
+#include <chrono>
 #include <cstdint>
 #include <string>
 #include <thread>
@@ -23,7 +24,7 @@
   /*! \brief Starts the thread, which writes to \p descriptor. */
   explicit LogWriter(int descriptor);
   /*! \brief Writes the chunks left in the ring and joins the thread; gives up
-   * after a bounded time if the reader is stuck. */
+   * after a bounded time if the reader is slow or stuck. */
   ~LogWriter();
   LogWriter(const LogWriter&) = delete;
   LogWriter& operator=(const LogWriter&) = delete;
@@ -35,10 +36,14 @@
  private:
   void Run();
   //! Writes a chunk. Returns false if the descriptor fails, or takes nothing
-  //! while the writer is stopping.
+  //! once the time of a stopping writer is over.
   [[nodiscard]] bool WriteOut(const std::string& chunk) const;
+  //! Returns whether the time for which a stopping writer waits is over.
+  [[nodiscard]] bool MustEnd() const;
 
   const int m_descriptor;
+  //! Written before m_stopping is set, and read after it is seen.
+  std::chrono::steady_clock::time_point m_stop_by;
   std::atomic<bool> m_stopping = false;
   BoundedRing<std::string> m_ring;
   //! Declared last, so that the thread starts after the members that it uses.
--- a/test/jacinthdeck/entry/event_log_test.cc
+++ b/test/jacinthdeck/entry/event_log_test.cc
@@ -2,16 +2,22 @@
 #include "jacinthdeck/entry/event_log.h"
 
 #include <jansson.h>
+#include <limits.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
+#include <atomic>
 #include <boost/test/unit_test.hpp>
+#include <chrono>
 #include <fstream>
 #include <iterator>
 #include <limits>
+#include <memory>
 #include <set>
 #include <sstream>
 #include <string>
+#include <thread>
 
 #include "jacinthdeck/core/json.h"
 #include "jacinthdeck/core/manual_clock.h"
@@ -113,6 +119,47 @@
   BOOST_TEST(log.dropped() > 0U);
 }
 
+// Guards against a host that is killed before it ends, because the reader of
+// its log takes the rest of it slowly or not at all.
+BOOST_AUTO_TEST_CASE(LogWriter_ReaderIsSlowOrStuckAtTheEnd_EndsInTime) {
+  using std::chrono::milliseconds;
+  // Time between the end of a host and its kill.
+  constexpr milliseconds kEndBefore{100};
+  const std::string chunk(8000, 'x');
+  for (const bool reads_slowly : {false, true}) {
+    std::atomic<bool> ended = false;
+    std::thread reader([&] {
+      std::string piece(PIPE_BUF, '\0');
+      while (reads_slowly && !ended) {
+        (void)read(pipe_ends[0], piece.data(), piece.size());
+        std::this_thread::sleep_for(milliseconds(20));
+      }
+    });
+    // Other processes may delay one of the stops, so the shortest one counts.
+    auto shortest = std::chrono::steady_clock::duration::max();
+    for (int i = 0; i < 3; ++i) {
+      auto writer = std::make_unique<LogWriter>(pipe_ends[1]);
+      // Fills the pipe and the ring.
+      for (int refused = 0; refused < 3;) {
+        if (!writer->TryWrite(chunk)) {
+          ++refused;
+          std::this_thread::sleep_for(milliseconds(5));
+        }
+      }
+      const auto began = std::chrono::steady_clock::now();
+      writer.reset();
+      shortest = std::min(shortest, std::chrono::steady_clock::now() - began);
+    }
+    ended = true;
+    reader.join();
+    BOOST_TEST((shortest < kEndBefore),
+               "reads slowly: "
+                   << reads_slowly << ", took "
+                   << std::chrono::duration_cast<milliseconds>(shortest).count()
+                   << " ms");
+  }
+}
+
 // The page must list every event of the table, and no event that is not logged.
 BOOST_AUTO_TEST_CASE(Page_ListsEvents_MatchesEventTable) {
   std::string path(JACINTHDECK_DOCS);
