--- a/test/jacinthdeck/http/edge_server_test.cc
+++ b/test/jacinthdeck/http/edge_server_test.cc
@@ -61,6 +61,8 @@
   }
 };
 
+constexpr const char* kRequest = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+
 }  // namespace
 
 BOOST_FIXTURE_TEST_SUITE(EdgeServerTest, EdgeServerFixture)
@@ -200,6 +202,47 @@
   BOOST_TEST(IsClosed(caller));
 }
 
+// Guards against a request that has reached the host and is reset because the
+// host closes idle connections before it reads.
+BOOST_AUTO_TEST_CASE(CloseIdle_RequestIsNotReadYet_IsAnswered) {
+  tcp::socket caller = Connect();
+  SendText(caller, kRequest);
+  (void)ReadUntil(caller, "done");
+  server.Drain();
+  SendText(caller, kRequest);
+  server.CloseIdle();
+  BOOST_TEST(ReadUntil(caller, "done").starts_with("HTTP/1.1 200"));
+  BOOST_TEST(IsClosed(caller));
+}
+
+// Guards against the same at the idle timeout.
+BOOST_AUTO_TEST_CASE(IdleTimeout_RequestIsNotReadYet_IsAnswered) {
+  tcp::socket caller = Connect();
+  SendText(caller, kRequest);
+  (void)ReadUntil(caller, "done");
+  clock.Advance(seconds(16));
+  SendText(caller, kRequest);
+  server.ApplyTimeouts();
+  BOOST_TEST(ReadUntil(caller, "done").starts_with("HTTP/1.1 200"));
+}
+
+// Guards against a request that has reached the host behind another one and is
+// discarded with the close that announces the stop.
+BOOST_AUTO_TEST_CASE(Drain_RequestBehindAnotherIsNotReadYet_BothAreAnswered) {
+  respond_immediately = false;
+  tcp::socket caller = Connect();
+  SendText(caller, kRequest);
+  RunUntil([&] { return requests.size() == 1; });
+  server.Drain();
+  SendText(caller, kRequest);
+  RespondWithBody("first");
+  RunUntil([&] { return requests.size() == 2; });
+  RespondWithBody("second");
+  const std::string reply = ReadUntil(caller, "second");
+  BOOST_TEST(reply.find("first") < reply.find("Connection: close"));
+  BOOST_TEST(IsClosed(caller));
+}
+
 // Guards against a connection that closes without an answer because the request
 // on it has not arrived as a whole when the host ends.
 BOOST_AUTO_TEST_CASE(RejectIncomplete_RequestArrivedInPart_Is503) {
@@ -214,6 +257,79 @@
   BOOST_TEST(requests.empty());
 }
 
+// Guards against a reset that discards the response to a rejected request whose
+// body is still arriving, and against a body without an end that keeps its
+// connection open.
+BOOST_AUTO_TEST_CASE(RejectedRequest_BodyStillArrives_IsReadForBoundedTime) {
+  constexpr milliseconds kBetweenPieces{600};
+  constexpr milliseconds kBodyTimeout{15000};
+  tcp::socket caller = Connect();
+  caller.set_option(tcp::no_delay(true));
+  SendText(caller,
+           "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9999\r\n\r\n");
+  RunUntil([&] { return server.counters().rejected == 1; });
+  SystemError error;
+  milliseconds sent_for{0};
+  while (sent_for + kBetweenPieces <= kBodyTimeout) {
+    asio::write(caller, asio::buffer(std::string(64, 'x')), error);
+    BOOST_REQUIRE(!error);
+    loop.restart();
+    (void)loop.poll();
+    clock.Advance(kBetweenPieces);
+    sent_for += kBetweenPieces;
+    server.ApplyTimeouts();
+    BOOST_REQUIRE_MESSAGE(server.connections() == 1U,
+                          "closed after " << sent_for.count() << " ms");
+  }
+  BOOST_TEST(ReadUntil(caller, "\r\n\r\n").starts_with("HTTP/1.1 413"));
+  asio::write(caller, asio::buffer(std::string(64, 'x')), error);
+  loop.restart();
+  (void)loop.poll();
+  clock.Advance(kBetweenPieces);
+  server.ApplyTimeouts();
+  BOOST_TEST(server.connections() == 0U);
+}
+
+// Guards against a response that is cut off for a caller that reads slowly: on
+// a kept connection that is closed as idle, at Connection: close, and while the
+// host stops.
+BOOST_AUTO_TEST_CASE(LargeResponse_CallerReadsSlowly_ArrivesAsWhole) {
+  respond_immediately = false;
+  const std::string body(1048576, 'b');
+  enum class Close { kIdle, kHeader, kStop };
+  for (const Close close : {Close::kIdle, Close::kHeader, Close::kStop}) {
+    tcp::socket caller(loop);
+    caller.open(tcp::v4());
+    caller.set_option(asio::socket_base::receive_buffer_size(4096));
+    caller.connect({asio::ip::address_v4::loopback(), server.port()});
+    requests.clear();
+    SendText(caller,
+             std::string("GET / HTTP/1.1\r\nHost: h\r\n") +
+                 (close == Close::kHeader ? "Connection: close\r\n" : "") +
+                 "\r\n");
+    RunUntil([&] { return requests.size() == 1; });
+    if (close == Close::kStop) {
+      server.Drain();
+    }
+    RespondWithBody(body);
+    std::string received;
+    std::size_t closed_at = 0;
+    bool ended = false;
+    RunUntil([&] {
+      received += ReadSome(caller, ended);
+      clock.Advance(milliseconds(30));
+      closed_at = server.connections() > 0 ? received.size() : closed_at;
+      server.ApplyTimeouts();
+      server.CloseIdle();
+      return ended;
+    });
+    BOOST_TEST((received.size() > body.size() && received.ends_with(body)),
+               "received " << received.size() << " bytes");
+    // The host had closed the connection before the caller had read all.
+    BOOST_TEST(closed_at < received.size());
+  }
+}
+
 BOOST_AUTO_TEST_CASE(Connections_BeyondTheLimit_AreClosed) {
   tcp::socket first = Connect();
   tcp::socket second = Connect();
