Answer requests that a stopping host has not accepted or read yet

Closing the port reset connections in its backlog, and closing idle connections discarded requests that had arrived but were not read, as on a host whose loop is busy. StopListening() now accepts the backlog first, and CloseIfIdle() and the idle timeout leave a connection with unread bytes.

New tests in EdgeServerTest: StopListening_ConnectionsAwaitAccept_AreAnswered, CloseIdle_RequestIsUnread_IsAnswered, ApplyTimeouts_RequestIsUnread_IsAnswered. All three fail without the change (the connection ends without an answer).

--- a/src/jacinthdeck/http/edge_connection.cc
+++ b/src/jacinthdeck/http/edge_connection.cc
@@ -326,11 +326,16 @@
 }
 
 void EdgeConnection::CloseIfIdle() {
-  if (m_phase == Phase::kIdle && m_read_buffer.size() == 0) {
+  if (m_phase == Phase::kIdle && !HasUnreadBytes()) {
     Close();
   }
 }
 
+bool EdgeConnection::HasUnreadBytes() const {
+  SystemError ignored;
+  return m_read_buffer.size() > 0 || m_socket.available(ignored) > 0;
+}
+
 void EdgeConnection::RejectIncomplete() {
   if (m_phase == Phase::kReading) {
     Reject(http_status::kUnavailable);
@@ -342,7 +347,7 @@
   const Duration time_in_phase = now - m_phase_started_at;
   switch (m_phase) {
     case Phase::kIdle:
-      if (time_in_phase > limits.idle_timeout) {
+      if (time_in_phase > limits.idle_timeout && !HasUnreadBytes()) {
         Close();
       }
       break;
--- a/src/jacinthdeck/http/edge_connection.h
+++ b/src/jacinthdeck/http/edge_connection.h
@@ -56,7 +56,7 @@
   void RejectIncomplete();
 
   /*! \brief Closes the connection if no byte of a request has arrived and none
-   * awaits its response. */
+   * awaits its response. A request that has arrived unread stays. */
   void CloseIfIdle();
 
  private:
@@ -78,6 +78,9 @@
     kClosed,
   };
 
+  //! Returns whether bytes have arrived that have not been parsed, such as a
+  //! request that a busy host has not read yet.
+  [[nodiscard]] bool HasUnreadBytes() const;
   void Read();
   void OnReadable(SystemError error);
   void Parse();
--- a/src/jacinthdeck/http/edge_server.cc
+++ b/src/jacinthdeck/http/edge_server.cc
@@ -40,6 +40,15 @@
 }
 
 void EdgeServer::StopListening() {
+  // Closing the port resets the connections that have not been accepted yet.
+  SystemError error;
+  m_acceptor.non_blocking(true, error);
+  while (!error) {
+    tcp::socket socket = m_acceptor.accept(error);
+    if (!error) {
+      AddConnection(std::move(socket));
+    }
+  }
   SystemError ignored;
   m_acceptor.close(ignored);
   m_accept_pause.cancel();
@@ -92,18 +101,24 @@
     });
     return;
   }
+  AddConnection(std::move(socket));
+  if (m_acceptor.is_open()) {
+    Accept();
+  }
+}
+
+void EdgeServer::AddConnection(tcp::socket socket) {
   if (m_connections.size() >= m_max_connections) {
     ++m_counters.over_limit;
-  } else {
-    ++m_counters.accepted;
-    SetStreamOptions(socket);
-    const std::uint64_t id = m_next_id++;
-    auto connection =
-        std::make_shared<EdgeConnection>(*this, std::move(socket), id);
-    m_connections.emplace(id, connection);
-    connection->Start();
+    return;
   }
-  Accept();
+  ++m_counters.accepted;
+  SetStreamOptions(socket);
+  const std::uint64_t id = m_next_id++;
+  auto connection =
+      std::make_shared<EdgeConnection>(*this, std::move(socket), id);
+  m_connections.emplace(id, connection);
+  connection->Start();
 }
 
 void EdgeServer::RemoveConnection(const EdgeConnection& connection) {
--- a/src/jacinthdeck/http/edge_server.h
+++ b/src/jacinthdeck/http/edge_server.h
@@ -71,7 +71,8 @@
    * still accepted. */
   void Drain() noexcept { m_draining = true; }
 
-  /*! \brief Stops accepting connections; open connections are unaffected. */
+  /*! \brief Closes the port, after the connections that await it have been
+   * accepted; open connections are unaffected. */
   void StopListening();
 
   /*! \brief Closes all connections that have no request in progress. */
@@ -89,6 +90,8 @@
 
   void Accept();
   void OnAccept(const SystemError& error, tcp::socket socket);
+  //! Serves a connection, or closes it if there are too many.
+  void AddConnection(tcp::socket socket);
   //! Returns a copy, since a connection may remove itself.
   [[nodiscard]] std::vector<std::shared_ptr<EdgeConnection>> Connections()
       const;
--- a/test/jacinthdeck/http/edge_server_test.cc
+++ b/test/jacinthdeck/http/edge_server_test.cc
@@ -214,6 +214,39 @@
   BOOST_TEST(requests.empty());
 }
 
+// Guards against a request that is reset with the port: its connection was
+// established, but a busy host had not accepted it yet.
+BOOST_AUTO_TEST_CASE(StopListening_ConnectionsAwaitAccept_AreAnswered) {
+  tcp::socket first = Connect();
+  tcp::socket second = Connect();
+  SendText(first, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+  SendText(second, "GET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+  server.Drain();
+  server.StopListening();
+  BOOST_TEST(ReadUntil(first, "done").ends_with("done"));
+  BOOST_TEST(ReadUntil(second, "done").ends_with("done"));
+}
+
+// Guards against a close that discards a request which has arrived, but which a
+// busy host has not read yet.
+BOOST_AUTO_TEST_CASE(CloseIdle_RequestIsUnread_IsAnswered) {
+  tcp::socket caller = Connect();
+  RunUntil([&] { return server.connections() == 1; });
+  SendText(caller, "GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+  server.CloseIdle();
+  BOOST_TEST(ReadUntil(caller, "done").ends_with("done"));
+}
+
+// The same with the timeout of idle connections.
+BOOST_AUTO_TEST_CASE(ApplyTimeouts_RequestIsUnread_IsAnswered) {
+  tcp::socket caller = Connect();
+  RunUntil([&] { return server.connections() == 1; });
+  SendText(caller, "GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+  clock.Advance(seconds(16));
+  server.ApplyTimeouts();
+  BOOST_TEST(ReadUntil(caller, "done").ends_with("done"));
+}
+
 BOOST_AUTO_TEST_CASE(Connections_BeyondTheLimit_AreClosed) {
   tcp::socket first = Connect();
   tcp::socket second = Connect();
