Answer due calls before a stopping host ends on a busy loop

The timer of the stop is at most 20 ms old and that of the calls is not, so that after a loop was blocked (or its machine frozen) past the end of the stop, the stop ran first and ended the loop with the calls unanswered. Stop() now processes the calls that are due.

New test EntryNodeStopTest/Host_BusyWhenLastAnswerIsDue_CallerGetsAnswer: the loop is blocked for 400 ms from 700 ms after SIGTERM, with a grace period of 1 s. It fails without the change ('timed out' in place of 504).

--- a/src/jacinthdeck/entry/entry_node_stop.cc
+++ b/src/jacinthdeck/entry/entry_node_stop.cc
@@ -83,6 +83,9 @@
   if (now >= m_shutdown.last_answer) {
     m_callers_server.RejectIncomplete();
     m_queries_server.RejectIncomplete();
+    // On a busy loop this timer may be handled before the one of the calls that
+    // are due, and the loop may be stopped below.
+    OnDecisionTimer();
   }
   const bool all_left = now >= m_shutdown.idle_close &&
                         m_callers_server.connections() == 0 &&
--- a/test/jacinthdeck/entry/entry_node_test.cc
+++ b/test/jacinthdeck/entry/entry_node_test.cc
@@ -65,6 +65,8 @@
   std::uint16_t directory = FreePort();
   std::uint16_t metrics = FreePort();
   std::atomic<bool> reloaded = false;
+  //! How long a reload keeps the loop busy.
+  std::atomic<milliseconds> reload_time{milliseconds(0)};
   //! Signals that the next reload raises on the loop's thread.
   std::vector<int> signals_during_reload;
   std::unique_ptr<EntryNode> node;
@@ -99,6 +101,7 @@
     BOOST_REQUIRE_EQUAL(started.index(), 0U);
     node->OnReload([this] {
       reloaded = true;
+      std::this_thread::sleep_for(reload_time.load());
       std::vector<int> signals;
       {
         const std::scoped_lock lock(mutex);
@@ -252,6 +255,22 @@
   BOOST_TEST(reply.status == 504);
 }
 
+// Guards against a host that ends before it has answered its calls because its
+// loop was busy, or its machine frozen, when they were due.
+BOOST_AUTO_TEST_CASE(Host_BusyWhenLastAnswerIsDue_CallerGetsAnswer) {
+  ClientReply reply;
+  std::thread caller([&] { reply = Get(callers, kSlowPath); });
+  BOOST_TEST(WaitUntil([&] { return slow_requests > 0; }));
+  (void)raise(SIGTERM);
+  reload_time = milliseconds(400);
+  std::this_thread::sleep_for(milliseconds(700));
+  (void)raise(SIGHUP);
+  caller.join();
+  BOOST_TEST(reloaded.load());
+  BOOST_TEST(reply.answered(), reply.error);
+  BOOST_TEST(reply.status == 504);
+}
+
 // Guards against a host that ends only when the platform kills it.
 BOOST_AUTO_TEST_CASE(Host_StopsBeforeTargetAnswers_EndsWithinGracePeriod) {
   std::thread caller([&] { (void)Get(callers, kSlowPath); });
