Send callers of late calls at a stopping host to another host

A call that the stop left too little time for was refused with 'deadline' and a Retry-After of 150 ms to 4 s, as was one that had not run at the last answer, although another host could serve it at once. Both are 'stopping' now. The answer margin is no longer taken off the last answer, which has its own reserve: with it calls ended 12 ms before the last sixth of a grace period of 3 s or less.

New tests in StoppingHostTest: NewCall_HardlyAnyTimeLeft_RefusedForAnotherHost, OpenCall_NotRunAtTheLastAnswer_RefusedForAnotherHost and OpenCall_TargetAnswersAtTheLastAnswer_IsDelivered fail without the change.

--- a/src/jacinthdeck/forward/forwarder.h
+++ b/src/jacinthdeck/forward/forwarder.h
@@ -179,6 +179,11 @@
   [[nodiscard]] std::size_t CountLiveShards(PendingCall& pending) const;
   //! Returns whether the remaining time of the call is known to be too short.
   [[nodiscard]] bool IsTooLate(const PendingCall& pending, TimePoint now) const;
+  //! Returns whether the call would have a later deadline if the host did not
+  //! stop.
+  [[nodiscard]] bool IsLimitedByStop(const PendingCall& pending) const;
+  //! Returns why a call that has not run ends at its deadline.
+  [[nodiscard]] ForwardReason LateReason(const PendingCall& pending) const;
   //! Returns whether the host stops before the call can be expected to end.
   [[nodiscard]] bool OutlastsHost(const PendingCall& pending,
                                   TimePoint now) const;
--- a/src/jacinthdeck/forward/forwarder_admission.cc
+++ b/src/jacinthdeck/forward/forwarder_admission.cc
@@ -159,8 +159,8 @@
 
 void Forwarder::LimitDeadlines(PendingCall& pending) const {
   pending.call.deadline = std::min(pending.call.deadline, m_last_answer);
-  pending.final_at =
-      std::min(pending.final_at, m_last_answer - m_options.answer_margin);
+  // The time to send the answer comes after m_last_answer.
+  pending.final_at = std::min(pending.final_at, m_last_answer);
   pending.partial_at = std::min(pending.partial_at, pending.final_at);
 }
 
@@ -198,7 +198,7 @@
     return ForwardReason::kNoTarget;
   }
   if (IsTooLate(pending, now)) {
-    return ForwardReason::kDeadline;
+    return LateReason(pending);
   }
   pending.trace.expected = ExpectedDelay(pending, now);
   if (OutlastsHost(pending, now)) {
@@ -226,10 +226,19 @@
          });
 }
 
+bool Forwarder::IsLimitedByStop(const PendingCall& pending) const {
+  return m_last_answer != TimePoint::max() &&
+         pending.call.deadline == m_last_answer;
+}
+
+ForwardReason Forwarder::LateReason(const PendingCall& pending) const {
+  return IsLimitedByStop(pending) ? ForwardReason::kStopping
+                                  : ForwardReason::kDeadline;
+}
+
 bool Forwarder::OutlastsHost(const PendingCall& pending, TimePoint now) const {
   // A call whose caller leaves before the host stops is not cut off.
-  return m_last_answer != TimePoint::max() &&
-         pending.call.deadline == m_last_answer &&
+  return IsLimitedByStop(pending) &&
          now + pending.trace.expected + pending.profile->slow_answer_time() >
              pending.final_at;
 }
--- a/src/jacinthdeck/forward/forwarder_finish.cc
+++ b/src/jacinthdeck/forward/forwarder_finish.cc
@@ -98,6 +98,9 @@
                       ? ForwardReason::kDeadline
                       : failed->reason;
   if (!may_have_run) {
+    if (late) {
+      answer.reason = LateReason(pending);
+    }
     answer.kind = AnswerKind::kNotRun;
     answer.retry_after = RetryAfterFor(answer.reason, pending, now);
     return answer;
--- a/test/jacinthdeck/forward/stopping_host_test.cc
+++ b/test/jacinthdeck/forward/stopping_host_test.cc
@@ -87,6 +87,47 @@
   BOOST_TEST(port.sent.size() == 1U);
 }
 
+// Guards against a caller that is told to come back to a stopping host later,
+// although another host would serve it at once.
+BOOST_AUTO_TEST_CASE(NewCall_HardlyAnyTimeLeft_RefusedForAnotherHost) {
+  WarmUp("/read/1", milliseconds(90));
+  BeginStop();
+  (void)Submit("/read/2");
+  Advance(kUntilLastAnswer - milliseconds(30));
+  port.delivered.clear();
+  (void)Submit("/read/3");
+  BOOST_REQUIRE_EQUAL(port.delivered.size(), 1U);
+  BOOST_TEST(IsRefused(0));
+}
+
+// Guards against a call that ends sooner than at the last answer, and so before
+// the last sixth of a grace period below 3 s.
+BOOST_AUTO_TEST_CASE(OpenCall_TargetAnswersAtTheLastAnswer_IsDelivered) {
+  (void)Submit("/claim/1");
+  BeginStop();
+  Advance(kUntilLastAnswer - milliseconds(1));
+  BOOST_TEST(port.delivered.empty());
+}
+
+// Guards against a caller that is told to come back later to a host that stops
+// before the call has found a target with room.
+BOOST_AUTO_TEST_CASE(OpenCall_NotRunAtTheLastAnswer_RefusedForAnotherHost) {
+  std::size_t calls = 0;
+  do {
+    (void)Submit("/read/" + std::to_string(++calls));
+  } while (port.sent.size() == calls);
+  // The last call waits for room, which it may do for a part of its objective.
+  BOOST_REQUIRE(port.delivered.empty());
+  forwarder.BeginStop(clock.Now() + milliseconds(1), clock.Now());
+  Advance(milliseconds(1));
+  BOOST_REQUIRE_EQUAL(port.delivered.size(), calls);
+  std::size_t refused = 0;
+  for (std::size_t index = 0; index < calls; ++index) {
+    refused += IsRefused(index) ? 1 : 0;
+  }
+  BOOST_TEST(refused == 1U);
+}
+
 // States the inequality of the stop: whatever is submitted, and whenever, has
 // its answer by the last one of the host.
 BOOST_AUTO_TEST_CASE(Calls_SubmittedAtAnyTimeOfTheStop_AllAnsweredInTime) {
