Show that a host which is busy at SIGTERM outlives its grace period

BeginStop() counts from when the signal is handled. With a loop that was blocked for 400 ms by then the last answer is due after the platform has killed the process.

--- a/test/jacinthdeck/entry/entry_node_test.cc
+++ b/test/jacinthdeck/entry/entry_node_test.cc
@@ -255,6 +255,21 @@
   BOOST_TEST(reply.status == 504);
 }
 
+// Guards against a host that counts its grace period from when its busy loop
+// handled the signal, and is killed before it has answered its calls.
+BOOST_AUTO_TEST_CASE(Host_BusyWhenSignalled_EndsWithinGracePeriod) {
+  std::thread caller([&] { (void)Get(callers, kSlowPath); });
+  BOOST_TEST(WaitUntil([&] { return slow_requests > 0; }));
+  reload_time = milliseconds(400);
+  (void)raise(SIGHUP);
+  BOOST_TEST(WaitUntil([&] { return reloaded.load(); }));
+  const TimePoint signalled = clock.Now();
+  (void)raise(SIGTERM);
+  BOOST_TEST(WaitUntil([&] { return stopped.load(); }));
+  BOOST_TEST((clock.Now() - signalled < kGrace));
+  caller.join();
+}
+
 // Guards against a host that ends before it has answered its calls because its
 // loop was busy, or its machine frozen, when they were due.
 BOOST_AUTO_TEST_CASE(Host_BusyWhenLastAnswerIsDue_CallerGetsAnswer) {
