--- a/test/jacinthdeck/entry/entry_node_test.cc
+++ b/test/jacinthdeck/entry/entry_node_test.cc
@@ -268,6 +268,21 @@
   BOOST_TEST(reply.status == 504, reply.error);
 }
 
+// Guards against a host that counts its grace period from when its busy loop
+// handled the signal, and is killed before it has answered its calls.
+BOOST_AUTO_TEST_CASE(Host_BusyWhenSignalled_EndsWithinGracePeriod) {
+  std::thread caller([&] { (void)Get(callers, kSlowPath); });
+  BOOST_TEST(WaitUntil([&] { return slow_requests > 0; }));
+  busy_until = clock.Now() + milliseconds(400);
+  (void)raise(SIGHUP);
+  BOOST_TEST(WaitUntil([&] { return reloaded.load(); }));
+  const TimePoint signalled = clock.Now();
+  (void)raise(SIGTERM);
+  BOOST_TEST(WaitUntil([&] { return stopped.load(); }));
+  BOOST_TEST((clock.Now() - signalled < kGrace));
+  caller.join();
+}
+
 // Guards against a host that ends only when the platform kills it.
 BOOST_AUTO_TEST_CASE(Host_StopsBeforeTargetAnswers_EndsWithinGracePeriod) {
   std::thread caller([&] { (void)Get(callers, kSlowPath); });
--- a/test/jacinthdeck/http/edge_server_test.cc
+++ b/test/jacinthdeck/http/edge_server_test.cc
@@ -330,6 +330,19 @@
   }
 }
 
+// Guards against a request that is reset with the port: its connection was
+// established, but a busy host had not accepted it yet.
+BOOST_AUTO_TEST_CASE(StopListening_ConnectionsAwaitAccept_AreAnswered) {
+  tcp::socket first = Connect();
+  tcp::socket second = Connect();
+  SendText(first, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+  SendText(second, "GET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+  server.Drain();
+  server.StopListening();
+  BOOST_TEST(ReadUntil(first, "done").ends_with("done"));
+  BOOST_TEST(ReadUntil(second, "done").ends_with("done"));
+}
+
 BOOST_AUTO_TEST_CASE(Connections_BeyondTheLimit_AreClosed) {
   tcp::socket first = Connect();
   tcp::socket second = Connect();
