Count a response as broken if a write saw its connection reset

Cause: the kernel reports a reset once per socket. Asio performs a pending write before it completes the wait of the read, so the write got the reset, OnWritten() dropped it, and the read then found an orderly end of the stream, which completes a body without a length.

Ruled out: an error that is a broken pipe. It means that the target's side had ended in an orderly way before, so that the response is whole; the second test holds that.

Change: OnWritten() keeps that a write failed otherwise, and OnReadError() then takes no end of the stream for the end of a body.

--- a/src/jacinthdeck/http/target_connection.cc
+++ b/src/jacinthdeck/http/target_connection.cc
@@ -198,7 +198,7 @@
   m_writing = false;
   // A write fails if the target responds early and closes its side. The
   // outstanding read decides how the attempt ends.
-  (void)error;
+  m_reset_seen = error && error != asio::error::broken_pipe;
 }
 
 void TargetConnection::ResetParser() {
@@ -305,8 +305,9 @@
     return;
   }
   // A response without a length is complete only if the target closes the
-  // connection in an orderly way; after a reset its body may be truncated.
-  if (error == asio::error::eof && m_parser->got_some()) {
+  // connection in an orderly way; after a reset its body may be truncated. The
+  // kernel reports a reset once: if a write got it, the read finds an end.
+  if (error == asio::error::eof && !m_reset_seen && m_parser->got_some()) {
     SystemError ended;
     m_parser->put_eof(ended);
     if (!ended && m_parser->is_done() && !IsForeignResponse()) {
--- a/src/jacinthdeck/http/target_connection.h
+++ b/src/jacinthdeck/http/target_connection.h
@@ -130,6 +130,9 @@
   bool m_keep_after_check = false;
   std::string m_write_buffer;
   bool m_writing = false;
+  //! Whether a write failed because the connection was reset or lost. If only
+  //! the target's side had ended, it fails with a broken pipe instead.
+  bool m_reset_seen = false;
 };
 
 }  // namespace jacinthdeck
--- a/test/jacinthdeck/http/cut_response_test.cc
+++ b/test/jacinthdeck/http/cut_response_test.cc
@@ -59,6 +59,17 @@
     return attempt;
   }
 
+  //! An attempt that is still being written when its response arrives.
+  OutgoingAttempt MakeLongAttempt() {
+    OutgoingAttempt attempt = MakeAttempt();
+    auto request = std::make_shared<OpaqueRequest>(*attempt.request);
+    request->method = "POST";
+    request->has_body = true;
+    request->body = std::string(std::size_t{16} << 20U, 'x');
+    attempt.request = request;
+    return attempt;
+  }
+
   //! Sends an attempt and returns the target's side of its connection, on which
   //! another request was answered before if `kept` is set.
   tcp::socket SendOn(bool kept, const OutgoingAttempt& attempt) {
@@ -174,6 +185,27 @@
   BOOST_TEST(pool.connections() == 0U);
 }
 
+// Guards against a truncated body that counts as whole: the kernel reports a
+// reset once, here to the write of the request, and then ends the stream.
+BOOST_AUTO_TEST_CASE(Response_ResetWhileRequestIsWritten_CountsAsBroken) {
+  const OutgoingAttempt attempt = MakeLongAttempt();
+  for (const std::string response :
+       {"", "HTTP/1.1 200", kOk.c_str(), "HTTP/1.1 200 OK\r\n\r\npart"}) {
+    tcp::socket target = SendOn(false, attempt);
+    const AttemptEnd end = EndAfter(target, response, Ending::kReset);
+    BOOST_TEST((end.outcome == AttemptOutcome::kBroken), response);
+  }
+}
+
+// Guards against an early response that is lost because its request could not
+// be written to the end.
+BOOST_AUTO_TEST_CASE(Response_EndsWhileRequestIsWritten_IsComplete) {
+  tcp::socket target = SendOn(false, MakeLongAttempt());
+  SendResponse(target, kOk + "\r\nwhole");
+  target.shutdown(tcp::socket::shutdown_send);
+  BOOST_TEST(EndAfter(target, "", Ending::kReset).response.body == "whole");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace jacinthdeck
