Count a response in a transfer coding other than chunked as broken

Cause: Boost.Beast looks for a last coding "chunked" only. With another one the body ends with its connection or at a Content-Length, and a coding before "chunked" is ignored. Transfer-Encoding concerns one connection, so it is not passed on.

Change: a complete response is checked before it is used: each Transfer-Encoding is "chunked" or the attempt is broken. Nothing here asks targets for a coding.

--- a/src/jacinthdeck/http/target_connection.cc
+++ b/src/jacinthdeck/http/target_connection.cc
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
+#include <boost/beast/core/string.hpp>
 #include <boost/beast/http/error.hpp>
 #include <charconv>
 #include <utility>
@@ -21,6 +22,7 @@
 namespace http = boost::beast::http;
 using internal::AppendHeader;
 using internal::ToStringView;
+using ResponseHead = http::response_header<>;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
@@ -62,6 +64,15 @@
              : TargetCheck::kUnknown;
 }
 
+//! Tells whether a complete message is a response that can be passed on.
+[[nodiscard]] bool IsWellFormed(const ResponseHead& head) {
+  // The parser takes a coding other than "chunked" for a body without one.
+  const auto [begin, end] = head.equal_range(http::field::transfer_encoding);
+  return std::all_of(begin, end, [](const auto& field) {
+    return boost::beast::iequals(field.value(), "chunked");
+  });
+}
+
 }  // namespace
 
 TargetConnection::TargetConnection(TargetPool& pool, const TargetEntry& target)
@@ -269,6 +280,10 @@
       return;
     }
     if (m_parser->is_done()) {
+      if (!IsWellFormed(m_parser->get())) {
+        FailAttempt(AttemptOutcome::kBroken, false);
+        return;
+      }
       const bool informational =
           m_parser->get().result_int() < http_status::kOk;
       if (!informational && !IsForeignResponse()) {
@@ -310,7 +325,8 @@
   if (error == asio::error::eof && !m_reset_seen && m_parser->got_some()) {
     SystemError ended;
     m_parser->put_eof(ended);
-    if (!ended && m_parser->is_done() && !IsForeignResponse()) {
+    if (!ended && m_parser->is_done() && IsWellFormed(m_parser->get()) &&
+        !IsForeignResponse()) {
       OnResponseComplete();
       return;
     }
--- a/test/jacinthdeck/http/cut_response_test.cc
+++ b/test/jacinthdeck/http/cut_response_test.cc
@@ -206,6 +206,24 @@
   BOOST_TEST(EndAfter(target, "", Ending::kReset).response.body == "whole");
 }
 
+// Guards against a body in a coding that this host doesn't decode and doesn't
+// name to the caller either.
+BOOST_AUTO_TEST_CASE(Response_TransferEncodingOtherThanChunked_IsBroken) {
+  const std::string te = kOk + "Transfer-Encoding: ";
+  const std::string chunks = "\r\n\r\n4\r\nbody\r\n0\r\n\r\n";
+  for (const std::string& response :
+       {te + "gzip\r\n\r\nbody", te + "gzip\r\nContent-Length: 4\r\n\r\nbody",
+        te + "\r\n\r\nbody", te + "gzip, chunked" + chunks,
+        te + "gzip\r\nTransfer-Encoding: chunked" + chunks,
+        te + "chunked, gzip" + chunks, te + "chunked, chunked" + chunks,
+        te + "chunked\r\nTransfer-Encoding: gzip" + chunks,
+        te + "xchunked" + chunks}) {
+    tcp::socket target = SendOn(false, MakeAttempt());
+    const AttemptEnd end = EndAfter(target, response, Ending::kFin);
+    BOOST_TEST((end.outcome == AttemptOutcome::kBroken), response);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace jacinthdeck
