Count a response with a status below 100 as broken

With a length it was discarded as if it were an interim response.

Cause: the parser takes any three digits, and everything below 200 counted as interim in one place and as final in the other.

Change: a complete response with a status below 100 breaks the attempt.

Evidence: Response_StatusBelow100_IsBroken failed for the two forms without a length before, and passes now.

--- a/src/jacinthdeck/http/status.h
+++ b/src/jacinthdeck/http/status.h
@@ -5,6 +5,7 @@
 /*! \brief Status codes, named as in RFC 9110 and RFC 6585. */
 namespace jacinthdeck::http_status {
 
+inline constexpr int kContinue = 100;
 inline constexpr int kOk = 200;
 inline constexpr int kNoContent = 204;
 inline constexpr int kNotModified = 304;
--- a/src/jacinthdeck/http/target_connection.cc
+++ b/src/jacinthdeck/http/target_connection.cc
@@ -66,6 +66,9 @@
 
 //! Tells whether a complete message is a response that can be passed on.
 [[nodiscard]] bool IsWellFormed(const ResponseHead& head) {
+  if (head.result_int() < http_status::kContinue) {
+    return false;
+  }
   // The parser takes a coding other than "chunked" for a body without one.
   const auto [begin, end] = head.equal_range(http::field::transfer_encoding);
   return std::all_of(begin, end, [](const auto& field) {
--- a/test/jacinthdeck/http/cut_response_test.cc
+++ b/test/jacinthdeck/http/cut_response_test.cc
@@ -224,6 +224,17 @@
   }
 }
 
+// Guards against a status that is none of HTTP and that reaches the caller.
+BOOST_AUTO_TEST_CASE(Response_StatusBelow100_IsBroken) {
+  for (const std::string response :
+       {"HTTP/1.1 099 x\r\nStamp: s\r\n\r\nbody", "HTTP/1.1 000 x\r\n\r\n",
+        "HTTP/1.1 020 x\r\nContent-Length: 2\r\n\r\nok"}) {
+    tcp::socket target = SendOn(false, MakeAttempt());
+    const AttemptEnd end = EndAfter(target, response, Ending::kFin);
+    BOOST_TEST((end.outcome == AttemptOutcome::kBroken), response);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace jacinthdeck
