Count a response with two ids or two stamps as broken

Symptom: a target stops within a value of its response's head, and a response to another request follows on the connection, as late extra ones do. Its status line ends the value, and its headers and body complete the first head: a 200 with the caller's id and another request's body and length (MIXED).

Cause: only the first id of a head was compared with the request's.

Change: a head with more than one id or stamp breaks the attempt. Targets send each once.

Evidence: the test joins the two heads after each byte. Before the change three positions, behind "Stamp:", gave a response; none does now. Without the check for two stamps, as a trial, the same three positions give a response if the second one has no id. A head that is cut before its stamp and followed by one without an id cannot be told from a response without an id; targets echo ids.

--- a/src/jacinthdeck/http/target_connection.cc
+++ b/src/jacinthdeck/http/target_connection.cc
@@ -65,8 +65,12 @@
 }
 
 //! Tells whether a complete message is a response that can be passed on.
-[[nodiscard]] bool IsWellFormed(const ResponseHead& head) {
-  if (head.result_int() < http_status::kContinue) {
+[[nodiscard]] bool IsWellFormed(const ResponseHead& head,
+                                const TargetProtocol& protocol) {
+  // Two ids or stamps show a head that stopped within a value and continues
+  // with the head of another response.
+  if (head.result_int() < http_status::kContinue ||
+      head.count(protocol.request_id) > 1 || head.count(protocol.stamp) > 1) {
     return false;
   }
   // The parser takes a coding other than "chunked" for a body without one.
@@ -283,7 +287,7 @@
       return;
     }
     if (m_parser->is_done()) {
-      if (!IsWellFormed(m_parser->get())) {
+      if (!IsWellFormed(m_parser->get(), m_pool.m_protocol)) {
         FailAttempt(AttemptOutcome::kBroken, false);
         return;
       }
@@ -328,7 +332,8 @@
   if (error == asio::error::eof && !m_reset_seen && m_parser->got_some()) {
     SystemError ended;
     m_parser->put_eof(ended);
-    if (!ended && m_parser->is_done() && IsWellFormed(m_parser->get()) &&
+    if (!ended && m_parser->is_done() &&
+        IsWellFormed(m_parser->get(), m_pool.m_protocol) &&
         !IsForeignResponse()) {
       OnResponseComplete();
       return;
--- a/test/jacinthdeck/http/cut_response_test.cc
+++ b/test/jacinthdeck/http/cut_response_test.cc
@@ -235,6 +235,25 @@
   }
 }
 
+// Guards against a head that stops within a value and is completed by the
+// response to another request.
+BOOST_AUTO_TEST_CASE(Response_HeadContinuesWithForeignResponse_IsBroken) {
+  const std::string begin = "HTTP/1.1 200 OK\r\n";
+  const std::string end = "Stamp: f\r\nContent-Length: 4\r\n\r\nbody";
+  const std::size_t value = kOk.find("Stamp:");
+  for (const std::string& foreign :
+       {begin + "Req: r0\r\n" + end, begin + end}) {
+    // One without an id is known only by the two stamps.
+    for (std::size_t cut = foreign.find("Req") == foreign.npos ? value : 0;
+         cut <= kOk.size(); ++cut) {
+      tcp::socket target = SendOn(false, MakeAttempt());
+      const AttemptEnd broken =
+          EndAfter(target, kOk.substr(0, cut) + foreign, Ending::kFin);
+      BOOST_TEST((broken.outcome == AttemptOutcome::kBroken), cut << foreign);
+    }
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace jacinthdeck
