Close the connection to the store if bytes follow a response

Symptom: bytes behind a response of the store, or of a host that jacinthdeckctl calls, stay in the buffer and are taken for the response to the next call.

Cause: ClientSession kept its read buffer and its connection after a response, whatever the buffer still held.

Change: the connection is closed then, and the next call opens a new one. A test file for ClientSession lands with it: a reply with a length, in chunks or ended by its connection is cut after each byte, by FIN and RST, on a new and on a kept connection; each cut is a call without a reply that may have run.

Evidence: Reply_BytesFollow_NextCallUsesNewConnection failed before, as no second connection came, and passes now. The cuts pass without a change.

--- a/src/jacinthdeck/http/client_session.cc
+++ b/src/jacinthdeck/http/client_session.cc
@@ -134,7 +134,8 @@
           return;
         }
         auto message = m_parser->release();
-        if (!message.keep_alive()) {
+        // Bytes behind the response would be taken for the next one.
+        if (!message.keep_alive() || m_read_buffer.size() > 0) {
           CloseSocket();
         }
         ClientReply reply;
--- /dev/null
+++ b/test/jacinthdeck/http/client_session_test.cc
@@ -0,0 +1,98 @@
+// Tests of the connection to the store; the test acts as the store on a raw
+// socket.
+#include "jacinthdeck/http/client_session.h"
+
+#include <string>
+
+#include "jacinthdeck/http/loop_fixture.h"
+
+namespace jacinthdeck {
+
+namespace {
+
+const std::string kHead = "HTTP/1.1 200 OK\r\nEra: 1\r\n";
+
+struct ClientSessionFixture : EventLoopFixture {
+  tcp::acceptor acceptor{loop,
+                         tcp::endpoint(asio::ip::address_v4::loopback(), 0)};
+  tcp::socket store{loop};
+  std::optional<ClientReply> reply;
+
+  //! Makes a call and lets the store read it.
+  void Call(ClientSession& session, bool accept) {
+    reply.reset();
+    session.Call({"GET", "/k", ""}, kTestTimeout,
+                 [this](const ClientReply& ended) { reply = ended; });
+    if (accept) {
+      bool accepted = false;
+      store = tcp::socket(loop);
+      acceptor.async_accept(
+          store, [&](const SystemError& error) { accepted = !error; });
+      RunUntil([&] { return accepted; });
+    }
+    (void)ReadUntil(store, "\r\n\r\n");
+  }
+
+  ClientReply Answer(const std::string& bytes) {
+    asio::write(store, asio::buffer(bytes));
+    RunUntil([&] { return reply.has_value(); });
+    return *reply;
+  }
+
+  ClientReply AnswerAndClose(const std::string& bytes, bool reset) {
+    asio::write(store, asio::buffer(bytes));
+    store.set_option(asio::socket_base::linger(reset, 0));
+    store.close();
+    RunUntil([&] { return reply.has_value(); });
+    return *reply;
+  }
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(ClientSessionTest, ClientSessionFixture)
+
+// Guards against a part of a reply that is taken for a complete one, or for a
+// call that was not sent.
+BOOST_AUTO_TEST_CASE(Reply_CutAfterEachByte_IsNoReply) {
+  for (const std::string& form :
+       {kHead + "Content-Length: 4\r\n\r\nbody",
+        kHead + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+        kHead + "\r\nbody"}) {
+    const std::size_t header_bytes = form.find("\r\n\r\n") + 4;
+    const bool has_length = header_bytes != kHead.size() + 2;
+    for (std::size_t cut = 0; cut <= form.size(); ++cut) {
+      for (const bool kept : {false, true}) {
+        for (const bool reset : {false, true}) {
+          ClientSession session(loop, "127.0.0.1",
+                                acceptor.local_endpoint().port());
+          Call(session, true);
+          if (kept) {
+            (void)Answer(kHead + "Content-Length: 0\r\n\r\n");
+            Call(session, false);
+          }
+          const ClientReply end = AnswerAndClose(form.substr(0, cut), reset);
+          const bool whole =
+              has_length ? cut == form.size() : cut >= header_bytes && !reset;
+          BOOST_TEST(end.answered() == whole, form.substr(0, cut) << reset);
+          BOOST_TEST(!end.not_sent);
+        }
+      }
+    }
+  }
+}
+
+// Guards against bytes behind a reply that are taken for the reply to the next
+// call.
+BOOST_AUTO_TEST_CASE(Reply_BytesFollow_NextCallUsesNewConnection) {
+  ClientSession session(loop, "127.0.0.1", acceptor.local_endpoint().port());
+  Call(session, true);
+  const std::string first = kHead + "Content-Length: 3\r\n\r\none";
+  BOOST_TEST(Answer(first + kHead + "Content-Length: 0\r\n\r\n").body == "one");
+  Call(session, true);
+  BOOST_TEST(Answer(kHead + "Content-Length: 3\r\n\r\ntwo").body == "two");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace jacinthdeck
