Skip interim responses of the store

Symptom: a 1xx response counts as the reply to a call, as a corrupt one without a body, and the final response behind it was left to the next call.

Cause: ClientSession took the first message for the final one.

Change: a response below 200 is read over; the call's timeout bounds this.

Evidence: Reply_InterimResponseComesFirst_IsSkipped failed before (empty body) and passes now.

--- a/src/jacinthdeck/http/client_session.cc
+++ b/src/jacinthdeck/http/client_session.cc
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "jacinthdeck/http/socket_options.h"
+#include "jacinthdeck/http/status.h"
 
 namespace jacinthdeck {
 
@@ -133,6 +134,10 @@
           FailCall("no reply: " + ended.message(), false);
           return;
         }
+        if (m_parser->get().result_int() < http_status::kOk) {
+          Read();  // An interim response: the final one follows.
+          return;
+        }
         auto message = m_parser->release();
         // Bytes behind the response would be taken for the next one.
         if (!message.keep_alive() || m_read_buffer.size() > 0) {
--- a/test/jacinthdeck/http/client_session_test.cc
+++ b/test/jacinthdeck/http/client_session_test.cc
@@ -93,6 +93,16 @@
   BOOST_TEST(Answer(kHead + "Content-Length: 3\r\n\r\ntwo").body == "two");
 }
 
+// Guards against an interim response that is taken for the reply, which then
+// becomes the reply to the next call.
+BOOST_AUTO_TEST_CASE(Reply_InterimResponseComesFirst_IsSkipped) {
+  ClientSession session(loop, "127.0.0.1", acceptor.local_endpoint().port());
+  Call(session, true);
+  const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+  BOOST_TEST(Answer(interim + kHead + "Content-Length: 3\r\n\r\none").body ==
+             "one");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace jacinthdeck
