--- a/src/jacinthdeck/http/target_connection.cc
+++ b/src/jacinthdeck/http/target_connection.cc
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
+#include <boost/beast/core/string.hpp>
 #include <boost/beast/http/error.hpp>
 #include <charconv>
 #include <utility>
@@ -21,6 +22,7 @@
 namespace http = boost::beast::http;
 using internal::AppendHeader;
 using internal::ToStringView;
+using ResponseHead = http::response_header<>;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
@@ -62,6 +64,22 @@
              : TargetCheck::kUnknown;
 }
 
+//! Tells whether a complete message is a response that can be passed on.
+[[nodiscard]] bool IsWellFormed(const ResponseHead& head,
+                                const TargetProtocol& protocol) {
+  // Two ids or stamps show a head that stopped within a value and continues
+  // with the head of another response.
+  if (head.result_int() < http_status::kContinue ||
+      head.count(protocol.request_id) > 1 || head.count(protocol.stamp) > 1) {
+    return false;
+  }
+  // The parser takes a coding other than "chunked" for a body without one.
+  const auto [begin, end] = head.equal_range(http::field::transfer_encoding);
+  return std::all_of(begin, end, [](const auto& field) {
+    return boost::beast::iequals(field.value(), "chunked");
+  });
+}
+
 }  // namespace
 
 TargetConnection::TargetConnection(TargetPool& pool, const TargetEntry& target)
@@ -198,7 +216,7 @@
   m_writing = false;
   // A write fails if the target responds early and closes its side. The
   // outstanding read decides how the attempt ends.
-  (void)error;
+  m_reset_seen = error && error != asio::error::broken_pipe;
 }
 
 void TargetConnection::ResetParser() {
@@ -269,6 +287,10 @@
       return;
     }
     if (m_parser->is_done()) {
+      if (!IsWellFormed(m_parser->get(), m_pool.m_protocol)) {
+        FailAttempt(AttemptOutcome::kBroken, false);
+        return;
+      }
       const bool informational =
           m_parser->get().result_int() < http_status::kOk;
       if (!informational && !IsForeignResponse()) {
@@ -305,11 +327,14 @@
     return;
   }
   // A response without a length is complete only if the target closes the
-  // connection in an orderly way; after a reset its body may be truncated.
-  if (error == asio::error::eof && m_parser->got_some()) {
+  // connection in an orderly way; after a reset its body may be truncated. The
+  // kernel reports a reset once: if a write got it, the read finds an end.
+  if (error == asio::error::eof && !m_reset_seen && m_parser->got_some()) {
     SystemError ended;
     m_parser->put_eof(ended);
-    if (!ended && m_parser->is_done() && !IsForeignResponse()) {
+    if (!ended && m_parser->is_done() &&
+        IsWellFormed(m_parser->get(), m_pool.m_protocol) &&
+        !IsForeignResponse()) {
       OnResponseComplete();
       return;
     }
