Reject a request in a transfer coding other than chunked

Symptom: a request with "Transfer-Encoding: gzip" or "chunked, gzip" is passed on with an empty body, and the bytes of its body are read as further requests (UNASKED); one with "gzip, chunked" is passed on with its coded body, without the header that names the coding.

Cause: as for responses, the parser knows "chunked" as the last coding only, and a request without it and without a length has no body.

Change: any other Transfer-Encoding is rejected with 400 and the connection is closed, like other ambiguous framing.

Evidence: three of the four new rows of Request_AmbiguousFraming_IsRejected failed before; all pass now.

--- a/src/jacinthdeck/http/edge_connection.cc
+++ b/src/jacinthdeck/http/edge_connection.cc
@@ -164,6 +164,16 @@
 bool EdgeConnection::OnHeaderComplete() {
   m_header_complete = true;
   const auto& message = m_parser->get();
+  // The parser takes a coding other than "chunked" for a request without a
+  // body, whose bytes would then be read as further requests.
+  const auto [first, last] =
+      message.equal_range(http::field::transfer_encoding);
+  if (std::any_of(first, last, [](const auto& field) {
+        return !HeaderNamesEqual(ToStringView(field.value()), "chunked");
+      })) {
+    Reject(http_status::kBadRequest);
+    return false;
+  }
   const auto expect = message[http::field::expect];
   if (expect.empty() || m_parser->is_done()) {
     return true;
--- a/test/jacinthdeck/http/edge_server_test.cc
+++ b/test/jacinthdeck/http/edge_server_test.cc
@@ -98,6 +98,9 @@
        {"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n",
         "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n",
         "Content-Length: 5\r\nContent-Length: 6\r\n",
+        "Transfer-Encoding: gzip\r\n", "Transfer-Encoding: gzip, chunked\r\n",
+        "Transfer-Encoding: chunked, gzip\r\n",
+        "Content-Length: 5\r\nTransfer-Encoding: gzip\r\n",
         "Content-Length: +5\r\n"}) {
     tcp::socket caller = Connect();
     SendText(caller, std::string("POST / HTTP/1.1\r\nHost: h\r\n") + framing +
