Count the grace period from when a signal may have reached a busy loop

If no tick was handled for 150 ms before the signal, the stop counts from the last one before: the signal cannot have arrived earlier, since the loop was free then. EntryNodeStopTest/Host_BusyWhenSignalled_EndsWithinGracePeriod failed before, with a loop that is blocked for 400 ms, and passes.

--- a/src/jacinthdeck/entry/entry_node.cc
+++ b/src/jacinthdeck/entry/entry_node.cc
@@ -162,6 +162,7 @@
       m_decision_timer(m_loop),
       m_tick_timer(m_loop),
       m_last_tick(m_started),
+      m_previous_tick(m_started),
       m_next_traffic_log(m_started + kTrafficLogInterval),
       m_stop_timer(m_loop) {}
 
@@ -388,6 +389,7 @@
       !m_stopping) {
     PublishRecord();
   }
+  m_previous_tick = m_last_tick;
   m_last_tick = now;
   m_pool.ApplyTimeouts();
   m_callers_server.ApplyTimeouts();
--- a/src/jacinthdeck/entry/entry_node.h
+++ b/src/jacinthdeck/entry/entry_node.h
@@ -148,6 +148,9 @@
   void AsyncWaitForSignal();
   void OnSignal(int signal);
   void BeginStop();
+  //! Returns the earliest time at which a signal that is handled now can have
+  //! arrived.
+  [[nodiscard]] TimePoint EarliestArrival(TimePoint now) const;
   void ArmStopTimer(Duration after);
   //! Takes the steps of the stop that are due.
   void Stop();
@@ -205,13 +208,14 @@
   TimePoint m_decision_due = TimePoint::max();
   asio::steady_timer m_tick_timer;
   TimePoint m_last_tick;
+  TimePoint m_previous_tick;
   //! When the state of the limits is looked at next.
   TimePoint m_next_limits_log;
   //! Time of the next log line on traffic.
   TimePoint m_next_traffic_log;
   asio::steady_timer m_stop_timer;
   std::function<void()> m_reload;
-  //! When the signal to stop was handled; the epoch before.
+  //! From when the grace period counts; the epoch before the stop.
   TimePoint m_stop_began;
   //! Valid once the host stops.
   ShutdownSchedule m_shutdown;
--- a/src/jacinthdeck/entry/entry_node_stop.cc
+++ b/src/jacinthdeck/entry/entry_node_stop.cc
@@ -36,8 +36,8 @@
 void EntryNode::BeginStop() {
   m_stopping = true;
   const TimePoint now = m_clock.Now();
-  m_stop_began = now;
-  m_shutdown = MakeShutdownSchedule(now, m_settings.grace);
+  m_stop_began = EarliestArrival(now);
+  m_shutdown = MakeShutdownSchedule(m_stop_began, m_settings.grace);
   m_feed_hub.SetRecord({});
   m_feed_hub.Drain();
   m_store.Unregister();
@@ -55,6 +55,18 @@
   ArmStopTimer(m_shutdown.ports_close - now);
 }
 
+// A signal that reaches a busy loop is handled late, and the platform counts
+// the grace period from when it sent it.
+TimePoint EntryNode::EarliestArrival(TimePoint now) const {
+  //! Time without a tick from which the loop was busy.
+  constexpr Duration kBusyThreshold = milliseconds(150);
+  //! A tick this recent may have been handled late as well, before the signal.
+  constexpr Duration kSameTurn = milliseconds(10);
+  const TimePoint tick =
+      now - m_last_tick > kSameTurn ? m_last_tick : m_previous_tick;
+  return now - tick > kBusyThreshold ? tick : now;
+}
+
 void EntryNode::ArmStopTimer(Duration after) {
   m_stop_timer.expires_after(std::max(after, Duration::zero()));
   m_stop_timer.async_wait([this](const SystemError& ended) {
