Keep a stopping host's share of the targets until it ends

A stopping host removes its record, hears of that from the store like every other host, and then had no share: one connection to each target, and no constant part of the budget for hedges and retries.

A host that stops keeps its share; the others count it for 25 s anyway. New test Host_RecordIsRemoved_ServesConcurrentCallers: a second call beside a slow one on the same target got 503 before, and is served now.

--- a/src/jacinthdeck/entry/entry_node_discovery.cc
+++ b/src/jacinthdeck/entry/entry_node_discovery.cc
@@ -186,7 +186,8 @@
 
 void EntryNode::UpdateSharers(TimePoint now) {
   const std::uint32_t sharers = m_front_count.Highest(now);
-  m_forwarder.SetHosts(sharers, m_is_front, now);
+  // Callers still come after the record of a stopping host is removed.
+  m_forwarder.SetHosts(sharers, m_is_front || m_stopping, now);
   m_rate_limits.SetHosts(m_fronts, sharers, m_is_front, now);
 }
 
--- a/test/jacinthdeck/entry/entry_node_test.cc
+++ b/test/jacinthdeck/entry/entry_node_test.cc
@@ -179,6 +179,15 @@
   }
 };
 
+//! A host with a grace period longer than the slow work of its targets.
+struct LongStopFixture : NodeFixture {
+  LongStopFixture() : NodeFixture({}, 3 * kGrace) {
+    PutConfigAndTarget();
+    BOOST_REQUIRE(
+        WaitUntil([&] { return Get(callers, "/a/1").status == 502; }));
+  }
+};
+
 //! A host that holds limits together with others.
 struct LimitedNodeFixture : NodeFixture {
   LimitedNodeFixture() : NodeFixture({{"127.0.0.1", 0}, seconds(5), 0.1, 20}) {}
@@ -283,6 +292,24 @@
   caller.join();
 }
 
+// Guards against a stopping host that gives up its share of the connections to
+// targets with its record, while callers still come.
+BOOST_FIXTURE_TEST_CASE(Host_RecordIsRemoved_ServesConcurrentCallers,
+                        LongStopFixture) {
+  const std::string key = std::string(platform::wire::kHostPrefix) + "h1";
+  BOOST_TEST(WaitUntil([&] { return store.content().Get(key).has_value(); }));
+  (void)raise(SIGTERM);
+  BOOST_TEST(WaitUntil([&] { return !store.content().Get(key).has_value(); }));
+  std::this_thread::sleep_for(milliseconds(300));
+  ClientReply first;
+  std::thread caller([&] { first = Get(callers, kSlowPath); });
+  BOOST_TEST(WaitUntil([&] { return slow_requests == 1; }));
+  const ClientReply second = Get(callers, "/a/1");
+  caller.join();
+  BOOST_TEST(first.status == 502);
+  BOOST_TEST(second.status == 502);
+}
+
 // Guards against a host that ends only when the platform kills it.
 BOOST_AUTO_TEST_CASE(Host_StopsBeforeTargetAnswers_EndsWithinGracePeriod) {
   std::thread caller([&] { (void)Get(callers, kSlowPath); });
