Close the soak's sockets in the children it starts

Cause: a fault of the soak. Boost.Asio does not mark sockets as close-on-exec, so a target or entry that starts during the run inherits the callers' and proxies' sockets. `ss` showed CLOSE-WAIT sockets that only soak_target and jacinthdeckd processes held, and FIN-WAIT-2 at the entry. An entry did not see its callers leave while such a child ran.

Change: a child marks all inherited descriptors above stderr as close-on-exec.

Evidence: ChildTest fails without the change (poll times out after 1 s) and passes with it.

--- a/soak/child.cc
+++ b/soak/child.cc
@@ -38,6 +38,12 @@
   if (file < 0 || getppid() != parent) {
     _exit(kCannotStart);
   }
+  // Boost.Asio does not mark sockets as close-on-exec. A child that inherits
+  // one keeps its connection open after the soak has closed it, so that an
+  // entry does not see its caller leave.
+  if (close_range(STDERR_FILENO + 1, ~0U, CLOSE_RANGE_CLOEXEC) != 0) {
+    _exit(kCannotStart);
+  }
   dup2(file, STDOUT_FILENO);
   dup2(file, STDERR_FILENO);
   execv(arguments.front(), arguments.data());
