Find requests that are cut at the end of a stop with the soak

Symptom: the soak never saw the incident of requests without an answer around SIGTERM (docs/incidents/stop-with-open-requests.md).

Cause: its targets took 60 ms at most, its callers left a draining entry with their next connection, and no_request_is_cut excused each call that ended after SIGTERM + shutdown.grace_ms, which is where the faulty daemon ended.

With it about half of the callers, drawn by the seed, go on connecting to draining entries until the process is gone, and calls of a fourth kind, slow, run at most once; one in four of them takes 1 to 3 s, drawn from its id. All draws are apart from the others, so that faults and calls of the existing seeds stay as they are.

no_request_is_cut, in all runs: after a SIGTERM only calls that were *sent* after SIGTERM + grace_ms are excused. To excuse those that ended after it is too weak: a daemon that leaves calls open until the platform kills it cuts them off then.

--- a/soak/call_log.cc
+++ b/soak/call_log.cc
@@ -10,8 +10,8 @@
 
 namespace {
 
-constexpr NameTable<CallKind, 4> kCallKindNames{
-    {"claim", "lookup", "query", "public"}};
+constexpr NameTable<CallKind, 5> kCallKindNames{
+    {"claim", "lookup", "query", "public", "slow"}};
 
 [[nodiscard]] std::string WordOf(const std::string& text) {
   return text.empty() ? "-" : text;
--- a/soak/callers.cc
+++ b/soak/callers.cc
@@ -25,12 +25,18 @@
 //! is longer.
 constexpr std::string_view kDeadlineMs = "1500";
 constexpr Duration kCallTimeout = milliseconds(3000);
+//! The same for slow calls.
+constexpr std::string_view kSlowDeadlineMs = "3500";
+constexpr Duration kSlowCallTimeout = milliseconds(4500);
+//! Makes the draw of the callers that go on connecting to draining entries
+//! differ from the other draws of a seed.
+constexpr std::uint64_t kDrainSeedMask = 0xa0761d6478bd642fU;
 //! Request paths, indexed by CallKind.
-constexpr std::array<std::string_view, 4> kPaths{"/claim/1", "/lookup/1",
-                                                 "/query/1", "/public/1"};
-//! Kinds of calls that are drawn; the last one only with accounts.
+constexpr std::array<std::string_view, 5> kPaths{
+    "/claim/1", "/lookup/1", "/query/1", "/public/1", "/slow/1"};
+//! The first kinds of calls are drawn in all runs, kPublic only with accounts
+//! and kSlow only with rolling restarts.
 constexpr std::uint64_t kKinds = 3;
-constexpr std::uint64_t kKindsWithAccounts = 4;
 
 [[nodiscard]] CallEnd CallEndOf(const ClientReply& reply) {
   if (reply.answered()) {
@@ -61,6 +67,7 @@
 
   asio::steady_timer timer;
   CallerRole role = CallerRole::kStranger;
+  bool uses_draining_entries = false;
   std::size_t entry = 0;
   //! Null if the next call connects to an entry drawn at random.
   std::unique_ptr<ClientSession> session;
@@ -72,14 +79,19 @@
 Callers::Callers(asio::io_context& loop,
                  std::size_t count,
                  std::uint64_t seed,
-                 bool with_accounts)
+                 bool with_accounts,
+                 bool with_rolling_restarts)
     : m_loop(loop),
       m_random(seed),
       m_seed(seed),
-      m_with_accounts(with_accounts) {
+      m_with_accounts(with_accounts),
+      m_with_rolling_restarts(with_rolling_restarts) {
+  Random drain_random(seed ^ kDrainSeedMask);
   for (std::size_t index = 0; index < count; ++index) {
     m_callers.push_back(std::make_unique<Caller>(loop));
     m_callers.back()->role = RoleOf(index);
+    m_callers.back()->uses_draining_entries =
+        m_with_rolling_restarts && drain_random.Below(2) == 0;
     Pause(*m_callers.back());
   }
 }
@@ -90,8 +102,15 @@
   m_entries[entry] = port;
 }
 
+void Callers::BeginDrain(std::size_t entry) {
+  if (m_entries.contains(entry)) {
+    m_draining.insert(entry);
+  }
+}
+
 void Callers::Remove(std::size_t entry) {
   m_entries.erase(entry);
+  m_draining.erase(entry);
 }
 
 void Callers::Pause(Caller& caller) {
@@ -106,6 +125,27 @@
   });
 }
 
+CallKind Callers::DrawKind() {
+  const std::uint64_t drawn =
+      m_random.Below(kKinds + (m_with_accounts ? 1U : 0U) +
+                     (m_with_rolling_restarts ? 1U : 0U));
+  return drawn == kKinds && !m_with_accounts ? CallKind::kSlow
+                                             : static_cast<CallKind>(drawn);
+}
+
+std::vector<std::size_t> Callers::CandidatesFor(const Caller& caller) const {
+  std::vector<std::size_t> candidates;
+  for (const auto& [entry, port] : m_entries) {
+    if (caller.uses_draining_entries || !m_draining.contains(entry)) {
+      candidates.push_back(entry);
+    }
+  }
+  if (caller.refused_by && candidates.size() > 1) {
+    std::erase(candidates, *caller.refused_by);
+  }
+  return candidates;
+}
+
 bool Callers::Connect(Caller& caller) {
   if (caller.closes_connection) {
     caller.session.reset();
@@ -114,15 +154,10 @@
   if (caller.session) {
     return true;
   }
-  if (m_entries.empty()) {
+  const std::vector<std::size_t> candidates = CandidatesFor(caller);
+  if (candidates.empty()) {
     return false;
   }
-  std::vector<std::size_t> candidates;
-  for (const auto& [entry, port] : m_entries) {
-    if (entry != caller.refused_by || m_entries.size() == 1) {
-      candidates.push_back(entry);
-    }
-  }
   caller.entry = candidates[m_random.Below(candidates.size())];
   caller.session = std::make_unique<ClientSession>(m_loop, "127.0.0.1",
                                                    m_entries.at(caller.entry));
@@ -136,8 +171,8 @@
   }
   Call call;
   call.id = std::to_string(m_seed) + "-" + std::to_string(m_next_id++);
-  call.kind = static_cast<CallKind>(
-      m_random.Below(m_with_accounts ? kKindsWithAccounts : kKinds));
+  call.kind = DrawKind();
+  const bool slow = call.kind == CallKind::kSlow;
   if (m_with_accounts) {
     call.credentials = DrawCredentials(caller.role, m_random);
   }
@@ -148,7 +183,8 @@
       std::string(kPaths[static_cast<std::size_t>(call.kind)]),
       "",
       {{std::string(wire::kRequestId), call.id},
-       {std::string(wire::kDeadlineMs), std::string(kDeadlineMs)}}};
+       {std::string(wire::kDeadlineMs),
+        std::string(slow ? kSlowDeadlineMs : kDeadlineMs)}}};
   if (!call.credentials.key.empty()) {
     request.headers.push_back({std::string(wire::kKey), call.credentials.key});
   }
@@ -156,7 +192,7 @@
     request.headers.push_back(
         {std::string(wire::kTenant), call.credentials.forged_account});
   }
-  caller.session->Call(request, kCallTimeout,
+  caller.session->Call(request, slow ? kSlowCallTimeout : kCallTimeout,
                        [this, &caller, call](const ClientReply& reply) {
                          FinishCall(caller, call, reply);
                        });
--- a/soak/checks.cc
+++ b/soak/checks.cc
@@ -23,10 +23,14 @@
          status == http_status::kMisdirected;
 }
 
+[[nodiscard]] bool MustRunOnce(const Call& call) {
+  return call.kind == CallKind::kClaim || call.kind == CallKind::kSlow;
+}
+
 void CheckRunsOnce(const HistoryIndex& index, Violations& found) {
   for (const Call& call : index.history.calls) {
     const std::size_t runs = index.RunsOf(call).size();
-    if (call.kind == CallKind::kClaim && runs > 1) {
+    if (MustRunOnce(call) && runs > 1) {
       found.push_back(
           {Promise::kRunsOnce,
            DescribeCall(call, "ran " + std::to_string(runs) + " times")});
@@ -36,7 +40,7 @@
 
 void CheckNotRunIsTrue(const HistoryIndex& index, Violations& found) {
   for (const Call& call : index.history.calls) {
-    if (call.kind == CallKind::kClaim && IsNotExecutedStatus(call.status) &&
+    if (MustRunOnce(call) && IsNotExecutedStatus(call.status) &&
         !index.RunsOf(call).empty()) {
       found.push_back(
           {Promise::kNotRunIsTrue,
@@ -195,10 +199,24 @@
   });
 }
 
+//! Returns whether a call was sent when the platform would have killed its
+//! entry after SIGTERM. Calls sent before have no excuse, also those that end
+//! later: an entry that leaves them open until it is killed cuts them off.
+[[nodiscard]] bool IsSentToOverdueEntry(const HistoryIndex& index,
+                                        const Call& call) {
+  return std::ranges::any_of(
+      index.history.fault_periods, [&](const FaultPeriod& period) {
+        return period.entry == call.entry &&
+               period.effect == FaultEffect::kStopOverdue &&
+               period.from <= call.sent;
+      });
+}
+
 void CheckNoRequestIsCut(const HistoryIndex& index, Violations& found) {
   for (const Call& call : index.history.calls) {
     if (call.end == CallEnd::kClosed && !index.RunsOf(call).empty() &&
-        !index.IsAffected(call, FaultEffect::kConnections, Duration::zero())) {
+        !index.IsAffected(call, FaultEffect::kConnections, Duration::zero()) &&
+        !IsSentToOverdueEntry(index, call)) {
       found.push_back({Promise::kNoRequestIsCut,
                        DescribeCall(call, "ran, and its connection ended")});
     }
--- a/soak/cluster.cc
+++ b/soak/cluster.cc
@@ -24,7 +24,7 @@
 using std::chrono::seconds;
 
 //! Value of shutdown.grace_ms for the entries. A drain may cut requests that
-//! still run after this time.
+//! are sent after this time.
 constexpr int kGraceMs = 2500;
 //! Time from the SIGTERM of an entry until its settings are reloaded.
 constexpr Duration kReloadAfterStop = milliseconds(20);
@@ -42,6 +42,7 @@
 //! Slightly longer than the callers' timeout, so that each call under way ends
 //! before the loop stops.
 constexpr Duration kLastCallsWait = milliseconds(3200);
+constexpr Duration kLastSlowCallsWait = milliseconds(4700);
 constexpr std::uint32_t kReplicas = 2;
 constexpr const char* kOtherDomain = "b";
 
@@ -54,7 +55,11 @@
 Cluster::Cluster(ClusterOptions options)
     : m_options(std::move(options)),
       m_account_settings(DrawAccountSettings(m_options.seed)),
-      m_callers(m_loop, m_options.callers, m_options.seed, m_options.accounts),
+      m_callers(m_loop,
+                m_options.callers,
+                m_options.seed,
+                m_options.accounts,
+                m_options.rolling),
       m_loop_thread([this] {
         const auto guard = asio::make_work_guard(m_loop);
         m_loop.run();
@@ -171,9 +176,10 @@
   Schedule(kReloadAfterStop,
            [this, action] { EntryOf(action).child->Signal(SIGHUP); });
   BeginFaultPeriods(Cause("killed", entry.instance), {entry.instance},
-                    FaultEffect::kConnections, milliseconds(kGraceMs));
-  asio::post(m_loop,
-             [this, instance = entry.instance] { m_callers.Remove(instance); });
+                    FaultEffect::kStopOverdue, milliseconds(kGraceMs));
+  asio::post(m_loop, [this, instance = entry.instance] {
+    m_callers.BeginDrain(instance);
+  });
 }
 
 void Cluster::RestartEntry(const Action& action) {
@@ -191,6 +197,11 @@
 }
 
 void Cluster::StartEntry(Entry& entry) {
+  if (entry.child) {
+    asio::post(m_loop, [this, instance = entry.instance] {
+      m_callers.Remove(instance);
+    });
+  }
   entry.instance = m_next_entry_instance++;
   KeepReplacedProxy(std::move(entry.store));
   KeepReplacedProxy(std::move(entry.callers));
@@ -401,7 +412,8 @@
 
 History Cluster::Finish() {
   asio::post(m_loop, [this] { m_callers.Stop(); });
-  std::this_thread::sleep_for(kLastCallsWait);
+  std::this_thread::sleep_for(m_options.rolling ? kLastSlowCallsWait
+                                                : kLastCallsWait);
   m_loop.stop();
   m_loop_thread.join();
   History history;
--- a/soak/cluster.h
+++ b/soak/cluster.h
@@ -43,6 +43,9 @@
   bool two_domains = false;
   //! Whether the configuration has client accounts and callers send keys.
   bool accounts = false;
+  //! Whether some calls are slow and some callers go on connecting to draining
+  //! entries.
+  bool rolling = false;
 };
 
 /**
--- a/soak/cluster_accounts.cc
+++ b/soak/cluster_accounts.cc
@@ -22,8 +22,9 @@
   if (m_options.accounts && is_new) {
     m_account_versions.push_back({written, TimePoint::max(), m_accounts});
   }
-  PutInStore(std::string(platform::wire::kConfigKey),
-             ConfigText(m_config_version, layout, m_accounts));
+  PutInStore(
+      std::string(platform::wire::kConfigKey),
+      ConfigText(m_config_version, layout, m_accounts, m_options.rolling));
   if (m_options.accounts && is_new) {
     const TimePoint confirmed = Now();
     const auto last = m_account_versions.end() - 1;
--- a/soak/history.h
+++ b/soak/history.h
@@ -27,6 +27,9 @@
   //! Goes to one target by a public route, which needs no key; may run
   //! repeatedly.
   kPublic,
+  //! Goes to one target, which takes seconds for some of them, and must run at
+  //! most once.
+  kSlow,
 };
 
 /*! \brief Outcome of a call as its caller observed it. */
@@ -107,6 +110,9 @@
   kPropagation,
   //! Checks of cut requests: its connections to callers may close.
   kConnections,
+  //! Checks of cut requests that are sent from then on: the platform would have
+  //! killed the entry, which got SIGTERM.
+  kStopOverdue,
 };
 
 /*! \brief Period in which a fault affected an entry, its links or its store. */
--- a/soak/layout.cc
+++ b/soak/layout.cc
@@ -9,9 +9,11 @@
 
 namespace {
 
-//! Timeout of all routes: long enough for a second attempt after a lost one,
-//! and shorter than the callers' timeout.
+//! Timeout of the other routes: long enough for a second attempt after a lost
+//! one, and shorter than the callers' timeout.
 constexpr int kRouteTimeoutMs = 1200;
+//! Timeout of the slow route: longer than its slowest request.
+constexpr int kSlowRouteTimeoutMs = 3400;
 constexpr int kObjectiveMs = 150;
 constexpr int kMaxAttempts = 3;
 //! One of three shards suffices for an answer, so that faults lead to partial
@@ -80,7 +82,8 @@
 
 std::string ConfigText(std::uint32_t version,
                        std::uint32_t layout,
-                       const std::vector<Account>& accounts) {
+                       const std::vector<Account>& accounts,
+                       bool with_slow_route) {
   json_t* query = RouteJson("query", "idempotent", "");
   json_t* shards = json_array();
   json_t* services = json_array();
@@ -98,6 +101,11 @@
       "{s:i, s:[o, o, o], s:o}", "version", static_cast<int>(version), "routes",
       RouteJson("claim", "non_idempotent", single),
       RouteJson("lookup", "idempotent", single), query, "services", services));
+  if (with_slow_route) {
+    json_t* slow = RouteJson("slow", "non_idempotent", single);
+    json_object_set_new(slow, "timeoutMs", json_integer(kSlowRouteTimeoutMs));
+    json_array_append_new(json_object_get(config.get(), "routes"), slow);
+  }
   if (!accounts.empty()) {
     AddAccounts(config.get(), single, accounts);
   }
--- a/soak/layout.h
+++ b/soak/layout.h
@@ -22,11 +22,12 @@
 [[nodiscard]] std::string SingleServiceName(std::uint32_t layout);
 
 /*! \brief Returns the JSON configuration that routes to one layout only. With
- * accounts it also has a public route. Entries take it if its version is higher
- * than that of the one they have. */
+ * accounts it also has a public route; the slow route has a longer timeout.
+ * Entries take it if its version is higher than that of the one they have. */
 [[nodiscard]] std::string ConfigText(std::uint32_t version,
                                      std::uint32_t layout,
-                                     const std::vector<Account>& accounts);
+                                     const std::vector<Account>& accounts,
+                                     bool with_slow_route = false);
 
 }  // namespace jacinthdeck::soak
 
--- a/soak/main.cc
+++ b/soak/main.cc
@@ -103,6 +103,7 @@
   options.cluster.seed = seed;
   options.cluster.two_domains = options.plan.evacuations > 0;
   options.cluster.accounts = options.plan.account_changes > 0;
+  options.cluster.rolling = options.plan.rolling > 0;
   options.cluster.work = work;
   options.cluster.programs = options.programs;
   bool all_held = false;
@@ -158,6 +159,9 @@
       po::value(&soak.plan.account_changes)
           ->default_value(soak.plan.account_changes),
       "number of changes to client accounts; 0 for no accounts")(
+      "rolling",
+      po::value(&soak.plan.rolling)->default_value(soak.plan.rolling),
+      "number of rolling restarts of all entries, with slow calls")(
       "rewritten-after-ms",
       po::value<std::uint64_t>()->notifier([&soak](std::uint64_t after) {
         soak.plan.rewritten_after = std::chrono::milliseconds(after);
--- a/soak/plan.cc
+++ b/soak/plan.cc
@@ -29,6 +29,9 @@
 //! Range of the time until operators notice lost writes and repeat them.
 constexpr std::uint64_t kSoonestRewriteMs = 200;
 constexpr std::uint64_t kLatestRewriteMs = 3000;
+//! Range of the gap between two entries of a rolling restart.
+constexpr std::uint64_t kShortestGapMs = 300;
+constexpr std::uint64_t kLongestGapMs = 1500;
 //! Range of the target indices that a plan draws.
 constexpr std::size_t kTargets = 64;
 
@@ -153,6 +156,34 @@
   }
 }
 
+//! Adds rolling restarts of all entries. The gap between two entries is shorter
+//! than a stop, so that stops overlap, and a reshard falls into each restart.
+void AddRollingRestarts(const PlanOptions& options, std::vector<Action>& plan) {
+  constexpr std::uint64_t kSeedMask = 0x589965cc75374cc3U;
+  Random random(options.seed ^ kSeedMask);
+  const auto entries =
+      static_cast<Duration::rep>(std::max<std::size_t>(options.entries, 1));
+  for (std::size_t index = 0; index < options.rolling; ++index) {
+    const Duration drawn_gap = milliseconds(
+        kShortestGapMs + random.Below(kLongestGapMs - kShortestGapMs));
+    const Duration gap =
+        std::min<Duration>(drawn_gap, options.length / (entries + 1));
+    const Duration whole = gap * entries;
+    const Duration begin = Duration(random.Below(
+        static_cast<std::uint64_t>((options.length - whole).count())));
+    for (Duration::rep entry = 0; entry < entries; ++entry) {
+      const Duration at = begin + gap * entry;
+      const auto subject = static_cast<std::size_t>(entry);
+      plan.push_back({at, ActionKind::kDrainEntry, subject});
+      // The process starts again as soon as the old one has ended.
+      plan.push_back({at + gap / 2, ActionKind::kStartEntry, subject});
+    }
+    plan.push_back({begin + Duration(random.Below(
+                                static_cast<std::uint64_t>(whole.count()))),
+                    ActionKind::kReshard});
+  }
+}
+
 }  // namespace
 
 std::vector<Action> MakePlan(const PlanOptions& options) {
@@ -180,6 +211,7 @@
   AddEvacuations(options, plan);
   AddRestores(options, plan);
   AddAccountChanges(options, plan);
+  AddRollingRestarts(options, plan);
   std::ranges::stable_sort(plan, {}, &Action::at);
   return plan;
 }
--- a/soak/plan.h
+++ b/soak/plan.h
@@ -133,6 +133,8 @@
   //! Number of changes to client accounts, drawn separately as well. If it is
   //! 0, the configuration has no accounts.
   std::size_t account_changes = 0;
+  //! Number of rolling restarts of all entries, drawn separately as well.
+  std::size_t rolling = 0;
   //! Time from a restore until operators write again; if empty, each restore
   //! draws its own.
   std::optional<Duration> rewritten_after;
--- a/soak/target_main.cc
+++ b/soak/target_main.cc
@@ -39,6 +39,11 @@
 constexpr milliseconds kDrainDuration{6000};
 //! Upper limit of the execution time, which is derived from the request id.
 constexpr std::uint64_t kMaxExecutionMs = 60;
+//! One in this many requests of the slow route takes a time of this range,
+//! longer than what a stopping entry has left after its ports have closed.
+constexpr std::uint64_t kSlowOneIn = 4;
+constexpr std::uint64_t kMinSlowExecutionMs = 1000;
+constexpr std::uint64_t kMaxSlowExecutionMs = 3000;
 constexpr Duration kStoreTimeout = std::chrono::seconds(2);
 constexpr int kSlots = 8;
 //! One in this many answers is lost while the target loses answers.
@@ -47,6 +52,18 @@
 //! Set by SIGUSR1, reset by SIGUSR2.
 volatile std::sig_atomic_t loses_answers = 0;
 
+[[nodiscard]] milliseconds ExecutionTimeOf(const std::string& path,
+                                           const std::string& id) {
+  const std::uint64_t hash = HashOf(id);
+  const std::uint64_t slow_hash = hash / kMaxExecutionMs;
+  if (!path.starts_with("/slow/") || slow_hash % kSlowOneIn != 0) {
+    return milliseconds(hash % kMaxExecutionMs);
+  }
+  return milliseconds(kMinSlowExecutionMs +
+                      slow_hash / kSlowOneIn %
+                          (kMaxSlowExecutionMs - kMinSlowExecutionMs));
+}
+
 struct TargetOptions {
   std::string id;
   std::string service;
@@ -122,8 +139,7 @@
     const standins::AccountHeaders headers =
         standins::ReadAccountHeaders(request);
     Write({"run", "", id->second, {}, headers.account, headers.has_key});
-    std::this_thread::sleep_for(
-        milliseconds(HashOf(id->second) % kMaxExecutionMs));
+    std::this_thread::sleep_for(ExecutionTimeOf(request.path, id->second));
     if (loses_answers != 0 && HashOf(id->second) % kLostOneIn == 0) {
       return standins::DropConnection();
     }
--- a/test/soak/callers_test.cc
+++ b/test/soak/callers_test.cc
@@ -1,7 +1,9 @@
 // Tests of the simulated callers of the soak.
 #include "soak/callers.h"
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
+#include <cstddef>
 
 #include "http/http_server.h"
 #include "jacinthdeck/http/status.h"
@@ -28,8 +30,9 @@
   asio::io_context loop;
   Callers callers{loop, 1, 1};
 
-  void RunUntilCalls(std::size_t count) {
-    while (callers.calls().size() < count) {
+  void RunUntilCalls(std::size_t count) { RunUntilCalls(callers, count); }
+  void RunUntilCalls(const Callers& until, std::size_t count) {
+    while (until.calls().size() < count) {
       loop.run_one();
     }
   }
@@ -61,6 +64,38 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(Entry_Drains_GetsNoNewConnections) {
+  callers.Add(kRefusing, refusing.port());
+  callers.Add(kServing, serving.port());
+  callers.BeginDrain(kRefusing);
+  RunUntilCalls(8);
+  for (const Call& call : callers.calls()) {
+    BOOST_TEST(call.entry == kServing);
+    BOOST_TEST((call.kind != CallKind::kSlow));
+  }
+}
+
+// Guards against rolling restarts whose callers all leave a draining entry at
+// once, so that none of its calls is open when it ends.
+BOOST_AUTO_TEST_CASE(Entry_DrainsInARollingRestart_SomeCallersGoOnConnecting) {
+  constexpr std::size_t kCallers = 12;
+  constexpr std::size_t kCalls = 96;
+  Callers rolling{loop, kCallers, 1, false, true};
+  rolling.Add(kRefusing, refusing.port());
+  rolling.BeginDrain(kRefusing);
+  RunUntilCalls(rolling, kCalls);
+  BOOST_TEST(std::ranges::count(rolling.calls(), CallKind::kSlow, &Call::kind) >
+             0);
+  rolling.Remove(kRefusing);
+  rolling.Add(kServing, serving.port());
+  RunUntilCalls(rolling, kCalls + 4 * kCallers);
+  // Each caller had at most one call under way.
+  BOOST_TEST(std::ranges::count(
+                 rolling.calls().begin() + static_cast<std::ptrdiff_t>(kCalls),
+                 rolling.calls().end(), kRefusing,
+                 &Call::entry) <= static_cast<std::ptrdiff_t>(kCallers));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace jacinthdeck::soak
--- a/test/soak/checks_test.cc
+++ b/test/soak/checks_test.cc
@@ -187,6 +187,41 @@
   BOOST_TEST(HoldsAll());
 }
 
+// Guards against an entry that leaves requests at slow targets open until the
+// platform kills it, which was excused because the calls ended after the kill.
+BOOST_AUTO_TEST_CASE(Request_IsOpenWhenItsStoppingEntryMustEnd_IsReported) {
+  history.fault_periods = {
+      {kEntry, FaultEffect::kStopOverdue, At(seconds(5)), TimePoint::max()}};
+  for (const Duration ended : {milliseconds(4000), milliseconds(5500)}) {
+    history.calls.clear();
+    Call& call = AddCall("a", seconds(3), 1);
+    call.end = CallEnd::kClosed;
+    call.status = 0;
+    call.records.clear();
+    call.ended = At(ended);
+    history.runs.clear();
+    AddRun("a", "t1", seconds(3));
+    BOOST_TEST(BreaksOnly(Promise::kNoRequestIsCut));
+  }
+  history.calls.back().sent = At(seconds(5));
+  BOOST_TEST(HoldsAll());
+  history.calls.back().entry = kEntry + 1;
+  BOOST_TEST(BreaksOnly(Promise::kNoRequestIsCut));
+}
+
+BOOST_AUTO_TEST_CASE(SlowCall_RanTwiceOrAfterARefusal_IsReported) {
+  Call& call = AddCall("a", seconds(1), 1);
+  call.kind = CallKind::kSlow;
+  AddRun("a", "t1", seconds(1));
+  BOOST_TEST(HoldsAll());
+  AddRun("a", "t2", seconds(1));
+  BOOST_TEST(BreaksOnly(Promise::kRunsOnce));
+  history.runs.pop_back();
+  call.status = http_status::kUnavailable;
+  call.records.clear();
+  BOOST_TEST(BreaksOnly(Promise::kNotRunIsTrue));
+}
+
 BOOST_AUTO_TEST_CASE(CalmPeriod_FewCallsAreAnswered_IsReported) {
   history.calm_since = At(seconds(10));
   for (int index = 0; index < 10; ++index) {
--- a/test/soak/plan_test.cc
+++ b/test/soak/plan_test.cc
@@ -94,6 +94,50 @@
   BOOST_TEST((plan == others));
 }
 
+// Guards against rolling restarts that shift the faults of the seeds in
+// soak/seeds.txt.
+BOOST_AUTO_TEST_CASE(Plan_HoldsRollingRestarts_OtherActionsAreTheSame) {
+  options.seed = 7;
+  options.account_changes = 2;
+  const std::vector<Action> others = MakePlan(options);
+  options.rolling = 2;
+  std::vector<Action> plan = MakePlan(options);
+  BOOST_TEST(plan.size() == others.size() + 2 * (2 * options.entries + 1));
+  for (const Action& action : others) {
+    const auto same = std::ranges::find(plan, action);
+    BOOST_REQUIRE((same != plan.end()));
+    plan.erase(same);
+  }
+  BOOST_TEST(std::ranges::all_of(plan, [](const Action& action) {
+    return action.kind == ActionKind::kDrainEntry ||
+           action.kind == ActionKind::kStartEntry ||
+           action.kind == ActionKind::kReshard;
+  }));
+}
+
+// Guards against restarts that wait for each other, so that never two entries
+// stop at a time.
+BOOST_AUTO_TEST_CASE(Plan_HoldsARollingRestart_StopsOfEntriesOverlap) {
+  constexpr Duration kStop = std::chrono::milliseconds(2083);
+  options.faults = 0;
+  options.rolling = 1;
+  for (const std::size_t entries : {4U, 24U}) {
+    options.entries = entries;
+    for (options.seed = 1; options.seed <= 50; ++options.seed) {
+      std::vector<Action> plan = MakePlan(options);
+      BOOST_TEST((plan.back().at <= options.length));
+      std::erase_if(plan, [](const Action& action) {
+        return action.kind != ActionKind::kDrainEntry;
+      });
+      BOOST_REQUIRE(plan.size() == entries);
+      for (std::size_t i = 1; i < entries; ++i) {
+        BOOST_TEST(plan[i].subject == i);
+        BOOST_TEST((plan[i].at - plan[i - 1].at < kStop));
+      }
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(Plans_OfFiftySeeds_HoldEveryAction) {
   options.evacuations = 1;
   options.restores = 1;
