Bound the pages of the stand-in store by bytes and keep NUL in its keys

The stand-in bounded a page by items only and ended a key at its first NUL, so tests with large values or such keys did not show what the platform's store sends.

A page now ends before a value that would take it above 1,000,000 bytes, unless it would be empty.

--- a/standins/store/kv_store.cc
+++ b/standins/store/kv_store.cc
@@ -10,6 +10,8 @@
 
 //! Maximum number of keys on one page of a range read.
 constexpr std::size_t kPageSize = 500;
+//! Maximum number of bytes of the values on a page that holds several keys.
+constexpr std::size_t kMaxPageValueBytes = 1'000'000;
 //! Maximum number of changes kept for watches; older ones are compacted.
 constexpr std::size_t kMaxHistory = 20000;
 
@@ -35,11 +37,17 @@
   page.revision = m_revision;
   auto at = after.empty() ? m_entries.lower_bound(prefix)
                           : m_entries.upper_bound(after);
+  std::size_t bytes = 0;
   for (; at != m_entries.end() && at->first.starts_with(prefix); ++at) {
-    if (page.items.size() == kPageSize) {
+    const std::size_t size = at->second.value->size();
+    const bool is_full =
+        page.items.size() == kPageSize ||
+        (!page.items.empty() && bytes + size > kMaxPageValueBytes);
+    if (is_full) {
       page.has_more = true;
       break;
     }
+    bytes += size;
     page.items.push_back(at->second);
   }
   return page;
--- a/standins/store/store_server.cc
+++ b/standins/store/store_server.cc
@@ -39,8 +39,9 @@
 }
 
 [[nodiscard]] json_t* ToJson(const KeyValue& item) {
-  json_t* json = json_pack("{s:s, s:o}", "key", item.key.c_str(), "revision",
-                           JsonNumber(item.revision));
+  json_t* json = json_pack("{s:o, s:o}", "key",
+                           json_stringn(item.key.data(), item.key.size()),
+                           "revision", JsonNumber(item.revision));
   if (!item.value) {
     json_object_set_new(json, "deleted", json_true());
     return json;
