Read the range after a watch reply that cannot be read, and each item by itself

Cause: the pages of a range are bounded by the store, the reply of a watch is not. A watch reply above kMaxJsonBytes, or above the body limit of the connection, counted as a failed call, and the same watch was asked again from the same revision for ever. In the same way one item that jansson rejects (NUL or an unpaired surrogate in a key, which another writer chooses) made the whole range or watch reply unreadable, again at each attempt.

Change: StoreStatus::kTooLarge tells of a reply that exceeds a bound or of which only a part arrived. After such a watch reply the session reports one reason and reads the range in pages, as after a compacted history; the store does not count as lost. After a corrupt watch reply, whose failure is counted as before, the next attempt reads the range as well. A page with further pages after it and no readable item is a failed read; it was taken for the last page, and its missing keys would have counted as removed. The bounds themselves stay as they were.

--- a/src/jacinthdeck/core/json.cc
+++ b/src/jacinthdeck/core/json.cc
@@ -18,15 +18,23 @@
 
 }  // namespace
 
-Result<JsonPtr> ParseJson(std::string_view text, std::string_view subject) {
+Result<void> CheckJsonSize(std::string_view text, std::string_view subject) {
   if (text.size() > kMaxJsonBytes) {
     return Fail(ErrorCode::kTooLarge, std::string(subject),
                 std::to_string(text.size()) + " bytes of JSON, at most " +
                     std::to_string(kMaxJsonBytes) + " are read");
   }
+  return {};
+}
+
+Result<JsonPtr> ParseJson(std::string_view text,
+                          std::string_view subject,
+                          JsonNul nul) {
+  BOOST_LEAF_CHECK(CheckJsonSize(text, subject));
+  const std::size_t flags = JSON_REJECT_DUPLICATES | JSON_DECODE_ANY |
+                            (nul == JsonNul::kAccept ? JSON_ALLOW_NUL : 0);
   json_error_t error;
-  JsonPtr value(json_loadb(text.data(), text.size(),
-                           JSON_REJECT_DUPLICATES | JSON_DECODE_ANY, &error));
+  JsonPtr value(json_loadb(text.data(), text.size(), flags, &error));
   if (value == nullptr) {
     return Fail(
         ErrorCode::kCorrupt, std::string(subject),
--- a/src/jacinthdeck/discovery/store_session.cc
+++ b/src/jacinthdeck/discovery/store_session.cc
@@ -264,8 +264,15 @@
   if (!m_pages_position) {
     m_pages_position = page.position;
   }
+  NotifyUnreadable(page.unreadable);
+  if (page.has_more && page.items.empty()) {
+    // Without a readable key there is no page after this one, and the keys that
+    // were not read would count as removed.
+    OnFailure(StoreStatus::kCorrupt, "page without a readable item");
+    return;
+  }
   m_pages.insert(m_pages.end(), page.items.begin(), page.items.end());
-  if (page.has_more && !page.items.empty()) {
+  if (page.has_more) {
     ReadPage();
     return;
   }
@@ -300,7 +307,8 @@
 void StoreSession::OnBatch(const WatchBatch& batch) {
   const EraOrder order = ObserveEra(batch.position.era);
   const bool answered = batch.status == StoreStatus::kOk ||
-                        batch.status == StoreStatus::kCompacted;
+                        batch.status == StoreStatus::kCompacted ||
+                        batch.status == StoreStatus::kTooLarge;
   if (answered && order == EraOrder::kEnded) {
     OnFailure(StoreStatus::kOutdated, "watch of an ended era");
     return;
@@ -321,11 +329,22 @@
     StartFullRead();
     return;
   }
+  if (batch.status == StoreStatus::kTooLarge) {
+    // The same watch would meet the same reply again, while the pages of a
+    // range are bounded.
+    NotifyUnreadable({{ErrorCode::kTooLarge, "watch", batch.problem}});
+    m_needs_full_read = true;
+    StartFullRead();
+    return;
+  }
   if (batch.status != StoreStatus::kOk) {
+    // After a corrupt reply as well, the same watch could meet it again.
+    m_needs_full_read |= batch.status == StoreStatus::kCorrupt;
     OnFailure(batch.status, batch.problem);
     return;
   }
   OnCallSucceeded();
+  NotifyUnreadable(batch.unreadable);
   ApplyContent(batch.changes, batch.position, false);
   WatchAfter(batch.changes.empty() ? Duration::zero() : kBatchDelay);
 }
@@ -374,6 +393,12 @@
   });
 }
 
+void StoreSession::NotifyUnreadable(const std::vector<Error>& unreadable) {
+  DiscoveryChange change;
+  change.unreadable = unreadable;
+  Notify(change);
+}
+
 void StoreSession::Notify(const DiscoveryChange& change) {
   if (change.hosts) {
     CheckOwnRecord();
--- a/src/jacinthdeck/discovery/store_session.h
+++ b/src/jacinthdeck/discovery/store_session.h
@@ -184,6 +184,7 @@
                     bool whole);
   //! Applies changes of an earlier era that another host sent.
   void ApplyCarriedOver(const std::vector<StoreChange>& changes);
+  void NotifyUnreadable(const std::vector<Error>& unreadable);
   void Notify(const DiscoveryChange& change);
 
   // Writing, in store_session_writes.cc.
@@ -224,8 +225,8 @@
   Backoff m_read_backoff;
   //! Full content was applied, from the store or from another host.
   bool m_loaded = false;
-  //! The store compacted the history after m_position, so a watch cannot
-  //! continue there.
+  //! A watch cannot continue at m_position: the store compacted the history
+  //! after it, or the reply cannot be read.
   bool m_needs_full_read = false;
   bool m_watching = false;
   bool m_store_lost = false;
--- a/src/jacinthdeck/discovery/store_types.h
+++ b/src/jacinthdeck/discovery/store_types.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "jacinthdeck/core/error.h"
 #include "jacinthdeck/core/name_table.h"
 #include "jacinthdeck/core/time.h"
 
@@ -31,12 +32,15 @@
   kCorrupt,
   //! The reply is from an earlier era of the store.
   kOutdated,
+  //! The reply is larger than is read, or did not arrive as a whole; the same
+  //! call would meet the same reply again.
+  kTooLarge,
 };
 
 //! Names of the statuses, for logs and metrics.
-inline constexpr NameTable<StoreStatus, 8> kStoreStatusNames{
+inline constexpr NameTable<StoreStatus, 9> kStoreStatusNames{
     {"ok", "busy", "compacted", "no_lease", "conflict", "no_reply", "corrupt",
-     "outdated"}};
+     "outdated", "too_large"}};
 
 /**
  * \brief Number of an uninterrupted history of the store; higher is newer.
@@ -79,6 +83,8 @@
   //! Reason for a status other than kOk.
   std::string problem;
   std::vector<StoreChange> items;
+  //! Errors of the items that could not be read; `items` is without them.
+  std::vector<Error> unreadable;
   bool has_more = false;
   //! Position of the store when the page was read; of a failed call only the
   //! era.
@@ -111,6 +117,8 @@
   StoreStatus status = StoreStatus::kNoReply;
   std::string problem;
   std::vector<StoreChange> changes;
+  //! Errors of the changes that could not be read.
+  std::vector<Error> unreadable;
   //! Position after which the next watch continues; of a failed call only the
   //! era.
   StorePosition position;
--- a/src/jacinthdeck/http/client_session.cc
+++ b/src/jacinthdeck/http/client_session.cc
@@ -48,6 +48,7 @@
   m_callback = std::move(callback);
   ++m_call_number;
   m_write_started = false;
+  m_read_started = false;
   m_write_buffer = request.method + " " + request.target +
                    " HTTP/1.1\r\nHost: " + m_address + "\r\n";
   for (const Header& header : request.headers) {
@@ -65,7 +66,7 @@
   m_timer.async_wait(
       [this, alive = m_alive, call = m_call_number](const SystemError& ended) {
         if (*alive && !ended && call == m_call_number && m_callback) {
-          FailCall("timed out", !m_write_started);
+          FailCall("timed out", !m_write_started, IsBodyIncomplete({}));
         }
       });
   m_reused = m_socket.is_open();
@@ -120,6 +121,7 @@
 }
 
 void ClientSession::Read() {
+  m_read_started = true;
   m_parser = std::make_unique<Parser>();
   m_parser->body_limit(kMaxBodyBytes);
   http::async_read(
@@ -130,7 +132,8 @@
           return;
         }
         if (ended) {
-          FailCall("no reply: " + ended.message(), false);
+          FailCall("no reply: " + ended.message(), false,
+                   IsBodyIncomplete(ended));
           return;
         }
         auto message = m_parser->release();
@@ -156,11 +159,19 @@
   callback(reply);
 }
 
-void ClientSession::FailCall(const std::string& error, bool not_sent) {
+bool ClientSession::IsBodyIncomplete(const SystemError& ended) const {
+  return m_read_started &&
+         (ended == http::error::body_limit || m_parser->is_header_done());
+}
+
+void ClientSession::FailCall(const std::string& error,
+                             bool not_sent,
+                             bool body_incomplete) {
   CloseSocket();
   ClientReply reply;
   reply.error = error;
   reply.not_sent = not_sent;
+  reply.body_incomplete = body_incomplete;
   Finish(reply);
 }
 
--- a/src/jacinthdeck/http/client_session.h
+++ b/src/jacinthdeck/http/client_session.h
@@ -41,6 +41,9 @@
   //! True if no byte of the request was sent.
   bool not_sent = false;
   std::vector<Header> headers = {};
+  //! True if a response arrived whose body exceeds the limit or did not arrive
+  //! as a whole; `status` is 0.
+  bool body_incomplete = false;
 
   [[nodiscard]] bool answered() const noexcept { return status != 0; }
 
@@ -87,7 +90,11 @@
   void Write();
   void Read();
   void Finish(const ClientReply& reply);
-  void FailCall(const std::string& error, bool not_sent);
+  //! Tells whether a response has begun whose body was not read as a whole.
+  [[nodiscard]] bool IsBodyIncomplete(const SystemError& ended) const;
+  void FailCall(const std::string& error,
+                bool not_sent,
+                bool body_incomplete = false);
   void CloseSocket();
 
   asio::io_context& m_loop;
@@ -106,6 +113,7 @@
   //! check this flag before they touch the session.
   std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
   bool m_write_started = false;
+  bool m_read_started = false;
   bool m_reused = false;
 };
 
--- a/test/jacinthdeck/discovery/store_session_test.cc
+++ b/test/jacinthdeck/discovery/store_session_test.cc
@@ -11,7 +11,10 @@
 #include <vector>
 
 #include "jacinthdeck/core/boottime_clock.h"
+#include "jacinthdeck/core/json.h"
 #include "jacinthdeck/core/manual_clock.h"
+#include "jacinthdeck/peer/feed_frames.h"
+#include "jacinthdeck/peer/feed_message.h"
 #include "platform/store_codec.h"
 #include "store/store_server.h"
 #include "support/positions.h"
@@ -58,10 +61,12 @@
   std::vector<ContentEvent> content_events;
   std::vector<FullRead> full_reads;
   std::vector<SharedCrash> suspects;
+  std::vector<Error> unreadable;
 
   void OnDiscoveryChange(const DiscoveryChange& change,
                          const StorePosition& /*position*/) override {
     std::ranges::copy(change.suspects, std::back_inserter(suspects));
+    std::ranges::copy(change.unreadable, std::back_inserter(unreadable));
   }
   void OnContent(const std::vector<StoreChange>& changes,
                  const StorePosition& position,
@@ -105,6 +110,12 @@
     store.Apply(control);
   }
 
+  void PutValue(const std::string& key, const std::string& value) {
+    standins::StoreControl control;
+    control.puts.push_back({key, value, {}});
+    store.Apply(control);
+  }
+
   void PutConfig(int version) {
     standins::StoreControl control;
     control.puts.push_back({"op/config",
@@ -312,6 +323,47 @@
   BOOST_TEST(session.counters().reads >= reads);
 }
 
+// Guards against a host that stops following the store for ever: the changes
+// since its last watch make a reply that is larger than is read, and the same
+// watch is asked again.
+BOOST_AUTO_TEST_CASE(Watch_ReplyIsTooLarge_ContentIsReadInPages) {
+  PutTarget("a");
+  session.SetWatching(true);
+  RunUntil([&] { return targets() == 1; });
+  session.SetWatching(false);
+  constexpr std::size_t kValueBytes = kMaxJsonBytes / 4;
+  for (const char* id : {"l1", "l2", "l3", "l4", "l5", "l6"}) {
+    PutValue("servers/" + std::string(id), std::string(kValueBytes, 'x'));
+  }
+  PutTarget("b");
+  session.SetWatching(true);
+  RunUntil([&] { return targets() == 2 || lost > 0; });
+  BOOST_TEST(targets() == 2U);
+  BOOST_TEST(lost == 0);
+  PutTarget("c");
+  RunUntil([&] { return targets() == 3; });
+  BOOST_TEST(lost == 0);
+  BOOST_TEST(full_reads.size() == 2U);
+}
+
+// Guards against a host that stops following the store for ever: the changes
+// since its last watch exceed what the connection accepts.
+BOOST_AUTO_TEST_CASE(Watch_ReplyExceedsTheBodyLimit_ContentIsReadInPages) {
+  PutTarget("a");
+  session.SetWatching(true);
+  RunUntil([&] { return targets() == 1; });
+  session.SetWatching(false);
+  constexpr int kValues = 17;
+  for (int at = 0; at < kValues; ++at) {
+    PutValue("servers/l" + std::to_string(at), std::string(1U << 20U, 'x'));
+  }
+  PutTarget("b");
+  session.SetWatching(true);
+  RunUntil([&] { return targets() == 2 || lost > 0; });
+  BOOST_TEST(targets() == 2U);
+  BOOST_TEST(lost == 0);
+}
+
 // Guards against hosts that keep an old configuration for seconds: the store
 // was restored from a backup and their feeder ignored what was written since.
 BOOST_AUTO_TEST_CASE(
--- a/test/platform/codecs_test.cc
+++ b/test/platform/codecs_test.cc
@@ -1,7 +1,9 @@
 // Tests of the adapter's codecs for the platform's formats.
 #include <boost/test/unit_test.hpp>
 #include <string>
+#include <vector>
 
+#include "jacinthdeck/core/json.h"
 #include "jacinthdeck/core/random.h"
 #include "platform/base64.h"
 #include "platform/config_codec.h"
@@ -141,6 +143,100 @@
               StoreStatus::kCorrupt));
 }
 
+// Guards against a host that stops following the store for ever because of one
+// item of another writer that its JSON library rejects.
+BOOST_AUTO_TEST_CASE(Reply_OneItemIsUnreadable_OthersAreRead) {
+  const StoreCodec codec;
+  const std::string deep(100'000, '[');
+  const std::vector<std::string> odd_items{
+      R"({"key":"o","revision":5,"value":"*"})",
+      R"({"key":"o","revision":5,"value":"eA="})",
+      R"({"key":"o","revision":5,"value":7})",
+      R"({"key":"o","revision":18446744073709551616,"value":"eA=="})",
+      R"({"key":"o","revision":-1,"value":"eA=="})",
+      R"({"key":"o","revision":5.5,"value":"eA=="})",
+      R"({"key":"o","revision":1e999,"value":"eA=="})",
+      R"({"key":"o","revision":"5","value":"eA=="})",
+      R"({"key":"o","key":"o","revision":5,"value":"eA=="})",
+      R"({"key":"\ud800","revision":5,"value":"eA=="})",
+      "{\"key\":\"\xff\",\"revision\":5,\"value\":\"eA==\"}",
+      R"({"revision":5,"value":"eA=="})",
+      R"({"key":"o","revision":5,"more":)" + deep +
+          std::string(deep.size(), ']') + "}",
+      "null",
+      "[]",
+  };
+  const std::string good = R"(","revision":4,"value":"eA=="})";
+  for (const std::string& odd : odd_items) {
+    BOOST_TEST_CONTEXT(odd.substr(0, 60)) {
+      const std::string items = R"([{"key":"],[a\"}{)" + good + ", " + odd +
+                                R"(,{"key":"b)" + good + "]";
+      const StorePage page = codec.ReadPage(
+          {200, R"({"hasMore":true,"items":)" + items + R"(,"readRev":5})", "",
+           false},
+          StoreEra{});
+      BOOST_REQUIRE((page.status == StoreStatus::kOk));
+      BOOST_REQUIRE_EQUAL(page.items.size(), 2U);
+      BOOST_TEST(page.items[0].key == R"(],[a"}{)");
+      BOOST_TEST(page.items[1].key == "b");
+      BOOST_TEST(page.unreadable.size() == 1U);
+      BOOST_TEST(page.has_more);
+      const WatchBatch batch = codec.ReadWatchReply(
+          {200, R"({"events":)" + items + R"(,"readRev":5})", "", false},
+          StoreEra{});
+      BOOST_REQUIRE((batch.status == StoreStatus::kOk));
+      BOOST_TEST(batch.changes.size() == 2U);
+      BOOST_TEST(batch.unreadable.size() == 1U);
+    }
+  }
+}
+
+// Guards against a damaged reply that is taken for an empty store, which would
+// remove all entries.
+BOOST_AUTO_TEST_CASE(Reply_EnvelopeIsDamaged_IsCorrupt) {
+  const StoreCodec codec;
+  for (const char* text :
+       {"", "{", "[]", R"({"hasMore":false,"readRev":5})",
+        R"({"items":{},"hasMore":false,"readRev":5})",
+        R"({"x":{"items":[]},"hasMore":false,"readRev":5})",
+        R"({"items":[],"items":[],"hasMore":false,"readRev":5})",
+        R"({"items":[{"key":"a","hasMore":false,"readRev":5})",
+        R"({"items":["a],"hasMore":false,"readRev":5})",
+        R"({"items":[],"hasMore":false,"readRev":5}})",
+        R"({"items":[],"hasMore":false,"readRev":18446744073709551616})"}) {
+    BOOST_TEST_CONTEXT(text) {
+      const StorePage page = codec.ReadPage({200, text, "", false}, StoreEra{});
+      BOOST_TEST((page.status == StoreStatus::kCorrupt));
+    }
+  }
+}
+
+// Guards against a host that reads no further because a key holds NUL.
+BOOST_AUTO_TEST_CASE(Reply_KeyHoldsNul_IsReadAsAWhole) {
+  const StoreCodec codec;
+  const StorePage page = codec.ReadPage(
+      {200,
+       R"({"items":[{"key":"a\u0000b","revision":4,"value":"eA=="}],)"
+       R"("hasMore":false,"readRev":5})",
+       "", false},
+      StoreEra{});
+  BOOST_REQUIRE_EQUAL(page.items.size(), 1U);
+  BOOST_TEST((page.items[0].key == std::string("a\0b", 3)));
+  BOOST_TEST(codec.RangeCall(page.items[0].key).target.ends_with("a%00b"));
+}
+
+BOOST_AUTO_TEST_CASE(Reply_IsTooLarge_StatusTellsSo) {
+  const StoreCodec codec;
+  const std::string large(kMaxJsonBytes + 1, ' ');
+  BOOST_TEST(
+      (codec.ReadWatchReply({200, large, "", false}, StoreEra{}).status ==
+       StoreStatus::kTooLarge));
+  ClientReply incomplete{0, "", "no reply: body limit exceeded", false};
+  incomplete.body_incomplete = true;
+  BOOST_TEST((codec.ReadWatchReply(incomplete, StoreEra{}).status ==
+              StoreStatus::kTooLarge));
+}
+
 // Guards against a reply of a restored store that is taken for one of the
 // history before the restore. Replies with an error status carry the era too.
 BOOST_AUTO_TEST_CASE(Era_InReplyOfAnyStatus_IsRead) {
