--- a/test/jacinthdeck/discovery/store_session_test.cc
+++ b/test/jacinthdeck/discovery/store_session_test.cc
@@ -364,6 +364,84 @@
   BOOST_TEST(lost == 0);
 }
 
+// Guards against a host that ends or stops following because of one odd entry
+// of another writer. Each entry arrives by a watch, by a range and by a feed.
+BOOST_AUTO_TEST_CASE(Content_OneEntryIsOdd_OthersHoldAndOneReasonIsGiven) {
+  const auto target = [](const std::string& address, const std::string& slots) {
+    return R"({"service":"s","zone":"z","state":"ready","address":")" +
+           address + R"(","slots":)" + slots + "}";
+  };
+  const std::string good = target("10.0.0.1:80", "1");
+  const std::string deep(100'000, '[');
+  const std::string odd = "servers/odd";
+  const std::vector<standins::ControlPut> odd_entries{
+      {odd, "", {}},
+      {odd, deep, {}},
+      {odd, target("10.0.0.1:80", deep + std::string(deep.size(), ']')), {}},
+      {odd, target("10.0.0.1:80", "18446744073709551616"), {}},
+      {odd, target("10.0.0.1:80", "4294967296"), {}},
+      {odd, target("10.0.0.1:80", "-1"), {}},
+      {odd, target("10.0.0.1:80", "1.5"), {}},
+      {odd, target("10.0.0.1:80", "\"8\""), {}},
+      {odd, target("10.0.0.1:80", "1,\"slots\":1"), {}},
+      {odd, target("10.0.0.1:65536", "1"), {}},
+      {odd, target("10.0.0.1:0", "1"), {}},
+      {odd, target("10.0.0.1:-1", "1"), {}},
+      {odd, std::string(1U << 20U, 'x'), {}},
+      {odd, std::string("\0\xff", 2), {}},
+      {std::string("servers/o\0d", 11), good, {}},
+      {"servers/o\r\nX: d", good, {}},
+      {"op/config", deep, {}},
+      {"op/config", R"({"version":18446744073709551616})", {}},
+  };
+  session.SetWatching(true);
+  RunUntil([&] { return session.loaded(); });
+  std::size_t good_targets = 0;
+  for (const standins::ControlPut& entry : odd_entries) {
+    BOOST_TEST_CONTEXT(entry.key << " " << entry.value.substr(0, 80)) {
+      unreadable.clear();
+      standins::StoreControl control;
+      control.puts.push_back(entry);
+      store.Apply(control);
+      PutTarget("t" + std::to_string(++good_targets));
+      RunUntil([&] { return targets() == good_targets; });
+      BOOST_TEST(unreadable.size() == 1U);
+
+      unreadable.clear();
+      StoreSession reader{loop,  clock,       codec,
+                          *this, HostId("r"), {"127.0.0.1", store.port()},
+                          1};
+      reader.SetWatching(true);
+      RunUntil([&] { return reader.loaded(); });
+      BOOST_TEST(reader.discovery_state().target_count() == good_targets);
+      BOOST_TEST(unreadable.size() == 1U);
+
+      unreadable.clear();
+      StoreSession follower{loop,  clock,       codec,
+                            *this, HostId("f"), {"127.0.0.1", store.port()},
+                            1};
+      FeedFrameReader frames;
+      frames.Add(EncodeFeedMessage(session.UpdateSince({})));
+      const auto message =
+          Capture([&] { return DecodeFeedMessage(frames.Next().value()); });
+      BOOST_REQUIRE_EQUAL(message.index(), 0U);
+      const auto& changes = std::get<FeedChanges>(std::get<0>(message));
+      follower.ApplyPeerContent(changes.changes, changes.position,
+                                changes.whole);
+      BOOST_TEST(follower.discovery_state().target_count() == good_targets);
+      BOOST_TEST(unreadable.size() == 1U);
+
+      control.puts.clear();
+      control.removes.push_back(entry.key);
+      store.Apply(control);
+      RunUntil([&] {
+        return session.position().revision >= store.content().revision();
+      });
+    }
+  }
+  BOOST_TEST(lost == 0);
+}
+
 // Guards against hosts that keep an old configuration for seconds: the store
 // was restored from a backup and their feeder ignored what was written since.
 BOOST_AUTO_TEST_CASE(
--- a/test/platform/codecs_test.cc
+++ b/test/platform/codecs_test.cc
@@ -237,6 +237,44 @@
               StoreStatus::kTooLarge));
 }
 
+// Guards against an entry that is read as another one: a number of slots that
+// wraps to 0, or an id that ends the header that carries it.
+BOOST_AUTO_TEST_CASE(Target_OddEntry_IsRejected) {
+  const StoreCodec codec;
+  const auto entry = [](const std::string& address, const std::string& slots) {
+    return R"({"service":"s","zone":"z","state":"ready","address":")" +
+           address + R"(","slots":)" + slots + "}";
+  };
+  const auto is_read = [&](const std::string& id, const std::string& value) {
+    return Capture([&] { return codec.ReadTarget(id, value); }).index() == 0U;
+  };
+  BOOST_TEST(is_read("t", entry("10.0.0.1:80", "1")));
+  for (const char* address :
+       {"10.0.0.1:65536", "10.0.0.1:0", "10.0.0.1:-1",
+        "10.0.0.1:", "10.0.0.1:80x", "10.0.0.1:8e1",
+        "10.0.0.1:99999999999999999999", "10.0.0.1", ""}) {
+    BOOST_TEST_CONTEXT(address) {
+      BOOST_TEST(!is_read("t", entry(address, "1")));
+    }
+  }
+  const std::string deep(100'000, '[');
+  for (const std::string& slots :
+       {std::string("4294967296"), std::string("18446744073709551616"),
+        std::string("-1"), std::string("1.5"), std::string("1e999"),
+        std::string("\"8\""), std::string("null"),
+        deep + std::string(deep.size(), ']'), deep,
+        std::string("1,\"slots\":1")}) {
+    BOOST_TEST_CONTEXT(slots.substr(0, 60)) {
+      BOOST_TEST(!is_read("t", entry("10.0.0.1:80", slots)));
+    }
+  }
+  for (const std::string& id :
+       {std::string(), std::string("a\0b", 3), std::string("a\r\nX: y"),
+        std::string("a b"), std::string("a\x7f")}) {
+    BOOST_TEST(!is_read(id, entry("10.0.0.1:80", "1")));
+  }
+}
+
 // Guards against a reply of a restored store that is taken for one of the
 // history before the restore. Replies with an error status carry the era too.
 BOOST_AUTO_TEST_CASE(Era_InReplyOfAnyStatus_IsRead) {
