Let the operator's command fail on a page without a readable item

Symptom: none seen; found by reading after items came to be read one by one.

Cause: the command takes a page without items for the last one. Since an item that cannot be read is left out, a page of such items with further pages after it would end the list early, and the command would show a part as the whole.

Change: it fails with the store's address, as the session of a host does.

Evidence: ctl_test passes. No test shows the case itself: the stand-in cannot send a key that is no UTF-8.

--- a/src/daemons/ctl/session.cc
+++ b/src/daemons/ctl/session.cc
@@ -77,8 +77,13 @@
   while (true) {
     const std::string after = items.empty() ? "" : items.back().key;
     BOOST_LEAF_AUTO(page, ReadPage(after));
+    if (page.has_more && page.items.empty()) {
+      return jacinthdeck::Fail(ErrorCode::kCorrupt,
+                               m_arguments.store.ToString(),
+                               "page without a readable item");
+    }
     items.insert(items.end(), page.items.begin(), page.items.end());
-    if (!page.has_more || page.items.empty()) {
+    if (!page.has_more) {
       return items;
     }
   }
