--- a/test/jacinthdeck/discovery/store_session_test.cc
+++ b/test/jacinthdeck/discovery/store_session_test.cc
@@ -11,7 +11,10 @@
 #include <vector>
 
 #include "jacinthdeck/core/boottime_clock.h"
+#include "jacinthdeck/core/json.h"
 #include "jacinthdeck/core/manual_clock.h"
+#include "jacinthdeck/peer/feed_frames.h"
+#include "jacinthdeck/peer/feed_message.h"
 #include "platform/store_codec.h"
 #include "store/store_server.h"
 #include "support/positions.h"
@@ -58,10 +61,12 @@
   std::vector<ContentEvent> content_events;
   std::vector<FullRead> full_reads;
   std::vector<SharedCrash> suspects;
+  std::vector<Error> unreadable;
 
   void OnDiscoveryChange(const DiscoveryChange& change,
                          const StorePosition& /*position*/) override {
     std::ranges::copy(change.suspects, std::back_inserter(suspects));
+    std::ranges::copy(change.unreadable, std::back_inserter(unreadable));
   }
   void OnContent(const std::vector<StoreChange>& changes,
                  const StorePosition& position,
@@ -105,6 +110,12 @@
     store.Apply(control);
   }
 
+  void PutValue(const std::string& key, const std::string& value) {
+    standins::StoreControl control;
+    control.puts.push_back({key, value, {}});
+    store.Apply(control);
+  }
+
   void PutConfig(int version) {
     standins::StoreControl control;
     control.puts.push_back({"op/config",
@@ -312,6 +323,125 @@
   BOOST_TEST(session.counters().reads >= reads);
 }
 
+// Guards against a host that stops following the store for ever: the changes
+// since its last watch make a reply that is larger than is read, and the same
+// watch is asked again.
+BOOST_AUTO_TEST_CASE(Watch_ReplyIsTooLarge_ContentIsReadInPages) {
+  PutTarget("a");
+  session.SetWatching(true);
+  RunUntil([&] { return targets() == 1; });
+  session.SetWatching(false);
+  constexpr std::size_t kValueBytes = kMaxJsonBytes / 4;
+  for (const char* id : {"l1", "l2", "l3", "l4", "l5", "l6"}) {
+    PutValue("servers/" + std::string(id), std::string(kValueBytes, 'x'));
+  }
+  PutTarget("b");
+  session.SetWatching(true);
+  RunUntil([&] { return targets() == 2 || lost > 0; });
+  BOOST_TEST(targets() == 2U);
+  BOOST_TEST(lost == 0);
+  PutTarget("c");
+  RunUntil([&] { return targets() == 3; });
+  BOOST_TEST(lost == 0);
+  BOOST_TEST(full_reads.size() == 2U);
+}
+
+// Guards against a host that stops following the store for ever: the changes
+// since its last watch exceed what the connection accepts.
+BOOST_AUTO_TEST_CASE(Watch_ReplyExceedsTheBodyLimit_ContentIsReadInPages) {
+  PutTarget("a");
+  session.SetWatching(true);
+  RunUntil([&] { return targets() == 1; });
+  session.SetWatching(false);
+  constexpr int kValues = 17;
+  for (int at = 0; at < kValues; ++at) {
+    PutValue("servers/l" + std::to_string(at), std::string(1U << 20U, 'x'));
+  }
+  PutTarget("b");
+  session.SetWatching(true);
+  RunUntil([&] { return targets() == 2 || lost > 0; });
+  BOOST_TEST(targets() == 2U);
+  BOOST_TEST(lost == 0);
+}
+
+// Guards against a host that ends or stops following because of one odd entry
+// of another writer. Each entry arrives by a watch, by a range and by a feed.
+BOOST_AUTO_TEST_CASE(Content_OneEntryIsOdd_OthersHoldAndOneReasonIsGiven) {
+  const auto target = [](const std::string& address, const std::string& slots) {
+    return R"({"service":"s","zone":"z","state":"ready","address":")" +
+           address + R"(","slots":)" + slots + "}";
+  };
+  const std::string good = target("10.0.0.1:80", "1");
+  const std::string deep(100'000, '[');
+  const std::string odd = "servers/odd";
+  const std::vector<standins::ControlPut> odd_entries{
+      {odd, "", {}},
+      {odd, deep, {}},
+      {odd, target("10.0.0.1:80", deep + std::string(deep.size(), ']')), {}},
+      {odd, target("10.0.0.1:80", "18446744073709551616"), {}},
+      {odd, target("10.0.0.1:80", "4294967296"), {}},
+      {odd, target("10.0.0.1:80", "-1"), {}},
+      {odd, target("10.0.0.1:80", "1.5"), {}},
+      {odd, target("10.0.0.1:80", "\"8\""), {}},
+      {odd, target("10.0.0.1:80", "1,\"slots\":1"), {}},
+      {odd, target("10.0.0.1:65536", "1"), {}},
+      {odd, target("10.0.0.1:0", "1"), {}},
+      {odd, target("10.0.0.1:-1", "1"), {}},
+      {odd, std::string(1U << 20U, 'x'), {}},
+      {odd, std::string("\0\xff", 2), {}},
+      {std::string("servers/o\0d", 11), good, {}},
+      {"servers/o\r\nX: d", good, {}},
+      {"op/config", deep, {}},
+      {"op/config", R"({"version":18446744073709551616})", {}},
+  };
+  session.SetWatching(true);
+  RunUntil([&] { return session.loaded(); });
+  std::size_t good_targets = 0;
+  for (const standins::ControlPut& entry : odd_entries) {
+    BOOST_TEST_CONTEXT(entry.key << " " << entry.value.substr(0, 80)) {
+      unreadable.clear();
+      standins::StoreControl control;
+      control.puts.push_back(entry);
+      store.Apply(control);
+      PutTarget("t" + std::to_string(++good_targets));
+      RunUntil([&] { return targets() == good_targets; });
+      BOOST_TEST(unreadable.size() == 1U);
+
+      unreadable.clear();
+      StoreSession reader{loop,  clock,       codec,
+                          *this, HostId("r"), {"127.0.0.1", store.port()},
+                          1};
+      reader.SetWatching(true);
+      RunUntil([&] { return reader.loaded(); });
+      BOOST_TEST(reader.discovery_state().target_count() == good_targets);
+      BOOST_TEST(unreadable.size() == 1U);
+
+      unreadable.clear();
+      StoreSession follower{loop,  clock,       codec,
+                            *this, HostId("f"), {"127.0.0.1", store.port()},
+                            1};
+      FeedFrameReader frames;
+      frames.Add(EncodeFeedMessage(session.UpdateSince({})));
+      const auto message =
+          Capture([&] { return DecodeFeedMessage(frames.Next().value()); });
+      BOOST_REQUIRE_EQUAL(message.index(), 0U);
+      const auto& changes = std::get<FeedChanges>(std::get<0>(message));
+      follower.ApplyPeerContent(changes.changes, changes.position,
+                                changes.whole);
+      BOOST_TEST(follower.discovery_state().target_count() == good_targets);
+      BOOST_TEST(unreadable.size() == 1U);
+
+      control.puts.clear();
+      control.removes.push_back(entry.key);
+      store.Apply(control);
+      RunUntil([&] {
+        return session.position().revision >= store.content().revision();
+      });
+    }
+  }
+  BOOST_TEST(lost == 0);
+}
+
 // Guards against hosts that keep an old configuration for seconds: the store
 // was restored from a backup and their feeder ignored what was written since.
 BOOST_AUTO_TEST_CASE(
