Name the time that a stopping host answers by, and the step of its stop

The review's remarks on names: m_last_answer was the time of a past answer in one class and of the last one in two others, and Stop() is a step that is taken many times. No change of behaviour; entry, forward and query tests pass.

--- a/src/jacinthdeck/entry/entry_node.h
+++ b/src/jacinthdeck/entry/entry_node.h
@@ -153,7 +153,7 @@
   [[nodiscard]] TimePoint EarliestArrival(TimePoint now) const;
   void ArmStopTimer(Duration after);
   //! Takes the steps of the stop that are due.
-  void Stop();
+  void AdvanceStop();
   //! Logs the end of the process, and the calls that it leaves unanswered.
   void LogStopped();
   // Defined in entry_node_discovery.cc.
--- a/src/jacinthdeck/entry/entry_node_stop.cc
+++ b/src/jacinthdeck/entry/entry_node_stop.cc
@@ -71,7 +71,7 @@
   m_stop_timer.expires_after(std::max(after, Duration::zero()));
   m_stop_timer.async_wait([this](const SystemError& ended) {
     if (!ended) {
-      Stop();
+      AdvanceStop();
     }
   });
 }
@@ -80,7 +80,7 @@
 // connection is closed after it was accepted cannot know whether its request
 // was read. Therefore the ports close first, and requests on accepted
 // connections get time to be answered.
-void EntryNode::Stop() {
+void EntryNode::AdvanceStop() {
   constexpr Duration kStopPollInterval = milliseconds(20);
   const TimePoint now = m_clock.Now();
   if (!m_ports_closed) {
--- a/src/jacinthdeck/entry/shutdown_schedule.cc
+++ b/src/jacinthdeck/entry/shutdown_schedule.cc
@@ -20,22 +20,22 @@
 //! to write the answers on a busy host. Callers may expect a request that is
 //! under way to have until the last sixth of the grace period.
 constexpr Duration kLastAnswerBefore = milliseconds(500);
-constexpr int kLastAnswerFraction = 6;
+constexpr int kLastAnswerDivisor = 6;
 //! Time by which the process ends before it is killed.
 constexpr Duration kEndBefore = milliseconds(100);
-constexpr int kEndFraction = 30;
+constexpr int kEndDivisor = 30;
 
 }  // namespace
 
 ShutdownSchedule MakeShutdownSchedule(TimePoint signal,
                                       Duration grace) noexcept {
-  const TimePoint killed = signal + std::max(grace, Duration::zero());
-  const Duration whole = killed - signal;
+  const TimePoint kill_time = signal + std::max(grace, Duration::zero());
+  const Duration length = kill_time - signal;
   ShutdownSchedule schedule;
-  schedule.end = killed - std::min(kEndBefore, whole / kEndFraction);
+  schedule.end = kill_time - std::min(kEndBefore, length / kEndDivisor);
   schedule.last_answer =
-      killed - std::min(kLastAnswerBefore, whole / kLastAnswerFraction);
-  schedule.ports_close = killed - std::min(kPortsCloseBefore, whole);
+      kill_time - std::min(kLastAnswerBefore, length / kLastAnswerDivisor);
+  schedule.ports_close = kill_time - std::min(kPortsCloseBefore, length);
   schedule.idle_close =
       std::min(schedule.ports_close + kSettleTime, schedule.last_answer);
   return schedule;
--- a/src/jacinthdeck/forward/forwarder.h
+++ b/src/jacinthdeck/forward/forwarder.h
@@ -127,7 +127,7 @@
    * A call that cannot be expected to end by then is refused at once, so that
    * its caller can go to another host.
    */
-  void BeginStop(TimePoint last_answer, TimePoint now);
+  void BeginStop(TimePoint answer_by, TimePoint now);
 
   /*! \brief Drops a call whose caller disconnected, and cancels all its
    * attempts.
@@ -411,7 +411,7 @@
   TimerQueue<AttemptId> m_stale_attempts;
   //! Time by which each call has its final answer, since the host stops then;
   //! max() while it does not stop.
-  TimePoint m_last_answer = TimePoint::max();
+  TimePoint m_answer_by = TimePoint::max();
 };
 
 }  // namespace jacinthdeck
--- a/src/jacinthdeck/forward/forwarder_admission.cc
+++ b/src/jacinthdeck/forward/forwarder_admission.cc
@@ -158,14 +158,14 @@
 }
 
 void Forwarder::LimitDeadlines(PendingCall& pending) const {
-  pending.call.deadline = std::min(pending.call.deadline, m_last_answer);
-  // The time to send the answer comes after m_last_answer.
-  pending.final_at = std::min(pending.final_at, m_last_answer);
+  pending.call.deadline = std::min(pending.call.deadline, m_answer_by);
+  // The time to send the answer comes after m_answer_by.
+  pending.final_at = std::min(pending.final_at, m_answer_by);
   pending.partial_at = std::min(pending.partial_at, pending.final_at);
 }
 
-void Forwarder::BeginStop(TimePoint last_answer, TimePoint now) {
-  m_last_answer = last_answer;
+void Forwarder::BeginStop(TimePoint answer_by, TimePoint now) {
+  m_answer_by = answer_by;
   for (auto& [id, pending] : m_calls) {
     LimitDeadlines(pending);
     RearmTimer(pending);
@@ -227,8 +227,8 @@
 }
 
 bool Forwarder::IsLimitedByStop(const PendingCall& pending) const {
-  return m_last_answer != TimePoint::max() &&
-         pending.call.deadline == m_last_answer;
+  return m_answer_by != TimePoint::max() &&
+         pending.call.deadline == m_answer_by;
 }
 
 ForwardReason Forwarder::LateReason(const PendingCall& pending) const {
@@ -237,7 +237,8 @@
 }
 
 bool Forwarder::OutlastsHost(const PendingCall& pending, TimePoint now) const {
-  // A call whose caller leaves before the host stops is not cut off.
+  // The end of the host does not cut off a call with an earlier deadline. An
+  // assumed latency may refuse here, since another host serves the caller.
   return IsLimitedByStop(pending) &&
          now + pending.trace.expected + pending.profile->slow_answer_time() >
              pending.final_at;
--- a/src/jacinthdeck/forward/latency_profile.cc
+++ b/src/jacinthdeck/forward/latency_profile.cc
@@ -24,7 +24,7 @@
 //! An attempt slower than this quantile gets a hedge: one in ten, half of the
 //! usual budget of extra attempts.
 constexpr double kHedgeQuantile = 0.9;
-//! Answers later than this quantile are not waited for.
+//! A stopping host refuses a call if it has less time than this quantile left.
 constexpr double kSlowAnswerQuantile = 0.99;
 //! Minimum hedge delay as a multiple of the mean, for routes whose latencies
 //! are close together.
--- a/src/jacinthdeck/query/engine.cc
+++ b/src/jacinthdeck/query/engine.cc
@@ -28,15 +28,15 @@
     }
   }
   if (!m_waiting_calls.empty()) {
-    next = std::min(next.value_or(m_last_answer), m_last_answer);
+    next = std::min(next.value_or(m_answer_by), m_answer_by);
   }
   return next;
 }
 
-void Engine::BeginStop(TimePoint last_answer, TimePoint now, Effects& effects) {
-  m_last_answer = last_answer;
+void Engine::BeginStop(TimePoint answer_by, TimePoint now, Effects& effects) {
+  m_answer_by = answer_by;
   for (auto& [id, open] : m_calls) {
-    open.call.deadline = std::min(open.call.deadline, last_answer);
+    open.call.deadline = std::min(open.call.deadline, answer_by);
     RearmTimer(open);
   }
   OnTimer(now, effects);
@@ -88,7 +88,7 @@
   if (m_poll_at && *m_poll_at <= now) {
     SendAllWaiting(now, effects);
   }
-  if (now >= m_last_answer) {
+  if (now >= m_answer_by) {
     RefuseWaitingCalls(now, effects);
   }
   StartWaitingCalls(now, effects);
--- a/src/jacinthdeck/query/engine.h
+++ b/src/jacinthdeck/query/engine.h
@@ -115,7 +115,7 @@
    * later, gets its answer by a given time. Calls that cannot be expected to
    * end by then are refused at once.
    */
-  void BeginStop(TimePoint last_answer, TimePoint now, Effects& effects);
+  void BeginStop(TimePoint answer_by, TimePoint now, Effects& effects);
 
   /*! \brief Makes a request a suspect on a peer's report that it crashed a
    * target. */
@@ -305,7 +305,7 @@
   std::optional<TimePoint> m_poll_at;
   //! Time by which each call has its answer, since the host stops then; max()
   //! while it does not stop.
-  TimePoint m_last_answer = TimePoint::max();
+  TimePoint m_answer_by = TimePoint::max();
 };
 
 }  // namespace jacinthdeck
--- a/src/jacinthdeck/query/engine_admission.cc
+++ b/src/jacinthdeck/query/engine_admission.cc
@@ -16,7 +16,7 @@
 
 void Engine::Submit(Call call, TimePoint now, Effects& effects) {
   ++m_counters.calls;
-  call.deadline = std::min(call.deadline, m_last_answer);
+  call.deadline = std::min(call.deadline, m_answer_by);
   const AnswerReason reason = ReasonToRefuse(call, now);
   if (reason != AnswerReason::kNone) {
     return Refuse(call, reason, now, effects);
@@ -43,8 +43,8 @@
   if (m_draining) {
     return AnswerReason::kDraining;
   }
-  if (call.deadline == m_last_answer &&
-      now + ExpectedLatency(call.method->service) > m_last_answer) {
+  if (call.deadline == m_answer_by &&
+      now + ExpectedLatency(call.method->service) > m_answer_by) {
     return AnswerReason::kDraining;
   }
   if (call.deadline <= now) {
@@ -123,7 +123,7 @@
   const CallId id = call.id;
   OpenCall& open = m_calls[id];
   open.call = std::move(call);
-  open.call.deadline = std::min(open.call.deadline, m_last_answer);
+  open.call.deadline = std::min(open.call.deadline, m_answer_by);
   open.service = &service;
   open.started = now;
   ++service.running_calls;
--- a/src/jacinthdeck/typed/typed_call_runner.cc
+++ b/src/jacinthdeck/typed/typed_call_runner.cc
@@ -67,9 +67,9 @@
   ApplyEffects(effects, now);
 }
 
-void TypedCallRunner::BeginStop(TimePoint last_answer, TimePoint now) {
+void TypedCallRunner::BeginStop(TimePoint answer_by, TimePoint now) {
   Effects effects;
-  m_engine.BeginStop(last_answer, now, effects);
+  m_engine.BeginStop(answer_by, now, effects);
   ApplyEffects(effects, now);
 }
 
--- a/src/jacinthdeck/typed/typed_call_runner.h
+++ b/src/jacinthdeck/typed/typed_call_runner.h
@@ -82,7 +82,7 @@
 
   /*! \brief Prepares for the end of the host: each call gets its answer by a
    * given time. */
-  void BeginStop(TimePoint last_answer, TimePoint now);
+  void BeginStop(TimePoint answer_by, TimePoint now);
 
   /*! \brief Refuses new calls from now on; running ones go on. */
   void Drain() noexcept { m_engine.Drain(); }
