Show that content above the bound of a feed is never sent

Raising the bound alone would not do: each follower has an encoded copy of its own (by arithmetic 600 MiB for 50 followers with 12 MiB), so the copies must be shared first.

--- a/test/jacinthdeck/peer/feed_server_test.cc
+++ b/test/jacinthdeck/peer/feed_server_test.cc
@@ -121,6 +121,18 @@
   BOOST_TEST(link.received_bytes() * 5 < source.value.size());
 }
 
+// Guards against a follower that never gets the content: it exceeds the bound
+// of what may wait to be sent, and each new link ends for the same reason.
+BOOST_AUTO_TEST_CASE(Content_ExceedsTheQueueBound_IsSent) {
+  Random random(1);
+  source.value.resize(std::size_t{12} << 20U);
+  for (char& byte : source.value) {
+    byte = static_cast<char>(random.Below(256));
+  }
+  Follow(6);
+  BOOST_TEST((value == source.value));
+}
+
 // Guards against hosts of the previous version that cannot read the content
 // while the fleet is updated host by host.
 BOOST_AUTO_TEST_CASE(Content_FollowerCannotReadCompressed_IsSentPlain) {
