--- a/test/jacinthdeck/http/edge_server_test.cc
+++ b/test/jacinthdeck/http/edge_server_test.cc
@@ -49,6 +49,17 @@
     last_connection->Respond(std::move(response));
   }
 
+  //! Answers the current request and the one behind it, and expects that only
+  //! the second response closes the connection.
+  void AnswerTwoAndExpectClose(tcp::socket& caller) {
+    RespondWithBody("first");
+    RunUntil([&] { return requests.size() == 2; });
+    RespondWithBody("second");
+    const std::string reply = ReadUntil(caller, "second");
+    BOOST_TEST(reply.find("first") < reply.find("Connection: close"));
+    BOOST_TEST(IsClosed(caller));
+  }
+
   tcp::socket Connect() {
     tcp::socket socket(loop);
     socket.connect(
@@ -197,12 +208,7 @@
       "GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
   RunUntil([&] { return requests.size() == 1; });
   server.Drain();
-  RespondWithBody("first");
-  RunUntil([&] { return requests.size() == 2; });
-  RespondWithBody("second");
-  const std::string reply = ReadUntil(caller, "second");
-  BOOST_TEST(reply.find("first") < reply.find("Connection: close"));
-  BOOST_TEST(IsClosed(caller));
+  AnswerTwoAndExpectClose(caller);
 }
 
 // Guards against a request that has reached the host and is reset because the
@@ -238,12 +244,7 @@
   RunUntil([&] { return requests.size() == 1; });
   server.Drain();
   SendText(caller, kRequest);
-  RespondWithBody("first");
-  RunUntil([&] { return requests.size() == 2; });
-  RespondWithBody("second");
-  const std::string reply = ReadUntil(caller, "second");
-  BOOST_TEST(reply.find("first") < reply.find("Connection: close"));
-  BOOST_TEST(IsClosed(caller));
+  AnswerTwoAndExpectClose(caller);
 }
 
 // Guards against a connection that closes without an answer because the request
