--- a/test/platform/codecs_test.cc
+++ b/test/platform/codecs_test.cc
@@ -169,8 +169,13 @@
   const std::string good = R"(","revision":4,"value":"eA=="})";
   for (const std::string& odd : odd_items) {
     BOOST_TEST_CONTEXT(odd.substr(0, 60)) {
-      const std::string items = R"([{"key":"],[a\"}{)" + good + ", " + odd +
-                                R"(,{"key":"b)" + good + "]";
+      std::string items = R"([{"key":"],[a\"}{)";
+      items += good;
+      items += ", ";
+      items += odd;
+      items += R"(,{"key":"b)";
+      items += good;
+      items += "]";
       const StorePage page = codec.ReadPage(
           {200, R"({"hasMore":true,"items":)" + items + R"(,"readRev":5})", "",
            false},
