--- a/test/jacinthdeck/http/client_session_test.cc
+++ b/test/jacinthdeck/http/client_session_test.cc
@@ -10,7 +10,7 @@
 
 namespace {
 
-const std::string kHead = "HTTP/1.1 200 OK\r\nEra: 1\r\n";
+const std::string reply_head = "HTTP/1.1 200 OK\r\nEra: 1\r\n";
 
 struct ClientSessionFixture : EventLoopFixture {
   tcp::acceptor acceptor{loop,
@@ -56,11 +56,11 @@
 // call that was not sent.
 BOOST_AUTO_TEST_CASE(Reply_CutAfterEachByte_IsNoReply) {
   for (const std::string& form :
-       {kHead + "Content-Length: 4\r\n\r\nbody",
-        kHead + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
-        kHead + "\r\nbody"}) {
+       {reply_head + "Content-Length: 4\r\n\r\nbody",
+        reply_head + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+        reply_head + "\r\nbody"}) {
     const std::size_t header_bytes = form.find("\r\n\r\n") + 4;
-    const bool has_length = header_bytes != kHead.size() + 2;
+    const bool has_length = header_bytes != reply_head.size() + 2;
     for (std::size_t cut = 0; cut <= form.size(); ++cut) {
       for (const bool kept : {false, true}) {
         for (const bool reset : {false, true}) {
@@ -68,7 +68,7 @@
                                 acceptor.local_endpoint().port());
           Call(session, true);
           if (kept) {
-            (void)Answer(kHead + "Content-Length: 0\r\n\r\n");
+            (void)Answer(reply_head + "Content-Length: 0\r\n\r\n");
             Call(session, false);
           }
           const ClientReply end = AnswerAndClose(form.substr(0, cut), reset);
@@ -87,10 +87,11 @@
 BOOST_AUTO_TEST_CASE(Reply_BytesFollow_NextCallUsesNewConnection) {
   ClientSession session(loop, "127.0.0.1", acceptor.local_endpoint().port());
   Call(session, true);
-  const std::string first = kHead + "Content-Length: 3\r\n\r\none";
-  BOOST_TEST(Answer(first + kHead + "Content-Length: 0\r\n\r\n").body == "one");
+  const std::string first = reply_head + "Content-Length: 3\r\n\r\none";
+  BOOST_TEST(Answer(first + reply_head + "Content-Length: 0\r\n\r\n").body ==
+             "one");
   Call(session, true);
-  BOOST_TEST(Answer(kHead + "Content-Length: 3\r\n\r\ntwo").body == "two");
+  BOOST_TEST(Answer(reply_head + "Content-Length: 3\r\n\r\ntwo").body == "two");
 }
 
 // Guards against an interim response that is taken for the reply, which then
@@ -99,8 +100,9 @@
   ClientSession session(loop, "127.0.0.1", acceptor.local_endpoint().port());
   Call(session, true);
   const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
-  BOOST_TEST(Answer(interim + kHead + "Content-Length: 3\r\n\r\none").body ==
-             "one");
+  BOOST_TEST(
+      Answer(interim + reply_head + "Content-Length: 3\r\n\r\none").body ==
+      "one");
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/jacinthdeck/http/cut_response_test.cc
+++ b/test/jacinthdeck/http/cut_response_test.cc
@@ -1,6 +1,7 @@
 // Tests of responses that end early or are framed wrongly; the test acts as the
 // target and ends each response after each of its bytes.
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "jacinthdeck/http/target_pool_fixture.h"
@@ -24,22 +25,22 @@
   bool ends_with_connection = false;
 };
 
-const std::string kOk = "HTTP/1.1 200 OK\r\nReq: r1\r\nStamp: s\r\n";
-const std::string kInterim = "HTTP/1.1 103 Early\r\nStamp: s\r\n\r\n";
+const std::string ok_head = "HTTP/1.1 200 OK\r\nReq: r1\r\nStamp: s\r\n";
+const std::string interim_head = "HTTP/1.1 103 Early\r\nStamp: s\r\n\r\n";
 
-const std::vector<CutResponse> kResponses = {
-    {"GET", kOk + "Content-Length: 4\r\n\r\nbody", {}, "body"},
-    {"GET", kOk + "Content-Length: 0\r\n\r\n"},
-    {"GET", kOk + "\r\nbody", {}, "body", true},
+const std::vector<CutResponse> cut_responses = {
+    {"GET", ok_head + "Content-Length: 4\r\n\r\nbody", {}, "body"},
+    {"GET", ok_head + "Content-Length: 0\r\n\r\n"},
+    {"GET", ok_head + "\r\nbody", {}, "body", true},
     {"GET",
-     kOk + "Transfer-Encoding: chunked\r\n\r\n2;e=1\r\nbo\r\n2\r\ndy\r\n"
-           "0\r\nT: 1\r\n\r\n",
+     ok_head + "Transfer-Encoding: chunked\r\n\r\n2;e=1\r\nbo\r\n2\r\ndy\r\n"
+               "0\r\nT: 1\r\n\r\n",
      {},
      "body"},
-    {"HEAD", kOk + "Content-Length: 4\r\n\r\n"},
-    {"HEAD", kOk + "\r\n"},
-    {"GET", kInterim + kOk + "Content-Length: 2\r\n\r\nok", {}, "ok"},
-    {"GET", kInterim + kOk + "\r\nok", {}, "ok", true},
+    {"HEAD", ok_head + "Content-Length: 4\r\n\r\n"},
+    {"HEAD", ok_head + "\r\n"},
+    {"GET", interim_head + ok_head + "Content-Length: 2\r\n\r\nok", {}, "ok"},
+    {"GET", interim_head + ok_head + "\r\nok", {}, "ok", true},
     {"GET", "HTTP/1.1 204 No Content\r\nStamp: s\r\n\r\n"},
     {"GET", "HTTP/1.1 304 x\r\nStamp: s\r\nContent-Length: 4\r\n\r\n"},
     {"GET", "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nContent-Length: 2\r\n\r\nno",
@@ -112,7 +113,7 @@
 // Guards against a part of a response that is taken for a complete one, or for
 // a promise that the request did not run.
 BOOST_AUTO_TEST_CASE(Response_CutAfterEachByte_CountsAsBroken) {
-  for (const CutResponse& form : kResponses) {
+  for (const CutResponse& form : cut_responses) {
     const std::size_t size = form.response.size();
     const std::size_t first_whole =
         form.ends_with_connection ? size - form.body.size() : size;
@@ -151,22 +152,22 @@
       "200 OK\r\n\r\n",
       "HTTP/1.1 20\r\n\r\n",
       "HTTP/2.0 200 OK\r\n\r\n",
-      kOk + "No-Colon\r\n\r\nbody",
-      kOk + "No-Colon\r\nContent-Length: 4\r\n\r\nbody",
-      kOk + ": no name\r\n\r\nbody",
-      kOk + "Spaced : 1\r\n\r\nbody",
-      kOk + "Content-Length: 5\r\n\r\nbody",
-      kOk + "Content-Length: 4\r\nContent-Length: 2\r\n\r\nbody",
-      kOk + "Content-Length: 4, 2\r\n\r\nbody",
-      kOk + "Content-Length: \r\n\r\nbody",
-      kOk + "Content-Length: -4\r\n\r\nbody",
-      kOk + "Content-Length: 4x\r\n\r\nbody",
-      kOk + "Content-Length: 18446744073709551620\r\n\r\nbody",
-      kOk + "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\nbody",
-      kOk + "Transfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\nbody",
-      kOk + "Transfer-Encoding: chunked\r\n\r\nbody",
-      kOk + "Transfer-Encoding: chunked\r\n\r\n4\r\nbodyX\r\n0\r\n\r\n",
-      kOk + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n"};
+      ok_head + "No-Colon\r\n\r\nbody",
+      ok_head + "No-Colon\r\nContent-Length: 4\r\n\r\nbody",
+      ok_head + ": no name\r\n\r\nbody",
+      ok_head + "Spaced : 1\r\n\r\nbody",
+      ok_head + "Content-Length: 5\r\n\r\nbody",
+      ok_head + "Content-Length: 4\r\nContent-Length: 2\r\n\r\nbody",
+      ok_head + "Content-Length: 4, 2\r\n\r\nbody",
+      ok_head + "Content-Length: \r\n\r\nbody",
+      ok_head + "Content-Length: -4\r\n\r\nbody",
+      ok_head + "Content-Length: 4x\r\n\r\nbody",
+      ok_head + "Content-Length: 18446744073709551620\r\n\r\nbody",
+      ok_head + "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\nbody",
+      ok_head + "Transfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\nbody",
+      ok_head + "Transfer-Encoding: chunked\r\n\r\nbody",
+      ok_head + "Transfer-Encoding: chunked\r\n\r\n4\r\nbodyX\r\n0\r\n\r\n",
+      ok_head + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n"};
   for (const std::string& response : responses) {
     tcp::socket target = SendOn(false, MakeAttempt());
     const AttemptEnd end = EndAfter(target, response, Ending::kFin);
@@ -178,8 +179,8 @@
 // to the next response.
 BOOST_AUTO_TEST_CASE(Response_LongerThanItsLength_EndsAtLength) {
   tcp::socket target = SendOn(false, MakeAttempt());
-  const AttemptEnd end =
-      EndAfter(target, kOk + "Content-Length: 4\r\n\r\nbodyrest", Ending::kFin);
+  const AttemptEnd end = EndAfter(
+      target, ok_head + "Content-Length: 4\r\n\r\nbodyrest", Ending::kFin);
   BOOST_TEST((end.outcome == AttemptOutcome::kResponse));
   BOOST_TEST(end.response.body == "body");
   BOOST_TEST(pool.connections() == 0U);
@@ -190,7 +191,7 @@
 BOOST_AUTO_TEST_CASE(Response_ResetWhileRequestIsWritten_CountsAsBroken) {
   const OutgoingAttempt attempt = MakeLongAttempt();
   for (const std::string response :
-       {"", "HTTP/1.1 200", kOk.c_str(), "HTTP/1.1 200 OK\r\n\r\npart"}) {
+       {"", "HTTP/1.1 200", ok_head.c_str(), "HTTP/1.1 200 OK\r\n\r\npart"}) {
     tcp::socket target = SendOn(false, attempt);
     const AttemptEnd end = EndAfter(target, response, Ending::kReset);
     BOOST_TEST((end.outcome == AttemptOutcome::kBroken), response);
@@ -201,7 +202,7 @@
 // be written to the end.
 BOOST_AUTO_TEST_CASE(Response_EndsWhileRequestIsWritten_IsComplete) {
   tcp::socket target = SendOn(false, MakeLongAttempt());
-  SendResponse(target, kOk + "\r\nwhole");
+  SendResponse(target, ok_head + "\r\nwhole");
   target.shutdown(tcp::socket::shutdown_send);
   BOOST_TEST(EndAfter(target, "", Ending::kReset).response.body == "whole");
 }
@@ -209,15 +210,23 @@
 // Guards against a body in a coding that this host doesn't decode and doesn't
 // name to the caller either.
 BOOST_AUTO_TEST_CASE(Response_TransferEncodingOtherThanChunked_IsBroken) {
-  const std::string te = kOk + "Transfer-Encoding: ";
-  const std::string chunks = "\r\n\r\n4\r\nbody\r\n0\r\n\r\n";
-  for (const std::string& response :
-       {te + "gzip\r\n\r\nbody", te + "gzip\r\nContent-Length: 4\r\n\r\nbody",
-        te + "\r\n\r\nbody", te + "gzip, chunked" + chunks,
-        te + "gzip\r\nTransfer-Encoding: chunked" + chunks,
-        te + "chunked, gzip" + chunks, te + "chunked, chunked" + chunks,
-        te + "chunked\r\nTransfer-Encoding: gzip" + chunks,
-        te + "xchunked" + chunks}) {
+  constexpr const char* kBody = "\r\n\r\nbody";
+  constexpr const char* kChunks = "\r\n\r\n4\r\nbody\r\n0\r\n\r\n";
+  const std::vector<std::pair<const char*, const char*>> codings = {
+      {"gzip", kBody},
+      {"gzip\r\nContent-Length: 4", kBody},
+      {"", kBody},
+      {"gzip, chunked", kChunks},
+      {"gzip\r\nTransfer-Encoding: chunked", kChunks},
+      {"chunked, gzip", kChunks},
+      {"chunked, chunked", kChunks},
+      {"chunked\r\nTransfer-Encoding: gzip", kChunks},
+      {"xchunked", kChunks}};
+  for (const auto& [coding, rest] : codings) {
+    std::string response = ok_head;
+    response += "Transfer-Encoding: ";
+    response += coding;
+    response += rest;
     tcp::socket target = SendOn(false, MakeAttempt());
     const AttemptEnd end = EndAfter(target, response, Ending::kFin);
     BOOST_TEST((end.outcome == AttemptOutcome::kBroken), response);
@@ -240,15 +249,16 @@
 BOOST_AUTO_TEST_CASE(Response_HeadContinuesWithForeignResponse_IsBroken) {
   const std::string begin = "HTTP/1.1 200 OK\r\n";
   const std::string end = "Stamp: f\r\nContent-Length: 4\r\n\r\nbody";
-  const std::size_t value = kOk.find("Stamp:");
-  for (const std::string& foreign :
-       {begin + "Req: r0\r\n" + end, begin + end}) {
+  const std::size_t value = ok_head.find("Stamp:");
+  const std::string with_id = begin + "Req: r0\r\n" + end;
+  const std::string without_id = begin + end;
+  for (const std::string& foreign : {with_id, without_id}) {
     // One without an id is known only by the two stamps.
     for (std::size_t cut = foreign.find("Req") == foreign.npos ? value : 0;
-         cut <= kOk.size(); ++cut) {
+         cut <= ok_head.size(); ++cut) {
       tcp::socket target = SendOn(false, MakeAttempt());
       const AttemptEnd broken =
-          EndAfter(target, kOk.substr(0, cut) + foreign, Ending::kFin);
+          EndAfter(target, ok_head.substr(0, cut) + foreign, Ending::kFin);
       BOOST_TEST((broken.outcome == AttemptOutcome::kBroken), cut << foreign);
     }
   }
