Show that operations of the store's client outlive their call and their session

Two tests step through the handlers of a call whose reply has begun, and abort the call, or destroy the session, after each of them. Both end in a heap-use-after-free in read_some_op under the address sanitizer, each time: the read that was already queued goes on with the parser that ClientSession::Read() frees for the next call, or with the buffer of a session that is gone.

--- a/test/jacinthdeck/http/client_session_test.cc
+++ b/test/jacinthdeck/http/client_session_test.cc
@@ -2,6 +2,7 @@
 // socket.
 #include "jacinthdeck/http/client_session.h"
 
+#include <memory>
 #include <string>
 
 #include "jacinthdeck/http/loop_fixture.h"
@@ -18,6 +19,22 @@
   tcp::socket store{loop};
   std::optional<ClientReply> reply;
 
+  //! More handlers than a call has until a part of its reply was read.
+  static constexpr int kHandlersOfCall = 6;
+
+  //! Starts a call whose connection has part of a reply before the session
+  //! reads, and runs a number of its handlers.
+  void StartCall(ClientSession& session, int handlers) {
+    session.Call({"GET", "/k", ""}, kTestTimeout,
+                 [this](const ClientReply& ended) { reply = ended; });
+    store = acceptor.accept();
+    asio::write(store, asio::buffer(reply_head + "Content-Length: 3\r\n\r\no"));
+    loop.restart();
+    for (int run = 0; run < handlers; ++run) {
+      (void)loop.poll_one();
+    }
+  }
+
   //! Makes a call and lets the store read it.
   void Call(ClientSession& session, bool accept) {
     reply.reset();
@@ -105,6 +122,33 @@
       "one");
 }
 
+// Guards against the read of an aborted call that takes bytes from the next
+// call's connection, or uses its freed parser.
+BOOST_AUTO_TEST_CASE(Call_AbortedAfterAnyHandler_NextCallGetsItsReply) {
+  for (int handlers = 0; handlers <= kHandlersOfCall; ++handlers) {
+    ClientSession session(loop, "127.0.0.1", acceptor.local_endpoint().port());
+    StartCall(session, handlers);
+    session.Abort();
+    Call(session, true);
+    const ClientReply end = Answer(reply_head + "Content-Length: 3\r\n\r\ntwo");
+    BOOST_TEST(end.body == "two", handlers << " " << end.error);
+  }
+}
+
+// Guards against a handler that uses the memory of a session that was destroyed
+// during a call.
+BOOST_AUTO_TEST_CASE(Session_DestroyedAfterAnyHandler_HandlersEnd) {
+  for (int handlers = 0; handlers <= kHandlersOfCall; ++handlers) {
+    auto session = std::make_unique<ClientSession>(
+        loop, "127.0.0.1", acceptor.local_endpoint().port());
+    StartCall(*session, handlers);
+    session.reset();
+    loop.restart();
+    loop.run();
+    BOOST_TEST(!reply.has_value());
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace jacinthdeck
