--- a/test/jacinthdeck/http/client_session_test.cc
+++ b/test/jacinthdeck/http/client_session_test.cc
@@ -135,6 +135,16 @@
   }
 }
 
+// Guards against the reply of one call that is taken for that of another: a
+// second call shared the connection of the first.
+BOOST_AUTO_TEST_CASE(Call_EarlierOneIsInProgress_EarlierIsAborted) {
+  ClientSession session(loop, "127.0.0.1", acceptor.local_endpoint().port());
+  StartCall(session, kHandlersOfCall);
+  Call(session, true);
+  const ClientReply end = Answer(reply_head + "Content-Length: 3\r\n\r\ntwo");
+  BOOST_TEST(end.body == "two", end.error);
+}
+
 // Guards against a handler that uses the memory of a session that was destroyed
 // during a call.
 BOOST_AUTO_TEST_CASE(Session_DestroyedAfterAnyHandler_HandlersEnd) {
