Run no handler of a timer that was cancelled or started anew

Seen in a test: a host that stops watching the store as its next watch falls due makes that watch all the same (Watching_EndsWhenTheNextWatchIsDue_NoneIsMade: one watch, none allowed). After RestartRead() it made it beside the call in progress on the same connection, so that two requests were written and the reply of one was read as that of the other.

Cause: Asio does not cancel a timer's handler that is already queued; it runs with success after cancel() or a later expires_after(). The same class as the operations of the store's client: a queued completion that outlives what it acts for.

Change: LoopTimer numbers its waits, and the handler of an ended one does nothing. All timers of the product are such timers now, so that the numbers and flags by which ClientSession told its timeouts apart go.

--- a/src/jacinthdeck/discovery/store_session.cc
+++ b/src/jacinthdeck/discovery/store_session.cc
@@ -65,7 +65,7 @@
     return;
   }
   m_watching = watching;
-  m_read_timer.cancel();
+  m_read_timer.Cancel();
   m_reads.Abort();
   if (watching) {
     Resume();
@@ -150,7 +150,7 @@
   if (!m_watching) {
     return;
   }
-  m_read_timer.cancel();
+  m_read_timer.Cancel();
   m_reads.Abort();
   Resume();
 }
@@ -354,12 +354,7 @@
     Watch();
     return;
   }
-  m_read_timer.expires_after(pause);
-  m_read_timer.async_wait([this](const SystemError& ended) {
-    if (!ended) {
-      Watch();
-    }
-  });
+  m_read_timer.Start(pause, [this] { Watch(); });
 }
 
 void StoreSession::OnCallSucceeded() {
@@ -385,12 +380,7 @@
     m_store_lost = true;
     m_observer.OnStoreLost(status, problem);
   }
-  m_read_timer.expires_after(m_read_backoff.OnFailure(m_random));
-  m_read_timer.async_wait([this](const SystemError& ended) {
-    if (!ended) {
-      Resume();
-    }
-  });
+  m_read_timer.Start(m_read_backoff.OnFailure(m_random), [this] { Resume(); });
 }
 
 void StoreSession::NotifyUnreadable(const std::vector<Error>& unreadable) {
--- a/src/jacinthdeck/discovery/store_session.h
+++ b/src/jacinthdeck/discovery/store_session.h
@@ -25,6 +25,7 @@
 #include "jacinthdeck/discovery/store_content.h"
 #include "jacinthdeck/http/asio.h"
 #include "jacinthdeck/http/client_session.h"
+#include "jacinthdeck/http/loop_timer.h"
 
 namespace jacinthdeck {
 
@@ -221,7 +222,7 @@
   StoreCounters m_counters;
 
   ClientSession m_reads;
-  asio::steady_timer m_read_timer;
+  LoopTimer m_read_timer;
   Backoff m_read_backoff;
   //! Full content was applied, from the store or from another host.
   bool m_loaded = false;
@@ -248,7 +249,7 @@
   std::optional<StorePosition> m_pages_position;
 
   ClientSession m_writes;
-  asio::steady_timer m_write_timer;
+  LoopTimer m_write_timer;
   Backoff m_write_backoff;
   const HostId m_name;
   //! This host's record as it should be stored; nothing while this host does
--- a/src/jacinthdeck/discovery/store_session_writes.cc
+++ b/src/jacinthdeck/discovery/store_session_writes.cc
@@ -88,9 +88,8 @@
 }
 
 void StoreSession::ScheduleWriteStep(Duration pause) {
-  m_write_timer.expires_after(pause);
-  m_write_timer.async_wait([this](const SystemError& ended) {
-    if (!ended && !m_writes.busy()) {
+  m_write_timer.Start(pause, [this] {
+    if (!m_writes.busy()) {
       RunWriteStep();
     }
   });
--- a/src/jacinthdeck/entry/entry_node.cc
+++ b/src/jacinthdeck/entry/entry_node.cc
@@ -359,13 +359,8 @@
     return;
   }
   m_decision_due = *next;
-  m_decision_timer.expires_after(
-      std::max(*next - m_clock.Now(), Duration::zero()));
-  m_decision_timer.async_wait([this](const SystemError& ended) {
-    if (!ended) {
-      OnDecisionTimer();
-    }
-  });
+  m_decision_timer.Start(std::max(*next - m_clock.Now(), Duration::zero()),
+                         [this] { OnDecisionTimer(); });
 }
 
 void EntryNode::OnDecisionTimer() {
@@ -407,12 +402,8 @@
   m_log.Flush();
   const bool lacks_config =
       m_forwarder.config() == nullptr && now - m_started < kStartPeriod;
-  m_tick_timer.expires_after(lacks_config ? kStartTickInterval : kTickInterval);
-  m_tick_timer.async_wait([this](const SystemError& ended) {
-    if (!ended) {
-      Tick();
-    }
-  });
+  m_tick_timer.Start(lacks_config ? kStartTickInterval : kTickInterval,
+                     [this] { Tick(); });
 }
 
 void EntryNode::LogTraffic(TimePoint now) {
--- a/src/jacinthdeck/entry/entry_node.h
+++ b/src/jacinthdeck/entry/entry_node.h
@@ -34,6 +34,7 @@
 #include "jacinthdeck/entry/typed_service.h"
 #include "jacinthdeck/forward/forwarder.h"
 #include "jacinthdeck/http/edge_server.h"
+#include "jacinthdeck/http/loop_timer.h"
 #include "jacinthdeck/http/target_pool.h"
 #include "jacinthdeck/routing/host_count_window.h"
 
@@ -203,17 +204,17 @@
   //! Highest number of hosts that served callers within a time window.
   HostCountWindow m_front_count;
   LoopLag m_loop_lag;
-  asio::steady_timer m_decision_timer;
+  LoopTimer m_decision_timer;
   //! Expiry of the decision timer; max() while it is not armed.
   TimePoint m_decision_due = TimePoint::max();
-  asio::steady_timer m_tick_timer;
+  LoopTimer m_tick_timer;
   TimePoint m_last_tick;
   TimePoint m_previous_tick;
   //! When the state of the limits is looked at next.
   TimePoint m_next_limits_log;
   //! Time of the next log line on traffic.
   TimePoint m_next_traffic_log;
-  asio::steady_timer m_stop_timer;
+  LoopTimer m_stop_timer;
   std::function<void()> m_reload;
   //! From when the grace period counts; the epoch before the stop.
   TimePoint m_stop_began;
--- a/src/jacinthdeck/entry/entry_node_stop.cc
+++ b/src/jacinthdeck/entry/entry_node_stop.cc
@@ -68,12 +68,8 @@
 }
 
 void EntryNode::ArmStopTimer(Duration after) {
-  m_stop_timer.expires_after(std::max(after, Duration::zero()));
-  m_stop_timer.async_wait([this](const SystemError& ended) {
-    if (!ended) {
-      AdvanceStop();
-    }
-  });
+  m_stop_timer.Start(std::max(after, Duration::zero()),
+                     [this] { AdvanceStop(); });
 }
 
 // A caller whose connection is refused tries another host. A caller whose
--- a/src/jacinthdeck/http/client_session.cc
+++ b/src/jacinthdeck/http/client_session.cc
@@ -23,10 +23,10 @@
 //! entries.
 constexpr std::uint64_t kMaxBodyBytes = 16ULL << 20U;
 
-} // namespace
+}  // namespace
 
-const std::string *ClientReply::FindHeader(std::string_view name) const {
-  const auto found = std::ranges::find_if(headers, [&](const Header &header) {
+const std::string* ClientReply::FindHeader(std::string_view name) const {
+  const auto found = std::ranges::find_if(headers, [&](const Header& header) {
     return boost::beast::iequals(header.name, name);
   });
   return found == headers.end() ? nullptr : &found->value;
@@ -40,7 +40,7 @@
 struct ClientSession::Connection {
   using Parser = http::response_parser<http::string_body>;
 
-  explicit Connection(asio::io_context &loop) : socket(loop) {}
+  explicit Connection(asio::io_context& loop) : socket(loop) {}
 
   tcp::socket socket;
   boost::beast::flat_buffer read_buffer;
@@ -51,32 +51,32 @@
   bool closed = false;
 };
 
-ClientSession::ClientSession(asio::io_context &loop, const std::string &address,
+ClientSession::ClientSession(asio::io_context& loop,
+                             const std::string& address,
                              std::uint16_t port)
     : m_loop(loop), m_address(address), m_port(port), m_timer(loop) {}
 
 ClientSession::~ClientSession() {
-  *m_alive = false;
   CloseConnection();
 }
 
-void ClientSession::Call(const ClientRequest &request, Duration timeout,
+void ClientSession::Call(const ClientRequest& request,
+                         Duration timeout,
                          Callback callback) {
   if (busy()) {
     Abort();
   }
   m_callback = std::move(callback);
-  ++m_call_number;
   const bool reused = m_connection != nullptr;
   if (!reused) {
     m_connection = std::make_shared<Connection>(m_loop);
   }
   m_connection->write_started = false;
   m_connection->read_started = false;
-  std::string &text = m_connection->write_buffer;
+  std::string& text = m_connection->write_buffer;
   text = request.method + " " + request.target +
          " HTTP/1.1\r\nHost: " + m_address + "\r\n";
-  for (const Header &header : request.headers) {
+  for (const Header& header : request.headers) {
     text += header.name + ": " + header.value + "\r\n";
   }
   if (!request.body.empty()) {
@@ -86,12 +86,8 @@
     text += "Content-Length: " + std::to_string(request.body.size()) + "\r\n";
   }
   text += "\r\n" + request.body;
-  m_timer.expires_after(timeout);
-  m_timer.async_wait([this, alive = m_alive,
-                      call = m_call_number](const SystemError &ended) {
-    if (*alive && !ended && call == m_call_number && m_callback) {
-      FailCall("timed out", !m_connection->write_started, IsBodyIncomplete({}));
-    }
+  m_timer.Start(timeout, [this] {
+    FailCall("timed out", !m_connection->write_started, IsBodyIncomplete({}));
   });
   if (reused) {
     Write();
@@ -101,9 +97,8 @@
 }
 
 void ClientSession::Abort() {
-  ++m_call_number;
   m_callback = nullptr;
-  m_timer.cancel();
+  m_timer.Cancel();
   CloseConnection();
 }
 
@@ -112,7 +107,7 @@
   const auto address = asio::ip::make_address_v4(m_address, error);
   m_connection->socket.async_connect(
       tcp::endpoint(address, m_port),
-      [this, connection = m_connection](const SystemError &ended) {
+      [this, connection = m_connection](const SystemError& ended) {
         if (connection->closed) {
           return;
         }
@@ -129,7 +124,7 @@
   m_connection->write_started = true;
   asio::async_write(
       m_connection->socket, asio::buffer(m_connection->write_buffer),
-      [this, connection = m_connection](const SystemError &ended, std::size_t) {
+      [this, connection = m_connection](const SystemError& ended, std::size_t) {
         if (connection->closed) {
           return;
         }
@@ -143,25 +138,25 @@
 
 void ClientSession::Read() {
   m_connection->read_started = true;
-  auto &parser = m_connection->parser.emplace();
+  auto& parser = m_connection->parser.emplace();
   parser.body_limit(kMaxBodyBytes);
   http::async_read(
       m_connection->socket, m_connection->read_buffer, parser,
-      [this, connection = m_connection](const SystemError &ended, std::size_t) {
+      [this, connection = m_connection](const SystemError& ended, std::size_t) {
         if (!connection->closed) {
           OnRead(ended);
         }
       });
 }
 
-void ClientSession::OnRead(const SystemError &ended) {
+void ClientSession::OnRead(const SystemError& ended) {
   if (ended) {
     FailCall("no reply: " + ended.message(), false, IsBodyIncomplete(ended));
     return;
   }
-  auto &parser = *m_connection->parser;
+  auto& parser = *m_connection->parser;
   if (parser.get().result_int() < http_status::kOk) {
-    Read(); // An interim response: the final one follows.
+    Read();  // An interim response: the final one follows.
     return;
   }
   auto message = parser.release();
@@ -171,7 +166,7 @@
   }
   ClientReply reply;
   reply.status = static_cast<int>(message.result_int());
-  for (const auto &field : message.base()) {
+  for (const auto& field : message.base()) {
     reply.headers.push_back(
         {std::string(field.name_string()), std::string(field.value())});
   }
@@ -179,20 +174,20 @@
   Finish(reply);
 }
 
-void ClientSession::Finish(const ClientReply &reply) {
-  m_timer.cancel();
-  ++m_call_number;
+void ClientSession::Finish(const ClientReply& reply) {
+  m_timer.Cancel();
   Callback callback = std::move(m_callback);
   m_callback = nullptr;
   callback(reply);
 }
 
-bool ClientSession::IsBodyIncomplete(const SystemError &ended) const {
+bool ClientSession::IsBodyIncomplete(const SystemError& ended) const {
   return m_connection->read_started && (ended == http::error::body_limit ||
                                         m_connection->parser->is_header_done());
 }
 
-void ClientSession::FailCall(const std::string &error, bool not_sent,
+void ClientSession::FailCall(const std::string& error,
+                             bool not_sent,
                              bool body_incomplete) {
   CloseConnection();
   ClientReply reply;
@@ -212,4 +207,4 @@
   m_connection.reset();
 }
 
-} // namespace jacinthdeck
+}  // namespace jacinthdeck
--- a/src/jacinthdeck/http/client_session.h
+++ b/src/jacinthdeck/http/client_session.h
@@ -14,6 +14,7 @@
 #include "jacinthdeck/core/time.h"
 #include "jacinthdeck/forward/opaque_request.h"
 #include "jacinthdeck/http/asio.h"
+#include "jacinthdeck/http/loop_timer.h"
 
 namespace jacinthdeck {
 
@@ -46,7 +47,7 @@
 
   /*! \brief Returns the first value of a header, whose name is compared without
    * case; null if the header is absent. */
-  [[nodiscard]] const std::string *FindHeader(std::string_view name) const;
+  [[nodiscard]] const std::string* FindHeader(std::string_view name) const;
 };
 
 /**
@@ -57,56 +58,52 @@
  * session must not be destroyed within a callback.
  */
 class ClientSession {
-public:
-  using Callback = std::function<void(const ClientReply &)>;
+ public:
+  using Callback = std::function<void(const ClientReply&)>;
 
-  ClientSession(asio::io_context &loop, const std::string &address,
+  ClientSession(asio::io_context& loop,
+                const std::string& address,
                 std::uint16_t port);
   ~ClientSession();
-  ClientSession(const ClientSession &) = delete;
-  ClientSession &operator=(const ClientSession &) = delete;
+  ClientSession(const ClientSession&) = delete;
+  ClientSession& operator=(const ClientSession&) = delete;
 
   [[nodiscard]] bool busy() const noexcept { return m_callback != nullptr; }
 
   /*! \brief Starts a call; one that is in progress is aborted. The callback is
    * invoked later, never from within Call(), and exactly once unless the call
    * is aborted or the session is destroyed. */
-  void Call(const ClientRequest &request, Duration timeout, Callback callback);
+  void Call(const ClientRequest& request, Duration timeout, Callback callback);
 
   /*! \brief Aborts the current call without invoking its callback and closes
    * the connection. */
   void Abort();
 
-private:
+ private:
   struct Connection;
 
   void Open();
   void Write();
   void Read();
-  void OnRead(const SystemError &ended);
-  void Finish(const ClientReply &reply);
+  void OnRead(const SystemError& ended);
+  void Finish(const ClientReply& reply);
   //! Tells whether a response has begun whose body was not read as a whole.
-  [[nodiscard]] bool IsBodyIncomplete(const SystemError &ended) const;
-  void FailCall(const std::string &error, bool not_sent,
+  [[nodiscard]] bool IsBodyIncomplete(const SystemError& ended) const;
+  void FailCall(const std::string& error,
+                bool not_sent,
                 bool body_incomplete = false);
   void CloseConnection();
 
-  asio::io_context &m_loop;
+  asio::io_context& m_loop;
   const std::string m_address;
   const std::uint16_t m_port;
-  asio::steady_timer m_timer;
+  LoopTimer m_timer;
   //! Null while there is no connection. The operations of a connection share
   //! it, and their handlers do nothing once it is another one or closed.
   std::shared_ptr<Connection> m_connection;
   Callback m_callback;
-  //! Number of the current call. The timer of an earlier call finds another
-  //! number and does nothing.
-  std::uint64_t m_call_number = 0;
-  //! Set to false by the destructor; the timer checks it before it touches the
-  //! session.
-  std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
-} // namespace jacinthdeck
+}  // namespace jacinthdeck
 
-#endif // JACINTHDECK_HTTP_CLIENT_SESSION_H_
+#endif  // JACINTHDECK_HTTP_CLIENT_SESSION_H_
--- a/src/jacinthdeck/http/edge_server.cc
+++ b/src/jacinthdeck/http/edge_server.cc
@@ -51,7 +51,7 @@
   }
   SystemError ignored;
   m_acceptor.close(ignored);
-  m_accept_pause.cancel();
+  m_accept_pause.Cancel();
 }
 
 std::vector<std::shared_ptr<EdgeConnection>> EdgeServer::Connections() const {
@@ -93,12 +93,7 @@
     return;
   }
   if (error) {
-    m_accept_pause.expires_after(kAcceptPause);
-    m_accept_pause.async_wait([this](const SystemError& ended) {
-      if (!ended) {
-        Accept();
-      }
-    });
+    m_accept_pause.Start(kAcceptPause, [this] { Accept(); });
     return;
   }
   AddConnection(std::move(socket));
--- a/src/jacinthdeck/http/edge_server.h
+++ b/src/jacinthdeck/http/edge_server.h
@@ -13,6 +13,7 @@
 #include "jacinthdeck/http/asio.h"
 #include "jacinthdeck/http/edge_connection.h"
 #include "jacinthdeck/http/edge_handler.h"
+#include "jacinthdeck/http/loop_timer.h"
 
 namespace jacinthdeck {
 
@@ -100,7 +101,7 @@
   const Clock& m_clock;
   EdgeHandler& m_handler;
   tcp::acceptor m_acceptor;
-  asio::steady_timer m_accept_pause;
+  LoopTimer m_accept_pause;
   EdgeLimits m_limits;
   EdgeCounters m_counters;
   bool m_draining = false;
--- a/src/jacinthdeck/http/fwd.h
+++ b/src/jacinthdeck/http/fwd.h
@@ -10,6 +10,7 @@
 class EdgeConnection;
 class EdgeHandler;
 class EdgeServer;
+class LoopTimer;
 class TargetConnection;
 class TargetPool;
 class TargetPoolSink;
--- a/test/jacinthdeck/discovery/store_session_test.cc
+++ b/test/jacinthdeck/discovery/store_session_test.cc
@@ -3,6 +3,7 @@
 #include "jacinthdeck/discovery/store_session.h"
 
 #include <algorithm>
+#include <boost/asio/post.hpp>
 #include <boost/test/unit_test.hpp>
 #include <chrono>
 #include <functional>
@@ -364,6 +365,22 @@
   BOOST_TEST(lost == 0);
 }
 
+// Guards against a second call while one is in progress: the wait for the next
+// watch had expired when the host stopped watching.
+BOOST_AUTO_TEST_CASE(Watching_EndsWhenTheNextWatchIsDue_NoneIsMade) {
+  PutTarget("a");
+  session.SetWatching(true);
+  RunUntil([&] { return targets() == 1; });
+  asio::steady_timer due(loop, seconds(1));
+  due.wait();
+  asio::post(loop, [] {});
+  loop.restart();
+  BOOST_REQUIRE(loop.poll_one() == 1U);
+  session.SetWatching(false);
+  loop.poll();
+  BOOST_TEST(session.counters().watches == 0U);
+}
+
 // Guards against a host that ends or stops following because of one odd entry
 // of another writer. Each entry arrives by a watch, by a range and by a feed.
 BOOST_AUTO_TEST_CASE(Content_OneEntryIsOdd_OthersHoldAndOneReasonIsGiven) {
