--- a/test/platform/codecs_test.cc
+++ b/test/platform/codecs_test.cc
@@ -86,6 +86,24 @@
   BOOST_TEST(std::get<Error>(read).subject == "config.routes[0].timeoutMs");
 }
 
+// Guards against a host that ends at each request of a route without a service.
+BOOST_AUTO_TEST_CASE(Config_RouteHasNoService_IsRejected) {
+  for (const char* services :
+       {R"("fanout":[])", R"("trafficSplit":[])",
+        R"("trafficSplit":[{"service":"s","weight":0}])"}) {
+    const auto read = Capture([&] {
+      return ReadConfig(
+          std::string(R"({"version":1,"services":[],"routes":[{"name":"r",)"
+                      R"("host":"h","prefix":"/","routeType":"idempotent",)") +
+          services + "}]}");
+    });
+    BOOST_TEST_CONTEXT(services) {
+      BOOST_REQUIRE_EQUAL(read.index(), 1U);
+      BOOST_TEST(std::get<Error>(read).subject == "config.routes[0]");
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(Base64_AllLengths_RoundTrip) {
   std::string bytes;
   for (int i = 0; i < 40; ++i) {
