--- a/test/jacinthdeck/forward/in_flight_bound_test.cc
+++ b/test/jacinthdeck/forward/in_flight_bound_test.cc
@@ -24,6 +24,14 @@
   BOOST_TEST(MaxInFlight({.connections = 3, .hosts = 1}, 4) == 3U);
 }
 
+// Guards against a target that gets hardly any requests, since the product of
+// its slots wraps around.
+BOOST_AUTO_TEST_CASE(MaxInFlight_ManySlots_LimitsToConnections) {
+  for (const std::uint32_t slots : {1U << 30U, 0xffffffffU}) {
+    BOOST_TEST(MaxInFlight({.connections = 30, .hosts = 6}, slots) == 30U);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(MaxInFlight_NothingKnown_AllowsOne) {
   BOOST_TEST(MaxInFlight({.connections = 0, .hosts = 0}, 0) == 1U);
 }
