Send content of any size to followers, in parts of 1 MiB

Seen: content above 8 MiB, or one change of that size, was never sent to a follower. Its link ended, and each new link ended for the same reason. Hosts that only follow did not learn until they read the store.

Cause: FeedServer encoded the changes as one frame and dropped the follower if that frame alone exceeded the bound of what may wait for it (kMaxUnsentBytes). A frame above 64 MiB would have been refused by the follower as well.

Change: changes above 1 MiB are sent in parts, each encoded when the follower is ready for it (FeedContent). The follower applies them together: a part of a whole content would remove the keys of the others. The bound counts only what waits behind the message being written, and a message of any size may be added below it. Content that some follower is still being sent is shared with further ones, which get the changes since then behind it, so that slow followers do not hold a copy each.

Hosts of the previous version send no `reads_parts` in their hello and get one message, encoded once for all of them; they refuse one above 64 MiB, as before. A host of the previous version that feeds never sets `more`.

--- a/src/jacinthdeck/entry/feed_hub.cc
+++ b/src/jacinthdeck/entry/feed_hub.cc
@@ -133,6 +133,10 @@
   m_store.ApplyPeerContent(changes.changes, changes.position, changes.whole);
 }
 
+void FeedHub::OnFeedPart() {
+  m_feeder_selector.OnChanges(m_clock.Now());
+}
+
 void FeedHub::OnFeedHeartbeat(const FeedHeartbeat& heartbeat) {
   FeedHeartbeat adjusted = heartbeat;
   if (heartbeat.position.era < m_store.position().era) {
--- a/src/jacinthdeck/entry/feed_hub.h
+++ b/src/jacinthdeck/entry/feed_hub.h
@@ -100,6 +100,7 @@
       const StorePosition& position) const override;
   [[nodiscard]] FeedHeartbeat Heartbeat() const override;
   void OnFeedChanges(const FeedChanges& changes) override;
+  void OnFeedPart() override;
   void OnFeedHeartbeat(const FeedHeartbeat& heartbeat) override;
   void OnFeedLost(const std::string& problem) override;
   void OnFollowerHello(const FeedHello& hello) override;
--- a/src/jacinthdeck/peer/feed_link.cc
+++ b/src/jacinthdeck/peer/feed_link.cc
@@ -1,9 +1,12 @@
 // Asynchronous reads and writes of frames over the follower's connection.
 #include "jacinthdeck/peer/feed_link.h"
 
+#include <algorithm>
 #include <boost/asio/write.hpp>
 #include <deque>
+#include <iterator>
 #include <utility>
+#include <vector>
 
 #include "jacinthdeck/http/socket_options.h"
 
@@ -17,6 +20,9 @@
   std::array<char, 16384> read_buffer{};
   //! Encoded hellos not sent yet; the first one may be partly written.
   std::deque<std::string> unsent;
+  //! Changes of the parts that have arrived. The changes apply together: in
+  //! part of a whole content most keys would be missing.
+  std::vector<StoreChange> parts;
   bool connected = false;
   bool closed = false;
 };
@@ -118,17 +124,30 @@
 }
 
 void FeedLink::OnFrame(const std::string& frame) {
-  const auto message = Capture([&] { return DecodeFeedMessage(frame); });
-  const auto* decoded = std::get_if<FeedMessage>(&message);
+  auto message = Capture([&] { return DecodeFeedMessage(frame); });
+  auto* decoded = std::get_if<FeedMessage>(&message);
   if (decoded == nullptr) {
     FailLink(m_connection, "sent a frame that holds no valid message");
-  } else if (const auto* changes = std::get_if<FeedChanges>(decoded)) {
-    m_sink.OnFeedChanges(*changes);
+  } else if (auto* part = std::get_if<FeedPart>(decoded)) {
+    std::ranges::move(part->changes.changes,
+                      std::back_inserter(m_connection->parts));
+    m_sink.OnFeedPart();
+  } else if (auto* changes = std::get_if<FeedChanges>(decoded)) {
+    OnChanges(std::move(*changes));
   } else if (const auto* heartbeat = std::get_if<FeedHeartbeat>(decoded)) {
     m_sink.OnFeedHeartbeat(*heartbeat);
   }
 }
 
+void FeedLink::OnChanges(FeedChanges changes) {
+  std::vector<StoreChange>& parts = m_connection->parts;
+  if (!parts.empty()) {
+    std::ranges::move(changes.changes, std::back_inserter(parts));
+    changes.changes = std::exchange(parts, {});
+  }
+  m_sink.OnFeedChanges(changes);
+}
+
 void FeedLink::FailLink(const std::shared_ptr<Connection>& connection,
                         const std::string& problem) {
   if (connection == nullptr || connection->closed) {
--- a/src/jacinthdeck/peer/feed_link.h
+++ b/src/jacinthdeck/peer/feed_link.h
@@ -20,8 +20,11 @@
  public:
   virtual ~FeedLinkSink() = default;
 
-  /*! \brief Called for each message with changes of the store's content. */
+  /*! \brief Called for changes of the store's content, once all of their parts
+   * arrived. */
   virtual void OnFeedChanges(const FeedChanges& changes) = 0;
+  /*! \brief Called for each part of changes before the last one. */
+  virtual void OnFeedPart() = 0;
   /*! \brief Called for each heartbeat. */
   virtual void OnFeedHeartbeat(const FeedHeartbeat& heartbeat) = 0;
   /*! \brief Called when the link ended or could not be opened.
@@ -60,6 +63,7 @@
   void Write(const std::shared_ptr<Connection>& connection);
   void Read(const std::shared_ptr<Connection>& connection);
   void OnFrame(const std::string& frame);
+  void OnChanges(FeedChanges changes);
   //! Closes the link and reports the problem to the sink, once per connection.
   void FailLink(const std::shared_ptr<Connection>& connection,
                 const std::string& problem);
--- a/src/jacinthdeck/peer/feed_message.cc
+++ b/src/jacinthdeck/peer/feed_message.cc
@@ -34,12 +34,14 @@
   const auto host = builder.CreateString(hello.host.raw());
   const auto record = builder.CreateString(hello.record);
   return wire::CreateHello(builder, host, hello.position.revision, record,
-                           EraNumber(hello.position.era), hello.reads_packed)
+                           EraNumber(hello.position.era), hello.reads_packed,
+                           hello.reads_parts)
       .Union();
 }
 
-[[nodiscard]] Offset<void> BuildBody(FlatBufferBuilder& builder,
-                                     const FeedChanges& changes) {
+[[nodiscard]] Offset<void> BuildChanges(FlatBufferBuilder& builder,
+                                        const FeedChanges& changes,
+                                        bool more) {
   std::vector<Offset<wire::Change>> built;
   built.reserve(changes.changes.size());
   for (const StoreChange& change : changes.changes) {
@@ -54,10 +56,20 @@
   }
   const auto list = builder.CreateVector(built);
   return wire::CreateChanges(builder, changes.position.revision, changes.whole,
-                             list, EraNumber(changes.position.era))
+                             list, EraNumber(changes.position.era), more)
       .Union();
 }
 
+[[nodiscard]] Offset<void> BuildBody(FlatBufferBuilder& builder,
+                                     const FeedChanges& changes) {
+  return BuildChanges(builder, changes, false);
+}
+
+[[nodiscard]] Offset<void> BuildBody(FlatBufferBuilder& builder,
+                                     const FeedPart& part) {
+  return BuildChanges(builder, part.changes, true);
+}
+
 //! Value of a heartbeat's age field if no call to the store has succeeded yet.
 constexpr std::uint32_t kNoContact = std::numeric_limits<std::uint32_t>::max();
 
@@ -102,7 +114,7 @@
 
 [[nodiscard]] wire::Body BodyTypeOf(const FeedMessage& message) {
   constexpr wire::Body kBodyTypes[] = {wire::Body::Hello, wire::Body::Changes,
-                                       wire::Body::Beat};
+                                       wire::Body::Beat, wire::Body::Changes};
   return kBodyTypes[message.index()];
 }
 
@@ -186,12 +198,15 @@
 
 [[nodiscard]] Result<FeedMessage> DecodeBody(const wire::Message& message) {
   if (const auto* hello = message.body_as_Hello()) {
-    return FeedMessage(
-        FeedHello{HostId(StringOrEmpty(hello->host())), PositionOf(*hello),
-                  StringOrEmpty(hello->record()), hello->reads_packed()});
+    return FeedMessage(FeedHello{HostId(StringOrEmpty(hello->host())),
+                                 PositionOf(*hello),
+                                 StringOrEmpty(hello->record()),
+                                 hello->reads_packed(), hello->reads_parts()});
   }
   if (const auto* changes = message.body_as_Changes()) {
-    return FeedMessage(DecodeChanges(*changes));
+    FeedChanges decoded = DecodeChanges(*changes);
+    return changes->more() ? FeedMessage(FeedPart{std::move(decoded)})
+                           : FeedMessage(std::move(decoded));
   }
   if (const auto* heartbeat = message.body_as_Beat()) {
     return FeedMessage(
--- a/src/jacinthdeck/peer/feed_message.h
+++ b/src/jacinthdeck/peer/feed_message.h
@@ -2,6 +2,7 @@
 #ifndef JACINTHDECK_PEER_FEED_MESSAGE_H_
 #define JACINTHDECK_PEER_FEED_MESSAGE_H_
 
+#include <cstddef>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -28,11 +29,20 @@
   //! Whether the follower can read compressed messages; hosts of an earlier
   //! version cannot.
   bool reads_packed = true;
+  //! Whether the follower can read changes that come in several parts; hosts
+  //! of an earlier version cannot.
+  bool reads_parts = true;
 };
 
 /*! \brief Changes of the store's content, or the whole content. */
 using FeedChanges = ContentUpdate;
 
+/*! \brief A part of a FeedChanges that is followed by another one. The last
+ * part is sent as a FeedChanges. */
+struct FeedPart {
+  FeedChanges changes;
+};
+
 /*! \brief Periodic message of a feeder that shows that it is alive and how old
  * its content is. */
 struct FeedHeartbeat {
@@ -49,11 +59,15 @@
 };
 
 /*! \brief Any message between a follower and its feeder. */
-using FeedMessage = std::variant<FeedHello, FeedChanges, FeedHeartbeat>;
+using FeedMessage =
+    std::variant<FeedHello, FeedChanges, FeedHeartbeat, FeedPart>;
 
 /*! \brief Compression of a message. */
 enum class FeedCompression { kNone, kZstd };
 
+//! Number of values of FeedCompression.
+inline constexpr std::size_t kFeedCompressions = 2;
+
 /**
  * \brief Encodes a message as one frame with its length prefix.
  * \param message Message to encode.
--- a/src/jacinthdeck/peer/feed_server.cc
+++ b/src/jacinthdeck/peer/feed_server.cc
@@ -6,6 +6,7 @@
 #include <array>
 #include <boost/asio/write.hpp>
 #include <iterator>
+#include <numeric>
 #include <utility>
 
 #include "jacinthdeck/http/listening.h"
@@ -18,9 +19,13 @@
 //! Maximum number of followers; further ones are disconnected at once and find
 //! another feeder.
 constexpr std::size_t kMaxFollowers = 256;
-//! Maximum number of bytes queued for one follower; beyond that its link is
-//! closed.
-constexpr std::size_t kMaxUnsentBytes = std::size_t{8} << 20U;
+//! A follower is disconnected if a message is queued for it while more bytes
+//! than this wait behind the message that is being written. A single message
+//! may have any size: each new link would end for the same reason.
+constexpr std::size_t kMaxWaitingBytes = std::size_t{8} << 20U;
+//! Content that other followers are still being sent is shared with a further
+//! one if the changes since then are at most this large.
+constexpr std::size_t kMaxCatchUpBytes = FeedContent::kMaxPartBytes;
 constexpr std::size_t kReadBufferBytes = 4096;
 
 }  // namespace
@@ -42,7 +47,18 @@
 
  private:
   const FeedMessage& m_message;
-  std::array<std::shared_ptr<const std::string>, 2> m_frames;
+  std::array<std::shared_ptr<const std::string>, kFeedCompressions> m_frames;
+};
+
+//! An encoded message, or content that is encoded when it is written.
+struct FeedServer::Outgoing {
+  std::shared_ptr<const std::string> frame;
+  std::shared_ptr<FeedContent> content;
+  FeedContent::Cursor cursor = {};
+
+  [[nodiscard]] std::size_t bytes() const {
+    return frame == nullptr ? content->bytes() : frame->size();
+  }
 };
 
 struct FeedServer::Follower {
@@ -51,11 +67,14 @@
   tcp::socket socket;
   FeedFrameReader frame_reader;
   std::array<char, kReadBufferBytes> read_buffer{};
-  std::deque<std::shared_ptr<const std::string>> unsent;
-  std::size_t unsent_bytes = 0;
+  //! Messages not sent yet; the first one is being written.
+  std::deque<Outgoing> unsent;
+  //! Bytes of all messages but the first one.
+  std::size_t waiting_bytes = 0;
   //! Whether it has sent its hello and so gets all changes.
   bool subscribed = false;
   FeedCompression compression = FeedCompression::kNone;
+  bool reads_parts = false;
   //! Name from its hello; empty before that.
   HostId host;
   //! Whether it knows the whole content up to some revision, so that changes
@@ -73,6 +92,14 @@
   return ListeningPort(m_acceptor);
 }
 
+std::size_t FeedServer::held_content_bytes() const {
+  return std::accumulate(m_contents.begin(), m_contents.end(), std::size_t{0},
+                         [](std::size_t sum, const auto& entry) {
+                           const auto content = entry.lock();
+                           return sum + (content ? content->bytes() : 0);
+                         });
+}
+
 Result<void> FeedServer::Listen(const std::string& address,
                                 std::uint16_t port) {
   BOOST_LEAF_CHECK(StartListening(m_acceptor, address, port));
@@ -98,7 +125,14 @@
       SendContentSince(follower, {});
     }
   }
-  SendToAll(changes);
+  if (FeedContent::SizeOf(changes) <= FeedContent::kMaxPartBytes) {
+    SendToAll(changes);
+    return;
+  }
+  const auto content = std::make_shared<FeedContent>(changes, StorePosition{});
+  for (const auto& follower : SubscribedFollowers()) {
+    Send(follower, {nullptr, content});
+  }
 }
 
 void FeedServer::SendHeartbeat() {
@@ -160,6 +194,7 @@
   follower->subscribed = true;
   follower->compression =
       hello->reads_packed ? FeedCompression::kZstd : FeedCompression::kNone;
+  follower->reads_parts = hello->reads_parts;
   follower->host = hello->host;
   m_observer.OnFollowerHello(*hello);
   if (was_subscribed) {
@@ -171,8 +206,9 @@
   // sides.
   follower->has_content = hello->position.revision > 0;
   SendContentSince(follower, hello->position);
-  Send(follower, std::make_shared<const std::string>(
-                     EncodeFeedMessage(m_source.Heartbeat())));
+  Send(follower, {std::make_shared<const std::string>(
+                      EncodeFeedMessage(m_source.Heartbeat())),
+                  nullptr});
 }
 
 // A follower may connect before this host has read anything. If it then got
@@ -181,12 +217,42 @@
 // whole content.
 void FeedServer::SendContentSince(const std::shared_ptr<Follower>& follower,
                                   const StorePosition& position) {
-  const FeedChanges content = m_source.ContentSince(position);
-  if (content.position > position) {
-    follower->has_content = true;
-    Send(follower, std::make_shared<const std::string>(
-                       EncodeFeedMessage(content, follower->compression)));
+  FeedChanges changes = m_source.ContentSince(position);
+  if (changes.position <= position) {
+    return;
+  }
+  follower->has_content = true;
+  for (auto& content : SharedContent(std::move(changes), position)) {
+    Send(follower, {nullptr, std::move(content)});
+  }
+}
+
+// Followers that read slowly keep the content that they are being sent in
+// memory. If each had its own copy, dozens of them would exhaust the memory.
+std::vector<std::shared_ptr<FeedContent>> FeedServer::SharedContent(
+    FeedChanges changes,
+    const StorePosition& since) {
+  std::erase_if(m_contents,
+                [](const auto& content) { return content.expired(); });
+  for (const auto& entry : m_contents) {
+    auto content = entry.lock();
+    if (!content->BeginsLike(changes, since)) {
+      continue;
+    }
+    const StorePosition& shared_until = content->changes().position;
+    if (shared_until == changes.position) {
+      return {std::move(content)};
+    }
+    FeedChanges later = m_source.ContentSince(shared_until);
+    if (!later.whole && FeedContent::SizeOf(later) <= kMaxCatchUpBytes) {
+      auto catch_up =
+          std::make_shared<FeedContent>(std::move(later), shared_until);
+      return {std::move(content), std::move(catch_up)};
+    }
   }
+  auto content = std::make_shared<FeedContent>(std::move(changes), since);
+  m_contents.push_back(content);
+  return {std::move(content)};
 }
 
 std::vector<std::shared_ptr<FeedServer::Follower>>
@@ -200,28 +266,42 @@
 void FeedServer::SendToAll(const FeedMessage& message) {
   FrameCache frames(message);
   for (const auto& follower : SubscribedFollowers()) {
-    Send(follower, frames.FrameFor(follower->compression));
+    Send(follower, {frames.FrameFor(follower->compression), nullptr});
   }
 }
 
 void FeedServer::Send(const std::shared_ptr<Follower>& follower,
-                      const std::shared_ptr<const std::string>& frame) {
+                      Outgoing message) {
   if (follower->closed) {
     return;
   }
-  if (follower->unsent_bytes + frame->size() > kMaxUnsentBytes) {
+  if (follower->waiting_bytes > kMaxWaitingBytes) {
     Drop(follower);
     return;
   }
-  follower->unsent.push_back(frame);
-  follower->unsent_bytes += frame->size();
-  if (follower->unsent.size() == 1) {
+  const bool is_first = follower->unsent.empty();
+  follower->waiting_bytes += is_first ? 0 : message.bytes();
+  follower->unsent.push_back(std::move(message));
+  if (is_first) {
     Write(follower);
   }
 }
 
 void FeedServer::Write(const std::shared_ptr<Follower>& follower) {
-  asio::async_write(follower->socket, asio::buffer(*follower->unsent.front()),
+  Outgoing& message = follower->unsent.front();
+  if (message.content != nullptr) {
+    if (follower->reads_parts) {
+      message.frame =
+          message.content->NextPart(message.cursor, follower->compression);
+      if (message.cursor.done) {
+        message.content.reset();
+      }
+    } else {
+      message.frame = message.content->WholeFrame(follower->compression);
+      message.cursor.done = true;
+    }
+  }
+  asio::async_write(follower->socket, asio::buffer(*message.frame),
                     [this, follower](const SystemError& error, std::size_t) {
                       if (follower->closed) {
                         return;
@@ -230,15 +310,22 @@
                         Drop(follower);
                         return;
                       }
-                      follower->unsent_bytes -=
-                          follower->unsent.front()->size();
-                      follower->unsent.pop_front();
-                      if (!follower->unsent.empty()) {
-                        Write(follower);
-                      }
+                      OnWritten(follower);
                     });
 }
 
+void FeedServer::OnWritten(const std::shared_ptr<Follower>& follower) {
+  const Outgoing& message = follower->unsent.front();
+  if (message.content == nullptr || message.cursor.done) {
+    follower->unsent.pop_front();
+    if (follower->unsent.empty()) {
+      return;
+    }
+    follower->waiting_bytes -= follower->unsent.front().bytes();
+  }
+  Write(follower);
+}
+
 void FeedServer::Drop(const std::shared_ptr<Follower>& follower) {
   follower->closed = true;
   SystemError ignored;
--- a/src/jacinthdeck/peer/feed_server.h
+++ b/src/jacinthdeck/peer/feed_server.h
@@ -10,6 +10,7 @@
 
 #include "jacinthdeck/core/result.h"
 #include "jacinthdeck/http/asio.h"
+#include "jacinthdeck/peer/feed_content.h"
 #include "jacinthdeck/peer/feed_frames.h"
 #include "jacinthdeck/peer/feed_source.h"
 #include "jacinthdeck/peer/follower_observer.h"
@@ -37,6 +38,9 @@
   [[nodiscard]] std::size_t followers() const noexcept {
     return m_followers.size();
   }
+  /*! \brief Returns the plain size of the content that waits to be sent;
+   * content that followers share counts once. */
+  [[nodiscard]] std::size_t held_content_bytes() const;
   /*! \brief Returns the port that it listens on. */
   [[nodiscard]] std::uint16_t port() const;
 
@@ -58,19 +62,26 @@
  private:
   class FrameCache;
   struct Follower;
+  struct Outgoing;
 
   void Accept();
   void Read(const std::shared_ptr<Follower>& follower);
   void OnFrame(const std::shared_ptr<Follower>& follower,
                const std::string& frame);
-  //! Queues a frame; drops the follower if too much is queued for it.
-  void Send(const std::shared_ptr<Follower>& follower,
-            const std::shared_ptr<const std::string>& frame);
+  //! Queues a message; drops the follower if too much waits for it already.
+  void Send(const std::shared_ptr<Follower>& follower, Outgoing message);
+  //! Writes the first message of the queue, or the next part of it.
   void Write(const std::shared_ptr<Follower>& follower);
+  void OnWritten(const std::shared_ptr<Follower>& follower);
   //! Sends a follower the content that it lacks, if any.
   //! \param position Position up to which the follower knows all changes.
   void SendContentSince(const std::shared_ptr<Follower>& follower,
                         const StorePosition& position);
+  //! Returns changes to send one after the other: content that other followers
+  //! are still being sent with the changes after it, or else the given ones.
+  [[nodiscard]] std::vector<std::shared_ptr<FeedContent>> SharedContent(
+      FeedChanges changes,
+      const StorePosition& since);
   //! Copies the list of followers that have sent their hello; a copy, as
   //! sending may drop a follower.
   [[nodiscard]] std::vector<std::shared_ptr<Follower>> SubscribedFollowers()
@@ -84,6 +95,8 @@
   FollowerObserver& m_observer;
   tcp::acceptor m_acceptor;
   std::vector<std::shared_ptr<Follower>> m_followers;
+  //! Content that some followers are being sent.
+  std::vector<std::weak_ptr<FeedContent>> m_contents;
 };
 
 }  // namespace jacinthdeck
--- a/src/jacinthdeck/peer/fwd.h
+++ b/src/jacinthdeck/peer/fwd.h
@@ -5,6 +5,7 @@
 
 namespace jacinthdeck {
 
+class FeedContent;
 class FeedFrameReader;
 class FeedLink;
 class FeedLinkSink;
@@ -17,6 +18,7 @@
 class RateMessageAssembler;
 struct FeedHeartbeat;
 struct FeedHello;
+struct FeedPart;
 struct RateDatagram;
 struct RateLimitSocketCounters;
 
--- a/test/jacinthdeck/peer/feed_message_test.cc
+++ b/test/jacinthdeck/peer/feed_message_test.cc
@@ -47,6 +47,27 @@
   BOOST_TEST(got.changes[2].value.value().empty());
 }
 
+// Guards against a part that is taken for the whole content.
+BOOST_AUTO_TEST_CASE(Part_WithValues_RoundTripsAsAPart) {
+  const FeedPart sent{{At(7, 3), true, {{"key", At(7, 3), "value"}}}};
+  const auto got = std::get<FeedPart>(RoundTrip(sent));
+  BOOST_TEST(got.changes.position == At(7, 3));
+  BOOST_TEST(got.changes.whole);
+  BOOST_REQUIRE_EQUAL(got.changes.changes.size(), 1U);
+  BOOST_TEST(got.changes.changes[0].value.value() == "value");
+}
+
+// Guards against parts that are sent to a host of the previous version, whose
+// hello has no field for them.
+BOOST_AUTO_TEST_CASE(Hello_ReadsParts_RoundTrips) {
+  for (const bool reads_parts : {false, true}) {
+    const auto hello = std::get<FeedHello>(
+        RoundTrip(FeedHello{HostId("a"), At(1), "", true, reads_parts}));
+    BOOST_TEST(hello.reads_packed);
+    BOOST_TEST(hello.reads_parts == reads_parts);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(Compressed_LargeAndSmallChanges_RoundTrip) {
   for (const std::size_t size : {0U, 10U, 1000U, 3000000U}) {
     const std::string value(size, 'v');
--- a/test/jacinthdeck/peer/feed_server_test.cc
+++ b/test/jacinthdeck/peer/feed_server_test.cc
@@ -1,12 +1,16 @@
 // Tests of what a feeder sends to its followers, over loopback sockets.
 #include "jacinthdeck/peer/feed_server.h"
 
+#include <algorithm>
+#include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 #include <chrono>
 #include <map>
 #include <string>
+#include <vector>
 
 #include "jacinthdeck/core/random.h"
+#include "jacinthdeck/discovery/store_content.h"
 #include "jacinthdeck/peer/feed_link.h"
 #include "support/positions.h"
 #include "support/printers.h"
@@ -50,6 +54,51 @@
   return text + "}";
 }
 
+//! Makes text that cannot be compressed.
+[[nodiscard]] std::string RandomText(std::size_t bytes) {
+  Random random(1);
+  std::string text(bytes, '\0');
+  for (char& byte : text) {
+    byte = static_cast<char>(random.Below(256));
+  }
+  return text;
+}
+
+//! Host whose content has many large entries.
+struct LargeSource final : FeedSource {
+  static constexpr std::size_t kEntries = 20;
+  static constexpr std::size_t kEntryBytes = std::size_t{500} << 10U;
+
+  StoreContent content;
+  StorePosition position = At(kEntries);
+
+  LargeSource() {
+    std::vector<StoreChange> items;
+    for (std::size_t i = 1; i <= kEntries; ++i) {
+      items.push_back({"servers/" + std::to_string(i), At(i),
+                       std::string(kEntryBytes, static_cast<char>('a' + i))});
+    }
+    content.Replace(items, position);
+  }
+
+  //! Writes a key, as the next change.
+  FeedChanges Put(const std::string& key, const std::string& value) {
+    ++position.revision;
+    return {position, false, content.Apply({{{key, position, value}}})};
+  }
+
+  [[nodiscard]] FeedChanges ContentSince(
+      const StorePosition& known) const override {
+    auto since =
+        known.revision > 0 ? content.ChangesSince(known) : std::nullopt;
+    const bool whole = !since.has_value();
+    return {position, whole, whole ? content.Items() : std::move(*since)};
+  }
+  [[nodiscard]] FeedHeartbeat Heartbeat() const override {
+    return {position, milliseconds(10), false};
+  }
+};
+
 struct FeedServerFixture : FeedLinkSink, FollowerObserver {
   asio::io_context loop;
   FixedSource source;
@@ -58,8 +107,13 @@
   //! Whether the follower can read compressed messages, as hosts of the present
   //! version can.
   bool reads_packed = true;
+  bool reads_parts = true;
+  //! Parts of changes before the last ones.
+  int parts = 0;
   //! Number of messages with changes.
   int change_messages = 0;
+  //! All changes that were received.
+  StoreContent received;
   //! Value of the last change.
   std::string value;
   //! Number of messages with the whole content.
@@ -78,8 +132,10 @@
   void OnFeedChanges(const FeedChanges& changes) override {
     ++change_messages;
     value = changes.changes.back().value.value_or("");
+    received.Apply(changes.changes);
     full_change_messages += changes.whole ? 1 : 0;
   }
+  void OnFeedPart() override { ++parts; }
   void OnFeedHeartbeat(const FeedHeartbeat& /*heartbeat*/) override {
     ++heartbeats;
   }
@@ -94,8 +150,9 @@
   //! content.
   void Follow(std::uint64_t known_revision) {
     BOOST_REQUIRE(static_cast<bool>(server.Listen("127.0.0.1", 0)));
-    link.Open({"127.0.0.1", server.port()},
-              {HostId("h1"), At(known_revision), "first", reads_packed});
+    link.Open(
+        {"127.0.0.1", server.port()},
+        {HostId("h1"), At(known_revision), "first", reads_packed, reads_parts});
     while (heartbeats == 0) {
       loop.run_one();
     }
@@ -124,15 +181,23 @@
 // Guards against a follower that never gets the content: it exceeds the bound
 // of what may wait to be sent, and each new link ends for the same reason.
 BOOST_AUTO_TEST_CASE(Content_ExceedsTheQueueBound_IsSent) {
-  Random random(1);
-  source.value.resize(std::size_t{12} << 20U);
-  for (char& byte : source.value) {
-    byte = static_cast<char>(random.Below(256));
-  }
+  source.value = RandomText(std::size_t{12} << 20U);
   Follow(6);
   BOOST_TEST((value == source.value));
 }
 
+// Guards against followers that lose a change for ever: it exceeds the bound of
+// what may wait to be sent, so that their links and each new one end.
+BOOST_AUTO_TEST_CASE(Change_ExceedsTheQueueBound_IsSent) {
+  Follow(6);
+  const std::string large = RandomText(std::size_t{12} << 20U);
+  server.Publish({At(8), false, {{"servers/b", At(8), large}}});
+  while (value != large) {
+    loop.run_one();
+  }
+  BOOST_TEST(change_messages == 2);
+}
+
 // Guards against hosts of the previous version that cannot read the content
 // while the fleet is updated host by host.
 BOOST_AUTO_TEST_CASE(Content_FollowerCannotReadCompressed_IsSentPlain) {
@@ -222,6 +287,112 @@
   BOOST_TEST(server.followers() == 0U);
 }
 
+//! Feeder with large content and followers that may read none of it.
+struct LargeContentFixture : FeedServerFixture {
+  LargeSource large;
+  FeedServer large_server{loop, large, *this};
+  std::vector<tcp::socket> idle_followers;
+
+  LargeContentFixture() {
+    BOOST_REQUIRE(static_cast<bool>(large_server.Listen("127.0.0.1", 0)));
+  }
+
+  //! Adds a follower that sends its hello and reads nothing.
+  void AddIdleFollower() {
+    tcp::socket& socket = idle_followers.emplace_back(loop);
+    socket.connect({asio::ip::address_v4::loopback(), large_server.port()});
+    const HostId name("idle-" + std::to_string(idle_followers.size()));
+    const std::string hello =
+        EncodeFeedMessage(FeedHello{name, {}, "", reads_packed, reads_parts});
+    asio::write(socket, asio::buffer(hello));
+    while (!followers.contains(name)) {
+      loop.run_one();
+    }
+  }
+
+  void FollowLarge() {
+    link.Open({"127.0.0.1", large_server.port()},
+              {HostId("h1"), {}, "", reads_packed, reads_parts});
+    while (heartbeats == 0) {
+      loop.run_one();
+    }
+  }
+
+  [[nodiscard]] bool ReceivedAll() const {
+    return std::ranges::equal(received.Items(), large.content.Items(),
+                              [](const auto& left, const auto& right) {
+                                return left.key == right.key &&
+                                       left.value == right.value;
+                              });
+  }
+
+  //! Size of the content, with some space for keys.
+  static constexpr std::size_t kContentBytes =
+      LargeSource::kEntries * (LargeSource::kEntryBytes + 1024);
+};
+
+// Guards against content that no follower accepts, as its frame exceeds their
+// limit, and against a follower that applies a part alone: other keys would
+// count as removed.
+BOOST_FIXTURE_TEST_CASE(Content_IsLarge_IsSentInPartsAndAppliedAtOnce,
+                        LargeContentFixture) {
+  FollowLarge();
+  BOOST_TEST(change_messages == 1);
+  BOOST_TEST(parts + 1 == static_cast<int>(LargeSource::kEntries) / 2);
+  BOOST_TEST(ReceivedAll());
+}
+
+// Guards against hosts of the previous version that take the first part for the
+// whole content while the fleet is updated host by host.
+BOOST_FIXTURE_TEST_CASE(Content_FollowerCannotReadParts_IsSentAsOneMessage,
+                        LargeContentFixture) {
+  reads_parts = false;
+  FollowLarge();
+  BOOST_TEST(parts == 0);
+  BOOST_TEST(change_messages == 1);
+  BOOST_TEST(ReceivedAll());
+}
+
+// Guards against a feeder whose memory is exhausted by a copy of the content
+// for each of dozens of followers that read slowly, while the content changes.
+BOOST_FIXTURE_TEST_CASE(Content_FollowersReadNothing_IsHeldOnce,
+                        LargeContentFixture) {
+  reads_packed = false;
+  for (int i = 0; i < 10; ++i) {
+    AddIdleFollower();
+    large_server.Publish(large.Put("servers/1", std::to_string(i)));
+  }
+  BOOST_TEST(large_server.followers() == 10U);
+  BOOST_TEST(large_server.held_content_bytes() > kContentBytes / 2);
+  BOOST_TEST(large_server.held_content_bytes() <= kContentBytes);
+}
+
+// Guards against a follower that misses the changes between the content that
+// other followers are still being sent and its own hello.
+BOOST_FIXTURE_TEST_CASE(Content_ChangedSinceItWasShared_FollowerGetsBoth,
+                        LargeContentFixture) {
+  reads_packed = false;
+  AddIdleFollower();
+  large_server.Publish(large.Put("servers/1", "changed"));
+  FollowLarge();
+  BOOST_TEST(change_messages == 2);
+  BOOST_TEST(full_change_messages == 1);
+  BOOST_TEST(ReceivedAll());
+}
+
+// Guards against a feeder that keeps content for followers that have left.
+BOOST_FIXTURE_TEST_CASE(Content_FollowersLeave_IsReleased,
+                        LargeContentFixture) {
+  reads_packed = false;
+  AddIdleFollower();
+  idle_followers.clear();
+  while (large_server.followers() > 0) {
+    loop.run_one();
+  }
+  loop.poll();
+  BOOST_TEST(large_server.held_content_bytes() == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace jacinthdeck
