Keep a link whose content arrives in parts before the heartbeat

A link that had no heartbeat within 0.6 s was given up, and the heartbeat follows the content. By reading: with a slow link and large content a host left one feeder after the other, each of which began to send the content anew. A part now counts as a sign of life while the link opens; a feeder that sends nothing is still given up after 0.6 s.

Link_PartsArriveBeforeTheHeartbeat_IsKept fails without it ("check !StepAfter(milliseconds(500)).close_link has failed").

--- a/src/jacinthdeck/peer/feed_choice.cc
+++ b/src/jacinthdeck/peer/feed_choice.cc
@@ -16,7 +16,8 @@
 //! A feeder that sends nothing for longer is silent. Feeders send two
 //! heartbeats a second, so two lost ones and some delay are tolerated.
 constexpr Duration kSilenceTimeout = milliseconds(1600);
-//! Time to connect and receive the first heartbeat.
+//! Time to connect and receive the first heartbeat, or a further part of the
+//! content before it.
 constexpr Duration kOpenTimeout = milliseconds(600);
 //! Delay after a link could not be opened.
 constexpr Duration kReopenDelay = milliseconds(700);
@@ -185,8 +186,10 @@
 
 FeederActions FeederSelector::Step(TimePoint now) {
   FeederActions actions;
-  const bool open_timed_out = m_link_state == LinkState::kOpening &&
-                              now - m_link_started_at > kOpenTimeout;
+  // The heartbeat follows the content, whose parts may take longer.
+  const bool open_timed_out =
+      m_link_state == LinkState::kOpening &&
+      now - std::max(m_link_started_at, m_last_message_at) > kOpenTimeout;
   if (open_timed_out || ShouldLeaveFeeder(now) ||
       ShouldReturnToOwnDomain(now)) {
     actions.close_link = true;
--- a/test/jacinthdeck/peer/feed_choice_test.cc
+++ b/test/jacinthdeck/peer/feed_choice_test.cc
@@ -145,6 +145,18 @@
   BOOST_TEST(!weak_host.Step(now + milliseconds(1200)).watch_store);
 }
 
+// Guards against a host that leaves one feeder after the other: each sends the
+// content in parts, which take longer than a link may take to open.
+BOOST_AUTO_TEST_CASE(Link_PartsArriveBeforeTheHeartbeat_IsKept) {
+  selector.OnHosts(hosts, now);
+  BOOST_REQUIRE(selector.Step(now).open_link_to.has_value());
+  for (int part = 0; part < 10; ++part) {
+    BOOST_TEST(!StepAfter(milliseconds(500)).close_link);
+    selector.OnChanges(now);
+  }
+  BOOST_TEST(StepAfter(milliseconds(700)).close_link);
+}
+
 // Guards against a weak host that waits for seeds that stay down: it must read
 // the store after about a second.
 BOOST_AUTO_TEST_CASE(Start_WeakHostAndSeedsDown_StoreIsReadSoon) {
