Delay the links of stopping entries and kill overdue ones in the soak

An answer that is written may still not arrive: a reset or the end of the process may overtake it on a link with a delay, and the platform kills a process at the end of its grace period. The soak's links passed data on at once, and it let a stopping process run for as long as it liked.

In rolling restarts the link between a stopping entry and its callers now delays data and the end of a connection by 20 to 150 ms in each direction, and an entry that still runs 2.5 s after its SIGTERM is killed. That it had to be killed breaks stop_is_heeded unless it was frozen during its stop; no_request_is_cut is as strict as before.

--- a/soak/checks.cc
+++ b/soak/checks.cc
@@ -238,6 +238,10 @@
   for (const std::string& entry : index.history.unheeded_stops) {
     found.push_back({Promise::kStopIsHeeded, entry + " runs on after SIGTERM"});
   }
+  for (const std::string& entry : index.history.overdue_stops) {
+    found.push_back({Promise::kStopIsHeeded,
+                     entry + " was killed at the end of its grace period"});
+  }
 }
 
 }  // namespace
--- a/soak/cluster.cc
+++ b/soak/cluster.cc
@@ -85,8 +85,8 @@
   StartLayout();
   WriteConfig();
   for (std::size_t index = 0; index < m_options.entries; ++index) {
-    m_entries.push_back(
-        {"entry-" + std::to_string(index), 0, nullptr, nullptr, nullptr});
+    m_entries.push_back({"entry-" + std::to_string(index), 0, nullptr, nullptr,
+                         nullptr, false});
   }
   for (Entry& entry : m_entries) {
     StartEntry(entry);
@@ -145,7 +145,8 @@
 }
 
 void Cluster::StopEntry(const Action& action) {
-  const Entry& entry = EntryOf(action);
+  Entry& entry = EntryOf(action);
+  entry.is_frozen_in_stop = true;
   const std::string cause = Cause("stopped", entry.instance);
   BeginFaultPeriods(cause, {entry.instance}, FaultEffect::kPropagation);
   BeginFaultPeriods(cause, {entry.instance}, FaultEffect::kConnections);
@@ -170,9 +171,21 @@
 }
 
 void Cluster::DrainEntry(const Action& action) {
-  const Entry& entry = EntryOf(action);
+  Entry& entry = EntryOf(action);
+  const bool is_stopping =
+      m_open_periods.contains(Cause("killed", entry.instance));
+  if (!is_stopping) {
+    entry.is_frozen_in_stop =
+        m_open_periods.contains(Cause("stopped", entry.instance));
+    entry.callers->SetDelay(action.link_delay);
+  }
   entry.child->Signal(SIGHUP);
   entry.child->Signal(SIGTERM);
+  if (m_options.rolling && !is_stopping) {
+    Schedule(milliseconds(kGraceMs), [this, action, instance = entry.instance] {
+      KillOverdueEntry(EntryOf(action), instance);
+    });
+  }
   Schedule(kReloadAfterStop,
            [this, action] { EntryOf(action).child->Signal(SIGHUP); });
   BeginFaultPeriods(Cause("killed", entry.instance), {entry.instance},
@@ -182,6 +195,15 @@
   });
 }
 
+void Cluster::KillOverdueEntry(const Entry& entry, std::size_t instance) {
+  if (entry.instance == instance && entry.child->IsRunning()) {
+    if (!entry.is_frozen_in_stop) {
+      m_overdue_stops.push_back(entry.name + "." + std::to_string(instance));
+    }
+    entry.child->Signal(SIGKILL);
+  }
+}
+
 void Cluster::RestartEntry(const Action& action) {
   Entry& entry = EntryOf(action);
   if (entry.child->IsRunning() &&
@@ -425,6 +447,7 @@
   history.account_versions = m_account_versions;
   history.account_settings = m_account_settings;
   history.calm_since = m_calm_since;
+  history.overdue_stops = m_overdue_stops;
   for (const Entry& entry : m_entries) {
     if (entry.child->IsRunning() &&
         m_open_periods.contains(Cause("killed", entry.instance))) {
--- a/soak/cluster.h
+++ b/soak/cluster.h
@@ -95,6 +95,8 @@
     std::unique_ptr<LoopbackProxy> store;
     std::unique_ptr<LoopbackProxy> callers;
     std::unique_ptr<Child> child;
+    //! Whether the current process was frozen at some time since its SIGTERM.
+    bool is_frozen_in_stop = false;
   };
   using Step = void (Cluster::*)(const Action&);
 
@@ -103,6 +105,9 @@
   void KillEntry(const Action& action);
   void DrainEntry(const Action& action);
   void RestartEntry(const Action& action);
+  //! Kills the process of an entry whose grace period has ended, as the
+  //! platform does, unless it has ended or another one has replaced it.
+  void KillOverdueEntry(const Entry& entry, std::size_t instance);
   void StopTarget(const Action& action);
   void ContinueTarget(const Action& action);
   void KillTarget(const Action& action);
@@ -201,6 +206,7 @@
   std::vector<AccountVersion> m_account_versions;
   //! Accounts of the store's copy.
   std::vector<Account> m_copied_accounts;
+  std::vector<std::string> m_overdue_stops;
   TimePoint m_calm_since = TimePoint::max();
   Callers m_callers;
   //! Declared last, because the thread uses the members above.
--- a/soak/history.h
+++ b/soak/history.h
@@ -135,6 +135,9 @@
   //! Names of the entries that still ran at the end of the run although they
   //! had got SIGTERM.
   std::vector<std::string> unheeded_stops;
+  //! Names and numbers of the entry processes that were killed because they
+  //! still ran at the end of the grace period, except frozen ones.
+  std::vector<std::string> overdue_stops;
   //! In the order of time; empty in a run without accounts.
   std::vector<AccountVersion> account_versions;
   AccountSettings account_settings;
--- a/soak/loopback_proxy.cc
+++ b/soak/loopback_proxy.cc
@@ -81,13 +81,29 @@
         asio::buffer(direction.data),
         [self = shared_from_this(), &direction, &to](const SystemError& error,
                                                      std::size_t bytes) {
+          const std::chrono::milliseconds delay = self->m_proxy.m_delay;
           if (error) {
-            self->Close(error != asio::error::eof);
+            self->CloseAfter(direction, delay, error != asio::error::eof);
             return;
           }
           const bool slow = self->m_proxy.m_mode == LinkMode::kDelay;
-          self->Hold(direction, to, bytes,
-                     slow ? kLinkDelay : kLinkDelay.zero());
+          self->Hold(direction, to, bytes, slow ? kLinkDelay : delay);
+        });
+  }
+
+  void CloseAfter(Direction& direction,
+                  std::chrono::milliseconds delay,
+                  bool reset) {
+    if (delay.count() == 0) {
+      Close(reset);
+      return;
+    }
+    direction.timer.expires_after(delay);
+    direction.timer.async_wait(
+        [self = shared_from_this(), reset](const SystemError& error) {
+          if (!error) {
+            self->Close(reset);
+          }
         });
   }
 
--- a/soak/loopback_proxy.h
+++ b/soak/loopback_proxy.h
@@ -3,6 +3,7 @@
 #define SOAK_LOOPBACK_PROXY_H_
 
 #include <atomic>
+#include <chrono>
 #include <cstdint>
 #include <memory>
 #include <vector>
@@ -21,7 +22,8 @@
  *
  * Data that a cut direction holds back is delivered once the link recovers, as
  * after a network partition. The proxy runs on the loop that it is constructed
- * with; only SetMode() and SetUpstream() may be called from another thread.
+ * with; only SetMode(), SetDelay() and SetUpstream() may be
+ * called from another thread.
  */
 class LoopbackProxy {
  public:
@@ -38,6 +40,10 @@
   /*! \brief Sets the link mode; kReset also resets all open connections. */
   void SetMode(LinkMode mode);
 
+  /*! \brief Sets the time by which data, and the end of a connection, are
+   * delayed in each direction. */
+  void SetDelay(std::chrono::milliseconds delay) { m_delay = delay; }
+
  private:
   friend class internal::ProxiedConnection;
 
@@ -49,6 +55,7 @@
   const std::uint16_t m_port;
   std::atomic<std::uint16_t> m_upstream = 0;
   std::atomic<LinkMode> m_mode = LinkMode::kPass;
+  std::atomic<std::chrono::milliseconds> m_delay{};
   std::vector<std::weak_ptr<internal::ProxiedConnection>> m_connections;
 };
 
--- a/soak/plan.cc
+++ b/soak/plan.cc
@@ -32,6 +32,10 @@
 //! Range of the gap between two entries of a rolling restart.
 constexpr std::uint64_t kShortestGapMs = 300;
 constexpr std::uint64_t kLongestGapMs = 1500;
+//! Range of the delay of an entry's link to its callers during its stop in a
+//! rolling restart, in each direction.
+constexpr std::uint64_t kShortestLinkDelayMs = 20;
+constexpr std::uint64_t kLongestLinkDelayMs = 150;
 //! Range of the target indices that a plan draws.
 constexpr std::size_t kTargets = 64;
 
@@ -160,7 +164,9 @@
 //! than a stop, so that stops overlap, and a reshard falls into each restart.
 void AddRollingRestarts(const PlanOptions& options, std::vector<Action>& plan) {
   constexpr std::uint64_t kSeedMask = 0x589965cc75374cc3U;
+  constexpr std::uint64_t kDelaySeedMask = 0xc2b2ae3d27d4eb4fU;
   Random random(options.seed ^ kSeedMask);
+  Random delays(options.seed ^ kDelaySeedMask);
   const auto entries =
       static_cast<Duration::rep>(std::max<std::size_t>(options.entries, 1));
   for (std::size_t index = 0; index < options.rolling; ++index) {
@@ -174,7 +180,11 @@
     for (Duration::rep entry = 0; entry < entries; ++entry) {
       const Duration at = begin + gap * entry;
       const auto subject = static_cast<std::size_t>(entry);
-      plan.push_back({at, ActionKind::kDrainEntry, subject});
+      Action drain{at, ActionKind::kDrainEntry, subject};
+      drain.link_delay = milliseconds(
+          kShortestLinkDelayMs +
+          delays.Below(kLongestLinkDelayMs - kShortestLinkDelayMs + 1));
+      plan.push_back(drain);
       // The process starts again as soon as the old one has ended.
       plan.push_back({at + gap / 2, ActionKind::kStartEntry, subject});
     }
@@ -228,6 +238,9 @@
     text += " " + std::string(kLinkNames.Name(action.link)) + " " +
             std::string(kLinkModeNames.Name(action.mode));
   }
+  if (action.link_delay.count() > 0) {
+    text += " link delay " + std::to_string(action.link_delay.count()) + " ms";
+  }
   if (action.kind == ActionKind::kRestoreStore) {
     text += " rewritten after " +
             std::to_string(action.rewritten_after.count() / 1000) + " ms";
--- a/soak/plan.h
+++ b/soak/plan.h
@@ -114,6 +114,9 @@
   //! For kRestoreStore: time from the store's return until operators repeat
   //! their lost writes.
   Duration rewritten_after{};
+  //! For kDrainEntry: delay of the link to the callers, in each direction,
+  //! until the process has ended.
+  std::chrono::milliseconds link_delay{};
 
   [[nodiscard]] bool operator==(const Action&) const = default;
 };
--- a/soak/promise.h
+++ b/soak/promise.h
@@ -35,7 +35,8 @@
   kRemovedKeyIsRefused,
   //! A key in force is not answered 401.
   kValidKeyIsTaken,
-  //! An entry that got SIGTERM ends, whatever signals came with it.
+  //! An entry that got SIGTERM ends, whatever signals came with it; in a run
+  //! with rolling restarts before the end of its grace period.
   kStopIsHeeded,
 };
 
--- a/test/soak/checks_test.cc
+++ b/test/soak/checks_test.cc
@@ -62,6 +62,13 @@
   BOOST_TEST(BreaksOnly(Promise::kStopIsHeeded));
 }
 
+// Guards against a process that the platform has to kill, which goes unnoticed
+// if it has no open request at that moment.
+BOOST_AUTO_TEST_CASE(Entry_RunsBeyondItsGracePeriod_IsReported) {
+  history.overdue_stops = {"entry-0.3"};
+  BOOST_TEST(BreaksOnly(Promise::kStopIsHeeded));
+}
+
 BOOST_AUTO_TEST_CASE(Claim_RanTwice_IsReported) {
   AddCall("a", seconds(1), 1).kind = CallKind::kClaim;
   AddRun("a", "t1", seconds(1));
--- a/test/soak/loopback_proxy_test.cc
+++ b/test/soak/loopback_proxy_test.cc
@@ -57,6 +57,17 @@
   }
 }
 
+// Guards against a delay that is not applied, so that a run with slow links
+// shows nothing about them.
+BOOST_AUTO_TEST_CASE(Link_IsDelayed_AnswerTakesADelayEachWay) {
+  constexpr milliseconds kDelay{30};
+  proxy.SetDelay(kDelay);
+  const auto begin = std::chrono::steady_clock::now();
+  Call(std::chrono::seconds(10));
+  BOOST_TEST(reply.body == "well");
+  BOOST_TEST((std::chrono::steady_clock::now() - begin >= 2 * kDelay));
+}
+
 BOOST_AUTO_TEST_CASE(Link_Resets_CallEndsWithoutAnswer) {
   proxy.SetMode(LinkMode::kReset);
   Call(std::chrono::seconds(10));
--- a/test/soak/plan_test.cc
+++ b/test/soak/plan_test.cc
@@ -115,6 +115,23 @@
   }));
 }
 
+// Guards against stops whose answers reach the callers without any delay.
+BOOST_AUTO_TEST_CASE(Plan_HoldsRollingRestarts_LinksOfStoppingEntriesAreSlow) {
+  std::set<Duration> delays;
+  options.rolling = 3;
+  options.faults = 0;
+  for (options.seed = 1; options.seed <= 20; ++options.seed) {
+    for (const Action& action : MakePlan(options)) {
+      if (action.kind == ActionKind::kDrainEntry) {
+        BOOST_TEST((action.link_delay >= std::chrono::milliseconds(20)));
+        BOOST_TEST((action.link_delay <= std::chrono::milliseconds(150)));
+        delays.insert(action.link_delay);
+      }
+    }
+  }
+  BOOST_TEST(delays.size() > 50U);
+}
+
 // Guards against restarts that wait for each other, so that never two entries
 // stop at a time.
 BOOST_AUTO_TEST_CASE(Plan_HoldsARollingRestart_StopsOfEntriesOverlap) {
