Write what was shared during a renewal as soon as the renewal ends

Callers would see: a request that crashes targets goes on to reach them from other hosts for up to a third of a lease (1.2 s, 3 s at hosts without callers), since its quarantine was shared while a renewal was under way. The same holds for a changed record.

Cause: ShareQuarantine() and Register() leave a busy connection alone, for the end of its call runs the next write step. The end of a renewal did not: it scheduled the step for the next renewal.

Change: it runs the step, which schedules the next renewal if nothing else is due.

--- a/src/jacinthdeck/discovery/store_session_writes.cc
+++ b/src/jacinthdeck/discovery/store_session_writes.cc
@@ -184,7 +184,7 @@
   Send(m_codec.RenewCall(m_lease), {}, [this](const StoreAck&) {
     m_write_backoff.OnSuccess();
     m_renew_at = m_clock.Now() + RenewInterval();
-    ScheduleWriteStep(m_lease == 0 ? Duration::zero() : RenewInterval());
+    RunWriteStep();
   });
 }
 
--- a/test/jacinthdeck/discovery/store_session_test.cc
+++ b/test/jacinthdeck/discovery/store_session_test.cc
@@ -179,6 +179,19 @@
   });
 }
 
+// Guards against a quarantine that reaches the other hosts late: it was shared
+// during a renewal and waited for the next one.
+BOOST_AUTO_TEST_CASE(ShareQuarantine_RenewalIsUnderWay_IsWrittenAfterIt) {
+  session.SetLeaseDuration(seconds(1));
+  session.Register(MakeRecord("h"));
+  RunUntil([&] { return session.counters().renewals == 1; });
+  // The next renewal comes later than the test waits.
+  session.SetLeaseDuration(seconds(600));
+  session.ShareQuarantine(Fingerprint(1), ServiceId("s"), seconds(60));
+  const std::string key = codec.QuarantineKey(Fingerprint(1));
+  RunUntil([&] { return store.content().Get(key).has_value(); });
+}
+
 // Guards against removals that are delayed on a host which the store serves,
 // because its feeder was rejected.
 BOOST_AUTO_TEST_CASE(PeerAge_StoreAwayButOwnWriteSucceeded_StoreIsAvailable) {
