Read the content in pages after watches that time out

Seen: a watch whose reply does not begin within its timeout was asked for again unchanged, from the same revision. A host for which the store needs longer than that, as for a reply of 23 MB beside load, stopped following.

Cause: such a timeout was taken for an outage of the store, and the watch was repeated.

Change: after a watch that times out the host holds removals, as before, and asks for a page behind all keys, a few bytes with the revision of the store. If the revision is the known one, nothing was missed. Otherwise the watch is made once more, and if that times out as well and the store again answers the small call, the range is read in pages, whose size is bounded.

After an outage not every watcher reads all: its watch timed out once, and the second one is answered. Hosts that do read, since one reply is too large for all of them, wait a random time of up to 0.8 s first. The number of timeouts is forgotten after a call that fails or a watch that succeeds.

The stand-in store can leave watches unanswered while it answers other calls (StoreFaults::watches_unanswered).

--- a/src/jacinthdeck/discovery/store_session.cc
+++ b/src/jacinthdeck/discovery/store_session.cc
@@ -31,6 +31,16 @@
 //! Time within which feeders learn of a new era, with their next renewal or
 //! watch, and send its content to their followers.
 constexpr Duration kNewEraTimeout = milliseconds(1500);
+//! Watches in a row that time out, while the store answers other calls with a
+//! newer revision, before the content is read in pages instead. The first one
+//! may have timed out in an outage that has just ended; if one sufficed, all
+//! watchers would then read the whole content.
+constexpr int kMaxWatchTimeouts = 2;
+//! Maximum random delay of that read: a reply that is too large for one watcher
+//! mostly is for all of them.
+constexpr Duration kMaxPagesDelay = milliseconds(800);
+//! Follows all keys, so that a page after it is small.
+constexpr const char* kAfterAllKeys = "\x7f";
 //! Limits of the delay after a failed read or watch.
 constexpr Duration kMinBackoff = milliseconds(100);
 constexpr Duration kMaxBackoff = milliseconds(800);
@@ -168,7 +178,8 @@
   const bool written_by_self =
       m_last_write && now - *m_last_write < kRecentWrite;
   const bool reached_by_self =
-      written_by_self || (m_watching && m_loaded && !m_store_lost);
+      written_by_self ||
+      (m_watching && m_loaded && !m_store_lost && m_watch_timeouts == 0);
   const bool is_current = age && *age <= m_times.max_content_age;
   if (store_away) {
     if (!reached_by_self) {
@@ -182,6 +193,7 @@
 }
 
 void StoreSession::Resume() {
+  m_watch_timeouts = 0;
   if (m_loaded && !m_needs_full_read && !IsInEndedEra()) {
     Watch();
   } else {
@@ -300,10 +312,60 @@
   ++m_counters.watches;
   m_reads.Call(m_codec.WatchCall(m_position.revision, m_times.watch_wait),
                m_times.watch_timeout(), [this](const ClientReply& reply) {
-                 OnBatch(m_codec.ReadWatchReply(reply, m_era));
+                 if (reply.response_timed_out) {
+                   OnWatchTimedOut();
+                 } else {
+                   OnBatch(m_codec.ReadWatchReply(reply, m_era));
+                 }
                });
 }
 
+// The store may be away, or may need longer than the timeout for a large reply.
+// In the second case the same watch would time out each time, so the store is
+// asked for a reply of bounded size.
+void StoreSession::OnWatchTimedOut() {
+  ++m_counters.failures;
+  ++m_watch_timeouts;
+  HoldRemovals();
+  ++m_counters.reads;
+  m_reads.Call(m_codec.RangeCall(kAfterAllKeys), kCallTimeout,
+               [this](const ClientReply& reply) {
+                 OnRevisionPage(m_codec.ReadPage(reply, m_era));
+               });
+}
+
+void StoreSession::OnRevisionPage(const StorePage& page) {
+  const EraOrder order = ObserveEra(page.position.era);
+  if (page.status != StoreStatus::kOk) {
+    OnFailure(page.status, page.problem);
+    return;
+  }
+  if (order == EraOrder::kEnded) {
+    OnFailure(StoreStatus::kOutdated, "page of an ended era");
+    return;
+  }
+  if (IsInEndedEra()) {
+    StartFullRead();
+    return;
+  }
+  if (page.position <= m_position) {
+    OnCallSucceeded();
+    ApplyContent({}, m_position, false);
+    Watch();
+    return;
+  }
+  if (m_watch_timeouts < kMaxWatchTimeouts) {
+    Watch();
+    return;
+  }
+  NotifyUnreadable({{ErrorCode::kTooLarge, "watch",
+                     "no reply in time, while other calls are answered"}});
+  const auto bound = static_cast<std::uint64_t>(kMaxPagesDelay.count());
+  m_read_timer.Start(
+      Duration(static_cast<Duration::rep>(m_random.Below(bound))),
+      [this] { StartFullRead(); });
+}
+
 void StoreSession::OnBatch(const WatchBatch& batch) {
   const EraOrder order = ObserveEra(batch.position.era);
   const bool answered = batch.status == StoreStatus::kOk ||
@@ -359,6 +421,7 @@
 
 void StoreSession::OnCallSucceeded() {
   m_last_contact = m_clock.Now();
+  m_watch_timeouts = 0;
   m_read_backoff.OnSuccess();
   if (m_store_lost) {
     m_store_lost = false;
@@ -368,6 +431,15 @@
 
 void StoreSession::OnFailure(StoreStatus status, const std::string& problem) {
   ++m_counters.failures;
+  HoldRemovals();
+  if (!m_store_lost) {
+    m_store_lost = true;
+    m_observer.OnStoreLost(status, problem);
+  }
+  m_read_timer.Start(m_read_backoff.OnFailure(m_random), [this] { Resume(); });
+}
+
+void StoreSession::HoldRemovals() {
   const bool reached_by_peer =
       m_peer_contact && m_clock.Now() - *m_peer_contact < kRecentContact;
   // If a store that refuses only this host were considered unavailable,
@@ -376,11 +448,6 @@
   if (!reached_by_peer) {
     m_discovery_state.OnStoreAway();
   }
-  if (!m_store_lost) {
-    m_store_lost = true;
-    m_observer.OnStoreLost(status, problem);
-  }
-  m_read_timer.Start(m_read_backoff.OnFailure(m_random), [this] { Resume(); });
 }
 
 void StoreSession::NotifyUnreadable(const std::vector<Error>& unreadable) {
--- a/src/jacinthdeck/discovery/store_session.h
+++ b/src/jacinthdeck/discovery/store_session.h
@@ -168,9 +168,14 @@
   void NotifyFullRead();
   void Watch();
   void OnBatch(const WatchBatch& batch);
+  //! Asks the store for its revision after a watch that timed out.
+  void OnWatchTimedOut();
+  void OnRevisionPage(const StorePage& page);
   void WatchAfter(Duration pause);
   void OnCallSucceeded();
   void OnFailure(StoreStatus status, const std::string& problem);
+  //! Delays removals, unless another host reached the store just now.
+  void HoldRemovals();
   void Resume();
   //! Restarts the read or watch in progress.
   void RestartRead();
@@ -231,6 +236,9 @@
   bool m_needs_full_read = false;
   bool m_watching = false;
   bool m_store_lost = false;
+  //! Number of watches in a row that timed out, with no other failed call
+  //! between them.
+  int m_watch_timeouts = 0;
   StoreEra m_era{};
   //! When content of the present era was first applied.
   std::optional<TimePoint> m_era_since;
--- a/src/jacinthdeck/http/client_session.cc
+++ b/src/jacinthdeck/http/client_session.cc
@@ -86,9 +86,7 @@
     text += "Content-Length: " + std::to_string(request.body.size()) + "\r\n";
   }
   text += "\r\n" + request.body;
-  m_timer.Start(timeout, [this] {
-    FailCall("timed out", !m_connection->write_started, IsBodyIncomplete({}));
-  });
+  m_timer.Start(timeout, [this] { OnTimeout(); });
   if (reused) {
     Write();
   } else {
@@ -189,11 +187,24 @@
 void ClientSession::FailCall(const std::string& error,
                              bool not_sent,
                              bool body_incomplete) {
-  CloseConnection();
   ClientReply reply;
   reply.error = error;
   reply.not_sent = not_sent;
   reply.body_incomplete = body_incomplete;
+  FinishFailed(reply);
+}
+
+void ClientSession::OnTimeout() {
+  ClientReply reply;
+  reply.error = "timed out";
+  reply.not_sent = !m_connection->write_started;
+  reply.body_incomplete = IsBodyIncomplete({});
+  reply.response_timed_out = !reply.not_sent && !reply.body_incomplete;
+  FinishFailed(reply);
+}
+
+void ClientSession::FinishFailed(const ClientReply& reply) {
+  CloseConnection();
   Finish(reply);
 }
 
--- a/src/jacinthdeck/http/client_session.h
+++ b/src/jacinthdeck/http/client_session.h
@@ -39,6 +39,8 @@
   //! True if no byte of the request was sent.
   bool not_sent = false;
   std::vector<Header> headers = {};
+  //! True if no response to a sent request began within the timeout.
+  bool response_timed_out = false;
   //! True if a response arrived whose body exceeds the limit or did not arrive
   //! as a whole; `status` is 0.
   bool body_incomplete = false;
@@ -92,6 +94,9 @@
   void FailCall(const std::string& error,
                 bool not_sent,
                 bool body_incomplete = false);
+  void OnTimeout();
+  //! Closes the connection and finishes the call.
+  void FinishFailed(const ClientReply& reply);
   void CloseConnection();
 
   asio::io_context& m_loop;
--- a/standins/store/store_faults.h
+++ b/standins/store/store_faults.h
@@ -32,6 +32,8 @@
   //! Share, 0 to 1, of writes and lease calls that take effect and whose reply
   //! is lost.
   double lose_reply_share = 0;
+  //! Watches are accepted and not answered, while other calls are.
+  bool watches_unanswered = false;
 };
 
 /*! \brief Rate limits of the store, in calls per second. */
--- a/standins/store/store_server.cc
+++ b/standins/store/store_server.cc
@@ -299,8 +299,12 @@
       m_content.Watch(Parameter(request, "prefix"),
                       request.ParameterNumber("after").value_or(0),
                       std::chrono::milliseconds(wait));
-  const Outage outage = faults().outage;
-  if (outage != Outage::kNone || m_stopping) {
+  const StoreFaults current = faults();
+  while (faults().watches_unanswered && !m_stopping) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  }
+  if (current.outage != Outage::kNone || current.watches_unanswered ||
+      m_stopping) {
     return DropConnection();
   }
   if (result.compacted) {
--- a/test/jacinthdeck/discovery/store_session_test.cc
+++ b/test/jacinthdeck/discovery/store_session_test.cc
@@ -365,6 +365,54 @@
   BOOST_TEST(lost == 0);
 }
 
+// Guards against a host that stops following the store for ever: the reply to
+// its watch takes longer than the timeout, and the same watch is asked again.
+BOOST_AUTO_TEST_CASE(Watch_RepliesTakeTooLong_ContentIsReadInPages) {
+  PutTarget("a");
+  session.SetWatching(true);
+  RunUntil([&] { return targets() == 1; });
+  standins::StoreControl control;
+  control.puts.push_back({"servers/b", *Target("b", 1).value, {}});
+  control.faults.watches_unanswered = true;
+  store.Apply(control);
+  RunUntil([&] { return targets() == 2 || lost > 0; });
+  BOOST_TEST(targets() == 2U);
+  BOOST_TEST(lost == 0);
+  BOOST_TEST(unreadable.size() == 1U);
+}
+
+// Guards against hosts that all read the whole content after an outage: the
+// watches of all of them timed out, and each has changes to catch up on.
+BOOST_AUTO_TEST_CASE(Watch_TimedOutInAnOutage_ContentIsNotReadInPages) {
+  PutTarget("a");
+  session.SetWatching(true);
+  RunUntil([&] { return targets() == 1; });
+  SetOutage(standins::Outage::kSilent);  // Before the first watch begins.
+  RunUntil([&] { return session.counters().failures == 1; });
+  BOOST_TEST(session.counters().watches == 1U);
+  BOOST_TEST(session.discovery_state().store_away());
+  PutTarget("b");  // Ends the outage.
+  RunUntil([&] { return targets() == 2 || full_reads.size() == 2; });
+  BOOST_TEST(session.counters().watches == 2U);
+  BOOST_TEST(full_reads.size() == 1U);
+  BOOST_TEST(!session.discovery_state().store_away());
+}
+
+// Guards against an outage that is not noticed, as only a watch that ends with
+// an error counted as a loss of the store.
+BOOST_AUTO_TEST_CASE(Watch_TimesOutAndNextCallToo_StoreIsLost) {
+  PutTarget("a");
+  session.SetWatching(true);
+  RunUntil([&] { return targets() == 1; });
+  SetOutage(standins::Outage::kSilent);
+  RunUntil([&] { return session.counters().failures == 2; });
+  BOOST_TEST(lost == 1);
+  PutTarget("b");
+  RunUntil([&] { return targets() == 2; });
+  BOOST_TEST(regained == 1);
+  BOOST_TEST(full_reads.size() == 1U);
+}
+
 // Guards against a second call while one is in progress: the wait for the next
 // watch had expired when the host stopped watching.
 BOOST_AUTO_TEST_CASE(Watching_EndsWhenTheNextWatchIsDue_NoneIsMade) {
