Keep a response for a caller that pauses for as long as its write may take

A caller that stopped reading for more than 4 s lost the rest of a large response: its connection was reset, also if it was still alive and the host was not stopping.

Cause: SetStreamOptions() sets TCP_USER_TIMEOUT to 4 s on each connected socket. The kernel applies it to a peer whose receive window stays closed as well as to one that is gone, so that the 10 s that a connection gives its peer to accept a response had no effect.

Evidence: LargeResponse_CallerStopsReading_IsKeptForItsTimeout failed before with "reset by the kernel after 4000 ms". It reads the option from the server's socket, since the kernel's timer does not follow the clock of the test.

Change: the timeout is a parameter, and connections of callers have that of their writes.

--- a/src/jacinthdeck/http/edge_connection.cc
+++ b/src/jacinthdeck/http/edge_connection.cc
@@ -26,8 +26,6 @@
 //! Bytes of pipelined requests that are buffered while a request awaits its
 //! response; beyond this the connection stops reading until it is answered.
 constexpr std::size_t kMaxPipelinedBytes = 65536;
-//! Time within which the peer must accept a whole response.
-constexpr Duration kWriteTimeout = std::chrono::seconds(10);
 //! Time within which the peer must close after the last response or the last
 //! bytes that it has sent since.
 constexpr Duration kLingerTimeout = std::chrono::seconds(1);
--- a/src/jacinthdeck/http/edge_connection.h
+++ b/src/jacinthdeck/http/edge_connection.h
@@ -5,6 +5,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
+#include <chrono>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -27,6 +28,10 @@
  */
 class EdgeConnection : public std::enable_shared_from_this<EdgeConnection> {
  public:
+  //! Time within which the peer must accept a whole response. The kernel keeps
+  //! the rest of a response for as long if the peer stops reading.
+  static constexpr Duration kWriteTimeout = std::chrono::seconds(10);
+
   /*! \brief Wraps an accepted socket; the server must outlive the connection.
    * \param id Number of the connection, unique within the server. */
   EdgeConnection(EdgeServer& server, tcp::socket socket, std::uint64_t id);
--- a/src/jacinthdeck/http/edge_server.cc
+++ b/src/jacinthdeck/http/edge_server.cc
@@ -108,7 +108,7 @@
     return;
   }
   ++m_counters.accepted;
-  SetStreamOptions(socket);
+  SetStreamOptions(socket, EdgeConnection::kWriteTimeout);
   const std::uint64_t id = m_next_id++;
   auto connection =
       std::make_shared<EdgeConnection>(*this, std::move(socket), id);
--- a/src/jacinthdeck/http/socket_options.cc
+++ b/src/jacinthdeck/http/socket_options.cc
@@ -7,21 +7,14 @@
 
 namespace jacinthdeck {
 
-namespace {
-
-//! Time in milliseconds after which unacknowledged data closes the connection:
-//! shorter than any caller waits, longer than TCP needs to resend a lost
-//! packet.
-constexpr int kUserTimeoutMilliseconds = 4000;
-
-}  // namespace
-
-void SetStreamOptions(tcp::socket& socket) {
+void SetStreamOptions(tcp::socket& socket, Duration data_timeout) {
+  const auto milliseconds = static_cast<unsigned int>(
+      std::chrono::ceil<std::chrono::milliseconds>(data_timeout).count());
   SystemError ignored;
   socket.non_blocking(true, ignored);
   socket.set_option(tcp::no_delay(true), ignored);
   (void)setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT,
-                   &kUserTimeoutMilliseconds, sizeof(kUserTimeoutMilliseconds));
+                   &milliseconds, sizeof(milliseconds));
 }
 
 }  // namespace jacinthdeck
--- a/test/jacinthdeck/http/edge_server_test.cc
+++ b/test/jacinthdeck/http/edge_server_test.cc
@@ -1,7 +1,12 @@
 // Tests of the HTTP server for callers, with raw sockets as clients.
 #include "jacinthdeck/http/edge_server.h"
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -72,6 +77,28 @@
   }
 };
 
+//! Returns the TCP_USER_TIMEOUT of the server's socket of a connection, found
+//! among the descriptors of the process by the caller's address; empty if there
+//! is none.
+std::optional<milliseconds> UserTimeoutOfServerSide(const tcp::socket& caller) {
+  constexpr int kMaxDescriptors = 1024;
+  const std::uint16_t port = caller.local_endpoint().port();
+  for (int descriptor = 0; descriptor < kMaxDescriptors; ++descriptor) {
+    sockaddr_in peer{};
+    socklen_t size = sizeof(peer);
+    if (getpeername(descriptor, reinterpret_cast<sockaddr*>(&peer), &size) ==
+            0 &&
+        peer.sin_family == AF_INET && ntohs(peer.sin_port) == port) {
+      unsigned int timeout = 0;
+      socklen_t length = sizeof(timeout);
+      (void)getsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout,
+                       &length);
+      return milliseconds(timeout);
+    }
+  }
+  return std::nullopt;
+}
+
 constexpr const char* kRequest = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
 
 }  // namespace
@@ -334,6 +361,27 @@
   }
 }
 
+// Guards against a kernel that resets the connection of a caller who stops
+// reading, with the rest of its response, before the timeout of a write: the
+// bound of links between hosts, 4 s, held for callers as well.
+BOOST_AUTO_TEST_CASE(LargeResponse_CallerStopsReading_IsKeptForItsTimeout) {
+  respond_immediately = false;
+  tcp::socket caller = Connect();
+  SendText(caller, kRequest);
+  RunUntil([&] { return requests.size() == 1; });
+  RespondWithBody(std::string(8388608, 'b'));
+  clock.Advance(EdgeConnection::kWriteTimeout);
+  server.ApplyTimeouts();
+  BOOST_TEST(server.connections() == 1U);
+  const auto kept = UserTimeoutOfServerSide(caller);
+  BOOST_REQUIRE(kept.has_value());
+  BOOST_TEST((*kept >= EdgeConnection::kWriteTimeout),
+             "reset by the kernel after " << kept->count() << " ms");
+  clock.Advance(milliseconds(1));
+  server.ApplyTimeouts();
+  BOOST_TEST(server.connections() == 0U);
+}
+
 // Guards against a request that is reset with the port: its connection was
 // established, but a busy host had not accepted it yet.
 BOOST_AUTO_TEST_CASE(StopListening_ConnectionsAwaitAccept_AreAnswered) {
