Report an entry that ends without a signal of the plan

What was seen: the soak restarts an entry that has ended and looks at no exit status. A host that dies by itself shows only if a request is open at that moment, and a report of a sanitizer only to who reads the logs. An entry that died before it was ready ended the whole run without the seed.

Change: promise entry_lives. Each process of an entry must have ended by the plan's SIGKILL, or with status 0 after its SIGTERM, and have no sanitizer's report in its output. An entry that ends as it starts is reported like any other.

--- a/soak/checks.cc
+++ b/soak/checks.cc
@@ -1,8 +1,11 @@
 // Each promise is checked by one function.
 #include "soak/checks.h"
 
+#include <sys/wait.h>
+
 #include <algorithm>
 #include <array>
+#include <csignal>
 #include <map>
 #include <set>
 #include <unordered_set>
@@ -240,6 +243,36 @@
   }
 }
 
+//! Describes an end of an entry that the plan did not cause; empty if it did.
+[[nodiscard]] std::string DescribeUnplannedEnd(const EntryOutcome& outcome) {
+  if (!outcome.wait_status) {
+    return "";
+  }
+  const int status = *outcome.wait_status;
+  if (WIFSIGNALED(status)) {
+    const bool is_planned = outcome.kill_sent && WTERMSIG(status) == SIGKILL;
+    return is_planned ? ""
+                      : "ended by signal " + std::to_string(WTERMSIG(status));
+  }
+  const bool is_planned = outcome.stop_sent && WEXITSTATUS(status) == 0;
+  return is_planned
+             ? ""
+             : "ended with status " + std::to_string(WEXITSTATUS(status)) +
+                   (outcome.stop_sent ? " after SIGTERM" : " without SIGTERM");
+}
+
+void CheckEntryLives(const HistoryIndex& index, Violations& found) {
+  for (const EntryOutcome& outcome : index.history.entry_outcomes) {
+    std::string fault = DescribeUnplannedEnd(outcome);
+    if (!outcome.sanitizer_report.empty()) {
+      fault += (fault.empty() ? "" : ": ") + outcome.sanitizer_report;
+    }
+    if (!fault.empty()) {
+      found.push_back({Promise::kEntryLives, outcome.entry + " " + fault});
+    }
+  }
+}
+
 }  // namespace
 
 CalmCalls CountCalmCalls(const History& history) {
@@ -260,7 +293,7 @@
       &CheckRunsOnce,    &CheckNotRunIsTrue,     &CheckOnlyAskedRuns,
       &CheckOneLayout,   &CheckConfigInTime,     &CheckConfigNeverReverts,
       &CheckLeftTargets, &CheckEvacuatedDomains, &CheckNoRequestIsCut,
-      &CheckRecovery,    &CheckStopIsHeeded};
+      &CheckRecovery,    &CheckStopIsHeeded,     &CheckEntryLives};
   const HistoryIndex index(history, bounds);
   Violations found;
   for (const auto check : kChecks) {
--- a/soak/child.cc
+++ b/soak/child.cc
@@ -85,11 +85,15 @@
 
 bool Child::IsRunning() {
   if (!m_ended) {
-    m_ended = waitpid(m_id, nullptr, WNOHANG) == m_id;
+    m_ended = waitpid(m_id, &m_wait_status, WNOHANG) == m_id;
   }
   return !m_ended;
 }
 
+std::optional<int> Child::WaitStatus() {
+  return IsRunning() ? std::nullopt : std::optional(m_wait_status);
+}
+
 std::string Child::WaitForOutput(const std::string& pattern, Duration timeout) {
   const std::regex wanted(pattern);
   const auto end = std::chrono::steady_clock::now() + timeout;
--- a/soak/child.h
+++ b/soak/child.h
@@ -5,6 +5,7 @@
 
 #include <sys/types.h>
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -33,6 +34,13 @@
   /*! \brief Whether the process has not ended; true for a stopped one. */
   [[nodiscard]] bool IsRunning();
 
+  /*! \brief Returns how the process ended, as waitpid() reports it;
+   * std::nullopt while it runs. */
+  [[nodiscard]] std::optional<int> WaitStatus();
+
+  /*! \brief File that standard output and error are appended to. */
+  [[nodiscard]] const std::string& output() const { return m_output; }
+
   /*! \brief Waits for a regular expression to match the output.
    * \return Text of the first group of the match.
    * \throw std::runtime_error on a timeout or if the process ends before. */
@@ -42,6 +50,8 @@
  private:
   pid_t m_id = 0;
   bool m_ended = false;
+  //! Valid once the process has ended.
+  int m_wait_status = 0;
   std::string m_output;
 };
 
--- a/soak/cluster.cc
+++ b/soak/cluster.cc
@@ -50,6 +50,19 @@
   return std::string(what) + " " + std::to_string(instance);
 }
 
+//! Returns the first line of a sanitizer's report in a file; empty if there is
+//! none.
+[[nodiscard]] std::string FindSanitizerReport(const std::string& path) {
+  std::ifstream file(path);
+  for (std::string line; std::getline(file, line);) {
+    if (line.find("Sanitizer: ") != std::string::npos ||
+        line.find(": runtime error: ") != std::string::npos) {
+      return line;
+    }
+  }
+  return "";
+}
+
 }  // namespace
 
 Cluster::Cluster(ClusterOptions options)
@@ -159,19 +172,21 @@
 }
 
 void Cluster::KillEntry(const Action& action) {
-  const Entry& entry = EntryOf(action);
+  Entry& entry = EntryOf(action);
   // The fault period must begin before the signal: callers see the connection
   // close within microseconds of it, and the check would report a cut request.
   BeginFaultPeriods(Cause("killed", entry.instance), {entry.instance},
                     FaultEffect::kConnections);
+  entry.kill_sent = true;
   entry.child->Signal(SIGKILL);
   asio::post(m_loop,
              [this, instance = entry.instance] { m_callers.Remove(instance); });
 }
 
 void Cluster::DrainEntry(const Action& action) {
-  const Entry& entry = EntryOf(action);
+  Entry& entry = EntryOf(action);
   entry.child->Signal(SIGHUP);
+  entry.stop_sent = true;
   entry.child->Signal(SIGTERM);
   Schedule(kReloadAfterStop,
            [this, action] { EntryOf(action).child->Signal(SIGHUP); });
@@ -198,11 +213,14 @@
 
 void Cluster::StartEntry(Entry& entry) {
   if (entry.child) {
+    RecordOutcome(entry);
     asio::post(m_loop, [this, instance = entry.instance] {
       m_callers.Remove(instance);
     });
   }
   entry.instance = m_next_entry_instance++;
+  entry.stop_sent = false;
+  entry.kill_sent = false;
   KeepReplacedProxy(std::move(entry.store));
   KeepReplacedProxy(std::move(entry.callers));
   entry.store = std::make_unique<LoopbackProxy>(m_loop);
@@ -224,8 +242,17 @@
       std::vector<std::string>{ProgramPath("platform/jacinthdeckd"), "--config",
                                settings},
       output);
-  const std::string port =
-      entry.child->WaitForOutput(R"("callers_port":(\d+))", kStartTimeout);
+  std::string port;
+  try {
+    port = entry.child->WaitForOutput(R"("callers_port":(\d+))", kStartTimeout);
+  } catch (const std::runtime_error&) {
+    // The run goes on without an entry that ended as it started, so that its
+    // end is reported with the seed.
+    if (entry.child->IsRunning()) {
+      throw;
+    }
+    return;
+  }
   entry.callers->SetUpstream(static_cast<std::uint16_t>(std::stoi(port)));
   const std::string started = Cause("started", entry.instance);
   BeginFaultPeriods(started, {entry.instance}, FaultEffect::kPropagation);
@@ -239,6 +266,13 @@
              });
 }
 
+void Cluster::RecordOutcome(Entry& entry) {
+  m_entry_outcomes.push_back({entry.name + "." + std::to_string(entry.instance),
+                              entry.stop_sent, entry.kill_sent,
+                              entry.child->WaitStatus(),
+                              FindSanitizerReport(entry.child->output())});
+}
+
 void Cluster::KeepReplacedProxy(std::unique_ptr<LoopbackProxy> proxy) {
   if (proxy) {
     m_replaced_proxies.push_back(std::move(proxy));
@@ -425,12 +459,14 @@
   history.account_versions = m_account_versions;
   history.account_settings = m_account_settings;
   history.calm_since = m_calm_since;
-  for (const Entry& entry : m_entries) {
+  for (Entry& entry : m_entries) {
+    RecordOutcome(entry);
     if (entry.child->IsRunning() &&
         m_open_periods.contains(Cause("killed", entry.instance))) {
       history.unheeded_stops.push_back(entry.name);
     }
   }
+  history.entry_outcomes = m_entry_outcomes;
   ReadLog(history);
   return history;
 }
--- a/soak/cluster.h
+++ b/soak/cluster.h
@@ -95,6 +95,9 @@
     std::unique_ptr<LoopbackProxy> store;
     std::unique_ptr<LoopbackProxy> callers;
     std::unique_ptr<Child> child;
+    //! Signals that the plan sent to the current process.
+    bool stop_sent = false;
+    bool kill_sent = false;
   };
   using Step = void (Cluster::*)(const Action&);
 
@@ -124,6 +127,8 @@
   void LowerLimit(const Action& action);
 
   void StartStore();
+  //! Starts a process of the entry and records the outcome of its former one.
+  //! \throw std::runtime_error if it runs and is not ready in time.
   void StartEntry(Entry& entry);
   //! Keeps a replaced proxy until the end of the run, because a handler on the
   //! loop thread may still use it.
@@ -168,6 +173,8 @@
   void EndFaultPeriods(const std::string& cause, Duration after = {});
   void BeginStoreFaultPeriod();
   [[nodiscard]] std::vector<std::size_t> EntryInstances() const;
+  //! Records how the current process of an entry has ended, or that it runs.
+  void RecordOutcome(Entry& entry);
   void ReadLog(History& history) const;
   [[nodiscard]] std::string ProgramPath(const std::string& program) const;
   [[nodiscard]] std::string WorkFilePath(const std::string& name) const;
@@ -189,6 +196,7 @@
   bool m_is_restoring = false;
   std::multimap<TimePoint, std::function<void()>> m_scheduled;
   std::vector<FaultPeriod> m_fault_periods;
+  std::vector<EntryOutcome> m_entry_outcomes;
   //! Indices into m_fault_periods of the open fault periods, by cause.
   std::map<std::string, std::vector<std::size_t>> m_open_periods;
   std::vector<LayoutChange> m_layouts;
--- a/soak/history.h
+++ b/soak/history.h
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -123,6 +124,20 @@
   TimePoint to = TimePoint::max();
 };
 
+/*! \brief How the process of an entry ended, and what it was told before. */
+struct EntryOutcome {
+  //! Name and number of the process, as in the name of its log.
+  std::string entry;
+  //! Whether the plan sent SIGTERM.
+  bool stop_sent = false;
+  //! Whether the plan sent SIGKILL.
+  bool kill_sent = false;
+  //! As waitpid() reports it; std::nullopt if it runs at the end of the run.
+  std::optional<int> wait_status;
+  //! First line of a sanitizer's report in its output; empty if there is none.
+  std::string sanitizer_report;
+};
+
 /*! \brief Everything that was recorded in one run. */
 struct History {
   std::vector<Call> calls;
@@ -135,6 +150,8 @@
   //! Names of the entries that still ran at the end of the run although they
   //! had got SIGTERM.
   std::vector<std::string> unheeded_stops;
+  //! One for each process of an entry, in the order of ends.
+  std::vector<EntryOutcome> entry_outcomes;
   //! In the order of time; empty in a run without accounts.
   std::vector<AccountVersion> account_versions;
   AccountSettings account_settings;
--- a/soak/promise.h
+++ b/soak/promise.h
@@ -37,16 +37,32 @@
   kValidKeyIsTaken,
   //! An entry that got SIGTERM ends, whatever signals came with it.
   kStopIsHeeded,
+  //! An entry ends only by a signal of the plan, and no sanitizer reports.
+  kEntryLives,
 };
 
 //! Names of the promises in reports.
-inline constexpr NameTable<Promise, 19> kPromiseNames{
-    {"runs_once", "not_run_is_true", "only_asked_runs", "one_layout",
-     "config_in_time", "config_never_reverts", "left_target_gets_nothing",
-     "evacuated_gets_nothing", "no_request_is_cut", "recovers", "limit_holds",
-     "key_is_not_passed_on", "account_is_true", "refused_never_ran",
-     "within_limit_is_served", "key_is_required", "removed_key_is_refused",
-     "valid_key_is_taken", "stop_is_heeded"}};
+inline constexpr NameTable<Promise, 20> kPromiseNames{
+    {"runs_once",
+     "not_run_is_true",
+     "only_asked_runs",
+     "one_layout",
+     "config_in_time",
+     "config_never_reverts",
+     "left_target_gets_nothing",
+     "evacuated_gets_nothing",
+     "no_request_is_cut",
+     "recovers",
+     "limit_holds",
+     "key_is_not_passed_on",
+     "account_is_true",
+     "refused_never_ran",
+     "within_limit_is_served",
+     "key_is_required",
+     "removed_key_is_refused",
+     "valid_key_is_taken",
+     "stop_is_heeded",
+     "entry_lives"}};
 
 /*! \brief One violation of a promise. */
 struct Violation {
--- a/test/soak/checks_test.cc
+++ b/test/soak/checks_test.cc
@@ -1,8 +1,12 @@
 // Tests that the soak's checks report a violation of each promise.
 #include "soak/checks.h"
 
+#include <sys/wait.h>
+
 #include <boost/test/unit_test.hpp>
 #include <chrono>
+#include <csignal>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -62,6 +66,38 @@
   BOOST_TEST(BreaksOnly(Promise::kStopIsHeeded));
 }
 
+// Guards against an entry that dies by itself, and is not seen because the plan
+// restarts it.
+BOOST_AUTO_TEST_CASE(Entry_EndsWithoutASignalOfThePlan_IsReported) {
+  const auto check = [&](const EntryOutcome& outcome, bool is_planned) {
+    history.entry_outcomes = {outcome};
+    BOOST_TEST((is_planned ? HoldsAll() : BreaksOnly(Promise::kEntryLives)));
+  };
+  const int segv = SIGSEGV;
+  const int killed = SIGKILL;
+  const int status_one = W_EXITCODE(1, 0);
+  check({"entry-0.0", false, false, std::nullopt, ""}, true);
+  check({"entry-0.0", false, false, segv, ""}, false);
+  check({"entry-0.0", false, false, killed, ""}, false);
+  check({"entry-0.0", false, false, 0, ""}, false);
+  check({"entry-0.0", false, true, killed, ""}, true);
+  check({"entry-0.0", false, true, segv, ""}, false);
+  check({"entry-0.0", false, true, status_one, ""}, false);
+  check({"entry-0.0", true, false, 0, ""}, true);
+  check({"entry-0.0", true, false, status_one, ""}, false);
+  check({"entry-0.0", true, false, SIGTERM, ""}, false);
+  check({"entry-0.0", true, true, killed, ""}, true);
+  check({"entry-0.0", true, true, 0, ""}, true);
+}
+
+// Guards against a sanitizer's report that is not seen, because the process was
+// stopped or killed as well.
+BOOST_AUTO_TEST_CASE(Entry_SanitizerReports_IsReported) {
+  history.entry_outcomes = {
+      {"entry-0.0", true, false, 0, "ERROR: LeakSanitizer: detected leaks"}};
+  BOOST_TEST(BreaksOnly(Promise::kEntryLives));
+}
+
 BOOST_AUTO_TEST_CASE(Claim_RanTwice_IsReported) {
   AddCall("a", seconds(1), 1).kind = CallKind::kClaim;
   AddRun("a", "t1", seconds(1));
--- a/test/soak/child_test.cc
+++ b/test/soak/child_test.cc
@@ -2,13 +2,16 @@
 #include "soak/child.h"
 
 #include <poll.h>
+#include <sys/wait.h>
 #include <unistd.h>
 
 #include <array>
 #include <boost/test/unit_test.hpp>
 #include <chrono>
+#include <csignal>
 #include <filesystem>
 #include <string>
+#include <thread>
 
 namespace jacinthdeck::soak {
 
@@ -38,6 +41,24 @@
   close(ends[0]);
 }
 
+// Guards against an entry whose death is taken for an orderly end.
+BOOST_AUTO_TEST_CASE(Child_Ends_StatusTellsHow) {
+  const auto status_of = [&](const std::string& script) {
+    Child child({"/bin/sh", "-c", script}, directory + "/output");
+    while (child.IsRunning()) {
+      std::this_thread::yield();
+    }
+    return child.WaitStatus().value();
+  };
+  BOOST_TEST(WEXITSTATUS(status_of("exit 0")) == 0);
+  BOOST_TEST(WEXITSTATUS(status_of("exit 3")) == 3);
+  const int killed = status_of("kill -SEGV $$");
+  BOOST_TEST(WIFSIGNALED(killed));
+  BOOST_TEST(WTERMSIG(killed) == SIGSEGV);
+  Child running({"/bin/sh", "-c", "exec sleep 60"}, directory + "/output");
+  BOOST_TEST(!running.WaitStatus().has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace jacinthdeck::soak
