Write whole lines of the log at once

What could be seen: a line that another thread writes to standard output, such as that of a crash, within a line of the log. The writer cut a chunk each PIPE_BUF bytes, wherever that was.

Change: a piece ends with the last line that fits. A line above PIPE_BUF is still cut.

Evidence: LogWriter_ChunkExceedsOneWrite_EachWriteEndsWithALine failed before with "check text.back() == '\n' has failed ['x' != 0xa]"; entry_test passes under the address sanitizer now (65 cases).

--- a/src/jacinthdeck/entry/log_writer.cc
+++ b/src/jacinthdeck/entry/log_writer.cc
@@ -5,9 +5,9 @@
 #include <poll.h>
 #include <unistd.h>
 
-#include <algorithm>
 #include <cerrno>
 #include <chrono>
+#include <string_view>
 #include <utility>
 
 namespace jacinthdeck {
@@ -26,6 +26,17 @@
 constexpr std::chrono::milliseconds kStopTimeout{50};
 constexpr std::size_t kMaxPieceBytes = PIPE_BUF;
 
+//! Returns the size of the piece to write next. It ends with a line if one
+//! fits, so that the line of a crash, which another thread writes, does not
+//! come within a line.
+[[nodiscard]] std::size_t PieceSize(std::string_view rest) {
+  if (rest.size() <= kMaxPieceBytes) {
+    return rest.size();
+  }
+  const std::size_t line_end = rest.rfind('\n', kMaxPieceBytes - 1);
+  return line_end == std::string_view::npos ? kMaxPieceBytes : line_end + 1;
+}
+
 }  // namespace
 
 LogWriter::LogWriter(int descriptor)
@@ -76,7 +87,7 @@
       }
       continue;
     }
-    const std::size_t piece = std::min(chunk.size() - done, kMaxPieceBytes);
+    const std::size_t piece = PieceSize(std::string_view(chunk).substr(done));
     const ssize_t written = write(m_descriptor, chunk.data() + done, piece);
     if (written < 0 && errno != EINTR && errno != EAGAIN) {
       return false;
--- a/test/jacinthdeck/entry/event_log_test.cc
+++ b/test/jacinthdeck/entry/event_log_test.cc
@@ -3,6 +3,7 @@
 
 #include <jansson.h>
 #include <limits.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -160,6 +161,32 @@
   }
 }
 
+// Guards against the line of a crash, which another thread writes, within a
+// line of the log. A socket of packets shows what is written at once.
+BOOST_AUTO_TEST_CASE(LogWriter_ChunkExceedsOneWrite_EachWriteEndsWithALine) {
+  std::array<int, 2> ends{};
+  BOOST_REQUIRE(socketpair(AF_UNIX, SOCK_SEQPACKET, 0, ends.data()) == 0);
+  std::string chunk;
+  for (int i = 0; i < 3; ++i) {
+    chunk.append(PIPE_BUF / 2, 'x');
+    chunk += '\n';
+  }
+  {
+    LogWriter writer(ends[1]);
+    BOOST_REQUIRE(writer.TryWrite(chunk));
+  }
+  close(ends[1]);
+  std::string text;
+  std::string piece(2 * PIPE_BUF, '\0');
+  ssize_t count = 0;
+  while ((count = read(ends[0], piece.data(), piece.size())) > 0) {
+    text.append(piece, 0, static_cast<std::size_t>(count));
+    BOOST_TEST(text.back() == '\n');
+  }
+  close(ends[0]);
+  BOOST_TEST((text == chunk));
+}
+
 // The page must list every event of the table, and no event that is not logged.
 BOOST_AUTO_TEST_CASE(Page_ListsEvents_MatchesEventTable) {
   std::string path(JACINTHDECK_DOCS);
