--- a/src/jacinthdeck/entry/fwd.h
+++ b/src/jacinthdeck/entry/fwd.h
@@ -8,6 +8,7 @@
 class AccountCounters;
 class CallMetrics;
 class CallerHandler;
+class CrashLog;
 class DecisionLog;
 class EntryNode;
 class EventLog;
--- a/src/jacinthdeck/entry/log_event.h
+++ b/src/jacinthdeck/entry/log_event.h
@@ -12,6 +12,7 @@
   kStarted,
   kStopping,
   kStopped,
+  kCrashed,
   kReloaded,
   kReadiness,
   kStoreRead,
@@ -55,10 +56,11 @@
 
 //! Names of the events as written to the log, in the order of LogEvent;
 //! kQuarantined is written as "convicted".
-inline constexpr NameTable<LogEvent, 42> kLogEventNames{
+inline constexpr NameTable<LogEvent, 43> kLogEventNames{
     {"started",
      "stopping",
      "stopped",
+     "crashed",
      "reloaded",
      "readiness",
      "store_read",
