--- a/soak/cluster.cc
+++ b/soak/cluster.cc
@@ -239,8 +239,7 @@
   const std::string output =
       WorkFilePath(entry.name + "." + std::to_string(entry.instance) + ".log");
   entry.child = std::make_unique<Child>(
-      std::vector<std::string>{ProgramPath("platform/jacinthdeckd"), "--config",
-                               settings},
+      std::vector<std::string>{m_options.daemon.string(), "--config", settings},
       output);
   std::string port;
   try {
--- a/soak/cluster.h
+++ b/soak/cluster.h
@@ -33,6 +33,8 @@
 struct ClusterOptions {
   //! Build directory.
   std::filesystem::path programs;
+  //! Program of the entries, such as one built with sanitizers.
+  std::filesystem::path daemon;
   //! Existing directory for settings and logs.
   std::filesystem::path work;
   std::uint64_t seed = 1;
--- a/soak/main.cc
+++ b/soak/main.cc
@@ -34,6 +34,8 @@
   PlanOptions plan;
   ClusterOptions cluster;
   std::string programs = "build";
+  //! Empty for the one in the build directory.
+  std::string daemon;
   std::uint64_t seeds = 1;
   std::uint64_t seconds = 12;
   bool plan_only = false;
@@ -106,6 +108,10 @@
   options.cluster.rolling = options.plan.rolling > 0;
   options.cluster.work = work;
   options.cluster.programs = options.programs;
+  options.cluster.daemon =
+      options.daemon.empty()
+          ? options.cluster.programs / "platform/jacinthdeckd"
+          : std::filesystem::path(options.daemon);
   bool all_held = false;
   {
     Cluster cluster(options.cluster);
@@ -174,8 +180,11 @@
       po::value(&soak.cluster.callers)->default_value(soak.cluster.callers),
       "number of callers, each with one connection")(
       "programs", po::value(&soak.programs)->default_value(soak.programs),
-      "build directory")("plan", po::bool_switch(&soak.plan_only),
-                         "print the plan without running it")(
+      "build directory")(
+      "daemon", po::value(&soak.daemon),
+      "program of the entries; by default that of the build directory")(
+      "plan", po::bool_switch(&soak.plan_only),
+      "print the plan without running it")(
       "keep", po::bool_switch(&soak.keep),
       "keep the logs of seeds without violations");
   return jacinthdeck::standins::RunProgram(argc, argv, options, [&] {
