--- a/soak/cluster.cc
+++ b/soak/cluster.cc
@@ -50,6 +50,19 @@
   return std::string(what) + " " + std::to_string(instance);
 }
 
+//! Returns the first line of a sanitizer's report in a file; empty if there is
+//! none.
+[[nodiscard]] std::string FindSanitizerReport(const std::string& path) {
+  std::ifstream file(path);
+  for (std::string line; std::getline(file, line);) {
+    if (line.find("Sanitizer: ") != std::string::npos ||
+        line.find(": runtime error: ") != std::string::npos) {
+      return line;
+    }
+  }
+  return "";
+}
+
 }  // namespace
 
 Cluster::Cluster(ClusterOptions options)
@@ -160,11 +173,12 @@
 }
 
 void Cluster::KillEntry(const Action& action) {
-  const Entry& entry = EntryOf(action);
+  Entry& entry = EntryOf(action);
   // The fault period must begin before the signal: callers see the connection
   // close within microseconds of it, and the check would report a cut request.
   BeginFaultPeriods(Cause("killed", entry.instance), {entry.instance},
                     FaultEffect::kConnections);
+  entry.kill_sent = true;
   entry.child->Signal(SIGKILL);
   asio::post(m_loop,
              [this, instance = entry.instance] { m_callers.Remove(instance); });
@@ -180,6 +194,7 @@
     entry.callers->SetDelay(action.link_delay);
   }
   entry.child->Signal(SIGHUP);
+  entry.stop_sent = true;
   entry.child->Signal(SIGTERM);
   if (m_options.rolling && !is_stopping) {
     Schedule(milliseconds(kGraceMs), [this, action, instance = entry.instance] {
@@ -195,11 +210,12 @@
   });
 }
 
-void Cluster::KillOverdueEntry(const Entry& entry, std::size_t instance) {
+void Cluster::KillOverdueEntry(Entry& entry, std::size_t instance) {
   if (entry.instance == instance && entry.child->IsRunning()) {
     if (!entry.is_frozen_in_stop) {
       m_overdue_stops.push_back(entry.name + "." + std::to_string(instance));
     }
+    entry.kill_sent = true;
     entry.child->Signal(SIGKILL);
   }
 }
@@ -220,11 +236,14 @@
 
 void Cluster::StartEntry(Entry& entry) {
   if (entry.child) {
+    RecordOutcome(entry);
     asio::post(m_loop, [this, instance = entry.instance] {
       m_callers.Remove(instance);
     });
   }
   entry.instance = m_next_entry_instance++;
+  entry.stop_sent = false;
+  entry.kill_sent = false;
   KeepReplacedProxy(std::move(entry.store));
   KeepReplacedProxy(std::move(entry.callers));
   entry.store = std::make_unique<LoopbackProxy>(m_loop);
@@ -243,11 +262,19 @@
   const std::string output =
       WorkFilePath(entry.name + "." + std::to_string(entry.instance) + ".log");
   entry.child = std::make_unique<Child>(
-      std::vector<std::string>{ProgramPath("platform/jacinthdeckd"), "--config",
-                               settings},
+      std::vector<std::string>{m_options.daemon.string(), "--config", settings},
       output);
-  const std::string port =
-      entry.child->WaitForOutput(R"("callers_port":(\d+))", kStartTimeout);
+  std::string port;
+  try {
+    port = entry.child->WaitForOutput(R"("callers_port":(\d+))", kStartTimeout);
+  } catch (const std::runtime_error&) {
+    // The run goes on without an entry that ended as it started, so that its
+    // end is reported with the seed.
+    if (entry.child->IsRunning()) {
+      throw;
+    }
+    return;
+  }
   entry.callers->SetUpstream(static_cast<std::uint16_t>(std::stoi(port)));
   const std::string started = Cause("started", entry.instance);
   BeginFaultPeriods(started, {entry.instance}, FaultEffect::kPropagation);
@@ -261,6 +288,13 @@
              });
 }
 
+void Cluster::RecordOutcome(Entry& entry) {
+  m_entry_outcomes.push_back({entry.name + "." + std::to_string(entry.instance),
+                              entry.stop_sent, entry.kill_sent,
+                              entry.child->WaitStatus(),
+                              FindSanitizerReport(entry.child->output())});
+}
+
 void Cluster::KeepReplacedProxy(std::unique_ptr<LoopbackProxy> proxy) {
   if (proxy) {
     m_replaced_proxies.push_back(std::move(proxy));
@@ -448,12 +482,14 @@
   history.account_settings = m_account_settings;
   history.calm_since = m_calm_since;
   history.overdue_stops = m_overdue_stops;
-  for (const Entry& entry : m_entries) {
+  for (Entry& entry : m_entries) {
+    RecordOutcome(entry);
     if (entry.child->IsRunning() &&
         m_open_periods.contains(Cause("killed", entry.instance))) {
       history.unheeded_stops.push_back(entry.name);
     }
   }
+  history.entry_outcomes = m_entry_outcomes;
   ReadLog(history);
   return history;
 }
--- a/soak/cluster.h
+++ b/soak/cluster.h
@@ -33,6 +33,8 @@
 struct ClusterOptions {
   //! Build directory.
   std::filesystem::path programs;
+  //! Program of the entries, such as one built with sanitizers.
+  std::filesystem::path daemon;
   //! Existing directory for settings and logs.
   std::filesystem::path work;
   std::uint64_t seed = 1;
@@ -97,6 +99,9 @@
     std::unique_ptr<Child> child;
     //! Whether the current process was frozen at some time since its SIGTERM.
     bool is_frozen_in_stop = false;
+    //! Signals that the plan sent to the current process.
+    bool stop_sent = false;
+    bool kill_sent = false;
   };
   using Step = void (Cluster::*)(const Action&);
 
@@ -107,7 +112,7 @@
   void RestartEntry(const Action& action);
   //! Kills the process of an entry whose grace period has ended, as the
   //! platform does, unless it has ended or another one has replaced it.
-  void KillOverdueEntry(const Entry& entry, std::size_t instance);
+  void KillOverdueEntry(Entry& entry, std::size_t instance);
   void StopTarget(const Action& action);
   void ContinueTarget(const Action& action);
   void KillTarget(const Action& action);
@@ -129,6 +134,8 @@
   void LowerLimit(const Action& action);
 
   void StartStore();
+  //! Starts a process of the entry and records the outcome of its former one.
+  //! \throw std::runtime_error if it runs and is not ready in time.
   void StartEntry(Entry& entry);
   //! Keeps a replaced proxy until the end of the run, because a handler on the
   //! loop thread may still use it.
@@ -173,6 +180,8 @@
   void EndFaultPeriods(const std::string& cause, Duration after = {});
   void BeginStoreFaultPeriod();
   [[nodiscard]] std::vector<std::size_t> EntryInstances() const;
+  //! Records how the current process of an entry has ended, or that it runs.
+  void RecordOutcome(Entry& entry);
   void ReadLog(History& history) const;
   [[nodiscard]] std::string ProgramPath(const std::string& program) const;
   [[nodiscard]] std::string WorkFilePath(const std::string& name) const;
@@ -194,6 +203,7 @@
   bool m_is_restoring = false;
   std::multimap<TimePoint, std::function<void()>> m_scheduled;
   std::vector<FaultPeriod> m_fault_periods;
+  std::vector<EntryOutcome> m_entry_outcomes;
   //! Indices into m_fault_periods of the open fault periods, by cause.
   std::map<std::string, std::vector<std::size_t>> m_open_periods;
   std::vector<LayoutChange> m_layouts;
