Notice that a caller with many bytes sent ahead has left

The work for a caller that had left went on until its response was written, if the caller had sent 64 KiB or more behind its request.

Cause: the read that stays outstanding while a request awaits its response notices the caller leave, but it is not repeated once kMaxPipelinedBytes have arrived, and the end of the connection lies behind the unread bytes.

Evidence: Caller_SendsFarAheadAndLeaves_HandlerIsNotified failed before, after the 20 s of the fixture, with "critical check std::chrono::steady_clock::now() < end has failed".

Change: the periodic timeouts ask the kernel with POLLRDHUP whether the peer has closed, for connections that await a response without a read. As with an outstanding read, a peer that closes its sending side only counts as one that has left.

--- a/src/jacinthdeck/http/edge_connection.cc
+++ b/src/jacinthdeck/http/edge_connection.cc
@@ -1,6 +1,8 @@
 // Reads and parses requests and writes responses on one server connection.
 #include "jacinthdeck/http/edge_connection.h"
 
+#include <poll.h>
+
 #include <algorithm>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
@@ -101,10 +103,7 @@
     return;
   }
   if (error) {
-    if (m_phase == Phase::kAwaitingResponse) {
-      m_server.m_handler.OnDisconnect(*this);
-    }
-    Close();
+    OnPeerClosed();
     return;
   }
   m_read_buffer.commit(bytes);
@@ -341,6 +340,18 @@
   return m_read_buffer.size() > 0 || m_socket.available(ignored) > 0;
 }
 
+bool EdgeConnection::HasPeerClosed() {
+  pollfd state{m_socket.native_handle(), POLLRDHUP, 0};
+  return poll(&state, 1, 0) > 0;
+}
+
+void EdgeConnection::OnPeerClosed() {
+  if (m_phase == Phase::kAwaitingResponse) {
+    m_server.m_handler.OnDisconnect(*this);
+  }
+  Close();
+}
+
 void EdgeConnection::CloseIfIdle() {
   if (m_phase == Phase::kIdle && !HasInput()) {
     Close();
@@ -380,6 +391,12 @@
       }
       break;
     case Phase::kAwaitingResponse:
+      // An outstanding read notices the peer leave, but there is none once
+      // kMaxPipelinedBytes have arrived.
+      if (!m_read_pending && HasPeerClosed()) {
+        OnPeerClosed();
+      }
+      break;
     case Phase::kClosed:
       break;
   }
--- a/src/jacinthdeck/http/edge_connection.h
+++ b/src/jacinthdeck/http/edge_connection.h
@@ -53,8 +53,8 @@
   void Close();
 
   /*! \brief Answers 408 to a request that arrives too slowly, and closes a
-   * connection that stays idle, writes or lingers beyond its timeout. Called
-   * periodically. */
+   * connection whose peer has left, or that stays idle, writes or lingers
+   * beyond its timeout. Called periodically. */
   void ApplyTimeout(TimePoint now);
 
   /*! \brief Answers 503 to a request that has not arrived as a whole. */
@@ -96,6 +96,11 @@
   //! Returns whether bytes have arrived that are not parsed. Those in the
   //! kernel count: closing the socket would answer them with a reset.
   [[nodiscard]] bool HasInput() const;
+  //! Returns whether the peer has closed the connection, also if bytes that it
+  //! sent before are unread.
+  [[nodiscard]] bool HasPeerClosed();
+  //! Closes the connection because its peer has left.
+  void OnPeerClosed();
 
   EdgeServer& m_server;
   tcp::socket m_socket;
--- a/test/jacinthdeck/http/edge_server_test.cc
+++ b/test/jacinthdeck/http/edge_server_test.cc
@@ -189,6 +189,25 @@
   BOOST_TEST(server.connections() == 0U);
 }
 
+// Guards against work for a caller that has left, which goes on because the
+// connection stops reading once enough has arrived behind the request.
+BOOST_AUTO_TEST_CASE(Caller_SendsFarAheadAndLeaves_HandlerIsNotified) {
+  respond_immediately = false;
+  tcp::socket caller = Connect();
+  SendText(caller, kRequest + std::string(98304, 'x'));
+  RunUntil([&] { return requests.size() == 1; });
+  loop.restart();
+  loop.run_for(milliseconds(20));
+  server.ApplyTimeouts();
+  BOOST_TEST(disconnects == 0);
+  caller.close();
+  RunUntil([&] {
+    server.ApplyTimeouts();
+    return disconnects == 1;
+  });
+  BOOST_TEST(server.connections() == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(Header_IncompleteAtTimeout_IsRejected) {
   tcp::socket caller = Connect();
   SendText(caller, "GET / HT");
