Take no target for ended because it resets connections

Cause: a connection that was accepted and then reset counted as refused, so its target counted as ended under each attempt without an answer. Targets reset connections beyond their limit, and a proxy whose target is gone accepts and resets all. Such a reset shows in the opening only if it arrives before the result is read; otherwise the connection counts as opened.

Change: TargetCheck::kReset and AttemptEnd::reset. Such a target still gets no requests until a connection to it opens, but it is no evidence; it is checked again, after pauses that grow from 50 ms to a second, so that the checks do not take the connections of a target at its limit. A target that ended refuses the next check: its end is known 50 ms later if the first one was reset.

Tried and dropped: a test of the pool that resets an accepted connection; on loopback the opening succeeds before the reset, so it showed nothing.

What remains: a host still believes a mark in the store for its whole time, also where others have answers that refute it.

--- a/src/jacinthdeck/forward/attempt_end.h
+++ b/src/jacinthdeck/forward/attempt_end.h
@@ -74,6 +74,9 @@
   //! The connection was refused, as when the target has ended. Valid with
   //! kNotSent.
   bool unreachable = false;
+  //! The connection was accepted and then reset, which does not show that the
+  //! target has ended. Valid with kNotSent.
+  bool reset = false;
   //! The connection ended by itself while the target had the request, as it
   //! does when the target crashes.
   bool connection_lost = false;
--- a/src/jacinthdeck/forward/forwarder_reachability.cc
+++ b/src/jacinthdeck/forward/forwarder_reachability.cc
@@ -1,6 +1,7 @@
-// Keeps targets that refuse connections out of the choice, and probes them.
+// Keeps targets that refuse or reset connections out of the choice, and probes
+// them.
 //
-// Only a refused connection counts, which the machine of the target answers. A
+// Only such a connection counts, as the machine of the target answers it. A
 // host whose own link is at fault sees connections time out, and would
 // otherwise take every target for gone.
 #include <algorithm>
@@ -38,7 +39,7 @@
     }
     return;
   }
-  if (result == TargetCheck::kUnreachable) {
+  if (result == TargetCheck::kUnreachable || result == TargetCheck::kReset) {
     const auto since = m_crash_guard.unresolved().CheckingSince(id);
     OnConnectionRefused(*target, now - since.value_or(now), now);
   }
--- a/src/jacinthdeck/forward/forwarder_replies.cc
+++ b/src/jacinthdeck/forward/forwarder_replies.cc
@@ -76,7 +76,7 @@
       break;
     case AttemptOutcome::kNotSent:
       target.OnLost(end.id, now);
-      if (end.unreachable) {
+      if (end.unreachable || end.reset) {
         OnConnectionRefused(target, now - attempt.sent, now);
       }
       break;
--- a/src/jacinthdeck/forward/unresolved_attempts.cc
+++ b/src/jacinthdeck/forward/unresolved_attempts.cc
@@ -85,9 +85,14 @@
     return {};
   }
   const TimePoint since = *std::exchange(found->second.checking_since, {});
+  Duration pause = kCheckPause;
+  if (result == TargetCheck::kReset) {
+    pause = found->second.reset_pause;
+    found->second.reset_pause = std::min(2 * pause, kMaxCheckPause);
+  }
   for (Held& held : found->second.attempts) {
     if (result != TargetCheck::kReachable && !held.check_at) {
-      held.check_at = now + kCheckPause;
+      held.check_at = now + pause;
     }
   }
   return Take(target, [&](const Held& held) {
--- a/src/jacinthdeck/forward/unresolved_attempts.h
+++ b/src/jacinthdeck/forward/unresolved_attempts.h
@@ -20,6 +20,10 @@
   kReachable,
   //! The connection was refused: nothing listens at the address.
   kUnreachable,
+  //! The connection was accepted and then reset: the target has reached its
+  //! connection limit, or ended with connections that it had not accepted yet,
+  //! or a proxy without a target listens at the address.
+  kReset,
   //! Nothing answered: the target has ended, or cannot be reached from here.
   kTimedOut,
   //! No connection could be tried.
@@ -64,6 +68,9 @@
   static constexpr Duration kCheckDelay = std::chrono::milliseconds(100);
   //! Pause before a target that could not be checked is checked again.
   static constexpr Duration kCheckPause = std::chrono::milliseconds(50);
+  //! Longest pause after checks whose connections were reset; it is doubled
+  //! with each of them, since a target at its connection limit may run on.
+  static constexpr Duration kMaxCheckPause = std::chrono::seconds(1);
 
   [[nodiscard]] std::size_t size() const noexcept { return m_size; }
   /*! \brief Returns the targets with unresolved attempts. */
@@ -97,7 +104,7 @@
    *
    * A reachable target survived the attempts whose connection it had closed. It
    * says nothing of the others: another process may listen at its address by
-   * now. For an unreachable one call OnTargetGone(); one that timed out is
+   * now. For an unreachable one call OnTargetGone(); after another result it is
    * checked again.
    * \return The attempts that the target survived, which are removed.
    */
@@ -122,6 +129,8 @@
     std::vector<Held> attempts;
     //! Start of the check in progress.
     std::optional<TimePoint> checking_since;
+    //! Pause after the next check whose connection is reset.
+    Duration reset_pause = kCheckPause;
   };
 
   //! Removes the attempts of a target that match a predicate, and returns them.
--- a/src/jacinthdeck/http/target_connection.cc
+++ b/src/jacinthdeck/http/target_connection.cc
@@ -9,6 +9,7 @@
 #include <charconv>
 #include <utility>
 
+#include "jacinthdeck/http/check_opening.h"
 #include "jacinthdeck/http/header_text.h"
 #include "jacinthdeck/http/hop_headers.h"
 #include "jacinthdeck/http/socket_options.h"
@@ -49,21 +50,6 @@
 //! would close the connection before the full timeout has passed.
 constexpr int kIdleTimeoutPercent = 60;
 
-//! Returns what the result of opening a connection says of the target.
-[[nodiscard]] TargetCheck CheckOf(const SystemError& error) {
-  if (!error) {
-    return TargetCheck::kReachable;
-  }
-  if (error == asio::error::connection_refused ||
-      error == asio::error::connection_reset) {
-    return TargetCheck::kUnreachable;
-  }
-  return error == asio::error::timed_out ||
-                 error == asio::error::host_unreachable
-             ? TargetCheck::kTimedOut
-             : TargetCheck::kUnknown;
-}
-
 //! Tells whether a complete message is a response that can be passed on.
 [[nodiscard]] bool IsWellFormed(const ResponseHead& head,
                                 const TargetProtocol& protocol) {
@@ -143,7 +129,7 @@
   } else {
     Close();
   }
-  m_pool.m_sink.OnTargetChecked(m_target.id, CheckOf(error));
+  m_pool.m_sink.OnTargetChecked(m_target.id, CheckOpening(error));
 }
 
 void TargetConnection::Send(const OutgoingAttempt& attempt) {
@@ -443,7 +429,9 @@
   }
   AttemptEnd end;
   end.outcome = AttemptOutcome::kNotSent;
-  end.unreachable = CheckOf(error) == TargetCheck::kUnreachable;
+  const TargetCheck check = CheckOpening(error);
+  end.unreachable = check == TargetCheck::kUnreachable;
+  end.reset = check == TargetCheck::kReset;
   CloseAndReport(end);
 }
 
--- a/test/jacinthdeck/forward/crash_guard_test.cc
+++ b/test/jacinthdeck/forward/crash_guard_test.cc
@@ -1,6 +1,7 @@
 // Tests of the quarantine of requests that crash their targets.
 #include "jacinthdeck/forward/crash_guard.h"
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <chrono>
 #include <cstdint>
@@ -279,6 +280,54 @@
   BOOST_TEST(guard.TakeDueChecks(clock.Now()).size() == 1U);
 }
 
+// Guards against the quarantine of a harmless request whose target resets
+// connections but runs.
+BOOST_AUTO_TEST_CASE(Check_ConnectionIsReset_IsNoEvidence) {
+  (void)LoseAnswer("s/1");
+  BOOST_REQUIRE_EQUAL(guard.TakeDueChecks(clock.Now()).size(), 1U);
+  BOOST_TEST(
+      guard.OnTargetChecked(TargetId("s/1"), TargetCheck::kReset, clock.Now())
+          .suspects.empty());
+  BOOST_TEST((State() == QuarantineState::kNone));
+  clock.Advance(UnresolvedAttempts::kCheckPause);
+  BOOST_REQUIRE_EQUAL(guard.TakeDueChecks(clock.Now()).size(), 1U);
+  (void)guard.OnTargetChecked(TargetId("s/1"), TargetCheck::kReachable,
+                              clock.Now());
+  BOOST_TEST(guard.unresolved().size() == 0U);
+}
+
+// Guards against a crash that stays unnoticed since the target ended with
+// connections that it had not accepted.
+BOOST_AUTO_TEST_CASE(Check_ConnectionIsResetThenRefused_RequestIsSuspect) {
+  (void)LoseAnswer("s/1");
+  BOOST_REQUIRE_EQUAL(guard.TakeDueChecks(clock.Now()).size(), 1U);
+  (void)guard.OnTargetChecked(TargetId("s/1"), TargetCheck::kReset,
+                              clock.Now());
+  clock.Advance(UnresolvedAttempts::kCheckPause);
+  BOOST_REQUIRE_EQUAL(guard.TakeDueChecks(clock.Now()).size(), 1U);
+  BOOST_TEST(guard
+                 .OnTargetChecked(TargetId("s/1"), TargetCheck::kUnreachable,
+                                  clock.Now())
+                 .suspects.size() == 1U);
+  BOOST_TEST((State() == QuarantineState::kSuspect));
+}
+
+// Guards against checks that take the connections which a target at its limit
+// has left.
+BOOST_AUTO_TEST_CASE(Check_ConnectionsAreReset_ChecksAreLessFrequent) {
+  (void)LoseAnswer("s/1");
+  Duration pause = UnresolvedAttempts::kCheckPause;
+  for (int check = 0; check < 6; ++check) {
+    BOOST_REQUIRE_EQUAL(guard.TakeDueChecks(clock.Now()).size(), 1U);
+    (void)guard.OnTargetChecked(TargetId("s/1"), TargetCheck::kReset,
+                                clock.Now());
+    clock.Advance(pause - Duration(1));
+    BOOST_TEST(guard.TakeDueChecks(clock.Now()).empty());
+    clock.Advance(Duration(1));
+    pause = std::min(2 * pause, UnresolvedAttempts::kMaxCheckPause);
+  }
+}
+
 // Guards against the result of a check that began before the attempt ended.
 BOOST_AUTO_TEST_CASE(Check_BeganBeforeAttemptEnded_TargetIsCheckedAgain) {
   (void)LoseAnswer("s/1");
--- a/test/jacinthdeck/forward/forwarder_test.cc
+++ b/test/jacinthdeck/forward/forwarder_test.cc
@@ -243,6 +243,26 @@
   BOOST_TEST(port.suspects.size() == 1U);
 }
 
+// Guards against a target that resets connections over its limit and is taken
+// for ended, and against calls that are still sent to it.
+BOOST_AUTO_TEST_CASE(Connection_IsReset_TargetIsNotChosenAndNotTakenForEnded) {
+  (void)Submit("/read/1");
+  const OutgoingAttempt first = port.sent.front();
+  End(first, AttemptOutcome::kBroken, true);
+  (void)Submit("/read/2");
+  AttemptEnd end;
+  end.id = port.sent.back().id;
+  end.outcome = AttemptOutcome::kNotSent;
+  end.reset = true;
+  const TargetId reset = port.sent.back().target.id;
+  forwarder.OnAttemptEnd(end, clock.Now());
+  forwarder.OnTargetChecked(first.target.id, TargetCheck::kReset, clock.Now());
+  BOOST_TEST(port.suspects.empty());
+  BOOST_TEST(
+      (port.reachability == std::vector{std::pair(reset, false),
+                                        std::pair(first.target.id, false)}));
+}
+
 BOOST_AUTO_TEST_CASE(Forwarder_QuarantinedByOtherHost_RequestIsRefused) {
   OpaqueRequest poison;
   poison.method = "GET";
