--- a/test/jacinthdeck/http/check_opening_test.cc
+++ b/test/jacinthdeck/http/check_opening_test.cc
@@ -4,8 +4,6 @@
 #include <boost/asio/error.hpp>
 #include <boost/test/unit_test.hpp>
 
-#include "support/printers.h"
-
 namespace jacinthdeck {
 
 BOOST_AUTO_TEST_SUITE(CheckOpeningTest)
