--- a/test/jacinthdeck/entry/crash_log_test.cc
+++ b/test/jacinthdeck/entry/crash_log_test.cc
@@ -197,6 +197,7 @@
 BOOST_AUTO_TEST_CASE(Process_SeveralThreadsCrash_WritesOneLine) {
   Start([] {
     std::vector<std::thread> threads;
+    threads.reserve(8);
     for (int i = 0; i < 8; ++i) {
       threads.emplace_back([] { (void)raise(SIGSEGV); });
     }
--- a/test/jacinthdeck/entry/event_log_test.cc
+++ b/test/jacinthdeck/entry/event_log_test.cc
@@ -177,7 +177,7 @@
   }
   close(ends[1]);
   std::string text;
-  std::string piece(2 * PIPE_BUF, '\0');
+  std::string piece(std::size_t{2} * PIPE_BUF, '\0');
   ssize_t count = 0;
   while ((count = read(ends[0], piece.data(), piece.size())) > 0) {
     text.append(piece, 0, static_cast<std::size_t>(count));
