Test clients that do not keep to the protocol against a real host

These tests start the daemon on loopback and play 20 kinds of such clients, alone and as crowds. They check that the process lives, that its peak memory stays below 160 MB (the smallest machine of the deployments), that its open descriptors stay within its setting, and that an ordinary request is answered afterwards; no times, no shares. Before a check they wait until the host has used little processor time for a while, so that what it was sent has been processed.

--- a/soak/child.h
+++ b/soak/child.h
@@ -28,6 +28,8 @@
   Child(const Child&) = delete;
   Child& operator=(const Child&) = delete;
 
+  [[nodiscard]] pid_t id() const noexcept { return m_id; }
+
   /*! \brief Sends a signal, unless the process has ended. */
   void Signal(int signal);
 
--- /dev/null
+++ b/test/clients/client_crowd_test.cc
@@ -0,0 +1,336 @@
+// Clients that do not keep to the protocol, alone and as a crowd, against a
+// real host. Each case checks that the host runs, within the memory and the
+// descriptors of its machine, and that one request is answered afterwards.
+#include <sys/resource.h>
+
+#include <boost/test/unit_test.hpp>
+#include <cstddef>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "clients/crowd.h"
+#include "clients/host_fixture.h"
+#include "jacinthdeck/http/status.h"
+
+namespace jacinthdeck::test {
+
+namespace {
+
+constexpr std::size_t kMegabyte = std::size_t{1} << 20U;
+//! Bytes without end, for this purpose.
+constexpr std::size_t kEndless = 64 * kMegabyte;
+//! One byte less than the largest body, so that a request never ends.
+constexpr std::size_t kUnfinishedBody = kMegabyte - 1;
+//! Nearly as many bytes of headers as a request may have.
+constexpr std::size_t kHeaderBytes = 16000;
+
+//! Allows this process the descriptors of its crowds.
+struct ClientCrowdFixture : HostFixture {
+  ClientCrowdFixture() {
+    rlimit limit{};
+    getrlimit(RLIMIT_NOFILE, &limit);
+    limit.rlim_cur = limit.rlim_max;
+    setrlimit(RLIMIT_NOFILE, &limit);
+  }
+
+  [[nodiscard]] static std::string UnfinishedPost(const std::string& path) {
+    return Head("POST", path) + "Content-Length: " + std::to_string(kMegabyte) +
+           "\r\n\r\n";
+  }
+
+  [[nodiscard]] static std::string ChunkedPost(const std::string& path) {
+    return Head("POST", path) + "Transfer-Encoding: chunked\r\n\r\n";
+  }
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(ClientCrowdTest, ClientCrowdFixture)
+
+// Guards against trailers that are kept until their end.
+BOOST_AUTO_TEST_CASE(Trailers_WithoutEnd_AreBounded) {
+  Start({});
+  {
+    Crowd crowd(ports().callers, 4);
+    crowd.Send({ChunkedPost("/one/small") + "1\r\nx\r\n0\r\n",
+                "T: 0123456789abcdef\r\n", kEndless},
+               CrowdReading::kAll);
+    CheckBounds();
+  }
+  CheckServes();
+}
+
+// Guards against a chunk extension that is kept until its end.
+BOOST_AUTO_TEST_CASE(ChunkExtension_WithoutEnd_IsBounded) {
+  Start({});
+  {
+    Crowd crowd(ports().callers, 4);
+    crowd.Send(
+        {ChunkedPost("/one/small") + "1", ";a=0123456789abcdef", kEndless},
+        CrowdReading::kAll);
+    CheckBounds();
+  }
+  CheckServes();
+}
+
+// Guards against bodies that fit the limit of a request, and together fill the
+// memory.
+BOOST_AUTO_TEST_CASE(Bodies_OfACrowd_AreBounded) {
+  Start({});
+  {
+    Crowd crowd(ports().callers, 300);
+    crowd.Send({UnfinishedPost("/one/small"), "b", kUnfinishedBody},
+               CrowdReading::kAll);
+    CheckBounds();
+  }
+  CheckServes();
+}
+
+// Guards against the memory of header fields, which is many times their length.
+BOOST_AUTO_TEST_CASE(HeaderFields_OfACrowd_AreBounded) {
+  Start({.descriptors = 2048});
+  {
+    Crowd crowd(ports().callers, 1000);
+    const std::string start =
+        Head("POST", "/one/small") + "Content-Length: 1000\r\n";
+    std::string fields;
+    while (start.size() + fields.size() < kHeaderBytes) {
+      fields += "a:\r\n";
+    }
+    crowd.Send({start + fields + "\r\n", "b", 999}, CrowdReading::kAll);
+    CheckBounds();
+  }
+  CheckServes();
+}
+
+// Guards against requests that are kept behind one that awaits its response.
+BOOST_AUTO_TEST_CASE(PipelinedRequests_OfACrowd_AreBounded) {
+  Start({.descriptors = 4100, .slots = 4000, .target_connections = 8000});
+  {
+    Crowd crowd(ports().callers, 2500);
+    crowd.Send({Get("/one/hold"), Get("/one/hold"), 4 * 65536},
+               CrowdReading::kAll);
+    CheckBounds();
+  }
+  CheckServes();
+}
+
+// Guards against a copy of the body for each shard that it is sent to.
+BOOST_AUTO_TEST_CASE(Body_SentToManyShards_IsNotCopied) {
+  Start({.shards = 100});
+  {
+    Crowd crowd(ports().callers, 4);
+    crowd.Send({UnfinishedPost("/all/hold"), "b", kMegabyte},
+               CrowdReading::kAll);
+    CheckBounds();
+  }
+  CheckServes();
+}
+
+// Guards against a copy of the headers for each shard that they are sent to.
+BOOST_AUTO_TEST_CASE(Headers_SentToManyShards_AreNotCopied) {
+  Start({.descriptors = 4100, .shards = 100});
+  {
+    Crowd crowd(ports().callers, 100);
+    crowd.Send({Head("GET", "/all/hold") + "X-Long: " +
+                    std::string(kHeaderBytes - 1000, 'h') + "\r\n\r\n",
+                "", 0},
+               CrowdReading::kAll);
+    CheckBounds();
+  }
+  CheckServes();
+}
+
+// Guards against responses that wait for callers that do not read.
+BOOST_AUTO_TEST_CASE(Responses_NotRead_AreBounded) {
+  Start({});
+  {
+    Crowd crowd(ports().callers, 64);
+    for (std::size_t client = 0; client < 64; ++client) {
+      (void)crowd.SendAndRead(client, Get("/one/large"), 1);
+    }
+    CheckBounds();
+  }
+  CheckServes();
+}
+
+// Guards against buffers that connections keep after a large response.
+BOOST_AUTO_TEST_CASE(Responses_ReadByIdleCallers_AreReleased) {
+  Start({});
+  {
+    Crowd crowd(ports().callers, 64);
+    for (std::size_t client = 0; client < 64; ++client) {
+      (void)crowd.SendAndRead(client, Get("/one/large"), kLargeBytes);
+    }
+    CheckBounds();
+  }
+  CheckServes();
+}
+
+// Guards against parts that are kept whole until all shards have answered.
+BOOST_AUTO_TEST_CASE(Parts_BeyondTheRecordsAskedFor_AreDropped) {
+  m_script = [](const TargetRequest& request) -> std::string {
+    if (request.path.starts_with("/all/") &&
+        request.target.starts_with("shard-0-")) {
+      return "";
+    }
+    return StampedResponse(request, "200 OK", std::string(kMegabyte, 'r'));
+  };
+  Start({.shards = 10});
+  {
+    std::vector<std::unique_ptr<Crowd>> callers;
+    for (int caller = 0; caller < 24; ++caller) {
+      callers.push_back(std::make_unique<Crowd>(ports().callers, 1));
+      callers.back()->Send({Get("/all/parts"), "", 0}, CrowdReading::kAll);
+      WaitUntilIdle();
+    }
+    CheckBounds();
+  }
+  CheckServes();
+}
+
+// Guards against failures that are kept while their requests are tried again.
+BOOST_AUTO_TEST_CASE(Failures_OfRequestsTriedAgain_AreBounded) {
+  std::set<std::string> failed;
+  m_script = [&](const TargetRequest& request) -> std::string {
+    if (request.path.ends_with("/small")) {
+      return StampedResponse(request, "200 OK", "small");
+    }
+    return failed.insert(request.path).second
+               ? StampedResponse(request, "500 Failed",
+                                 std::string(kLargeBytes, 'f'))
+               : "";
+  };
+  Start({.targets = 2});
+  {
+    std::vector<std::unique_ptr<Crowd>> callers;
+    for (int caller = 0; caller < 24; ++caller) {
+      callers.push_back(std::make_unique<Crowd>(ports().callers, 1));
+      callers.back()->Send({Get("/one/" + std::to_string(caller)), "", 0},
+                           CrowdReading::kNothing);
+      WaitUntilIdle();
+    }
+    CheckBounds();
+  }
+  CheckServes();
+}
+
+// Guards against the state of requests to many shards that wait for targets.
+BOOST_AUTO_TEST_CASE(RequestsToManyShards_OfACrowd_AreBounded) {
+  Start({.descriptors = 4100,
+         .shards = 400,
+         .slots = 2,
+         .target_connections = 2});
+  {
+    Crowd crowd(ports().callers, 3000);
+    crowd.Send({Get("/all/hold"), "", 0}, CrowdReading::kAll);
+    CheckBounds();
+  }
+  CheckServes();
+}
+
+// Guards against ports whose connections add up to more descriptors than the
+// process has.
+BOOST_AUTO_TEST_CASE(Connections_ToAllPorts_LeaveDescriptors) {
+  Start({.descriptors = 256});
+  {
+    const HostPorts& to = ports();
+    std::vector<std::unique_ptr<Crowd>> crowds;
+    for (const std::uint16_t port : {to.callers, to.ready, to.directory,
+                                     to.metrics, to.queries, to.peers}) {
+      crowds.push_back(std::make_unique<Crowd>(port, 300));
+    }
+    BOOST_TEST(Ask("/one/small").status == http_status::kOk);
+    CheckBounds();
+  }
+  CheckServes();
+}
+
+// Guards against connections to targets that add up to more descriptors than
+// the process has.
+BOOST_AUTO_TEST_CASE(Connections_ToTargets_LeaveDescriptors) {
+  Start({.descriptors = 256, .shards = 8});
+  {
+    Crowd crowd(ports().callers, 60);
+    crowd.Send({Get("/all/hold"), "", 0}, CrowdReading::kAll);
+    CheckBounds();
+  }
+  CheckServes();
+}
+
+// Guards against callers that get no connection, because others keep theirs
+// open without a request.
+BOOST_AUTO_TEST_CASE(IdleConnections_OfACrowd_LeaveRoomForOthers) {
+  Start({.descriptors = 256});
+  Crowd crowd(ports().callers, 400);
+  CheckServes();
+}
+
+// Guards against the same by requests that never end.
+BOOST_AUTO_TEST_CASE(UnfinishedRequests_OfACrowd_LeaveRoomForOthers) {
+  Start({.descriptors = 256});
+  Crowd crowd(ports().callers, 400);
+  crowd.Send({"GET /one/small HT", "", 0}, CrowdReading::kAll);
+  CheckServes();
+}
+
+// Guards against callers that cannot ask the directory, because others keep
+// their connections open.
+BOOST_AUTO_TEST_CASE(IdleConnections_ToTheDirectory_LeaveRoomForOthers) {
+  Start({.descriptors = 1024});
+  Crowd crowd(ports().directory, 400);
+  BOOST_TEST(AskDirectory().status == http_status::kOk);
+  CheckServes();
+}
+
+// Guards against bodies at ports whose requests have none.
+BOOST_AUTO_TEST_CASE(Bodies_ToOtherPorts_AreBounded) {
+  Start({});
+  {
+    const HostPorts& to = ports();
+    std::vector<std::unique_ptr<Crowd>> crowds;
+    for (const std::uint16_t port :
+         {to.ready, to.directory, to.metrics, to.queries}) {
+      crowds.push_back(std::make_unique<Crowd>(port, 120));
+      crowds.back()->Send({UnfinishedPost("/"), "b", kUnfinishedBody},
+                          CrowdReading::kAll);
+    }
+    CheckBounds();
+  }
+  BOOST_TEST(AskDirectory().status == http_status::kOk);
+  CheckServes();
+}
+
+// Guards against long messages to the port for other hosts, which only sends.
+BOOST_AUTO_TEST_CASE(Messages_ToThePortOfOtherHosts_AreBounded) {
+  Start({});
+  {
+    Crowd crowd(ports().peers, 64);
+    crowd.Send({std::string("\0\0\0\2", 4), "m", 8 * kMegabyte},
+               CrowdReading::kAll);
+    CheckBounds();
+  }
+  CheckServes();
+}
+
+// Guards against a status below 100, which is no status, in an answer to a
+// caller.
+BOOST_AUTO_TEST_CASE(Response_WithStatusZero_IsNotPassedOn) {
+  m_script = [](const TargetRequest& request) {
+    return StampedResponse(
+        request, request.path.ends_with("/small") ? "200 OK" : "000 Trouble",
+        std::string(16, 'r'));
+  };
+  Start({.shards = 3});
+  for (const char* path : {"/one/trouble", "/all/trouble"}) {
+    BOOST_TEST(AskOnce(ports().callers, path).status ==
+               http_status::kBadGateway);
+  }
+  CheckServes();
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace jacinthdeck::test
