Bound the bytes of a request that the parser cannot consume yet

Seen: a client sends trailers without end behind a chunked body, and the process holds all of it until it runs out of memory: four connections with 64 MiB each, peak 341 MB.

Cause: the parser's header limit holds for the header alone. The head of a chunk, with its extensions and leading zeros, and the trailer section are asked for until their end, and EdgeConnection kept what had arrived.

Change: a connection rejects a request with 431 once it holds more bytes that are not parsed than a header may have. All ports for HTTP share this code.

ChunkedBody_LineOrTrailersTooLong_IsRejected plays each form.

--- a/src/jacinthdeck/http/edge_connection.cc
+++ b/src/jacinthdeck/http/edge_connection.cc
@@ -149,6 +149,12 @@
       break;
     }
   }
+  // The parser bounds the header, but not a chunk's head or the trailers.
+  if (m_read_buffer.size() >
+      m_server.m_limits.header_bytes + kRequestReadBytes) {
+    Reject(http_status::kHeaderTooLarge);
+    return;
+  }
   Read();
 }
 
--- a/test/jacinthdeck/http/edge_server_test.cc
+++ b/test/jacinthdeck/http/edge_server_test.cc
@@ -175,6 +175,27 @@
   BOOST_TEST(requests.empty());
 }
 
+// Guards against bytes that are kept until a line or a section ends, which has
+// no limit of its own in the parser.
+BOOST_AUTO_TEST_CASE(ChunkedBody_LineOrTrailersTooLong_IsRejected) {
+  const std::string head =
+      "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+  std::string trailers;
+  while (trailers.size() < 8192) {
+    trailers += "T: 0123456789abcdef\r\n";
+  }
+  for (const std::string& rest :
+       {"1;" + std::string(8192, 'e'), std::string(8192, '0'),
+        "0\r\n" + trailers, "0\r\nT: " + std::string(8192, 't')}) {
+    tcp::socket caller = Connect();
+    SendText(caller, head + rest);
+    const std::string reply = ReadUntil(caller, "\r\n\r\n");
+    BOOST_TEST(reply.starts_with("HTTP/1.1 431"),
+               rest.substr(0, 10) << " gave " << reply.substr(0, 20));
+  }
+  BOOST_TEST(requests.empty());
+}
+
 // A caller disconnects while its request is in progress. The server must notice
 // without writing to it, so that the work for the request can be cancelled.
 BOOST_AUTO_TEST_CASE(Caller_DisconnectsBeforeResponse_HandlerIsNotified) {
