Do not take trailers for headers

Seen: a field behind a chunked body reached the handler as a header. A second Host there made the host answer 400 to a proper request, and a field such as a deadline or a request id took effect although it was not in the head.

Cause: the parser adds trailers to the fields of the message, and the connection read the fields at the end of the request.

Change: the connection reads the header once it is complete, into the request that it hands out at the end; trailers are discarded, as RFC 9112 7.1.2 allows. A request that its header already rules out is rejected before its body arrives.

Evidence: Trailers_OfAChunkedBody_AreNotHeaders failed before (400 in place of a request) and passes.

--- a/src/jacinthdeck/http/edge_connection.cc
+++ b/src/jacinthdeck/http/edge_connection.cc
@@ -174,40 +174,39 @@
   // body, whose bytes would then be read as further requests.
   const auto [first, last] =
       message.equal_range(http::field::transfer_encoding);
-  if (std::any_of(first, last, [](const auto& field) {
-        return !HeaderNamesEqual(ToStringView(field.value()), "chunked");
-      })) {
+  const auto target = ToStringView(message.target());
+  if (std::any_of(first, last,
+                  [](const auto& field) {
+                    return !HeaderNamesEqual(ToStringView(field.value()),
+                                             "chunked");
+                  }) ||
+      message.count(http::field::host) != 1 || target.empty() ||
+      target.front() != '/') {
     Reject(http_status::kBadRequest);
     return false;
   }
+  m_keep_alive = message.keep_alive();
+  m_is_head_request = message.method() == http::verb::head;
   const auto expect = message[http::field::expect];
-  if (expect.empty() || m_parser->is_done()) {
-    return true;
-  }
-  if (!HeaderNamesEqual(ToStringView(expect), "100-continue")) {
-    Reject(http_status::kExpectationFailed);
-    return false;
+  if (!expect.empty() && !m_parser->is_done()) {
+    if (!HeaderNamesEqual(ToStringView(expect), "100-continue")) {
+      Reject(http_status::kExpectationFailed);
+      return false;
+    }
+    SystemError ignored;
+    (void)m_socket.write_some(asio::buffer(kContinueResponse), ignored);
   }
-  SystemError ignored;
-  (void)m_socket.write_some(asio::buffer(kContinueResponse), ignored);
+  CopyHeaders();
   return true;
 }
 
-void EdgeConnection::OnRequestComplete() {
-  auto message = m_parser->release();
-  m_keep_alive = message.keep_alive();
-  m_is_head_request = message.method() == http::verb::head;
-  const auto hosts = message.count(http::field::host);
-  const auto target = ToStringView(message.target());
-  if (hosts != 1 || target.empty() || target.front() != '/') {
-    Reject(http_status::kBadRequest);
-    return;
-  }
-  EdgeRequest request;
-  request.method = ToStringView(message.method_string());
-  request.target = target;
-  request.host = ToStringView(message[http::field::host]);
-  request.has_body =
+void EdgeConnection::CopyHeaders() {
+  const auto& message = m_parser->get();
+  m_request = EdgeRequest();
+  m_request.method = ToStringView(message.method_string());
+  m_request.target = ToStringView(message.target());
+  m_request.host = ToStringView(message[http::field::host]);
+  m_request.has_body =
       message.find(http::field::content_length) != message.end() ||
       message.find(http::field::transfer_encoding) != message.end();
   const std::string connection(ToStringView(message[http::field::connection]));
@@ -217,11 +216,17 @@
                          field.name() == http::field::expect;
     if (!framing &&
         !IsHopByHopHeader(ToStringView(field.name_string()), connection)) {
-      request.headers.push_back({std::string(ToStringView(field.name_string())),
-                                 std::string(ToStringView(field.value()))});
+      m_request.headers.push_back(
+          {std::string(ToStringView(field.name_string())),
+           std::string(ToStringView(field.value()))});
     }
   }
-  request.body = std::move(message.body());
+}
+
+void EdgeConnection::OnRequestComplete() {
+  EdgeRequest request = std::move(m_request);
+  request.body = std::move(m_parser->get().body());
+  m_parser.reset();
   m_phase = Phase::kAwaitingResponse;
   m_phase_started_at = m_server.m_clock.Now();
   ++m_server.m_counters.requests;
--- a/src/jacinthdeck/http/edge_connection.h
+++ b/src/jacinthdeck/http/edge_connection.h
@@ -87,7 +87,10 @@
   void OnReadable(SystemError error);
   void Parse();
   void BeginRequest();
+  //! Reads the header into m_request; returns false if it is rejected.
   [[nodiscard]] bool OnHeaderComplete();
+  //! Adds the headers that are passed on to m_request.
+  void CopyHeaders();
   void OnRequestComplete();
   void Reject(int status);
   void Write(bool close);
@@ -107,6 +110,8 @@
   const std::uint64_t m_id;
   boost::beast::flat_buffer m_read_buffer;
   std::optional<Parser> m_parser;
+  //! The request that is being read; its body is in the parser until the end.
+  EdgeRequest m_request;
   Phase m_phase = Phase::kIdle;
   //! Start of the current phase, to which its timeout applies.
   TimePoint m_phase_started_at;
--- a/test/jacinthdeck/http/edge_server_test.cc
+++ b/test/jacinthdeck/http/edge_server_test.cc
@@ -121,6 +121,23 @@
   BOOST_TEST(requests[0].Find("X-Hop").empty());
 }
 
+// Guards against a trailer that passes for a header, such as a deadline or a
+// key that was not in the head.
+BOOST_AUTO_TEST_CASE(Trailers_OfAChunkedBody_AreNotHeaders) {
+  tcp::socket caller = Connect();
+  SendText(caller,
+           "POST / HTTP/1.1\r\nHost: h\r\nX-Own: 1\r\n"
+           "Transfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n"
+           "X-Other: 2\r\nHost: i\r\nConnection: close\r\n\r\n");
+  (void)ReadUntil(caller, "done");
+  BOOST_REQUIRE_EQUAL(requests.size(), 1U);
+  BOOST_TEST(requests[0].body == "a");
+  BOOST_TEST(requests[0].host == "h");
+  BOOST_TEST(requests[0].Find("X-Own") == "1");
+  BOOST_TEST(requests[0].Find("X-Other").empty());
+  BOOST_TEST(server.connections() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(Requests_Pipelined_AreHandledInOrder) {
   tcp::socket caller = Connect();
   SendText(
