Bound the memory of requests over the process

Seen: 300 clients with a body of 1 MiB each that never ends take 325 MB, and 1,000 clients with 16 kB of four-byte header fields take 344 MB (602 MB since the header is copied early), although each keeps to the limits of the configuration. Bodies to the ports for readiness, the directory, metrics and typed calls take 515 MB.

Cause: the limits hold for one request. Nothing bounded their sum, and a header field of 4 bytes takes about 130.

Change: requests take bytes from a budget that all servers of a host share, a quarter of the new setting host.memory_mb (default 160), before the bytes are read, and return them when the request is no longer held by a call or an attempt. Without room, the oldest request that has not arrived as a whole and holds at least half as much is answered 503 with Retry-After, which is true: it has not run. Requests of up to 8 KiB need nothing, so that small ones are accepted while large ones hold the memory. One request of the largest size always fits. The body grows with what arrives and not with the announced length, and the parser's copy of the header is dropped.

The tests of the server play the same with a manual clock.

--- a/src/jacinthdeck/core/fwd.h
+++ b/src/jacinthdeck/core/fwd.h
@@ -4,7 +4,9 @@
 
 namespace jacinthdeck {
 
+class ByteBudget;
 class Clock;
+class HeldBytes;
 class ManualClock;
 class Random;
 struct Error;
--- a/src/jacinthdeck/entry/caller_handler.cc
+++ b/src/jacinthdeck/entry/caller_handler.cc
@@ -82,6 +82,7 @@
   opaque->body = std::move(request.body);
   opaque->has_body = request.has_body;
   opaque->headers = std::move(request.headers);
+  opaque->held = std::move(request.held);
   std::erase_if(opaque->headers, [&](const Header& header) {
     return HeaderNamesEqual(header.name, m_protocol.request_id) ||
            HeaderNamesEqual(header.name, m_protocol.time_left_ms) ||
--- a/src/jacinthdeck/entry/entry_node.h
+++ b/src/jacinthdeck/entry/entry_node.h
@@ -180,6 +180,8 @@
   //! One set for the life of the node. A set keeps the signals that arrive
   //! between two waits, and discards them when it is destroyed.
   asio::signal_set m_signals;
+  //! Memory that the callers on all ports take together.
+  const CallerMemory m_caller_memory;
   CallerHandler m_caller_handler;
   SimpleHandler m_ready_handler;
   SimpleHandler m_directory_handler;
--- a/src/jacinthdeck/entry/entry_node_discovery.cc
+++ b/src/jacinthdeck/entry/entry_node_discovery.cc
@@ -73,8 +73,9 @@
   const bool new_config =
       change.config && m_forwarder.SetConfig(discovery_state.config());
   if (new_config) {
-    m_callers_server.SetLimits(
-        EdgeLimitsOf(discovery_state.config()->limits()));
+    const EdgeLimits limits = EdgeLimitsOf(discovery_state.config()->limits());
+    m_callers_server.SetLimits(limits);
+    m_caller_memory.Fit(limits);
   }
   std::vector<TargetEntry> targets;
   if (change.targets || change.config) {
--- a/src/jacinthdeck/entry/entry_settings.cc
+++ b/src/jacinthdeck/entry/entry_settings.cc
@@ -9,6 +9,8 @@
 
 constexpr SettingRange kChangeDelayMs{100, 3'600'000};
 constexpr SettingRange kDescriptors{64, 1'048'576};
+constexpr SettingRange kMemoryMb{1, 1'048'576};
+constexpr std::uint64_t kMegabyte = std::uint64_t{1} << 20U;
 constexpr SettingRange kCpuShare{0.001, 1024};
 constexpr SettingRange kCores{0.001, 1024};
 constexpr SettingRange kExtraRatio{0, 10};
@@ -39,6 +41,10 @@
   settings.descriptors =
       ToUint32(table.Number("host.descriptors", kDescriptors,
                             SettingPresence::kOptional, settings.descriptors));
+  settings.memory_bytes =
+      kMegabyte * ToUint32(table.Number(
+                      "host.memory_mb", kMemoryMb, SettingPresence::kOptional,
+                      static_cast<double>(settings.memory_bytes / kMegabyte)));
 }
 
 void ReadListen(SettingsTable& table, EntrySettings& settings) {
--- a/src/jacinthdeck/entry/entry_settings.h
+++ b/src/jacinthdeck/entry/entry_settings.h
@@ -12,6 +12,7 @@
 #include "jacinthdeck/core/settings_table.h"
 #include "jacinthdeck/core/time.h"
 #include "jacinthdeck/discovery/discovery_times.h"
+#include "jacinthdeck/http/caller_memory.h"
 
 namespace jacinthdeck {
 
@@ -57,6 +58,8 @@
   double cores = 1;
   //! Maximum number of file descriptors that the process may open.
   std::uint32_t descriptors = 1024;
+  //! Memory of the host in bytes, of which callers may take parts.
+  std::uint64_t memory_bytes = CallerMemory::kDefaultHostBytes;
   //! Extra attempts allowed for each request, over all hosts.
   double extra_ratio = 0.2;
   //! Extra attempts allowed in each window in addition to the ratio, over all
--- a/src/jacinthdeck/entry/node_metrics.cc
+++ b/src/jacinthdeck/entry/node_metrics.cc
@@ -121,6 +121,8 @@
   WriteMetric(out, "caller_rejects_total", static_cast<double>(edge.rejected));
   WriteMetric(out, "caller_over_limit_total",
               static_cast<double>(edge.over_limit));
+  WriteMetric(out, "caller_without_memory_total",
+              static_cast<double>(edge.without_memory));
   const StoreCounters& store = source.store.counters();
   WriteMetric(out, "store_reads_total", static_cast<double>(store.reads));
   WriteMetric(out, "store_watches_total", static_cast<double>(store.watches));
--- a/src/jacinthdeck/entry/typed_service.cc
+++ b/src/jacinthdeck/entry/typed_service.cc
@@ -132,7 +132,8 @@
       call.id,
       WaitingCaller{
           connection, std::string(request.Find("X-Request-Id")), arrived,
-          CallLabels{call.tenant, call.method->service, Outcome::kWhole}});
+          CallLabels{call.tenant, call.method->service, Outcome::kWhole},
+          request.held});
   m_call_by_connection.emplace(connection.get(), call.id);
   m_calls.Submit(std::move(call), m_clock.Now());
 }
--- a/src/jacinthdeck/entry/typed_service.h
+++ b/src/jacinthdeck/entry/typed_service.h
@@ -77,6 +77,8 @@
     std::string request_id;
     TimePoint arrived;
     CallLabels labels;
+    //! Memory of the request, which the call holds.
+    std::shared_ptr<const HeldBytes> held;
   };
 
   void SendTyped(const SendAttempt& attempt,
--- a/src/jacinthdeck/forward/opaque_request.h
+++ b/src/jacinthdeck/forward/opaque_request.h
@@ -3,11 +3,14 @@
 #ifndef JACINTHDECK_FORWARD_OPAQUE_REQUEST_H_
 #define JACINTHDECK_FORWARD_OPAQUE_REQUEST_H_
 
+#include <memory>
 #include <string>
 #include <string_view>
 #include <utility>
 #include <vector>
 
+#include "jacinthdeck/core/byte_budget.h"
+
 namespace jacinthdeck {
 
 /*! \brief Header field; the name keeps the spelling of the sender. */
@@ -32,6 +35,8 @@
   std::string request_id;
   //! Client account that the target is told; empty for none.
   std::string tenant;
+  //! Part of the memory for requests that it holds; null for a small one.
+  std::shared_ptr<const HeldBytes> held;
 
   /*! \brief Returns the path without its query. */
   [[nodiscard]] std::string_view path() const {
--- a/src/jacinthdeck/http/edge_connection.cc
+++ b/src/jacinthdeck/http/edge_connection.cc
@@ -36,6 +36,9 @@
 //! discarded for as long.
 constexpr Duration kBodyTimeout = std::chrono::seconds(15);
 
+//! Seconds after which a caller may return whose request found no memory.
+constexpr std::string_view kRetryAfterSeconds = "1";
+
 constexpr std::string_view kContinueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
 
 [[nodiscard]] int ParseErrorStatus(const SystemError& error) {
@@ -59,6 +62,7 @@
     : m_server(server),
       m_socket(std::move(socket)),
       m_id(id),
+      m_held(server.m_memory.requests()),
       m_phase_started_at(server.m_clock.Now()) {}
 
 const std::string& EdgeConnection::peer_address() {
@@ -95,6 +99,12 @@
     return;
   }
   std::size_t bytes = 0;
+  const bool keeps_input =
+      m_phase == Phase::kIdle || m_phase == Phase::kReading;
+  if (!error && keeps_input && !HoldInput()) {
+    RejectIncomplete();
+    return;
+  }
   if (!error) {
     bytes = m_socket.read_some(m_read_buffer.prepare(kRequestReadBytes), error);
   }
@@ -162,6 +172,7 @@
   m_phase = Phase::kReading;
   m_phase_started_at = m_server.m_clock.Now();
   m_header_complete = false;
+  m_header_bytes = 0;
   m_parser.emplace();
   m_parser->header_limit(m_server.m_limits.header_bytes);
   m_parser->body_limit(m_server.m_limits.body_bytes);
@@ -197,11 +208,32 @@
     (void)m_socket.write_some(asio::buffer(kContinueResponse), ignored);
   }
   CopyHeaders();
+  m_header_bytes = m_request.bytes();
+  if (!HoldInput()) {
+    RejectIncomplete();
+    return false;
+  }
   return true;
 }
 
+bool EdgeConnection::HoldInput() {
+  const std::size_t bytes = m_read_buffer.size() + kRequestReadBytes +
+                            m_header_bytes +
+                            (m_parser ? m_parser->get().body().size() : 0);
+  return bytes <= kFreeBytes || m_server.HoldInput(*this, m_held, bytes);
+}
+
+void EdgeConnection::DropInput() {
+  m_parser.reset();
+  m_request = EdgeRequest();
+  m_header_bytes = 0;
+  m_read_buffer.consume(m_read_buffer.size());
+  m_read_buffer.shrink_to_fit();
+  m_held.Clear();
+}
+
 void EdgeConnection::CopyHeaders() {
-  const auto& message = m_parser->get();
+  auto& message = m_parser->get();
   m_request = EdgeRequest();
   m_request.method = ToStringView(message.method_string());
   m_request.target = ToStringView(message.target());
@@ -221,12 +253,21 @@
            std::string(ToStringView(field.value()))});
     }
   }
+  message.clear();
 }
 
 void EdgeConnection::OnRequestComplete() {
   EdgeRequest request = std::move(m_request);
   request.body = std::move(m_parser->get().body());
   m_parser.reset();
+  const std::size_t bytes = m_header_bytes + request.body.size();
+  m_header_bytes = 0;
+  if (bytes > kFreeBytes && m_held.TryResize(bytes)) {
+    request.held = std::make_shared<const HeldBytes>(
+        std::exchange(m_held, HeldBytes(m_server.m_memory.requests())));
+  } else {
+    m_held.Clear();
+  }
   m_phase = Phase::kAwaitingResponse;
   m_phase_started_at = m_server.m_clock.Now();
   ++m_server.m_counters.requests;
@@ -237,11 +278,16 @@
 
 void EdgeConnection::Reject(int status) {
   ++m_server.m_counters.rejected;
+  DropInput();
   m_keep_alive = false;
   m_is_head_request = false;
   m_phase = Phase::kAwaitingResponse;
   EdgeResponse response;
   response.status = status;
+  if (status == http_status::kUnavailable) {
+    response.headers.push_back(
+        {"Retry-After", std::string(kRetryAfterSeconds)});
+  }
   Respond(std::move(response));
 }
 
@@ -330,7 +376,7 @@
 void EdgeConnection::Linger() {
   m_phase = Phase::kLingering;
   m_last_discarded_at = m_phase_started_at;
-  m_read_buffer.consume(m_read_buffer.size());
+  DropInput();
   SystemError ignored;
   m_socket.shutdown(tcp::socket::shutdown_send, ignored);
   Read();
--- a/src/jacinthdeck/http/edge_connection.h
+++ b/src/jacinthdeck/http/edge_connection.h
@@ -4,16 +4,17 @@
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <chrono>
 #include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
 
+#include "jacinthdeck/core/byte_budget.h"
 #include "jacinthdeck/core/time.h"
 #include "jacinthdeck/http/asio.h"
 #include "jacinthdeck/http/edge_message.h"
+#include "jacinthdeck/http/request_body.h"
 
 namespace jacinthdeck {
 
@@ -31,12 +32,28 @@
   //! Time within which the peer must accept a whole response. The kernel keeps
   //! the rest of a response for as long if the peer stops reading.
   static constexpr Duration kWriteTimeout = std::chrono::seconds(10);
+  //! Bytes that each connection may hold of its requests without a part of the
+  //! memory for requests. The number of connections bounds their sum.
+  static constexpr std::size_t kFreeBytes = 8192;
 
   /*! \brief Wraps an accepted socket; the server must outlive the connection.
    * \param id Number of the connection, unique within the server. */
   EdgeConnection(EdgeServer& server, tcp::socket socket, std::uint64_t id);
 
   [[nodiscard]] std::uint64_t id() const noexcept { return m_id; }
+  /*! \brief Whether a request has arrived in part. */
+  [[nodiscard]] bool is_reading() const noexcept {
+    return m_phase == Phase::kReading;
+  }
+  /*! \brief Part of the memory for requests that a request which is arriving
+   * holds. */
+  [[nodiscard]] std::uint64_t held_bytes() const noexcept {
+    return m_held.size();
+  }
+  /*! \brief Start of the current phase, such as the arrival of a request. */
+  [[nodiscard]] TimePoint phase_started_at() const noexcept {
+    return m_phase_started_at;
+  }
 
   /*! \brief Returns the IP address of the peer; empty if the peer had left
    * before it was first read. */
@@ -65,8 +82,7 @@
   void CloseIfIdle();
 
  private:
-  using Parser =
-      boost::beast::http::request_parser<boost::beast::http::string_body>;
+  using Parser = boost::beast::http::request_parser<internal::RequestBody>;
 
   enum class Phase {
     //! No byte of the next request has been parsed.
@@ -89,6 +105,10 @@
   void BeginRequest();
   //! Reads the header into m_request; returns false if it is rejected.
   [[nodiscard]] bool OnHeaderComplete();
+  //! Takes memory for what may be read next; returns false if there is none.
+  [[nodiscard]] bool HoldInput();
+  //! Drops the bytes of a request that is not handed out.
+  void DropInput();
   //! Adds the headers that are passed on to m_request.
   void CopyHeaders();
   void OnRequestComplete();
@@ -112,6 +132,10 @@
   std::optional<Parser> m_parser;
   //! The request that is being read; its body is in the parser until the end.
   EdgeRequest m_request;
+  //! Memory of m_request without its body.
+  std::size_t m_header_bytes = 0;
+  //! Empty while the connection holds at most kFreeBytes of its request.
+  HeldBytes m_held;
   Phase m_phase = Phase::kIdle;
   //! Start of the current phase, to which its timeout applies.
   TimePoint m_phase_started_at;
--- a/src/jacinthdeck/http/edge_message.cc
+++ b/src/jacinthdeck/http/edge_message.cc
@@ -1,4 +1,4 @@
-// Finds request headers by name.
+// Finds request headers by name, and estimates the memory of requests.
 #include "jacinthdeck/http/edge_message.h"
 
 #include <algorithm>
@@ -7,6 +7,28 @@
 
 namespace jacinthdeck {
 
+namespace {
+
+//! Memory of a header field beside its text.
+constexpr std::size_t kFieldBytes = 128;
+//! Length of the shortest header field.
+constexpr std::size_t kMinFieldLength = 4;
+
+}  // namespace
+
+std::uint64_t LargestRequestBytes(const EdgeLimits& limits) {
+  return limits.body_bytes + std::uint64_t{limits.header_bytes} *
+                                 (1 + kFieldBytes / kMinFieldLength);
+}
+
+std::size_t EdgeRequest::bytes() const {
+  std::size_t bytes = target.size() + body.size();
+  for (const Header& header : headers) {
+    bytes += header.name.size() + header.value.size() + kFieldBytes;
+  }
+  return bytes;
+}
+
 std::string_view EdgeRequest::Find(std::string_view name) const {
   const auto found = std::ranges::find_if(headers, [&](const Header& header) {
     return HeaderNamesEqual(header.name, name);
--- a/src/jacinthdeck/http/edge_message.h
+++ b/src/jacinthdeck/http/edge_message.h
@@ -2,10 +2,13 @@
 #ifndef JACINTHDECK_HTTP_EDGE_MESSAGE_H_
 #define JACINTHDECK_HTTP_EDGE_MESSAGE_H_
 
+#include <cstddef>
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <vector>
 
+#include "jacinthdeck/core/byte_budget.h"
 #include "jacinthdeck/core/time.h"
 #include "jacinthdeck/forward/opaque_request.h"
 
@@ -21,6 +24,10 @@
   Duration idle_timeout = std::chrono::seconds(60);
 };
 
+/*! \brief Returns an upper bound of the memory that one request within the
+ * limits takes. */
+[[nodiscard]] std::uint64_t LargestRequestBytes(const EdgeLimits& limits);
+
 /*! \brief Complete HTTP request. */
 struct EdgeRequest {
   std::string method;
@@ -31,6 +38,12 @@
   std::vector<Header> headers;
   std::string body;
   bool has_body = false;
+  //! Its part of the memory for requests; null for a small one. Whoever keeps
+  //! the request keeps this, too.
+  std::shared_ptr<const HeldBytes> held;
+
+  /*! \brief Returns the memory that the request takes, in bytes. */
+  [[nodiscard]] std::size_t bytes() const;
 
   /*! \brief Returns the first value of a header, whose name is compared without
    * case; empty if the header is absent. */
--- a/src/jacinthdeck/http/edge_server.cc
+++ b/src/jacinthdeck/http/edge_server.cc
@@ -20,9 +20,11 @@
 
 EdgeServer::EdgeServer(asio::io_context& loop,
                        const Clock& clock,
-                       EdgeHandler& handler)
+                       EdgeHandler& handler,
+                       CallerMemory memory)
     : m_clock(clock),
       m_handler(handler),
+      m_memory(std::move(memory)),
       m_acceptor(loop),
       m_accept_pause(loop) {}
 
@@ -120,4 +122,26 @@
   m_connections.erase(connection.id());
 }
 
+bool EdgeServer::HoldInput(const EdgeConnection& connection,
+                           HeldBytes& held,
+                           std::size_t bytes) {
+  while (!held.TryResize(bytes)) {
+    std::shared_ptr<EdgeConnection> oldest;
+    for (const auto& [id, other] : m_connections) {
+      if (id != connection.id() && other->is_reading() &&
+          other->held_bytes() >= bytes / 2 &&
+          (oldest == nullptr ||
+           other->phase_started_at() < oldest->phase_started_at())) {
+        oldest = other;
+      }
+    }
+    ++m_counters.without_memory;
+    if (oldest == nullptr) {
+      return false;
+    }
+    oldest->RejectIncomplete();
+  }
+  return true;
+}
+
 }  // namespace jacinthdeck
--- a/src/jacinthdeck/http/edge_server.h
+++ b/src/jacinthdeck/http/edge_server.h
@@ -11,6 +11,7 @@
 #include "jacinthdeck/core/clock.h"
 #include "jacinthdeck/core/result.h"
 #include "jacinthdeck/http/asio.h"
+#include "jacinthdeck/http/caller_memory.h"
 #include "jacinthdeck/http/edge_connection.h"
 #include "jacinthdeck/http/edge_handler.h"
 #include "jacinthdeck/http/loop_timer.h"
@@ -26,6 +27,9 @@
   std::uint64_t rejected = 0;
   //! Connections closed on accept because the connection limit was reached.
   std::uint64_t over_limit = 0;
+  //! Requests rejected before they had arrived as a whole, because the memory
+  //! for requests was in use.
+  std::uint64_t without_memory = 0;
 };
 
 /**
@@ -38,8 +42,12 @@
   /**
    * \brief Creates a server that does not listen yet; the event loop, clock and
    * handler must outlive it.
+   * \param memory Memory for its callers, which servers may share.
    */
-  EdgeServer(asio::io_context& loop, const Clock& clock, EdgeHandler& handler);
+  EdgeServer(asio::io_context& loop,
+             const Clock& clock,
+             EdgeHandler& handler,
+             CallerMemory memory = CallerMemory());
   EdgeServer(const EdgeServer&) = delete;
   EdgeServer& operator=(const EdgeServer&) = delete;
 
@@ -97,9 +105,16 @@
   [[nodiscard]] std::vector<std::shared_ptr<EdgeConnection>> Connections()
       const;
   void RemoveConnection(const EdgeConnection& connection);
+  //! Resizes the part of the memory for requests that a connection holds. Makes
+  //! room by rejecting the oldest requests that have not arrived as a whole and
+  //! hold at least half as much; returns false if that is not enough.
+  [[nodiscard]] bool HoldInput(const EdgeConnection& connection,
+                               HeldBytes& held,
+                               std::size_t bytes);
 
   const Clock& m_clock;
   EdgeHandler& m_handler;
+  const CallerMemory m_memory;
   tcp::acceptor m_acceptor;
   LoopTimer m_accept_pause;
   EdgeLimits m_limits;
--- a/src/jacinthdeck/http/fwd.h
+++ b/src/jacinthdeck/http/fwd.h
@@ -5,6 +5,7 @@
 
 namespace jacinthdeck {
 
+class CallerMemory;
 class CarriedIds;
 class ClientSession;
 class EdgeConnection;
--- a/test/clients/host_fixture.cc
+++ b/test/clients/host_fixture.cc
@@ -211,6 +211,8 @@
 void HostFixture::CheckBounds() {
   WaitUntilIdle();
   BOOST_TEST_REQUIRE(m_host->IsRunning());
+  BOOST_TEST_MESSAGE("peak " << PeakBytes() << " bytes, " << OpenDescriptors()
+                             << " descriptors");
   BOOST_TEST(PeakBytes() <= kMachineBytes);
   BOOST_TEST(OpenDescriptors() <= m_options.descriptors);
 }
--- a/test/jacinthdeck/entry/entry_settings_test.cc
+++ b/test/jacinthdeck/entry/entry_settings_test.cc
@@ -48,6 +48,15 @@
   BOOST_TEST((settings->extra_window == std::chrono::seconds(5)));
 }
 
+BOOST_AUTO_TEST_CASE(Memory_IsAFraction_IsRead) {
+  std::string text(kValidSettings);
+  text.insert(text.find("[listen]"), "memory_mb = 260.5\n");
+  const auto read = ReadEntrySettings(text);
+  const auto* settings = std::get_if<EntrySettings>(&read);
+  BOOST_REQUIRE(settings != nullptr);
+  BOOST_TEST(settings->memory_bytes == std::uint64_t{260} << 20U);
+}
+
 BOOST_AUTO_TEST_CASE(Settings_AreEmpty_EachRequiredKeyIsReported) {
   BOOST_TEST(ErrorsOf("").size() == 4U);
 }
--- a/test/jacinthdeck/http/edge_server_test.cc
+++ b/test/jacinthdeck/http/edge_server_test.cc
@@ -21,7 +21,9 @@
 using std::chrono::seconds;
 
 struct EdgeServerFixture : EventLoopFixture, EdgeHandler {
-  EdgeServer server{loop, clock, *this};
+  //! Memory of a host whose callers get 100,000 bytes for their requests.
+  CallerMemory memory{400000};
+  EdgeServer server{loop, clock, *this, memory};
   std::vector<EdgeRequest> requests;
   std::shared_ptr<EdgeConnection> last_connection;
   bool respond_immediately = true;
@@ -213,6 +215,72 @@
   BOOST_TEST(requests.empty());
 }
 
+// Guards against bodies that are each within their limit, and together fill the
+// memory of the host.
+BOOST_AUTO_TEST_CASE(Bodies_BeyondTheMemory_OldestIsRejected) {
+  server.SetLimits({512, 100000, seconds(3), seconds(15)});
+  const std::string head =
+      "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 60000\r\n\r\n";
+  tcp::socket first = Connect();
+  SendText(first, head + std::string(59999, 'x'));
+  RunUntil([&] { return memory.requests()->used() >= 59999; });
+  clock.Advance(milliseconds(10));
+  tcp::socket second = Connect();
+  SendText(second, head + std::string(60000, 'x'));
+  (void)ReadUntil(second, "done");
+  const std::string reply = ReadUntil(first, "\r\n\r\n");
+  BOOST_TEST(reply.starts_with("HTTP/1.1 503"));
+  BOOST_TEST(reply.find("Retry-After: ") != std::string::npos);
+  BOOST_TEST(server.counters().without_memory == 1U);
+  BOOST_REQUIRE_EQUAL(requests.size(), 1U);
+  BOOST_TEST(requests[0].body.size() == 60000U);
+}
+
+// Guards against large requests that take the memory from small ones.
+BOOST_AUTO_TEST_CASE(SmallRequest_MemoryInUse_IsAccepted) {
+  server.SetLimits({512, 100000, seconds(3), seconds(15)});
+  respond_immediately = false;
+  tcp::socket large = Connect();
+  SendText(large,
+           "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 95000\r\n\r\n" +
+               std::string(95000, 'x'));
+  RunUntil([&] { return requests.size() == 1; });
+  tcp::socket small = Connect();
+  SendText(small, kRequest);
+  RunUntil([&] { return requests.size() == 2; });
+  BOOST_TEST(memory.requests()->used() >= 95000U);
+  requests.clear();
+  BOOST_TEST(memory.requests()->used() == 0U);
+}
+
+// Guards against a limit of the configuration that the memory is too small for.
+BOOST_AUTO_TEST_CASE(LargestRequest_LittleMemory_IsAccepted) {
+  const EdgeLimits limits{512, 300000, seconds(3), seconds(15)};
+  server.SetLimits(limits);
+  memory.Fit(limits);
+  tcp::socket caller = Connect();
+  SendText(caller,
+           "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 300000\r\n\r\n" +
+               std::string(300000, 'x'));
+  (void)ReadUntil(caller, "done");
+  BOOST_TEST(requests.size() == 1U);
+}
+
+// Guards against a crowd of header fields: each takes far more memory than its
+// text.
+BOOST_AUTO_TEST_CASE(HeaderFields_BeyondTheMemory_AreRejected) {
+  server.SetLimits({16384, 64, seconds(3), seconds(15)});
+  std::string fields;
+  for (int field = 0; field < 1000; ++field) {
+    fields += "a:\r\n";
+  }
+  tcp::socket caller = Connect();
+  SendText(caller, "GET / HTTP/1.1\r\nHost: h\r\n" + fields + "\r\n");
+  const std::string reply = ReadUntil(caller, "\r\n\r\n");
+  BOOST_TEST(reply.starts_with("HTTP/1.1 503"));
+  BOOST_TEST(memory.requests()->used() == 0U);
+}
+
 // A caller disconnects while its request is in progress. The server must notice
 // without writing to it, so that the work for the request can be cancelled.
 BOOST_AUTO_TEST_CASE(Caller_DisconnectsBeforeResponse_HandlerIsNotified) {
