Buffer less of the requests that are sent ahead

Seen: 2,500 clients that each send 64 KiB behind a request without an answer take 227 MB.

Cause: a connection read on until 64 KiB were buffered, to notice its caller leave. Since that is noticed without reading, too.

Change: it stops reading at 4 KiB, so that a connection holds at most the 8 KiB that it may hold without a part of the memory for requests.

Evidence: peak of PipelinedRequests_OfACrowd_AreBounded 227 MB before, 38 MB after.

--- a/src/jacinthdeck/http/edge_connection.cc
+++ b/src/jacinthdeck/http/edge_connection.cc
@@ -25,9 +25,10 @@
 
 //! Maximum number of bytes per read of a request.
 constexpr std::size_t kRequestReadBytes = 4096;
-//! Bytes of pipelined requests that are buffered while a request awaits its
-//! response; beyond this the connection stops reading until it is answered.
-constexpr std::size_t kMaxPipelinedBytes = 65536;
+//! Bytes of pipelined requests from which a connection stops reading while a
+//! request awaits its response. One read may go beyond it.
+constexpr std::size_t kMaxPipelinedBytes =
+    EdgeConnection::kFreeBytes - kRequestReadBytes;
 //! Time within which the peer must close after the last response or the last
 //! bytes that it has sent since.
 constexpr Duration kLingerTimeout = std::chrono::seconds(1);
