Bound the memory of responses, and release it when they are written

Seen: 64 clients that ask for 8 MiB each and read nothing take 561 MB; so do 64 clients that read all of it and then stay idle.

Cause: a connection copied its response into a buffer that nothing bounded over the process, and kept that buffer when the response was written.

Change: the head and the body are written as they are, without a copy. What the kernel does not take at once needs a part of the memory for responses, a quarter of host.memory_mb that all servers share and at least one response of the largest size. Without room, the connections whose responses have waited longest for their callers are closed. The body is freed once it is written, and a buffer of a large request once its connection is idle.

--- a/src/jacinthdeck/entry/node_metrics.cc
+++ b/src/jacinthdeck/entry/node_metrics.cc
@@ -123,6 +123,8 @@
               static_cast<double>(edge.over_limit));
   WriteMetric(out, "caller_without_memory_total",
               static_cast<double>(edge.without_memory));
+  WriteMetric(out, "caller_responses_dropped_total",
+              static_cast<double>(edge.responses_dropped));
   const StoreCounters& store = source.store.counters();
   WriteMetric(out, "store_reads_total", static_cast<double>(store.reads));
   WriteMetric(out, "store_watches_total", static_cast<double>(store.watches));
--- a/src/jacinthdeck/http/caller_memory.h
+++ b/src/jacinthdeck/http/caller_memory.h
@@ -8,6 +8,7 @@
 
 #include "jacinthdeck/core/byte_budget.h"
 #include "jacinthdeck/http/edge_message.h"
+#include "jacinthdeck/http/response_limits.h"
 
 namespace jacinthdeck {
 
@@ -20,14 +21,21 @@
   /*! \brief Gives callers their parts of the memory of a host.
    * \param host_bytes Memory of the host. */
   explicit CallerMemory(std::uint64_t host_bytes = kDefaultHostBytes)
-      : m_request_bytes(host_bytes / kRequestDivisor),
-        m_requests(std::make_shared<ByteBudget>(m_request_bytes)) {}
+      : m_request_bytes(host_bytes / kDivisor),
+        m_requests(std::make_shared<ByteBudget>(m_request_bytes)),
+        m_responses(std::make_shared<ByteBudget>(
+            std::max(m_request_bytes, kLargestResponseBytes))) {}
 
   /*! \brief Memory for requests, from their first byte until nothing holds them
    * any more. Requests of up to EdgeConnection::kFreeBytes are not counted. */
   [[nodiscard]] const std::shared_ptr<ByteBudget>& requests() const noexcept {
     return m_requests;
   }
+  /*! \brief Memory for responses that their callers have not taken yet. Those
+   * of up to EdgeConnection::kFreeBytes are not counted. */
+  [[nodiscard]] const std::shared_ptr<ByteBudget>& responses() const noexcept {
+    return m_responses;
+  }
 
   /*! \brief Makes room for at least one request within the limits. */
   void Fit(const EdgeLimits& limits) const {
@@ -36,11 +44,15 @@
   }
 
  private:
-  static constexpr std::uint64_t kRequestDivisor = 4;
+  //! Each budget is this part of the host's memory.
+  static constexpr std::uint64_t kDivisor = 4;
+  static constexpr std::uint64_t kLargestResponseBytes =
+      internal::kMaxResponseBodyBytes + internal::kMaxResponseHeaderBytes;
 
   std::uint64_t m_request_bytes;
-  //! Never null.
+  // Never null.
   std::shared_ptr<ByteBudget> m_requests;
+  std::shared_ptr<ByteBudget> m_responses;
 };
 
 }  // namespace jacinthdeck
--- a/src/jacinthdeck/http/edge_connection.cc
+++ b/src/jacinthdeck/http/edge_connection.cc
@@ -4,6 +4,7 @@
 #include <poll.h>
 
 #include <algorithm>
+#include <array>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
@@ -64,7 +65,8 @@
       m_socket(std::move(socket)),
       m_id(id),
       m_held(server.m_memory.requests()),
-      m_phase_started_at(server.m_clock.Now()) {}
+      m_phase_started_at(server.m_clock.Now()),
+      m_held_response(server.m_memory.responses()) {}
 
 const std::string& EdgeConnection::peer_address() {
   if (m_peer_address.empty()) {
@@ -226,7 +228,7 @@
 
 void EdgeConnection::DropInput() {
   m_parser.reset();
-  m_request = EdgeRequest();
+  (void)std::exchange(m_request, EdgeRequest());
   m_header_bytes = 0;
   m_read_buffer.consume(m_read_buffer.size());
   m_read_buffer.shrink_to_fit();
@@ -304,26 +306,25 @@
     response.reason = ToStringView(
         http::obsolete_reason(static_cast<http::status>(response.status)));
   }
-  m_write_buffer.clear();
-  m_write_buffer.reserve(response.body.size() + 512);
-  m_write_buffer += "HTTP/1.1 ";
-  m_write_buffer += std::to_string(response.status);
-  m_write_buffer += ' ';
-  m_write_buffer += response.reason;
-  m_write_buffer += "\r\n";
+  m_response_head.clear();
+  m_response_head += "HTTP/1.1 ";
+  m_response_head += std::to_string(response.status);
+  m_response_head += ' ';
+  m_response_head += response.reason;
+  m_response_head += "\r\n";
   for (const Header& header : response.headers) {
-    AppendHeader(m_write_buffer, header.name, header.value);
+    AppendHeader(m_response_head, header.name, header.value);
   }
   if (StatusAllowsBody(response.status) && !m_is_head_request) {
-    AppendHeader(m_write_buffer, "Content-Length",
+    AppendHeader(m_response_head, "Content-Length",
                  std::to_string(response.body.size()));
   }
   if (close) {
-    AppendHeader(m_write_buffer, "Connection", "close");
+    AppendHeader(m_response_head, "Connection", "close");
   }
-  m_write_buffer += "\r\n";
+  m_response_head += "\r\n";
   if (StatusAllowsBody(response.status) && !m_is_head_request) {
-    m_write_buffer += response.body;
+    m_response_body = std::move(response.body);
   }
   Write(close);
 }
@@ -331,9 +332,11 @@
 void EdgeConnection::Write(bool close) {
   m_close_after_write = close;
   SystemError error;
-  const std::size_t written =
-      m_socket.write_some(asio::buffer(m_write_buffer), error);
-  if (!error && written == m_write_buffer.size()) {
+  const std::array<asio::const_buffer, 2> whole{asio::buffer(m_response_head),
+                                                asio::buffer(m_response_body)};
+  const std::size_t written = m_socket.write_some(whole, error);
+  const std::size_t size = m_response_head.size() + m_response_body.size();
+  if (!error && written == size) {
     OnWritten(error);
     return;
   }
@@ -342,15 +345,24 @@
     Close();
     return;
   }
+  if (size > kFreeBytes &&
+      !m_server.HoldResponse(*this, m_held_response, size)) {
+    Close();
+    return;
+  }
   const std::size_t done = error ? 0 : written;
+  const std::size_t head_done = std::min(done, m_response_head.size());
+  const std::array<asio::const_buffer, 2> rest{whole[0] + head_done,
+                                               whole[1] + (done - head_done)};
   asio::async_write(
-      m_socket, asio::buffer(m_write_buffer) + done,
+      m_socket, rest,
       [self = shared_from_this()](const SystemError& ended, std::size_t) {
         self->OnWritten(ended);
       });
 }
 
 void EdgeConnection::OnWritten(const SystemError& error) {
+  DropResponse();
   if (m_phase != Phase::kWriting) {
     return;
   }
@@ -365,6 +377,9 @@
   }
   m_phase = Phase::kIdle;
   if (m_read_buffer.size() == 0) {
+    if (m_read_buffer.capacity() > kRequestReadBytes) {
+      m_read_buffer.shrink_to_fit();
+    }
     Read();
     return;
   }
@@ -374,6 +389,15 @@
              [self = shared_from_this()] { self->Parse(); });
 }
 
+void EdgeConnection::DropResponse() {
+  // Assigning an empty string would keep the memory.
+  std::string().swap(m_response_body);
+  if (m_response_head.capacity() > kRequestReadBytes) {
+    std::string().swap(m_response_head);
+  }
+  m_held_response.Clear();
+}
+
 void EdgeConnection::Linger() {
   m_phase = Phase::kLingering;
   m_last_discarded_at = m_phase_started_at;
@@ -388,6 +412,8 @@
     return;
   }
   m_phase = Phase::kClosed;
+  m_held.Clear();
+  m_held_response.Clear();
   SystemError ignored;
   m_socket.close(ignored);
   m_server.RemoveConnection(*this);
--- a/src/jacinthdeck/http/edge_connection.h
+++ b/src/jacinthdeck/http/edge_connection.h
@@ -32,8 +32,9 @@
   //! Time within which the peer must accept a whole response. The kernel keeps
   //! the rest of a response for as long if the peer stops reading.
   static constexpr Duration kWriteTimeout = std::chrono::seconds(10);
-  //! Bytes that each connection may hold of its requests without a part of the
-  //! memory for requests. The number of connections bounds their sum.
+  //! Bytes that each connection may hold of its requests, and of a response,
+  //! without a part of the memory for them. The number of connections bounds
+  //! their sum.
   static constexpr std::size_t kFreeBytes = 8192;
 
   /*! \brief Wraps an accepted socket; the server must outlive the connection.
@@ -50,6 +51,11 @@
   [[nodiscard]] std::uint64_t held_bytes() const noexcept {
     return m_held.size();
   }
+  /*! \brief Part of the memory for responses that one which is being written
+   * holds. */
+  [[nodiscard]] std::uint64_t held_response_bytes() const noexcept {
+    return m_held_response.size();
+  }
   /*! \brief Start of the current phase, such as the arrival of a request. */
   [[nodiscard]] TimePoint phase_started_at() const noexcept {
     return m_phase_started_at;
@@ -115,6 +121,8 @@
   void Reject(int status);
   void Write(bool close);
   void OnWritten(const SystemError& error);
+  //! Drops the response and its memory.
+  void DropResponse();
   void Linger();
   //! Returns whether bytes have arrived that are not parsed. Those in the
   //! kernel count: closing the socket would answer them with a reset.
@@ -149,7 +157,12 @@
   //! The current request is a HEAD request: its response has no body.
   bool m_is_head_request = false;
   bool m_close_after_write = false;
-  std::string m_write_buffer;
+  // Response that is being written.
+  std::string m_response_head;
+  std::string m_response_body;
+  //! Empty unless the response is larger than kFreeBytes and its caller has not
+  //! taken it at once.
+  HeldBytes m_held_response;
   //! Read at the first request, since it costs a system call; empty before.
   std::string m_peer_address;
 };
--- a/src/jacinthdeck/http/edge_server.cc
+++ b/src/jacinthdeck/http/edge_server.cc
@@ -122,19 +122,28 @@
   m_connections.erase(connection.id());
 }
 
+std::shared_ptr<EdgeConnection> EdgeServer::FindOldest(
+    const EdgeConnection& except,
+    const std::function<bool(const EdgeConnection&)>& matches) const {
+  std::shared_ptr<EdgeConnection> oldest;
+  for (const auto& [id, connection] : m_connections) {
+    if (id != except.id() && matches(*connection) &&
+        (oldest == nullptr ||
+         connection->phase_started_at() < oldest->phase_started_at())) {
+      oldest = connection;
+    }
+  }
+  return oldest;
+}
+
 bool EdgeServer::HoldInput(const EdgeConnection& connection,
                            HeldBytes& held,
                            std::size_t bytes) {
   while (!held.TryResize(bytes)) {
-    std::shared_ptr<EdgeConnection> oldest;
-    for (const auto& [id, other] : m_connections) {
-      if (id != connection.id() && other->is_reading() &&
-          other->held_bytes() >= bytes / 2 &&
-          (oldest == nullptr ||
-           other->phase_started_at() < oldest->phase_started_at())) {
-        oldest = other;
-      }
-    }
+    const auto oldest =
+        FindOldest(connection, [&](const EdgeConnection& other) {
+          return other.is_reading() && other.held_bytes() >= bytes / 2;
+        });
     ++m_counters.without_memory;
     if (oldest == nullptr) {
       return false;
@@ -144,4 +153,20 @@
   return true;
 }
 
+bool EdgeServer::HoldResponse(const EdgeConnection& connection,
+                              HeldBytes& held,
+                              std::size_t bytes) {
+  while (!held.TryResize(bytes)) {
+    const auto oldest = FindOldest(connection, [](const EdgeConnection& other) {
+      return other.held_response_bytes() > 0;
+    });
+    ++m_counters.responses_dropped;
+    if (oldest == nullptr) {
+      return false;
+    }
+    oldest->Close();
+  }
+  return true;
+}
+
 }  // namespace jacinthdeck
--- a/src/jacinthdeck/http/edge_server.h
+++ b/src/jacinthdeck/http/edge_server.h
@@ -3,6 +3,7 @@
 #define JACINTHDECK_HTTP_EDGE_SERVER_H_
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 #include <unordered_map>
@@ -30,6 +31,9 @@
   //! Requests rejected before they had arrived as a whole, because the memory
   //! for requests was in use.
   std::uint64_t without_memory = 0;
+  //! Connections closed whose callers did not take their responses, because the
+  //! memory for responses was in use.
+  std::uint64_t responses_dropped = 0;
 };
 
 /**
@@ -105,12 +109,23 @@
   [[nodiscard]] std::vector<std::shared_ptr<EdgeConnection>> Connections()
       const;
   void RemoveConnection(const EdgeConnection& connection);
+  //! Returns the connection in its phase for the longest time that matches a
+  //! predicate; null if there is none.
+  [[nodiscard]] std::shared_ptr<EdgeConnection> FindOldest(
+      const EdgeConnection& except,
+      const std::function<bool(const EdgeConnection&)>& matches) const;
   //! Resizes the part of the memory for requests that a connection holds. Makes
   //! room by rejecting the oldest requests that have not arrived as a whole and
   //! hold at least half as much; returns false if that is not enough.
   [[nodiscard]] bool HoldInput(const EdgeConnection& connection,
                                HeldBytes& held,
                                std::size_t bytes);
+  //! Takes a part of the memory for responses. Makes room by closing the
+  //! connections whose responses have waited longest for their callers; returns
+  //! false if that is not enough.
+  [[nodiscard]] bool HoldResponse(const EdgeConnection& connection,
+                                  HeldBytes& held,
+                                  std::size_t bytes);
 
   const Clock& m_clock;
   EdgeHandler& m_handler;
--- a/src/jacinthdeck/http/target_connection.cc
+++ b/src/jacinthdeck/http/target_connection.cc
@@ -12,6 +12,7 @@
 #include "jacinthdeck/http/check_opening.h"
 #include "jacinthdeck/http/header_text.h"
 #include "jacinthdeck/http/hop_headers.h"
+#include "jacinthdeck/http/response_limits.h"
 #include "jacinthdeck/http/socket_options.h"
 #include "jacinthdeck/http/status.h"
 #include "jacinthdeck/http/target_pool.h"
@@ -28,14 +29,15 @@
 using std::chrono::seconds;
 
 constexpr std::size_t kResponseReadBytes = 8192;
-//! Limits on a target's response. A faulty target may send bytes without end,
-//! and each form of them must meet one of these limits.
-constexpr std::uint32_t kMaxHeaderBytes = 65536;
-constexpr std::uint64_t kMaxResponseBodyBytes = 16ULL << 20U;
+// A faulty target may send bytes without end, and each form of them must meet a
+// limit: one of a response, or one of these.
+using internal::kMaxResponseBodyBytes;
+using internal::kMaxResponseHeaderBytes;
 //! Limit on all bytes received for an attempt, such as those between chunks.
 constexpr std::size_t kMaxAttemptBytes = std::size_t{24} << 20U;
 //! Limit on the bytes of a line that has not ended yet.
-constexpr std::size_t kMaxUnparsedBytes = kMaxHeaderBytes + kResponseReadBytes;
+constexpr std::size_t kMaxUnparsedBytes =
+    kMaxResponseHeaderBytes + kResponseReadBytes;
 //! Limit on the responses that are discarded during an attempt.
 constexpr std::uint32_t kMaxDiscardedResponses = 8;
 //! Time for a connection to open: about a dozen round trips to the farthest
@@ -207,7 +209,7 @@
 
 void TargetConnection::ResetParser() {
   m_parser.emplace();
-  m_parser->header_limit(kMaxHeaderBytes);
+  m_parser->header_limit(kMaxResponseHeaderBytes);
   m_parser->body_limit(kMaxResponseBodyBytes);
   m_parser->skip(m_attempt->request->method == "HEAD");
 }
--- a/test/jacinthdeck/http/edge_server_test.cc
+++ b/test/jacinthdeck/http/edge_server_test.cc
@@ -253,6 +253,33 @@
   BOOST_TEST(memory.requests()->used() == 0U);
 }
 
+// Guards against responses that fill the memory of the host, because their
+// callers do not read them.
+BOOST_AUTO_TEST_CASE(Responses_BeyondTheMemory_OldestIsClosed) {
+  // More than the kernel's buffers on both sides take.
+  const std::string body(std::size_t{16} << 20U, 'x');
+  respond_immediately = false;
+  tcp::socket first = Connect();
+  SendText(first, kRequest);
+  RunUntil([&] { return requests.size() == 1; });
+  RespondWithBody(body);
+  BOOST_TEST(memory.responses()->used() > body.size());
+  clock.Advance(milliseconds(10));
+  tcp::socket second = Connect();
+  SendText(second, kRequest);
+  RunUntil([&] { return requests.size() == 2; });
+  RespondWithBody(body);
+  BOOST_TEST(server.connections() == 1U);
+  BOOST_TEST(server.counters().responses_dropped == 1U);
+  std::size_t received = 0;
+  bool ended = false;
+  RunUntil([&] {
+    received += ReadSome(second, ended).size();
+    return ended || received > body.size();
+  });
+  RunUntil([&] { return memory.responses()->used() == 0; });
+}
+
 // Guards against a limit of the configuration that the memory is too small for.
 BOOST_AUTO_TEST_CASE(LargestRequest_LittleMemory_IsAccepted) {
   const EdgeLimits limits{512, 300000, seconds(3), seconds(15)};
