Write a request to all its shards without copying it

Seen: 4 clients that send 1 MiB each to a route with 100 shards take 433 MB.

Cause: each attempt copied head and body of its request into the write buffer of its connection, and the connection kept the buffer.

Change: an attempt is written from the request itself, which all attempts share; only the lines that differ, about 200 bytes, belong to the connection. The head that is shared is written once, at the first attempt, and counts to the memory of the request. A write that outlives its attempt keeps the request.

--- a/src/jacinthdeck/forward/opaque_request.h
+++ b/src/jacinthdeck/forward/opaque_request.h
@@ -37,6 +37,9 @@
   std::string tenant;
   //! Part of the memory for requests that it holds; null for a small one.
   std::shared_ptr<const HeldBytes> held;
+  //! Text of the head that all attempts share; empty until the transport writes
+  //! it for the first one.
+  mutable std::string shared_head;
 
   /*! \brief Returns the path without its query. */
   [[nodiscard]] std::string_view path() const {
--- a/src/jacinthdeck/http/edge_message.cc
+++ b/src/jacinthdeck/http/edge_message.cc
@@ -9,7 +9,8 @@
 
 namespace {
 
-//! Memory of a header field beside its text.
+//! Memory of a header field beside its text and the copy of that which its
+//! attempts share.
 constexpr std::size_t kFieldBytes = 128;
 //! Length of the shortest header field.
 constexpr std::size_t kMinFieldLength = 4;
@@ -18,13 +19,13 @@
 
 std::uint64_t LargestRequestBytes(const EdgeLimits& limits) {
   return limits.body_bytes + std::uint64_t{limits.header_bytes} *
-                                 (1 + kFieldBytes / kMinFieldLength);
+                                 (2 + kFieldBytes / kMinFieldLength);
 }
 
 std::size_t EdgeRequest::bytes() const {
   std::size_t bytes = target.size() + body.size();
   for (const Header& header : headers) {
-    bytes += header.name.size() + header.value.size() + kFieldBytes;
+    bytes += 2 * (header.name.size() + header.value.size()) + kFieldBytes;
   }
   return bytes;
 }
--- a/src/jacinthdeck/http/target_connection.cc
+++ b/src/jacinthdeck/http/target_connection.cc
@@ -2,6 +2,7 @@
 #include "jacinthdeck/http/target_connection.h"
 
 #include <algorithm>
+#include <array>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/string.hpp>
@@ -141,45 +142,23 @@
 }
 
 void TargetConnection::WriteRequest(const OutgoingAttempt& attempt) {
-  const TargetProtocol& protocol = m_pool.m_protocol;
   const OpaqueRequest& request = *attempt.request;
   const TimePoint now = m_pool.m_clock.Now();
-  const auto time_left = std::chrono::duration_cast<milliseconds>(
-      std::max(attempt.deadline - now, Duration(milliseconds(1))));
+  const Duration time_left =
+      std::max(attempt.deadline - now, Duration(milliseconds(1)));
   m_phase_started_at = now;
   m_carried_ids.Add(request.request_id, attempt.deadline, now);
   m_discarded_responses = 0;
   ResetParser();
-  m_write_buffer.clear();
-  m_write_buffer.reserve(request.body.size() + request.target.size() + 512);
-  m_write_buffer += request.method;
-  m_write_buffer += ' ';
-  m_write_buffer += request.target;
-  m_write_buffer += " HTTP/1.1\r\n";
-  AppendHeader(m_write_buffer, "Host", request.host);
-  for (const Header& header : request.headers) {
-    AppendHeader(m_write_buffer, header.name, header.value);
-  }
-  if (!request.request_id.empty()) {
-    AppendHeader(m_write_buffer, protocol.request_id, request.request_id);
-  }
-  if (!request.tenant.empty()) {
-    AppendHeader(m_write_buffer, protocol.tenant, request.tenant);
-  }
-  AppendHeader(m_write_buffer, protocol.time_left_ms,
-               std::to_string(time_left.count()));
-  AppendHeader(m_write_buffer, protocol.expected_target, m_target.id.raw());
-  if (request.has_body) {
-    AppendHeader(m_write_buffer, "Content-Length",
-                 std::to_string(request.body.size()));
-  }
-  m_write_buffer += "\r\n";
-  m_write_buffer += request.body;
-  m_pool.CountBytes(m_target, m_write_buffer.size());
+  WriteHead(request, time_left);
+  const std::array<asio::const_buffer, 3> whole{
+      asio::buffer(request.shared_head), asio::buffer(m_attempt_head),
+      asio::buffer(request.body)};
+  const std::size_t size = asio::buffer_size(whole);
+  m_pool.CountBytes(m_target, size);
   SystemError error;
-  const std::size_t written =
-      m_socket.write_some(asio::buffer(m_write_buffer), error);
-  if (!error && written == m_write_buffer.size()) {
+  const std::size_t written = m_socket.write_some(whole, error);
+  if (!error && written == size) {
     return;
   }
   const bool blocked =
@@ -193,11 +172,46 @@
     return;
   }
   m_writing = true;
+  std::array<asio::const_buffer, 3> rest = whole;
+  std::size_t done = blocked ? 0 : written;
+  for (asio::const_buffer& part : rest) {
+    const std::size_t skipped = std::min(done, part.size());
+    part += skipped;
+    done -= skipped;
+  }
+  // The attempt may end before the write does.
   asio::async_write(
-      m_socket, asio::buffer(m_write_buffer) + (blocked ? 0 : written),
-      [self = shared_from_this()](const SystemError& ended, std::size_t) {
-        self->OnWritten(ended);
-      });
+      m_socket, rest,
+      [self = shared_from_this(), kept = attempt.request](
+          const SystemError& ended, std::size_t) { self->OnWritten(ended); });
+}
+
+void TargetConnection::WriteHead(const OpaqueRequest& request,
+                                 Duration time_left) {
+  const TargetProtocol& protocol = m_pool.m_protocol;
+  if (request.shared_head.empty()) {
+    std::string& head = request.shared_head;
+    head = request.method + ' ' + request.target + " HTTP/1.1\r\n";
+    AppendHeader(head, "Host", request.host);
+    for (const Header& header : request.headers) {
+      AppendHeader(head, header.name, header.value);
+    }
+    if (!request.request_id.empty()) {
+      AppendHeader(head, protocol.request_id, request.request_id);
+    }
+    if (!request.tenant.empty()) {
+      AppendHeader(head, protocol.tenant, request.tenant);
+    }
+    if (request.has_body) {
+      AppendHeader(head, "Content-Length", std::to_string(request.body.size()));
+    }
+  }
+  m_attempt_head.clear();
+  const auto left = std::chrono::duration_cast<milliseconds>(time_left);
+  AppendHeader(m_attempt_head, protocol.time_left_ms,
+               std::to_string(left.count()));
+  AppendHeader(m_attempt_head, protocol.expected_target, m_target.id.raw());
+  m_attempt_head += "\r\n";
 }
 
 void TargetConnection::OnWritten(const SystemError& error) {
--- a/src/jacinthdeck/http/target_connection.h
+++ b/src/jacinthdeck/http/target_connection.h
@@ -80,6 +80,8 @@
   void OnChecked(const SystemError& error);
   void OnOpened(const SystemError& error);
   void WriteRequest(const OutgoingAttempt& attempt);
+  //! Writes both parts of the head of a request.
+  void WriteHead(const OpaqueRequest& request, Duration time_left);
   void OnWritten(const SystemError& error);
   //! Prepares the parser for the next response.
   void ResetParser();
@@ -128,7 +130,9 @@
   std::optional<OutgoingAttempt> m_attempt;
   //! Whether a connection that was opened for a check is kept.
   bool m_keep_after_check = false;
-  std::string m_write_buffer;
+  //! Rest of the head of a request: what differs between its attempts. The
+  //! other part and the body are written from the request itself.
+  std::string m_attempt_head;
   bool m_writing = false;
   //! Whether a write failed because the connection was reset or lost. If only
   //! the target's side had ended, it fails with a broken pipe instead.
