Keep only the records of a part that its answer can hold

Seen: 24 clients that ask 10 shards each, with parts of 1 MiB and one shard that does not answer, take 236 MB.

Cause: a part was kept whole, with its headers, until all shards had answered.

Change: on arrival, a part is cut to the greatest records that the answer may hold, if it has over 512 bytes more than those; headers are dropped, and the body of a failure, too. The merged answer is the same.

Part_LongerThanTheAnswer_GreatestRecordsAreMerged compares the answer.

--- a/src/jacinthdeck/forward/forwarder_replies.cc
+++ b/src/jacinthdeck/forward/forwarder_replies.cc
@@ -2,6 +2,7 @@
 #include <algorithm>
 
 #include "jacinthdeck/forward/forwarder.h"
+#include "jacinthdeck/forward/top_records.h"
 
 namespace jacinthdeck {
 
@@ -11,6 +12,20 @@
 //! its shards has not answered.
 constexpr std::size_t kLastShardsDivisor = 10;
 
+//! Drops what the merged answer does not need of the response for a part.
+void KeepRecords(TargetResponse& response, std::size_t count) {
+  response.reason.clear();
+  response.headers.clear();
+  const std::size_t kept_bytes = count * kRecordBytes;
+  if (!response.succeeded()) {
+    std::string().swap(response.body);
+  } else if (response.body.size() > kept_bytes + kSpareRecordBytes) {
+    const std::string_view body = response.body;
+    std::string records = TopRecords({&body, 1}, count);
+    response.body.swap(records);
+  }
+}
+
 }  // namespace
 
 void Forwarder::OnAttemptEnd(AttemptEnd& end, TimePoint now) {
@@ -167,6 +182,9 @@
                                CallPart& part,
                                AttemptEnd& end,
                                TimePoint now) {
+  if (pending.route->fans_out()) {
+    KeepRecords(end.response, pending.route->top_records);
+  }
   if (end.response.succeeded() && end.response.is_intact()) {
     part.response = std::move(end.response);
     part.phase = internal::PartPhase::kAnswered;
--- a/src/jacinthdeck/forward/top_records.h
+++ b/src/jacinthdeck/forward/top_records.h
@@ -11,6 +11,9 @@
 
 //! Length of a record in bytes; a shorter remainder of a part is ignored.
 inline constexpr std::size_t kRecordBytes = 16;
+//! Records of a part beyond those of the answer, in bytes, that are kept until
+//! the merge: sorting a short part twice would cost more than its memory.
+inline constexpr std::size_t kSpareRecordBytes = 512;
 
 /**
  * \brief Finds the greatest records of all parts.
