Bound the memory of open calls

Seen: 3,000 clients that ask 400 shards each take 282 to 386 MB, and the host is busy for 20 s.

Cause: a call keeps about 1 KiB a shard. Callers were bounded by their connections, and the shards of a call by nothing.

Change: a call takes the bytes of its parts from a budget, an eighth of host.memory_mb, before it is created, and returns them when it ends. Without room it is refused as not run, with a time to come back. The parts of the memory for requests and responses become an eighth as well, so that all of them fit beside each other.

Call_MemoryInUse_IsRefusedAsNotRun plays it without sockets.

--- a/src/jacinthdeck/entry/entry_node.cc
+++ b/src/jacinthdeck/entry/entry_node.cc
@@ -57,6 +57,7 @@
   options.domain = settings.domain;
   options.budget = {settings.extra_ratio, settings.extra_constant,
                     settings.extra_window};
+  options.call_memory = settings.memory_bytes / CallerMemory::kDivisor;
   return options;
 }
 
--- a/src/jacinthdeck/entry/node_metrics.cc
+++ b/src/jacinthdeck/entry/node_metrics.cc
@@ -68,6 +68,8 @@
               static_cast<double>(calls.started_after_wait));
   WriteLabeledMetrics(out, "calls_shed_total", "reason", kShedReasonNames,
                       calls.shed);
+  WriteMetric(out, "calls_without_memory_total",
+              static_cast<double>(calls.refused_for_memory));
   WriteLabeledMetrics(out, "attempts_total", "reason", kAttemptReasonNames,
                       calls.attempts);
   WriteLabeledMetrics(out, "attempts_other_domains_total", "reason",
--- a/src/jacinthdeck/forward/forward_counters.h
+++ b/src/jacinthdeck/forward/forward_counters.h
@@ -17,6 +17,8 @@
   //! Calls refused because their targets were loaded, or while they waited,
   //! indexed by ShedReason. Only calls that may wait are counted.
   std::array<std::uint64_t, 4> shed{};
+  //! Calls refused because the memory for calls was in use.
+  std::uint64_t refused_for_memory = 0;
   //! Attempts sent, indexed by AttemptReason.
   std::array<std::uint64_t, 3> attempts{};
   //! Attempts sent to targets in other failure domains, indexed by
--- a/src/jacinthdeck/forward/forward_options.h
+++ b/src/jacinthdeck/forward/forward_options.h
@@ -3,6 +3,7 @@
 #define JACINTHDECK_FORWARD_FORWARD_OPTIONS_H_
 
 #include <cstddef>
+#include <cstdint>
 
 #include "jacinthdeck/core/ids.h"
 #include "jacinthdeck/core/time.h"
@@ -30,6 +31,9 @@
   WaitRule wait_rule = WaitRule::kWithAccounts;
   //! Maximum number of calls that wait to start. Each holds its request.
   std::size_t max_waiting_calls = 256;
+  //! Memory for the state of all open calls, in bytes; one call is always
+  //! accepted.
+  std::uint64_t call_memory = std::uint64_t{20} << 20U;
 };
 
 }  // namespace jacinthdeck
--- a/src/jacinthdeck/forward/forwarder.h
+++ b/src/jacinthdeck/forward/forwarder.h
@@ -167,6 +167,11 @@
   //! Finds the route and the parts of a call; refuses the call and returns
   //! false if there is no configuration or no route.
   [[nodiscard]] bool PrepareCall(PendingCall& pending);
+  //! Returns the memory of the parts of a call, in bytes.
+  [[nodiscard]] static std::uint64_t PartBytes(const Route& route);
+  //! Takes memory for the parts of a call; refuses it and returns false if
+  //! there is none.
+  [[nodiscard]] bool HoldMemory(PendingCall& pending);
   void SetDeadlines(PendingCall& pending) const;
   //! Moves the deadlines of a call to the last answer of the host if they are
   //! later.
@@ -374,6 +379,8 @@
   ForwardPort& m_port;
   Random m_random;
   ForwardCounters m_counters;
+  //! Never null.
+  const std::shared_ptr<ByteBudget> m_call_memory;
   //! Null until the first configuration; its version only increases.
   std::shared_ptr<const RoutingConfig> m_config;
   TargetSet m_targets;
--- a/src/jacinthdeck/forward/forwarder_admission.cc
+++ b/src/jacinthdeck/forward/forwarder_admission.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "jacinthdeck/forward/forwarder.h"
+#include "jacinthdeck/forward/top_records.h"
 
 namespace jacinthdeck {
 
@@ -21,6 +22,8 @@
 constexpr Duration kNoTargetRetryAfter = milliseconds(600);
 //! A suspect request has usually been tried on a target within this time.
 constexpr Duration kSuspectRetryAfter = milliseconds(600);
+//! Calls mostly end within this time and give their memory back.
+constexpr Duration kNoMemoryRetryAfter = milliseconds(500);
 //! Bounds of the time after which an overload is expected to be over.
 constexpr Duration kMinRetryAfter = milliseconds(150);
 constexpr Duration kMaxRetryAfter = milliseconds(2000);
@@ -41,6 +44,8 @@
 constexpr double kLocalDelayLimit = 1.5;
 constexpr double kDelayLimitStep = 0.1;
 constexpr double kMinDelayLimit = 0.5;
+//! Memory of the ids and the stamp of a part.
+constexpr std::uint64_t kPartTextBytes = 256;
 //! Objective assumed for a route without one.
 constexpr Duration kDefaultObjective = milliseconds(500);
 //! Share for an estimate that ignores this host's limits at a target.
@@ -113,6 +118,9 @@
            std::nullopt, pending.trace);
     return false;
   }
+  if (!HoldMemory(pending)) {
+    return false;
+  }
   pending.profile = &ProfileOf(*pending.route);
   pending.trace.route_latency = pending.profile->route_latency();
   pending.fingerprint = FingerprintOf(*pending.call.request);
@@ -134,6 +142,30 @@
   return true;
 }
 
+std::uint64_t Forwarder::PartBytes(const Route& route) {
+  const std::uint64_t shards = route.fans_out() ? route.shards.size() : 1;
+  return shards *
+         (sizeof(CallPart) + sizeof(PendingAttempt) + kPartTextBytes +
+          kSpareRecordBytes + std::uint64_t{route.top_records} * kRecordBytes);
+}
+
+bool Forwarder::HoldMemory(PendingCall& pending) {
+  pending.held = HeldBytes(m_call_memory);
+  const std::uint64_t bytes =
+      std::min(PartBytes(*pending.route), m_call_memory->limit());
+  if (pending.held.TryResize(bytes)) {
+    return true;
+  }
+  ++m_counters.refused_for_memory;
+  const double jitter = 1 + kRetryAfterJitter * m_random.Unit();
+  Refuse(
+      pending.call, AnswerKind::kNotRun, ForwardReason::kOverload,
+      Duration(static_cast<Duration::rep>(
+          static_cast<double>(Duration(kNoMemoryRetryAfter).count()) * jitter)),
+      pending.trace);
+  return false;
+}
+
 void Forwarder::SetDeadlines(PendingCall& pending) const {
   TimePoint end = pending.call.deadline;
   if (pending.route->timeout > Duration::zero()) {
--- a/src/jacinthdeck/forward/pending_call.h
+++ b/src/jacinthdeck/forward/pending_call.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <vector>
 
+#include "jacinthdeck/core/byte_budget.h"
 #include "jacinthdeck/core/ids.h"
 #include "jacinthdeck/core/time.h"
 #include "jacinthdeck/forward/call_trace.h"
@@ -52,6 +53,9 @@
 /*! \brief A call that has not been answered. */
 struct PendingCall {
   ForwardCall call;
+  //! Part of the memory for calls: the bytes of its parts and of a failure that
+  //! is kept while the call is tried again.
+  HeldBytes held;
   //! Configuration used for the whole call; never null.
   std::shared_ptr<const RoutingConfig> config;
   //! Points into config; never null.
--- a/src/jacinthdeck/http/caller_memory.h
+++ b/src/jacinthdeck/http/caller_memory.h
@@ -17,6 +17,9 @@
  public:
   //! Memory of a host whose settings do not state it.
   static constexpr std::uint64_t kDefaultHostBytes = std::uint64_t{160} << 20U;
+  //! Each budget is this part of the host's memory, so that all of them, what
+  //! arrives from targets and the process itself fit together.
+  static constexpr std::uint64_t kDivisor = 8;
 
   /*! \brief Gives callers their parts of the memory of a host.
    * \param host_bytes Memory of the host. */
@@ -44,8 +47,6 @@
   }
 
  private:
-  //! Each budget is this part of the host's memory.
-  static constexpr std::uint64_t kDivisor = 4;
   static constexpr std::uint64_t kLargestResponseBytes =
       internal::kMaxResponseBodyBytes + internal::kMaxResponseHeaderBytes;
 
