Answer with a failure that is too long to keep

Seen: 24 clients whose first target fails with 8 MiB, while a second one does not answer, take 226 MB.

Cause: the last failure of a call is kept, as it is the answer if no other target succeeds. Nothing bounded these over the process.

Change: a failure that is kept takes a part of the memory for calls. Without room the request is not tried again, and its caller gets the failure.

Failure_TooLongToKeep_IsAnsweredAtOnce plays it without sockets.

--- a/src/jacinthdeck/forward/forwarder.h
+++ b/src/jacinthdeck/forward/forwarder.h
@@ -287,6 +287,10 @@
                       CallPart& part,
                       AttemptEnd& end,
                       TimePoint now);
+  //! Takes memory for a failure that is kept while its part is tried again;
+  //! returns false if there is none.
+  [[nodiscard]] bool HoldFailure(PendingCall& pending,
+                                 const TargetResponse& failure);
   //! Makes the hedges of the last unanswered shards of a call due immediately.
   static void HedgeLastShards(PendingCall& pending, TimePoint now);
   //! \param resolve_at Time from which a sign of life shows that the target
--- a/src/jacinthdeck/forward/forwarder_replies.cc
+++ b/src/jacinthdeck/forward/forwarder_replies.cc
@@ -196,9 +196,18 @@
   part.reason = ForwardReason::kTargetsFailed;
   if (!end.response.succeeded()) {
     part.response = std::move(end.response);
+    if (!HoldFailure(pending, *part.response)) {
+      GiveUp(pending, part, ForwardReason::kTargetsFailed);
+    }
   }
 }
 
+bool Forwarder::HoldFailure(PendingCall& pending,
+                            const TargetResponse& failure) {
+  return pending.held.TryResize(std::min(
+      PartBytes(*pending.route) + failure.bytes(), m_call_memory->limit()));
+}
+
 // With dozens of shards some target is always paused, and an answer that waits
 // for it and then for its hedge is late or lacks the shard. Once nearly all
 // shards have answered, the others are known to be late, and their hedges cost
--- a/src/jacinthdeck/forward/opaque_request.h
+++ b/src/jacinthdeck/forward/opaque_request.h
@@ -3,7 +3,9 @@
 #ifndef JACINTHDECK_FORWARD_OPAQUE_REQUEST_H_
 #define JACINTHDECK_FORWARD_OPAQUE_REQUEST_H_
 
+#include <cstddef>
 #include <memory>
+#include <numeric>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -13,6 +15,9 @@
 
 namespace jacinthdeck {
 
+//! Memory of a header field beside its text, in bytes.
+inline constexpr std::size_t kFieldBytes = 128;
+
 /*! \brief Header field; the name keeps the spelling of the sender. */
 struct Header {
   std::string name;
@@ -63,6 +68,14 @@
   [[nodiscard]] bool succeeded() const noexcept {
     return status >= 200 && status < 300;
   }
+  /*! \brief Returns the memory that the response takes, in bytes. */
+  [[nodiscard]] std::size_t bytes() const {
+    return std::accumulate(headers.begin(), headers.end(), body.size(),
+                           [](std::size_t sum, const Header& header) {
+                             return sum + header.name.size() +
+                                    header.value.size() + kFieldBytes;
+                           });
+  }
   [[nodiscard]] bool is_server_error() const noexcept { return status >= 500; }
   /*! \brief Returns whether the body is the one that the target sent. */
   [[nodiscard]] bool is_intact() const noexcept {
--- a/src/jacinthdeck/http/edge_message.cc
+++ b/src/jacinthdeck/http/edge_message.cc
@@ -9,9 +9,6 @@
 
 namespace {
 
-//! Memory of a header field beside its text and the copy of that which its
-//! attempts share.
-constexpr std::size_t kFieldBytes = 128;
 //! Length of the shortest header field.
 constexpr std::size_t kMinFieldLength = 4;
 
@@ -25,6 +22,7 @@
 std::size_t EdgeRequest::bytes() const {
   std::size_t bytes = target.size() + body.size();
   for (const Header& header : headers) {
+    // The attempts share a copy of the text.
     bytes += 2 * (header.name.size() + header.value.size()) + kFieldBytes;
   }
   return bytes;
--- a/test/jacinthdeck/forward/call_memory_test.cc
+++ b/test/jacinthdeck/forward/call_memory_test.cc
@@ -42,6 +42,29 @@
   BOOST_TEST(port.sent.size() == 12U);
 }
 
+// Guards against failures with long bodies that are kept while their requests
+// are tried again.
+BOOST_AUTO_TEST_CASE(Failure_TooLongToKeep_IsAnsweredAtOnce) {
+  (void)Submit("/read/1");
+  AttemptEnd end;
+  end.id = port.sent.back().id;
+  end.outcome = AttemptOutcome::kResponse;
+  end.response.status = 500;
+  end.response.stamp = "stamp";
+  end.response.body.assign(4096, 'f');
+  forwarder.OnAttemptEnd(end, clock.Now());
+  BOOST_REQUIRE_EQUAL(port.sent.size(), 2U);
+  BOOST_TEST(port.delivered.empty());
+  (void)Submit("/read/2");
+  end.id = port.sent.back().id;
+  end.response.status = 500;
+  end.response.stamp = "stamp";
+  end.response.body.assign(8192, 'f');
+  forwarder.OnAttemptEnd(end, clock.Now());
+  BOOST_TEST(port.sent.size() == 3U);
+  BOOST_TEST(OnlyAnswer().answer.response.body.size() == 8192U);
+}
+
 // Guards against a part that loses records because it is not kept whole.
 BOOST_AUTO_TEST_CASE(Part_LongerThanTheAnswer_GreatestRecordsAreMerged) {
   (void)Submit("/fan/1");
