Divide the descriptors among the kinds of connections

Seen: clients that connect to all ports make a host with 256 descriptors open 912; 60 clients that ask 8 shards make it open 556. On a machine that holds the limit, connections to targets and to the store then fail.

Cause: callers got the descriptors but 600, or half of them. The other ports had 128 connections each and followers 256, whatever the setting, and connections to targets had a limit for each target only.

Change: ShareDescriptors() divides the setting, so that the sum of all shares and of what the process opens itself stays within it. The pool of targets has a limit; beyond it the connection that was idle longest is closed, or the attempt is not sent.

--- /dev/null
+++ b/src/jacinthdeck/entry/descriptor_shares.h
@@ -0,0 +1,35 @@
+// How the file descriptors of a host are divided.
+#ifndef JACINTHDECK_ENTRY_DESCRIPTOR_SHARES_H_
+#define JACINTHDECK_ENTRY_DESCRIPTOR_SHARES_H_
+
+#include <cstdint>
+
+#include "jacinthdeck/entry/entry_settings.h"
+
+namespace jacinthdeck {
+
+/*! \brief Maximum number of connections of each kind. */
+struct DescriptorShares {
+  std::uint32_t callers = 0;
+  std::uint32_t targets = 0;
+  std::uint32_t directory = 0;
+  std::uint32_t queries = 0;
+  //! Of each of the ports for readiness and metrics.
+  std::uint32_t monitoring = 0;
+  //! Hosts that follow this one.
+  std::uint32_t followers = 0;
+};
+
+/**
+ * \brief Divides the descriptors of a host, so that no kind of connection can
+ * take those of another.
+ *
+ * The sum of all shares and of what the process opens itself is at most the
+ * number of descriptors in the settings. Ports that are not configured have no
+ * share; callers get it.
+ */
+[[nodiscard]] DescriptorShares ShareDescriptors(const EntrySettings& settings);
+
+}  // namespace jacinthdeck
+
+#endif  // JACINTHDECK_ENTRY_DESCRIPTOR_SHARES_H_
--- a/src/jacinthdeck/entry/entry_node.cc
+++ b/src/jacinthdeck/entry/entry_node.cc
@@ -12,6 +12,7 @@
 
 #include "jacinthdeck/entry/account_headers.h"
 #include "jacinthdeck/entry/answer_encoder.h"
+#include "jacinthdeck/entry/descriptor_shares.h"
 #include "jacinthdeck/entry/node_metrics.h"
 
 namespace jacinthdeck {
@@ -35,9 +36,6 @@
 constexpr Duration kTrafficLogInterval = seconds(10);
 //! Time between two ticks above which the process is taken to have been paused.
 constexpr Duration kPauseThreshold = milliseconds(700);
-//! File descriptors reserved for targets, the store and files.
-constexpr std::uint32_t kReservedDescriptors = 600;
-constexpr std::size_t kMaxSecondaryConnections = 128;
 //! How long a higher host count stays in effect. A host that is no longer heard
 //! from may only be partitioned, and still use its share of the limits.
 constexpr Duration kHostWindow = seconds(25);
@@ -171,28 +169,28 @@
 Result<void> EntryNode::Start() {
   // Signals that arrived since the construction are handled once the loop runs.
   AsyncWaitForSignal();
-  const std::uint32_t max_connections =
-      m_settings.descriptors > 2 * kReservedDescriptors
-          ? m_settings.descriptors - kReservedDescriptors
-          : m_settings.descriptors / 2;
+  const DescriptorShares shares = ShareDescriptors(m_settings);
+  m_pool.SetConnectionLimit(shares.targets);
   BOOST_LEAF_CHECK(m_callers_server.Listen(
-      m_settings.callers.address, m_settings.callers.port, max_connections));
+      m_settings.callers.address, m_settings.callers.port, shares.callers));
   struct SecondaryPort {
     EdgeServer& server;
     const Endpoint& address;
+    std::uint32_t connections;
   };
   for (const SecondaryPort& port :
-       {SecondaryPort{m_ready_server, m_settings.ready},
-        SecondaryPort{m_directory_server, m_settings.directory},
-        SecondaryPort{m_metrics_server, m_settings.metrics},
-        SecondaryPort{m_queries_server, m_settings.queries}}) {
+       {SecondaryPort{m_ready_server, m_settings.ready, shares.monitoring},
+        SecondaryPort{m_directory_server, m_settings.directory,
+                      shares.directory},
+        SecondaryPort{m_metrics_server, m_settings.metrics, shares.monitoring},
+        SecondaryPort{m_queries_server, m_settings.queries, shares.queries}}) {
     if (!port.address.address.empty()) {
-      BOOST_LEAF_CHECK(port.server.Listen(
-          port.address.address, port.address.port, kMaxSecondaryConnections));
+      BOOST_LEAF_CHECK(port.server.Listen(port.address.address,
+                                          port.address.port, port.connections));
     }
   }
   if (!m_settings.peers.address.empty()) {
-    BOOST_LEAF_CHECK(m_feed_hub.Listen(m_settings.peers));
+    BOOST_LEAF_CHECK(m_feed_hub.Listen(m_settings.peers, shares.followers));
   }
   if (!m_settings.rate_limits.listen.address.empty()) {
     BOOST_LEAF_CHECK(m_rate_limits.Listen(m_settings.rate_limits.listen));
--- a/src/jacinthdeck/entry/feed_hub.cc
+++ b/src/jacinthdeck/entry/feed_hub.cc
@@ -32,8 +32,9 @@
       m_link(loop, *this),
       m_feeder_selector(self, seeds, fleet_starts, seed, clock.Now(), times) {}
 
-Result<void> FeedHub::Listen(const Endpoint& endpoint) {
-  return m_server.Listen(endpoint.address, endpoint.port);
+Result<void> FeedHub::Listen(const Endpoint& endpoint,
+                             std::size_t max_followers) {
+  return m_server.Listen(endpoint.address, endpoint.port, max_followers);
 }
 
 void FeedHub::OnHosts(const std::vector<HostRecord>& hosts) {
--- a/src/jacinthdeck/entry/feed_hub.h
+++ b/src/jacinthdeck/entry/feed_hub.h
@@ -67,8 +67,11 @@
    * \param value The record as stored; empty to end the delegation. */
   void SetRecord(std::string value);
 
-  /*! \brief Opens the port for followers. */
-  [[nodiscard]] Result<void> Listen(const Endpoint& endpoint);
+  /*! \brief Opens the port for followers, of which further ones beyond a
+   * number are refused. */
+  [[nodiscard]] Result<void> Listen(
+      const Endpoint& endpoint,
+      std::size_t max_followers = FeedServer::kMaxFollowers);
 
   /*! \brief Returns the bytes received from feeders since the start. */
   [[nodiscard]] const LinkBytes& received() const noexcept {
--- a/src/jacinthdeck/http/target_pool.cc
+++ b/src/jacinthdeck/http/target_pool.cc
@@ -34,7 +34,8 @@
     idle->Send(attempt);
     return;
   }
-  if (CountConnections(attempt.target.id) >= attempt.connection_limit) {
+  if (CountConnections(attempt.target.id) >= attempt.connection_limit ||
+      !MakeRoom()) {
     ++m_counters.limit_refusals;
     ReportNotSent(attempt.id);
     return;
@@ -61,7 +62,7 @@
 void TargetPool::CheckTarget(const TargetEntry& target,
                              std::uint32_t connection_limit,
                              bool keep) {
-  if (CountConnections(target.id) >= connection_limit) {
+  if (CountConnections(target.id) >= connection_limit || !MakeRoom()) {
     asio::post(m_loop, [this, id = target.id] {
       m_sink.OnTargetChecked(id, TargetCheck::kUnknown);
     });
@@ -70,6 +71,27 @@
   AddConnection(target)->OpenForCheck(keep);
 }
 
+bool TargetPool::MakeRoom() {
+  if (m_connection_count < m_connection_limit) {
+    return true;
+  }
+  std::shared_ptr<TargetConnection> longest_idle;
+  for (const auto& [id, connections] : m_connections) {
+    for (const auto& connection : connections) {
+      if (connection->idle() &&
+          (longest_idle == nullptr ||
+           connection->idle_since() < longest_idle->idle_since())) {
+        longest_idle = connection;
+      }
+    }
+  }
+  if (longest_idle == nullptr) {
+    return false;
+  }
+  longest_idle->Close();
+  return true;
+}
+
 void TargetPool::Cancel(AttemptId attempt) {
   const auto found = m_attempts.find(attempt);
   if (found == m_attempts.end()) {
--- a/src/jacinthdeck/http/target_pool.h
+++ b/src/jacinthdeck/http/target_pool.h
@@ -30,7 +30,7 @@
   //! responses to them.
   std::uint64_t oversized_responses = 0;
   //! Attempts not sent because all connections to their target were busy and
-  //! the connection limit was reached.
+  //! its connection limit was reached, or that of all targets was.
   std::uint64_t limit_refusals = 0;
   //! Bytes of requests and responses, without the overhead of the network.
   LinkBytes bytes;
@@ -71,10 +71,17 @@
     return m_connection_count;
   }
 
+  static constexpr std::size_t kDefaultConnectionLimit = 1024;
   //! Limit of unfinished_bytes(): beyond it, the attempt that received most of
   //! them is broken off.
   static constexpr std::uint64_t kMaxUnfinishedBytes = 32ULL << 20U;
 
+  /*! \brief Sets the maximum number of connections to all targets. Beyond it
+   * the connection that was idle longest is closed for a new one. */
+  void SetConnectionLimit(std::size_t limit) noexcept {
+    m_connection_limit = limit;
+  }
+
   /*! \brief Sends an attempt; its end is reported to the sink later, never from
    * within this call. */
   void Send(const OutgoingAttempt& attempt);
@@ -112,6 +119,9 @@
   //! Adds a connection to a target that is not open yet.
   [[nodiscard]] std::shared_ptr<TargetConnection> AddConnection(
       const TargetEntry& target);
+  //! Returns whether a connection may be opened, and closes an idle one if it
+  //! has to.
+  [[nodiscard]] bool MakeRoom();
   void ReportNotSent(AttemptId attempt);
   void CountBytes(const TargetEntry& target, std::size_t bytes) {
     m_counters.bytes.Add(bytes, target.domain == m_domain);
@@ -130,6 +140,7 @@
   PoolCounters m_counters;
   std::unordered_map<TargetId, Connections> m_connections;
   std::size_t m_connection_count = 0;
+  std::size_t m_connection_limit = kDefaultConnectionLimit;
   //! Sum over all connections; within kMaxUnfinishedBytes between two events.
   std::uint64_t m_unfinished_bytes = 0;
   //! Attempts in progress and the connections they use.
--- a/src/jacinthdeck/peer/feed_server.cc
+++ b/src/jacinthdeck/peer/feed_server.cc
@@ -16,9 +16,6 @@
 
 namespace {
 
-//! Maximum number of followers; further ones are disconnected at once and find
-//! another feeder.
-constexpr std::size_t kMaxFollowers = 256;
 //! A follower is disconnected if a message is queued for it while more bytes
 //! than this wait behind the message that is being written. A single message
 //! may have any size: each new link would end for the same reason.
@@ -101,7 +98,9 @@
 }
 
 Result<void> FeedServer::Listen(const std::string& address,
-                                std::uint16_t port) {
+                                std::uint16_t port,
+                                std::size_t max_followers) {
+  m_max_followers = max_followers;
   BOOST_LEAF_CHECK(StartListening(m_acceptor, address, port));
   Accept();
   return {};
@@ -146,7 +145,7 @@
     if (error == asio::error::operation_aborted || !m_acceptor.is_open()) {
       return;
     }
-    if (!error && m_followers.size() < kMaxFollowers) {
+    if (!error && m_followers.size() < m_max_followers) {
       SetStreamOptions(socket);
       auto follower = std::make_shared<Follower>(std::move(socket));
       m_followers.push_back(follower);
--- a/src/jacinthdeck/peer/feed_server.h
+++ b/src/jacinthdeck/peer/feed_server.h
@@ -26,6 +26,8 @@
  */
 class FeedServer {
  public:
+  static constexpr std::size_t kMaxFollowers = 256;
+
   /*! \brief Creates a server that does not listen yet; source and observer must
    * outlive it. */
   FeedServer(asio::io_context& loop,
@@ -44,9 +46,12 @@
   /*! \brief Returns the port that it listens on. */
   [[nodiscard]] std::uint16_t port() const;
 
-  /*! \brief Opens the port and starts to accept followers. */
+  /*! \brief Opens the port and starts to accept followers.
+   * \param max_followers Further ones are disconnected at once, and find
+   * another feeder. */
   [[nodiscard]] Result<void> Listen(const std::string& address,
-                                    std::uint16_t port);
+                                    std::uint16_t port,
+                                    std::size_t max_followers = kMaxFollowers);
 
   /*! \brief Closes all links and the port. Called when this host stops, so that
    * its followers find another feeder before its lease ends. */
@@ -94,6 +99,7 @@
   const FeedSource& m_source;
   FollowerObserver& m_observer;
   tcp::acceptor m_acceptor;
+  std::size_t m_max_followers = kMaxFollowers;
   std::vector<std::shared_ptr<Follower>> m_followers;
   //! Content that some followers are being sent.
   std::vector<std::weak_ptr<FeedContent>> m_contents;
