Close a connection without a request for a further one at the limit

Seen: as many idle connections as a port accepts, or requests that never end, keep everybody else out: an ordinary caller is closed on accept, at the port for callers and at the directory, for up to the idle timeout.

Cause: beyond its limit a port closed the connection that came, whatever the others did.

Change: at the limit, the connection that has been idle longest is closed for the further one; without an idle one, that whose request arrives for the longest time, and then one that has sent so far ahead of its response that the host no longer reads and cannot see it leave. A connection that awaits its response otherwise is never closed for another: if all do, the further one is closed as before.

Connections_BeyondTheLimit_AreClosed expected a third connection to be closed beside two idle ones. That is the fault: the test now has the two await their responses, where the third is still closed, and three tests beside it say which connection goes in the other cases.

--- a/src/jacinthdeck/entry/node_metrics.cc
+++ b/src/jacinthdeck/entry/node_metrics.cc
@@ -123,6 +123,8 @@
   WriteMetric(out, "caller_rejects_total", static_cast<double>(edge.rejected));
   WriteMetric(out, "caller_over_limit_total",
               static_cast<double>(edge.over_limit));
+  WriteMetric(out, "caller_displaced_total",
+              static_cast<double>(edge.displaced));
   WriteMetric(out, "caller_without_memory_total",
               static_cast<double>(edge.without_memory));
   WriteMetric(out, "caller_responses_dropped_total",
--- a/src/jacinthdeck/http/edge_connection.cc
+++ b/src/jacinthdeck/http/edge_connection.cc
@@ -116,7 +116,7 @@
     return;
   }
   if (error) {
-    OnPeerClosed();
+    Abandon();
     return;
   }
   m_read_buffer.commit(bytes);
@@ -429,7 +429,7 @@
   return poll(&state, 1, 0) > 0;
 }
 
-void EdgeConnection::OnPeerClosed() {
+void EdgeConnection::Abandon() {
   if (m_phase == Phase::kAwaitingResponse) {
     m_server.m_handler.OnDisconnect(*this);
   }
@@ -478,7 +478,7 @@
       // An outstanding read notices the peer leave, but there is none once
       // kMaxPipelinedBytes have arrived.
       if (!m_read_pending && HasPeerClosed()) {
-        OnPeerClosed();
+        Abandon();
       }
       break;
     case Phase::kClosed:
--- a/src/jacinthdeck/http/edge_connection.h
+++ b/src/jacinthdeck/http/edge_connection.h
@@ -43,8 +43,17 @@
 
   [[nodiscard]] std::uint64_t id() const noexcept { return m_id; }
   /*! \brief Whether a request has arrived in part. */
-  [[nodiscard]] bool is_reading() const noexcept {
-    return m_phase == Phase::kReading;
+  [[nodiscard]] bool is_reading() const { return m_phase == Phase::kReading; }
+  /*! \brief Whether no byte of a request has arrived, read or not, and none
+   * awaits its response. */
+  [[nodiscard]] bool is_idle() const {
+    return (m_phase == Phase::kIdle && !HasInput()) ||
+           m_phase == Phase::kLingering;
+  }
+  /*! \brief Whether the caller has sent so far ahead of its response that the
+   * connection no longer reads. */
+  [[nodiscard]] bool is_sent_ahead() const {
+    return m_phase == Phase::kAwaitingResponse && !m_read_pending;
   }
   /*! \brief Part of the memory for requests that a request which is arriving
    * holds. */
@@ -68,6 +77,10 @@
   /*! \brief Starts reading requests. */
   void Start();
 
+  /*! \brief Closes the connection, and notifies the handler of a request that
+   * awaits its response. */
+  void Abandon();
+
   /*! \brief Writes the response to the current request; has no effect if no
    * request awaits a response. */
   void Respond(EdgeResponse response);
@@ -130,8 +143,6 @@
   //! Returns whether the peer has closed the connection, also if bytes that it
   //! sent before are unread.
   [[nodiscard]] bool HasPeerClosed();
-  //! Closes the connection because its peer has left.
-  void OnPeerClosed();
 
   EdgeServer& m_server;
   tcp::socket m_socket;
--- a/src/jacinthdeck/http/edge_server.cc
+++ b/src/jacinthdeck/http/edge_server.cc
@@ -1,6 +1,7 @@
 // Accepts connections and pauses when the process runs out of descriptors.
 #include "jacinthdeck/http/edge_server.h"
 
+#include <array>
 #include <utility>
 #include <vector>
 
@@ -105,7 +106,7 @@
 }
 
 void EdgeServer::AddConnection(tcp::socket socket) {
-  if (m_connections.size() >= m_max_connections) {
+  if (m_connections.size() >= m_max_connections && !DisplaceConnection()) {
     ++m_counters.over_limit;
     return;
   }
@@ -122,12 +123,28 @@
   m_connections.erase(connection.id());
 }
 
+bool EdgeServer::DisplaceConnection() {
+  // In the order in which their callers lose least.
+  static constexpr std::array<bool (EdgeConnection::*)() const, 3> kOrder{
+      &EdgeConnection::is_idle, &EdgeConnection::is_reading,
+      &EdgeConnection::is_sent_ahead};
+  for (const auto matches : kOrder) {
+    const auto oldest = FindOldest(
+        [&](const EdgeConnection& other) { return (other.*matches)(); });
+    if (oldest != nullptr) {
+      ++m_counters.displaced;
+      oldest->Abandon();
+      return true;
+    }
+  }
+  return false;
+}
+
 std::shared_ptr<EdgeConnection> EdgeServer::FindOldest(
-    const EdgeConnection& except,
     const std::function<bool(const EdgeConnection&)>& matches) const {
   std::shared_ptr<EdgeConnection> oldest;
   for (const auto& [id, connection] : m_connections) {
-    if (id != except.id() && matches(*connection) &&
+    if (matches(*connection) &&
         (oldest == nullptr ||
          connection->phase_started_at() < oldest->phase_started_at())) {
       oldest = connection;
@@ -140,10 +157,10 @@
                            HeldBytes& held,
                            std::size_t bytes) {
   while (!held.TryResize(bytes)) {
-    const auto oldest =
-        FindOldest(connection, [&](const EdgeConnection& other) {
-          return other.is_reading() && other.held_bytes() >= bytes / 2;
-        });
+    const auto oldest = FindOldest([&](const EdgeConnection& other) {
+      return &other != &connection && other.is_reading() &&
+             other.held_bytes() >= bytes / 2;
+    });
     ++m_counters.without_memory;
     if (oldest == nullptr) {
       return false;
@@ -157,8 +174,8 @@
                               HeldBytes& held,
                               std::size_t bytes) {
   while (!held.TryResize(bytes)) {
-    const auto oldest = FindOldest(connection, [](const EdgeConnection& other) {
-      return other.held_response_bytes() > 0;
+    const auto oldest = FindOldest([&](const EdgeConnection& other) {
+      return &other != &connection && other.held_response_bytes() > 0;
     });
     ++m_counters.responses_dropped;
     if (oldest == nullptr) {
--- a/src/jacinthdeck/http/edge_server.h
+++ b/src/jacinthdeck/http/edge_server.h
@@ -28,6 +28,8 @@
   std::uint64_t rejected = 0;
   //! Connections closed on accept because the connection limit was reached.
   std::uint64_t over_limit = 0;
+  //! Connections closed for another one at the connection limit.
+  std::uint64_t displaced = 0;
   //! Requests rejected before they had arrived as a whole, because the memory
   //! for requests was in use.
   std::uint64_t without_memory = 0;
@@ -59,8 +61,8 @@
    * \brief Binds the port and starts accepting connections.
    * \param address IPv4 address in dotted decimal form.
    * \param port Port; 0 lets the kernel choose one.
-   * \param max_connections Open connections beyond this number are closed on
-   * accept.
+   * \param max_connections Beyond this number a connection without a request
+   * is closed for a further one, or else the further one is closed on accept.
    */
   [[nodiscard]] Result<void> Listen(const std::string& address,
                                     std::uint16_t port,
@@ -105,6 +107,10 @@
   void OnAccept(const SystemError& error, tcp::socket socket);
   //! Serves a connection, or closes it if there are too many.
   void AddConnection(tcp::socket socket);
+  //! Closes a connection for a further one: the one that has been idle longest,
+  //! or else that whose request arrives, or is sent ahead of its response, for
+  //! the longest time. Returns false if all others await their responses.
+  [[nodiscard]] bool DisplaceConnection();
   //! Returns a copy, since a connection may remove itself.
   [[nodiscard]] std::vector<std::shared_ptr<EdgeConnection>> Connections()
       const;
@@ -112,7 +118,6 @@
   //! Returns the connection in its phase for the longest time that matches a
   //! predicate; null if there is none.
   [[nodiscard]] std::shared_ptr<EdgeConnection> FindOldest(
-      const EdgeConnection& except,
       const std::function<bool(const EdgeConnection&)>& matches) const;
   //! Resizes the part of the memory for requests that a connection holds. Makes
   //! room by rejecting the oldest requests that have not arrived as a whole and
--- a/test/jacinthdeck/http/edge_server_test.cc
+++ b/test/jacinthdeck/http/edge_server_test.cc
@@ -547,12 +547,69 @@
   BOOST_TEST(ReadUntil(second, "done").ends_with("done"));
 }
 
+// Each caller of the limit awaits its response.
 BOOST_AUTO_TEST_CASE(Connections_BeyondTheLimit_AreClosed) {
+  respond_immediately = false;
   tcp::socket first = Connect();
+  SendText(first, kRequest);
   tcp::socket second = Connect();
+  SendText(second, kRequest);
+  RunUntil([&] { return requests.size() == 2; });
   tcp::socket third = Connect();
   BOOST_TEST(IsClosed(third));
   BOOST_TEST(server.counters().over_limit == 1U);
+  BOOST_TEST(server.counters().displaced == 0U);
+}
+
+// Guards against callers that take every connection and send no request.
+BOOST_AUTO_TEST_CASE(Connection_BeyondTheLimit_LongestIdleIsClosed) {
+  tcp::socket first = Connect();
+  RunUntil([&] { return server.connections() == 1; });
+  clock.Advance(milliseconds(10));
+  tcp::socket second = Connect();
+  RunUntil([&] { return server.connections() == 2; });
+  clock.Advance(milliseconds(10));
+  tcp::socket third = Connect();
+  BOOST_TEST(IsClosed(first));
+  SendText(second, kRequest);
+  SendText(third, kRequest);
+  (void)ReadUntil(second, "done");
+  (void)ReadUntil(third, "done");
+  BOOST_TEST(server.counters().displaced == 1U);
+}
+
+// Guards against a request that is cut while another connection is idle.
+BOOST_AUTO_TEST_CASE(Connection_BeyondTheLimit_IdleOneGoesBeforeRequests) {
+  tcp::socket reading = Connect();
+  SendText(reading, "GET / HT");
+  RunUntil([&] { return server.connections() == 1; });
+  clock.Advance(milliseconds(10));
+  tcp::socket idle = Connect();
+  RunUntil([&] { return server.connections() == 2; });
+  tcp::socket third = Connect();
+  BOOST_TEST(IsClosed(idle));
+  tcp::socket fourth = Connect();
+  SendText(fourth, "GET / HT");
+  SendText(third, kRequest);
+  (void)ReadUntil(third, "done");
+  BOOST_TEST(server.counters().displaced == 2U);
+}
+
+// Guards against callers that keep every connection, because what they sent
+// ahead hides that they have left.
+BOOST_AUTO_TEST_CASE(Connection_BeyondTheLimit_SentAheadIsAbandoned) {
+  respond_immediately = false;
+  tcp::socket first = Connect();
+  SendText(first, kRequest + std::string(65536, 'x'));
+  tcp::socket second = Connect();
+  SendText(second, kRequest);
+  RunUntil([&] { return requests.size() == 2; });
+  loop.restart();
+  loop.run_for(milliseconds(20));
+  tcp::socket third = Connect();
+  BOOST_TEST(IsClosed(first));
+  BOOST_TEST(disconnects == 1);
+  BOOST_TEST(server.connections() == 2U);
 }
 
 BOOST_AUTO_TEST_CASE(HeadRequest_Answered_KeepsLengthAndSendsNoBody) {
