Bound what is read at the port of other hosts

Seen: 64 connections to the port of other hosts that announce a long message take 587 MB. As many silent connections as the port accepts keep hosts from following, and a failed accept is repeated without a pause.

Cause: a feeder read messages of up to 64 MiB, the size of what it sends, and decompressed as much, while a follower sends nothing but its hello. A link that never said hello was kept.

Change: a message to a feeder has at most 64 KiB, also after decompression. At the limit, the link that has been open longest without a hello is closed for a further one. A failed accept is followed by a pause, as at the other ports.

The two tests of the feeder fail without the limits.

--- a/src/jacinthdeck/peer/feed_frames.cc
+++ b/src/jacinthdeck/peer/feed_frames.cc
@@ -34,7 +34,7 @@
     return std::nullopt;
   }
   const std::size_t length = DecodeFrameLength(m_buffer);
-  if (length > kMaxFrameBytes) {
+  if (length > m_max_bytes) {
     m_is_broken = true;
     return std::nullopt;
   }
--- a/src/jacinthdeck/peer/feed_frames.h
+++ b/src/jacinthdeck/peer/feed_frames.h
@@ -20,8 +20,13 @@
   //! whole content, whose parts are bounded.
   static constexpr std::size_t kMaxFrameBytes = std::size_t{64} << 20U;
 
-  /*! \brief Tells whether a length prefix exceeded kMaxFrameBytes; no further
-   * frame can be read then. */
+  /*! \brief Creates a reader of an empty stream.
+   * \param max_bytes Largest frame that is accepted. */
+  explicit FeedFrameReader(std::size_t max_bytes = kMaxFrameBytes) noexcept
+      : m_max_bytes(max_bytes) {}
+
+  /*! \brief Tells whether a length prefix exceeded the largest frame; no
+   * further frame can be read then. */
   [[nodiscard]] bool broken() const noexcept { return m_is_broken; }
 
   /*! \brief Appends received bytes. */
@@ -32,6 +37,7 @@
   [[nodiscard]] std::optional<std::string> Next();
 
  private:
+  std::size_t m_max_bytes;
   std::string m_buffer;
   bool m_is_broken = false;
 };
--- a/src/jacinthdeck/peer/feed_message.cc
+++ b/src/jacinthdeck/peer/feed_message.cc
@@ -169,11 +169,11 @@
                           wire::CreatePacked(builder, plain, bytes).Union()));
 }
 
-[[nodiscard]] Result<std::string> Decompress(const wire::Packed& packed) {
+[[nodiscard]] Result<std::string> Decompress(const wire::Packed& packed,
+                                             std::size_t max_bytes) {
   // The size is allocated as the sender states it. The bound keeps a forged
   // size from exhausting the memory.
-  if (packed.size() > FeedFrameReader::kMaxFrameBytes ||
-      packed.bytes() == nullptr) {
+  if (packed.size() > max_bytes || packed.bytes() == nullptr) {
     return Fail(ErrorCode::kCorrupt, "feed",
                 "has no compressed bytes, or declares too large a size");
   }
@@ -239,13 +239,14 @@
   return frame;
 }
 
-Result<FeedMessage> DecodeFeedMessage(std::string_view frame) {
+Result<FeedMessage> DecodeFeedMessage(std::string_view frame,
+                                      std::size_t max_bytes) {
   BOOST_LEAF_AUTO(message, Verify(frame));
   const auto* packed = message->body_as_Packed();
   if (packed == nullptr) {
     return DecodeBody(*message);
   }
-  BOOST_LEAF_AUTO(plain, Decompress(*packed));
+  BOOST_LEAF_AUTO(plain, Decompress(*packed, max_bytes));
   // Only one level of compression is accepted: DecodeBody() rejects a Packed
   // message inside another one.
   BOOST_LEAF_AUTO(inner, Verify(plain));
--- a/src/jacinthdeck/peer/feed_message.h
+++ b/src/jacinthdeck/peer/feed_message.h
@@ -13,6 +13,7 @@
 #include "jacinthdeck/core/result.h"
 #include "jacinthdeck/core/time.h"
 #include "jacinthdeck/discovery/store_types.h"
+#include "jacinthdeck/peer/feed_frames.h"
 
 namespace jacinthdeck {
 
@@ -78,8 +79,10 @@
     FeedCompression compression = FeedCompression::kNone);
 
 /*! \brief Decodes a frame without its length prefix; returns kCorrupt if it
- * holds no valid message. */
-[[nodiscard]] Result<FeedMessage> DecodeFeedMessage(std::string_view frame);
+ * holds no valid message, or one of more than a number of bytes. */
+[[nodiscard]] Result<FeedMessage> DecodeFeedMessage(
+    std::string_view frame,
+    std::size_t max_bytes = FeedFrameReader::kMaxFrameBytes);
 
 }  // namespace jacinthdeck
 
--- a/src/jacinthdeck/peer/feed_server.cc
+++ b/src/jacinthdeck/peer/feed_server.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <boost/asio/write.hpp>
+#include <chrono>
 #include <iterator>
 #include <numeric>
 #include <utility>
@@ -24,6 +25,10 @@
 //! one if the changes since then are at most this large.
 constexpr std::size_t kMaxCatchUpBytes = FeedContent::kMaxPartBytes;
 constexpr std::size_t kReadBufferBytes = 4096;
+//! Largest message of a follower; it sends nothing but its hello.
+constexpr std::size_t kMaxHelloBytes = 65536;
+//! Pause after a failed accept, which is mostly due to a lack of descriptors.
+constexpr std::chrono::milliseconds kAcceptPause{50};
 
 }  // namespace
 
@@ -62,7 +67,7 @@
   explicit Follower(tcp::socket accepted) : socket(std::move(accepted)) {}
 
   tcp::socket socket;
-  FeedFrameReader frame_reader;
+  FeedFrameReader frame_reader{kMaxHelloBytes};
   std::array<char, kReadBufferBytes> read_buffer{};
   //! Messages not sent yet; the first one is being written.
   std::deque<Outgoing> unsent;
@@ -83,7 +88,10 @@
 FeedServer::FeedServer(asio::io_context& loop,
                        const FeedSource& source,
                        FollowerObserver& observer)
-    : m_source(source), m_observer(observer), m_acceptor(loop) {}
+    : m_source(source),
+      m_observer(observer),
+      m_acceptor(loop),
+      m_accept_pause(loop) {}
 
 std::uint16_t FeedServer::port() const {
   return ListeningPort(m_acceptor);
@@ -109,6 +117,7 @@
 void FeedServer::Drain() {
   SystemError ignored;
   m_acceptor.close(ignored);
+  m_accept_pause.Cancel();
   const std::vector<std::shared_ptr<Follower>> followers(m_followers);
   for (const auto& follower : followers) {
     Drop(follower);
@@ -145,7 +154,11 @@
     if (error == asio::error::operation_aborted || !m_acceptor.is_open()) {
       return;
     }
-    if (!error && m_followers.size() < m_max_followers) {
+    if (error) {
+      m_accept_pause.Start(kAcceptPause, [this] { Accept(); });
+      return;
+    }
+    if (m_followers.size() < m_max_followers || DropLinkWithoutHello()) {
       SetStreamOptions(socket);
       auto follower = std::make_shared<Follower>(std::move(socket));
       m_followers.push_back(follower);
@@ -155,6 +168,18 @@
   });
 }
 
+bool FeedServer::DropLinkWithoutHello() {
+  // In the order in which they connected.
+  const auto found = std::ranges::find_if(
+      m_followers, [](const auto& link) { return !link->subscribed; });
+  if (found == m_followers.end()) {
+    return false;
+  }
+  const std::shared_ptr<Follower> link = *found;
+  Drop(link);
+  return true;
+}
+
 void FeedServer::Read(const std::shared_ptr<Follower>& follower) {
   follower->socket.async_read_some(
       asio::buffer(follower->read_buffer),
@@ -181,7 +206,8 @@
 
 void FeedServer::OnFrame(const std::shared_ptr<Follower>& follower,
                          const std::string& frame) {
-  const auto message = Capture([&] { return DecodeFeedMessage(frame); });
+  const auto message =
+      Capture([&] { return DecodeFeedMessage(frame, kMaxHelloBytes); });
   const auto* decoded = std::get_if<FeedMessage>(&message);
   const auto* hello =
       decoded == nullptr ? nullptr : std::get_if<FeedHello>(decoded);
--- a/src/jacinthdeck/peer/feed_server.h
+++ b/src/jacinthdeck/peer/feed_server.h
@@ -10,6 +10,7 @@
 
 #include "jacinthdeck/core/result.h"
 #include "jacinthdeck/http/asio.h"
+#include "jacinthdeck/http/loop_timer.h"
 #include "jacinthdeck/peer/feed_content.h"
 #include "jacinthdeck/peer/feed_frames.h"
 #include "jacinthdeck/peer/feed_source.h"
@@ -47,8 +48,8 @@
   [[nodiscard]] std::uint16_t port() const;
 
   /*! \brief Opens the port and starts to accept followers.
-   * \param max_followers Further ones are disconnected at once, and find
-   * another feeder. */
+   * \param max_followers Further ones take the place of a link without a hello,
+   * or are disconnected at once and find another feeder. */
   [[nodiscard]] Result<void> Listen(const std::string& address,
                                     std::uint16_t port,
                                     std::size_t max_followers = kMaxFollowers);
@@ -70,6 +71,9 @@
   struct Outgoing;
 
   void Accept();
+  //! Closes the link that has been open longest without a hello; returns false
+  //! if there is none.
+  [[nodiscard]] bool DropLinkWithoutHello();
   void Read(const std::shared_ptr<Follower>& follower);
   void OnFrame(const std::shared_ptr<Follower>& follower,
                const std::string& frame);
@@ -99,6 +103,7 @@
   const FeedSource& m_source;
   FollowerObserver& m_observer;
   tcp::acceptor m_acceptor;
+  LoopTimer m_accept_pause;
   std::size_t m_max_followers = kMaxFollowers;
   std::vector<std::shared_ptr<Follower>> m_followers;
   //! Content that some followers are being sent.
--- a/test/jacinthdeck/peer/feed_server_test.cc
+++ b/test/jacinthdeck/peer/feed_server_test.cc
@@ -270,6 +270,44 @@
 // A feeder that stops no longer renews the lease that its followers' records
 // depend on. The followers must look for another feeder at once: until the
 // feeder's process ends seconds later, their records would expire.
+// Guards against connections without a hello that keep hosts from following.
+BOOST_AUTO_TEST_CASE(Links_WithoutHelloAtTheLimit_LeaveRoomForAFollower) {
+  BOOST_REQUIRE(static_cast<bool>(server.Listen("127.0.0.1", 0, 2)));
+  const tcp::endpoint address(asio::ip::address_v4::loopback(), server.port());
+  std::vector<tcp::socket> silent;
+  for (int link_number = 0; link_number < 3; ++link_number) {
+    silent.emplace_back(loop).connect(address);
+  }
+  link.Open({"127.0.0.1", server.port()}, {HostId("h1"), At(6), "first"});
+  while (heartbeats == 0) {
+    loop.run_one();
+  }
+  BOOST_TEST(followers.size() == 1U);
+  BOOST_TEST(server.followers() == 2U);
+}
+
+// Guards against a message that is kept until its end, or grows when it is
+// decompressed, although a follower sends nothing but a hello.
+BOOST_AUTO_TEST_CASE(Message_LongerThanAHello_EndsItsLink) {
+  BOOST_REQUIRE(static_cast<bool>(server.Listen("127.0.0.1", 0)));
+  const FeedHello hello{HostId("h2"), At(6), std::string(1U << 20U, 'r'), true,
+                        true};
+  const std::string packed = EncodeFeedMessage(hello, FeedCompression::kZstd);
+  BOOST_TEST(packed.size() < 65536U);
+  for (const std::string& message : {EncodeFrameLength(1U << 20U), packed}) {
+    tcp::socket socket(loop);
+    socket.connect({asio::ip::address_v4::loopback(), server.port()});
+    asio::write(socket, asio::buffer(message));
+    while (server.followers() == 0) {
+      loop.run_one();
+    }
+    while (server.followers() == 1) {
+      loop.run_one();
+    }
+    BOOST_TEST(followers.empty());
+  }
+}
+
 BOOST_AUTO_TEST_CASE(Drain_WithFollower_LinkClosesAndNoNewOneIsAccepted) {
   Follow(6);
   const Endpoint address{"127.0.0.1", server.port()};
