Bound the ids that a connection to a target remembers

By reading: a connection keeps the id of each request until no call may send it again, and callers without a route timeout choose that time, up to an hour. On a connection whose target refuses request after request, the ids grow with them.

Change: a connection that remembers 1,024 ids is closed after its response; the next request gets another one. Ids of requests that were answered are forgotten before, so that connections in ordinary use never get there.

Evidence: Ids_RepeatableForLong_FillTheConnection and Ids_Ended_NeverFillTheConnection. No process was seen to grow by this.

--- a/src/jacinthdeck/http/carried_ids.h
+++ b/src/jacinthdeck/http/carried_ids.h
@@ -21,6 +21,9 @@
  public:
   //! Number of ids that are kept after their requests have ended.
   static constexpr std::size_t kMinKept = 8;
+  //! Number of ids from which the connection must not be used again. Callers
+  //! choose until when their ids are kept.
+  static constexpr std::size_t kMaxKept = 1024;
 
   /**
    * \brief Adds the id of a request that is sent.
@@ -51,6 +54,8 @@
                                             &CarriedId::hash) != m_ids.end();
   }
 
+  /*! \brief Whether no further id may be added. */
+  [[nodiscard]] bool full() const noexcept { return m_ids.size() >= kMaxKept; }
   [[nodiscard]] std::size_t size() const noexcept { return m_ids.size(); }
 
  private:
--- a/src/jacinthdeck/http/target_connection.cc
+++ b/src/jacinthdeck/http/target_connection.cc
@@ -353,6 +353,7 @@
   const bool reusable = m_parser->keep_alive() && !m_parser->need_eof() &&
                         m_read_buffer.size() == 0 && !m_writing &&
                         !m_attempt->close_after_response &&
+                        !m_carried_ids.full() &&
                         end.outcome != AttemptOutcome::kWrongTarget;
   auto message = m_parser->release();
   end.response.body = std::move(message.body());
--- a/test/jacinthdeck/http/carried_ids_test.cc
+++ b/test/jacinthdeck/http/carried_ids_test.cc
@@ -41,6 +41,25 @@
   BOOST_TEST(ids.size() <= 2 * CarriedIds::kMinKept);
 }
 
+// Guards against memory that grows with requests whose callers would wait for
+// hours, on a connection that is used all the time.
+BOOST_AUTO_TEST_CASE(Ids_RepeatableForLong_FillTheConnection) {
+  std::size_t added = 0;
+  for (; !ids.full(); ++added) {
+    BOOST_REQUIRE(added <= CarriedIds::kMaxKept);
+    ids.Add(std::to_string(added), now + seconds(3600), now);
+  }
+  BOOST_TEST(ids.Contains("0"));
+}
+
+BOOST_AUTO_TEST_CASE(Ids_Ended_NeverFillTheConnection) {
+  for (int other = 0; other < 100000; ++other) {
+    ids.Add(std::to_string(other), now + seconds(3600), now);
+    ids.EndLast(std::to_string(other));
+    BOOST_REQUIRE(!ids.full());
+  }
+}
+
 BOOST_AUTO_TEST_CASE(Id_IsEmpty_IsNotKept) {
   ids.Add("a", now + seconds(6), now);
   ids.Add("", now + seconds(1), now);
