Do not pass on a status above 599

Seen: a target answers with status 600 or 999, and its caller gets that as the answer. RFC 9110 15 allows 100 to 599; clients treat others as they like.

Cause: only a status below 100 counted as no response.

Change: a status outside 100 to 599 is no response. The attempt is broken: the request may have run, an idempotent one is tried again, and a caller without another answer gets 502 without a stamp.

Evidence: Response_WithStatusAboveThose_IsNotPassedOn failed before (600 and 999 in place of 502) and passes.

--- a/src/jacinthdeck/http/status.h
+++ b/src/jacinthdeck/http/status.h
@@ -26,6 +26,8 @@
 inline constexpr int kBadGateway = 502;
 inline constexpr int kUnavailable = 503;
 inline constexpr int kGatewayTimeout = 504;
+//! Highest status code that RFC 9110 allows.
+inline constexpr int kHighest = 599;
 
 }  // namespace jacinthdeck::http_status
 
--- a/src/jacinthdeck/http/target_connection.cc
+++ b/src/jacinthdeck/http/target_connection.cc
@@ -59,6 +59,7 @@
   // Two ids or stamps show a head that stopped within a value and continues
   // with the head of another response.
   if (head.result_int() < http_status::kContinue ||
+      head.result_int() > http_status::kHighest ||
       head.count(protocol.request_id) > 1 || head.count(protocol.stamp) > 1) {
     return false;
   }
--- a/test/clients/client_crowd_test.cc
+++ b/test/clients/client_crowd_test.cc
@@ -331,6 +331,24 @@
   CheckServes();
 }
 
+// Guards against a status above 599, which is none either.
+BOOST_AUTO_TEST_CASE(Response_WithStatusAboveThose_IsNotPassedOn) {
+  m_script = [](const TargetRequest& request) {
+    const std::string status = request.path.substr(5);
+    return StampedResponse(request,
+                           status == "small" ? "200 OK" : status + " Trouble",
+                           std::string(16, 'r'));
+  };
+  Start({.shards = 3});
+  for (const char* status : {"600", "999"}) {
+    for (const char* route : {"/one/", "/all/"}) {
+      BOOST_TEST(AskOnce(ports().callers, std::string(route) + status).status ==
+                 http_status::kBadGateway);
+    }
+  }
+  CheckServes();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace jacinthdeck::test
--- a/test/jacinthdeck/http/target_pool_test.cc
+++ b/test/jacinthdeck/http/target_pool_test.cc
@@ -59,6 +59,89 @@
 
 // Guards against a connection that is opened twice: the check after a lost one
 // leaves its connection to the next attempt.
+// Guards against connections to many targets that take all descriptors.
+BOOST_AUTO_TEST_CASE(Send_LimitOfAllTargetsIsReached_IdleConnectionGoes) {
+  pool.SetConnectionLimit(1);
+  pool.Send(MakeAttempt());
+  tcp::socket first = Accept();
+  (void)ReadUntil(first, "\r\n\r\n");
+  SendResponse(first, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+  (void)WaitForEnd();
+  OutgoingAttempt other = MakeAttempt("r2");
+  other.target.id = TargetId("t2");
+  pool.Send(other);
+  tcp::socket second = Accept();
+  BOOST_TEST(IsClosed(first));
+  pool.Send(MakeAttempt("r3"));
+  BOOST_TEST((WaitForEnd().outcome == AttemptOutcome::kNotSent));
+  BOOST_TEST(pool.connections() == 1U);
+  BOOST_TEST(pool.counters().limit_refusals == 1U);
+}
+
+// Guards against a request that arrives cut or twice when the kernel takes it
+// in pieces, and whose attempts share its text.
+BOOST_AUTO_TEST_CASE(Send_RequestIsWrittenInPieces_IsComplete) {
+  auto request = std::make_shared<OpaqueRequest>();
+  request->method = "POST";
+  request->target = "/p";
+  request->host = "desk";
+  request->headers = {{"X-Long", std::string(60000, 'h')}};
+  request->has_body = true;
+  request->body.resize(std::size_t{12} << 20U);
+  for (std::size_t i = 0; i < request->body.size(); ++i) {
+    request->body[i] = static_cast<char>('a' + i % 23);
+  }
+  for (const char* id : {"t1", "t2"}) {
+    OutgoingAttempt attempt = MakeAttempt("r1");
+    attempt.target.id = TargetId(id);
+    attempt.request = request;
+    pool.Send(attempt);
+    tcp::socket target = Accept();
+    std::string received;
+    bool ended = false;
+    RunUntil([&] {
+      std::string some;
+      do {
+        some = ReadSome(target, ended);
+        received += some;
+      } while (!some.empty());
+      return ended || received.size() > request->body.size() + 60000;
+    });
+    const std::size_t head_end = received.find("\r\n\r\n");
+    BOOST_TEST(!ended);
+    BOOST_REQUIRE(head_end != std::string::npos);
+    const std::string head = received.substr(0, head_end);
+    BOOST_TEST(head.starts_with("POST /p HTTP/1.1\r\nHost: desk\r\n"));
+    BOOST_TEST(
+        head.find("Content-Length: " + std::to_string(request->body.size())) !=
+        std::string::npos);
+    BOOST_TEST(head.ends_with("\r\nExpect-Id: " + std::string(id)));
+    BOOST_TEST((received.substr(head_end + 4) == request->body));
+  }
+}
+
+// Guards against a status that is none, such as 000, in an answer to a caller.
+BOOST_AUTO_TEST_CASE(Response_StatusOutsideTheProtocol_CountsAsBroken) {
+  const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+  const std::string length = "Content-Length: 0\r\n";
+  for (const std::string& before : {std::string(), interim}) {
+    for (const char* status : {"000", "001", "099", "600", "999"}) {
+      for (const std::string& framing : {length, std::string()}) {
+        pool.Send(MakeAttempt("r" + std::to_string(next_attempt_id)));
+        {
+          tcp::socket target = Accept();
+          (void)ReadUntil(target, "\r\n\r\n");
+          SendResponse(target, before + "HTTP/1.1 " + status +
+                                   " Trouble\r\nStamp: s\r\n" + framing +
+                                   "\r\n");
+        }
+        BOOST_TEST((WaitForEnd().outcome == AttemptOutcome::kBroken),
+                   before << status << framing);
+      }
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(CheckTarget_TargetAccepts_ConnectionIsUsedNext) {
   pool.CheckTarget(MakeAttempt().target, 2, true);
   BOOST_TEST(checks.empty());
