Find the oldest connection without a look at all others

Cause: at the connection limit, each further connection looked at all open ones, with a system call for each idle one. With 2,000 of them, a crowd that connects often would keep a small machine busy.

Change: a server keeps its connections in the order in which their phases started, so that the search ends at the first match, mostly the first idle connection. At most eight idle ones are asked for bytes that have not been read.

Evidence: the tests of the server hold, with those that say which connection goes. No figure was measured.

--- a/src/jacinthdeck/http/edge_connection.cc
+++ b/src/jacinthdeck/http/edge_connection.cc
@@ -58,12 +58,9 @@
 
 }  // namespace
 
-EdgeConnection::EdgeConnection(EdgeServer& server,
-                               tcp::socket socket,
-                               std::uint64_t id)
+EdgeConnection::EdgeConnection(EdgeServer& server, tcp::socket socket)
     : m_server(server),
       m_socket(std::move(socket)),
-      m_id(id),
       m_held(server.m_memory.requests()),
       m_phase_started_at(server.m_clock.Now()),
       m_held_response(server.m_memory.responses()) {}
@@ -79,7 +76,14 @@
   return m_peer_address;
 }
 
-void EdgeConnection::Start() {
+void EdgeConnection::StartPhase(Phase phase) {
+  m_phase = phase;
+  m_phase_started_at = m_server.m_clock.Now();
+  m_server.MoveToBack(m_position);
+}
+
+void EdgeConnection::Start(Position position) {
+  m_position = position;
   Read();
 }
 
@@ -172,8 +176,7 @@
 }
 
 void EdgeConnection::BeginRequest() {
-  m_phase = Phase::kReading;
-  m_phase_started_at = m_server.m_clock.Now();
+  StartPhase(Phase::kReading);
   m_header_complete = false;
   m_header_bytes = 0;
   m_parser.emplace();
@@ -271,8 +274,7 @@
   } else {
     m_held.Clear();
   }
-  m_phase = Phase::kAwaitingResponse;
-  m_phase_started_at = m_server.m_clock.Now();
+  StartPhase(Phase::kAwaitingResponse);
   ++m_server.m_counters.requests;
   Read();
   m_server.m_handler.OnRequest(shared_from_this(), std::move(request),
@@ -298,8 +300,7 @@
   if (m_phase != Phase::kAwaitingResponse) {
     return;
   }
-  m_phase = Phase::kWriting;
-  m_phase_started_at = m_server.m_clock.Now();
+  StartPhase(Phase::kWriting);
   // A request that has arrived behind this one is answered first.
   const bool close = !m_keep_alive || (m_server.draining() && !HasInput());
   if (response.reason.empty()) {
@@ -370,12 +371,11 @@
     Close();
     return;
   }
-  m_phase_started_at = m_server.m_clock.Now();
   if (m_close_after_write) {
     Linger();
     return;
   }
-  m_phase = Phase::kIdle;
+  StartPhase(Phase::kIdle);
   if (m_read_buffer.size() == 0) {
     if (m_read_buffer.capacity() > kRequestReadBytes) {
       m_read_buffer.shrink_to_fit();
@@ -399,7 +399,7 @@
 }
 
 void EdgeConnection::Linger() {
-  m_phase = Phase::kLingering;
+  StartPhase(Phase::kLingering);
   m_last_discarded_at = m_phase_started_at;
   DropInput();
   SystemError ignored;
--- a/src/jacinthdeck/http/edge_connection.h
+++ b/src/jacinthdeck/http/edge_connection.h
@@ -6,6 +6,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <chrono>
 #include <cstdint>
+#include <list>
 #include <memory>
 #include <optional>
 #include <string>
@@ -37,19 +38,24 @@
   //! their sum.
   static constexpr std::size_t kFreeBytes = 8192;
 
+  //! Place of a connection in the list of its server.
+  using Position = std::list<std::shared_ptr<EdgeConnection>>::iterator;
+
   /*! \brief Wraps an accepted socket; the server must outlive the connection.
-   * \param id Number of the connection, unique within the server. */
-  EdgeConnection(EdgeServer& server, tcp::socket socket, std::uint64_t id);
+   */
+  EdgeConnection(EdgeServer& server, tcp::socket socket);
 
-  [[nodiscard]] std::uint64_t id() const noexcept { return m_id; }
+  [[nodiscard]] Position position() const noexcept { return m_position; }
   /*! \brief Whether a request has arrived in part. */
   [[nodiscard]] bool is_reading() const { return m_phase == Phase::kReading; }
-  /*! \brief Whether no byte of a request has arrived, read or not, and none
-   * awaits its response. */
+  /*! \brief Whether no byte of a request has been read, and none awaits its
+   * response. */
   [[nodiscard]] bool is_idle() const {
-    return (m_phase == Phase::kIdle && !HasInput()) ||
-           m_phase == Phase::kLingering;
+    return m_phase == Phase::kIdle || m_phase == Phase::kLingering;
   }
+  /*! \brief Whether bytes have arrived that are not parsed. Those in the kernel
+   * count: closing the socket would answer them with a reset. */
+  [[nodiscard]] bool HasInput() const;
   /*! \brief Whether the caller has sent so far ahead of its response that the
    * connection no longer reads. */
   [[nodiscard]] bool is_sent_ahead() const {
@@ -65,17 +71,13 @@
   [[nodiscard]] std::uint64_t held_response_bytes() const noexcept {
     return m_held_response.size();
   }
-  /*! \brief Start of the current phase, such as the arrival of a request. */
-  [[nodiscard]] TimePoint phase_started_at() const noexcept {
-    return m_phase_started_at;
-  }
 
   /*! \brief Returns the IP address of the peer; empty if the peer had left
    * before it was first read. */
   [[nodiscard]] const std::string& peer_address();
 
   /*! \brief Starts reading requests. */
-  void Start();
+  void Start(Position position);
 
   /*! \brief Closes the connection, and notifies the handler of a request that
    * awaits its response. */
@@ -118,6 +120,7 @@
     kClosed,
   };
 
+  void StartPhase(Phase phase);
   void Read();
   void OnReadable(SystemError error);
   void Parse();
@@ -137,16 +140,14 @@
   //! Drops the response and its memory.
   void DropResponse();
   void Linger();
-  //! Returns whether bytes have arrived that are not parsed. Those in the
-  //! kernel count: closing the socket would answer them with a reset.
-  [[nodiscard]] bool HasInput() const;
   //! Returns whether the peer has closed the connection, also if bytes that it
   //! sent before are unread.
   [[nodiscard]] bool HasPeerClosed();
 
   EdgeServer& m_server;
   tcp::socket m_socket;
-  const std::uint64_t m_id;
+  //! Valid after Start().
+  Position m_position;
   boost::beast::flat_buffer m_read_buffer;
   std::optional<Parser> m_parser;
   //! The request that is being read; its body is in the parser until the end.
--- a/src/jacinthdeck/http/edge_server.cc
+++ b/src/jacinthdeck/http/edge_server.cc
@@ -1,7 +1,8 @@
 // Accepts connections and pauses when the process runs out of descriptors.
 #include "jacinthdeck/http/edge_server.h"
 
-#include <array>
+#include <algorithm>
+#include <iterator>
 #include <utility>
 #include <vector>
 
@@ -16,6 +17,9 @@
 //! descriptors. Without the pause the event loop would retry the same pending
 //! connection continuously.
 constexpr std::chrono::milliseconds kAcceptPause{50};
+//! Maximum number of idle connections that are checked for bytes which have not
+//! been read; each check is a system call.
+constexpr std::size_t kMaxIdleChecks = 8;
 
 }  // namespace
 
@@ -58,12 +62,7 @@
 }
 
 std::vector<std::shared_ptr<EdgeConnection>> EdgeServer::Connections() const {
-  std::vector<std::shared_ptr<EdgeConnection>> connections;
-  connections.reserve(m_connections.size());
-  for (const auto& [id, connection] : m_connections) {
-    connections.push_back(connection);
-  }
-  return connections;
+  return {m_connections.begin(), m_connections.end()};
 }
 
 void EdgeServer::CloseIdle() {
@@ -112,45 +111,44 @@
   }
   ++m_counters.accepted;
   SetStreamOptions(socket, EdgeConnection::kWriteTimeout);
-  const std::uint64_t id = m_next_id++;
-  auto connection =
-      std::make_shared<EdgeConnection>(*this, std::move(socket), id);
-  m_connections.emplace(id, connection);
-  connection->Start();
+  m_connections.push_back(
+      std::make_shared<EdgeConnection>(*this, std::move(socket)));
+  const auto position = std::prev(m_connections.end());
+  (*position)->Start(position);
 }
 
 void EdgeServer::RemoveConnection(const EdgeConnection& connection) {
-  m_connections.erase(connection.id());
+  m_connections.erase(connection.position());
 }
 
-bool EdgeServer::DisplaceConnection() {
-  // In the order in which their callers lose least.
-  static constexpr std::array<bool (EdgeConnection::*)() const, 3> kOrder{
-      &EdgeConnection::is_idle, &EdgeConnection::is_reading,
-      &EdgeConnection::is_sent_ahead};
-  for (const auto matches : kOrder) {
-    const auto oldest = FindOldest(
-        [&](const EdgeConnection& other) { return (other.*matches)(); });
-    if (oldest != nullptr) {
-      ++m_counters.displaced;
-      oldest->Abandon();
-      return true;
-    }
-  }
-  return false;
+template <typename Predicate>
+std::shared_ptr<EdgeConnection> EdgeServer::FindOldest(
+    Predicate matches) const {
+  const auto found = std::ranges::find_if(
+      m_connections,
+      [&](const auto& connection) { return matches(*connection); });
+  return found == m_connections.end() ? nullptr : *found;
 }
 
-std::shared_ptr<EdgeConnection> EdgeServer::FindOldest(
-    const std::function<bool(const EdgeConnection&)>& matches) const {
-  std::shared_ptr<EdgeConnection> oldest;
-  for (const auto& [id, connection] : m_connections) {
-    if (matches(*connection) &&
-        (oldest == nullptr ||
-         connection->phase_started_at() < oldest->phase_started_at())) {
-      oldest = connection;
-    }
+bool EdgeServer::DisplaceConnection() {
+  std::size_t checked = 0;
+  auto oldest = FindOldest([&](const EdgeConnection& other) {
+    return other.is_idle() && ++checked <= kMaxIdleChecks && !other.HasInput();
+  });
+  if (oldest == nullptr) {
+    oldest = FindOldest(
+        [](const EdgeConnection& other) { return other.is_reading(); });
   }
-  return oldest;
+  if (oldest == nullptr) {
+    oldest = FindOldest(
+        [](const EdgeConnection& other) { return other.is_sent_ahead(); });
+  }
+  if (oldest == nullptr) {
+    return false;
+  }
+  ++m_counters.displaced;
+  oldest->Abandon();
+  return true;
 }
 
 bool EdgeServer::HoldInput(const EdgeConnection& connection,
--- a/src/jacinthdeck/http/edge_server.h
+++ b/src/jacinthdeck/http/edge_server.h
@@ -3,10 +3,9 @@
 #define JACINTHDECK_HTTP_EDGE_SERVER_H_
 
 #include <cstdint>
-#include <functional>
+#include <list>
 #include <memory>
 #include <string>
-#include <unordered_map>
 #include <vector>
 
 #include "jacinthdeck/core/clock.h"
@@ -117,8 +116,13 @@
   void RemoveConnection(const EdgeConnection& connection);
   //! Returns the connection in its phase for the longest time that matches a
   //! predicate; null if there is none.
+  template <typename Predicate>
   [[nodiscard]] std::shared_ptr<EdgeConnection> FindOldest(
-      const std::function<bool(const EdgeConnection&)>& matches) const;
+      Predicate matches) const;
+  //! Makes a connection the last one that has started a phase.
+  void MoveToBack(EdgeConnection::Position position) {
+    m_connections.splice(m_connections.end(), m_connections, position);
+  }
   //! Resizes the part of the memory for requests that a connection holds. Makes
   //! room by rejecting the oldest requests that have not arrived as a whole and
   //! hold at least half as much; returns false if that is not enough.
@@ -141,9 +145,8 @@
   EdgeCounters m_counters;
   bool m_draining = false;
   std::size_t m_max_connections = 0;
-  std::uint64_t m_next_id = 1;
-  std::unordered_map<std::uint64_t, std::shared_ptr<EdgeConnection>>
-      m_connections;
+  //! In the order in which their phases started.
+  std::list<std::shared_ptr<EdgeConnection>> m_connections;
 };
 
 }  // namespace jacinthdeck
