Bound the bytes of a request that are not its body

Cause: the limit on a body counts the data of its chunks.

Change: a request is rejected with 413 beyond twice the limit on headers and eight times that on bodies. A body of one-byte chunks takes six bytes each, so that no request within the limits of the configuration is affected.

Evidence: ChunkedBody_MostlyFraming_IsRejected waits without end before the change, ChunkedBody_ChunksOfOneByte_IsAccepted holds. Nothing of these bytes is kept: this bounds the work of the loop, not memory.

--- a/src/jacinthdeck/http/edge_connection.cc
+++ b/src/jacinthdeck/http/edge_connection.cc
@@ -51,6 +51,14 @@
                                           : http_status::kBadRequest;
 }
 
+//! Returns how many bytes a request may have with all its framing. A chunk of
+//! one byte takes six.
+[[nodiscard]] std::uint64_t MaxReceivedBytes(const EdgeLimits& limits) {
+  constexpr std::uint64_t kMaxFraming = 8;
+  return 2 * std::uint64_t{limits.header_bytes} +
+         kMaxFraming * limits.body_bytes + kRequestReadBytes;
+}
+
 [[nodiscard]] bool StatusAllowsBody(int status) {
   return status >= http_status::kOk && status != http_status::kNoContent &&
          status != http_status::kNotModified;
@@ -124,6 +132,7 @@
     return;
   }
   m_read_buffer.commit(bytes);
+  m_received_bytes += bytes;
   if (m_phase == Phase::kLingering) {
     m_read_buffer.consume(m_read_buffer.size());
     m_last_discarded_at = m_server.m_clock.Now();
@@ -166,12 +175,17 @@
       break;
     }
   }
-  // The parser bounds the header, but not a chunk's head or the trailers.
+  // The parser bounds the header, but not a chunk's head or the trailers, and
+  // the bytes of a body, but not those between its chunks.
   if (m_read_buffer.size() >
       m_server.m_limits.header_bytes + kRequestReadBytes) {
     Reject(http_status::kHeaderTooLarge);
     return;
   }
+  if (m_received_bytes > MaxReceivedBytes(m_server.m_limits)) {
+    Reject(http_status::kContentTooLarge);
+    return;
+  }
   Read();
 }
 
@@ -179,6 +193,7 @@
   StartPhase(Phase::kReading);
   m_header_complete = false;
   m_header_bytes = 0;
+  m_received_bytes = m_read_buffer.size();
   m_parser.emplace();
   m_parser->header_limit(m_server.m_limits.header_bytes);
   m_parser->body_limit(m_server.m_limits.body_bytes);
--- a/src/jacinthdeck/http/edge_connection.h
+++ b/src/jacinthdeck/http/edge_connection.h
@@ -152,6 +152,8 @@
   std::optional<Parser> m_parser;
   //! The request that is being read; its body is in the parser until the end.
   EdgeRequest m_request;
+  //! Bytes received since the request began.
+  std::uint64_t m_received_bytes = 0;
   //! Memory of m_request without its body.
   std::size_t m_header_bytes = 0;
   //! Empty while the connection holds at most kFreeBytes of its request.
--- a/test/jacinthdeck/http/edge_server_test.cc
+++ b/test/jacinthdeck/http/edge_server_test.cc
@@ -123,6 +123,34 @@
   BOOST_TEST(requests[0].Find("X-Hop").empty());
 }
 
+// Guards against a body within its limit that takes bytes without end, as each
+// of its chunks has a long head.
+BOOST_AUTO_TEST_CASE(ChunkedBody_MostlyFraming_IsRejected) {
+  tcp::socket caller = Connect();
+  std::string text =
+      "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+  for (int chunk = 0; chunk < 60; ++chunk) {
+    text += "1;" + std::string(400, 'e') + "\r\nx\r\n";
+  }
+  SendText(caller, text);
+  const std::string reply = ReadUntil(caller, "\r\n\r\n");
+  BOOST_TEST(reply.starts_with("HTTP/1.1 413"));
+  BOOST_TEST(requests.empty());
+}
+
+BOOST_AUTO_TEST_CASE(ChunkedBody_ChunksOfOneByte_IsAccepted) {
+  tcp::socket caller = Connect();
+  std::string text =
+      "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+  for (int chunk = 0; chunk < 64; ++chunk) {
+    text += "1\r\nx\r\n";
+  }
+  SendText(caller, text + "0\r\n\r\n");
+  (void)ReadUntil(caller, "done");
+  BOOST_REQUIRE_EQUAL(requests.size(), 1U);
+  BOOST_TEST(requests[0].body.size() == 64U);
+}
+
 // Guards against a trailer that passes for a header, such as a deadline or a
 // key that was not in the head.
 BOOST_AUTO_TEST_CASE(Trailers_OfAChunkedBody_AreNotHeaders) {
