Look up hop-by-hop headers in a sorted list

Seen: a request of 16 kB whose Connection header names 1,500 headers, with some 900 fields behind it, takes the loop 15.4 ms; on a machine with 0.12 of a core, eight of them take a second in which nobody is served.

Cause: for each header the whole Connection header was parsed again, so that the work grew with the product of both.

Change: HopByHopHeaders parses the Connection header once and sorts its names.

--- a/src/jacinthdeck/http/edge_connection.cc
+++ b/src/jacinthdeck/http/edge_connection.cc
@@ -262,13 +262,13 @@
   m_request.has_body =
       message.find(http::field::content_length) != message.end() ||
       message.find(http::field::transfer_encoding) != message.end();
-  const std::string connection(ToStringView(message[http::field::connection]));
+  const HopByHopHeaders hop_by_hop(
+      ToStringView(message[http::field::connection]));
   for (const auto& field : message) {
     const bool framing = field.name() == http::field::host ||
                          field.name() == http::field::content_length ||
                          field.name() == http::field::expect;
-    if (!framing &&
-        !IsHopByHopHeader(ToStringView(field.name_string()), connection)) {
+    if (!framing && !hop_by_hop.Contains(ToStringView(field.name_string()))) {
       m_request.headers.push_back(
           {std::string(ToStringView(field.name_string())),
            std::string(ToStringView(field.value()))});
--- a/src/jacinthdeck/http/hop_headers.cc
+++ b/src/jacinthdeck/http/hop_headers.cc
@@ -15,19 +15,28 @@
     "te",         "trailer",          "transfer-encoding",
     "upgrade",    "proxy-connection", "proxy-authorization"};
 
+[[nodiscard]] bool IsNameLess(std::string_view left, std::string_view right) {
+  return boost::beast::iless()(
+      boost::beast::string_view(left.data(), left.size()),
+      boost::beast::string_view(right.data(), right.size()));
+}
+
 }  // namespace
 
-bool IsHopByHopHeader(std::string_view name, std::string_view connection) {
-  const bool listed = std::ranges::any_of(
-      kHopByHopHeaders,
-      [&](std::string_view hop) { return HeaderNamesEqual(name, hop); });
-  return listed || (!connection.empty() && HasToken(connection, name));
+HopByHopHeaders::HopByHopHeaders(std::string_view connection) {
+  for (const auto token : boost::beast::http::token_list(
+           boost::beast::string_view(connection.data(), connection.size()))) {
+    m_added.emplace_back(token.data(), token.size());
+  }
+  std::ranges::sort(m_added, IsNameLess);
 }
 
-bool HasToken(std::string_view list, std::string_view token) {
-  return boost::beast::http::token_list(
-             boost::beast::string_view(list.data(), list.size()))
-      .exists(boost::beast::string_view(token.data(), token.size()));
+bool HopByHopHeaders::Contains(std::string_view name) const {
+  return std::ranges::any_of(kHopByHopHeaders,
+                             [&](std::string_view hop) {
+                               return HeaderNamesEqual(name, hop);
+                             }) ||
+         std::ranges::binary_search(m_added, name, IsNameLess);
 }
 
 bool HeaderNamesEqual(std::string_view left, std::string_view right) {
--- a/src/jacinthdeck/http/hop_headers.h
+++ b/src/jacinthdeck/http/hop_headers.h
@@ -3,21 +3,31 @@
 #define JACINTHDECK_HTTP_HOP_HEADERS_H_
 
 #include <string_view>
+#include <vector>
 
 namespace jacinthdeck {
 
 /**
- * \brief Returns whether a header is a hop-by-hop header.
- * \param name Header name in any case.
- * \param connection Value of the message's Connection header, which may name
- * further hop-by-hop headers; may be empty.
+ * \brief Names of the hop-by-hop headers of one message.
+ *
+ * The names that the message itself adds are sorted once: it may have thousands
+ * of them and as many headers.
  */
-[[nodiscard]] bool IsHopByHopHeader(std::string_view name,
-                                    std::string_view connection);
+class HopByHopHeaders {
+ public:
+  /*! \brief Reads the names that a message adds.
+   * \param connection Value of its Connection header, which must outlive the
+   * object; may be empty. */
+  explicit HopByHopHeaders(std::string_view connection);
 
-/*! \brief Returns whether a comma-separated header value contains a token,
- * compared without case. */
-[[nodiscard]] bool HasToken(std::string_view list, std::string_view token);
+  /*! \brief Returns whether a header is a hop-by-hop header; its name may be in
+   * any case. */
+  [[nodiscard]] bool Contains(std::string_view name) const;
+
+ private:
+  //! In ascending order without case.
+  std::vector<std::string_view> m_added;
+};
 
 /*! \brief Compares two header names without case. */
 [[nodiscard]] bool HeaderNamesEqual(std::string_view left,
--- a/src/jacinthdeck/http/target_connection.cc
+++ b/src/jacinthdeck/http/target_connection.cc
@@ -395,10 +395,11 @@
   end.response.encoded =
       message.find(http::field::content_encoding) != message.end();
   const bool head = m_attempt->request->method == "HEAD";
-  const std::string connection(ToStringView(message[http::field::connection]));
+  const HopByHopHeaders hop_by_hop(
+      ToStringView(message[http::field::connection]));
   for (const auto& field : message) {
     const bool length = field.name() == http::field::content_length;
-    if (IsHopByHopHeader(ToStringView(field.name_string()), connection) ||
+    if (hop_by_hop.Contains(ToStringView(field.name_string())) ||
         (length && !head)) {
       continue;
     }
