Limit the bodies of requests that need none, and test crowds together

Cause: the ports for readiness, the directory and metrics accepted bodies of 1 MiB, which the memory for requests bounds, at the cost of callers.

Change: these ports accept 4 KiB; a longer body gets 413.

--- a/src/jacinthdeck/entry/entry_node.cc
+++ b/src/jacinthdeck/entry/entry_node.cc
@@ -36,6 +36,9 @@
 constexpr Duration kTrafficLogInterval = seconds(10);
 //! Time between two ticks above which the process is taken to have been paused.
 constexpr Duration kPauseThreshold = milliseconds(700);
+//! Limit on the body of a request for readiness, the directory or metrics,
+//! whose requests need none.
+constexpr std::uint64_t kMaxQuestionBytes = 4096;
 //! How long a higher host count stays in effect. A host that is no longer heard
 //! from may only be partitioned, and still use its share of the limits.
 constexpr Duration kHostWindow = seconds(25);
@@ -169,6 +172,12 @@
 Result<void> EntryNode::Start() {
   // Signals that arrived since the construction are handled once the loop runs.
   AsyncWaitForSignal();
+  for (EdgeServer* const server :
+       {&m_ready_server, &m_directory_server, &m_metrics_server}) {
+    EdgeLimits limits;
+    limits.body_bytes = kMaxQuestionBytes;
+    server->SetLimits(limits);
+  }
   const DescriptorShares shares = ShareDescriptors(m_settings);
   m_pool.SetConnectionLimit(shares.targets);
   BOOST_LEAF_CHECK(m_callers_server.Listen(
--- a/test/clients/client_crowd_test.cc
+++ b/test/clients/client_crowd_test.cc
@@ -13,6 +13,7 @@
 #include "clients/crowd.h"
 #include "clients/host_fixture.h"
 #include "jacinthdeck/http/status.h"
+#include "platform/wire_names.h"
 
 namespace jacinthdeck::test {
 
@@ -303,6 +304,68 @@
   CheckServes();
 }
 
+// Guards against a platform that takes a host out, because others keep the
+// connections of the port for readiness.
+BOOST_AUTO_TEST_CASE(IdleConnections_ToReadiness_LeaveRoomForOthers) {
+  Start({.descriptors = 1024});
+  Crowd crowd(ports().ready, 400);
+  const ClientReply reply =
+      AskOnce(ports().ready, std::string(platform::wire::kReadyPath));
+  BOOST_TEST(reply.status == http_status::kOk);
+  CheckServes();
+}
+
+// Guards against bounds that hold one by one, and not together.
+BOOST_AUTO_TEST_CASE(Crowds_OfAllKindsAtOnce_AreBounded) {
+  Start({.descriptors = 4100, .shards = 20, .targets = 2});
+  {
+    const HostPorts& to = ports();
+    std::string fields;
+    while (fields.size() < kHeaderBytes - 1000) {
+      fields += "a:\r\n";
+    }
+    const std::vector<CrowdBytes> kinds{
+        {ChunkedPost("/one/small") + "1\r\nx\r\n0\r\n",
+         "T: 0123456789abcdef\r\n", kMegabyte},
+        {ChunkedPost("/one/small") + "1", ";a=0123456789abcdef", kMegabyte},
+        {UnfinishedPost("/one/small"), "b", kUnfinishedBody},
+        {UnfinishedPost("/one/hold"), "b", kMegabyte},
+        {Head("POST", "/one/small") + "Content-Length: 9\r\n" + fields + "\r\n",
+         "b", 8},
+        {Get("/one/hold"), Get("/one/hold"), 65536},
+        {Get("/one/large"), "", 0},
+        {Get("/all/large"), "", 0},
+        {Get("/all/hold"), "", 0},
+        {"GET /one/small HT", "", 0}};
+    std::vector<std::unique_ptr<Crowd>> crowds;
+    for (const CrowdBytes& bytes : kinds) {
+      crowds.push_back(std::make_unique<Crowd>(to.callers, 150));
+      crowds.back()->Send(bytes, CrowdReading::kNothing);
+    }
+    for (const std::uint16_t port :
+         {to.ready, to.directory, to.metrics, to.queries, to.peers}) {
+      crowds.push_back(std::make_unique<Crowd>(port, 300));
+      crowds.back()->Send({UnfinishedPost("/"), "b", kUnfinishedBody},
+                          CrowdReading::kNothing);
+    }
+    CheckBounds();
+  }
+  CheckServes();
+}
+
+// Guards against a host that a crowd keeps from stopping.
+BOOST_AUTO_TEST_CASE(Host_StoppedBesideACrowd_Ends) {
+  Start({});
+  Crowd idle(ports().callers, 200);
+  Crowd holding(ports().callers, 40);
+  holding.Send({Get("/one/hold"), Get("/one/hold"), 65536},
+               CrowdReading::kNothing);
+  Crowd sending(ports().callers, 40);
+  sending.Send({UnfinishedPost("/one/small"), "b", kUnfinishedBody},
+               CrowdReading::kNothing);
+  BOOST_TEST(Stop());
+}
+
 // Guards against long messages to the port for other hosts, which only sends.
 BOOST_AUTO_TEST_CASE(Messages_ToThePortOfOtherHosts_AreBounded) {
   Start({});
--- a/test/clients/host_fixture.cc
+++ b/test/clients/host_fixture.cc
@@ -8,6 +8,7 @@
 #include <array>
 #include <boost/test/unit_test.hpp>
 #include <chrono>
+#include <csignal>
 #include <fstream>
 #include <iterator>
 #include <thread>
@@ -222,6 +223,14 @@
   CheckBounds();
 }
 
+bool HostFixture::Stop() {
+  m_host->Signal(SIGTERM);
+  for (int check = 0; check < kMaxIdleChecks && m_host->IsRunning(); ++check) {
+    std::this_thread::sleep_for(kIdlePeriod);
+  }
+  return m_host->WaitStatus() == 0;
+}
+
 ClientReply HostFixture::Ask(const std::string& path) const {
   ClientReply reply;
   for (int attempt = 0; attempt < kTries && reply.status != http_status::kOk;
--- a/test/clients/host_fixture.h
+++ b/test/clients/host_fixture.h
@@ -72,6 +72,10 @@
   /*! \brief Checks the same, and that one request is answered. */
   void CheckServes();
 
+  /*! \brief Sends SIGTERM; returns whether the process ended by itself with
+   * success. */
+  [[nodiscard]] bool Stop();
+
   /*! \brief Makes a request as an ordinary caller does, which retries a few
    * times on a new connection; returns the last reply. */
   [[nodiscard]] ClientReply Ask(const std::string& path) const;
