--- a/test/clients/client_crowd_test.cc
+++ b/test/clients/client_crowd_test.cc
@@ -19,6 +19,8 @@
 
 namespace {
 
+namespace wire = platform::wire;
+
 constexpr std::size_t kMegabyte = std::size_t{1} << 20U;
 //! Bytes without end, for this purpose.
 constexpr std::size_t kEndless = 64 * kMegabyte;
@@ -310,11 +312,52 @@
   Start({.descriptors = 1024});
   Crowd crowd(ports().ready, 400);
   const ClientReply reply =
-      AskOnce(ports().ready, std::string(platform::wire::kReadyPath));
+      AskOnce(ports().ready, std::string(wire::kReadyPath));
   BOOST_TEST(reply.status == http_status::kOk);
   CheckServes();
 }
 
+// Guards against a form of request that ends or hangs the host.
+BOOST_AUTO_TEST_CASE(Requests_OfOddForms_AreSurvived) {
+  Start({});
+  const std::string line = "GET /one/small HTTP/1.1\r\n";
+  const std::string host = "Host: 127.0.0.1\r\n";
+  const std::string chunked = "Transfer-Encoding: chunked\r\n";
+  const std::string deep(200000, '[');
+  const std::vector<std::string> forms{
+      std::string("\r\n\r\n\r\n"),
+      std::string(100000, '\n'),
+      std::string(100000, '\0'),
+      "GET /one/small HTTP/1.0\r\n\r\n" + line,
+      "GET http://127.0.0.1/one/small HTTP/1.1\r\n" + host + "\r\n",
+      "CONNECT 127.0.0.1:1 HTTP/1.1\r\n" + host + "\r\n",
+      std::string() + "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n",
+      line + host + "Connection: Upgrade\r\nUpgrade: h2c\r\n\r\n",
+      line + host + "Expect: 100-continue\r\nContent-Length: 9\r\n\r\n",
+      line + host + "Content-Length: 18446744073709551616\r\n\r\n",
+      line + host + "Content-Length: -1\r\n\r\n",
+      line + host + chunked + "\r\nffffffffffffffff\r\nx",
+      line + host + chunked + "\r\n-1\r\nx",
+      line + host + chunked + "\r\n1\r\nxx\r\n",
+      line + host + "X: a\r\n b\r\n\r\n",
+      line + host + std::string(wire::kDeadlineMs) +
+          ": 99999999999999999999\r\n\r\n",
+      line + host + std::string(wire::kDeadlineMs) + ": 0\r\n\r\n",
+      "POST /v1/a/b HTTP/1.1\r\n" + host +
+          "Content-Length: " + std::to_string(deep.size()) + "\r\n\r\n" + deep};
+  for (const std::string& text : forms) {
+    for (const std::uint16_t port :
+         {ports().callers, ports().queries, ports().directory}) {
+      for (const CrowdReading reading :
+           {CrowdReading::kAll, CrowdReading::kNothing}) {
+        Crowd crowd(port, 4);
+        crowd.Send({text, "", 0}, reading);
+      }
+    }
+  }
+  CheckServes();
+}
+
 // Guards against bounds that hold one by one, and not together.
 BOOST_AUTO_TEST_CASE(Crowds_OfAllKindsAtOnce_AreBounded) {
   Start({.descriptors = 4100, .shards = 20, .targets = 2});
