Raise the limit on descriptors to the setting

Seen: a host with 1,024 descriptors in its settings and a limit of 128 in the system opens 128. As it counts on more, it closes no idle connection for a further one, and an ordinary caller beside 250 idle ones gets no answer.

Cause: the setting says what the process may open, and nothing made it so. A login or a service manager often sets 1,024.

Change: the daemon raises its soft limit to the setting, as far as the hard limit allows.

--- a/src/jacinthdeck/entry/descriptor_shares.cc
+++ b/src/jacinthdeck/entry/descriptor_shares.cc
@@ -1,6 +1,8 @@
 // Each share is a part of what the process does not need itself, within bounds.
 #include "jacinthdeck/entry/descriptor_shares.h"
 
+#include <sys/resource.h>
+
 #include <algorithm>
 
 namespace jacinthdeck {
@@ -50,4 +52,13 @@
   return shares;
 }
 
+void RaiseDescriptorLimit(std::uint32_t descriptors) {
+  rlimit limit{};
+  if (getrlimit(RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur >= descriptors) {
+    return;
+  }
+  limit.rlim_cur = std::min<rlim_t>(descriptors, limit.rlim_max);
+  (void)setrlimit(RLIMIT_NOFILE, &limit);
+}
+
 }  // namespace jacinthdeck
--- a/src/jacinthdeck/entry/descriptor_shares.h
+++ b/src/jacinthdeck/entry/descriptor_shares.h
@@ -30,6 +30,10 @@
  */
 [[nodiscard]] DescriptorShares ShareDescriptors(const EntrySettings& settings);
 
+/*! \brief Raises the limit of the process on descriptors to a number, as far as
+ * the system allows; a higher limit stays. */
+void RaiseDescriptorLimit(std::uint32_t descriptors);
+
 }  // namespace jacinthdeck
 
 #endif  // JACINTHDECK_ENTRY_DESCRIPTOR_SHARES_H_
--- a/test/clients/client_crowd_test.cc
+++ b/test/clients/client_crowd_test.cc
@@ -6,6 +6,7 @@
 #include <boost/test/unit_test.hpp>
 #include <cstddef>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -31,10 +32,14 @@
 
 //! Allows this process the descriptors of its crowds.
 struct ClientCrowdFixture : HostFixture {
-  ClientCrowdFixture() {
+  ClientCrowdFixture() { SetDescriptorLimit(std::nullopt); }
+
+  //! Sets the limit of this process, which a host that starts inherits; without
+  //! a number to the highest that is allowed.
+  static void SetDescriptorLimit(std::optional<rlim_t> descriptors) {
     rlimit limit{};
     getrlimit(RLIMIT_NOFILE, &limit);
-    limit.rlim_cur = limit.rlim_max;
+    limit.rlim_cur = descriptors.value_or(limit.rlim_max);
     setrlimit(RLIMIT_NOFILE, &limit);
   }
 
@@ -251,6 +256,15 @@
   CheckServes();
 }
 
+// Guards against shares of descriptors that the system does not grant.
+BOOST_AUTO_TEST_CASE(DescriptorLimit_BelowTheSetting_IsRaised) {
+  SetDescriptorLimit(128);
+  Start({.descriptors = 1024});
+  SetDescriptorLimit(std::nullopt);
+  Crowd crowd(ports().callers, 250);
+  CheckServes();
+}
+
 // Guards against connections to targets that add up to more descriptors than
 // the process has.
 BOOST_AUTO_TEST_CASE(Connections_ToTargets_LeaveDescriptors) {
