Send no time to come back to requests that a stopping host rejects

Cause: since the memory for requests is bounded, each request that is rejected before it has arrived as a whole is told to come back after a second. That is right without memory, but a host that stops rejects requests the same way, and their callers are served by another host at once.

Change: only a rejection without memory has Retry-After.

Evidence: RejectIncomplete_RequestArrivedInPart_Is503 checks that there is none; it fails without the change.

--- a/src/jacinthdeck/http/edge_connection.cc
+++ b/src/jacinthdeck/http/edge_connection.cc
@@ -117,7 +117,7 @@
   const bool keeps_input =
       m_phase == Phase::kIdle || m_phase == Phase::kReading;
   if (!error && keeps_input && !HoldInput()) {
-    RejectIncomplete();
+    RejectForMemory();
     return;
   }
   if (!error) {
@@ -231,7 +231,7 @@
   CopyHeaders();
   m_header_bytes = m_request.bytes();
   if (!HoldInput()) {
-    RejectIncomplete();
+    RejectForMemory();
     return false;
   }
   return true;
@@ -296,7 +296,7 @@
                                m_phase_started_at);
 }
 
-void EdgeConnection::Reject(int status) {
+void EdgeConnection::Reject(int status, std::string_view retry_after) {
   ++m_server.m_counters.rejected;
   DropInput();
   m_keep_alive = false;
@@ -304,9 +304,8 @@
   m_phase = Phase::kAwaitingResponse;
   EdgeResponse response;
   response.status = status;
-  if (status == http_status::kUnavailable) {
-    response.headers.push_back(
-        {"Retry-After", std::string(kRetryAfterSeconds)});
+  if (!retry_after.empty()) {
+    response.headers.push_back({"Retry-After", std::string(retry_after)});
   }
   Respond(std::move(response));
 }
@@ -457,6 +456,12 @@
   }
 }
 
+void EdgeConnection::RejectForMemory() {
+  if (m_phase == Phase::kReading) {
+    Reject(http_status::kUnavailable, kRetryAfterSeconds);
+  }
+}
+
 void EdgeConnection::RejectIncomplete() {
   if (m_phase == Phase::kReading) {
     Reject(http_status::kUnavailable);
--- a/src/jacinthdeck/http/edge_connection.h
+++ b/src/jacinthdeck/http/edge_connection.h
@@ -10,6 +10,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "jacinthdeck/core/byte_budget.h"
 #include "jacinthdeck/core/time.h"
@@ -98,6 +99,10 @@
   /*! \brief Answers 503 to a request that has not arrived as a whole. */
   void RejectIncomplete();
 
+  /*! \brief Does the same to one for which there is no memory, with a time
+   * after which its caller may return. */
+  void RejectForMemory();
+
   /*! \brief Closes the connection if no byte of a request has arrived, read or
    * not, and none awaits its response. */
   void CloseIfIdle();
@@ -134,7 +139,8 @@
   //! Adds the headers that are passed on to m_request.
   void CopyHeaders();
   void OnRequestComplete();
-  void Reject(int status);
+  //! \param retry_after Value of the Retry-After header; empty for none.
+  void Reject(int status, std::string_view retry_after = {});
   void Write(bool close);
   void OnWritten(const SystemError& error);
   //! Drops the response and its memory.
--- a/src/jacinthdeck/http/edge_server.cc
+++ b/src/jacinthdeck/http/edge_server.cc
@@ -163,7 +163,7 @@
     if (oldest == nullptr) {
       return false;
     }
-    oldest->RejectIncomplete();
+    oldest->RejectForMemory();
   }
   return true;
 }
--- a/test/jacinthdeck/http/edge_server_test.cc
+++ b/test/jacinthdeck/http/edge_server_test.cc
@@ -464,7 +464,10 @@
     server.RejectIncomplete();
     return server.counters().rejected == 1;
   });
-  BOOST_TEST(ReadUntil(caller, "\r\n\r\n").starts_with("HTTP/1.1 503"));
+  const std::string reply = ReadUntil(caller, "\r\n\r\n");
+  BOOST_TEST(reply.starts_with("HTTP/1.1 503"));
+  // Another host serves the caller at once.
+  BOOST_TEST(reply.find("Retry-After") == std::string::npos);
   BOOST_TEST(requests.empty());
 }
 
