--- a/src/jacinthdeck/entry/allocator.h
+++ b/src/jacinthdeck/entry/allocator.h
@@ -4,14 +4,8 @@
 
 namespace jacinthdeck {
 
-/**
- * \brief Makes the allocator return each large block to the system as soon as
- * it is freed.
- *
- * By default glibc stops doing so for sizes that were freed once. Requests and
- * responses then leave holes between small objects, and the process keeps many
- * times the memory that it uses. Call it once, at the start of the process.
- */
+/*! \brief Makes the allocator return each large block to the system as soon as
+ * it is freed, which glibc by default does only for the first ones. */
 void ReturnLargeBlocks();
 
 }  // namespace jacinthdeck
--- a/src/jacinthdeck/entry/descriptor_shares.h
+++ b/src/jacinthdeck/entry/descriptor_shares.h
@@ -20,14 +20,9 @@
   std::uint32_t followers = 0;
 };
 
-/**
- * \brief Divides the descriptors of a host, so that no kind of connection can
- * take those of another.
- *
- * The sum of all shares and of what the process opens itself is at most the
- * number of descriptors in the settings. Ports that are not configured have no
- * share; callers get it.
- */
+/*! \brief Divides the descriptors in the settings, so that no kind of
+ * connection can take those of another, or those of the process itself. Ports
+ * that are not configured have no share; callers get it. */
 [[nodiscard]] DescriptorShares ShareDescriptors(const EntrySettings& settings);
 
 /*! \brief Raises the limit of the process on descriptors to a number, as far as
