Remove what the tests of clients do not use

Two counters that nothing reads, and the second copy of the loop by which an ordinary caller retries. The checks, crowds and bounds are the same.

--- a/test/clients/crowd.cc
+++ b/test/clients/crowd.cc
@@ -23,7 +23,7 @@
 //! Bytes of one client that are still to be sent.
 class Stream {
  public:
-  explicit Stream(const CrowdBytes& bytes, const std::string& block)
+  Stream(const CrowdBytes& bytes, const std::string& block)
       : m_head(bytes.head),
         m_block(block),
         m_period(bytes.pattern.size()),
@@ -92,11 +92,6 @@
   }
 }
 
-std::size_t Crowd::open() const {
-  return static_cast<std::size_t>(
-      std::ranges::count_if(m_sockets, [](int socket) { return socket >= 0; }));
-}
-
 void Crowd::Close(int& socket) {
   if (socket >= 0) {
     close(socket);
--- a/test/clients/crowd.h
+++ b/test/clients/crowd.h
@@ -34,9 +34,6 @@
   Crowd(const Crowd&) = delete;
   Crowd& operator=(const Crowd&) = delete;
 
-  /*! \brief Returns the number of connections that are open. */
-  [[nodiscard]] std::size_t open() const;
-
   /**
    * \brief Sends bytes on all connections at once.
    *
--- a/test/clients/host_fixture.cc
+++ b/test/clients/host_fixture.cc
@@ -232,26 +232,22 @@
 }
 
 ClientReply HostFixture::Ask(const std::string& path) const {
-  ClientReply reply;
-  for (int attempt = 0; attempt < kTries && reply.status != http_status::kOk;
-       ++attempt) {
-    if (attempt > 0) {
-      std::this_thread::sleep_for(kRetryPause);
-    }
-    reply = AskOnce(m_ports.callers, path);
-  }
-  return reply;
+  return AskPort(m_ports.callers, path);
 }
 
 ClientReply HostFixture::AskDirectory() const {
+  return AskPort(m_ports.directory,
+                 std::string(wire::kResolvePath) + "?name=h&zone=a");
+}
+
+ClientReply HostFixture::AskPort(std::uint16_t port, const std::string& path) {
   ClientReply reply;
   for (int attempt = 0; attempt < kTries && reply.status != http_status::kOk;
        ++attempt) {
     if (attempt > 0) {
       std::this_thread::sleep_for(kRetryPause);
     }
-    reply = AskOnce(m_ports.directory,
-                    std::string(wire::kResolvePath) + "?name=h&zone=a");
+    reply = AskOnce(port, path);
   }
   return reply;
 }
--- a/test/clients/host_fixture.h
+++ b/test/clients/host_fixture.h
@@ -76,8 +76,8 @@
    * success. */
   [[nodiscard]] bool Stop();
 
-  /*! \brief Makes a request as an ordinary caller does, which retries a few
-   * times on a new connection; returns the last reply. */
+  /*! \brief Makes a request as an ordinary caller does, which retries up to
+   * nine times, each on a new connection; returns the last reply. */
   [[nodiscard]] ClientReply Ask(const std::string& path) const;
   /*! \brief Makes one request to a port. */
   [[nodiscard]] static ClientReply AskOnce(std::uint16_t port,
@@ -101,6 +101,9 @@
   ScriptedTarget::Script m_script;
 
  private:
+  //! Makes a request to a port, again as long as it does not succeed.
+  [[nodiscard]] static ClientReply AskPort(std::uint16_t port,
+                                           const std::string& path);
   //! Processor time that the process has used, in clock ticks.
   [[nodiscard]] long UsedTicks() const;
   void WriteStore();
--- a/test/clients/scripted_target.cc
+++ b/test/clients/scripted_target.cc
@@ -1,8 +1,10 @@
 // Reads requests with a length; the hosts under test send no others.
 #include "clients/scripted_target.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/write.hpp>
+#include <cstddef>
 #include <utility>
 
 #include "platform/wire_names.h"
@@ -98,7 +100,6 @@
     Read(connection);
     return;
   }
-  ++m_received;
   const std::string& head = connection->head;
   const std::size_t path = head.find(' ') + 1;
   connection->response =
--- a/test/clients/scripted_target.h
+++ b/test/clients/scripted_target.h
@@ -2,12 +2,9 @@
 #ifndef JACINTHDECK_TEST_CLIENTS_SCRIPTED_TARGET_H_
 #define JACINTHDECK_TEST_CLIENTS_SCRIPTED_TARGET_H_
 
-#include <atomic>
-#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
-#include <mutex>
 #include <string>
 #include <thread>
 
@@ -39,8 +36,6 @@
   ScriptedTarget& operator=(const ScriptedTarget&) = delete;
 
   [[nodiscard]] std::uint16_t port() const noexcept { return m_port; }
-  /*! \brief Number of requests received since the start. */
-  [[nodiscard]] std::size_t received() const noexcept { return m_received; }
 
  private:
   struct Connection;
@@ -55,7 +50,6 @@
   asio::io_context m_loop;
   tcp::acceptor m_acceptor;
   std::uint16_t m_port = 0;
-  std::atomic<std::size_t> m_received = 0;
   //! Declared last, since the thread uses the members above.
   std::thread m_thread;
 };
