Give the host of the tests an address of its own

The host's log went with its folder.

Cause, by reading and not shown by a run: the test picked free ports one after the other at 127.0.0.1 and let them go before the host opened them. In between the store, the targets and each outgoing connection of the test and of other processes (the soak of an earlier run was still going) may get the same port, and the host then ends.

Change: the host listens at 127.0.0.2, which no connection has as its source, and its six ports are held together while they are picked. Crowds, bounds and checks are the same.

--- a/test/clients/client_crowd_test.cc
+++ b/test/clients/client_crowd_test.cc
@@ -337,7 +337,7 @@
 BOOST_AUTO_TEST_CASE(Requests_OfOddForms_AreSurvived) {
   Start({});
   const std::string line = "GET /one/small HTTP/1.1\r\n";
-  const std::string host = "Host: 127.0.0.1\r\n";
+  const std::string host = "Host: 127.0.0.2\r\n";
   const std::string chunked = "Transfer-Encoding: chunked\r\n";
   const std::string deep(200000, '[');
   const std::vector<std::string> forms{
--- a/test/clients/crowd.cc
+++ b/test/clients/crowd.cc
@@ -75,7 +75,7 @@
   sockaddr_in address{};
   address.sin_family = AF_INET;
   address.sin_port = htons(port);
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK + 1);
   for (std::size_t client = 0; client < clients; ++client) {
     int opened = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     if (opened >= 0 && connect(opened, reinterpret_cast<sockaddr*>(&address),
--- a/test/clients/crowd.h
+++ b/test/clients/crowd.h
@@ -22,7 +22,7 @@
 enum class CrowdReading { kAll, kNothing };
 
 /**
- * \brief A number of connections from one thread to a loopback port.
+ * \brief A number of connections from one thread to a port of the host.
  *
  * A connection that the host closes stays closed.
  */
--- a/test/clients/host_fixture.cc
+++ b/test/clients/host_fixture.cc
@@ -42,17 +42,26 @@
 //! Longer than a test, so that no timeout ends what a crowd holds.
 constexpr int kClientTimeoutMs = 600000;
 
-[[nodiscard]] std::uint16_t FreePort() {
+//! Picks ports at the host's address, which no connection has as its source, so
+//! that they are still free when the host opens them.
+[[nodiscard]] HostPorts FreePorts() {
   asio::io_context loop;
-  const tcp::acceptor acceptor(
-      loop, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
-  return acceptor.local_endpoint().port();
+  const tcp::endpoint any(asio::ip::make_address_v4(HostFixture::kAddress), 0);
+  std::vector<tcp::acceptor> held;
+  const auto next = [&] {
+    return held.emplace_back(loop, any).local_endpoint().port();
+  };
+  return {next(), next(), next(), next(), next(), next()};
 }
 
 [[nodiscard]] std::string Address(std::uint16_t port) {
   return "127.0.0.1:" + std::to_string(port);
 }
 
+[[nodiscard]] std::string HostAddress(std::uint16_t port) {
+  return std::string(HostFixture::kAddress) + ":" + std::to_string(port);
+}
+
 [[nodiscard]] std::string Shard(std::size_t shard) {
   return "shard-" + std::to_string(shard);
 }
@@ -81,9 +90,10 @@
 [[nodiscard]] json_t* RouteJson(const char* name) {
   const std::string prefix = "/" + std::string(name) + "/";
   return json_pack("{s:s, s:s, s:s, s:s, s:i, s:i, s:i, s:i}", "name", name,
-                   "host", "127.0.0.1", "prefix", prefix.c_str(), "routeType",
-                   "idempotent", "timeoutMs", kTimeoutMs, "targetLatencyMs",
-                   kTimeoutMs, "maxAttempts", 3, "priority", 1);
+                   "host", HostFixture::kAddress, "prefix", prefix.c_str(),
+                   "routeType", "idempotent", "timeoutMs", kTimeoutMs,
+                   "targetLatencyMs", kTimeoutMs, "maxAttempts", 3, "priority",
+                   1);
 }
 
 }  // namespace
@@ -91,8 +101,7 @@
 HostFixture::HostFixture()
     : m_script(Respond),
       m_folder(MakeFolder()),
-      m_ports{FreePort(), FreePort(), FreePort(),
-              FreePort(), FreePort(), FreePort()},
+      m_ports(FreePorts()),
       m_store(0, m_clock, {}, 1) {}
 
 HostFixture::~HostFixture() {
@@ -110,11 +119,13 @@
       settings,
       "[host]\nname = \"host\"\nfailure_domain = \"a\"\ndescriptors = " +
           std::to_string(options.descriptors) + "\n[listen]\ncallers = \"" +
-          Address(m_ports.callers) + "\"\nready = \"" + Address(m_ports.ready) +
-          "\"\ndirectory = \"" + Address(m_ports.directory) +
-          "\"\nmetrics = \"" + Address(m_ports.metrics) + "\"\nqueries = \"" +
-          Address(m_ports.queries) + "\"\npeers = \"" + Address(m_ports.peers) +
-          "\"\n[store]\naddress = \"" + Address(m_store.port()) + "\"\n");
+          HostAddress(m_ports.callers) + "\"\nready = \"" +
+          HostAddress(m_ports.ready) + "\"\ndirectory = \"" +
+          HostAddress(m_ports.directory) + "\"\nmetrics = \"" +
+          HostAddress(m_ports.metrics) + "\"\nqueries = \"" +
+          HostAddress(m_ports.queries) + "\"\npeers = \"" +
+          HostAddress(m_ports.peers) + "\"\n[store]\naddress = \"" +
+          Address(m_store.port()) + "\"\n");
   m_host = std::make_unique<soak::Child>(
       std::vector<std::string>{JACINTHDECK_DAEMON, "--config", settings},
       m_folder / "host.log");
@@ -253,12 +264,12 @@
 }
 
 ClientReply HostFixture::AskOnce(std::uint16_t port, const std::string& path) {
-  return CallAndWait({"127.0.0.1", port}, {"GET", path, ""}, kCallTimeout);
+  return CallAndWait({kAddress, port}, {"GET", path, ""}, kCallTimeout);
 }
 
 std::string HostFixture::Head(const std::string& method,
                               const std::string& path) {
-  return method + " " + path + " HTTP/1.1\r\nHost: 127.0.0.1\r\n" +
+  return method + " " + path + " HTTP/1.1\r\nHost: " + kAddress + "\r\n" +
          std::string(wire::kRequestId) + ": crowd\r\n" +
          std::string(wire::kDeadlineMs) + ": " + std::to_string(kTimeoutMs) +
          "\r\n";
--- a/test/clients/host_fixture.h
+++ b/test/clients/host_fixture.h
@@ -50,6 +50,8 @@
  */
 class HostFixture {
  public:
+  //! Address of the host, apart from that of all other processes.
+  static constexpr const char* kAddress = "127.0.0.2";
   //! Memory of the smallest machines that the system has to run on.
   static constexpr std::size_t kMachineBytes = std::size_t{160} << 20U;
   //! Body of a large response.
