Do not pass on a refusal status of a target that ran the request

Cause: a response without "not executed" is known to come from a run, so no retry is sent, but MakeFailureAnswer() passed on the last failure of a target whatever its status promised.

Evidence: call_failed names the attempt's outcome and status; in the test of a whole host it is "response" with 408, 429 and 503, the target ran each request once, and its stamp and Retry-After reached the caller. A refusal by the host itself would be call_refused, a late copy the outcome not_executed.

Change: such a response is not passed on. The caller gets 502, or 504 past the deadline, without the target's stamp, headers and body. At-most-once and idempotent routes get the same, since the statuses mean the same to every client; idempotent requests are retried first, as before. All failures of a target go to callers through this one place.

--- a/src/jacinthdeck/forward/forwarder_finish.cc
+++ b/src/jacinthdeck/forward/forwarder_finish.cc
@@ -106,7 +106,10 @@
     return answer;
   }
   CallPart& first = pending.parts.front();
-  if (!pending.route->fans_out() && first.response && first.in_flight.empty()) {
+  // A target that ran the request must not promise its caller the opposite, and
+  // its stamp may not stand on another status.
+  if (!pending.route->fans_out() && first.response && first.in_flight.empty() &&
+      !first.response->promises_not_run()) {
     answer.kind = AnswerKind::kResponse;
     answer.response = std::move(*first.response);
     return answer;
--- a/src/jacinthdeck/forward/opaque_request.h
+++ b/src/jacinthdeck/forward/opaque_request.h
@@ -77,6 +77,11 @@
                            });
   }
   [[nodiscard]] bool is_server_error() const noexcept { return status >= 500; }
+  /*! \brief Returns whether callers take the status for a promise that the
+   * request has not run and never will. */
+  [[nodiscard]] bool promises_not_run() const noexcept {
+    return status == 408 || status == 421 || status == 429 || status == 503;
+  }
   /*! \brief Returns whether the body is the one that the target sent. */
   [[nodiscard]] bool is_intact() const noexcept {
     return !stamp.empty() && !encoded;
--- a/test/jacinthdeck/entry/entry_node_test.cc
+++ b/test/jacinthdeck/entry/entry_node_test.cc
@@ -38,6 +38,9 @@
 
 //! Path of a request that the target takes long to answer.
 constexpr const char* kSlowPath = "/a/slow";
+//! The target runs a request with this in its path, and answers it with the
+//! status that follows.
+constexpr std::string_view kStatusPath = "/status/";
 //! Long enough that a busy machine does not use up what a stop leaves of it.
 constexpr milliseconds kGrace{3000};
 
@@ -50,17 +53,18 @@
   std::atomic<milliseconds> slow_time = milliseconds(4000);
   //! Headers of the last request at the target.
   std::map<std::string, std::string> target_headers;
-  standins::HttpServer target{
-      {},
-      [this](const standins::HttpRequest& request) {
-        if (request.path == kSlowPath) {
-          ++slow_requests;
-          std::this_thread::sleep_for(slow_time.load());
-        }
-        const std::scoped_lock lock(mutex);
-        target_headers = request.headers;
-        return standins::HttpReply{200, "from " + request.path, false};
-      }};
+  //! Requests that the target has run, by path.
+  std::map<std::string, int> target_runs;
+  standins::HttpServer target{{}, [this](const standins::HttpRequest& request) {
+                                if (request.path == kSlowPath) {
+                                  ++slow_requests;
+                                  std::this_thread::sleep_for(slow_time.load());
+                                }
+                                const std::scoped_lock lock(mutex);
+                                target_headers = request.headers;
+                                ++target_runs[request.path];
+                                return ReplyOf(request);
+                              }};
   platform::StoreCodec codec;
   std::uint16_t callers = FreePort();
   std::uint16_t ready = FreePort();
@@ -135,6 +139,20 @@
     return probe.local_endpoint().port();
   }
 
+  [[nodiscard]] static standins::HttpReply ReplyOf(
+      const standins::HttpRequest& request) {
+    const std::size_t status = request.path.find(kStatusPath);
+    if (status == std::string::npos) {
+      return {200, "from " + request.path, false};
+    }
+    const std::string text = request.path.substr(status + kStatusPath.size());
+    return {static_cast<unsigned int>(std::stoul(text)),
+            "failed",
+            false,
+            {{std::string(platform::wire::kServerStamp), "stamp-" + text},
+             {"Retry-After", "9"}}};
+  }
+
   [[nodiscard]] static ClientReply Get(std::uint16_t port,
                                        const std::string& path,
                                        std::vector<Header> headers = {}) {
@@ -160,7 +178,9 @@
         {"op/config",
          R"({"version":3,"services":[{"name":"s","maxConnections":9}],)"
          R"("routes":[{"name":"r","host":"127.0.0.1","prefix":"/a/",)"
-         R"("routeType":"idempotent","service":"s"}])" +
+         R"("routeType":"idempotent","service":"s"},)"
+         R"({"name":"o","host":"127.0.0.1","prefix":"/once/",)"
+         R"("routeType":"non_idempotent","service":"s"}])" +
              tenants + "}",
          {}});
     control.puts.push_back({"servers/t1",
@@ -384,6 +404,25 @@
   BOOST_TEST(resolved.body.find(std::to_string(callers)) != std::string::npos);
 }
 
+// Guards against a refusal that promises "not run" for a request that a target
+// has run: its caller sends it again, and it runs twice.
+BOOST_AUTO_TEST_CASE(Target_RefusesWhatItHasRun_CallerGetsNoPromise) {
+  PutConfigAndTarget();
+  BOOST_TEST(WaitUntil([&] { return Get(callers, "/a/1").status == 502; }));
+  for (const std::string prefix : {"/once", "/a"}) {
+    for (const std::string status : {"408", "429", "503"}) {
+      const std::string path = prefix + std::string(kStatusPath) + status;
+      const ClientReply reply = Get(callers, path);
+      BOOST_TEST(reply.status == 502, path);
+      BOOST_TEST(reply.body == "targets_failed\n", path);
+      BOOST_TEST(reply.FindHeader(platform::wire::kServerStamp) == nullptr);
+      BOOST_TEST(reply.FindHeader("Retry-After") == nullptr, path);
+      const std::scoped_lock lock(mutex);
+      BOOST_TEST(target_runs[path] == 1, path);
+    }
+  }
+}
+
 // Guards against a host that still sends requests to an evacuated failure
 // domain, and against one that sends none after the evacuation has ended.
 BOOST_AUTO_TEST_CASE(Host_DomainIsEvacuatedAndGivenBack_RefusesAndServes) {
--- a/test/jacinthdeck/forward/forwarder_test.cc
+++ b/test/jacinthdeck/forward/forwarder_test.cc
@@ -66,6 +66,55 @@
   BOOST_TEST((OnlyAnswer().answer.kind == AnswerKind::kResponse));
 }
 
+// Guards against a promise "not run" that no target has made: a caller sends a
+// request that may run once again after one of these statuses.
+BOOST_AUTO_TEST_CASE(Forwarder_RunEndsWithRefusalStatus_CallFails) {
+  for (const int status : {408, 421, 429, 503}) {
+    for (const char* path : {"/claim/1", "/read/1"}) {
+      (void)Submit(path);
+      for (std::size_t at = 0; at < port.sent.size(); ++at) {
+        Fail(port.sent[at], status);
+      }
+      const ForwardAnswer& answer = OnlyAnswer().answer;
+      BOOST_TEST((answer.kind == AnswerKind::kFailed), status << path);
+      BOOST_TEST((answer.reason == ForwardReason::kTargetsFailed));
+      BOOST_TEST(!answer.retry_after.has_value());
+      BOOST_TEST(answer.response.stamp.empty());
+      port.sent.clear();
+      port.delivered.clear();
+      Advance(seconds(5));
+    }
+  }
+}
+
+// The first target runs the request and answers 503, and the second one has not
+// executed it: the call has run, whichever attempt ends last.
+BOOST_AUTO_TEST_CASE(Forwarder_RefusalStatusThenNotExecuted_CallFails) {
+  (void)Submit("/read/1");
+  Fail(port.sent[0], 503);
+  for (std::size_t at = 1; at < port.sent.size(); ++at) {
+    End(port.sent[at], AttemptOutcome::kNotExecuted);
+  }
+  Advance(kTimeout);
+  BOOST_TEST((OnlyAnswer().answer.kind == AnswerKind::kFailed));
+}
+
+// Guards against a status that no target has returned: other failures are
+// passed on unchanged.
+BOOST_AUTO_TEST_CASE(Forwarder_RunEndsWithOtherFailure_ResponseIsPassedOn) {
+  for (const int status : {400, 404, 409, 500, 502, 504}) {
+    (void)Submit("/claim/1");
+    BOOST_REQUIRE_EQUAL(port.sent.size(), 1U);
+    Fail(port.sent[0], status);
+    BOOST_TEST((OnlyAnswer().answer.kind == AnswerKind::kResponse), status);
+    BOOST_TEST(OnlyAnswer().answer.response.status == status);
+    BOOST_TEST(OnlyAnswer().answer.response.stamp == "stamp");
+    port.sent.clear();
+    port.delivered.clear();
+    Advance(seconds(5));
+  }
+}
+
 // Guards against callers that wait until their deadline. Every target refuses
 // the request without executing it, so the answer "not run" is true, and the
 // caller gets it with a retry time.
