Take a typed reply for "not run" only if it names its reason

Callers would see: a typed call that may run once runs at two targets, or is told "ran":"no" and has run.

Cause: the reply of a typed target was read by its status. A 503 of a target whose back end failed after the run, or a 409 or 410 of its application, was taken for "shed", "wrong range" or "version gone", which prove "not run".

Change: these need the name that the protocol of typed targets always had in `error` (shed, draining, cold; wrong_range; version_gone). Everything else may have run.

Before: 9 checks of the new test fail; after: none, nor other tests of typed.

--- a/src/jacinthdeck/typed/target_codec.cc
+++ b/src/jacinthdeck/typed/target_codec.cc
@@ -3,6 +3,8 @@
 
 #include <jansson.h>
 
+#include <algorithm>
+#include <array>
 #include <cstdint>
 #include <cstdlib>
 #include <memory>
@@ -17,9 +19,23 @@
 namespace {
 
 constexpr long kStatusOk = 200;
-constexpr long kStatusWrongRange = 409;
-constexpr long kStatusVersionGone = 410;
-constexpr long kStatusShed = 503;
+
+/*! \brief A reply by which a target states that it has not run the request. */
+struct Refusal {
+  long status;
+  //! Value of `error` in the body. The status alone proves nothing: a target
+  //! whose own back end failed may return it after it ran the request.
+  std::string_view error;
+  AttemptStatus meaning;
+};
+
+constexpr std::string_view kDraining = "draining";
+constexpr std::array<Refusal, 5> kRefusals{
+    {{409, "wrong_range", AttemptStatus::kWrongRange},
+     {410, "version_gone", AttemptStatus::kVersionGone},
+     {503, "shed", AttemptStatus::kShed},
+     {503, kDraining, AttemptStatus::kShed},
+     {503, "cold", AttemptStatus::kShed}}};
 
 [[nodiscard]] std::optional<std::uint64_t> ReadUnsigned(const json_t* value) {
   if (!json_is_integer(value) || json_integer_value(value) < 0) {
@@ -64,19 +80,16 @@
   return ReadHits(json_object_get(root, "hits"), reply.hits);
 }
 
-[[nodiscard]] AttemptStatus ToAttemptStatus(long status) noexcept {
-  switch (status) {
-    case kStatusOk:
-      return AttemptStatus::kAnswered;
-    case kStatusWrongRange:
-      return AttemptStatus::kWrongRange;
-    case kStatusVersionGone:
-      return AttemptStatus::kVersionGone;
-    case kStatusShed:
-      return AttemptStatus::kShed;
-    default:
-      return AttemptStatus::kFailed;
+[[nodiscard]] AttemptStatus ToAttemptStatus(long status,
+                                            std::string_view error) noexcept {
+  if (status == kStatusOk) {
+    return AttemptStatus::kAnswered;
   }
+  const auto* const refusal =
+      std::ranges::find_if(kRefusals, [&](const Refusal& candidate) {
+        return candidate.status == status && candidate.error == error;
+      });
+  return refusal == kRefusals.end() ? AttemptStatus::kFailed : refusal->meaning;
 }
 
 }  // namespace
@@ -96,16 +109,17 @@
                                const std::string& body) {
   AttemptReply reply;
   reply.attempt = attempt;
-  reply.status = ToAttemptStatus(status);
   const JsonPtr root(json_loadb(body.data(), body.size(), 0, nullptr));
+  const json_t* error = json_object_get(root.get(), "error");
+  const std::string_view error_name =
+      json_is_string(error) ? json_string_value(error) : "";
+  reply.status = ToAttemptStatus(status, error_name);
   const json_t* load = json_object_get(root.get(), "load");
   if (json_is_number(load)) {
     reply.reported_load = json_number_value(load);
   }
-  const json_t* error = json_object_get(root.get(), "error");
-  reply.draining = reply.status == AttemptStatus::kShed &&
-                   json_is_string(error) &&
-                   std::string_view(json_string_value(error)) == "draining";
+  reply.draining =
+      reply.status == AttemptStatus::kShed && error_name == kDraining;
   if (reply.status == AttemptStatus::kAnswered &&
       !ReadAnswer(root.get(), reply)) {
     reply.status = AttemptStatus::kFailed;
--- a/test/jacinthdeck/typed/target_codec_test.cc
+++ b/test/jacinthdeck/typed/target_codec_test.cc
@@ -3,6 +3,7 @@
 
 #include <boost/test/unit_test.hpp>
 #include <string>
+#include <vector>
 
 namespace jacinthdeck {
 
@@ -41,6 +42,40 @@
   }
 }
 
+/*! \brief A reply that is no answer, and what it says of the attempt. */
+struct RefusalCase {
+  long status;
+  std::string body;
+  AttemptStatus expected;
+};
+
+// Guards against a request that runs twice: a status is no proof that a target
+// has not run the request, as its own back end may have failed while it did.
+BOOST_AUTO_TEST_CASE(Reply_RefusalWithoutItsReason_MayHaveRun) {
+  const std::vector<RefusalCase> cases{
+      {503, R"({"error":"shed","load":0.9})", AttemptStatus::kShed},
+      {503, R"({"error":"draining"})", AttemptStatus::kShed},
+      {503, R"({"error":"cold"})", AttemptStatus::kShed},
+      {503, R"({"error":"backend","load":0.9})", AttemptStatus::kFailed},
+      {503, R"({"error":"wrong_range"})", AttemptStatus::kFailed},
+      {503, R"({"error":["shed"]})", AttemptStatus::kFailed},
+      {503, R"({"error":"shed")", AttemptStatus::kFailed},
+      {503, "<h1>shed</h1>", AttemptStatus::kFailed},
+      {503, "", AttemptStatus::kFailed},
+      {409, R"({"error":"wrong_range"})", AttemptStatus::kWrongRange},
+      {409, R"({"error":"conflict"})", AttemptStatus::kFailed},
+      {409, "", AttemptStatus::kFailed},
+      {410, R"({"error":"version_gone"})", AttemptStatus::kVersionGone},
+      {410, "gone", AttemptStatus::kFailed},
+      {429, R"({"error":"shed"})", AttemptStatus::kFailed},
+      {408, R"({"error":"shed"})", AttemptStatus::kFailed}};
+  for (const RefusalCase& test : cases) {
+    const AttemptReply reply =
+        DecodeTargetReply(AttemptId(1), test.status, test.body);
+    BOOST_TEST((reply.status == test.expected), test.status << test.body);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace jacinthdeck
