Read each number of the platform's settings in every form it may have

Cause: the template made milliseconds of seconds by appending three digits. That holds for whole numbers in plain digits alone; 6.5 became 6.5 ms, below the range.

Change: a duration of the settings is set as KEY_ms or KEY_s, and one function converts. Ranges hold what a deployment may have. A value that says nothing usable still ends the start with its name. Keys with _ms are read as before.

--- a/src/jacinthdeck/core/settings_table.cc
+++ b/src/jacinthdeck/core/settings_table.cc
@@ -2,6 +2,8 @@
 #include "jacinthdeck/core/settings_table.h"
 
 #include <algorithm>
+#include <array>
+#include <cmath>
 #include <sstream>
 #include <utility>
 
@@ -13,6 +15,15 @@
 
 namespace {
 
+/*! \brief Unit that a key of a duration names at its end. */
+struct DurationUnit {
+  std::string_view suffix;
+  Duration length;
+};
+
+constexpr std::array<DurationUnit, 2> kDurationUnits{
+    {{"_ms", std::chrono::milliseconds(1)}, {"_s", std::chrono::seconds(1)}}};
+
 [[nodiscard]] std::string FormatNumber(double value) {
   std::ostringstream text;
   text << value;
@@ -153,13 +164,34 @@
   return value.value_or(fallback);
 }
 
-Duration SettingsTable::Milliseconds(const std::string& key,
-                                     SettingRange range,
-                                     Duration fallback) {
-  const double value =
-      Number(key, range, SettingPresence::kOptional, ToMilliseconds(fallback));
-  constexpr double kMicroseconds = 1000;
-  return Duration(static_cast<Duration::rep>(value * kMicroseconds));
+Duration SettingsTable::Time(const std::string& key,
+                             SettingDurations range,
+                             Duration fallback) {
+  const toml::node* set = nullptr;
+  Duration result = fallback;
+  for (const DurationUnit& unit : kDurationUnits) {
+    const std::string unit_key = key + std::string(unit.suffix);
+    const toml::node* node =
+        m_impl->FindKey(unit_key, SettingPresence::kOptional);
+    if (node == nullptr) {
+      continue;
+    }
+    if (set != nullptr) {
+      m_impl->AddError(*node, unit_key,
+                       "is set in another unit as well; expected one of both");
+      return fallback;
+    }
+    set = node;
+    const auto length = static_cast<double>(unit.length.count());
+    const auto in_unit = [&](Duration duration) {
+      return static_cast<double>(duration.count()) / length;
+    };
+    const double value =
+        Number(unit_key, {in_unit(range.low), in_unit(range.high)},
+               SettingPresence::kOptional, in_unit(fallback));
+    result = Duration(std::llround(value * length));
+  }
+  return result;
 }
 
 Endpoint SettingsTable::Address(const std::string& key,
--- a/src/jacinthdeck/core/settings_table.h
+++ b/src/jacinthdeck/core/settings_table.h
@@ -35,6 +35,12 @@
   double high = 0;
 };
 
+/*! \brief Inclusive range of allowed durations. */
+struct SettingDurations {
+  Duration low{};
+  Duration high{};
+};
+
 /**
  * \brief Typed access to the keys of a settings file.
  *
@@ -71,10 +77,14 @@
   /*! \brief Reads a boolean. */
   [[nodiscard]] bool Flag(const std::string& key, bool fallback);
 
-  /*! \brief Reads a duration given in milliseconds. */
-  [[nodiscard]] Duration Milliseconds(const std::string& key,
-                                      SettingRange range,
-                                      Duration fallback);
+  /**
+   * \brief Reads a duration, a whole number or a fraction.
+   * \param key Key without its unit: `KEY_ms` holds milliseconds, `KEY_s`
+   * seconds. To set both is an error.
+   */
+  [[nodiscard]] Duration Time(const std::string& key,
+                              SettingDurations range,
+                              Duration fallback);
 
   /*! \brief Reads an endpoint of the form `address:port`. */
   [[nodiscard]] Endpoint Address(const std::string& key,
--- a/src/jacinthdeck/entry/entry_settings.cc
+++ b/src/jacinthdeck/entry/entry_settings.cc
@@ -2,24 +2,31 @@
 #include "jacinthdeck/entry/entry_settings.h"
 
 #include <algorithm>
+#include <chrono>
 
 namespace jacinthdeck {
 
 namespace {
 
-constexpr SettingRange kChangeDelayMs{100, 3'600'000};
-constexpr SettingRange kDescriptors{64, 1'048'576};
+using std::chrono::hours;
+using std::chrono::milliseconds;
+
+// Ranges are wide: a host that makes no full use of an unusual value still
+// serves, and one that refuses it does not start.
+constexpr Duration kLongest = hours(24);
+constexpr SettingDurations kChangeDelay{Duration::zero(), kLongest};
+constexpr SettingRange kDescriptors{64, 2'147'483'647};
 constexpr SettingRange kMemoryMb{1, 1'048'576};
 constexpr std::uint64_t kMegabyte = std::uint64_t{1} << 20U;
 constexpr SettingRange kCpuShare{0.001, 1024};
 constexpr SettingRange kCores{0.001, 1024};
 constexpr SettingRange kExtraRatio{0, 10};
 constexpr SettingRange kExtraConstant{0, 1'000'000};
-constexpr SettingRange kExtraWindowMs{1000, 600'000};
-constexpr SettingRange kDirectoryTtlMs{100, 3'600'000};
-constexpr SettingRange kGraceMs{500, 600'000};
-constexpr SettingRange kRevokeMs{100, 3'600'000};
-constexpr SettingRange kWindowMs{100, 600'000};
+constexpr SettingDurations kExtraWindow{milliseconds(100), kLongest};
+constexpr SettingDurations kDirectoryTtl{milliseconds(100), hours(1)};
+constexpr SettingDurations kGrace{Duration::zero(), kLongest};
+constexpr SettingDurations kRevoke{milliseconds(100), kLongest};
+constexpr SettingDurations kWindow{milliseconds(100), kLongest};
 constexpr SettingRange kOvershoot{0, 10};
 constexpr SettingRange kSlack{0, 1'000'000};
 constexpr SettingRange kLogBytesPerSecond{1024, 67'108'864};
@@ -65,10 +72,10 @@
 }
 
 void ReadBounds(SettingsTable& table, EntrySettings& settings) {
-  const Duration drain = table.Milliseconds("bounds.drain_ms", kChangeDelayMs,
-                                            DiscoveryTimes::kDefaultBound);
-  const Duration config_apply = table.Milliseconds(
-      "bounds.config_apply_ms", kChangeDelayMs, DiscoveryTimes::kDefaultBound);
+  const Duration drain =
+      table.Time("bounds.drain", kChangeDelay, DiscoveryTimes::kDefaultBound);
+  const Duration config_apply = table.Time("bounds.config_apply", kChangeDelay,
+                                           DiscoveryTimes::kDefaultBound);
   settings.max_change_delay = std::min(drain, config_apply);
 }
 
@@ -79,26 +86,24 @@
   settings.extra_constant =
       table.Number("extra_attempts.constant", kExtraConstant,
                    SettingPresence::kOptional, settings.extra_constant);
-  settings.extra_window = table.Milliseconds(
-      "extra_attempts.window_ms", kExtraWindowMs, settings.extra_window);
-  settings.directory_ttl = table.Milliseconds(
-      "directory.ttl_ms", kDirectoryTtlMs, settings.directory_ttl);
-  settings.grace =
-      table.Milliseconds("shutdown.grace_ms", kGraceMs, settings.grace);
+  settings.extra_window =
+      table.Time("extra_attempts.window", kExtraWindow, settings.extra_window);
+  settings.directory_ttl =
+      table.Time("directory.ttl", kDirectoryTtl, settings.directory_ttl);
+  settings.grace = table.Time("shutdown.grace", kGrace, settings.grace);
 }
 
 void ReadKeys(SettingsTable& table, EntrySettings& settings) {
   settings.strict_revoke =
       table.Flag("keys.strict_revoke", settings.strict_revoke);
   settings.revoke_after =
-      table.Milliseconds("keys.revoke_ms", kRevokeMs, settings.revoke_after);
+      table.Time("keys.revoke", kRevoke, settings.revoke_after);
 }
 
 void ReadRateLimits(SettingsTable& table, RateLimitSettings& limits) {
   limits.listen =
       table.Address("rate_limits.listen", SettingPresence::kOptional);
-  limits.window =
-      table.Milliseconds("rate_limits.window_ms", kWindowMs, limits.window);
+  limits.window = table.Time("rate_limits.window", kWindow, limits.window);
   limits.overshoot = table.Number("rate_limits.overshoot", kOvershoot,
                                   SettingPresence::kOptional, limits.overshoot);
   limits.slack = table.Number("rate_limits.slack", kSlack,
--- a/test/jacinthdeck/entry/entry_settings_test.cc
+++ b/test/jacinthdeck/entry/entry_settings_test.cc
@@ -48,6 +48,39 @@
   BOOST_TEST((settings->extra_window == std::chrono::seconds(5)));
 }
 
+BOOST_AUTO_TEST_CASE(Duration_InEachUnit_IsRead) {
+  const auto grace_of = [](const std::string& lines) {
+    const auto read = ReadEntrySettings(WithExtraLines(lines));
+    const auto* settings = std::get_if<EntrySettings>(&read);
+    BOOST_REQUIRE(settings != nullptr);
+    return settings->grace;
+  };
+  BOOST_TEST((grace_of("[shutdown]\n") == std::chrono::seconds(6)));
+  BOOST_TEST((grace_of("[shutdown]\ngrace_ms = 2500\n") ==
+              std::chrono::milliseconds(2500)));
+  BOOST_TEST((grace_of("[shutdown]\ngrace_s = 6.1\n") ==
+              std::chrono::milliseconds(6100)));
+}
+
+// Guards against a setting that is ignored because it is set a second time in
+// another unit.
+BOOST_AUTO_TEST_CASE(Duration_InTwoUnits_IsAnError) {
+  const auto errors =
+      ErrorsOf(WithExtraLines("[shutdown]\ngrace_ms = 6000\ngrace_s = 7\n"));
+  BOOST_REQUIRE_EQUAL(errors.size(), 1U);
+  BOOST_TEST(errors[0].key == "shutdown.grace_s");
+  BOOST_TEST(errors[0].line == 14U);
+}
+
+BOOST_AUTO_TEST_CASE(Duration_OutsideItsRange_ErrorNamesRangeInItsUnit) {
+  const auto errors = ErrorsOf(WithExtraLines("window_s = 1\n"));
+  BOOST_REQUIRE_EQUAL(errors.size(), 1U);
+  BOOST_TEST(errors[0].key == "extra_attempts.window_s");
+  const auto low = ErrorsOf(WithExtraLines("[rate_limits]\nwindow_s = 0.05\n"));
+  BOOST_REQUIRE_EQUAL(low.size(), 1U);
+  BOOST_TEST(low[0].message == "is 0.05; expected a number from 0.1 to 86400");
+}
+
 BOOST_AUTO_TEST_CASE(Memory_IsAFraction_IsRead) {
   std::string text(kValidSettings);
   text.insert(text.find("[listen]"), "memory_mb = 260.5\n");
