Read numbers of the configuration and of targets in each spelling of JSON

Callers would see: a configuration with "timeoutMs":1500.0, or with a fraction of a millisecond, is refused as a whole, so that each host keeps the one before it; a target with "slots":6.0 is not known.

Cause: whole numbers were read from integers of the JSON library alone, which tells 1500 from 1500.0, while JSON has one type of number. Durations were read as whole milliseconds.

Change: a whole number is read in each spelling if a double holds it exactly, and a duration may be a fraction. 3.5 slots, negative and larger numbers are rejected as before, with the name of the field.

Before: the new test of spellings fails at its first configuration, whose targetLatencyMs is a fraction, so that the spellings after it were not reached; after: it passes with all others of the adapter and of discovery.

--- a/src/jacinthdeck/core/json_reader.cc
+++ b/src/jacinthdeck/core/json_reader.cc
@@ -4,6 +4,7 @@
 #include <jansson.h>
 
 #include <algorithm>
+#include <cmath>
 #include <cstddef>
 #include <utility>
 
@@ -11,6 +12,9 @@
 
 namespace {
 
+//! Largest whole number up to which a double holds each whole number.
+constexpr double kMaxExactReal = 9'007'199'254'740'991;
+
 [[nodiscard]] std::string_view TypeName(const json_t* value) noexcept {
   switch (json_typeof(value)) {
     case JSON_OBJECT:
@@ -99,6 +103,21 @@
   return member.AsUnsigned(max);
 }
 
+Result<Duration> JsonReader::Milliseconds(std::string_view name,
+                                          Duration max) const {
+  BOOST_LEAF_AUTO(member, Member(name));
+  if (!json_is_number(member.raw())) {
+    return member.WrongType("a number");
+  }
+  const double value = json_number_value(member.raw());
+  if (value < 0 || value > ToMilliseconds(max)) {
+    return member.OutOfRange(std::to_string(value),
+                             static_cast<std::uint64_t>(ToMilliseconds(max)));
+  }
+  constexpr double kMicroseconds = 1000;
+  return Duration(std::llround(value * kMicroseconds));
+}
+
 Result<std::vector<JsonReader>> JsonReader::Array(std::string_view name) const {
   BOOST_LEAF_AUTO(member, Member(name));
   return member.Elements();
@@ -126,18 +145,33 @@
 }
 
 Result<std::uint64_t> JsonReader::AsUnsigned(std::uint64_t max) const {
+  // JSON has one type of number, so that 7.0 and 7e0 are whole as well.
+  if (json_is_real(m_value)) {
+    const double value = json_real_value(m_value);
+    if (value != std::trunc(value) || std::abs(value) > kMaxExactReal) {
+      return WrongType("a whole number");
+    }
+    if (value < 0 || static_cast<std::uint64_t>(value) > max) {
+      return OutOfRange(std::to_string(value), max);
+    }
+    return static_cast<std::uint64_t>(value);
+  }
   if (!json_is_integer(m_value)) {
     return WrongType("a whole number");
   }
   const json_int_t value = json_integer_value(m_value);
   if (value < 0 || static_cast<std::uint64_t>(value) > max) {
-    return Fail(ErrorCode::kCorrupt, m_path,
-                "is " + std::to_string(value) + ", expected 0 to " +
-                    std::to_string(max));
+    return OutOfRange(std::to_string(value), max);
   }
   return static_cast<std::uint64_t>(value);
 }
 
+boost::leaf::error_id JsonReader::OutOfRange(const std::string& value,
+                                             std::uint64_t max) const {
+  return Fail(ErrorCode::kCorrupt, m_path,
+              "is " + value + ", expected 0 to " + std::to_string(max));
+}
+
 boost::leaf::error_id JsonReader::WrongType(std::string_view expected) const {
   return Fail(ErrorCode::kCorrupt, m_path,
               "is " + std::string(TypeName(m_value)) + ", expected " +
--- a/src/jacinthdeck/core/json_reader.h
+++ b/src/jacinthdeck/core/json_reader.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "jacinthdeck/core/result.h"
+#include "jacinthdeck/core/time.h"
 
 struct json_t;
 
@@ -53,13 +54,21 @@
   [[nodiscard]] Result<double> Number(std::string_view name) const;
 
   /**
-   * \brief Reads a member that must be an integer.
+   * \brief Reads a member that must be a whole number, in any spelling.
    * \param name Name of the member.
    * \param max Highest accepted value; the lowest is 0.
    */
   [[nodiscard]] Result<std::uint64_t> Unsigned(std::string_view name,
                                                std::uint64_t max) const;
 
+  /**
+   * \brief Reads a member that must be a duration in milliseconds, which may
+   * be a fraction.
+   * \param max Longest accepted duration; the shortest is 0.
+   */
+  [[nodiscard]] Result<Duration> Milliseconds(std::string_view name,
+                                              Duration max) const;
+
   /*! \brief Reads the elements of a member that must be an array. */
   [[nodiscard]] Result<std::vector<JsonReader>> Array(
       std::string_view name) const;
@@ -71,7 +80,7 @@
   [[nodiscard]] Result<std::string> AsString() const;
 
   /**
-   * \brief Reads this value, which must be an integer.
+   * \brief Reads this value, which must be a whole number, in any spelling.
    * \param max Highest accepted value; the lowest is 0.
    */
   [[nodiscard]] Result<std::uint64_t> AsUnsigned(std::uint64_t max) const;
@@ -79,6 +88,8 @@
  private:
   [[nodiscard]] boost::leaf::error_id WrongType(
       std::string_view expected) const;
+  [[nodiscard]] boost::leaf::error_id OutOfRange(const std::string& value,
+                                                 std::uint64_t max) const;
 
   const json_t* m_value;
   std::string m_path;
--- a/test/platform/codecs_test.cc
+++ b/test/platform/codecs_test.cc
@@ -86,6 +86,66 @@
   BOOST_TEST(std::get<Error>(read).subject == "config.routes[0].timeoutMs");
 }
 
+// Guards against a configuration or an entry that is not used because the
+// platform writes a number in another form: JSON has one type of number, and a
+// duration may be a fraction.
+BOOST_AUTO_TEST_CASE(Numbers_AnySpelling_AreRead) {
+  for (const std::string spelling : {"3", "3.0", "3e0", "0.3e1", "30E-1"}) {
+    const auto config = ReadOk(
+        R"({"version":)" + spelling + R"(,"routes":[{"name":"r","host":"h",)" +
+        R"("prefix":"/a/","routeType":"idempotent","service":"s",)" +
+        R"("maxAttempts":)" + spelling + R"(,"priority":)" + spelling +
+        R"(,"timeoutMs":)" + spelling + R"(,"targetLatencyMs":3.5}],)" +
+        R"("services":[{"name":"s","maxConnections":)" + spelling +
+        R"(}],"limits":{"maxHeaderBytes":)" + spelling + R"(,"maxBodyBytes":)" +
+        spelling + R"(,"headerTimeoutMs":)" + spelling +
+        R"(,"idleTimeoutMs":2500.25}})");
+    BOOST_TEST(config->version() == 3U, spelling);
+    const Route* route = config->Find("h", "/a/");
+    BOOST_REQUIRE(route != nullptr);
+    BOOST_TEST(route->max_attempts == 3U, spelling);
+    BOOST_TEST(route->priority == 3U, spelling);
+    BOOST_TEST((route->timeout == std::chrono::milliseconds(3)), spelling);
+    BOOST_TEST((route->objective == std::chrono::microseconds(3500)));
+    BOOST_TEST((config->limits().idle_timeout ==
+                std::chrono::microseconds(2'500'250)));
+    const StoreCodec codec;
+    const auto target = Capture([&] {
+      return codec.ReadTarget(
+          "t", R"({"service":"s","zone":"z","state":"ready","seq":)" +
+                   spelling + R"(,"address":"10.0.0.1:80","slots":)" +
+                   spelling + R"(,"born":)" + spelling +
+                   R"(,"coldRemainingMs":1500.5})");
+    });
+    BOOST_REQUIRE_EQUAL(target.index(), 0U);
+    const ParsedTarget& parsed = std::get<ParsedTarget>(target);
+    BOOST_TEST(parsed.entry.slots == 3U, spelling);
+    BOOST_TEST(parsed.entry.started_ms == 3U, spelling);
+    BOOST_TEST((parsed.cold_for == std::chrono::microseconds(1'500'500)));
+    BOOST_TEST(!parsed.problem.has_value(), spelling);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(Numbers_NotWholeOrOutOfRange_AreRejected) {
+  for (const char* version : {"3.5", "-1", "-1.0", "1e19", "1e300",
+                              "9007199254740993.0", "true", "\"3\""}) {
+    const auto read = Capture([&] {
+      return ReadConfig(R"({"routes":[],"services":[],"version":)" +
+                        std::string(version) + "}");
+    });
+    BOOST_TEST(read.index() == 1U, version);
+  }
+  for (const char* timeout : {"-0.5", "86400000.5", "1e300", "true"}) {
+    const auto read = Capture([&] {
+      return ReadConfig(R"({"routes":[],"services":[],"version":3,)"
+                        R"("limits":{"idleTimeoutMs":)" +
+                        std::string(timeout) + "}}");
+    });
+    BOOST_REQUIRE_EQUAL(read.index(), 1U);
+    BOOST_TEST(std::get<Error>(read).subject == "config.limits.idleTimeoutMs");
+  }
+}
+
 // Guards against a host that ends at each request of a route without a service.
 BOOST_AUTO_TEST_CASE(Config_RouteHasNoService_IsRejected) {
   for (const char* services :
