Limit what the store's client reads ahead of its parser

Here a store, or another server at its address, could send the length or the extension of a chunk, or trailers, without end; the host kept all of it until the timeout of the call.

Cause: the read buffer of ClientSession had no limit. The body has one of 16 MiB and the head one of 8 KiB, but the parser takes a chunk header and the trailers only as a whole, out of that buffer.

Change: the buffer is limited to 64 KiB; the call then fails with an incomplete body, as beyond the other limits.

Connections to targets were limited already (TargetPoolTest/Response_WithoutEnd_*).

--- a/src/jacinthdeck/http/client_session.cc
+++ b/src/jacinthdeck/http/client_session.cc
@@ -8,6 +8,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
+#include <cstddef>
 #include <utility>
 
 #include "jacinthdeck/http/socket_options.h"
@@ -23,6 +24,10 @@
 //! entries.
 constexpr std::uint64_t kMaxBodyBytes = 16ULL << 20U;
 
+//! Limit on bytes that are read and not parsed yet. The parser takes a body
+//! piece by piece, but the extension of a chunk and the trailers as a whole.
+constexpr std::size_t kMaxUnparsedBytes = std::size_t{64} << 10U;
+
 }  // namespace
 
 const std::string* ClientReply::FindHeader(std::string_view name) const {
@@ -43,7 +48,7 @@
   explicit Connection(asio::io_context& loop) : socket(loop) {}
 
   tcp::socket socket;
-  boost::beast::flat_buffer read_buffer;
+  boost::beast::flat_buffer read_buffer{kMaxUnparsedBytes};
   std::optional<Parser> parser;
   std::string write_buffer;
   bool write_started = false;
--- a/test/jacinthdeck/http/client_session_test.cc
+++ b/test/jacinthdeck/http/client_session_test.cc
@@ -2,8 +2,10 @@
 // socket.
 #include "jacinthdeck/http/client_session.h"
 
+#include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "jacinthdeck/http/loop_fixture.h"
 
@@ -21,6 +23,10 @@
 
   //! More handlers than a call has until a part of its reply was read.
   static constexpr int kHandlersOfCall = 6;
+  static constexpr std::size_t kBytesOfWrite = std::size_t{64} << 10U;
+  //! The limit on the body of a response, and as much for what the buffers of
+  //! the sockets hold.
+  static constexpr std::size_t kMostBytesTaken = std::size_t{32} << 20U;
 
   //! Starts a call whose connection has part of a reply before the session
   //! reads, and runs a number of its handlers.
@@ -56,6 +62,33 @@
     return *reply;
   }
 
+  //! Writes the beginning of a reply and then a piece again and again, until
+  //! the call ends or the connection takes no more; returns the bytes written.
+  std::size_t AnswerWithoutEnd(const std::string& begin,
+                               const std::string& piece) {
+    std::string pieces;
+    while (pieces.size() < kBytesOfWrite) {
+      pieces += piece;
+    }
+    std::size_t written = 0;
+    std::function<void(const std::string&)> write =
+        [&](const std::string& bytes) {
+          asio::async_write(store, asio::buffer(bytes),
+                            [&](const SystemError& error, std::size_t count) {
+                              written += count;
+                              if (!error && written < kMostBytesTaken) {
+                                write(pieces);
+                              }
+                            });
+        };
+    write(begin);
+    RunUntil([&] { return reply.has_value() || written >= kMostBytesTaken; });
+    store.close();
+    loop.restart();
+    loop.poll();
+    return written;
+  }
+
   ClientReply AnswerAndClose(const std::string& bytes, bool reset) {
     asio::write(store, asio::buffer(bytes));
     store.set_option(asio::socket_base::linger(reset, 0));
@@ -122,6 +155,59 @@
       "one");
 }
 
+// Guards against bytes of a faulty server that are kept until the process has
+// no memory left.
+BOOST_AUTO_TEST_CASE(Reply_WithoutEnd_IsRefusedAtLimit) {
+  const std::string chunked = "Transfer-Encoding: chunked\r\n\r\n";
+  const std::string chunk = "400\r\n" + std::string(0x400, 'x') + "\r\n";
+  struct Form {
+    std::string name, begin, piece;
+  };
+  const std::vector<Form> forms = {
+      {"no HTTP", "abc", "x"},
+      {"status line", "HTTP/1.1 200 ", "x"},
+      {"name of a header", reply_head, "x"},
+      {"value of a header", reply_head + "a: ", "x"},
+      {"headers", reply_head, "a: b\r\n"},
+      {"headers of an interim response", "HTTP/1.1 100 A\r\n", "a: b\r\n"},
+      {"body until the close", reply_head + "\r\n", "x"},
+      {"body of a length", reply_head + "Content-Length: 99999999999\r\n\r\n",
+       "x"},
+      {"chunks", reply_head + chunked, chunk},
+      {"length of a chunk", reply_head + chunked, "0"},
+      {"extension of a chunk", reply_head + chunked + "5;", "x"},
+      {"extensions of a later chunk", reply_head + chunked + chunk + "5",
+       ";x=y"},
+      {"data of a chunk", reply_head + chunked + "fffffffff\r\n", "x"},
+      {"trailer", reply_head + chunked + chunk + "0\r\n", "x"},
+      {"trailers", reply_head + chunked + chunk + "0\r\n", "a: b\r\n"},
+  };
+  for (const Form& form : forms) {
+    ClientSession session(loop, "127.0.0.1", acceptor.local_endpoint().port());
+    Call(session, true);
+    const std::size_t taken = AnswerWithoutEnd(form.begin, form.piece);
+    BOOST_TEST(taken < kMostBytesTaken, form.name << " took " << taken);
+    BOOST_TEST((reply.has_value() && !reply->answered()), form.name);
+  }
+}
+
+// Guards against a limit on unparsed bytes that refuses a page of the store.
+BOOST_AUTO_TEST_CASE(Reply_LargestBody_IsRead) {
+  const std::string body(std::size_t{16} << 20U, 'x');
+  for (const std::string& form :
+       {reply_head + "Content-Length: 16777216\r\n\r\n" + body,
+        reply_head + "Transfer-Encoding: chunked\r\n\r\n1000000\r\n" + body +
+            "\r\n0\r\n\r\n"}) {
+    ClientSession session(loop, "127.0.0.1", acceptor.local_endpoint().port());
+    Call(session, true);
+    asio::async_write(store, asio::buffer(form),
+                      [](const SystemError&, std::size_t) {});
+    RunUntil([&] { return reply.has_value(); });
+    BOOST_TEST(reply->error == "");
+    BOOST_TEST(reply->body.size() == body.size());
+  }
+}
+
 // Guards against the read of an aborted call that takes bytes from the next
 // call's connection, or uses its freed parser.
 BOOST_AUTO_TEST_CASE(Call_AbortedAfterAnyHandler_NextCallGetsItsReply) {
