Limit a frame between hosts to the largest item of the store

Cause: a frame could have 64 MiB, for a message with the store's whole content; content has been sent in parts of 1 MiB since, and a part is larger only if it holds one item, which the store sends in a reply of at most 16 MiB. A server that has the address of a host that is gone could make a host keep 64 MiB, in a buffer that grows by doubling, of the 160 MiB that the smallest machine has.

A feeder from before with more content than that loses its followers of this version, which then read the store.

--- a/src/jacinthdeck/peer/feed_frames.h
+++ b/src/jacinthdeck/peer/feed_frames.h
@@ -16,9 +16,10 @@
 /*! \brief Splits a byte stream into frames and strips their length prefix. */
 class FeedFrameReader {
  public:
-  //! Largest frame that is accepted. The largest message holds the store's
-  //! whole content, whose parts are bounded.
-  static constexpr std::size_t kMaxFrameBytes = std::size_t{64} << 20U;
+  //! Largest frame that is accepted. The largest message holds one item, which
+  //! the store sends in a reply of at most 16 MiB; more items are sent in
+  //! parts.
+  static constexpr std::size_t kMaxFrameBytes = std::size_t{20} << 20U;
 
   /*! \brief Creates a reader of an empty stream.
    * \param max_bytes Largest frame that is accepted. */
