Test a host whose targets send bytes without end

Five forms (no HTTP, a header, a body, a chunk extension, a trailer), 20 requests at once, to one shard and to all: the process stays within 160 MiB, and a request beside them is answered.

--- a/test/clients/client_crowd_test.cc
+++ b/test/clients/client_crowd_test.cc
@@ -25,6 +25,8 @@
 constexpr std::size_t kMegabyte = std::size_t{1} << 20U;
 //! Bytes without end, for this purpose.
 constexpr std::size_t kEndless = 64 * kMegabyte;
+//! More than the largest response.
+constexpr std::size_t kEndlessResponse = 20 * kMegabyte;
 //! One byte less than the largest body, so that a request never ends.
 constexpr std::size_t kUnfinishedBody = kMegabyte - 1;
 //! More than a connection reads ahead.
@@ -437,6 +439,44 @@
   CheckServes();
 }
 
+// Guards against bytes of faulty targets that the host keeps until its memory
+// is used up, so that all its other requests end with it.
+BOOST_AUTO_TEST_CASE(Responses_WithoutEndFromTargets_AreBounded) {
+  m_script = [filler = std::string(kEndlessResponse, 'x')](
+                 const TargetRequest& request) {
+    const std::string name = request.path.substr(request.path.rfind('/') + 1);
+    const std::string chunked = "Transfer-Encoding: chunked\r\n\r\n";
+    if (name == "no-http") {
+      return filler;
+    }
+    if (name == "head") {
+      return "HTTP/1.1 200 OK\r\nA: " + filler;
+    }
+    if (name == "body") {
+      return "HTTP/1.1 200 OK\r\n\r\n" + filler;
+    }
+    if (name == "extension") {
+      return "HTTP/1.1 200 OK\r\n" + chunked + "1;" + filler;
+    }
+    if (name == "trailer") {
+      return "HTTP/1.1 200 OK\r\n" + chunked + "0\r\nA: " + filler;
+    }
+    return StampedResponse(request, "200 OK", std::string(16, 'r'));
+  };
+  Start({.shards = 3});
+  for (const char* route : {"/one/", "/all/"}) {
+    for (const char* name :
+         {"no-http", "head", "body", "extension", "trailer"}) {
+      {
+        Crowd crowd(ports().callers, 20);
+        crowd.Send({Get(std::string(route) + name), "", 0}, CrowdReading::kAll);
+        CheckBounds();
+      }
+      CheckServes();
+    }
+  }
+}
+
 // Guards against a status below 100, which is no status, in an answer to a
 // caller.
 BOOST_AUTO_TEST_CASE(Response_WithStatusZero_IsNotPassedOn) {
