Test requests that come until the ports close in a stop

The new test sends such requests through a whole host, whose target stops answering in the middle of the stop.

--- a/test/jacinthdeck/entry/entry_node_test.cc
+++ b/test/jacinthdeck/entry/entry_node_test.cc
@@ -12,6 +12,7 @@
 #include <chrono>
 #include <cstdio>
 #include <functional>
+#include <future>
 #include <map>
 #include <mutex>
 #include <regex>
@@ -51,12 +52,15 @@
   std::atomic<int> slow_requests = 0;
   //! Longer than kGrace, unless a test changes it.
   std::atomic<milliseconds> slow_time = milliseconds(4000);
+  //! When the target becomes slow to answer all requests.
+  std::atomic<TimePoint> slow_from = TimePoint::max();
   //! Headers of the last request at the target.
   std::map<std::string, std::string> target_headers;
   //! Requests that the target has run, by path.
   std::map<std::string, int> target_runs;
   standins::HttpServer target{{}, [this](const standins::HttpRequest& request) {
-                                if (request.path == kSlowPath) {
+                                if (request.path == kSlowPath ||
+                                    clock.Now() >= slow_from.load()) {
                                   ++slow_requests;
                                   std::this_thread::sleep_for(slow_time.load());
                                 }
@@ -280,6 +284,30 @@
   BOOST_TEST(reply.status == 504);
 }
 
+// Guards against requests that are taken and passed on late in a stop, and cut
+// without an answer at its end.
+BOOST_AUTO_TEST_CASE(Requests_SentUntilThePortCloses_AllAnswered) {
+  std::vector<std::future<ClientReply>> calls;
+  const TimePoint signalled = clock.Now();
+  slow_from = signalled + kGrace / 2;
+  (void)raise(SIGTERM);
+  while (clock.Now() - signalled < kGrace) {
+    for (const char* path : {"/a/slow/status/200", "/once/slow/status/200"}) {
+      calls.push_back(std::async(std::launch::async,
+                                 [this, path] { return Get(callers, path); }));
+    }
+    std::this_thread::sleep_for(milliseconds(30));
+  }
+  std::size_t answered = 0;
+  for (std::future<ClientReply>& call : calls) {
+    const ClientReply reply = call.get();
+    BOOST_TEST((reply.answered() || reply.not_sent), reply.error);
+    answered += reply.answered() ? 1 : 0;
+  }
+  BOOST_TEST(answered > 0);
+  BOOST_TEST(slow_requests > 0);
+}
+
 // Guards against a host that ends before it has answered what is due, because
 // its loop was busy until then.
 BOOST_AUTO_TEST_CASE(Host_LoopIsBusyUntilItsEnd_CallerGetsAnswer) {
