Give the host of the tests of a node an address of its own

Cause: the fixture asked the kernel for a port, closed it, and the host opened it later; in between, any connection of another test may have got it as its source. By reading; the test did not print the error.

A host that does not start still ends the test, now with its error.

--- a/test/jacinthdeck/entry/entry_node_test.cc
+++ b/test/jacinthdeck/entry/entry_node_test.cc
@@ -46,6 +46,9 @@
 constexpr milliseconds kGrace{3000};
 
 struct NodeFixture {
+  //! Address of the host, apart from that of all other processes.
+  static constexpr const char* kAddress = "127.0.0.3";
+
   BoottimeClock clock;
   standins::StoreServer store{0, clock, {}, 1};
   std::mutex mutex;
@@ -70,10 +73,11 @@
                                 return ReplyOf(request);
                               }};
   platform::StoreCodec codec;
-  std::uint16_t callers = FreePort();
-  std::uint16_t ready = FreePort();
-  std::uint16_t directory = FreePort();
-  std::uint16_t metrics = FreePort();
+  const std::vector<std::uint16_t> ports = FreePorts(4);
+  const std::uint16_t callers = ports[0];
+  const std::uint16_t ready = ports[1];
+  const std::uint16_t directory = ports[2];
+  const std::uint16_t metrics = ports[3];
   std::atomic<bool> reloaded = false;
   EntrySettings settings;
   //! What the next reload does on the loop's thread.
@@ -91,11 +95,11 @@
     settings.rate_limits = rate_limits;
     settings.name = HostId("h1");
     settings.domain = FailureDomain("z");
-    settings.callers = {"127.0.0.1", callers};
-    settings.ready = {"127.0.0.1", ready};
-    settings.directory = {"127.0.0.1", directory};
-    settings.metrics = {"127.0.0.1", metrics};
-    settings.peers = {"127.0.0.1", 0};
+    settings.callers = {kAddress, callers};
+    settings.ready = {kAddress, ready};
+    settings.directory = {kAddress, directory};
+    settings.metrics = {kAddress, metrics};
+    settings.peers = {kAddress, 0};
     settings.store = {"127.0.0.1", store.port()};
     settings.grace = grace;
     EntryProtocol protocol;
@@ -110,7 +114,9 @@
       BOOST_LEAF_CHECK(node->Start());
       return true;
     });
-    BOOST_REQUIRE_EQUAL(started.index(), 0U);
+    if (const auto* error = std::get_if<Error>(&started)) {
+      BOOST_FAIL("the host did not start: " << error->message);
+    }
     node->OnReload([this] {
       reload();
       reloaded = true;
@@ -139,11 +145,17 @@
     runner.join();
   }
 
-  [[nodiscard]] static std::uint16_t FreePort() {
+  //! Picks different ports at the host's address, which no connection has as
+  //! its source, so that they are still free when the host opens them.
+  [[nodiscard]] static std::vector<std::uint16_t> FreePorts(std::size_t count) {
     asio::io_context loop;
-    const tcp::acceptor probe(
-        loop, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
-    return probe.local_endpoint().port();
+    const tcp::endpoint any(asio::ip::make_address_v4(kAddress), 0);
+    std::vector<tcp::acceptor> held;
+    std::vector<std::uint16_t> ports;
+    while (ports.size() < count) {
+      ports.push_back(held.emplace_back(loop, any).local_endpoint().port());
+    }
+    return ports;
   }
 
   [[nodiscard]] static standins::HttpReply ReplyOf(
@@ -163,8 +175,8 @@
   [[nodiscard]] static ClientReply Get(std::uint16_t port,
                                        const std::string& path,
                                        std::vector<Header> headers = {}) {
-    return CallAndWait({"127.0.0.1", port},
-                       {"GET", path, "", std::move(headers)}, seconds(5));
+    return CallAndWait({kAddress, port}, {"GET", path, "", std::move(headers)},
+                       seconds(5));
   }
 
   static bool WaitUntil(const std::function<bool()>& done) {
@@ -184,9 +196,9 @@
     control.puts.push_back(
         {"op/config",
          R"({"version":3,"services":[{"name":"s","maxConnections":9}],)"
-         R"("routes":[{"name":"r","host":"127.0.0.1","prefix":"/a/",)"
+         R"("routes":[{"name":"r","host":"127.0.0.3","prefix":"/a/",)"
          R"("routeType":"idempotent","service":"s"},)"
-         R"({"name":"o","host":"127.0.0.1","prefix":"/once/",)"
+         R"({"name":"o","host":"127.0.0.3","prefix":"/once/",)"
          R"("routeType":"non_idempotent","service":"s"}])" +
              tenants + "}",
          {}});
@@ -210,7 +222,7 @@
 
 //! A host that holds limits together with others.
 struct LimitedNodeFixture : NodeFixture {
-  LimitedNodeFixture() : NodeFixture({{"127.0.0.1", 0}, seconds(5), 0.1, 20}) {}
+  LimitedNodeFixture() : NodeFixture({{kAddress, 0}, seconds(5), 0.1, 20}) {}
 
   [[nodiscard]] ClientReply GetKeyed(const std::string& key) const {
     return Get(callers, "/a/1",
@@ -372,7 +384,7 @@
   asio::io_context loop;
   tcp::socket link(loop);
   link.connect(
-      {asio::ip::address_v4::loopback(), std::get<Endpoint>(peers).port});
+      {asio::ip::make_address_v4(kAddress), std::get<Endpoint>(peers).port});
   asio::write(link, asio::buffer(EncodeFeedMessage(FeedHello{
                         follower.name, {}, codec.WriteHost(follower)})));
   BOOST_REQUIRE(WaitUntil([&] { return record_of("f1").has_value(); }));
@@ -481,11 +493,11 @@
 BOOST_AUTO_TEST_CASE(Settings_ReloadedBySighup_OpenRequestIsAnswered) {
   asio::io_context loop;
   tcp::socket caller(loop);
-  caller.connect({asio::ip::address_v4::loopback(), callers});
+  caller.connect({asio::ip::make_address_v4(kAddress), callers});
   asio::write(caller, asio::buffer(std::string("GET /a/1 HTTP/1.1\r\n")));
   (void)raise(SIGHUP);
   BOOST_TEST(WaitUntil([&] { return reloaded.load(); }));
-  asio::write(caller, asio::buffer(std::string("Host: 127.0.0.1\r\n\r\n")));
+  asio::write(caller, asio::buffer(std::string("Host: 127.0.0.3\r\n\r\n")));
   std::string head;
   asio::read_until(caller, asio::dynamic_buffer(head), "\r\n");
   BOOST_TEST(head.starts_with("HTTP/1.1 503"));
