--- a/test/jacinthdeck/entry/entry_node_test.cc
+++ b/test/jacinthdeck/entry/entry_node_test.cc
@@ -454,7 +454,8 @@
   BOOST_TEST(WaitUntil([&] { return Get(callers, "/a/1").status == 502; }));
   for (const std::string prefix : {"/once", "/a"}) {
     for (const std::string status : {"408", "429", "503"}) {
-      const std::string path = prefix + std::string(kStatusPath) + status;
+      std::string path = prefix;
+      path.append(kStatusPath).append(status);
       const ClientReply reply = Get(callers, path);
       BOOST_TEST(reply.status == 502, path);
       BOOST_TEST(reply.body == "targets_failed\n", path);
--- a/test/jacinthdeck/http/client_session_test.cc
+++ b/test/jacinthdeck/http/client_session_test.cc
@@ -194,10 +194,11 @@
 // Guards against a limit on unparsed bytes that refuses a page of the store.
 BOOST_AUTO_TEST_CASE(Reply_LargestBody_IsRead) {
   const std::string body(std::size_t{16} << 20U, 'x');
-  for (const std::string& form :
-       {reply_head + "Content-Length: 16777216\r\n\r\n" + body,
-        reply_head + "Transfer-Encoding: chunked\r\n\r\n1000000\r\n" + body +
-            "\r\n0\r\n\r\n"}) {
+  const std::vector<std::string> forms = {
+      reply_head + "Content-Length: 16777216\r\n\r\n" + body,
+      reply_head + "Transfer-Encoding: chunked\r\n\r\n1000000\r\n" + body +
+          "\r\n0\r\n\r\n"};
+  for (const std::string& form : forms) {
     ClientSession session(loop, "127.0.0.1", acceptor.local_endpoint().port());
     Call(session, true);
     asio::async_write(store, asio::buffer(form),
--- a/test/platform/codecs_test.cc
+++ b/test/platform/codecs_test.cc
@@ -1,4 +1,5 @@
 // Tests of the adapter's codecs for the platform's formats.
+#include <boost/algorithm/string/replace.hpp>
 #include <boost/test/unit_test.hpp>
 #include <string>
 #include <vector>
@@ -90,16 +91,20 @@
 // platform writes a number in another form: JSON has one type of number, and a
 // duration may be a fraction.
 BOOST_AUTO_TEST_CASE(Numbers_AnySpelling_AreRead) {
+  // Each # stands for the number.
+  const std::string config_text =
+      R"({"version":#,"routes":[{"name":"r","host":"h","prefix":"/a/",)"
+      R"("routeType":"idempotent","service":"s","maxAttempts":#,)"
+      R"("priority":#,"timeoutMs":#,"targetLatencyMs":3.5}],)"
+      R"("services":[{"name":"s","maxConnections":#}],)"
+      R"("limits":{"maxHeaderBytes":#,"maxBodyBytes":#,)"
+      R"("headerTimeoutMs":#,"idleTimeoutMs":2500.25}})";
+  const std::string target_text =
+      R"({"service":"s","zone":"z","state":"ready","seq":#,)"
+      R"("address":"10.0.0.1:80","slots":#,"born":#,"coldRemainingMs":1500.5})";
   for (const std::string spelling : {"3", "3.0", "3e0", "0.3e1", "30E-1"}) {
-    const auto config = ReadOk(
-        R"({"version":)" + spelling + R"(,"routes":[{"name":"r","host":"h",)" +
-        R"("prefix":"/a/","routeType":"idempotent","service":"s",)" +
-        R"("maxAttempts":)" + spelling + R"(,"priority":)" + spelling +
-        R"(,"timeoutMs":)" + spelling + R"(,"targetLatencyMs":3.5}],)" +
-        R"("services":[{"name":"s","maxConnections":)" + spelling +
-        R"(}],"limits":{"maxHeaderBytes":)" + spelling + R"(,"maxBodyBytes":)" +
-        spelling + R"(,"headerTimeoutMs":)" + spelling +
-        R"(,"idleTimeoutMs":2500.25}})");
+    const auto config =
+        ReadOk(boost::replace_all_copy(config_text, "#", spelling));
     BOOST_TEST(config->version() == 3U, spelling);
     const Route* route = config->Find("h", "/a/");
     BOOST_REQUIRE(route != nullptr);
@@ -112,10 +117,7 @@
     const StoreCodec codec;
     const auto target = Capture([&] {
       return codec.ReadTarget(
-          "t", R"({"service":"s","zone":"z","state":"ready","seq":)" +
-                   spelling + R"(,"address":"10.0.0.1:80","slots":)" +
-                   spelling + R"(,"born":)" + spelling +
-                   R"(,"coldRemainingMs":1500.5})");
+          "t", boost::replace_all_copy(target_text, "#", spelling));
     });
     BOOST_REQUIRE_EQUAL(target.index(), 0U);
     const ParsedTarget& parsed = std::get<ParsedTarget>(target);
