Use a connection to a target again only after a response with an id

Cause: one decision. OnResponseComplete() kept the connection of a response that nothing can tell from a late copy of it.

Change: a connection is kept after a response that has the id of its request, since copies of it are known by the id. After a refusal without one it is kept if the target has returned ids there, and then not used by a request that may run once: taken for refused, that one would be sent again. Typed attempts carry an id, which the stand-in target returns.

Two tests answered without an id and expected the connection to be kept (CutResponseTest, Send_RepeatAfterOtherRequests_*): their responses have one now; what they check is the same.

--- a/src/jacinthdeck/entry/typed_service.cc
+++ b/src/jacinthdeck/entry/typed_service.cc
@@ -162,8 +162,9 @@
   request->method = "POST";
   request->target = "/query";
   request->host = target.address;
+  request->request_id = std::to_string(attempt.attempt.raw());
   request->headers = {{"Content-Type", "application/json"},
-                      {"X-Attempt", std::to_string(attempt.attempt.raw())},
+                      {"X-Attempt", request->request_id},
                       {"X-Deadline-Ms", std::to_string(std::max<std::int64_t>(
                                             left.count(), 1))}};
   request->body = EncodeTargetRequest(attempt);
--- a/src/jacinthdeck/http/target_connection.cc
+++ b/src/jacinthdeck/http/target_connection.cc
@@ -319,9 +319,25 @@
   Read();
 }
 
+bool TargetConnection::HasResponseId() const {
+  return !m_parser->get()[m_pool.m_protocol.request_id].empty();
+}
+
 bool TargetConnection::IsForeignResponse() const {
   const auto id = m_parser->get()[m_pool.m_protocol.request_id];
-  return !id.empty() && ToStringView(id) != m_attempt->request->request_id;
+  return HasResponseId() && ToStringView(id) != m_attempt->request->request_id;
+}
+
+// A late copy of a response without an id passes for the next response. That of
+// a refusal does no harm to a request that is sent again anyway, if the target
+// is known to return the ids of those that it runs.
+bool TargetConnection::MayBeUsedAfter(AttemptOutcome outcome) {
+  if (HasResponseId()) {
+    m_returned_id = true;
+    return outcome != AttemptOutcome::kWrongTarget;
+  }
+  m_refused_without_id = true;
+  return m_returned_id && outcome == AttemptOutcome::kNotExecuted;
 }
 
 void TargetConnection::OnReadError(const SystemError& error) {
@@ -354,8 +370,7 @@
   const bool reusable = m_parser->keep_alive() && !m_parser->need_eof() &&
                         m_read_buffer.size() == 0 && !m_writing &&
                         !m_attempt->close_after_response &&
-                        !m_carried_ids.full() &&
-                        end.outcome != AttemptOutcome::kWrongTarget;
+                        !m_carried_ids.full() && MayBeUsedAfter(end.outcome);
   auto message = m_parser->release();
   end.response.body = std::move(message.body());
   m_parser.reset();
--- a/src/jacinthdeck/http/target_connection.h
+++ b/src/jacinthdeck/http/target_connection.h
@@ -51,6 +51,13 @@
     return m_carried_ids.Contains(id);
   }
 
+  /*! \brief Tells whether a late copy of a refusal may be taken for the next
+   * response, so that a request that may not be repeated must use another
+   * connection: it could run, be taken for refused and be sent again. */
+  [[nodiscard]] bool refused_without_id() const noexcept {
+    return m_refused_without_id;
+  }
+
   /*! \brief Connects to the target and then sends the attempt. */
   void Open(const OutgoingAttempt& attempt);
 
@@ -93,7 +100,11 @@
   void Parse();
   void OnReadError(const SystemError& error);
   void OnResponseComplete();
+  [[nodiscard]] bool HasResponseId() const;
   [[nodiscard]] bool IsForeignResponse() const;
+  //! Tells whether a further attempt may follow the response on this
+  //! connection.
+  [[nodiscard]] bool MayBeUsedAfter(AttemptOutcome outcome);
   [[nodiscard]] AttemptEnd MakeAttemptEnd() const;
   void ReadIdleTimeout();
   //! Breaks off an attempt whose response exceeds a limit.
@@ -118,6 +129,10 @@
   //! Ids of the requests that were sent. Responses to them may arrive again at
   //! any time, so the current attempt's id was not among them when it was sent.
   CarriedIds m_carried_ids;
+  //! Whether a response had the id of its request. Only then is an idle
+  //! connection used again, and all its responses without an id are refusals.
+  bool m_returned_id = false;
+  bool m_refused_without_id = false;
   boost::beast::flat_buffer m_read_buffer;
   std::optional<Parser> m_parser;
   //! Bytes received for the current attempt; counted by the pool as well.
--- a/src/jacinthdeck/http/target_pool.cc
+++ b/src/jacinthdeck/http/target_pool.cc
@@ -141,7 +141,7 @@
   }
   const TimePoint now = m_clock.Now();
   std::shared_ptr<TargetConnection> newest;
-  std::shared_ptr<TargetConnection> carried_id;
+  std::shared_ptr<TargetConnection> ambiguous;
   Connections stale;
   for (const auto& connection : target_connections->second) {
     if (!connection->idle()) {
@@ -151,8 +151,9 @@
         (attempt.at_most_once &&
          now - connection->idle_since() > kMaxAtMostOnceIdle)) {
       stale.push_back(connection);
-    } else if (connection->HasCarried(attempt.request->request_id)) {
-      carried_id = connection;
+    } else if (connection->HasCarried(attempt.request->request_id) ||
+               (attempt.at_most_once && connection->refused_without_id())) {
+      ambiguous = connection;
     } else if (newest == nullptr ||
                connection->idle_since() > newest->idle_since()) {
       newest = connection;
@@ -163,9 +164,9 @@
     for (const auto& connection : stale) {
       connection->Close();
     }
-    if (carried_id != nullptr &&
+    if (ambiguous != nullptr &&
         CountConnections(attempt.target.id) >= attempt.connection_limit) {
-      carried_id->Close();
+      ambiguous->Close();
     }
   }
   return newest;
--- a/standins/target/target.cc
+++ b/standins/target/target.cc
@@ -4,6 +4,7 @@
 #include <jansson.h>
 
 #include <algorithm>
+#include <boost/algorithm/string/case_conv.hpp>
 #include <cmath>
 #include <numbers>
 #include <thread>
@@ -12,6 +13,7 @@
 
 #include "jacinthdeck/core/json.h"
 #include "jacinthdeck/http/status.h"
+#include "platform/wire_names.h"
 
 namespace jacinthdeck::standins {
 
@@ -106,7 +108,14 @@
     std::this_thread::sleep_for(m_info.connection_open_time);
   }
   if (request.path == "/query" && request.verb == "POST") {
-    return Query(request);
+    HttpReply reply = Query(request);
+    static const std::string id_name =
+        boost::to_lower_copy(std::string(platform::wire::kRequestId));
+    if (const auto id = request.headers.find(id_name);
+        id != request.headers.end()) {
+      reply.headers.insert(*id);
+    }
+    return reply;
   }
   if (request.path == "/cancel") {
     const auto attempt = request.headers.find("x-attempt");
