--- a/test/jacinthdeck/http/client_session_test.cc
+++ b/test/jacinthdeck/http/client_session_test.cc
@@ -2,7 +2,6 @@
 // socket.
 #include "jacinthdeck/http/client_session.h"
 
-#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -23,7 +22,6 @@
 
   //! More handlers than a call has until a part of its reply was read.
   static constexpr int kHandlersOfCall = 6;
-  static constexpr std::size_t kBytesOfWrite = std::size_t{64} << 10U;
   //! The limit on the body of a response, and as much for what the buffers of
   //! the sockets hold.
   static constexpr std::size_t kMostBytesTaken = std::size_t{32} << 20U;
@@ -62,33 +60,6 @@
     return *reply;
   }
 
-  //! Writes the beginning of a reply and then a piece again and again, until
-  //! the call ends or the connection takes no more; returns the bytes written.
-  std::size_t AnswerWithoutEnd(const std::string& begin,
-                               const std::string& piece) {
-    std::string pieces;
-    while (pieces.size() < kBytesOfWrite) {
-      pieces += piece;
-    }
-    std::size_t written = 0;
-    std::function<void(const std::string&)> write =
-        [&](const std::string& bytes) {
-          asio::async_write(store, asio::buffer(bytes),
-                            [&](const SystemError& error, std::size_t count) {
-                              written += count;
-                              if (!error && written < kMostBytesTaken) {
-                                write(pieces);
-                              }
-                            });
-        };
-    write(begin);
-    RunUntil([&] { return reply.has_value() || written >= kMostBytesTaken; });
-    store.close();
-    loop.restart();
-    loop.poll();
-    return written;
-  }
-
   ClientReply AnswerAndClose(const std::string& bytes, bool reset) {
     asio::write(store, asio::buffer(bytes));
     store.set_option(asio::socket_base::linger(reset, 0));
@@ -158,12 +129,10 @@
 // Guards against bytes of a faulty server that are kept until the process has
 // no memory left.
 BOOST_AUTO_TEST_CASE(Reply_WithoutEnd_IsRefusedAtLimit) {
+  constexpr std::size_t kBytesOfWrite = std::size_t{64} << 10U;
   const std::string chunked = "Transfer-Encoding: chunked\r\n\r\n";
   const std::string chunk = "400\r\n" + std::string(0x400, 'x') + "\r\n";
-  struct Form {
-    std::string name, begin, piece;
-  };
-  const std::vector<Form> forms = {
+  const std::vector<EndlessBytes> forms = {
       {"no HTTP", "abc", "x"},
       {"status line", "HTTP/1.1 200 ", "x"},
       {"name of a header", reply_head, "x"},
@@ -182,10 +151,14 @@
       {"trailer", reply_head + chunked + chunk + "0\r\n", "x"},
       {"trailers", reply_head + chunked + chunk + "0\r\n", "a: b\r\n"},
   };
-  for (const Form& form : forms) {
+  for (const EndlessBytes& form : forms) {
+    EndlessBytes bytes{form.name, form.begin, ""};
+    while (bytes.repeated.size() < kBytesOfWrite) {
+      bytes.repeated += form.repeated;
+    }
     ClientSession session(loop, "127.0.0.1", acceptor.local_endpoint().port());
     Call(session, true);
-    const std::size_t taken = AnswerWithoutEnd(form.begin, form.piece);
+    const std::size_t taken = SendWithoutEnd(store, bytes);
     BOOST_TEST(taken < kMostBytesTaken, form.name << " took " << taken);
     BOOST_TEST((reply.has_value() && !reply->answered()), form.name);
   }
--- a/test/jacinthdeck/http/loop_fixture.h
+++ b/test/jacinthdeck/http/loop_fixture.h
@@ -14,6 +14,14 @@
 
 namespace jacinthdeck {
 
+/*! \brief What a faulty peer sends: a beginning, and then one piece again and
+ * again. */
+struct EndlessBytes {
+  std::string name;
+  std::string begin;
+  std::string repeated;
+};
+
 /*! \brief Event loop that only the test runs, and a manual clock that only the
  * test advances; the timeouts under test follow this clock. */
 struct EventLoopFixture {
@@ -56,6 +64,24 @@
     return received;
   }
 
+  //! Writes bytes without end until the peer closes the connection; returns how
+  //! many the kernel took.
+  std::size_t SendWithoutEnd(tcp::socket& socket, const EndlessBytes& bytes) {
+    std::size_t sent = bytes.begin.size();
+    asio::write(socket, asio::buffer(bytes.begin));
+    socket.non_blocking(true);
+    std::size_t offset = 0;
+    RunUntil([&] {
+      SystemError error;
+      const std::size_t written =
+          socket.write_some(asio::buffer(bytes.repeated) + offset, error);
+      sent += written;
+      offset = (offset + written) % bytes.repeated.size();
+      return error && error != asio::error::would_block;
+    });
+    return sent;
+  }
+
   //! Runs the loop until the peer closes the connection; fails the test if it
   //! does not.
   bool IsClosed(tcp::socket& socket) {
--- a/test/jacinthdeck/http/target_pool_fixture.h
+++ b/test/jacinthdeck/http/target_pool_fixture.h
@@ -12,13 +12,6 @@
 
 namespace jacinthdeck {
 
-//! A response whose second part is sent again and again.
-struct EndlessResponse {
-  std::string name;
-  std::string begin;
-  std::string repeated;
-};
-
 struct TargetPoolFixture : EventLoopFixture, TargetPoolSink {
   tcp::acceptor acceptor{loop,
                          tcp::endpoint(asio::ip::address_v4::loopback(), 0)};
@@ -81,24 +74,6 @@
     asio::write(socket, asio::buffer(text));
   }
 
-  //! Sends a response that never ends until the peer closes the connection;
-  //! returns the number of bytes sent.
-  std::size_t SendWithoutEnd(tcp::socket& target, const EndlessResponse& form) {
-    std::size_t sent = form.begin.size();
-    asio::write(target, asio::buffer(form.begin));
-    target.non_blocking(true);
-    std::size_t offset = 0;
-    RunUntil([&] {
-      SystemError error;
-      const std::size_t written =
-          target.write_some(asio::buffer(form.repeated) + offset, error);
-      sent += written;
-      offset = (offset + written) % form.repeated.size();
-      return error && error != asio::error::would_block;
-    });
-    return sent;
-  }
-
   AttemptEnd WaitForEnd() {
     RunUntil([&] { return !ends.empty(); });
     AttemptEnd end = ends.front();
--- a/test/jacinthdeck/http/target_pool_test.cc
+++ b/test/jacinthdeck/http/target_pool_test.cc
@@ -358,7 +358,7 @@
 // of the host is used up, from a target that sends bytes without end.
 BOOST_AUTO_TEST_CASE(Response_WithoutEnd_AttemptBreaksWithinBounds) {
   const std::string filler(8000, 'x');
-  const std::vector<EndlessResponse> forms = {
+  const std::vector<EndlessBytes> forms = {
       {"head line", "HTTP/1.1 200 OK\r\nA: ", filler},
       {"head lines", "HTTP/1.1 200 OK\r\n", "A: " + filler + "\r\n"},
       {"no HTTP", "", filler},
@@ -374,7 +374,7 @@
       {"interim responses", "", "HTTP/1.1 100 Continue\r\n\r\n"},
       {"foreign responses", "",
        "HTTP/1.1 200 OK\r\nReq: other\r\nContent-Length: 2\r\n\r\nok"}};
-  for (const EndlessResponse& form : forms) {
+  for (const EndlessBytes& form : forms) {
     pool.Send(MakeAttempt());
     tcp::socket target = Accept();
     (void)ReadUntil(target, "\r\n\r\n");
--- a/test/jacinthdeck/peer/feed_link_test.cc
+++ b/test/jacinthdeck/peer/feed_link_test.cc
@@ -2,7 +2,6 @@
 // socket.
 #include "jacinthdeck/peer/feed_link.h"
 
-#include <functional>
 #include <string>
 
 #include "jacinthdeck/http/loop_fixture.h"
@@ -20,32 +19,16 @@
   FeedLink link{loop, *this};
   int lost = 0;
 
-  //! Acts as a feeder that sends bytes again and again, until the link closes
-  //! the connection or has taken too many; returns how many it took.
-  std::size_t SendWithoutEnd(const std::string& begin,
+  //! Acts as a feeder that sends bytes without end; returns how many were
+  //! taken.
+  std::size_t FeedWithoutEnd(const std::string& begin,
                              const std::string& bytes) {
     tcp::acceptor acceptor(loop,
                            tcp::endpoint(asio::ip::address_v4::loopback(), 0));
     link.Open({"127.0.0.1", acceptor.local_endpoint().port()},
               {HostId("host-1"), At(1), ""});
     tcp::socket feeder = acceptor.accept();
-    std::size_t taken = 0;
-    std::function<void(const std::string&)> write =
-        [&](const std::string& next) {
-          asio::async_write(feeder, asio::buffer(next),
-                            [&](const SystemError& error, std::size_t count) {
-                              taken += count;
-                              if (!error && taken < kMostBytesTaken) {
-                                write(bytes);
-                              }
-                            });
-        };
-    write(begin);
-    RunUntil([&] { return lost > 0 || taken >= kMostBytesTaken; });
-    feeder.close();
-    loop.restart();
-    loop.poll();
-    return taken;
+    return SendWithoutEnd(feeder, {"", begin, bytes});
   }
 
   void OnFeedChanges(const FeedChanges& /*changes*/) override {}
@@ -67,7 +50,7 @@
        {filler, headers, std::string(4, '\0'), std::string("\0\0\0\4", 4),
         std::string("\0\0\0\3", 4), std::string("\xff\xff\xff\0", 4)}) {
     lost = 0;
-    const std::size_t taken = SendWithoutEnd(begin, filler);
+    const std::size_t taken = FeedWithoutEnd(begin, filler);
     BOOST_TEST(lost == 1);
     BOOST_TEST(taken < kMostBytesTaken);
   }
