Copy the key of a caller before its header is removed

The headers behind it move up, so that the view holds another header's value. Its tests sent no header behind the key.

Evidence: TenantGateTest/Call_OtherHeadersFollowTheKey_HasAccount failed before (2 checks).

--- a/src/jacinthdeck/entry/tenant_gate.cc
+++ b/src/jacinthdeck/entry/tenant_gate.cc
@@ -71,15 +71,15 @@
 
 void TenantGate::OnCall(ReceivedCall received, TimePoint now) {
   const CallerKey caller = KeyOf(received.request->headers, m_protocol);
+  std::optional<std::string> key;
+  if (caller.count == KeyCount::kOne) {
+    key = caller.key;
+  }
   RemoveAccountHeaders(*received.request, m_protocol);
   if (m_config == nullptr || m_config->tenants()->empty()) {
     m_sink.SubmitCall(std::move(received.call));
     return;
   }
-  std::optional<std::string> key;
-  if (caller.count == KeyCount::kOne) {
-    key = caller.key;
-  }
   Check(std::move(received), std::move(key), now);
 }
 
--- a/test/jacinthdeck/entry/tenant_gate_test.cc
+++ b/test/jacinthdeck/entry/tenant_gate_test.cc
@@ -188,6 +188,17 @@
   BOOST_TEST(limiter.asked.empty());
 }
 
+// Guards against a key that is read after the headers, which hold it, have
+// moved up over it: all callers are then refused.
+BOOST_AUTO_TEST_CASE(Call_OtherHeadersFollowTheKey_HasAccount) {
+  Configure({Account("acme", "k1")});
+  (void)Call({{"X-Key", "k1"}, {"A", "1"}, {"B", "2"}});
+  BOOST_TEST(refused.empty());
+  BOOST_REQUIRE_EQUAL(submitted.size(), 1U);
+  BOOST_TEST(HeadersOf(submitted[0]) == "A=1;B=2;");
+  BOOST_TEST(submitted[0].tenant.raw() == "acme");
+}
+
 BOOST_AUTO_TEST_CASE(Call_NoKeyUnknownKeyOrTwoKeys_IsUnauthorized) {
   Configure({Account("acme", "k1")});
   (void)Call({});
